--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/daemon/src/admin.rs
@@ -0,0 +1,78 @@
+//! The operators' API and console, on threads of their own.
+
+use std::net;
+use std::sync;
+use std::thread;
+
+use anyhow::Context as _;
+use tokio::runtime;
+
+use crate::admin_api;
+use crate::console;
+use crate::host;
+
+/// The operators' port, open before the host that answers on it is complete.
+#[derive(Debug)]
+pub struct Listening {
+    addr: net::SocketAddr,
+    host: sync::Arc<sync::OnceLock<Admin>>,
+}
+
+/// What the operators' API works on.
+#[derive(Debug)]
+pub struct Admin {
+    /// The host.
+    pub cx: sync::Arc<host::Host>,
+    /// The runtime that carries requests.
+    pub runtime: runtime::Handle,
+}
+
+const THREADS: usize = 4;
+
+/// Opens the port.
+///
+/// # Errors
+///
+/// Returns an error that names the settings key whose address can't be used.
+pub fn listen(addr: net::SocketAddr) -> anyhow::Result<Listening> {
+    let host = sync::Arc::new(sync::OnceLock::new());
+    let shared: sync::Arc<sync::OnceLock<Admin>> = host.clone();
+    let handler = move |req: &rouille::Request| match shared.get() {
+        Some(admin) => respond(admin, req),
+        None => rouille::Response::text("starting").with_status_code(503),
+    };
+    let server = rouille::Server::new(addr, handler)
+        .map_err(|error| anyhow::anyhow!("{error}"))
+        .with_context(|| format!("section [listen], key \"admin\": can't listen on {addr}"))?;
+    let server = server.pool_size(THREADS);
+    let addr = server.server_addr();
+    thread::Builder::new()
+        .name("admin".into())
+        .spawn(move || server.run())?;
+    Ok(Listening { addr, host })
+}
+
+impl Listening {
+    /// Returns the address that is listened on.
+    ///
+    /// # Errors
+    ///
+    /// Never fails today; the signature matches other listeners.
+    pub fn local_addr(&self) -> anyhow::Result<net::SocketAddr> {
+        Ok(self.addr)
+    }
+}
+
+/// Starts to answer operators.
+pub fn serve(cx: sync::Arc<host::Host>, listening: Listening) {
+    let runtime = runtime::Handle::current();
+    // The cell is set once, here.
+    let _ = listening.host.set(Admin { cx, runtime });
+}
+
+fn respond(admin: &Admin, req: &rouille::Request) -> rouille::Response {
+    match req.url().starts_with("/admin/") {
+        true => admin_api::respond(admin, req),
+        false => console::respond(admin, req),
+    }
+}
--- /dev/null
+++ b/daemon/src/admin_api.rs
@@ -0,0 +1,389 @@
+//! The operators' API: JSON over HTTP with operator tokens.
+
+use std::io::Read as _;
+use std::sync;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+use walnuthaven_lib::clock;
+use walnuthaven_lib::config;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::validate;
+use walnuthaven_lib::versions;
+use walnuthaven_wire::peer;
+
+use crate::admin;
+use crate::configure;
+use crate::drain;
+use crate::dump;
+use crate::forward;
+use crate::gossip;
+use crate::host;
+use crate::logging;
+use crate::platform;
+use crate::settings;
+
+const MAX_BODY_BYTES: u64 = 2_000_000;
+
+/// An operator who was recognised.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    /// The operator's name.
+    pub name: ids::Name,
+    /// Whether the operator may change things.
+    pub may_change: bool,
+}
+
+/// A change as sent by an operator.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Put {
+    /// The document.
+    pub document: serde_json::Value,
+    /// The generation that the operator saw.
+    pub seen: u64,
+    /// Identifies the change; a repeat with the same id is accepted once.
+    pub change: String,
+}
+
+/// Answers a request.
+pub fn respond(admin: &admin::Admin, req: &rouille::Request) -> rouille::Response {
+    let operator = match operator(&admin.cx.settings, bearer(req)) {
+        Some(operator) => operator,
+        None => {
+            return error(
+                401,
+                "unauthorized",
+                "the operator token is missing or wrong",
+            );
+        }
+    };
+    let url = req.url();
+    let parts: Vec<&str> = url.trim_matches('/').split('/').skip(1).collect();
+    let read = req.method() == "GET";
+    if !read && !operator.may_change && parts != ["config", "check"] {
+        let message = format!("operator {} may only view", operator.name);
+        return error(403, "forbidden", &message);
+    }
+    let cx = &admin.cx;
+    match (req.method(), parts.as_slice()) {
+        ("GET", ["dump"]) => rouille::Response::json(&dump::take(cx)),
+        ("GET", ["hosts"]) => rouille::Response::json(&host::lock(&cx.members).all()),
+        ("GET", ["pools"]) => rouille::Response::json(&pools(cx)),
+        ("GET", ["config"]) => rouille::Response::json(&dump::take(cx).config),
+        ("POST", ["config", "check"]) => check(req),
+        ("GET", ["config", workspace]) => show(cx, workspace),
+        ("PUT", ["config", workspace]) => put(cx, &operator, workspace, req),
+        ("GET", ["config", workspace, "history"]) => history(cx, workspace),
+        ("GET", ["config", workspace, "history", generation]) => past(cx, workspace, generation),
+        ("GET", ["quarantine"]) => quarantine(cx),
+        ("POST", ["quarantine", digest, "lift"]) => lift(admin, &operator, digest),
+        ("GET", ["requests", id]) => request(admin, id),
+        ("POST", ["drain"]) => drain_host(admin, &operator),
+        ("POST", ["log", level]) => log_level(&operator, level),
+        _ => error(
+            404,
+            "not_found",
+            &format!("{} {url} does not exist", req.method()),
+        ),
+    }
+}
+
+/// Recognises an operator by the token.
+pub fn operator(settings: &settings::Settings, token: Option<&str>) -> Option<Operator> {
+    let token = token?;
+    let known = settings
+        .operators
+        .iter()
+        .find(|op| op.token.matches(token))?;
+    Some(Operator {
+        name: known.token.name.clone(),
+        may_change: known.may_change,
+    })
+}
+
+fn bearer(req: &rouille::Request) -> Option<&str> {
+    req.header("authorization")?.strip_prefix("Bearer ")
+}
+
+/// Makes an error in the one typed shape.
+pub fn error(status: u16, code: &str, message: &str) -> rouille::Response {
+    let body = json!({ "error": { "code": code, "message": message } });
+    rouille::Response::json(&body).with_status_code(status)
+}
+
+/// Reads a body up to the limit.
+fn body(req: &rouille::Request) -> Result<String, rouille::Response> {
+    let mut text = String::new();
+    let data = req.data();
+    let data = data.ok_or_else(|| error(400, "bad_request", "the body is missing"))?;
+    let read = data.take(MAX_BODY_BYTES + 1).read_to_string(&mut text);
+    match read {
+        Ok(_) if text.len() as u64 > MAX_BODY_BYTES => {
+            let message = format!("the body exceeds {MAX_BODY_BYTES} bytes");
+            Err(error(413, "too_large", &message))
+        }
+        Ok(_) => Ok(text),
+        Err(why) => Err(error(400, "bad_request", &format!("body: {why}"))),
+    }
+}
+
+fn check(req: &rouille::Request) -> rouille::Response {
+    let text = match body(req) {
+        Ok(text) => text,
+        Err(response) => return response,
+    };
+    match validate::parse(&text) {
+        Ok((_, warnings)) => rouille::Response::json(&validate::Report {
+            faults: Vec::new(),
+            warnings,
+        }),
+        Err(report) => rouille::Response::json(&report).with_status_code(422),
+    }
+}
+
+fn show(cx: &host::Host, workspace: &str) -> rouille::Response {
+    match host::read(&cx.config).get(workspace) {
+        Some(stored) => rouille::Response::json(&**stored),
+        None => no_workspace(workspace),
+    }
+}
+
+fn no_workspace(workspace: &str) -> rouille::Response {
+    let message = format!("workspace {workspace:?} does not exist");
+    error(404, "not_found", &message)
+}
+
+fn put(
+    cx: &sync::Arc<host::Host>,
+    operator: &Operator,
+    workspace: &str,
+    req: &rouille::Request,
+) -> rouille::Response {
+    let text = match body(req) {
+        Ok(text) => text,
+        Err(response) => return response,
+    };
+    let put: Put = match serde_json::from_str(&text) {
+        Ok(put) => put,
+        Err(why) => return error(400, "bad_request", &format!("body: {why}")),
+    };
+    if !ids::is_name(&put.change) {
+        let message = format!("change: {:?} is not a name", put.change);
+        return error(400, "bad_request", &message);
+    }
+    let (document, warnings) = match validate::parse(&put.document.to_string()) {
+        Ok(parsed) => parsed,
+        Err(report) => return rouille::Response::json(&report).with_status_code(422),
+    };
+    if *document.workspace != *workspace {
+        let message = format!("workspace: {:?} is not {workspace:?}", document.workspace);
+        return error(400, "bad_request", &message);
+    }
+    let change = configure::Change {
+        document,
+        seen: put.seen,
+        id: put.change,
+        author: operator.name.to_string(),
+    };
+    applied(cx, operator, &change, &warnings)
+}
+
+fn applied(
+    cx: &sync::Arc<host::Host>,
+    operator: &Operator,
+    change: &configure::Change,
+    warnings: &[validate::Finding],
+) -> rouille::Response {
+    let workspace = &change.document.workspace;
+    match configure::apply(cx, change) {
+        configure::Applied::Accepted(generation) => {
+            audit(
+                operator,
+                &format!("config {workspace} generation {generation}"),
+            );
+            push_later(cx, workspace);
+            let body = json!({ "generation": generation, "warnings": warnings });
+            rouille::Response::json(&body)
+        }
+        configure::Applied::Conflict(stored) => {
+            let difference = difference(&stored.document, &change.document);
+            let message = format!(
+                "{} changed {workspace} to generation {}",
+                stored.author, stored.generation
+            );
+            let body = json!({
+                "error": { "code": "conflict", "message": message },
+                "in_force": stored,
+                "difference": difference,
+            });
+            rouille::Response::json(&body).with_status_code(409)
+        }
+        configure::Applied::Refused(why) => error(503, "platform_unavailable", &why),
+        configure::Applied::Unknown(why) => error(504, "outcome_unknown", &why),
+    }
+}
+
+fn push_later(cx: &sync::Arc<host::Host>, workspace: &str) {
+    let Some(stored) = host::read(&cx.config).get(workspace).cloned() else {
+        return;
+    };
+    let cx = cx.clone();
+    // Blocking threads have no runtime of their own; the probes carry the news meanwhile.
+    cx.runtime.clone().spawn(async move {
+        configure::push(&cx, &[(*stored).clone()]).await;
+    });
+}
+
+/// Returns how two documents differ, as lines.
+pub fn difference(before: &config::Workspace, after: &config::Workspace) -> String {
+    let text = |document| serde_json::to_string_pretty(document).unwrap_or_default();
+    versions::difference(&text(before), &text(after))
+}
+
+fn history(cx: &host::Host, workspace: &str) -> rouille::Response {
+    match host::read(&cx.config).get(workspace) {
+        Some(stored) => rouille::Response::json(&stored.recent),
+        None => no_workspace(workspace),
+    }
+}
+
+/// Shows an earlier document, to be applied again as a new generation.
+fn past(cx: &host::Host, workspace: &str, generation: &str) -> rouille::Response {
+    let Some(stored) = host::read(&cx.config).get(workspace).cloned() else {
+        return no_workspace(workspace);
+    };
+    let wanted = stored
+        .recent
+        .iter()
+        .find(|c| c.generation.to_string() == generation);
+    let Some(change) = wanted else {
+        let message = format!("generation {generation} is not in the history of {workspace}");
+        return error(404, "not_found", &message);
+    };
+    let name = configure::history_name(workspace, change.generation, &change.change);
+    match cx.platform.get(configure::HISTORY_KIND, &name) {
+        Ok(object) => rouille::Response::json(&object.value),
+        Err(platform::Failure::NotFound) => {
+            error(404, "not_found", &format!("{name} is no longer kept"))
+        }
+        Err(failure) => error(503, "platform_unavailable", &format!("{failure:?}")),
+    }
+}
+
+fn pools(cx: &host::Host) -> serde_json::Value {
+    let config = host::read(&cx.config);
+    let members = host::lock(&cx.members);
+    let mut pools = Vec::new();
+    for stored in config.iter() {
+        for pool in &stored.document.pools {
+            for cell in stored.document.cells(&pool.name) {
+                let steward = members.steward(&cell.name);
+                pools.push(json!({
+                    "cell": cell.name,
+                    "model": pool.model,
+                    "engines": cell.engines.len(),
+                    "steward": steward.id.name,
+                    "steward_admin": steward.admin_addr,
+                }));
+            }
+        }
+    }
+    drop(members);
+    json!({ "pools": pools, "cells_here": dump::cells(cx) })
+}
+
+fn quarantine(cx: &host::Host) -> rouille::Response {
+    let quarantine = host::lock(&cx.quarantine);
+    let marks: Vec<serde_json::Value> = quarantine
+        .marks()
+        .map(|mark| {
+            json!({
+                "digest": format!("{:016x}", mark.digest),
+                "servers": mark.servers,
+                "quarantined": mark.is_quarantined(),
+                "lifted": mark.lifted,
+                "expires_unix_ms": clock::millis(mark.expires),
+            })
+        })
+        .collect();
+    rouille::Response::json(&marks)
+}
+
+fn lift(admin: &admin::Admin, operator: &Operator, digest: &str) -> rouille::Response {
+    let Ok(number) = u64::from_str_radix(digest, 16) else {
+        let message = format!("digest: {digest:?} is not 16 hexadecimal digits");
+        return error(400, "bad_request", &message);
+    };
+    let cx = &admin.cx;
+    let lifted = host::lock(&cx.quarantine).lift(number, cx.unix());
+    if lifted.is_none() {
+        let message = format!("content {digest} is not marked");
+        return error(404, "not_found", &message);
+    }
+    audit(operator, &format!("lifted quarantine of {digest}"));
+    let shared = cx.clone();
+    admin
+        .runtime
+        .spawn(async move { gossip::announce(&shared).await });
+    rouille::Response::json(&json!({ "lifted": digest }))
+}
+
+/// Shows what is known of a request, from its home.
+fn request(admin: &admin::Admin, id: &str) -> rouille::Response {
+    let cx = &admin.cx;
+    let parsed: ids::RequestId = match id.parse() {
+        Ok(parsed) => parsed,
+        Err(why) => return error(400, "bad_request", &why.to_string()),
+    };
+    if parsed.home == cx.id {
+        let state = host::lock(&cx.ids).state(parsed.number).cloned();
+        let state = state.map(|state| format!("{state:?}"));
+        let steps = cx.traces.get(id);
+        return rouille::Response::json(&json!({ "id": id, "state": state, "steps": steps }));
+    }
+    let Some(home) = forward::find_home(cx, &parsed) else {
+        let message = format!("the home of {id} is gone");
+        return error(404, "not_found", &message);
+    };
+    let call = peer::LookupRequest {
+        request: id.to_owned(),
+        fence: false,
+    };
+    let looked_up = admin
+        .runtime
+        .block_on(cx.peers.lookup(&home.peer_addr, call));
+    match looked_up {
+        Ok(reply) => {
+            let body = json!({ "id": id, "state": reply.state, "steps": reply.trace });
+            rouille::Response::json(&body)
+        }
+        Err(status) => error(503, "unavailable", &status.to_string()),
+    }
+}
+
+fn drain_host(admin: &admin::Admin, operator: &Operator) -> rouille::Response {
+    audit(operator, "drain of this host");
+    let cx = admin.cx.clone();
+    admin.runtime.spawn(async move { drain::leave(&cx).await });
+    rouille::Response::json(&json!({ "phase": "leaving" })).with_status_code(202)
+}
+
+fn log_level(operator: &Operator, level: &str) -> rouille::Response {
+    match level.parse() {
+        Ok(parsed) => {
+            logging::set_level(parsed);
+            audit(operator, &format!("log level {level}"));
+            rouille::Response::json(&json!({ "level": level }))
+        }
+        Err(_) => {
+            let message = format!("{level:?} is not off, error, warn, info, debug or trace");
+            error(400, "bad_request", &message)
+        }
+    }
+}
+
+/// Writes who changed what to the log.
+pub fn audit(operator: &Operator, what: &str) {
+    log::info!(target: "walnuthaven_daemon::audit", "operator {}: {what}", operator.name);
+}
--- /dev/null
+++ b/daemon/src/api.rs
@@ -0,0 +1,450 @@
+//! The callers' API: HTTP/1.1 and HTTP/2.
+
+use std::convert::Infallible;
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+
+use axum::body;
+use axum::extract;
+use axum::response;
+use axum::response::IntoResponse as _;
+use axum::routing;
+use hyper_util::rt;
+use hyper_util::server::conn;
+use walnuthaven_lib::clock;
+use walnuthaven_lib::identity;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::refusal;
+use walnuthaven_lib::versions;
+
+use crate::connections;
+use crate::directory;
+use crate::drain;
+use crate::host;
+use crate::jobs_api;
+use crate::openai;
+use crate::plain;
+
+/// The header with a request's id.
+pub const ID_HEADER: &str = "x-request-id";
+/// The header with the priority of a request.
+pub const PRIORITY_HEADER: &str = "x-priority";
+/// The header that narrows whether a request may be repeated.
+pub const REPEATABLE_HEADER: &str = "x-repeatable";
+/// The header with the number of tokens that the caller has already.
+pub const OFFSET_HEADER: &str = "x-offset";
+/// The header with the caller's availability zone.
+pub const ZONE_HEADER: &str = "x-availability-zone";
+
+type Cx = extract::State<sync::Arc<host::Host>>;
+type Conn = axum::Extension<connections::Connection>;
+
+/// Serves callers until the host has left.
+pub async fn serve(cx: sync::Arc<host::Host>, listener: tokio::net::TcpListener) {
+    let router = router(&cx);
+    let ended = drain::wait_left(&cx);
+    let accept = async {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => accept_one(&cx, &router, stream),
+                Err(error) => {
+                    log::warn!("accept: {error}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    };
+    tokio::select! {
+        () = accept => {}
+        () = ended => {}
+    }
+}
+
+fn accept_one(cx: &sync::Arc<host::Host>, router: &axum::Router, stream: tokio::net::TcpStream) {
+    let open = cx
+        .counters
+        .connections
+        .fetch_add(1, atomic::Ordering::Relaxed);
+    let open_guard = OpenConnection(cx.clone());
+    if open as usize >= cx.settings.limits.connections {
+        cx.metrics.count("connection.refused");
+        return;
+    }
+    let cx = cx.clone();
+    let router = router.clone();
+    tokio::spawn(async move {
+        let _open = open_guard;
+        serve_connection(&cx, router, stream).await;
+    });
+}
+
+struct OpenConnection(sync::Arc<host::Host>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let connections = &self.0.counters.connections;
+        connections.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+async fn serve_connection(
+    cx: &sync::Arc<host::Host>,
+    router: axum::Router,
+    stream: tokio::net::TcpStream,
+) {
+    let limits = &cx.settings.limits;
+    // A caller's tokens must not wait for each other; failing to set this only delays them.
+    let _ = stream.set_nodelay(true);
+    let stall = Duration::from_millis(limits.stall_ms);
+    let io = rt::TokioIo::new(connections::Guarded::new(stream, stall));
+    let connection = connections::Connection::default();
+    let shared = connection.clone();
+    let service_cx = cx.clone();
+    let service = hyper::service::service_fn(move |mut req: hyper::Request<_>| {
+        if req.version() < http::Version::HTTP_2 {
+            // The next request on a connection means that the answer before was read.
+            shared.settle(&service_cx, true);
+        }
+        req.extensions_mut().insert(shared.clone());
+        let router = router.clone();
+        async move {
+            let req = req.map(body::Body::new);
+            let called = tower_call(router, req).await;
+            Ok::<_, Infallible>(called)
+        }
+    });
+    let mut builder = conn::auto::Builder::new(rt::TokioExecutor::new());
+    builder
+        .http1()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.header_ms))
+        .max_buf_size(limits.header_bytes.max(MIN_HEADER_BYTES))
+        .http2()
+        .timer(rt::TokioTimer::new())
+        .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX));
+    let serving = builder.serve_connection(io, service);
+    let mut serving = std::pin::pin!(serving);
+    let ended = tokio::select! {
+        ended = serving.as_mut() => ended,
+        () = drain::wait_leaving(cx) => {
+            // Idle connections close now, busy ones after their answer.
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    connection.settle(cx, ended.is_ok());
+}
+
+const MIN_HEADER_BYTES: usize = 8_192;
+
+async fn tower_call(
+    router: axum::Router,
+    req: http::Request<body::Body>,
+) -> http::Response<body::Body> {
+    let service = hyper_util::service::TowerToHyperService::new(router);
+    match hyper::service::Service::call(&service, req).await {
+        Ok(response) => response,
+        Err(never) => match never {},
+    }
+}
+
+fn router(cx: &sync::Arc<host::Host>) -> axum::Router {
+    axum::Router::new()
+        .route("/healthz", routing::get(health))
+        .route("/v1/hosts", routing::get(hosts))
+        .route("/v1/models", routing::get(openai::models))
+        .route("/v1/completions", routing::post(openai::completions))
+        .route("/v1/chat/completions", routing::post(openai::chat))
+        .route("/v1/jobs", routing::post(jobs_api::submit))
+        .route(
+            "/v1/jobs/{id}",
+            routing::get(jobs_api::poll).delete(jobs_api::confirm),
+        )
+        .route("/v1/jobs/{id}/answer", routing::get(jobs_api::fetch))
+        .route("/v1/requests/{id}", routing::get(request_state))
+        .route("/v1/requests/{id}/confirm", routing::post(confirm))
+        .route("/v1/requests/{id}/answer", routing::get(replay))
+        .route("/v1/services/{name}", routing::any(service_root))
+        .route("/v1/services/{name}/{*path}", routing::any(service))
+        .fallback(not_found)
+        .layer(extract::DefaultBodyLimit::max(
+            cx.settings.limits.body_bytes,
+        ))
+        .with_state(cx.clone())
+}
+
+/// Makes the response of a refusal: one typed JSON shape.
+pub fn refused(refusal: &refusal::Refusal) -> response::Response {
+    let body = serde_json::json!({
+        "error": {
+            "code": refusal.code,
+            "ran": refusal.ran,
+            "message": refusal.message,
+            "type": refusal.code,
+            "retry_after_ms": refusal.retry_after.map(clock::millis),
+        }
+    });
+    let status = http::StatusCode::from_u16(refusal.code.status());
+    let status = status.unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = (status, axum::Json(body)).into_response();
+    if let Some(wait) = refusal.retry_after {
+        let seconds = wait.as_secs_f64().ceil();
+        let value = http::HeaderValue::from(seconds as u64);
+        response
+            .headers_mut()
+            .insert(http::header::RETRY_AFTER, value);
+    }
+    response
+}
+
+/// Returns a header's text.
+pub fn header<'a>(headers: &'a http::HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Finds the caller's workspace.
+///
+/// # Errors
+///
+/// Refuses a missing or unknown key.
+pub fn caller(
+    cx: &host::Host,
+    headers: &http::HeaderMap,
+) -> Result<sync::Arc<versions::Stored>, refusal::Refusal> {
+    directory::authenticate(cx, bearer(headers))
+}
+
+fn bearer(headers: &http::HeaderMap) -> Option<&str> {
+    header(headers, "authorization")?.strip_prefix("Bearer ")
+}
+
+/// Reads the request id of a caller.
+///
+/// # Errors
+///
+/// Refuses an id that is malformed.
+pub fn request_id(headers: &http::HeaderMap) -> Result<Option<ids::RequestId>, refusal::Refusal> {
+    let Some(text) = header(headers, ID_HEADER) else {
+        return Ok(None);
+    };
+    parse_id(text).map(Some)
+}
+
+fn parse_id(text: &str) -> Result<ids::RequestId, refusal::Refusal> {
+    text.parse().map_err(|error: ids::ParseError| {
+        let message = format!("{ID_HEADER}: {error}");
+        refusal::Refusal::not_run(refusal::Code::BadRequest, message)
+    })
+}
+
+async fn health(extract::State(cx): Cx) -> response::Response {
+    let serving = drain::check(&cx).and_then(|()| match host::read(&cx.config).is_empty() {
+        true => {
+            let message = "this host has no configuration yet";
+            let code = refusal::Code::Unavailable;
+            Err(refusal::Refusal::not_run(code, message))
+        }
+        false => Ok(()),
+    });
+    match serving {
+        Ok(()) => "serving\n".into_response(),
+        Err(refusal) => refused(&refusal),
+    }
+}
+
+async fn hosts(extract::State(cx): Cx, headers: http::HeaderMap) -> response::Response {
+    if let Err(refusal) = caller(&cx, &headers) {
+        return refused(&refusal);
+    }
+    let key = bearer(&headers).unwrap_or_default();
+    let zone = header(&headers, ZONE_HEADER);
+    axum::Json(directory::hosts(&cx, zone, key)).into_response()
+}
+
+async fn not_found(uri: http::Uri) -> response::Response {
+    let message = format!("path {:?} does not exist", uri.path());
+    refused(&refusal::Refusal::not_run(refusal::Code::NotFound, message))
+}
+
+async fn service_root(
+    cx: Cx,
+    connection: Conn,
+    extract::Path(name): extract::Path<String>,
+    req: http::Request<body::Body>,
+) -> response::Response {
+    let path = extract::Path((name, String::new()));
+    service(cx, connection, path, req).await
+}
+
+async fn service(
+    extract::State(cx): Cx,
+    axum::Extension(connection): Conn,
+    extract::Path((name, path)): extract::Path<(String, String)>,
+    req: http::Request<body::Body>,
+) -> response::Response {
+    host::Counters::add(&cx.counters.requests, 1);
+    let call = match plain_call(&cx, &name, &path, req).await {
+        Ok(call) => call,
+        Err(refusal) => return refused(&refusal),
+    };
+    let began = cx.now();
+    let answered = match plain::call(&cx, call).await {
+        Ok(answered) => answered,
+        Err(refusal) => {
+            host::Counters::add(&cx.counters.refused, 1);
+            return refused(&refusal);
+        }
+    };
+    cx.metrics
+        .time("plain.call", cx.now().saturating_sub(began));
+    if let Some(delivery) = answered.delivery {
+        connection.sent(&cx, delivery);
+    }
+    let reply = answered.reply;
+    let status = http::StatusCode::from_u16(reply.status);
+    let mut response =
+        (status.unwrap_or(http::StatusCode::BAD_GATEWAY), reply.body).into_response();
+    if let Ok(value) = http::HeaderValue::from_str(&reply.content_type) {
+        response
+            .headers_mut()
+            .insert(http::header::CONTENT_TYPE, value);
+    }
+    response
+}
+
+async fn plain_call(
+    cx: &host::Host,
+    name: &str,
+    path: &str,
+    req: http::Request<body::Body>,
+) -> Result<plain::Call, refusal::Refusal> {
+    let workspace = caller(cx, req.headers())?;
+    let service = workspace.document.service(name);
+    let service = service.filter(|s| s.kind == walnuthaven_lib::config::Kind::Plain);
+    let Some(service) = service.cloned() else {
+        let message = format!("plain service {name:?} does not exist in the workspace");
+        return Err(refusal::Refusal::not_run(refusal::Code::NotFound, message));
+    };
+    let id = request_id(req.headers())?;
+    let content_type = header(req.headers(), "content-type").unwrap_or_default();
+    let content_type = content_type.to_owned();
+    let method = req.method().clone();
+    let path = match req.uri().query() {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    let limit = cx.settings.limits.body_bytes;
+    let body = body::to_bytes(req.into_body(), limit).await;
+    let body = body.map_err(|_| {
+        let message = format!("the body exceeds {limit} bytes or was cut off");
+        refusal::Refusal::not_run(refusal::Code::TooLarge, message)
+    })?;
+    Ok(plain::Call {
+        workspace,
+        service,
+        method,
+        path,
+        body,
+        content_type,
+        id,
+    })
+}
+
+/// Finds a request of the caller at this host.
+fn own_request(
+    cx: &host::Host,
+    headers: &http::HeaderMap,
+    id: &str,
+) -> Result<(ids::RequestId, identity::State), refusal::Refusal> {
+    caller(cx, headers)?;
+    let id = parse_id(id)?;
+    if id.home != cx.id {
+        let message = format!("the home of {id} is host {}; ask there", id.home.name);
+        return Err(refusal::Refusal {
+            ran: refusal::Ran::Unknown,
+            ..refusal::Refusal::not_run(refusal::Code::NotFound, message)
+        });
+    }
+    let state = host::lock(&cx.ids).state(id.number).cloned();
+    match state {
+        Some(state) => Ok((id, state)),
+        None => {
+            let message = format!("request {id} is not known");
+            Err(refusal::Refusal {
+                ran: refusal::Ran::Unknown,
+                ..refusal::Refusal::not_run(refusal::Code::NotFound, message)
+            })
+        }
+    }
+}
+
+async fn request_state(
+    extract::State(cx): Cx,
+    headers: http::HeaderMap,
+    extract::Path(id): extract::Path<String>,
+) -> response::Response {
+    match own_request(&cx, &headers, &id) {
+        Err(refusal) => refused(&refusal),
+        Ok((id, state)) => {
+            let state = match state {
+                identity::State::Running => "running",
+                identity::State::Finished | identity::State::Sent => "finished",
+                identity::State::Delivered => "delivered",
+                identity::State::Refused(refusal) => return refused(&refusal),
+            };
+            let body = serde_json::json!({ "id": id.to_string(), "state": state });
+            axum::Json(body).into_response()
+        }
+    }
+}
+
+async fn confirm(
+    extract::State(cx): Cx,
+    headers: http::HeaderMap,
+    extract::Path(id): extract::Path<String>,
+) -> response::Response {
+    match own_request(&cx, &headers, &id) {
+        Err(refusal) => refused(&refusal),
+        Ok((_, identity::State::Running)) => {
+            let message = "the request still runs; nothing to confirm";
+            refused(&refusal::Refusal {
+                ran: refusal::Ran::Unknown,
+                ..refusal::Refusal::not_run(refusal::Code::Conflict, message)
+            })
+        }
+        Ok((id, _)) => {
+            connections::settle_home(&cx, &id, true, true);
+            http::StatusCode::NO_CONTENT.into_response()
+        }
+    }
+}
+
+/// Shows a kept answer again, marked as a replay.
+async fn replay(
+    extract::State(cx): Cx,
+    headers: http::HeaderMap,
+    extract::Path(id): extract::Path<String>,
+) -> response::Response {
+    let (id, _) = match own_request(&cx, &headers, &id) {
+        Ok(found) => found,
+        Err(refusal) => return refused(&refusal),
+    };
+    let answer = host::lock(&cx.answers).get(&id.number).cloned();
+    let Some(answer) = answer.filter(|answer| answer.end().is_some()) else {
+        let message = format!("no finished answer of {id} is kept");
+        return refused(&refusal::Refusal {
+            ran: refusal::Ran::Unknown,
+            ..refusal::Refusal::not_run(refusal::Code::NotFound, message)
+        });
+    };
+    let body = serde_json::json!({
+        "id": id.to_string(),
+        "replay": true,
+        "text": answer.tokens().concat(),
+    });
+    let mut response = axum::Json(body).into_response();
+    let marked = http::HeaderValue::from_static("true");
+    response.headers_mut().insert("x-replay", marked);
+    response
+}
--- /dev/null
+++ b/daemon/src/attempt.rs
@@ -0,0 +1,323 @@
+//! One try of a request on granted engines: prefill, transfer, decode.
+
+use std::sync;
+use std::time::Duration;
+
+use walnuthaven_lib::cell;
+use walnuthaven_lib::engines;
+use walnuthaven_lib::grant;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::transfer;
+
+use crate::acquire;
+use crate::answer;
+use crate::cancel;
+use crate::engine;
+use crate::generate;
+use crate::host;
+
+const PREFILL_FACTOR: u32 = 6;
+const MIN_PREFILL_LIMIT: Duration = Duration::from_secs(4);
+const DECODE_START_LIMIT: Duration = Duration::from_secs(2);
+const TOKEN_GAP_LIMIT: Duration = Duration::from_secs(3);
+const BASELINE_IMPORT_LIMIT: Duration = Duration::from_secs(10);
+
+/// A computed prompt that can still be imported.
+#[derive(Clone, Debug)]
+pub struct Export {
+    /// The engine that keeps it.
+    pub server: engines::Address,
+    /// The export.
+    pub exported: engine::Exported,
+    /// When it will be dropped.
+    pub until: Duration,
+}
+
+/// How a try ended.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// The answer is complete.
+    Complete,
+    /// Another try may succeed.
+    Failed(Failed),
+}
+
+/// A try that did not succeed.
+#[derive(Clone, Debug)]
+pub struct Failed {
+    /// What went wrong, for the trace.
+    pub why: String,
+    /// The export, if the next try only needs another decode slot.
+    pub export: Option<Export>,
+    /// An engine not to use again.
+    pub exclude: Option<ids::Name>,
+    /// The engine that was lost with the request in flight.
+    pub crashed: Option<ids::Name>,
+    /// Whether the failure was refused for lack of room, so that it costs no retry budget.
+    pub refused: bool,
+}
+
+impl Failed {
+    fn new(why: impl Into<String>) -> Self {
+        Self {
+            why: why.into(),
+            export: None,
+            exclude: None,
+            crashed: None,
+            refused: false,
+        }
+    }
+
+    fn without(mut self, server: &engines::Address) -> Self {
+        self.exclude = Some(server.name.clone());
+        self
+    }
+
+    fn crashed(mut self, server: &engines::Address) -> Self {
+        self.crashed = Some(server.name.clone());
+        self.without(server)
+    }
+
+    fn refused(mut self) -> Self {
+        self.refused = true;
+        self
+    }
+
+    fn with_export(mut self, export: &Export, now: Duration) -> Self {
+        if now < export.until {
+            self.export = Some(export.clone());
+        }
+        self
+    }
+}
+
+/// Engines held by a try. Dropping it frees them.
+#[derive(Debug)]
+pub struct Guard {
+    cx: sync::Arc<host::Host>,
+    held: acquire::Held,
+    request: ids::Name,
+    attempt: u32,
+    dispatched: bool,
+    complete: bool,
+    crash_reported: bool,
+}
+
+impl Guard {
+    /// Takes charge of granted engines.
+    pub fn new(
+        cx: &sync::Arc<host::Host>,
+        held: acquire::Held,
+        request: &ids::Name,
+        attempt: u32,
+    ) -> Self {
+        Self {
+            cx: cx.clone(),
+            held,
+            request: request.clone(),
+            attempt,
+            dispatched: false,
+            complete: false,
+            crash_reported: false,
+        }
+    }
+
+    fn report_crash(&mut self, server: &engines::Address) {
+        acquire::report_crash(&self.cx, &self.held, &server.name);
+        self.crash_reported = true;
+    }
+
+    fn cancel_at(&self, server: &engines::Address) {
+        let order = grant::Cancel {
+            server: server.clone(),
+            request: self.request.clone(),
+            attempt: self.attempt,
+        };
+        cancel::spawn(&self.cx, order);
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let event = match self.complete {
+            true => grant::Event::Completed,
+            false => grant::Event::Released,
+        };
+        if !self.crash_reported {
+            acquire::report(&self.cx, &self.held, event);
+        }
+        if self.dispatched && !self.complete {
+            self.cancel_at(&self.held.grant.decode);
+            self.cancel_at(&self.held.grant.prefill);
+        }
+    }
+}
+
+/// Runs one try.
+pub async fn run(
+    cx: &sync::Arc<host::Host>,
+    job: &generate::Job,
+    guard: &mut Guard,
+    export: Option<Export>,
+    answer: &answer::Answer,
+) -> Step {
+    guard.dispatched = true;
+    let export = match export {
+        Some(export) => export,
+        None => match prefill(cx, job, guard, answer).await {
+            Ok(export) => export,
+            Err(failed) => return Step::Failed(failed),
+        },
+    };
+    if let Err(failed) = import(cx, guard, &export).await {
+        return Step::Failed(failed);
+    }
+    match decode(cx, job, guard, answer).await {
+        Ok(()) => {
+            guard.complete = true;
+            Step::Complete
+        }
+        Err(failed) => Step::Failed(failed),
+    }
+}
+
+async fn prefill(
+    cx: &sync::Arc<host::Host>,
+    job: &generate::Job,
+    guard: &mut Guard,
+    answer: &answer::Answer,
+) -> Result<Export, Failed> {
+    let server = &guard.held.grant.prefill.clone();
+    let generated = answer.tokens();
+    let call = engine::Prefill {
+        request: guard.request.to_string(),
+        attempt: guard.attempt,
+        home: cx.id.to_string(),
+        prompt: job.prompt.clone(),
+        generated: generated.iter().map(|token| token.to_string()).collect(),
+        priority: job.class.name().into(),
+        repeatable: job.repeatable,
+    };
+    let expected = cell::prefill_time(job.prompt_tokens, job.prefill_rate);
+    let limit = (expected * PREFILL_FACTOR).max(MIN_PREFILL_LIMIT);
+    match cx.engines.prefill(&server.addr, &call, limit).await {
+        Ok(exported) => {
+            acquire::report(cx, &guard.held, grant::Event::Prefilled);
+            let life = Duration::from_millis(exported.expires_ms);
+            Ok(Export {
+                server: server.clone(),
+                exported,
+                until: cx.now() + life,
+            })
+        }
+        Err(failure) => Err(lost(guard, server, failure, "prefill")),
+    }
+}
+
+async fn import(
+    cx: &sync::Arc<host::Host>,
+    guard: &mut Guard,
+    export: &Export,
+) -> Result<(), Failed> {
+    let server = &guard.held.grant.decode.clone();
+    let baseline = cx.settings.scheduler == cell::Policy::Baseline;
+    let call = engine::Import {
+        request: guard.request.to_string(),
+        attempt: guard.attempt,
+        home: cx.id.to_string(),
+        source: export.server.addr.to_string(),
+        export: export.exported.export,
+        tokens: export.exported.tokens,
+        wait: baseline,
+    };
+    let left = export.until.saturating_sub(cx.now());
+    let limit = match baseline {
+        true => BASELINE_IMPORT_LIMIT,
+        false => transfer::stall_limit(guard.held.grant.transfer, left),
+    };
+    let failure = match cx.engines.import(&server.addr, &call, limit).await {
+        Ok(()) => return Ok(()),
+        Err(failure) => failure,
+    };
+    let now = cx.now();
+    match failure {
+        engine::Failure::ExportGone => Err(Failed::new("the export was evicted")),
+        engine::Failure::Full | engine::Failure::Leaving => {
+            let failed = Failed::new(format!("{} has no room", server.name));
+            Err(failed.refused().without(server).with_export(export, now))
+        }
+        engine::Failure::TimedOut => {
+            cx.metrics.count("transfer.stalled");
+            let failed = Failed::new(format!("the transfer to {} stalled", server.name));
+            guard.cancel_at(server);
+            Err(failed.without(server).with_export(export, now))
+        }
+        failure => {
+            let failed = lost(guard, server, failure, "import");
+            Err(failed.with_export(export, now))
+        }
+    }
+}
+
+async fn decode(
+    cx: &sync::Arc<host::Host>,
+    job: &generate::Job,
+    guard: &mut Guard,
+    answer: &answer::Answer,
+) -> Result<(), Failed> {
+    let server = &guard.held.grant.decode.clone();
+    let call = engine::Decode {
+        request: guard.request.to_string(),
+        attempt: guard.attempt,
+        offset: answer.len(),
+        max_tokens: job.max_tokens,
+    };
+    let started = cx.engines.decode(&server.addr, &call, DECODE_START_LIMIT);
+    let mut stream = match started.await {
+        Ok(stream) => stream,
+        Err(failure) => return Err(lost(guard, server, failure, "decode")),
+    };
+    loop {
+        let frames = match tokio::time::timeout(TOKEN_GAP_LIMIT, stream.next()).await {
+            Ok(Ok(frames)) => frames,
+            Ok(Err(failure)) => return Err(lost(guard, server, failure, "stream")),
+            Err(_) => {
+                let failure = engine::Failure::TimedOut;
+                return Err(lost(guard, server, failure, "stream"));
+            }
+        };
+        for frame in frames {
+            let done = frame.done;
+            answer.push(frame.offset, frame.tokens);
+            if done {
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Makes a failure of an engine that was lost, and reports a crash to the steward.
+fn lost(
+    guard: &mut Guard,
+    server: &engines::Address,
+    failure: engine::Failure,
+    stage: &str,
+) -> Failed {
+    let why = format!("{stage} at {}: {failure:?}", server.name);
+    let failed = Failed::new(why);
+    match failure {
+        engine::Failure::Lost(_) => {
+            guard.report_crash(server);
+            failed.crashed(server)
+        }
+        engine::Failure::Unreached => {
+            guard.report_crash(server);
+            failed.without(server)
+        }
+        engine::Failure::Full | engine::Failure::Leaving => failed.refused().without(server),
+        engine::Failure::TimedOut => failed.without(server),
+        engine::Failure::Cancelled | engine::Failure::ExportGone | engine::Failure::Fenced => {
+            failed
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/cancel.rs
@@ -0,0 +1,37 @@
+//! Cancels at engines, repeated until they are confirmed.
+
+use std::sync;
+use std::time::Duration;
+
+use walnuthaven_lib::grant;
+
+use crate::engine;
+use crate::host;
+
+const TRIES: u32 = 4;
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Frees what a request holds at an engine, in the background.
+pub fn spawn(cx: &sync::Arc<host::Host>, order: grant::Cancel) {
+    let cx = cx.clone();
+    tokio::spawn(async move {
+        let call = engine::Cancel {
+            request: order.request.to_string(),
+            attempt: order.attempt,
+        };
+        for _ in 0..TRIES {
+            match cx.engines.cancel(&order.server.addr, &call).await {
+                Ok(()) => return,
+                // A server that is not there holds nothing.
+                Err(engine::Failure::Unreached) => return,
+                Err(failure) => log::debug!(
+                    "cancel of {} at {}: {failure:?}",
+                    order.request,
+                    order.server.name
+                ),
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        cx.metrics.count("cancel.unconfirmed");
+    });
+}
--- /dev/null
+++ b/daemon/src/connections.rs
@@ -0,0 +1,203 @@
+//! Callers' connections and what was delivered on them.
+//!
+//! An answer counts as delivered when its last byte went out and the caller went on in order: it
+//! closed the connection, asked the next question on it, or confirmed. When the connection breaks,
+//! the answer counts as not delivered and a repeat gets the rest.
+
+use std::io;
+use std::pin;
+use std::sync;
+use std::task;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use walnuthaven_lib::identity;
+use walnuthaven_lib::ids;
+use walnuthaven_wire::peer;
+
+use crate::host;
+use crate::permits;
+
+/// Where the delivery of an answer is accounted for.
+#[derive(Clone, Debug)]
+pub enum Delivery {
+    /// This host is the home.
+    Home {
+        /// The request.
+        id: ids::RequestId,
+        /// Whether the buddy holds a permit for it.
+        permit: bool,
+    },
+    /// Another host is the home.
+    Forwarded {
+        /// The request.
+        request: String,
+        /// The home's peer address.
+        addr: ids::Name,
+    },
+}
+
+impl Delivery {
+    /// Notes that the last byte went out.
+    pub fn sent(&self, cx: &host::Host) {
+        if let Self::Home { id, .. } = self {
+            set(cx, id.number, identity::State::Sent);
+        }
+    }
+
+    /// Notes whether the caller got the whole answer.
+    pub fn settle(&self, cx: &sync::Arc<host::Host>, delivered: bool) {
+        match self {
+            Self::Home { id, permit } => settle_home(cx, id, *permit, delivered),
+            Self::Forwarded { request, addr } => {
+                let call = peer::ConfirmRequest {
+                    request: request.clone(),
+                    delivered,
+                };
+                let cx = cx.clone();
+                let addr = addr.clone();
+                tokio::spawn(async move {
+                    if let Err(status) = cx.peers.confirm(&addr, call).await {
+                        log::debug!("confirm at {addr}: {status}");
+                    }
+                });
+            }
+        }
+    }
+}
+
+/// Notes at the home whether the caller got the whole answer.
+pub fn settle_home(cx: &sync::Arc<host::Host>, id: &ids::RequestId, permit: bool, delivered: bool) {
+    if !delivered {
+        set(cx, id.number, identity::State::Finished);
+        return;
+    }
+    set(cx, id.number, identity::State::Delivered);
+    if permit {
+        permits::conclude(cx, id, "answered");
+    }
+}
+
+fn set(cx: &host::Host, number: u64, state: identity::State) {
+    let mut ids = host::lock(&cx.ids);
+    let open = matches!(
+        ids.state(number),
+        Some(identity::State::Running | identity::State::Finished | identity::State::Sent)
+    );
+    if open {
+        ids.set(number, state, cx.now());
+    }
+}
+
+/// One connection of a caller.
+#[derive(Clone, Debug, Default)]
+pub struct Connection {
+    unsettled: sync::Arc<sync::Mutex<Vec<Delivery>>>,
+}
+
+impl Connection {
+    /// Notes that an answer's last byte was handed to the connection.
+    pub fn sent(&self, cx: &host::Host, delivery: Delivery) {
+        delivery.sent(cx);
+        host::lock(&self.unsettled).push(delivery);
+    }
+
+    /// Settles everything sent so far.
+    pub fn settle(&self, cx: &sync::Arc<host::Host>, delivered: bool) {
+        let unsettled = std::mem::take(&mut *host::lock(&self.unsettled));
+        for delivery in unsettled {
+            delivery.settle(cx, delivered);
+        }
+    }
+}
+
+/// A stream that fails when the other side accepts no bytes for too long.
+#[derive(Debug)]
+pub struct Guarded {
+    stream: tokio::net::TcpStream,
+    limit: Duration,
+    stalled: Option<pin::Pin<Box<tokio::time::Sleep>>>,
+}
+
+impl Guarded {
+    /// Guards a stream.
+    pub fn new(stream: tokio::net::TcpStream, limit: Duration) -> Self {
+        Self {
+            stream,
+            limit,
+            stalled: None,
+        }
+    }
+
+    /// Turns a pending write into an error once it has been pending for too long.
+    fn watch<T>(
+        &mut self,
+        cx: &mut task::Context<'_>,
+        poll: task::Poll<io::Result<T>>,
+    ) -> task::Poll<io::Result<T>> {
+        if poll.is_ready() {
+            self.stalled = None;
+            return poll;
+        }
+        let limit = self.limit;
+        let stalled = self
+            .stalled
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
+        match stalled.as_mut().poll(cx) {
+            task::Poll::Pending => task::Poll::Pending,
+            task::Poll::Ready(()) => {
+                let error = io::Error::new(io::ErrorKind::TimedOut, "the caller reads nothing");
+                task::Poll::Ready(Err(error))
+            }
+        }
+    }
+}
+
+impl AsyncRead for Guarded {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut tokio::io::ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Guarded {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        let poll = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.watch(cx, poll)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        let poll = pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.watch(cx, poll)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/daemon/src/convert.rs
@@ -0,0 +1,197 @@
+//! Conversions between the decisions' types and the generated message types.
+
+use std::str::FromStr as _;
+use std::time::Duration;
+
+use walnuthaven_lib::clock;
+use walnuthaven_lib::engines;
+use walnuthaven_lib::grant;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::membership;
+use walnuthaven_lib::quarantine;
+use walnuthaven_lib::queue;
+use walnuthaven_lib::refusal;
+use walnuthaven_wire::peer;
+
+/// Makes the message of a member.
+pub fn member_to_wire(member: &membership::Member) -> peer::Member {
+    let state = match member.state {
+        membership::State::Alive => peer::MemberState::Alive,
+        membership::State::Suspect => peer::MemberState::Suspect,
+        membership::State::Leaving => peer::MemberState::Leaving,
+        membership::State::Dead => peer::MemberState::Dead,
+    };
+    peer::Member {
+        name: member.id.name.to_string(),
+        zone: member.zone.to_string(),
+        incarnation: member.id.incarnation,
+        peer_addr: member.peer_addr.to_string(),
+        api_addr: member.api_addr.to_string(),
+        admin_addr: member.admin_addr.to_string(),
+        state: state.into(),
+        refutation: member.refutation,
+    }
+}
+
+/// Reads a member, or `None` if the message makes no sense.
+pub fn member_from_wire(member: &peer::Member) -> Option<membership::Member> {
+    let state = match member.state() {
+        peer::MemberState::Alive => membership::State::Alive,
+        peer::MemberState::Suspect => membership::State::Suspect,
+        peer::MemberState::Leaving => membership::State::Leaving,
+        peer::MemberState::Dead => membership::State::Dead,
+        peer::MemberState::Unspecified => return None,
+    };
+    if !ids::is_name(&member.name) || !ids::is_name(&member.zone) {
+        return None;
+    }
+    Some(membership::Member {
+        id: ids::HostId {
+            name: member.name.as_str().into(),
+            incarnation: member.incarnation,
+        },
+        zone: member.zone.as_str().into(),
+        peer_addr: member.peer_addr.as_str().into(),
+        api_addr: member.api_addr.as_str().into(),
+        admin_addr: member.admin_addr.as_str().into(),
+        state,
+        refutation: member.refutation,
+    })
+}
+
+/// Makes the message of a quarantine mark.
+pub fn mark_to_wire(mark: &quarantine::Mark) -> peer::CrashMark {
+    peer::CrashMark {
+        digest: mark.digest,
+        servers: mark.servers.iter().map(|name| name.to_string()).collect(),
+        expires_unix_ms: clock::millis(mark.expires),
+        lifted: mark.lifted,
+        changed_unix_ms: clock::millis(mark.changed),
+    }
+}
+
+/// Reads a quarantine mark.
+pub fn mark_from_wire(mark: &peer::CrashMark) -> quarantine::Mark {
+    quarantine::Mark {
+        digest: mark.digest,
+        servers: mark
+            .servers
+            .iter()
+            .map(|name| name.as_str().into())
+            .collect(),
+        expires: Duration::from_millis(mark.expires_unix_ms),
+        changed: Duration::from_millis(mark.changed_unix_ms),
+        lifted: mark.lifted,
+    }
+}
+
+/// Makes the message of a refusal.
+pub fn refusal_to_wire(refusal: &refusal::Refusal) -> peer::Refusal {
+    let ran = match refusal.ran {
+        refusal::Ran::NotRun => "not_run",
+        refusal::Ran::Unknown => "unknown",
+        refusal::Ran::Ran => "ran",
+    };
+    peer::Refusal {
+        code: refusal.code.to_string(),
+        ran: ran.into(),
+        message: refusal.message.clone(),
+        retry_after_ms: refusal.retry_after.map_or(0, clock::millis),
+    }
+}
+
+/// Reads a refusal. What can't be understood claims nothing.
+pub fn refusal_from_wire(message: &peer::Refusal) -> refusal::Refusal {
+    let code = serde_json::from_value(message.code.as_str().into());
+    let ran = match message.ran.as_str() {
+        "not_run" => refusal::Ran::NotRun,
+        "ran" => refusal::Ran::Ran,
+        _ => refusal::Ran::Unknown,
+    };
+    let wait = Duration::from_millis(message.retry_after_ms);
+    refusal::Refusal {
+        code: code.unwrap_or(refusal::Code::OutcomeUnknown),
+        ran,
+        message: message.message.clone(),
+        retry_after: Some(wait).filter(|wait| !wait.is_zero()),
+    }
+}
+
+/// Makes the message of a request for engines.
+pub fn ask_to_wire(cell: &str, ask: &grant::Ask) -> peer::AcquireRequest {
+    peer::AcquireRequest {
+        cell: cell.to_owned(),
+        request: ask.request.to_string(),
+        attempt: ask.attempt,
+        home: ask.home.name.to_string(),
+        home_incarnation: ask.home.incarnation,
+        workspace: ask.workspace.to_string(),
+        priority: ask.class.name().into(),
+        prompt_tokens: ask.prompt_tokens,
+        digest: ask.digest,
+        prefix: ask.prefix.clone(),
+        first_token_ms: clock::millis(ask.first_token),
+        waited_ms: clock::millis(ask.waited),
+        prefilled_on: ask.prefilled_on.as_deref().unwrap_or_default().into(),
+        exclude: ask.exclude.iter().map(|name| name.to_string()).collect(),
+        share: ask.share,
+        suspect: ask.suspect,
+    }
+}
+
+/// Reads a request for engines, or `None` if the message makes no sense.
+pub fn ask_from_wire(message: &peer::AcquireRequest) -> Option<grant::Ask> {
+    let prefilled_on = Some(message.prefilled_on.as_str()).filter(|name| !name.is_empty());
+    Some(grant::Ask {
+        request: message.request.as_str().into(),
+        attempt: message.attempt,
+        home: ids::HostId {
+            name: message.home.as_str().into(),
+            incarnation: message.home_incarnation,
+        },
+        workspace: message.workspace.as_str().into(),
+        class: queue::Class::parse(&message.priority)?,
+        share: message.share,
+        prompt_tokens: message.prompt_tokens,
+        digest: message.digest,
+        prefix: message.prefix.clone(),
+        first_token: Duration::from_millis(message.first_token_ms),
+        waited: Duration::from_millis(message.waited_ms),
+        prefilled_on: prefilled_on.map(ids::Name::from),
+        exclude: message.exclude.iter().map(|s| s.as_str().into()).collect(),
+        suspect: message.suspect,
+    })
+}
+
+/// Makes the message of a grant.
+pub fn grant_to_wire(grant: &grant::Grant) -> peer::Grant {
+    peer::Grant {
+        id: grant.id,
+        prefill_name: grant.prefill.name.to_string(),
+        prefill_addr: grant.prefill.addr.to_string(),
+        decode_name: grant.decode.name.to_string(),
+        decode_addr: grant.decode.addr.to_string(),
+        transfer_ms: clock::millis(grant.transfer),
+    }
+}
+
+/// Reads a grant.
+pub fn grant_from_wire(grant: &peer::Grant) -> grant::Grant {
+    grant::Grant {
+        id: grant.id,
+        prefill: engines::Address {
+            name: grant.prefill_name.as_str().into(),
+            addr: grant.prefill_addr.as_str().into(),
+        },
+        decode: engines::Address {
+            name: grant.decode_name.as_str().into(),
+            addr: grant.decode_addr.as_str().into(),
+        },
+        transfer: Duration::from_millis(grant.transfer_ms),
+    }
+}
+
+/// Reads the host id out of an engine's report.
+pub fn home_of(text: &str) -> Option<ids::HostId> {
+    ids::HostId::from_str(text).ok()
+}
--- /dev/null
+++ b/daemon/src/directory.rs
@@ -0,0 +1,141 @@
+//! Who a caller is, and which hosts it should use.
+
+use std::collections;
+use std::sync;
+
+use serde::Serialize;
+use walnuthaven_lib::auth;
+use walnuthaven_lib::identity;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::membership;
+use walnuthaven_lib::refusal;
+use walnuthaven_lib::rendezvous;
+use walnuthaven_lib::versions;
+
+use crate::drain;
+use crate::generate;
+use crate::host;
+
+/// How long callers keep the answer to "which addresses?".
+pub const KEEP_S: u64 = 20;
+const MAX_CACHED_KEYS: usize = 10_000;
+const MAX_HOSTS: usize = 8;
+
+/// Keys that were verified against a document, by their fingerprint.
+#[derive(Debug, Default)]
+pub struct KeyCache {
+    known: sync::Mutex<collections::HashMap<[u8; 32], Verified>>,
+}
+
+#[derive(Clone, Debug)]
+struct Verified {
+    workspace: ids::Name,
+    generation: u64,
+}
+
+/// Finds the workspace of a caller by its key.
+///
+/// # Errors
+///
+/// Refuses a missing or unknown key, and every key while no configuration is in force.
+pub fn authenticate(
+    cx: &host::Host,
+    key: Option<&str>,
+) -> Result<sync::Arc<versions::Stored>, refusal::Refusal> {
+    let config = host::read(&cx.config);
+    if config.is_empty() {
+        let message = "this host has no configuration yet";
+        return Err(refusal::Refusal::not_run(
+            refusal::Code::Unavailable,
+            message,
+        ));
+    }
+    let Some(key) = key else {
+        let message = "the header authorization: Bearer KEY is missing";
+        return Err(refusal::Refusal::not_run(
+            refusal::Code::Unauthorized,
+            message,
+        ));
+    };
+    let fingerprint = auth::fingerprint(key);
+    let mut known = host::lock(&cx.keys.known);
+    if let Some(verified) = known.get(&fingerprint)
+        && let Some(stored) = config.get(&verified.workspace)
+        && stored.generation == verified.generation
+    {
+        return Ok(stored.clone());
+    }
+    let Some(stored) = config.authenticate(key) else {
+        known.remove(&fingerprint);
+        let message = "the key is not known in any workspace";
+        return Err(refusal::Refusal::not_run(
+            refusal::Code::Unauthorized,
+            message,
+        ));
+    };
+    if known.len() >= MAX_CACHED_KEYS {
+        known.clear();
+    }
+    let verified = Verified {
+        workspace: stored.document.workspace.clone(),
+        generation: stored.generation,
+    };
+    known.insert(fingerprint, verified);
+    Ok(stored.clone())
+}
+
+/// The answer to "which addresses?".
+#[derive(Debug, Serialize)]
+pub struct Hosts {
+    /// Hosts in the order of preference.
+    pub hosts: Vec<Address>,
+    /// How long to keep this answer, in seconds.
+    pub keep_s: u64,
+    /// Request ids for the caller's next requests.
+    pub request_ids: Vec<String>,
+}
+
+/// A host to connect to.
+#[derive(Debug, Serialize)]
+pub struct Address {
+    /// The host's name.
+    pub name: ids::Name,
+    /// Its address.
+    pub address: ids::Name,
+    /// Its availability zone.
+    pub zone: ids::Name,
+}
+
+/// Lists hosts for a caller: this host first, since the ids have their home here, then those of the
+/// caller's availability zone, each group in an order of the caller's own so that load spreads.
+pub fn hosts(cx: &host::Host, zone: Option<&str>, caller: &str) -> Hosts {
+    let zone = zone.unwrap_or(&cx.settings.zone).to_owned();
+    let mut members: Vec<membership::Member> = {
+        let table = host::lock(&cx.members);
+        let live = table
+            .eligible()
+            .filter(|member| drain::takes_callers(member));
+        live.cloned().collect()
+    };
+    members.sort_by_key(|member| {
+        let elsewhere = *member.zone != *zone;
+        let score = rendezvous::score(caller, &member.id.name);
+        (member.id != cx.id, elsewhere, std::cmp::Reverse(score))
+    });
+    members.truncate(MAX_HOSTS);
+    let hosts = members.into_iter().map(|member| Address {
+        name: member.id.name,
+        address: member.api_addr,
+        zone: member.zone,
+    });
+    let serving = drain::check(cx).is_ok();
+    let request_ids = match serving {
+        true => generate::mint(cx, identity::BLOCK_IDS),
+        false => Vec::new(),
+    };
+    Hosts {
+        hosts: hosts.collect(),
+        keep_s: KEEP_S,
+        request_ids: request_ids.iter().map(|id| id.to_string()).collect(),
+    }
+}
--- /dev/null
+++ b/daemon/src/drain.rs
@@ -0,0 +1,107 @@
+//! Leaving without cutting a request.
+//!
+//! A leaving host first announces it, so that callers are no longer sent here and stewardship moves.
+//! New requests are refused with the addresses of others. What runs is finished; then the host ends.
+
+use std::sync;
+use std::time::Duration;
+
+use walnuthaven_lib::membership;
+use walnuthaven_lib::refusal;
+
+use crate::gossip;
+use crate::host;
+use crate::jobs;
+
+/// How far a host is on its way out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// It takes requests.
+    Serving,
+    /// It finishes what runs.
+    Leaving,
+    /// Nothing is left.
+    Left,
+}
+
+const CHECK_EVERY: Duration = Duration::from_millis(50);
+/// Time for which a leaving host still answers others after its last request ended.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Refuses new work on a leaving host.
+///
+/// # Errors
+///
+/// Returns a refusal that names the addresses of other hosts.
+pub fn check(cx: &host::Host) -> Result<(), refusal::Refusal> {
+    if *cx.phase.borrow() == Phase::Serving {
+        return Ok(());
+    }
+    let others = other_addresses(cx);
+    let message = format!("this host is leaving; others are {}", others.join(", "));
+    Err(refusal::Refusal::not_run(refusal::Code::Leaving, message))
+}
+
+fn other_addresses(cx: &host::Host) -> Vec<String> {
+    let members = host::lock(&cx.members);
+    let others = members.eligible().filter(|member| member.id != cx.id);
+    others.map(|member| member.api_addr.to_string()).collect()
+}
+
+/// Leaves: returns once nothing is left to do, or when the time for it is over.
+pub async fn leave(cx: &sync::Arc<host::Host>) {
+    if *cx.phase.borrow() != Phase::Serving {
+        return wait_left(cx).await;
+    }
+    log::info!("host {} leaves", cx.id);
+    cx.phase.send_replace(Phase::Leaving);
+    host::lock(&cx.members).leave();
+    gossip::announce(cx).await;
+    jobs::hand_over(cx).await;
+    let until = cx.now() + Duration::from_secs(cx.settings.drain_s);
+    while cx.now() < until && !is_idle(cx) {
+        tokio::time::sleep(CHECK_EVERY).await;
+    }
+    tokio::time::sleep(LINGER).await;
+    log::info!("host {} has left", cx.id);
+    cx.phase.send_replace(Phase::Left);
+}
+
+/// Waits until the host leaves.
+pub async fn wait_leaving(cx: &host::Host) {
+    let mut phase = cx.phase.subscribe();
+    // The sender lives as long as the host.
+    let _ = phase.wait_for(|phase| *phase != Phase::Serving).await;
+}
+
+/// Waits until the host has left.
+pub async fn wait_left(cx: &host::Host) {
+    let mut phase = cx.phase.subscribe();
+    // The sender lives as long as the host.
+    let _ = phase.wait_for(|phase| *phase == Phase::Left).await;
+}
+
+/// Returns whether no request runs, no answer is being sent and no other home waits for a cell here.
+fn is_idle(cx: &host::Host) -> bool {
+    let connections = cx
+        .counters
+        .connections
+        .load(sync::atomic::Ordering::Relaxed);
+    let running = host::lock(&cx.ids).running();
+    let waiting = cx.steward.all().iter().any(|cell| {
+        let counts = cell.with(|cell| cell.counts());
+        counts.urgent + counts.normal + counts.patient > 0
+    });
+    connections == 0 && running == 0 && !waiting && !has_readers(cx)
+}
+
+fn has_readers(cx: &host::Host) -> bool {
+    let answers = host::lock(&cx.answers);
+    answers.values().any(|answer| answer.has_readers())
+}
+
+/// Returns whether a member may be handed out to callers.
+pub fn takes_callers(member: &membership::Member) -> bool {
+    member.state == membership::State::Alive
+}
--- /dev/null
+++ b/daemon/src/generate.rs
@@ -0,0 +1,348 @@
+//! The way of a generate request, from its arrival to its answer.
+
+use std::sync;
+use std::time::Duration;
+
+use walnuthaven_lib::cell;
+use walnuthaven_lib::config;
+use walnuthaven_lib::identity;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::prefix;
+use walnuthaven_lib::queue;
+use walnuthaven_lib::refusal;
+use walnuthaven_lib::versions;
+
+use crate::acquire;
+use crate::answer;
+use crate::attempt;
+use crate::connections;
+use crate::drain;
+use crate::forward;
+use crate::host;
+use crate::permits;
+use crate::tries;
+
+/// A request from a caller.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The configuration of the caller's workspace.
+    pub workspace: sync::Arc<versions::Stored>,
+    /// The service.
+    pub service: config::Service,
+    /// The prompt.
+    pub prompt: String,
+    /// Tokens wanted.
+    pub max_tokens: u32,
+    /// The class.
+    pub class: queue::Class,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// The id, if the caller has one.
+    pub id: Option<ids::RequestId>,
+    /// How many tokens the caller has already, if it says so.
+    pub offset: Option<u32>,
+    /// When it arrived at the fleet.
+    pub arrived: Duration,
+}
+
+/// A request that was let in.
+#[derive(Debug)]
+pub struct Opened {
+    /// Reads the answer.
+    pub reader: answer::Reader,
+    /// The request's id.
+    pub id: ids::RequestId,
+    /// Where its delivery is accounted for.
+    pub delivery: connections::Delivery,
+}
+
+/// What a run needs to know.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The id.
+    pub id: ids::RequestId,
+    /// The id as text.
+    pub request: ids::Name,
+    /// The workspace.
+    pub workspace: ids::Name,
+    /// The workspace's share.
+    pub share: u32,
+    /// The service.
+    pub service: config::Service,
+    /// The cells of its pool.
+    pub cells: Vec<config::CellSpec>,
+    /// The prompt.
+    pub prompt: String,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Digest of the content.
+    pub digest: u64,
+    /// Tokens wanted.
+    pub max_tokens: u32,
+    /// The class.
+    pub class: queue::Class,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// When it arrived.
+    pub arrived: Duration,
+    /// The slowest prefill rate in the pool.
+    pub prefill_rate: u32,
+}
+
+/// Lets a request in, here or at its home.
+///
+/// # Errors
+///
+/// Returns a final refusal.
+pub async fn open(cx: &sync::Arc<host::Host>, ask: Ask) -> Result<Opened, refusal::Refusal> {
+    check_limits(&ask)?;
+    match &ask.id {
+        Some(id) if id.home != cx.id => {
+            let id = id.clone();
+            forward::open(cx, ask, id).await
+        }
+        Some(id) => {
+            let id = id.clone();
+            open_here(cx, ask, id)
+        }
+        None if ask.repeatable => {
+            drain::check(cx)?;
+            let id = mint(cx, 1).swap_remove(0);
+            open_here(cx, ask, id)
+        }
+        None => Err(id_required()),
+    }
+}
+
+/// Mints request ids of this host.
+pub fn mint(cx: &host::Host, count: u64) -> Vec<ids::RequestId> {
+    let buddy = host::lock(&cx.members)
+        .buddy()
+        .map(|member| member.id.clone());
+    host::lock(&cx.ids).mint(buddy.as_ref(), count, cx.now())
+}
+
+/// Makes the refusal of a non-repeatable request without id.
+pub fn id_required() -> refusal::Refusal {
+    let message = "a request that may not be repeated needs a request id from GET /v1/hosts in the \
+                   header x-request-id";
+    refusal::Refusal::not_run(refusal::Code::IdRequired, message)
+}
+
+/// Lets a request in whose home is this host.
+///
+/// # Errors
+///
+/// Returns a final refusal.
+pub fn open_here(
+    cx: &sync::Arc<host::Host>,
+    ask: Ask,
+    id: ids::RequestId,
+) -> Result<Opened, refusal::Refusal> {
+    let content = prefix::digest(&ask.prompt) ^ u64::from(ask.max_tokens);
+    let workspace = &ask.workspace.document.workspace;
+    let resumes = ask.offset.is_some();
+    let arrival = host::lock(&cx.ids).arrive(&id, workspace, content, resumes, cx.now());
+    let answer = match arrival {
+        identity::Arrival::Final(refusal) => return Err(refusal),
+        identity::Arrival::Attach => find_answer(cx, &id)?,
+        identity::Arrival::Run => start(cx, &ask, &id)?,
+    };
+    Ok(Opened {
+        reader: answer.read(ask.offset.unwrap_or(0)),
+        delivery: connections::Delivery::Home {
+            id: id.clone(),
+            permit: !ask.repeatable,
+        },
+        id,
+    })
+}
+
+fn find_answer(
+    cx: &host::Host,
+    id: &ids::RequestId,
+) -> Result<sync::Arc<answer::Answer>, refusal::Refusal> {
+    let answers = host::lock(&cx.answers);
+    let answer = answers.get(&id.number).cloned();
+    answer.ok_or_else(|| refusal::Refusal {
+        code: refusal::Code::IdExpired,
+        ran: refusal::Ran::Ran,
+        message: format!("the answer of {id} is no longer kept"),
+        retry_after: None,
+    })
+}
+
+fn start(
+    cx: &sync::Arc<host::Host>,
+    ask: &Ask,
+    id: &ids::RequestId,
+) -> Result<sync::Arc<answer::Answer>, refusal::Refusal> {
+    let checked = check_start(cx, ask, id);
+    let job = match checked {
+        Ok(job) => job,
+        Err(refusal) => {
+            let state = identity::State::Refused(refusal.clone());
+            host::lock(&cx.ids).set(id.number, state, cx.now());
+            return Err(refusal);
+        }
+    };
+    let answer = sync::Arc::new(answer::Answer::default());
+    host::lock(&cx.answers).insert(id.number, answer.clone());
+    let cx = cx.clone();
+    let shared = answer.clone();
+    tokio::spawn(async move { run(&cx, &job, &shared).await });
+    Ok(answer)
+}
+
+fn check_start(
+    cx: &sync::Arc<host::Host>,
+    ask: &Ask,
+    id: &ids::RequestId,
+) -> Result<Job, refusal::Refusal> {
+    drain::check(cx)?;
+    let document = &ask.workspace.document;
+    let running = host::lock(&cx.ids).running();
+    let limit = document.limits.max_open_requests as usize;
+    if running > limit {
+        let message = format!("{running} requests are open, the limit is {limit}");
+        let refusal = refusal::Refusal::not_run(refusal::Code::Overloaded, message);
+        return Err(refusal.after(Duration::from_secs(1)));
+    }
+    let digest = prefix::digest(&ask.prompt);
+    if cx.settings.scheduler == cell::Policy::Current {
+        host::lock(&cx.quarantine).check(digest, cx.unix())?;
+    }
+    let pool = ask.service.pool.as_deref().unwrap_or_default();
+    let rates = document.pool_backends(pool).map(|b| b.prefill_tokens_s);
+    Ok(Job {
+        id: id.clone(),
+        request: id.to_string().into(),
+        workspace: document.workspace.clone(),
+        share: document.share,
+        cells: document.cells(pool),
+        service: ask.service.clone(),
+        prompt: ask.prompt.clone(),
+        prompt_tokens: prefix::tokens(&ask.prompt),
+        digest,
+        max_tokens: ask.max_tokens,
+        class: ask.class,
+        repeatable: ask.repeatable,
+        arrived: ask.arrived,
+        prefill_rate: rates.min().unwrap_or(1),
+    })
+}
+
+fn check_limits(ask: &Ask) -> Result<(), refusal::Refusal> {
+    let limits = &ask.workspace.document.limits;
+    let tokens = prefix::tokens(&ask.prompt);
+    if tokens > limits.max_prompt_tokens {
+        let limit = limits.max_prompt_tokens;
+        let message = format!("prompt: {tokens} tokens exceed the workspace's limit of {limit}");
+        return Err(refusal::Refusal::not_run(refusal::Code::TooLarge, message));
+    }
+    if ask.max_tokens == 0 || ask.max_tokens > limits.max_output_tokens {
+        let message = format!(
+            "max_tokens: {} is outside 1 to {}",
+            ask.max_tokens, limits.max_output_tokens
+        );
+        return Err(refusal::Refusal::not_run(
+            refusal::Code::BadRequest,
+            message,
+        ));
+    }
+    Ok(())
+}
+
+/// Runs a request to its end, or until its callers are gone.
+async fn run(cx: &sync::Arc<host::Host>, job: &Job, answer: &sync::Arc<answer::Answer>) {
+    let mut dispatched = false;
+    let ended = tokio::select! {
+        ended = serve(cx, job, answer, &mut dispatched) => ended,
+        () = answer.abandoned() => Err(cancelled()),
+    };
+    let ended = ended.map_err(|refusal| truthful(refusal, dispatched));
+    let now = cx.now();
+    let (state, end) = match ended {
+        Ok(()) => (identity::State::Finished, answer::End::Complete),
+        Err(refusal) => {
+            cx.metrics.count("request.refused");
+            cx.trace(&job.request, format!("ended: {refusal}"));
+            let state = identity::State::Refused(refusal.clone());
+            (state, answer::End::Refused(refusal))
+        }
+    };
+    if end == answer::End::Complete {
+        cx.trace(&job.request, format!("complete, {} tokens", answer.len()));
+    }
+    host::lock(&cx.ids).set(job.id.number, state, now);
+    answer.finish(end);
+}
+
+/// Makes sure that a refusal claims `not run` only if nothing was dispatched.
+fn truthful(mut refusal: refusal::Refusal, dispatched: bool) -> refusal::Refusal {
+    if dispatched && refusal.ran == refusal::Ran::NotRun {
+        refusal.ran = refusal::Ran::Unknown;
+    }
+    refusal
+}
+
+async fn serve(
+    cx: &sync::Arc<host::Host>,
+    job: &Job,
+    answer: &answer::Answer,
+    dispatched: &mut bool,
+) -> Result<(), refusal::Refusal> {
+    let mut tries = tries::Tries::default();
+    let key = format!("{:016x}", job.digest);
+    let Some(cell) = acquire::choose_cell(&job.cells, &key) else {
+        let message = format!("service {:?} has no engines", job.service.name);
+        return Err(refusal::Refusal::not_run(
+            refusal::Code::Unavailable,
+            message,
+        ));
+    };
+    loop {
+        tries.count += 1;
+        let ask = tries.ask(cx, job);
+        let held = match acquire::acquire(cx, &cell, ask).await {
+            Ok(held) => held,
+            Err(refusal) if tries.export.is_some() && job.repeatable => {
+                cx.trace(&job.request, format!("no second slot: {refusal}"));
+                tries.export = None;
+                continue;
+            }
+            Err(refusal) => return Err(refusal),
+        };
+        cx.trace(&job.request, granted_text(&held, tries.count));
+        let mut guard = attempt::Guard::new(cx, held, &job.request, tries.count);
+        if !job.repeatable && !*dispatched {
+            permits::hold(cx, &job.id, &job.workspace).await?;
+        }
+        *dispatched = true;
+        host::Counters::add(&cx.counters.attempts, 1);
+        let export = tries.export.take();
+        match attempt::run(cx, job, &mut guard, export, answer).await {
+            attempt::Step::Complete => {
+                tries.succeeded(cx, job);
+                return Ok(());
+            }
+            attempt::Step::Failed(failed) => {
+                drop(guard);
+                cx.trace(&job.request, failed.why.clone());
+                tries.failed(cx, job, failed)?;
+            }
+        }
+    }
+}
+
+fn granted_text(held: &acquire::Held, attempt: u32) -> String {
+    let grant = &held.grant;
+    format!(
+        "attempt {attempt}: cell {} granted prefill {} and decode {}",
+        held.cell.name, grant.prefill.name, grant.decode.name
+    )
+}
+
+fn cancelled() -> refusal::Refusal {
+    refusal::Refusal::not_run(refusal::Code::Cancelled, "all callers left")
+}
--- /dev/null
+++ b/daemon/src/gossip.rs
@@ -0,0 +1,215 @@
+//! Probes between hosts, and the news that travels with them.
+
+use std::sync;
+use std::time::Duration;
+
+use walnuthaven_lib::membership;
+use walnuthaven_lib::rendezvous;
+use walnuthaven_wire::peer;
+
+use crate::configure;
+use crate::convert;
+use crate::host;
+
+const HELPERS: usize = 2;
+const MARKS_RECENT: Duration = Duration::from_secs(20);
+const MAX_MARKS: usize = 64;
+const JOIN_EVERY: Duration = Duration::from_secs(1);
+
+/// Starts to probe.
+pub fn spawn(cx: &sync::Arc<host::Host>) {
+    let cx_join = cx.clone();
+    tokio::spawn(async move { join(&cx_join).await });
+    let cx = cx.clone();
+    tokio::spawn(async move {
+        let mut ticks = tokio::time::interval(membership::PROBE_EVERY);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            round(&cx);
+        }
+    });
+}
+
+/// Tells every neighbour at once, for news that must not wait for the next round.
+pub async fn announce(cx: &sync::Arc<host::Host>) {
+    let targets = host::lock(&cx.members).members();
+    let others = targets.into_iter().filter(|member| member.id != cx.id);
+    let probes = others.map(|member| async move {
+        let call = request(cx);
+        if let Ok(reply) = cx.peers.probe(&member.peer_addr, call).await {
+            take_reply(cx, &member.peer_addr, &reply);
+        }
+    });
+    futures_util::future::join_all(probes).await;
+}
+
+/// Asks the seeds and the platform's host list until another host is known.
+async fn join(cx: &sync::Arc<host::Host>) {
+    loop {
+        let mut addrs: Vec<String> = cx.settings.seeds.iter().map(|s| s.to_string()).collect();
+        let platform = cx.platform.clone();
+        let listed = tokio::task::spawn_blocking(move || platform.hosts()).await;
+        if let Ok(Ok(listed)) = listed {
+            let hosts = listed
+                .into_iter()
+                .filter(|h| h.kind == "entry" && !h.leaving);
+            addrs.extend(hosts.map(|host| host.addr));
+        }
+        let own = host::lock(&cx.members).own().peer_addr.to_string();
+        addrs.retain(|addr| *addr != own);
+        addrs.sort();
+        addrs.dedup();
+        for addr in addrs {
+            if let Ok(reply) = cx.peers.probe(&addr, request(cx)).await {
+                take_reply(cx, &addr, &reply);
+            }
+        }
+        if host::lock(&cx.members).members().len() > 1 {
+            return;
+        }
+        tokio::time::sleep(JOIN_EVERY).await;
+    }
+}
+
+fn round(cx: &sync::Arc<host::Host>) {
+    let (events, targets) = {
+        let mut members = host::lock(&cx.members);
+        let events = members.tick(cx.now());
+        let mut targets = members.probe_targets();
+        if let Some(random) = members.random_target(rand::random())
+            && !targets.iter().any(|target| target.id == random.id)
+        {
+            targets.push(random);
+        }
+        (events, targets)
+    };
+    for event in events {
+        on_event(cx, event);
+    }
+    for target in targets {
+        let cx = cx.clone();
+        tokio::spawn(async move { probe(&cx, target).await });
+    }
+}
+
+async fn probe(cx: &sync::Arc<host::Host>, target: membership::Member) {
+    let direct = cx.peers.probe(&target.peer_addr, request(cx)).await;
+    if let Ok(reply) = direct {
+        take_reply(cx, &target.peer_addr, &reply);
+        return;
+    }
+    for helper in helpers(cx, &target) {
+        let reached = cx.peers.probe_via(&helper.peer_addr, &target.id.name).await;
+        if reached.unwrap_or(false) {
+            host::lock(&cx.members).heard_from(&target, cx.now());
+            return;
+        }
+    }
+    host::lock(&cx.members).probe_failed(&target.id.name, cx.now());
+}
+
+fn helpers(cx: &host::Host, target: &membership::Member) -> Vec<membership::Member> {
+    let members = host::lock(&cx.members);
+    let others = members
+        .eligible()
+        .filter(|member| member.id != cx.id && member.id != target.id);
+    let names = others.map(|member| &*member.id.name);
+    let chosen = rendezvous::ranked(&target.id.name, names, HELPERS);
+    let found = chosen.into_iter().filter_map(|name| members.get(name));
+    found.cloned().collect()
+}
+
+/// Makes a probe with the news of this host.
+pub fn request(cx: &host::Host) -> peer::ProbeRequest {
+    let (own, updates) = news(cx);
+    peer::ProbeRequest {
+        from: Some(own),
+        updates,
+        config_digest: host::read(&cx.config).digest(),
+        marks: recent_marks(cx),
+    }
+}
+
+/// Makes the reply to a probe.
+pub fn reply(cx: &host::Host) -> peer::ProbeReply {
+    let (own, updates) = news(cx);
+    peer::ProbeReply {
+        from: Some(own),
+        updates,
+        config_digest: host::read(&cx.config).digest(),
+        marks: recent_marks(cx),
+    }
+}
+
+/// Takes what a probe brought.
+pub fn take_request(cx: &sync::Arc<host::Host>, call: &peer::ProbeRequest) {
+    take_news(cx, call.from.as_ref(), &call.updates, &call.marks);
+    if let Some(from) = &call.from {
+        compare_config(cx, &from.peer_addr, call.config_digest);
+    }
+}
+
+fn take_reply(cx: &sync::Arc<host::Host>, addr: &str, reply: &peer::ProbeReply) {
+    let bytes = prost::Message::encoded_len(reply) as u64;
+    host::Counters::add(&cx.counters.control_bytes, bytes);
+    take_news(cx, reply.from.as_ref(), &reply.updates, &reply.marks);
+    compare_config(cx, addr, reply.config_digest);
+}
+
+fn news(cx: &host::Host) -> (peer::Member, Vec<peer::Member>) {
+    let mut members = host::lock(&cx.members);
+    let updates = members.updates();
+    let updates = updates.iter().map(convert::member_to_wire).collect();
+    (convert::member_to_wire(members.own()), updates)
+}
+
+fn recent_marks(cx: &host::Host) -> Vec<peer::CrashMark> {
+    let since = cx.unix().saturating_sub(MARKS_RECENT);
+    let marks = host::lock(&cx.quarantine).changed_since(since, MAX_MARKS);
+    marks.iter().map(convert::mark_to_wire).collect()
+}
+
+fn take_news(
+    cx: &sync::Arc<host::Host>,
+    from: Option<&peer::Member>,
+    updates: &[peer::Member],
+    marks: &[peer::CrashMark],
+) {
+    let now = cx.now();
+    {
+        let mut members = host::lock(&cx.members);
+        if let Some(member) = from.and_then(convert::member_from_wire) {
+            members.heard_from(&member, now);
+        }
+        for member in updates.iter().filter_map(convert::member_from_wire) {
+            members.merge(&member, now);
+        }
+    }
+    let unix = cx.unix();
+    let mut quarantine = host::lock(&cx.quarantine);
+    for mark in marks {
+        quarantine.merge(&convert::mark_from_wire(mark), unix);
+    }
+}
+
+fn compare_config(cx: &sync::Arc<host::Host>, addr: &str, digest: u64) {
+    if host::read(&cx.config).digest() != digest {
+        configure::fetch_from(cx, addr);
+    }
+}
+
+fn on_event(cx: &sync::Arc<host::Host>, event: membership::Event) {
+    match event {
+        membership::Event::Joined(id) => log::info!("host {id} joined"),
+        membership::Event::Gone(id) => {
+            log::warn!("host {id} is gone");
+            cx.metrics.count("membership.gone");
+            for cell in cx.steward.all() {
+                cell.host_gone(cx, &id);
+            }
+        }
+    }
+    let members = host::lock(&cx.members).members().len() as u64;
+    cx.metrics.gauge("membership.members", members);
+}
--- /dev/null
+++ b/daemon/src/host.rs
@@ -0,0 +1,283 @@
+//! A running host: its state, and its start and end.
+
+use std::collections;
+use std::fs;
+use std::io;
+use std::io::Write as _;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use tokio::runtime;
+use tokio::sync::watch;
+use walnuthaven_lib::clock;
+use walnuthaven_lib::clock::Clock as _;
+use walnuthaven_lib::history;
+use walnuthaven_lib::identity;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::membership;
+use walnuthaven_lib::permit;
+use walnuthaven_lib::quarantine;
+use walnuthaven_lib::retry;
+use walnuthaven_lib::versions;
+
+use crate::admin;
+use crate::answer;
+use crate::api;
+use crate::configure;
+use crate::directory;
+use crate::drain;
+use crate::endpoints;
+use crate::engine;
+use crate::gossip;
+use crate::jobs;
+use crate::metrics;
+use crate::peer_client;
+use crate::peer_server;
+use crate::plain;
+use crate::platform;
+use crate::poll;
+use crate::settings;
+use crate::steward;
+use crate::trace;
+
+/// The state of a host, shared by everything that runs in it.
+#[derive(Debug)]
+pub struct Host {
+    /// The settings.
+    pub settings: settings::Settings,
+    /// Name and incarnation.
+    pub id: ids::HostId,
+    /// The clock.
+    pub clock: clock::Boot,
+    /// The other hosts.
+    pub members: sync::Mutex<membership::Table>,
+    /// The request ids minted here.
+    pub ids: sync::Mutex<identity::Table>,
+    /// The permits kept for other homes.
+    pub permits: sync::Mutex<permit::Table>,
+    /// Content that crashes servers.
+    pub quarantine: sync::Mutex<quarantine::Table>,
+    /// The configuration in force.
+    pub config: sync::RwLock<versions::InForce>,
+    /// Retry budgets by workspace.
+    pub budgets: sync::Mutex<collections::HashMap<ids::Name, retry::Budget>>,
+    /// Answers of requests whose home is here, by request number.
+    pub answers: sync::Mutex<collections::HashMap<u64, sync::Arc<answer::Answer>>>,
+    /// The cells stewarded here.
+    pub steward: steward::Steward,
+    /// Calls to engines.
+    pub engines: engine::Client,
+    /// Calls to other hosts.
+    pub peers: peer_client::Peers,
+    /// Calls to the platform.
+    pub platform: platform::Client,
+    /// Plain services.
+    pub plain: plain::Directory,
+    /// Work accepted for later.
+    pub jobs: jobs::Jobs,
+    /// Metrics.
+    pub metrics: metrics::Metrics,
+    /// What happened to each request.
+    pub traces: trace::Traces,
+    /// Keys that were verified.
+    pub keys: directory::KeyCache,
+    /// Whether the host leaves, and has left.
+    pub phase: watch::Sender<drain::Phase>,
+    /// Counters for the state dump.
+    pub counters: Counters,
+    /// Configuration fetches that run.
+    pub fetching: atomic::AtomicU32,
+    /// The runtime that carries requests, for threads outside of it.
+    pub runtime: runtime::Handle,
+    events: Option<sync::Mutex<fs::File>>,
+}
+
+/// Counters since the start.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Requests from callers.
+    pub requests: atomic::AtomicU64,
+    /// Requests refused.
+    pub refused: atomic::AtomicU64,
+    /// Tokens sent to callers.
+    pub tokens: atomic::AtomicU64,
+    /// Attempts on engines.
+    pub attempts: atomic::AtomicU64,
+    /// Calls made to other hosts.
+    pub peer_calls: atomic::AtomicU64,
+    /// Bytes of control messages sent to other hosts.
+    pub control_bytes: atomic::AtomicU64,
+    /// Open connections of callers.
+    pub connections: atomic::AtomicU64,
+}
+
+impl Counters {
+    /// Adds to a counter.
+    pub fn add(counter: &atomic::AtomicU64, amount: u64) {
+        counter.fetch_add(amount, atomic::Ordering::Relaxed);
+    }
+}
+
+/// A running host, for the process that started it.
+#[derive(Debug)]
+pub struct Running {
+    /// The host's state.
+    pub host: sync::Arc<Host>,
+    /// Where callers connect.
+    pub api: net::SocketAddr,
+    /// Where other hosts connect.
+    pub peer: net::SocketAddr,
+    /// Where operators connect.
+    pub admin: net::SocketAddr,
+}
+
+impl Host {
+    /// Starts a host inside the current runtime. It listens when this returns.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the settings key whose address can't be used.
+    pub async fn start(settings: settings::Settings) -> anyhow::Result<Running> {
+        let api = listen("api", settings.api).await?;
+        let peer = listen("peer", settings.peer).await?;
+        let admin = admin::listen(settings.admin)?;
+        let addresses = Addresses {
+            api: api.local_addr()?,
+            peer: peer.local_addr()?,
+            admin: admin.local_addr()?,
+        };
+        let host = sync::Arc::new(Self::new(settings, &addresses)?);
+        log::info!("host {} listens for callers on {}", host.id, addresses.api);
+        tokio::spawn(peer_server::serve(host.clone(), peer));
+        admin::serve(host.clone(), admin);
+        gossip::spawn(&host);
+        configure::spawn(&host);
+        poll::spawn(&host);
+        endpoints::spawn(&host);
+        jobs::spawn(&host);
+        tokio::spawn(api::serve(host.clone(), api));
+        Ok(Running {
+            host,
+            api: addresses.api,
+            peer: addresses.peer,
+            admin: addresses.admin,
+        })
+    }
+
+    fn new(settings: settings::Settings, addresses: &Addresses) -> anyhow::Result<Self> {
+        let clock = clock::Boot;
+        let id = ids::HostId {
+            name: settings.name.clone(),
+            incarnation: clock::millis(clock.unix()),
+        };
+        let own = membership::Member {
+            id: id.clone(),
+            zone: settings.zone.clone(),
+            peer_addr: addresses.peer.to_string().into(),
+            api_addr: addresses.api.to_string().into(),
+            admin_addr: addresses.admin.to_string().into(),
+            state: membership::State::Alive,
+            refutation: 0,
+        };
+        let events = match &settings.events_file {
+            None => None,
+            Some(path) => {
+                let mut options = fs::OpenOptions::new();
+                let opened = options.create(true).append(true).open(path);
+                let file = opened.with_context(|| format!("events file {}", path.display()))?;
+                Some(sync::Mutex::new(file))
+            }
+        };
+        let steward = steward::Steward::new(settings.scheduler, id.incarnation);
+        Ok(Self {
+            clock,
+            members: sync::Mutex::new(membership::Table::new(own)),
+            ids: sync::Mutex::new(identity::Table::new(id.clone())),
+            permits: sync::Mutex::new(permit::Table::new(clock.now())),
+            quarantine: sync::Mutex::default(),
+            config: sync::RwLock::default(),
+            budgets: sync::Mutex::default(),
+            answers: sync::Mutex::default(),
+            steward,
+            engines: engine::Client::new()?,
+            peers: peer_client::Peers::new(&settings.fleet_key),
+            platform: platform::Client::new(&settings.platform),
+            plain: plain::Directory::new()?,
+            jobs: jobs::Jobs::new(&id),
+            metrics: metrics::Metrics::new(settings.statsd, &settings.name)?,
+            traces: trace::Traces::default(),
+            keys: directory::KeyCache::default(),
+            phase: watch::Sender::new(drain::Phase::Serving),
+            counters: Counters::default(),
+            fetching: atomic::AtomicU32::new(0),
+            runtime: runtime::Handle::current(),
+            events,
+            settings,
+            id,
+        })
+    }
+
+    /// Returns the time since boot.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Returns the wall-clock time.
+    pub fn unix(&self) -> Duration {
+        self.clock.unix()
+    }
+
+    /// Adds a step to a request's trace.
+    pub fn trace(&self, request: &str, what: impl Into<String>) {
+        self.traces.add(request, self.unix(), what);
+    }
+
+    /// Writes an event for the history checker.
+    pub fn event(&self, event: history::Event) {
+        let Some(events) = &self.events else {
+            return;
+        };
+        let record = history::Record {
+            at_ms: clock::millis(self.unix()),
+            event,
+        };
+        if let Err(error) = write_event(&mut lock(events), &record) {
+            log::warn!("events file: {error}");
+        }
+    }
+}
+
+/// Locks a mutex. A poisoned lock is used on: holders keep the state whole at each step.
+pub fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// Locks for reading.
+pub fn read<T>(lock: &sync::RwLock<T>) -> sync::RwLockReadGuard<'_, T> {
+    lock.read().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// Locks for writing.
+pub fn write<T>(lock: &sync::RwLock<T>) -> sync::RwLockWriteGuard<'_, T> {
+    lock.write().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+struct Addresses {
+    api: net::SocketAddr,
+    peer: net::SocketAddr,
+    admin: net::SocketAddr,
+}
+
+async fn listen(key: &str, addr: net::SocketAddr) -> anyhow::Result<tokio::net::TcpListener> {
+    let bound = tokio::net::TcpListener::bind(addr).await;
+    bound.with_context(|| format!("section [listen], key {key:?}: can't listen on {addr}"))
+}
+
+fn write_event(file: &mut fs::File, record: &history::Record) -> io::Result<()> {
+    let mut line = serde_json::to_vec(record)?;
+    line.push(b'\n');
+    file.write_all(&line)
+}
--- /dev/null
+++ b/daemon/src/jobs_api.rs
@@ -0,0 +1,291 @@
+//! The callers' side of jobs: submit, poll, fetch, confirm.
+
+use std::sync;
+use std::time::Duration;
+
+use axum::extract;
+use axum::response;
+use axum::response::IntoResponse as _;
+use bytes::Bytes;
+use walnuthaven_lib::journal;
+use walnuthaven_lib::queue;
+use walnuthaven_lib::refusal;
+use walnuthaven_lib::versions;
+
+use crate::api;
+use crate::drain;
+use crate::host;
+use crate::jobs;
+use crate::journal_store;
+use crate::openai;
+use crate::platform;
+
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// `POST /v1/jobs`: accepts work for later.
+pub async fn submit(
+    extract::State(cx): extract::State<sync::Arc<host::Host>>,
+    headers: http::HeaderMap,
+    body: Result<Bytes, extract::rejection::BytesRejection>,
+) -> response::Response {
+    match submitted(&cx, &headers, body).await {
+        Ok(id) => {
+            let body = serde_json::json!({ "id": id, "state": "waiting" });
+            (http::StatusCode::ACCEPTED, axum::Json(body)).into_response()
+        }
+        Err(refusal) => api::refused(&refusal),
+    }
+}
+
+async fn submitted(
+    cx: &sync::Arc<host::Host>,
+    headers: &http::HeaderMap,
+    body: Result<Bytes, extract::rejection::BytesRejection>,
+) -> Result<String, refusal::Refusal> {
+    drain::check(cx)?;
+    let body = openai::read_body(cx, body)?;
+    let workspace = api::caller(cx, headers)?;
+    let service = openai::find_service(&workspace, &body.model)?;
+    let class = match api::header(headers, api::PRIORITY_HEADER).or(body.priority.as_deref()) {
+        None => queue::Class::Patient,
+        Some(_) => openai::class(headers, &body, &workspace)?,
+    };
+    let prompt = body.prompt.clone().filter(|prompt| !prompt.is_empty());
+    let prompt = prompt.ok_or_else(|| {
+        let message = "prompt: is missing or empty";
+        refusal::Refusal::not_run(refusal::Code::BadRequest, message)
+    })?;
+    let job = journal::Job {
+        workspace: workspace.document.workspace.clone(),
+        service: service.name.clone(),
+        prompt,
+        max_tokens: body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+        class,
+        repeatable: service.repeatable,
+    };
+    check_size(&job, &workspace)?;
+    let (id, kept) = cx.jobs.store().add(job, cx.unix()).await;
+    match kept {
+        journal_store::Kept::Yes => {
+            jobs::start(cx, id.clone());
+            Ok(id)
+        }
+        journal_store::Kept::No(why) => {
+            let message = format!("the platform does not take the job: {why}");
+            let code = refusal::Code::PlatformUnavailable;
+            Err(refusal::Refusal::not_run(code, message).after(RETRY_PAUSE))
+        }
+        journal_store::Kept::Unknown(why) => {
+            // If the write took effect after all, the job runs and can be polled by this id.
+            follow_up(cx, id.clone());
+            let message = format!("whether job {id} is kept is not known yet: {why}");
+            Err(refusal::Refusal::unknown(message).after(RETRY_PAUSE))
+        }
+        journal_store::Kept::TakenOver => {
+            let message = format!("job {id}: another host took the journal over");
+            Err(refusal::Refusal::unknown(message))
+        }
+    }
+}
+
+/// Starts a job whose write was not confirmed, once it is.
+fn follow_up(cx: &sync::Arc<host::Host>, id: String) {
+    let cx = cx.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            if !cx.jobs.store().has(journal_store::journal_name(&id)) {
+                return;
+            }
+            if cx.jobs.store().get(&id).is_some() {
+                return jobs::start(&cx, id);
+            }
+        }
+    });
+}
+
+fn check_size(job: &journal::Job, workspace: &versions::Stored) -> Result<(), refusal::Refusal> {
+    let limits = &workspace.document.limits;
+    if job.max_tokens == 0 || job.max_tokens > limits.max_output_tokens {
+        let message = format!(
+            "max_tokens: {} is outside 1 to {}",
+            job.max_tokens, limits.max_output_tokens
+        );
+        return Err(refusal::Refusal::not_run(
+            refusal::Code::BadRequest,
+            message,
+        ));
+    }
+    let entry = journal::Entry {
+        job: job.clone(),
+        progress: journal::Progress::Waiting,
+        changed: Duration::ZERO,
+    };
+    if entry.size() > journal::MAX_BYTES {
+        let message = format!(
+            "the job exceeds {} bytes with its answer",
+            journal::MAX_BYTES
+        );
+        return Err(refusal::Refusal::not_run(refusal::Code::TooLarge, message));
+    }
+    Ok(())
+}
+
+/// Finds a job of the caller, here or in the platform.
+async fn find(
+    cx: &sync::Arc<host::Host>,
+    headers: &http::HeaderMap,
+    id: &str,
+) -> Result<journal::Entry, refusal::Refusal> {
+    let workspace = api::caller(cx, headers)?;
+    let entry = match cx.jobs.store().get(id) {
+        Some(entry) => entry,
+        None => find_elsewhere(cx, id).await?,
+    };
+    if entry.job.workspace != workspace.document.workspace {
+        return Err(unknown_job(id));
+    }
+    Ok(entry)
+}
+
+async fn find_elsewhere(
+    cx: &sync::Arc<host::Host>,
+    id: &str,
+) -> Result<journal::Entry, refusal::Refusal> {
+    let journal = read_journal(cx, id).await?;
+    let entry = journal.and_then(|(mut journal, _)| journal.entries.remove(id));
+    entry.ok_or_else(|| unknown_job(id))
+}
+
+async fn read_journal(
+    cx: &sync::Arc<host::Host>,
+    id: &str,
+) -> Result<Option<(journal::Journal, u64)>, refusal::Refusal> {
+    let client = cx.platform.clone();
+    let name = journal_store::journal_name(id).to_owned();
+    let got = tokio::task::spawn_blocking(move || client.get(journal_store::KIND, &name)).await;
+    match got {
+        Ok(Ok(object)) => {
+            let journal = serde_json::from_value(object.value).ok();
+            Ok(journal.map(|journal| (journal, object.version)))
+        }
+        Ok(Err(platform::Failure::NotFound)) => Ok(None),
+        _ => {
+            let refusal = refusal::Refusal {
+                code: refusal::Code::PlatformUnavailable,
+                ran: refusal::Ran::Unknown,
+                message: format!("job {id}: the platform does not answer"),
+                retry_after: Some(RETRY_PAUSE),
+            };
+            Err(refusal)
+        }
+    }
+}
+
+fn unknown_job(id: &str) -> refusal::Refusal {
+    refusal::Refusal {
+        code: refusal::Code::NotFound,
+        ran: refusal::Ran::Unknown,
+        message: format!("job {id:?} is not known in the workspace"),
+        retry_after: None,
+    }
+}
+
+/// `GET /v1/jobs/{id}`: how far a job is.
+pub async fn poll(
+    extract::State(cx): extract::State<sync::Arc<host::Host>>,
+    headers: http::HeaderMap,
+    extract::Path(id): extract::Path<String>,
+) -> response::Response {
+    let entry = match find(&cx, &headers, &id).await {
+        Ok(entry) => entry,
+        Err(refusal) => return api::refused(&refusal),
+    };
+    let state = match &entry.progress {
+        journal::Progress::Waiting | journal::Progress::Dispatched => "waiting",
+        journal::Progress::Done { .. } => "done",
+        journal::Progress::Failed { .. } => "failed",
+        journal::Progress::Fetched => "fetched",
+    };
+    axum::Json(serde_json::json!({ "id": id, "state": state })).into_response()
+}
+
+/// `GET /v1/jobs/{id}/answer`: the answer, until the caller confirms it.
+pub async fn fetch(
+    extract::State(cx): extract::State<sync::Arc<host::Host>>,
+    headers: http::HeaderMap,
+    extract::Path(id): extract::Path<String>,
+) -> response::Response {
+    let entry = match find(&cx, &headers, &id).await {
+        Ok(entry) => entry,
+        Err(refusal) => return api::refused(&refusal),
+    };
+    match entry.progress {
+        journal::Progress::Done { text, tokens } => {
+            let body = serde_json::json!({ "id": id, "text": text, "completion_tokens": tokens });
+            axum::Json(body).into_response()
+        }
+        journal::Progress::Failed { refusal } => api::refused(&refusal),
+        journal::Progress::Fetched => api::refused(&refusal::Refusal::already_answered()),
+        journal::Progress::Waiting | journal::Progress::Dispatched => {
+            let refusal = refusal::Refusal {
+                code: refusal::Code::Conflict,
+                ran: refusal::Ran::Unknown,
+                message: format!("job {id} is not done"),
+                retry_after: Some(RETRY_PAUSE),
+            };
+            api::refused(&refusal)
+        }
+    }
+}
+
+/// `DELETE /v1/jobs/{id}`: confirms that the answer was received; it is dropped.
+pub async fn confirm(
+    extract::State(cx): extract::State<sync::Arc<host::Host>>,
+    headers: http::HeaderMap,
+    extract::Path(id): extract::Path<String>,
+) -> response::Response {
+    let entry = match find(&cx, &headers, &id).await {
+        Ok(entry) => entry,
+        Err(refusal) => return api::refused(&refusal),
+    };
+    if !entry.progress.is_final() {
+        let refusal = refusal::Refusal {
+            code: refusal::Code::Conflict,
+            ran: refusal::Ran::Unknown,
+            message: format!("job {id} is not done; nothing to confirm"),
+            retry_after: Some(RETRY_PAUSE),
+        };
+        return api::refused(&refusal);
+    }
+    let kept = match cx.jobs.store().get(&id) {
+        Some(_) => {
+            let fetched = journal::Progress::Fetched;
+            cx.jobs.store().set(&id, fetched, cx.unix()).await
+        }
+        None => confirm_elsewhere(&cx, &id).await,
+    };
+    match kept {
+        journal_store::Kept::Yes => http::StatusCode::NO_CONTENT.into_response(),
+        other => {
+            let message = format!("the confirmation is not kept: {other:?}");
+            api::refused(&refusal::Refusal::unknown(message).after(RETRY_PAUSE))
+        }
+    }
+}
+
+/// Confirms at the owner of a journal elsewhere: by a conditional write, which the owner notices.
+async fn confirm_elsewhere(cx: &sync::Arc<host::Host>, id: &str) -> journal_store::Kept {
+    let Ok(Some((journal, _))) = read_journal(cx, id).await else {
+        return journal_store::Kept::Unknown("the journal can't be read".into());
+    };
+    let owner = host::lock(&cx.members).get(&journal.owner.name).cloned();
+    match owner {
+        Some(owner) => {
+            let message = format!("confirm at its owner {}", owner.api_addr);
+            journal_store::Kept::No(message)
+        }
+        None => journal_store::Kept::No("the owner is gone; try again".into()),
+    }
+}
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,102 @@
+//! The walnuthaven host daemon.
+
+use std::path;
+use std::process;
+use std::thread;
+
+use anyhow::Context as _;
+use clap::Parser as _;
+use tokio::runtime;
+use tokio::signal::unix;
+use walnuthaven_daemon::drain;
+use walnuthaven_daemon::host;
+use walnuthaven_daemon::logging;
+use walnuthaven_daemon::settings;
+
+const EXIT_SETTINGS: u8 = 2;
+const EXIT_FAILED: u8 = 1;
+
+/// Routes requests to model engines and plain services.
+#[derive(Debug, clap::Parser)]
+#[command(version)]
+struct Args {
+    /// The settings file.
+    #[arg(long)]
+    config: path::PathBuf,
+    /// Only checks the settings.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> process::ExitCode {
+    let args = Args::parse();
+    let settings = match settings::read(&args.config) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("walnuthavend: {fault}");
+            return process::ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.check {
+        println!("{}: the settings are valid", args.config.display());
+        return process::ExitCode::SUCCESS;
+    }
+    match run(&args.config, settings) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(Failure::Start(error)) => {
+            eprintln!("walnuthavend: {}: {error:#}", args.config.display());
+            process::ExitCode::from(EXIT_SETTINGS)
+        }
+        Err(Failure::Run(error)) => {
+            eprintln!("walnuthavend: {error:#}");
+            process::ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+enum Failure {
+    Start(anyhow::Error),
+    Run(anyhow::Error),
+}
+
+fn run(path: &path::Path, settings: settings::Settings) -> Result<(), Failure> {
+    logging::start(settings.log_level, settings.log_file.as_deref()).map_err(Failure::Start)?;
+    let threads = settings.threads;
+    let runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(threads.min(cores()))
+        .enable_all()
+        .build()
+        .context("runtime")
+        .map_err(Failure::Run)?;
+    runtime.block_on(async {
+        let running = host::Host::start(settings).await.map_err(Failure::Start)?;
+        println!(
+            "{}: {} listens: api {} peer {} admin {}",
+            path.display(),
+            running.host.id,
+            running.api,
+            running.peer,
+            running.admin
+        );
+        wait(&running.host).await.map_err(Failure::Run)
+    })?;
+    runtime.shutdown_timeout(std::time::Duration::from_millis(200));
+    Ok(())
+}
+
+/// Runs until the host has left, by a signal or by an operator's order.
+async fn wait(cx: &std::sync::Arc<host::Host>) -> anyhow::Result<()> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = drain::wait_left(cx) => return Ok(()),
+    }
+    drain::leave(cx).await;
+    Ok(())
+}
+
+fn cores() -> usize {
+    thread::available_parallelism().map_or(1, std::num::NonZero::get)
+}
--- /dev/null
+++ b/daemon/src/peer_server.rs
@@ -0,0 +1,371 @@
+//! Calls from other hosts.
+
+use std::sync;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio_stream::wrappers;
+use tonic::service;
+use tonic::transport;
+use walnuthaven_lib::auth;
+use walnuthaven_lib::clock;
+use walnuthaven_lib::grant;
+use walnuthaven_lib::permit;
+use walnuthaven_lib::queue;
+use walnuthaven_lib::refusal;
+use walnuthaven_wire::peer;
+use walnuthaven_wire::peer::peer_server;
+
+use crate::answer;
+use crate::configure;
+use crate::connections;
+use crate::convert;
+use crate::drain;
+use crate::endpoints;
+use crate::generate;
+use crate::gossip;
+use crate::host;
+use crate::peer_client;
+use crate::plain;
+use crate::poll;
+
+const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
+
+/// Serves other hosts until the host has left.
+pub async fn serve(cx: sync::Arc<host::Host>, listener: tokio::net::TcpListener) {
+    let key = cx.settings.fleet_key.clone();
+    let check = move |req: tonic::Request<()>| -> Result<tonic::Request<()>, tonic::Status> {
+        let shown = req.metadata().get(peer_client::KEY_ENTRY);
+        let shown = shown.and_then(|value| value.to_str().ok());
+        match shown.is_some_and(|shown| auth::equal(shown, &key.0)) {
+            true => Ok(req),
+            false => Err(tonic::Status::unauthenticated("the host key is wrong")),
+        }
+    };
+    let server = peer_server::PeerServer::new(Server { cx: cx.clone() })
+        .max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let server = service::interceptor::InterceptedService::new(server, check);
+    let incoming = wrappers::TcpListenerStream::new(listener);
+    let ended = drain::wait_left(&cx);
+    let served = transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(server)
+        .serve_with_incoming_shutdown(incoming, ended)
+        .await;
+    if let Err(error) = served {
+        log::error!("calls between hosts: {error}");
+    }
+}
+
+struct Server {
+    cx: sync::Arc<host::Host>,
+}
+
+type Events = wrappers::ReceiverStream<Result<peer::RunEvent, tonic::Status>>;
+const EVENT_BUFFER: usize = 8;
+
+#[tonic::async_trait]
+impl peer_server::Peer for Server {
+    async fn probe(
+        &self,
+        req: tonic::Request<peer::ProbeRequest>,
+    ) -> Result<tonic::Response<peer::ProbeReply>, tonic::Status> {
+        let call = req.into_inner();
+        let bytes = prost::Message::encoded_len(&call) as u64;
+        host::Counters::add(&self.cx.counters.control_bytes, bytes);
+        gossip::take_request(&self.cx, &call);
+        Ok(tonic::Response::new(gossip::reply(&self.cx)))
+    }
+
+    async fn probe_via(
+        &self,
+        req: tonic::Request<peer::ProbeViaRequest>,
+    ) -> Result<tonic::Response<peer::ProbeViaReply>, tonic::Status> {
+        let name = req.into_inner().target;
+        let target = host::lock(&self.cx.members).get(&name).cloned();
+        let reached = match target {
+            None => false,
+            Some(target) => {
+                let call = gossip::request(&self.cx);
+                self.cx.peers.probe(&target.peer_addr, call).await.is_ok()
+            }
+        };
+        Ok(tonic::Response::new(peer::ProbeViaReply { reached }))
+    }
+
+    type RunStream = Events;
+
+    async fn run(
+        &self,
+        req: tonic::Request<peer::RunRequest>,
+    ) -> Result<tonic::Response<Events>, tonic::Status> {
+        let ask = self.ask(req.into_inner())?;
+        let Some(id) = ask.id.clone() else {
+            return Err(tonic::Status::invalid_argument("request id is missing"));
+        };
+        let (tx, rx) = mpsc::channel(EVENT_BUFFER);
+        let opened = generate::open_here(&self.cx, ask, id);
+        tokio::spawn(send_events(self.cx.clone(), opened, tx));
+        Ok(tonic::Response::new(Events::new(rx)))
+    }
+
+    async fn call(
+        &self,
+        req: tonic::Request<peer::CallRequest>,
+    ) -> Result<tonic::Response<peer::CallReply>, tonic::Status> {
+        let call = req.into_inner();
+        let reply = match plain::forwarded(&self.cx, call).await {
+            Ok(reply) => peer::CallReply {
+                status: u32::from(reply.status),
+                body: reply.body.to_vec(),
+                content_type: reply.content_type,
+                refusal: None,
+            },
+            Err(refusal) => peer::CallReply {
+                refusal: Some(convert::refusal_to_wire(&refusal)),
+                ..peer::CallReply::default()
+            },
+        };
+        Ok(tonic::Response::new(reply))
+    }
+
+    async fn acquire(
+        &self,
+        req: tonic::Request<peer::AcquireRequest>,
+    ) -> Result<tonic::Response<peer::AcquireReply>, tonic::Status> {
+        let call = req.into_inner();
+        let outcome = match self.granted(&call).await? {
+            Ok(grant) => peer::acquire_reply::Outcome::Grant(convert::grant_to_wire(&grant)),
+            Err(refusal) => {
+                peer::acquire_reply::Outcome::Refusal(convert::refusal_to_wire(&refusal))
+            }
+        };
+        let outcome = Some(outcome);
+        Ok(tonic::Response::new(peer::AcquireReply { outcome }))
+    }
+
+    async fn report(
+        &self,
+        req: tonic::Request<peer::ReportRequest>,
+    ) -> Result<tonic::Response<peer::ReportReply>, tonic::Status> {
+        let call = req.into_inner();
+        for report in &call.reports {
+            self.take_report(&call.cell, report);
+        }
+        Ok(tonic::Response::new(peer::ReportReply {}))
+    }
+
+    async fn hold_permit(
+        &self,
+        req: tonic::Request<peer::PermitRequest>,
+    ) -> Result<tonic::Response<peer::PermitReply>, tonic::Status> {
+        let call = req.into_inner();
+        let mut permits = host::lock(&self.cx.permits);
+        let now = self.cx.now();
+        let held = match call.outcome.as_str() {
+            "" => permits.hold(&call.request, now),
+            "answered" => {
+                permits.conclude(&call.request, permit::State::Answered, now);
+                false
+            }
+            "not_run" => {
+                permits.conclude(&call.request, permit::State::NotRun, now);
+                false
+            }
+            other => {
+                let message = format!("outcome: {other:?} is unknown");
+                return Err(tonic::Status::invalid_argument(message));
+            }
+        };
+        Ok(tonic::Response::new(peer::PermitReply { held }))
+    }
+
+    async fn confirm(
+        &self,
+        req: tonic::Request<peer::ConfirmRequest>,
+    ) -> Result<tonic::Response<peer::ConfirmReply>, tonic::Status> {
+        let call = req.into_inner();
+        let id = parse_id(&call.request)?;
+        connections::settle_home(&self.cx, &id, true, call.delivered);
+        Ok(tonic::Response::new(peer::ConfirmReply {}))
+    }
+
+    async fn lookup(
+        &self,
+        req: tonic::Request<peer::LookupRequest>,
+    ) -> Result<tonic::Response<peer::LookupReply>, tonic::Status> {
+        let call = req.into_inner();
+        let id = parse_id(&call.request)?;
+        if call.fence {
+            let refusal = host::lock(&self.cx.permits).answer_for(&call.request, self.cx.now());
+            let reply = peer::LookupReply {
+                refusal: Some(convert::refusal_to_wire(&refusal)),
+                ..peer::LookupReply::default()
+            };
+            return Ok(tonic::Response::new(reply));
+        }
+        let state = host::lock(&self.cx.ids).state(id.number).cloned();
+        let steps = self.cx.traces.get(&call.request);
+        let reply = peer::LookupReply {
+            state: state.map(|state| format!("{state:?}")).unwrap_or_default(),
+            refusal: None,
+            trace: steps.into_iter().map(|step| step.what).collect(),
+        };
+        Ok(tonic::Response::new(reply))
+    }
+
+    async fn endpoints(
+        &self,
+        req: tonic::Request<peer::EndpointsRequest>,
+    ) -> Result<tonic::Response<peer::EndpointsReply>, tonic::Status> {
+        let cell = req.into_inner().cell;
+        let endpoints = self.cx.plain.stewarded(&cell);
+        let endpoints = endpoints.into_iter().map(|endpoint| peer::Endpoint {
+            name: endpoint.name.to_string(),
+            addr: endpoint.addr.to_string(),
+            zone: endpoint.zone.to_string(),
+        });
+        Ok(tonic::Response::new(peer::EndpointsReply {
+            endpoints: endpoints.collect(),
+            valid_ms: clock::millis(endpoints::VALID),
+        }))
+    }
+
+    async fn push_config(
+        &self,
+        req: tonic::Request<peer::ConfigPush>,
+    ) -> Result<tonic::Response<peer::ConfigAck>, tonic::Status> {
+        configure::take_push(&self.cx, &req.into_inner());
+        let digest = host::read(&self.cx.config).digest();
+        Ok(tonic::Response::new(peer::ConfigAck { digest }))
+    }
+
+    async fn fetch_config(
+        &self,
+        req: tonic::Request<peer::ConfigFetch>,
+    ) -> Result<tonic::Response<peer::ConfigPush>, tonic::Status> {
+        let known = req.into_inner().known;
+        let push = configure::newer_than(&self.cx, &known);
+        Ok(tonic::Response::new(push))
+    }
+}
+
+impl Server {
+    fn ask(&self, call: peer::RunRequest) -> Result<generate::Ask, tonic::Status> {
+        let id = parse_id(&call.request)?;
+        let config = host::read(&self.cx.config);
+        let workspace = config.get(&call.workspace).cloned();
+        let workspace = workspace.ok_or_else(|| {
+            let message = format!("workspace {:?} is not in force here", call.workspace);
+            tonic::Status::failed_precondition(message)
+        })?;
+        let service = workspace.document.service(&call.service).cloned();
+        let service = service.ok_or_else(|| {
+            let message = format!("service {:?} is not in force here", call.service);
+            tonic::Status::failed_precondition(message)
+        })?;
+        let class = queue::Class::parse(&call.priority);
+        let class = class.ok_or_else(|| tonic::Status::invalid_argument("priority"))?;
+        let waited = Duration::from_millis(call.waited_ms);
+        Ok(generate::Ask {
+            arrived: self.cx.now().saturating_sub(waited),
+            prompt: call.prompt,
+            max_tokens: call.max_tokens,
+            repeatable: call.repeatable && service.repeatable,
+            offset: call.offset,
+            id: Some(id),
+            workspace,
+            service,
+            class,
+        })
+    }
+
+    async fn granted(
+        &self,
+        call: &peer::AcquireRequest,
+    ) -> Result<Result<grant::Grant, refusal::Refusal>, tonic::Status> {
+        let spec = configure::cell_spec(&self.cx, &call.cell);
+        let spec = spec.ok_or_else(|| {
+            let message = format!("cell {:?} is not in force here", call.cell);
+            tonic::Status::failed_precondition(message)
+        })?;
+        let ask = convert::ask_from_wire(call);
+        let mut ask = ask.ok_or_else(|| tonic::Status::invalid_argument("priority"))?;
+        ask.suspect |= host::lock(&self.cx.quarantine).is_suspect(ask.digest, self.cx.unix());
+        let cell = self.cx.steward.cell(&spec);
+        Ok(cell.acquire(&self.cx, ask).await)
+    }
+
+    fn take_report(&self, name: &str, report: &peer::GrantReport) {
+        let Some(cell) = self.cx.steward.find(name) else {
+            return;
+        };
+        let event = match report.event() {
+            peer::GrantEvent::Prefilled => grant::Event::Prefilled,
+            peer::GrantEvent::Released => grant::Event::Released,
+            peer::GrantEvent::Completed => grant::Event::Completed,
+            peer::GrantEvent::Crashed => {
+                let server = report.server.as_str().into();
+                return poll::on_reported_crash(&self.cx, name, report.grant, &server);
+            }
+            peer::GrantEvent::Unspecified => return,
+        };
+        cell.report(report.grant, event, self.cx.now());
+    }
+}
+
+fn parse_id(text: &str) -> Result<walnuthaven_lib::ids::RequestId, tonic::Status> {
+    let id = text.parse();
+    id.map_err(|error: walnuthaven_lib::ids::ParseError| {
+        tonic::Status::invalid_argument(error.to_string())
+    })
+}
+
+/// Streams an answer to the host that the caller is connected to. When that host drops the stream,
+/// the reader is dropped too.
+async fn send_events(
+    cx: sync::Arc<host::Host>,
+    opened: Result<generate::Opened, refusal::Refusal>,
+    tx: mpsc::Sender<Result<peer::RunEvent, tonic::Status>>,
+) {
+    let mut opened = match opened {
+        Ok(opened) => opened,
+        Err(refusal) => {
+            let refusal = convert::refusal_to_wire(&refusal);
+            return send(&tx, peer::run_event::Event::Refusal(refusal)).await;
+        }
+    };
+    let accepted = peer::Accepted { attached: false };
+    send(&tx, peer::run_event::Event::Accepted(accepted)).await;
+    loop {
+        let chunk = tokio::select! {
+            chunk = opened.reader.next() => chunk,
+            () = tx.closed() => return,
+        };
+        match chunk {
+            answer::Chunk::Tokens(offset, tokens) => {
+                let text = tokens.iter().map(|token| token.to_string()).collect();
+                let tokens = peer::Tokens { offset, text };
+                send(&tx, peer::run_event::Event::Tokens(tokens)).await;
+            }
+            answer::Chunk::End(answer::End::Complete) => {
+                opened.delivery.sent(&cx);
+                let total = opened.reader.position();
+                let finished = peer::Finished { total };
+                return send(&tx, peer::run_event::Event::Finished(finished)).await;
+            }
+            answer::Chunk::End(answer::End::Refused(refusal)) => {
+                let refusal = convert::refusal_to_wire(&refusal);
+                return send(&tx, peer::run_event::Event::Refusal(refusal)).await;
+            }
+        }
+    }
+}
+
+async fn send(
+    tx: &mpsc::Sender<Result<peer::RunEvent, tonic::Status>>,
+    event: peer::run_event::Event,
+) {
+    // A closed channel is noticed by the caller of this function.
+    let _ = tx.send(Ok(peer::RunEvent { event: Some(event) })).await;
+}
--- /dev/null
+++ b/daemon/src/plain.rs
@@ -0,0 +1,416 @@
+//! Plain services: calls are proxied by name and never wait behind model work.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::watch;
+use walnuthaven_lib::config;
+use walnuthaven_lib::identity;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::prefix;
+use walnuthaven_lib::refusal;
+use walnuthaven_lib::versions;
+use walnuthaven_wire::peer;
+
+use crate::connections;
+use crate::drain;
+use crate::endpoints;
+use crate::forward;
+use crate::generate;
+use crate::host;
+use crate::permits;
+
+const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const MAX_CONNECT_TRIES: usize = 4;
+const REPLY_KEPT_FOR: Duration = Duration::from_secs(60);
+
+/// A call of a plain service.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The configuration of the caller's workspace.
+    pub workspace: sync::Arc<versions::Stored>,
+    /// The service.
+    pub service: config::Service,
+    /// The HTTP method.
+    pub method: http::Method,
+    /// Path and query behind the service's name.
+    pub path: String,
+    /// The body.
+    pub body: Bytes,
+    /// The body's content type.
+    pub content_type: String,
+    /// The id, if the caller has one.
+    pub id: Option<ids::RequestId>,
+}
+
+/// A reply of a plain service.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The HTTP status.
+    pub status: u16,
+    /// The body.
+    pub body: Bytes,
+    /// The body's content type.
+    pub content_type: String,
+}
+
+/// A reply with where its delivery is accounted for.
+#[derive(Debug)]
+pub struct Answered {
+    /// The reply.
+    pub reply: Reply,
+    /// Accounts for the delivery of calls that have an id.
+    pub delivery: Option<connections::Delivery>,
+}
+
+type Outcome = Option<Result<Reply, refusal::Refusal>>;
+
+/// What this host knows of plain services.
+#[derive(Debug)]
+pub struct Directory {
+    http: reqwest::Client,
+    endpoints: endpoints::Cache,
+    replies: sync::Mutex<collections::HashMap<u64, watch::Receiver<Outcome>>>,
+    turn: atomic::AtomicUsize,
+}
+
+impl Directory {
+    /// Makes an empty directory.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the HTTP client can't be set up.
+    pub fn new() -> anyhow::Result<Self> {
+        let http = reqwest::Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .build()?;
+        Ok(Self {
+            http,
+            endpoints: endpoints::Cache::default(),
+            replies: sync::Mutex::default(),
+            turn: atomic::AtomicUsize::new(0),
+        })
+    }
+
+    /// Returns the servers of a cell that this host stewards.
+    pub fn stewarded(&self, cell: &str) -> Vec<endpoints::Endpoint> {
+        self.endpoints.stewarded(cell)
+    }
+
+    /// Returns the cache of live servers.
+    pub fn endpoints(&self) -> &endpoints::Cache {
+        &self.endpoints
+    }
+
+    /// Returns the client for plain servers.
+    pub fn http(&self) -> &reqwest::Client {
+        &self.http
+    }
+}
+
+/// Makes a call, here or at its home.
+///
+/// # Errors
+///
+/// Returns a final refusal.
+pub async fn call(cx: &sync::Arc<host::Host>, call: Call) -> Result<Answered, refusal::Refusal> {
+    if call.service.repeatable {
+        drain::check(cx)?;
+        let reply = call_repeatable(cx, &call).await?;
+        return Ok(Answered {
+            reply,
+            delivery: None,
+        });
+    }
+    let Some(id) = call.id.clone() else {
+        return Err(generate::id_required());
+    };
+    if id.home != cx.id {
+        return call_at_home(cx, call, id).await;
+    }
+    let reply = call_once(cx, call, &id).await?;
+    let delivery = Some(connections::Delivery::Home { id, permit: true });
+    Ok(Answered { reply, delivery })
+}
+
+/// Makes a call that another host forwarded to this home.
+///
+/// # Errors
+///
+/// Returns a final refusal.
+pub async fn forwarded(
+    cx: &sync::Arc<host::Host>,
+    message: peer::CallRequest,
+) -> Result<Reply, refusal::Refusal> {
+    let bad = |what: &str| refusal::Refusal::not_run(refusal::Code::BadRequest, what);
+    let id: ids::RequestId = message
+        .request
+        .parse()
+        .map_err(|_| bad("the request id is malformed"))?;
+    let workspace = host::read(&cx.config).get(&message.workspace).cloned();
+    let workspace = workspace.ok_or_else(|| bad("the workspace is not in force at the home"))?;
+    let service = workspace.document.service(&message.service).cloned();
+    let service = service.ok_or_else(|| bad("the service is not in force at the home"))?;
+    let method = message.method.parse().map_err(|_| bad("method"))?;
+    let call = Call {
+        workspace,
+        service,
+        method,
+        path: message.path,
+        body: message.body.into(),
+        content_type: message.content_type,
+        id: Some(id.clone()),
+    };
+    let reply = call_once(cx, call, &id).await?;
+    connections::Delivery::Home { id, permit: true }.sent(cx);
+    Ok(reply)
+}
+
+async fn call_at_home(
+    cx: &sync::Arc<host::Host>,
+    call: Call,
+    id: ids::RequestId,
+) -> Result<Answered, refusal::Refusal> {
+    let Some(home) = forward::find_home(cx, &id) else {
+        return Err(forward::answer_for_home(cx, &id, true).await);
+    };
+    let message = peer::CallRequest {
+        request: id.to_string(),
+        workspace: call.workspace.document.workspace.to_string(),
+        service: call.service.name.to_string(),
+        method: call.method.to_string(),
+        path: call.path,
+        body: call.body.to_vec(),
+        content_type: call.content_type,
+    };
+    let reply = match cx.peers.call(&home.peer_addr, message).await {
+        Ok(reply) => reply,
+        Err(status) => {
+            log::debug!("call of {id} at {}: {status}", home.id);
+            return Err(forward::answer_for_home(cx, &id, true).await);
+        }
+    };
+    if let Some(refusal) = &reply.refusal {
+        return Err(crate::convert::refusal_from_wire(refusal));
+    }
+    Ok(Answered {
+        reply: Reply {
+            status: u16::try_from(reply.status).unwrap_or(502),
+            body: reply.body.into(),
+            content_type: reply.content_type,
+        },
+        delivery: Some(connections::Delivery::Forwarded {
+            request: id.to_string(),
+            addr: home.peer_addr,
+        }),
+    })
+}
+
+/// Makes a call at most once, whoever asks for it and how often.
+async fn call_once(
+    cx: &sync::Arc<host::Host>,
+    call: Call,
+    id: &ids::RequestId,
+) -> Result<Reply, refusal::Refusal> {
+    let content = prefix::digest(&call.path) ^ xxh(&call.body);
+    let workspace = call.workspace.document.workspace.clone();
+    let arrival = host::lock(&cx.ids).arrive(id, &workspace, content, false, cx.now());
+    let mut outcome = match arrival {
+        identity::Arrival::Final(refusal) => return Err(refusal),
+        identity::Arrival::Attach => {
+            let known = host::lock(&cx.plain.replies).get(&id.number).cloned();
+            known.ok_or_else(refusal::Refusal::already_answered)?
+        }
+        identity::Arrival::Run => start_once(cx, call, id, workspace),
+    };
+    let ended = outcome.wait_for(Option::is_some).await;
+    match ended {
+        Ok(ended) => ended.clone().unwrap_or_else(|| Err(gone())),
+        Err(_) => Err(gone()),
+    }
+}
+
+fn gone() -> refusal::Refusal {
+    refusal::Refusal::unknown("the call ended without a reply")
+}
+
+/// Starts the one run of a call. It goes on when its caller leaves, so that its outcome is known.
+fn start_once(
+    cx: &sync::Arc<host::Host>,
+    call: Call,
+    id: &ids::RequestId,
+    workspace: ids::Name,
+) -> watch::Receiver<Outcome> {
+    let (tx, rx) = watch::channel(None);
+    host::lock(&cx.plain.replies).insert(id.number, rx.clone());
+    let cx = cx.clone();
+    let id = id.clone();
+    tokio::spawn(async move {
+        let ended = run_once(&cx, &call, &id, &workspace).await;
+        let state = match &ended {
+            Ok(_) => identity::State::Finished,
+            Err(refusal) => identity::State::Refused(refusal.clone()),
+        };
+        host::lock(&cx.ids).set(id.number, state, cx.now());
+        tx.send_replace(Some(ended));
+        tokio::time::sleep(REPLY_KEPT_FOR).await;
+        host::lock(&cx.plain.replies).remove(&id.number);
+    });
+    rx
+}
+
+async fn run_once(
+    cx: &sync::Arc<host::Host>,
+    call: &Call,
+    id: &ids::RequestId,
+    workspace: &ids::Name,
+) -> Result<Reply, refusal::Refusal> {
+    drain::check(cx)?;
+    let mut endpoints = choose(cx, call).await?;
+    permits::hold(cx, id, workspace).await?;
+    endpoints.truncate(MAX_CONNECT_TRIES);
+    for endpoint in &endpoints {
+        cx.trace(&id.to_string(), format!("call to {}", endpoint.name));
+        match send(cx, call, endpoint, Some(id)).await {
+            Ok(reply) => return Ok(reply),
+            Err(Failure::Unreached) => cx.plain.endpoints.avoid(&endpoint.name, cx.now()),
+            Err(Failure::Leaving) => cx.plain.endpoints.avoid(&endpoint.name, cx.now()),
+            Err(Failure::Lost(why)) => return Err(refusal::Refusal::unknown(why)),
+        }
+    }
+    Err(unreachable(call))
+}
+
+async fn call_repeatable(
+    cx: &sync::Arc<host::Host>,
+    call: &Call,
+) -> Result<Reply, refusal::Refusal> {
+    let mut endpoints = choose(cx, call).await?;
+    endpoints.truncate(MAX_CONNECT_TRIES);
+    let mut ran = None;
+    for endpoint in &endpoints {
+        match send(cx, call, endpoint, call.id.as_ref()).await {
+            Ok(reply) => {
+                budget(cx, call, |budget| budget.on_success());
+                return Ok(reply);
+            }
+            Err(Failure::Unreached | Failure::Leaving) => {
+                cx.plain.endpoints.avoid(&endpoint.name, cx.now());
+            }
+            Err(Failure::Lost(why)) => {
+                cx.plain.endpoints.avoid(&endpoint.name, cx.now());
+                ran = Some(refusal::Refusal::unknown(why));
+                if !budget(cx, call, |budget| budget.try_spend()) {
+                    break;
+                }
+            }
+        }
+    }
+    Err(ran.unwrap_or_else(|| unreachable(call)))
+}
+
+fn budget<T>(
+    cx: &host::Host,
+    call: &Call,
+    f: impl FnOnce(&mut walnuthaven_lib::retry::Budget) -> T,
+) -> T {
+    let workspace = call.workspace.document.workspace.clone();
+    f(host::lock(&cx.budgets).entry(workspace).or_default())
+}
+
+/// Orders the servers: the own zone first, in turn within a zone.
+async fn choose(
+    cx: &sync::Arc<host::Host>,
+    call: &Call,
+) -> Result<Vec<endpoints::Endpoint>, refusal::Refusal> {
+    let cell = endpoints::cell_name(&call.workspace.document.workspace, &call.service.name);
+    let mut endpoints = endpoints::live(cx, &cell).await;
+    if endpoints.is_empty() {
+        return Err(unreachable(call));
+    }
+    let turn = cx.plain.turn.fetch_add(1, atomic::Ordering::Relaxed);
+    let count = endpoints.len();
+    endpoints.rotate_left(turn % count);
+    let now = cx.now();
+    endpoints.sort_by_key(|endpoint| {
+        let avoided = cx.plain.endpoints.is_avoided(&endpoint.name, now);
+        (avoided, endpoint.zone != cx.settings.zone)
+    });
+    Ok(endpoints)
+}
+
+enum Failure {
+    Unreached,
+    Leaving,
+    Lost(String),
+}
+
+async fn send(
+    cx: &host::Host,
+    call: &Call,
+    endpoint: &endpoints::Endpoint,
+    id: Option<&ids::RequestId>,
+) -> Result<Reply, Failure> {
+    let url = format!("http://{}{}", endpoint.addr, call.path);
+    let mut req = cx
+        .plain
+        .http
+        .request(call.method.clone(), url)
+        .timeout(Duration::from_millis(call.service.timeout_ms))
+        .header(http::header::CONTENT_TYPE, &call.content_type)
+        .body(call.body.clone());
+    if let Some(id) = id {
+        req = req.header("x-request-id", id.to_string());
+    }
+    let response = req.send().await.map_err(|error| {
+        if error.is_connect() {
+            return Failure::Unreached;
+        }
+        Failure::Lost(format!("{}: {error}", endpoint.name))
+    })?;
+    let status = response.status().as_u16();
+    // A plain server that leaves says so in this header and has done nothing.
+    if response.headers().contains_key("x-not-run") {
+        return Err(Failure::Leaving);
+    }
+    let content_type = response.headers().get(http::header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    let content_type = content_type.unwrap_or_default().to_owned();
+    let body = read_body(response).await;
+    let body = body.map_err(|why| Failure::Lost(format!("{}: {why}", endpoint.name)))?;
+    Ok(Reply {
+        status,
+        body,
+        content_type,
+    })
+}
+
+async fn read_body(mut response: reqwest::Response) -> Result<Bytes, String> {
+    let mut body = Vec::new();
+    loop {
+        match response.chunk().await {
+            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+            Ok(None) => return Ok(body.into()),
+            Err(error) => return Err(error.to_string()),
+        }
+        if body.len() > MAX_REPLY_BYTES {
+            return Err(format!("the reply exceeds {MAX_REPLY_BYTES} bytes"));
+        }
+    }
+}
+
+fn unreachable(call: &Call) -> refusal::Refusal {
+    let message = format!("no server of service {:?} takes work", call.service.name);
+    refusal::Refusal::not_run(refusal::Code::Unavailable, message).after(Duration::from_secs(1))
+}
+
+fn xxh(body: &Bytes) -> u64 {
+    prefix::digest(&String::from_utf8_lossy(body))
+}
--- /dev/null
+++ b/daemon/src/poll.rs
@@ -0,0 +1,227 @@
+//! Load reports of the engines that this host stewards.
+
+use std::sync;
+use std::time::Duration;
+
+use walnuthaven_lib::cell;
+use walnuthaven_lib::config;
+use walnuthaven_lib::engines;
+use walnuthaven_lib::grant;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::prefix;
+
+use crate::cancel;
+use crate::convert;
+use crate::engine;
+use crate::host;
+use crate::steward;
+
+/// How often an engine is asked for its load.
+pub const POLL_EVERY: Duration = Duration::from_millis(200);
+const FAILED_POLLS_FOR_CRASH: u32 = 2;
+
+/// Starts to poll the engines of this host's cells, and lets the cells decide.
+pub fn spawn(cx: &sync::Arc<host::Host>) {
+    steward::spawn(cx);
+    let cx = cx.clone();
+    tokio::spawn(async move {
+        let mut pollers = Pollers::default();
+        let mut ticks = tokio::time::interval(POLL_EVERY);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let specs = stewarded(&cx);
+            retire_others(&cx, &specs);
+            pollers.round(&cx, &specs);
+        }
+    });
+}
+
+/// Returns the cells that this host stewards.
+fn stewarded(cx: &host::Host) -> Vec<config::CellSpec> {
+    let mut specs = Vec::new();
+    {
+        let config = host::read(&cx.config);
+        for stored in config.iter() {
+            for pool in &stored.document.pools {
+                specs.extend(stored.document.cells(&pool.name));
+            }
+        }
+    }
+    let members = host::lock(&cx.members);
+    specs.retain(|spec| members.steward(&spec.name).id == cx.id);
+    specs
+}
+
+fn retire_others(cx: &host::Host, specs: &[config::CellSpec]) {
+    for cell in cx.steward.all() {
+        if !specs.iter().any(|spec| spec.name == cell.name) {
+            cx.steward.retire(&cell.name);
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Pollers {
+    engines: std::collections::HashMap<ids::Name, sync::Arc<sync::Mutex<Poller>>>,
+}
+
+#[derive(Debug, Default)]
+struct Poller {
+    busy: bool,
+    failures: u32,
+    last_event: u64,
+    incarnation: u64,
+}
+
+impl Pollers {
+    fn round(&mut self, cx: &sync::Arc<host::Host>, specs: &[config::CellSpec]) {
+        for spec in specs {
+            let cell = cx.steward.cell(spec);
+            for engine in &spec.engines {
+                let name = engine.address.name.clone();
+                let poller = self.engines.entry(name).or_default().clone();
+                if std::mem::replace(&mut host::lock(&poller).busy, true) {
+                    continue;
+                }
+                let cx = cx.clone();
+                let cell = cell.clone();
+                let address = engine.address.clone();
+                tokio::spawn(async move {
+                    poll(&cx, &cell, &address, &poller).await;
+                    host::lock(&poller).busy = false;
+                });
+            }
+        }
+    }
+}
+
+async fn poll(
+    cx: &sync::Arc<host::Host>,
+    cell: &sync::Arc<steward::Cell>,
+    address: &engines::Address,
+    poller: &sync::Mutex<Poller>,
+) {
+    let after = host::lock(poller).last_event;
+    match cx.engines.load(&address.addr, after).await {
+        Ok(load) => {
+            {
+                let mut poller = host::lock(poller);
+                poller.failures = 0;
+                if poller.incarnation != load.incarnation {
+                    poller.incarnation = load.incarnation;
+                    poller.last_event = 0;
+                }
+                let newest = load.events.iter().map(|event| event.number).max();
+                poller.last_event = poller.last_event.max(newest.unwrap_or(0));
+            }
+            take_load(cx, cell, address, &load);
+        }
+        Err(failure) => {
+            let failures = {
+                let mut poller = host::lock(poller);
+                poller.failures += 1;
+                poller.failures
+            };
+            log::debug!("load of {}: {failure:?}", address.name);
+            let broken = matches!(
+                failure,
+                engine::Failure::Lost(_) | engine::Failure::Unreached
+            );
+            if broken && failures == FAILED_POLLS_FOR_CRASH {
+                on_crash(cx, &cell.name, &address.name);
+            }
+        }
+    }
+}
+
+fn take_load(
+    cx: &sync::Arc<host::Host>,
+    cell: &sync::Arc<steward::Cell>,
+    address: &engines::Address,
+    load: &engine::Load,
+) {
+    let now = cx.now();
+    let held = load.running.iter().filter(|running| running.decoding);
+    let orphans = orphans(cx, load);
+    let restarted = cell.with(|cell| {
+        let foreign = held.filter(|running| !cell.knows(&running.request)).count();
+        let report = engines::Load {
+            incarnation: load.incarnation,
+            leaving: load.leaving,
+            role: Some(load.role),
+            foreign: u32::try_from(foreign).unwrap_or(u32::MAX),
+        };
+        let seen = load.running.iter().map(|running| running.request.as_str());
+        cell.seen_on(&address.name, seen, now);
+        cell.engines_mut().on_load(&address.name, &report, now)
+    });
+    if restarted {
+        on_crash(cx, &cell.name, &address.name);
+    }
+    for event in &load.events {
+        let change = match event.stored {
+            true => prefix::Change::Stored(event.block),
+            false => prefix::Change::Evicted(event.block),
+        };
+        cell.cache_event(&address.name, event.number, change);
+    }
+    for (request, attempt) in orphans {
+        log::info!("{} holds {request} for a host that is gone", address.name);
+        cx.metrics.count("engine.orphan");
+        let order = grant::Cancel {
+            server: address.clone(),
+            request,
+            attempt,
+        };
+        cancel::spawn(cx, order);
+    }
+    cell.advance(now);
+}
+
+/// Requests that an engine holds for homes that are gone. A request to whose stream someone is
+/// connected is left alone: then its home lives, whatever the membership says.
+fn orphans(cx: &host::Host, load: &engine::Load) -> Vec<(ids::Name, u32)> {
+    let members = host::lock(&cx.members);
+    let gone = |running: &&engine::Running| {
+        let home = convert::home_of(&running.home);
+        !running.attached && home.is_some_and(|home| members.is_gone(&home))
+    };
+    let held = load.running.iter().filter(gone);
+    held.map(|running| (running.request.as_str().into(), running.attempt))
+        .collect()
+}
+
+/// Takes a home's report that an engine crashed under a grant. Only the first report of a crash
+/// finds its grant still held.
+pub fn on_reported_crash(cx: &sync::Arc<host::Host>, cell: &str, grant: u64, server: &ids::Name) {
+    let Some(found) = cx.steward.find(cell) else {
+        return;
+    };
+    if found.with(|cell| cell.holds(grant)) {
+        on_crash(cx, cell, server);
+        found.report(grant, grant::Event::Released, cx.now());
+    }
+}
+
+/// Notes a crash of an engine: its requests are suspects, and others hear of it at once.
+pub fn on_crash(cx: &sync::Arc<host::Host>, cell: &str, server: &ids::Name) {
+    let Some(cell) = cx.steward.find(cell) else {
+        return;
+    };
+    let digests = cell.with(|cell| cell.crash(server, cx.now()));
+    cell.advance(cx.now());
+    if digests.is_empty() || cx.settings.scheduler == cell::Policy::Baseline {
+        return;
+    }
+    log::warn!("{server} crashed with {} requests in flight", digests.len());
+    cx.metrics.count("engine.crash");
+    {
+        let mut quarantine = host::lock(&cx.quarantine);
+        for digest in digests {
+            quarantine.crashed(digest, server, cx.unix());
+        }
+    }
+    let cx = cx.clone();
+    tokio::spawn(async move { crate::gossip::announce(&cx).await });
+}
--- /dev/null
+++ b/daemon/src/tries.rs
@@ -0,0 +1,114 @@
+//! The tries of one request: what to ask for next, and when to stop.
+
+use std::time::Duration;
+
+use walnuthaven_lib::cell;
+use walnuthaven_lib::grant;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::prefix;
+use walnuthaven_lib::refusal;
+
+use crate::attempt;
+use crate::generate;
+use crate::host;
+
+const MAX_ATTEMPTS: u32 = 6;
+
+/// The tries of one request.
+#[derive(Debug, Default)]
+pub struct Tries {
+    /// Tries made.
+    pub count: u32,
+    exclude: Vec<ids::Name>,
+    /// The export of the last try, if the next one only needs a decode slot.
+    pub export: Option<attempt::Export>,
+}
+
+impl Tries {
+    /// Makes the request for engines of the next try.
+    pub fn ask(&self, cx: &host::Host, job: &generate::Job) -> grant::Ask {
+        let now = cx.now();
+        let target = job.service.first_token(job.class);
+        let waited = now.saturating_sub(job.arrived);
+        let (waited, first_token) = match &self.export {
+            // A second slot is worth having only while the export lives.
+            Some(export) => (Duration::ZERO, export.until.saturating_sub(now)),
+            // A retry has missed its first chance; it may use the target once more.
+            None if self.count > 1 => (Duration::ZERO, target),
+            None => (waited, target),
+        };
+        grant::Ask {
+            request: job.request.clone(),
+            attempt: self.count,
+            home: cx.id.clone(),
+            workspace: job.workspace.clone(),
+            class: job.class,
+            share: job.share,
+            prompt_tokens: job.prompt_tokens,
+            digest: job.digest,
+            prefix: prefix::blocks(&job.prompt),
+            first_token,
+            waited,
+            prefilled_on: self.export.as_ref().map(|e| e.server.name.clone()),
+            exclude: self.exclude.clone(),
+            suspect: host::lock(&cx.quarantine).is_suspect(job.digest, cx.unix()),
+        }
+    }
+
+    /// Notes that the answer is complete.
+    pub fn succeeded(&self, cx: &host::Host, job: &generate::Job) {
+        host::lock(&cx.budgets)
+            .entry(job.workspace.clone())
+            .or_default()
+            .on_success();
+        let mut quarantine = host::lock(&cx.quarantine);
+        if quarantine.is_suspect(job.digest, cx.unix()) {
+            // A whole answer proves the content innocent.
+            quarantine.lift(job.digest, cx.unix());
+        }
+    }
+
+    /// Decides whether to try again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final refusal.
+    pub fn failed(
+        &mut self,
+        cx: &host::Host,
+        job: &generate::Job,
+        failed: attempt::Failed,
+    ) -> Result<(), refusal::Refusal> {
+        let baseline = cx.settings.scheduler == cell::Policy::Baseline;
+        self.exclude.extend(failed.exclude.filter(|_| !baseline));
+        self.export = failed.export;
+        if self.count >= MAX_ATTEMPTS {
+            return Err(refusal::Refusal::unknown(format!(
+                "given up after {MAX_ATTEMPTS} attempts: {}",
+                failed.why
+            )));
+        }
+        if self.export.is_some() {
+            // The prompt is not computed again, so this is no repeat.
+            return Ok(());
+        }
+        if !job.repeatable {
+            return Err(refusal::Refusal::unknown(failed.why));
+        }
+        if baseline {
+            return Ok(());
+        }
+        if let Some(server) = &failed.crashed {
+            let mut quarantine = host::lock(&cx.quarantine);
+            quarantine.crashed(job.digest, server, cx.unix());
+            quarantine.check(job.digest, cx.unix())?;
+        }
+        let mut budgets = host::lock(&cx.budgets);
+        let budget = budgets.entry(job.workspace.clone()).or_default();
+        if failed.refused || budget.try_spend() {
+            return Ok(());
+        }
+        let message = format!("the retry budget is spent: {}", failed.why);
+        Err(refusal::Refusal::unknown(message).after(Duration::from_secs(1)))
+    }
+}
--- /dev/null
+++ b/lib/src/admission.rs
@@ -0,0 +1,90 @@
+//! Prediction of the first-token time and the decision to admit a request.
+
+use std::time::Duration;
+
+use crate::refusal;
+
+const SMOOTHING: f64 = 0.05;
+const INITIAL_HOLD: Duration = Duration::from_millis(2_500);
+const TARGET_SHARE: f64 = 0.85;
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Smoothed time for which a request holds a decode slot.
+#[derive(Clone, Copy, Debug)]
+pub struct HoldTime {
+    mean: Duration,
+}
+
+impl Default for HoldTime {
+    fn default() -> Self {
+        Self { mean: INITIAL_HOLD }
+    }
+}
+
+impl HoldTime {
+    /// Adds one observed hold time.
+    pub fn observe(&mut self, hold: Duration) {
+        let mean = self.mean.as_secs_f64() * (1.0 - SMOOTHING) + hold.as_secs_f64() * SMOOTHING;
+        self.mean = Duration::from_secs_f64(mean);
+    }
+
+    /// Returns the smoothed hold time.
+    pub fn mean(&self) -> Duration {
+        self.mean
+    }
+}
+
+/// What is ahead of a request when it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Backlog {
+    /// Waiting requests that will be granted before this one.
+    pub ahead: usize,
+    /// Decode slots free now.
+    pub free_slots: usize,
+    /// All decode slots that take work.
+    pub total_slots: usize,
+    /// Prefill work queued before this request.
+    pub prefill_work: Duration,
+    /// Prefill engines that take work.
+    pub prefill_engines: usize,
+    /// This request's own prefill and transfer.
+    pub own: Duration,
+}
+
+/// Returns the predicted time until the first token.
+pub fn predict(backlog: &Backlog, hold: &HoldTime) -> Duration {
+    if backlog.total_slots == 0 || backlog.prefill_engines == 0 {
+        return Duration::MAX;
+    }
+    let short = (backlog.ahead + 1).saturating_sub(backlog.free_slots);
+    let per_release = hold.mean().as_secs_f64() / backlog.total_slots as f64;
+    let slot_wait = Duration::from_secs_f64(per_release * short as f64);
+    let prefill_wait = backlog.prefill_work / u32::try_from(backlog.prefill_engines).unwrap_or(1);
+    slot_wait.max(prefill_wait).saturating_add(backlog.own)
+}
+
+/// Decides on a request that waits for its first token.
+///
+/// # Errors
+///
+/// Returns a refusal with the time to come back when the target can't be met.
+pub fn admit(predicted: Duration, target: Duration) -> Result<(), refusal::Refusal> {
+    let allowed = target.mul_f64(TARGET_SHARE);
+    if predicted <= allowed {
+        return Ok(());
+    }
+    if predicted == Duration::MAX {
+        let message = "no engine of the pool takes work now";
+        return Err(
+            refusal::Refusal::not_run(refusal::Code::Unavailable, message)
+                .after(Duration::from_secs(1)),
+        );
+    }
+    let message = format!(
+        "the first token is expected after {} ms, the target is {} ms",
+        predicted.as_millis(),
+        target.as_millis()
+    );
+    let wait = (predicted - allowed).max(MIN_RETRY_AFTER);
+    Err(refusal::Refusal::not_run(refusal::Code::Overloaded, message).after(wait))
+}
--- /dev/null
+++ b/lib/src/auth.rs
@@ -0,0 +1,72 @@
+//! Keys of callers, operators and hosts, compared in constant time.
+
+use std::fmt::Write as _;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest as _;
+use subtle::ConstantTimeEq as _;
+
+use crate::ids;
+
+const HASH_HEX_DIGITS: usize = 64;
+
+/// A caller's key as kept in the configuration.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct HashedKey {
+    /// A name to tell the keys of a workspace apart.
+    pub name: ids::Name,
+    /// Random hexadecimal digits.
+    pub salt: String,
+    /// SHA-256 of salt and key, in hexadecimal digits.
+    pub sha256: String,
+}
+
+impl HashedKey {
+    /// Hashes a key with the given salt.
+    pub fn new(name: &str, salt: &str, key: &str) -> Self {
+        Self {
+            name: name.into(),
+            salt: salt.to_owned(),
+            sha256: hash(salt, key),
+        }
+    }
+
+    /// Returns whether a presented key is this one.
+    pub fn matches(&self, key: &str) -> bool {
+        equal(&hash(&self.salt, key), &self.sha256)
+    }
+
+    /// Returns whether salt and hash are well formed.
+    pub fn is_well_formed(&self) -> bool {
+        let is_hex = |s: &str| s.bytes().all(|c| c.is_ascii_hexdigit());
+        !self.salt.is_empty()
+            && is_hex(&self.salt)
+            && self.sha256.len() == HASH_HEX_DIGITS
+            && is_hex(&self.sha256)
+    }
+}
+
+/// Compares two secrets in a time that does not depend on where they differ.
+pub fn equal(a: &str, b: &str) -> bool {
+    a.as_bytes().ct_eq(b.as_bytes()).into()
+}
+
+/// Returns a short digest by which a key that was verified once can be looked up again.
+pub fn fingerprint(key: &str) -> [u8; 32] {
+    sha2::Sha256::digest(key.as_bytes()).into()
+}
+
+fn hash(salt: &str, key: &str) -> String {
+    let mut hasher = sha2::Sha256::new();
+    hasher.update(salt.as_bytes());
+    hasher.update(key.as_bytes());
+    hasher
+        .finalize()
+        .iter()
+        .fold(String::new(), |mut text, byte| {
+            let _ = write!(text, "{byte:02x}");
+            text
+        })
+}
--- /dev/null
+++ b/lib/src/validate.rs
@@ -0,0 +1,327 @@
+//! Validation of configuration documents: every fault at once, each with its path.
+
+use std::collections;
+use std::fmt;
+use std::net;
+use std::ops;
+
+use serde::Serialize;
+
+use crate::config;
+use crate::engines;
+use crate::ids;
+use crate::transfer;
+
+/// A fault or a warning about one place of a document.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Finding {
+    /// The path of the field, such as `pools[0].name`.
+    pub path: String,
+    /// What is wrong, naming the value.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.message)
+    }
+}
+
+/// The result of a validation.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// Faults; a document with faults is not accepted.
+    pub faults: Vec<Finding>,
+    /// Setups that are valid but useless.
+    pub warnings: Vec<Finding>,
+}
+
+const PROMPT_RANGE: ops::RangeInclusive<u64> = 1..=1_000_000;
+const OUTPUT_RANGE: ops::RangeInclusive<u64> = 1..=100_000;
+const OPEN_RANGE: ops::RangeInclusive<u64> = 1..=1_000_000;
+const SHARE_RANGE: ops::RangeInclusive<u64> = 1..=1_000;
+const TARGET_RANGE: ops::RangeInclusive<u64> = 1..=600_000;
+const AGE_RANGE: ops::RangeInclusive<u64> = 1_000..=86_400_000;
+const SLOT_RANGE: ops::RangeInclusive<u64> = 1..=10_000;
+const RATE_RANGE: ops::RangeInclusive<u64> = 1..=100_000_000;
+const MINIMUM_RANGE: ops::RangeInclusive<u64> = 1..=10_000;
+const TYPICAL_PROMPT_TOKENS: u32 = 1_000;
+/// Longest document in bytes, below the platform's limit of one megabyte.
+pub const MAX_DOCUMENT_BYTES: usize = 500_000;
+
+/// Parses a document and validates it.
+///
+/// # Errors
+///
+/// Returns the faults if the text is not a document or the document has faults.
+pub fn parse(text: &str) -> Result<(config::Workspace, Vec<Finding>), Report> {
+    if text.len() > MAX_DOCUMENT_BYTES {
+        let message = format!("{} bytes exceed {MAX_DOCUMENT_BYTES}", text.len());
+        return Err(Report::of_fault("document", message));
+    }
+    let document: config::Workspace = serde_json::from_str(text)
+        .map_err(|error| Report::of_fault("document", error.to_string()))?;
+    let report = check(&document);
+    if report.faults.is_empty() {
+        Ok((document, report.warnings))
+    } else {
+        Err(report)
+    }
+}
+
+/// Validates a document.
+pub fn check(document: &config::Workspace) -> Report {
+    let mut report = Report::default();
+    report.name("workspace", &document.workspace);
+    report.range("share", u64::from(document.share), SHARE_RANGE);
+    report.limits(&document.limits);
+    report.keys(document);
+    report.sites(document);
+    report.priorities(document);
+    report.pools(document);
+    report.services(document);
+    report.backends(document);
+    report
+}
+
+impl Report {
+    fn of_fault(path: &str, message: String) -> Self {
+        let mut report = Self::default();
+        report.fault(path, message);
+        report
+    }
+
+    fn fault(&mut self, path: &str, message: String) {
+        let path = path.to_owned();
+        self.faults.push(Finding { path, message });
+    }
+
+    fn warn(&mut self, path: &str, message: String) {
+        let path = path.to_owned();
+        self.warnings.push(Finding { path, message });
+    }
+
+    fn name(&mut self, path: &str, value: &str) {
+        if !ids::is_name(value) {
+            let rule = "1 to 63 lower-case letters, digits and inner hyphens";
+            self.fault(path, format!("{value:?} is not a name ({rule})"));
+        }
+    }
+
+    fn range(&mut self, path: &str, value: u64, range: ops::RangeInclusive<u64>) {
+        if !range.contains(&value) {
+            let (low, high) = (range.start(), range.end());
+            self.fault(path, format!("{value} is outside {low} to {high}"));
+        }
+    }
+
+    fn unique<'a>(&mut self, list: &str, names: impl Iterator<Item = &'a str>) {
+        let mut seen = collections::HashSet::new();
+        for (at, name) in names.enumerate() {
+            let path = format!("{list}[{at}].name");
+            self.name(&path, name);
+            if !seen.insert(name) {
+                self.fault(&path, format!("{name:?} appears twice"));
+            }
+        }
+    }
+
+    fn limits(&mut self, limits: &config::Limits) {
+        let prompt = u64::from(limits.max_prompt_tokens);
+        self.range("limits.max_prompt_tokens", prompt, PROMPT_RANGE);
+        let output = u64::from(limits.max_output_tokens);
+        self.range("limits.max_output_tokens", output, OUTPUT_RANGE);
+        let open = u64::from(limits.max_open_requests);
+        self.range("limits.max_open_requests", open, OPEN_RANGE);
+    }
+
+    fn keys(&mut self, document: &config::Workspace) {
+        self.unique("keys", document.keys.iter().map(|key| &*key.name));
+        for (at, key) in document.keys.iter().enumerate() {
+            if !key.is_well_formed() {
+                let message = "salt and hash must be hexadecimal digits (hash of 64)".into();
+                self.fault(&format!("keys[{at}]"), message);
+            }
+        }
+        if document.keys.is_empty() {
+            self.warn("keys", "without keys nobody can call the services".into());
+        }
+    }
+
+    fn sites(&mut self, document: &config::Workspace) {
+        self.unique("sites", document.sites.iter().map(|site| &*site.name));
+        for (at, site) in document.sites.iter().enumerate() {
+            self.name(&format!("sites[{at}].zone"), &site.zone);
+        }
+    }
+
+    fn priorities(&mut self, document: &config::Workspace) {
+        let names = document.priorities.iter().map(|priority| &*priority.name);
+        self.unique("priorities", names);
+    }
+
+    fn pools(&mut self, document: &config::Workspace) {
+        self.unique("pools", document.pools.iter().map(|pool| &*pool.name));
+        for (at, pool) in document.pools.iter().enumerate() {
+            let path = format!("pools[{at}]");
+            self.name(&format!("{path}.model"), &pool.model);
+            let minimum = u64::from(pool.min_per_role);
+            self.range(&format!("{path}.min_per_role"), minimum, MINIMUM_RANGE);
+            self.pool_roles(&path, pool, document);
+        }
+    }
+
+    fn pool_roles(&mut self, path: &str, pool: &config::Pool, document: &config::Workspace) {
+        for (role, name) in [
+            (engines::Role::Prefill, "prefill"),
+            (engines::Role::Decode, "decode"),
+        ] {
+            let backends = document.pool_backends(&pool.name);
+            let count = backends.filter(|b| b.role == Some(role)).count();
+            if count == 0 {
+                self.warn(path, format!("no backend server has the role {name}"));
+            } else if count < pool.min_per_role as usize {
+                let minimum = pool.min_per_role;
+                let message = format!("{count} servers have the role {name}, below {minimum}");
+                self.warn(&format!("{path}.min_per_role"), message);
+            }
+        }
+    }
+
+    fn services(&mut self, document: &config::Workspace) {
+        let names = document.services.iter().map(|service| &*service.name);
+        self.unique("services", names);
+        for (at, service) in document.services.iter().enumerate() {
+            let path = format!("services[{at}]");
+            self.range(
+                &format!("{path}.first_token_ms"),
+                service.first_token_ms,
+                TARGET_RANGE,
+            );
+            self.range(
+                &format!("{path}.per_token_ms"),
+                service.per_token_ms,
+                TARGET_RANGE,
+            );
+            self.range(
+                &format!("{path}.patient_age_ms"),
+                service.patient_age_ms,
+                AGE_RANGE,
+            );
+            self.range(
+                &format!("{path}.timeout_ms"),
+                service.timeout_ms,
+                TARGET_RANGE,
+            );
+            match service.kind {
+                config::Kind::Model => self.model_service(&path, service, document),
+                config::Kind::Plain => self.plain_service(&path, service, document),
+            }
+        }
+    }
+
+    fn model_service(
+        &mut self,
+        path: &str,
+        service: &config::Service,
+        document: &config::Workspace,
+    ) {
+        let field = format!("{path}.pool");
+        let Some(pool) = &service.pool else {
+            return self.fault(&field, "a model service needs a pool".into());
+        };
+        if document.pool(pool).is_none() {
+            return self.fault(&field, format!("pool {pool:?} does not exist"));
+        }
+        let links = document.pool_backends(pool).map(|b| b.link_mb_s);
+        let Some(slowest) = links.min() else {
+            return;
+        };
+        let link_time = transfer::expected(TYPICAL_PROMPT_TOKENS, slowest);
+        if u128::from(service.first_token_ms) < link_time.as_millis() {
+            let message = format!(
+                "{} ms is below the {} ms that the KV transfer of {TYPICAL_PROMPT_TOKENS} prompt \
+                 tokens takes",
+                service.first_token_ms,
+                link_time.as_millis()
+            );
+            self.warn(&format!("{path}.first_token_ms"), message);
+        }
+    }
+
+    fn plain_service(
+        &mut self,
+        path: &str,
+        service: &config::Service,
+        document: &config::Workspace,
+    ) {
+        if let Some(pool) = &service.pool {
+            let message = format!("a plain service has no pool, found {pool:?}");
+            self.fault(&format!("{path}.pool"), message);
+        }
+        if document.plain_backends(&service.name).next().is_none() {
+            self.warn(path, "no backend server serves it".into());
+        }
+    }
+
+    fn backends(&mut self, document: &config::Workspace) {
+        let names = document.backends.iter().map(|backend| &*backend.name);
+        self.unique("backends", names);
+        let mut addresses = collections::HashSet::new();
+        for (at, backend) in document.backends.iter().enumerate() {
+            let path = format!("backends[{at}]");
+            self.address(&format!("{path}.addr"), &backend.addr);
+            if !addresses.insert(&backend.addr) {
+                let message = format!("{:?} appears twice", backend.addr);
+                self.fault(&format!("{path}.addr"), message);
+            }
+            self.name(&format!("{path}.zone"), &backend.zone);
+            self.range(
+                &format!("{path}.slots"),
+                u64::from(backend.slots),
+                SLOT_RANGE,
+            );
+            let rate = u64::from(backend.prefill_tokens_s);
+            self.range(&format!("{path}.prefill_tokens_s"), rate, RATE_RANGE);
+            let link = u64::from(backend.link_mb_s);
+            self.range(&format!("{path}.link_mb_s"), link, RATE_RANGE);
+            self.backend_use(&path, backend, document);
+        }
+    }
+
+    fn address(&mut self, path: &str, addr: &str) {
+        if addr.parse::<net::SocketAddr>().is_err() {
+            self.fault(path, format!("{addr:?} is not an IP address with port"));
+        }
+    }
+
+    fn backend_use(&mut self, path: &str, backend: &config::Backend, document: &config::Workspace) {
+        if !document.sites.is_empty() && !document.sites.iter().any(|s| s.zone == backend.zone) {
+            let message = format!("no site is in availability zone {:?}", backend.zone);
+            self.fault(&format!("{path}.zone"), message);
+        }
+        match (&backend.pool, &backend.service) {
+            (Some(pool), None) => {
+                if document.pool(pool).is_none() {
+                    let message = format!("pool {pool:?} does not exist");
+                    self.fault(&format!("{path}.pool"), message);
+                }
+                if backend.role.is_none() {
+                    let message = "an engine needs a role, prefill or decode".into();
+                    self.fault(&format!("{path}.role"), message);
+                }
+            }
+            (None, Some(service)) => {
+                let known = document.service(service);
+                if !known.is_some_and(|s| s.kind == config::Kind::Plain) {
+                    let message = format!("plain service {service:?} does not exist");
+                    self.fault(&format!("{path}.service"), message);
+                }
+            }
+            _ => {
+                let message = "exactly one of pool and service must be given".into();
+                self.fault(path, message);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/request_ids.rs
@@ -0,0 +1,147 @@
+//! Request ids and the table at their home.
+
+use std::time::Duration;
+
+use walnuthaven_lib::identity;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::permit;
+use walnuthaven_lib::refusal;
+
+fn home() -> ids::HostId {
+    ids::HostId {
+        name: "h1".into(),
+        incarnation: 7,
+    }
+}
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[test]
+fn ids_survive_their_text() {
+    let buddy = ids::HostId {
+        name: "h2".into(),
+        incarnation: 255,
+    };
+    let mut table = identity::Table::new(home());
+    for id in table.mint(Some(&buddy), 3, at(1)) {
+        assert_eq!(id.to_string().parse(), Ok(id));
+    }
+    for text in [
+        "",
+        "h1.7",
+        "h1.7~~",
+        "h1.7~~0x1",
+        "h1.07~~1",
+        "H1.7~~1",
+        "h1.7~~1~2",
+        "é.1~~1",
+    ] {
+        assert!(text.parse::<ids::RequestId>().is_err(), "{text:?}");
+    }
+}
+
+#[test]
+fn runs_each_id_once() {
+    let mut table = identity::Table::new(home());
+    let workspace: ids::Name = "w".into();
+    let id = table.mint(None, 1, at(1)).swap_remove(0);
+    assert_eq!(
+        table.arrive(&id, &workspace, 9, false, at(1)),
+        identity::Arrival::Run
+    );
+    assert_eq!(
+        table.arrive(&id, &workspace, 9, false, at(2)),
+        identity::Arrival::Attach
+    );
+    table.set(id.number, identity::State::Sent, at(3));
+    let repeat = table.arrive(&id, &workspace, 9, false, at(3));
+    let answered = identity::Arrival::Final(refusal::Refusal::already_answered());
+    assert_eq!(repeat, answered);
+    let resumed = table.arrive(&id, &workspace, 9, true, at(3));
+    assert_eq!(resumed, identity::Arrival::Attach);
+    table.set(id.number, identity::State::Finished, at(4));
+    let lost = table.arrive(&id, &workspace, 9, false, at(4));
+    assert_eq!(lost, identity::Arrival::Attach);
+    table.set(id.number, identity::State::Delivered, at(5));
+    assert_eq!(table.arrive(&id, &workspace, 9, true, at(5)), answered);
+}
+
+#[test]
+fn refuses_foreign_and_changed_use() {
+    let mut table = identity::Table::new(home());
+    let id = table.mint(None, 1, at(1)).swap_remove(0);
+    let never_minted = ids::RequestId {
+        number: 99,
+        ..id.clone()
+    };
+    for (id, workspace, content) in [
+        (&never_minted, "w", 9),
+        (&id, "w", 9),
+        (&id, "v", 9),
+        (&id, "w", 8),
+    ] {
+        let arrival = table.arrive(id, &workspace.into(), content, false, at(1));
+        let first = id.number == 1 && workspace == "w" && content == 9;
+        assert_eq!(
+            arrival == identity::Arrival::Run,
+            first,
+            "{id} {workspace} {content}"
+        );
+    }
+}
+
+#[test]
+fn claims_nothing_past_the_retained_time() {
+    let mut table = identity::Table::new(home());
+    let workspace: ids::Name = "w".into();
+    let ids = table.mint(None, 2, at(1));
+    assert_eq!(
+        table.arrive(&ids[0], &workspace, 9, false, at(1)),
+        identity::Arrival::Run
+    );
+    table.set(ids[0].number, identity::State::Delivered, at(2));
+    for id in &ids {
+        match table.arrive(id, &workspace, 9, false, at(10_000)) {
+            identity::Arrival::Final(refusal) => {
+                assert_eq!(refusal.code, refusal::Code::IdExpired);
+                assert_eq!(refusal.ran, refusal::Ran::Unknown);
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(table.is_empty());
+}
+
+#[test]
+fn a_fenced_id_is_never_dispatched() {
+    let mut permits = permit::Table::new(at(0));
+    assert_eq!(permits.answer_for("r", at(1)).ran, refusal::Ran::NotRun);
+    assert!(
+        !permits.hold("r", at(2)),
+        "the home woke up after the fence"
+    );
+    assert!(permits.hold("s", at(2)));
+    assert!(permits.hold("s", at(3)), "a repeat after a lost reply");
+    assert_eq!(permits.answer_for("s", at(4)).ran, refusal::Ran::Unknown);
+    permits.conclude("s", permit::State::Answered, at(5));
+    assert_eq!(
+        permits.answer_for("s", at(6)).code,
+        refusal::Code::AlreadyAnswered
+    );
+}
+
+#[test]
+fn a_forgetful_buddy_claims_nothing() {
+    let mut permits = permit::Table::new(at(0));
+    assert!(permits.hold("r", at(1)));
+    assert_eq!(
+        permits.answer_for("r", at(10_000)).ran,
+        refusal::Ran::Unknown
+    );
+    assert_eq!(
+        permits.answer_for("x", at(10_001)).ran,
+        refusal::Ran::Unknown
+    );
+}
--- /dev/null
+++ b/standin/src/caller.rs
@@ -0,0 +1,366 @@
+//! One caller: its tries, its rights and its patience.
+
+use std::time;
+use std::time::Duration;
+
+use walnuthaven_lib::history;
+
+use crate::agent;
+use crate::driver;
+use crate::load;
+use crate::tokens;
+
+const MAX_TRIES: u32 = 8;
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const JOB_POLL: Duration = Duration::from_millis(300);
+
+/// One request of a caller.
+pub struct Call<'a> {
+    /// The driver.
+    pub driver: &'a driver::Driver,
+    /// The caller's site.
+    pub agent: &'a agent::Agent,
+    /// When the request was to be sent.
+    pub intended: time::Instant,
+    /// Tries made.
+    pub tries: u32,
+}
+
+/// What a caller does after a failure.
+enum Next {
+    /// Asks again with the same id at another host.
+    SameId(String),
+    /// Asks again with a new id.
+    NewId(Option<String>),
+    /// Gives up.
+    End(driver::Ended),
+}
+
+impl Call<'_> {
+    /// Asks for a streamed answer until it ends one way or the other.
+    pub async fn generate(&mut self, call: &load::Generate, at: Duration) -> Option<driver::Done> {
+        let mut seen = Seen::default();
+        let ended = match call.leaves_after {
+            None => self.generate_all(call, &mut seen).await,
+            Some(after) => {
+                let leaves = self.intended + after;
+                let answered = self.generate_all(call, &mut seen);
+                match tokio::time::timeout_at(leaves.into(), answered).await {
+                    Ok(ended) => ended,
+                    Err(_) => {
+                        self.driver.check_gone(&seen.request);
+                        driver::Ended::Left
+                    }
+                }
+            }
+        };
+        Some(driver::Done {
+            service: call.service,
+            priority: call.priority,
+            first: seen.first.map(|first| first - self.intended),
+            per_token: seen.per_token(),
+            ended,
+            tries: self.tries,
+            at,
+        })
+    }
+
+    async fn generate_all(&mut self, call: &load::Generate, seen: &mut Seen) -> driver::Ended {
+        let mut avoid: Option<String> = None;
+        let mut host = String::new();
+        loop {
+            if seen.request.is_empty() {
+                let Some((fresh, id)) = self.agent.host_and_id(avoid.as_deref()).await else {
+                    if self.give_up().await {
+                        return driver::Ended::Unknown;
+                    }
+                    continue;
+                };
+                host = fresh;
+                seen.request = id;
+            }
+            self.tries += 1;
+            let failure = match self.generate_once(&host, call, seen).await {
+                Ok(()) => {
+                    self.answered(
+                        &seen.request,
+                        seen.text == tokens::answer(&call.prompt, call.max_tokens),
+                    );
+                    return driver::Ended::Answered;
+                }
+                Err(failure) => failure,
+            };
+            match self
+                .next(&failure, &host, &seen.request, call.repeatable)
+                .await
+            {
+                Next::End(ended) => return ended,
+                Next::SameId(other) => host = other,
+                Next::NewId(failed) => {
+                    self.driver.check_gone(&seen.request);
+                    avoid = failed;
+                    seen.restart();
+                }
+            }
+        }
+    }
+
+    async fn generate_once(
+        &self,
+        host: &str,
+        call: &load::Generate,
+        seen: &mut Seen,
+    ) -> Result<(), agent::Failure> {
+        let request = seen.request.clone();
+        let started = self.agent.generate(host, &request, call, seen.tokens).await;
+        let mut events = started?;
+        loop {
+            let next = events.next().await;
+            if matches!(next, Err(agent::Failure::Broken(_)))
+                && self.driver.is_leaving(host)
+                && !self.driver.is_killed(host)
+            {
+                self.driver.ledger.event(history::Event::CutByShutdown {
+                    request: request.clone(),
+                });
+            }
+            for event in next? {
+                match event {
+                    agent::Event::Token(text) => seen.token(&text),
+                    agent::Event::Done => return Ok(()),
+                }
+            }
+        }
+    }
+
+    /// Decides what to do after a failure.
+    async fn next(
+        &self,
+        failure: &agent::Failure,
+        host: &str,
+        request: &str,
+        repeatable: bool,
+    ) -> Next {
+        match failure {
+            agent::Failure::Broken(why) => {
+                log::debug!("{request} at {host}: {why}");
+                if self.tries >= MAX_TRIES {
+                    return Next::End(driver::Ended::Unknown);
+                }
+                tokio::time::sleep(RETRY_PAUSE).await;
+                match self.agent.other_host(host).await {
+                    Some(other) => Next::SameId(other),
+                    None => Next::SameId(host.to_owned()),
+                }
+            }
+            agent::Failure::Refused(refused) => {
+                log::debug!("{request} at {host}: {refused:?}");
+                let not_run = refused.ran == "not_run";
+                if not_run {
+                    self.driver.ledger.event(history::Event::NotRun {
+                        request: request.to_owned(),
+                    });
+                }
+                self.after_refusal(refused, host, not_run, repeatable).await
+            }
+        }
+    }
+
+    async fn after_refusal(
+        &self,
+        refused: &agent::Refused,
+        host: &str,
+        not_run: bool,
+        repeatable: bool,
+    ) -> Next {
+        let last = self.tries >= MAX_TRIES;
+        let code = refused.code.as_str();
+        match code {
+            "leaving" if !last => Next::NewId(Some(host.to_owned())),
+            "unavailable" | "id_expired" if not_run && !last => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                Next::NewId(Some(host.to_owned()))
+            }
+            "outcome_unknown" if repeatable && !last => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                Next::NewId(None)
+            }
+            "outcome_unknown" => Next::End(driver::Ended::Unknown),
+            code => Next::End(driver::Ended::Refused(code.to_owned())),
+        }
+    }
+
+    /// Calls a plain service until it ends one way or the other.
+    pub async fn plain(
+        &mut self,
+        service: &'static str,
+        repeatable: bool,
+        at: Duration,
+    ) -> Option<driver::Done> {
+        let ended = self.plain_all(service, repeatable).await;
+        let took = self.intended.elapsed();
+        Some(driver::Done {
+            service,
+            priority: "plain",
+            first: (ended == driver::Ended::Answered).then_some(took),
+            per_token: None,
+            ended,
+            tries: self.tries,
+            at,
+        })
+    }
+
+    async fn plain_all(&mut self, service: &str, repeatable: bool) -> driver::Ended {
+        let mut avoid: Option<String> = None;
+        let mut same: Option<(String, String)> = None;
+        loop {
+            let chosen = match same.take() {
+                Some(chosen) => Some(chosen),
+                None => self.agent.host_and_id(avoid.as_deref()).await,
+            };
+            let Some((host, id)) = chosen else {
+                if self.give_up().await {
+                    return driver::Ended::Unknown;
+                }
+                continue;
+            };
+            self.tries += 1;
+            let failure = match self.agent.plain(&host, &id, service).await {
+                Ok(body) => {
+                    self.answered(&id, body == format!("ok /check {id}"));
+                    return driver::Ended::Answered;
+                }
+                Err(failure) => failure,
+            };
+            match self.next(&failure, &host, &id, repeatable).await {
+                Next::End(ended) => return ended,
+                Next::SameId(other) => same = Some((other, id)),
+                Next::NewId(failed) => avoid = failed,
+            }
+        }
+    }
+
+    /// Submits a job and fetches its answer, `None` if it ended without one.
+    pub async fn job(&mut self, call: &load::Generate, at: Duration) -> Option<driver::Done> {
+        let (ended, first) = match self.submit(call).await {
+            Err(ended) => (ended, None),
+            Ok(id) => {
+                let request = id.clone();
+                self.driver
+                    .ledger
+                    .event(history::Event::Accepted { request });
+                let text = self.await_job(&id).await?;
+                let first = self.intended.elapsed();
+                let correct = text == tokens::answer(&call.prompt, call.max_tokens);
+                self.answered(&id, correct);
+                let request = id.clone();
+                self.driver
+                    .ledger
+                    .event(history::Event::Concluded { request });
+                self.agent.confirm_job(&id).await;
+                (driver::Ended::Answered, Some(first))
+            }
+        };
+        Some(driver::Done {
+            service: call.service,
+            priority: "job",
+            first,
+            per_token: None,
+            ended,
+            tries: self.tries,
+            at,
+        })
+    }
+
+    async fn submit(&mut self, call: &load::Generate) -> Result<String, driver::Ended> {
+        let mut avoid: Option<String> = None;
+        loop {
+            let chosen = self.agent.host_and_id(avoid.as_deref()).await;
+            let Some((host, _)) = chosen else {
+                if self.give_up().await {
+                    return Err(driver::Ended::Unknown);
+                }
+                continue;
+            };
+            self.tries += 1;
+            match self.agent.submit(&host, call).await {
+                Ok(id) => return Ok(id),
+                // Whether it was accepted is not known; a second submission could run it twice.
+                Err(agent::Failure::Broken(_)) => return Err(driver::Ended::Unknown),
+                Err(agent::Failure::Refused(refused)) => {
+                    let again = refused.code == "leaving" || refused.code == "unavailable";
+                    if !again || self.tries >= MAX_TRIES {
+                        return Err(driver::Ended::Refused(refused.code));
+                    }
+                    avoid = Some(host);
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Polls until the job is done and fetches the answer, `None` if it ended without one.
+    async fn await_job(&self, id: &str) -> Option<String> {
+        loop {
+            tokio::time::sleep(JOB_POLL).await;
+            let Some(host) = self.agent.hosts().await.first().cloned() else {
+                continue;
+            };
+            match self.agent.job_state(&host, id).await {
+                Ok(state) if state == "done" => {}
+                Ok(state) if state == "failed" => return None,
+                Ok(_) => continue,
+                Err(agent::Failure::Broken(_)) => {
+                    self.agent.other_host(&host).await;
+                    continue;
+                }
+                Err(agent::Failure::Refused(_)) => continue,
+            }
+            if let Ok(text) = self.agent.job_answer(&host, id).await {
+                return Some(text);
+            }
+        }
+    }
+
+    async fn give_up(&mut self) -> bool {
+        self.tries += 1;
+        tokio::time::sleep(RETRY_PAUSE * 3).await;
+        self.tries >= MAX_TRIES
+    }
+
+    fn answered(&self, request: &str, correct: bool) {
+        self.driver.ledger.event(history::Event::Answered {
+            request: request.to_owned(),
+            correct,
+        });
+    }
+}
+
+#[derive(Default)]
+struct Seen {
+    request: String,
+    text: String,
+    tokens: u32,
+    first: Option<time::Instant>,
+    last: Option<time::Instant>,
+}
+
+impl Seen {
+    fn token(&mut self, text: &str) {
+        let now = time::Instant::now();
+        self.first.get_or_insert(now);
+        self.last = Some(now);
+        self.text.push_str(text);
+        self.tokens += 1;
+    }
+
+    /// Forgets a partial answer; the first token's time is that of the answer that counts.
+    fn restart(&mut self) {
+        *self = Self::default();
+    }
+
+    fn per_token(&self) -> Option<Duration> {
+        let span = self.last? - self.first?;
+        (self.tokens > 1).then(|| span / (self.tokens - 1))
+    }
+}
--- /dev/null
+++ b/standin/src/demo.rs
@@ -0,0 +1,154 @@
+//! The demo: both users' workloads against three hosts in this process.
+
+use std::sync;
+use std::time::Duration;
+
+use walnuthaven_daemon::host;
+use walnuthaven_daemon::settings;
+
+use crate::driver;
+use crate::load;
+use crate::report;
+use crate::world;
+
+const HOSTS: usize = 3;
+const GRACE: Duration = Duration::from_secs(40);
+const SETTLE: Duration = Duration::from_secs(2);
+const LAST_CHECKS: Duration = Duration::from_millis(2_300);
+const PROGRESS_EVERY: Duration = Duration::from_secs(2);
+
+/// Runs the demo. Returns whether every promise held.
+///
+/// # Errors
+///
+/// Returns an error if the hosts can't be started.
+pub async fn run(seconds: u64, seed: u64) -> anyhow::Result<bool> {
+    let users = [world::User::Coop, world::User::Studio];
+    let world = sync::Arc::new(world::World::start(&users).await?);
+    println!(
+        "stand-ins: {} engines, {} plain servers",
+        world.engines.len(),
+        world.services.len()
+    );
+    let hosts = start_hosts(&world).await?;
+    let addresses: Vec<String> = hosts.iter().map(|host| host.api.to_string()).collect();
+    println!("hosts: {}", addresses.join(", "));
+    tokio::time::sleep(SETTLE).await;
+    let driver = driver::Driver::new(world.clone(), &addresses)?;
+    let length = Duration::from_secs(seconds);
+    let arrivals = arrivals(length, seed);
+    let total = arrivals.len();
+    println!("load: {total} requests in {seconds} s, seed {seed}");
+    let load = driver.run(arrivals, GRACE);
+    let progress = show_progress(&driver, total);
+    tokio::select! {
+        () = load => {}
+        () = progress => {}
+    }
+    tokio::time::sleep(LAST_CHECKS).await;
+    let mut report = report::Report {
+        scenario: "demo".into(),
+        policy: "current".into(),
+        seed,
+        ..report::Report::default()
+    };
+    report.observe(&driver.done(), &world.ledger);
+    print_table(&report);
+    Ok(report.broken() == 0)
+}
+
+async fn start_hosts(world: &world::World) -> anyhow::Result<Vec<host::Running>> {
+    let mut hosts: Vec<host::Running> = Vec::new();
+    let zones = world.zones();
+    for at in 0..HOSTS {
+        let name = format!("host-{at}");
+        let seeds: Vec<String> = hosts.iter().map(|host| host.peer.to_string()).collect();
+        let zone = zones[at % zones.len()];
+        let text = world::settings_text(
+            &name,
+            zone,
+            &world.platform_url,
+            "current",
+            &seeds,
+            None,
+            None,
+        );
+        let settings = settings::parse("demo", &text)?;
+        hosts.push(host::Host::start(settings).await?);
+    }
+    Ok(hosts)
+}
+
+fn arrivals(length: Duration, seed: u64) -> Vec<load::Arrival> {
+    let mut all = Vec::new();
+    for user in [world::User::Coop, world::User::Studio] {
+        let mix = load::Mix {
+            model_s: load::decode_capacity(user) * 0.7,
+            plain_s: 40.0,
+            jobs_s: 1.0,
+            leavers: 0.05,
+            ..load::Mix::default()
+        };
+        all.extend(load::arrivals(user, &mix, length, seed));
+    }
+    all.sort_by_key(|arrival| arrival.at);
+    all
+}
+
+async fn show_progress(driver: &driver::Driver, total: usize) {
+    loop {
+        tokio::time::sleep(PROGRESS_EVERY).await;
+        let elapsed = driver.ledger.elapsed_ms() / 1_000;
+        println!(
+            "{elapsed:4} s: {} of {total} requests have ended",
+            driver.done_count()
+        );
+    }
+}
+
+/// Prints the report as tables.
+pub fn print_table(report: &report::Report) {
+    println!();
+    println!(
+        "{:<24} {:>6} {:>8} {:>7} {:>7}  {:>24}  {:>24}",
+        "service/priority",
+        "sent",
+        "answered",
+        "refused",
+        "goodput",
+        "first ms p50/p95/p99",
+        "per token ms p50/p95/p99"
+    );
+    for group in &report.groups {
+        let times = |times: [f64; 3]| format!("{:.1}/{:.1}/{:.1}", times[0], times[1], times[2]);
+        println!(
+            "{:<24} {:>6} {:>8} {:>7} {:>7.3}  {:>24}  {:>24}",
+            group.name,
+            group.sent,
+            group.answered,
+            group.refused,
+            group.goodput,
+            times(group.first_ms),
+            times(group.per_token_ms)
+        );
+    }
+    println!();
+    println!("goodput          {:.4}", report.goodput);
+    println!("wasted prefill   {:.4}", report.wasted_prefill);
+    println!();
+    println!("broken promises:");
+    for (name, count) in [
+        ("answered twice", report.answered_twice),
+        ("ran twice", report.ran_twice),
+        ("wrong answers", report.wrong_answers),
+        ("lost", report.lost),
+        ("false not run", report.false_not_run),
+        ("cut by shutdown", report.cut_by_shutdown),
+        ("slots held for gone", report.slots_held_for_gone),
+        ("config reverts", report.config_reverts),
+        ("work after leave", report.work_after_leave),
+        ("stale orders", report.stale_orders),
+    ] {
+        println!("  {name:<20} {count}");
+    }
+}
