--- /dev/null
+++ b/standin/src/experiment.rs
@@ -0,0 +1,285 @@
+//! An experiment: a scenario against real daemons, checked and measured.
+
+use std::sync;
+use std::time::Duration;
+
+use anyhow::Context as _;
+
+use crate::driver;
+use crate::fleet;
+use crate::load;
+use crate::platform;
+use crate::report;
+use crate::scenario;
+use crate::world;
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The scenario.
+    pub scenario: scenario::Scenario,
+    /// The scheduler's name.
+    pub policy: String,
+    /// The seed.
+    pub seed: u64,
+    /// Hosts to start.
+    pub hosts: usize,
+    /// Length of the load.
+    pub length: Duration,
+    /// Factor on all arrival rates.
+    pub rate: f64,
+}
+
+const SETTLE_TRIES: u32 = 100;
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+const GRACE: Duration = Duration::from_secs(45);
+const LAST_CHECKS: Duration = Duration::from_millis(2_300);
+
+/// Runs an experiment.
+///
+/// # Errors
+///
+/// Returns an error if the fleet can't be run; broken promises are in the report.
+pub async fn run(plan: &Plan) -> anyhow::Result<report::Report> {
+    let users: Vec<world::User> = plan.scenario.users.iter().map(|(user, _)| *user).collect();
+    let world = sync::Arc::new(world::World::start(&users).await?);
+    let mut fleet = fleet::Fleet::new(&world.platform_url, &plan.policy, plan.scenario.name)?;
+    let zones = world.zones();
+    for at in 0..plan.hosts {
+        let zone = zones[at % zones.len()];
+        fleet.start(&format!("host-{at}"), zone)?;
+        list_last(&world, &fleet);
+    }
+    settle(&fleet, plan.hosts).await?;
+    let driver = driver::Driver::new(world.clone(), &fleet.api_addresses())?;
+    let calls_before = world.platform.calls();
+    let cpu_before = usage(&fleet);
+    let arrivals = arrivals(plan);
+    let load = driver.run(arrivals, GRACE);
+    let failures = carry_out(plan, &world, &driver, &mut fleet);
+    let (_, failed) = tokio::join!(load, failures);
+    failed?;
+    tokio::time::sleep(LAST_CHECKS).await;
+    let calls = world.platform.calls();
+    let seconds = plan.length.as_secs_f64();
+    let mut report = report::Report {
+        scenario: plan.scenario.name.to_owned(),
+        policy: plan.policy.clone(),
+        seed: plan.seed,
+        platform_writes_per_s: (calls.writes - calls_before.writes) as f64 / seconds,
+        platform_reads_per_s: (calls.reads - calls_before.reads) as f64 / seconds,
+        ..report::Report::default()
+    };
+    world.ledger.extend(fleet.events()?);
+    report.observe(&driver.done(), &world.ledger);
+    measure_hosts(&mut report, &fleet, &cpu_before);
+    Ok(report)
+}
+
+/// Draws the arrivals of all users.
+fn arrivals(plan: &Plan) -> Vec<load::Arrival> {
+    let mut all = Vec::new();
+    for (user, mix) in &plan.scenario.users {
+        let mut mix = *mix;
+        mix.model_s *= plan.rate;
+        mix.plain_s *= plan.rate;
+        mix.jobs_s *= plan.rate;
+        all.extend(load::arrivals(*user, &mix, plan.length, plan.seed));
+    }
+    all.sort_by_key(|arrival| arrival.at);
+    all
+}
+
+fn list_last(world: &world::World, fleet: &fleet::Fleet) {
+    if let Some(host) = fleet.hosts.last() {
+        let platform = &world.platform;
+        platform.list_host(&host.name, &host.peer, "entry", false, false);
+    }
+}
+
+/// Waits until every host knows the others and has the configuration.
+async fn settle(fleet: &fleet::Fleet, hosts: usize) -> anyhow::Result<()> {
+    for _ in 0..SETTLE_TRIES {
+        let ready = (0..fleet.hosts.len()).all(|at| is_ready(fleet, at, hosts));
+        if ready {
+            // The stewards ask the engines for their load meanwhile.
+            tokio::time::sleep(SETTLE_PAUSE * 8).await;
+            return Ok(());
+        }
+        tokio::time::sleep(SETTLE_PAUSE).await;
+    }
+    anyhow::bail!("the hosts did not find each other or got no configuration")
+}
+
+fn is_ready(fleet: &fleet::Fleet, at: usize, hosts: usize) -> bool {
+    let Ok(dump) = tokio::task::block_in_place(|| fleet.dump(at)) else {
+        return false;
+    };
+    let alive = dump["members"].as_array().is_some_and(|members| {
+        let alive = members.iter().filter(|member| member["state"] == "alive");
+        alive.count() >= hosts
+    });
+    let configured = dump["config"].as_array().is_some_and(|c| !c.is_empty());
+    alive && configured
+}
+
+async fn carry_out(
+    plan: &Plan,
+    world: &sync::Arc<world::World>,
+    driver: &sync::Arc<driver::Driver>,
+    fleet: &mut fleet::Fleet,
+) -> anyhow::Result<()> {
+    let began = tokio::time::Instant::now();
+    for (share, failure) in &plan.scenario.failures {
+        tokio::time::sleep_until(began + plan.length.mul_f64(*share)).await;
+        log::info!("failure: {failure:?}");
+        match failure {
+            scenario::Failure::PlatformDown(length) => {
+                platform_down(world.clone(), *length);
+            }
+            failure => one_failure(plan, failure, world, driver, fleet).await?,
+        }
+    }
+    Ok(())
+}
+
+fn platform_down(world: sync::Arc<world::World>, length: Duration) {
+    tokio::spawn(async move {
+        let down = platform::Faults {
+            down: true,
+            ..platform::Faults::default()
+        };
+        world.platform.set_faults(down);
+        tokio::time::sleep(length).await;
+        world.platform.set_faults(platform::Faults::default());
+    });
+}
+
+async fn one_failure(
+    plan: &Plan,
+    failure: &scenario::Failure,
+    world: &sync::Arc<world::World>,
+    driver: &sync::Arc<driver::Driver>,
+    fleet: &mut fleet::Fleet,
+) -> anyhow::Result<()> {
+    match failure {
+        scenario::Failure::KillHost => {
+            let steward = steward(fleet)?;
+            let at = match plan.seed % 2 {
+                0 => steward,
+                _ => (steward + 1) % fleet.hosts.len(),
+            };
+            kill(at, world, driver, fleet);
+        }
+        scenario::Failure::PauseHost(length) => {
+            let at = steward(fleet)?;
+            fleet.pause(at, *length).await?;
+        }
+        scenario::Failure::RollHosts => roll(world, driver, fleet).await?,
+        scenario::Failure::CrashEngine => {
+            world.engines[plan.seed as usize % world.engines.len()].crash();
+        }
+        scenario::Failure::CrashThird => {
+            let third = world.engines.iter().skip(plan.seed as usize % 3).step_by(3);
+            third.for_each(|engine| engine.crash());
+        }
+        scenario::Failure::LeaveEngine => {
+            let engine = world.engines.last().context("no engine")?;
+            engine.leave();
+            let addr = engine.addr.to_string();
+            let platform = &world.platform;
+            platform.list_host(&engine.spec.name, &addr, "backend", true, false);
+            kill(steward(fleet)?, world, driver, fleet);
+        }
+        scenario::Failure::StallTransfers(share) => {
+            for engine in &world.engines {
+                engine.set_stalls(*share);
+            }
+        }
+        scenario::Failure::LosePlainReplies(share) => {
+            for server in &world.services {
+                server.set_faults(crate::service::Faults {
+                    lose_replies: *share,
+                    fail: 0.0,
+                });
+            }
+        }
+        scenario::Failure::PlatformDown(_) => {}
+    }
+    Ok(())
+}
+
+fn kill(at: usize, world: &world::World, driver: &driver::Driver, fleet: &mut fleet::Fleet) {
+    let api = fleet.hosts[at].api.clone();
+    driver::lock(&driver.hosts.killed).insert(api);
+    let host = fleet.kill(at);
+    log::info!("killed {}", host.name);
+    world
+        .platform
+        .list_host(&host.name, &host.peer, "entry", false, true);
+}
+
+async fn roll(
+    world: &sync::Arc<world::World>,
+    driver: &sync::Arc<driver::Driver>,
+    fleet: &mut fleet::Fleet,
+) -> anyhow::Result<()> {
+    for _ in 0..fleet.hosts.len() {
+        let (name, zone) = (fleet.hosts[0].name.clone(), fleet.hosts[0].zone.clone());
+        let api = fleet.hosts[0].api.clone();
+        driver::lock(&driver.hosts.leaving).insert(api);
+        fleet.leave(0).await?;
+        fleet.start(&name, &zone)?;
+        list_last(world, fleet);
+        tokio::time::sleep(SETTLE_PAUSE * 5).await;
+    }
+    Ok(())
+}
+
+/// Returns the place of the host that stewards the first model pool.
+fn steward(fleet: &fleet::Fleet) -> anyhow::Result<usize> {
+    for at in 0..fleet.hosts.len() {
+        let dump = tokio::task::block_in_place(|| fleet.dump(at))?;
+        let cells = dump["cells"].as_array();
+        let held = cells
+            .and_then(|cells| cells.first())
+            .map(|cell| &cell["held"]);
+        if held.and_then(serde_json::Value::as_u64).is_some() {
+            return Ok(at);
+        }
+    }
+    anyhow::bail!("no host stewards a pool")
+}
+
+#[derive(Clone, Debug, Default)]
+struct Usage {
+    cpu_ms: u64,
+    tokens: u64,
+    requests: u64,
+    peak_kb: u64,
+}
+
+fn usage(fleet: &fleet::Fleet) -> Usage {
+    let mut usage = Usage::default();
+    for at in 0..fleet.hosts.len() {
+        let Ok(dump) = tokio::task::block_in_place(|| fleet.dump(at)) else {
+            continue;
+        };
+        let number = |value: &serde_json::Value| value.as_u64().unwrap_or(0);
+        usage.cpu_ms += number(&dump["cpu_ms"]);
+        usage.tokens += number(&dump["counters"]["tokens"]);
+        usage.requests += number(&dump["counters"]["requests"]);
+        usage.peak_kb = usage.peak_kb.max(number(&dump["memory_kb"]));
+    }
+    usage
+}
+
+fn measure_hosts(report: &mut report::Report, fleet: &fleet::Fleet, before: &Usage) {
+    let after = usage(fleet);
+    let cpu_us = after.cpu_ms.saturating_sub(before.cpu_ms) as f64 * 1_000.0;
+    let requests = after.requests.saturating_sub(before.requests).max(1);
+    let tokens = after.tokens.saturating_sub(before.tokens).max(1);
+    report.host_cpu_us_per_request = cpu_us / requests as f64;
+    report.host_cpu_us_per_token = cpu_us / tokens as f64;
+    report.host_peak_rss_mb = after.peak_kb as f64 / 1_024.0;
+}
--- /dev/null
+++ b/standin/src/service.rs
@@ -0,0 +1,131 @@
+//! Stand-in of a plain service that logs each call.
+
+use std::net;
+use std::sync;
+use std::time::Duration;
+
+use axum::extract;
+use axum::response;
+use axum::response::IntoResponse as _;
+use axum::routing;
+use walnuthaven_lib::history;
+
+use crate::ledger;
+use crate::net as serving;
+
+/// How a plain server misbehaves.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Share of calls that run and lose their reply.
+    pub lose_replies: f64,
+    /// Share of calls that fail before they run.
+    pub fail: f64,
+}
+
+/// A running plain server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// The backend server's name.
+    pub name: String,
+    /// Its address.
+    pub addr: net::SocketAddr,
+    shared: sync::Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    name: String,
+    repeatable: bool,
+    ledger: sync::Arc<ledger::Ledger>,
+    faults: sync::Mutex<Faults>,
+    leaving: sync::Mutex<Option<std::time::Instant>>,
+}
+
+const WORK: Duration = Duration::from_millis(2);
+
+impl Server {
+    /// Starts a server on a listener.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener has no address.
+    pub fn start(
+        name: &str,
+        repeatable: bool,
+        listener: tokio::net::TcpListener,
+        ledger: sync::Arc<ledger::Ledger>,
+    ) -> anyhow::Result<Self> {
+        let addr = listener.local_addr()?;
+        let shared = sync::Arc::new(Shared {
+            name: name.to_owned(),
+            repeatable,
+            ledger,
+            faults: sync::Mutex::default(),
+            leaving: sync::Mutex::default(),
+        });
+        let router = axum::Router::new()
+            .route("/healthz", routing::get(health))
+            .fallback(call)
+            .with_state(shared.clone());
+        tokio::spawn(async move { serving::serve(listener, router).await });
+        Ok(Self {
+            name: name.to_owned(),
+            addr,
+            shared,
+        })
+    }
+
+    /// Sets how the server misbehaves from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        *lock(&self.shared.faults) = faults;
+    }
+
+    /// Announces that the server leaves.
+    pub fn leave(&self) {
+        *lock(&self.shared.leaving) = Some(std::time::Instant::now());
+    }
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+async fn health(extract::State(shared): extract::State<sync::Arc<Shared>>) -> http::StatusCode {
+    match lock(&shared.leaving).is_some() {
+        true => http::StatusCode::SERVICE_UNAVAILABLE,
+        false => http::StatusCode::OK,
+    }
+}
+
+async fn call(
+    extract::State(shared): extract::State<sync::Arc<Shared>>,
+    headers: http::HeaderMap,
+    uri: http::Uri,
+) -> response::Response {
+    let faults = *lock(&shared.faults);
+    if rand::random::<f64>() < faults.fail {
+        return http::StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    }
+    let leaving = *lock(&shared.leaving);
+    if let Some(since) = leaving {
+        let after = since.elapsed().as_millis();
+        shared.ledger.event(history::Event::WorkAfterLeave {
+            server: shared.name.clone(),
+            after_ms: u64::try_from(after).unwrap_or(u64::MAX),
+        });
+    }
+    let id = headers.get("x-request-id").and_then(|id| id.to_str().ok());
+    if let Some(id) = id {
+        shared.ledger.event(history::Event::Ran {
+            request: id.to_owned(),
+            server: shared.name.clone(),
+            repeatable: shared.repeatable,
+        });
+    }
+    tokio::time::sleep(WORK).await;
+    if rand::random::<f64>() < faults.lose_replies {
+        // The caller sees a connection without reply until its time limit.
+        std::future::pending::<()>().await;
+    }
+    format!("ok {} {}", uri.path(), id.unwrap_or("-")).into_response()
+}
--- /dev/null
+++ b/standin/src/world.rs
@@ -0,0 +1,264 @@
+//! The sites of both users, made of stand-ins on loopback.
+
+use std::sync;
+use std::time::Duration;
+
+use serde_json::json;
+use walnuthaven_lib::auth;
+use walnuthaven_lib::engines;
+
+use crate::engine;
+use crate::ledger;
+use crate::net;
+use crate::platform;
+use crate::service;
+use crate::weights;
+
+/// A user whose sites are stood in.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum User {
+    /// The ticket co-op: four zones, summaries and a turnstile service.
+    Coop,
+    /// The head office: three zones, scene briefs, subtitle drafts and a status portal.
+    Studio,
+}
+
+/// The caller key of a user's workspace.
+pub const COOP_KEY: &str = "hammam-door-key-0001";
+/// The caller key of the other user's workspace.
+pub const STUDIO_KEY: &str = "cadena-edit-key-0001";
+/// The key that hosts show each other.
+pub const FLEET_KEY: &str = "standin-fleet-key-0001";
+/// The operators' token.
+pub const OPERATOR_TOKEN: &str = "standin-operator-token";
+const SALT: &str = "5a17";
+
+const PREFILL_TOKENS_S: u32 = 10_000;
+const LINK_MB_S: u32 = 4_000;
+const SLOTS: u32 = 20;
+const LIST_LAG: Duration = Duration::from_secs(5);
+const WEIGHT_MB_S: u64 = 1_000;
+
+/// The shape of a user's sites.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// The workspace.
+    pub workspace: &'static str,
+    /// The callers' key.
+    pub key: &'static str,
+    /// The availability zones.
+    pub zones: &'static [&'static str],
+    /// Prefill engines.
+    pub prefill: usize,
+    /// Decode engines.
+    pub decode: usize,
+    /// Plain services with their servers, and whether calls may be repeated.
+    pub plain: &'static [(&'static str, usize, bool)],
+}
+
+impl User {
+    /// Returns the shape of the user's sites.
+    pub fn shape(self) -> Shape {
+        match self {
+            Self::Coop => Shape {
+                workspace: "hammam",
+                key: COOP_KEY,
+                zones: &["jabal", "abdali", "sweifieh", "marka"],
+                prefill: 4,
+                decode: 5,
+                plain: &[("turnstile", 4, false)],
+            },
+            Self::Studio => Shape {
+                workspace: "cadena",
+                key: STUDIO_KEY,
+                zones: &["palermo", "barracas", "nunez"],
+                prefill: 7,
+                decode: 7,
+                plain: &[("status", 3, true)],
+            },
+        }
+    }
+}
+
+/// All stand-ins of a run.
+#[derive(Debug)]
+pub struct World {
+    /// What was seen.
+    pub ledger: sync::Arc<ledger::Ledger>,
+    /// The platform.
+    pub platform: platform::Platform,
+    /// Its base URL.
+    pub platform_url: String,
+    /// The weight store.
+    pub weights: weights::Weights,
+    /// The users.
+    pub users: Vec<User>,
+    /// All engines.
+    pub engines: Vec<engine::Engine>,
+    /// All plain servers.
+    pub services: Vec<service::Server>,
+}
+
+impl World {
+    /// Starts the stand-ins of the given users and stores their configuration in the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if ports can't be had.
+    pub async fn start(users: &[User]) -> anyhow::Result<Self> {
+        let ledger = sync::Arc::new(ledger::Ledger::default());
+        let platform = platform::Platform::new(LIST_LAG);
+        let addr = platform.serve(net::bind().await?)?;
+        let weights = weights::Weights::start(net::bind().await?, WEIGHT_MB_S)?;
+        let mut world = Self {
+            platform_url: format!("http://{addr}"),
+            platform,
+            weights,
+            ledger,
+            users: users.to_vec(),
+            engines: Vec::new(),
+            services: Vec::new(),
+        };
+        for user in users {
+            world.add_user(*user).await?;
+        }
+        Ok(world)
+    }
+
+    /// Returns the zones of all users.
+    pub fn zones(&self) -> Vec<&'static str> {
+        let shapes = self.users.iter().map(|user| user.shape());
+        shapes
+            .flat_map(|shape| shape.zones.iter().copied())
+            .collect()
+    }
+
+    /// Returns whether any engine holds memory for a request.
+    pub fn holds(&self, request: &str) -> bool {
+        self.engines.iter().any(|engine| engine.holds(request))
+    }
+
+    async fn add_user(&mut self, user: User) -> anyhow::Result<()> {
+        let shape = user.shape();
+        let mut backends = Vec::new();
+        let count = shape.prefill + shape.decode;
+        for at in 0..count {
+            let role = match at < shape.prefill {
+                true => engines::Role::Prefill,
+                false => engines::Role::Decode,
+            };
+            let zone = shape.zones[at % shape.zones.len()];
+            let name = format!("{}-engine-{at}", shape.workspace);
+            let spec = engine::Spec {
+                name: name.clone(),
+                role,
+                slots: SLOTS,
+                prefill_tokens_s: PREFILL_TOKENS_S,
+                link_mb_s: LINK_MB_S,
+                checks_fencing: at % 2 == 0,
+                weights: Some(format!("http://{}", self.weights.addr)),
+            };
+            let checks_fencing = spec.checks_fencing;
+            let listener = net::bind().await?;
+            let engine = engine::Engine::start(spec, listener, self.ledger.clone())?;
+            let addr = engine.addr.to_string();
+            self.platform
+                .list_host(&name, &addr, "backend", false, false);
+            backends.push(json!({
+                "name": name, "addr": addr, "zone": zone, "pool": "main", "role": role,
+                "slots": SLOTS, "prefill_tokens_s": PREFILL_TOKENS_S, "link_mb_s": LINK_MB_S,
+                "checks_fencing": checks_fencing,
+            }));
+            self.engines.push(engine);
+        }
+        for (plain, count, repeatable) in shape.plain {
+            for at in 0..*count {
+                let zone = shape.zones[at % shape.zones.len()];
+                let name = format!("{}-{plain}-{at}", shape.workspace);
+                let listener = net::bind().await?;
+                let ledger = self.ledger.clone();
+                let server = service::Server::start(&name, *repeatable, listener, ledger)?;
+                backends.push(json!({
+                    "name": name, "addr": server.addr.to_string(), "zone": zone,
+                    "service": plain,
+                }));
+                self.services.push(server);
+            }
+        }
+        let document = document(user, &shape, backends);
+        let stored = json!({
+            "generation": 1,
+            "change": "first",
+            "author": "standin",
+            "unix_ms": 0,
+            "recent": [
+                { "generation": 1, "change": "first", "author": "standin", "unix_ms": 0 }
+            ],
+            "document": document,
+        });
+        self.platform.seed("config", shape.workspace, stored);
+        Ok(())
+    }
+}
+
+fn document(user: User, shape: &Shape, backends: Vec<serde_json::Value>) -> serde_json::Value {
+    let sites: Vec<serde_json::Value> = shape
+        .zones
+        .iter()
+        .map(|zone| json!({ "name": format!("site-{zone}"), "zone": zone }))
+        .collect();
+    let services = match user {
+        User::Coop => json!([
+            { "name": "summary", "kind": "model", "pool": "main", "patient_age_ms": 30000 },
+            { "name": "turnstile", "kind": "plain", "repeatable": false, "timeout_ms": 1000 },
+        ]),
+        User::Studio => json!([
+            { "name": "scene-brief", "kind": "model", "pool": "main", "repeatable": false,
+              "patient_age_ms": 30000 },
+            { "name": "subtitles", "kind": "model", "pool": "main", "patient_age_ms": 30000 },
+            { "name": "status", "kind": "plain", "repeatable": true, "timeout_ms": 1000 },
+        ]),
+    };
+    json!({
+        "workspace": shape.workspace,
+        "share": 1,
+        "keys": [auth::HashedKey::new("callers", SALT, shape.key)],
+        "sites": sites,
+        "priorities": [
+            { "name": "door", "class": "urgent" },
+            { "name": "deadline", "class": "urgent" },
+        ],
+        "pools": [{ "name": "main", "model": "summarizer", "role_changes": false,
+                    "min_per_role": 2 }],
+        "services": services,
+        "backends": backends,
+    })
+}
+
+/// Returns the text of a host's settings file.
+pub fn settings_text(
+    name: &str,
+    zone: &str,
+    platform_url: &str,
+    scheduler: &str,
+    seeds: &[String],
+    events: Option<&str>,
+    log: Option<&str>,
+) -> String {
+    let token = auth::HashedKey::new("standin", SALT, OPERATOR_TOKEN);
+    let seeds = seeds.join(", ");
+    let events = events.map(|path| format!("events = {path}\n"));
+    let log = log.map(|path| format!("file = {path}\n"));
+    format!(
+        "[host]\nname = {name}\nzone = {zone}\nthreads = 2\ndrain = 60s\n\n\
+         [listen]\napi = 127.0.0.1:0\npeer = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\n\
+         [platform]\nurl = {platform_url}\n\n\
+         [fleet]\nkey = {FLEET_KEY}\nseeds = {seeds}\n\n\
+         [policy]\nscheduler = {scheduler}\n\n\
+         [log]\nlevel = info\n{}{}\n\
+         [operator.standin]\nrole = change\nsalt = {SALT}\nsha256 = {}\n",
+        log.unwrap_or_default(),
+        events.unwrap_or_default(),
+        token.sha256,
+    )
+}
