cli, daemon: the operators' command line and the console of forms

Cause: operators had no way to see or change anything but raw calls. Change: one file a command with queries apart; forms for each part of a document, validated whole, with the difference shown before it is put into force and both versions after a conflict; draining of backend servers as a field of the document.

--- /dev/null
+++ b/cli/src/client.rs
@@ -0,0 +1,152 @@
+//! Calls to the operators' API.
+
+use std::fs;
+use std::path;
+use std::time::Duration;
+
+use crate::failure;
+
+const TIMEOUT: Duration = Duration::from_secs(15);
+const TOKEN_VARIABLE: &str = "WALNUTHAVEN_TOKEN";
+
+/// Calls one host's operators' API.
+#[derive(Debug)]
+pub struct Client {
+    agent: ureq::Agent,
+    admin: String,
+    token: String,
+}
+
+/// A reply with its status.
+#[derive(Debug)]
+pub struct Reply {
+    /// The HTTP status.
+    pub status: u16,
+    /// The body.
+    pub body: serde_json::Value,
+}
+
+impl Client {
+    /// Makes a client for the host at `admin`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure if no token is given or its file can't be read.
+    pub fn new(admin: &str, token_file: Option<&path::Path>) -> Result<Self, failure::Failure> {
+        let token = match token_file {
+            Some(file) => fs::read_to_string(file).map_err(|error| {
+                failure::Failure::NotAllowed(format!("{}: {error}", file.display()))
+            })?,
+            None => std::env::var(TOKEN_VARIABLE)
+                .map_err(|_| failure::Failure::NotAllowed("no operator token is given".into()))?,
+        };
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(TIMEOUT))
+            .proxy(None)
+            .build();
+        Ok(Self {
+            agent: config.into(),
+            admin: admin.to_owned(),
+            token: token.trim().to_owned(),
+        })
+    }
+
+    /// Returns a client for another host.
+    pub fn at(&self, admin: &str) -> Self {
+        Self {
+            agent: self.agent.clone(),
+            admin: admin.to_owned(),
+            token: self.token.clone(),
+        }
+    }
+
+    /// Reads something.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure with the host's own words.
+    pub fn get(&self, path: &str) -> Result<serde_json::Value, failure::Failure> {
+        let call = self.agent.get(self.url(path));
+        let sent = call.header("authorization", self.bearer()).call();
+        self.read(sent)?.success()
+    }
+
+    /// Orders something without a body.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure with the host's own words.
+    pub fn post(&self, path: &str) -> Result<serde_json::Value, failure::Failure> {
+        let call = self.agent.post(self.url(path));
+        let sent = call.header("authorization", self.bearer()).send_empty();
+        self.read(sent)?.success()
+    }
+
+    /// Writes something. Returns the reply whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure if the host can't be reached.
+    pub fn put(&self, path: &str, body: &serde_json::Value) -> Result<Reply, failure::Failure> {
+        let call = self.agent.put(self.url(path));
+        let sent = call.header("authorization", self.bearer()).send_json(body);
+        self.read(sent)
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}/admin/{path}", self.admin)
+    }
+
+    fn bearer(&self) -> String {
+        format!("Bearer {}", self.token)
+    }
+
+    fn read(
+        &self,
+        sent: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+    ) -> Result<Reply, failure::Failure> {
+        let unavailable = |error: ureq::Error| {
+            failure::Failure::Unavailable(format!("host {}: {error}", self.admin))
+        };
+        let mut response = sent.map_err(unavailable)?;
+        let status = response.status().as_u16();
+        let body = response.body_mut().read_json().map_err(unavailable)?;
+        Ok(Reply { status, body })
+    }
+}
+
+impl Reply {
+    /// Returns the body of a successful reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure that the status stands for.
+    pub fn success(self) -> Result<serde_json::Value, failure::Failure> {
+        let message = self.body["error"]["message"].as_str();
+        let message = message.unwrap_or("the host gave no reason").to_owned();
+        match self.status {
+            200..=299 => Ok(self.body),
+            400 => Err(failure::Failure::Usage(message)),
+            401 | 403 => Err(failure::Failure::NotAllowed(message)),
+            404 => Err(failure::Failure::NotFound(message)),
+            409 => Err(failure::Failure::Conflict(message)),
+            422 => Err(failure::Failure::Invalid(findings(&self.body))),
+            _ => Err(failure::Failure::Unavailable(message)),
+        }
+    }
+}
+
+/// Returns the faults of a validation report, one a line.
+fn findings(report: &serde_json::Value) -> String {
+    let faults = report["faults"]
+        .as_array()
+        .map(Vec::as_slice)
+        .unwrap_or_default();
+    let lines = faults.iter().map(|fault| {
+        let text = |field: &str| fault[field].as_str().unwrap_or_default().to_owned();
+        format!("  {}: {}", text("path"), text("message"))
+    });
+    let lines: Vec<String> = lines.collect();
+    format!("the document has faults:\n{}", lines.join("\n"))
+}
--- /dev/null
+++ b/cli/src/commands/mod.rs
@@ -0,0 +1,6 @@
+//! Commands: they change something.
+
+pub mod config_apply;
+pub mod drain;
+pub mod log_level;
+pub mod quarantine_lift;
--- /dev/null
+++ b/cli/src/output.rs
@@ -0,0 +1,64 @@
+//! Output for people and for programs.
+
+/// The form of the output.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, clap::ValueEnum)]
+pub enum Format {
+    /// A table for people.
+    Table,
+    /// JSON.
+    Json,
+}
+
+/// Prints JSON.
+pub fn json(value: &serde_json::Value) {
+    println!("{value:#}");
+}
+
+/// Prints rows in columns as wide as needed.
+pub fn table(headings: &[&str], rows: &[Vec<String>]) {
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        let longest = cells.map(|cell| cell.chars().count()).max().unwrap_or(0);
+        longest.max(headings[column].len())
+    };
+    let widths: Vec<usize> = (0..headings.len()).map(width).collect();
+    let line = |cells: Vec<&str>| {
+        let padded = cells
+            .iter()
+            .zip(&widths)
+            .map(|(cell, width)| format!("{cell:<width$}"));
+        let joined: Vec<String> = padded.collect();
+        println!("{}", joined.join("  ").trim_end());
+    };
+    line(headings.to_vec());
+    for row in rows {
+        line(row.iter().map(String::as_str).collect());
+    }
+}
+
+/// Returns a field's text: strings without quotes, nothing for null.
+pub fn text(value: &serde_json::Value) -> String {
+    match value {
+        serde_json::Value::Null => String::new(),
+        serde_json::Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+/// Prints a list of objects as JSON or as a table of the named fields.
+pub fn list(format: Format, value: &serde_json::Value, fields: &[(&str, &str)]) {
+    if format == Format::Json {
+        return json(value);
+    }
+    let headings: Vec<&str> = fields.iter().map(|(heading, _)| *heading).collect();
+    let items = value.as_array().map(Vec::as_slice).unwrap_or_default();
+    let rows: Vec<Vec<String>> = items
+        .iter()
+        .map(|item| fields.iter().map(|(_, at)| field(item, at)).collect())
+        .collect();
+    table(&headings, &rows);
+}
+
+fn field(item: &serde_json::Value, pointer: &str) -> String {
+    item.pointer(pointer).map(text).unwrap_or_default()
+}
--- /dev/null
+++ b/cli/src/queries/completions.rs
@@ -0,0 +1,23 @@
+//! `completions`: prints a completion script.
+
+use std::io;
+
+use crate::failure;
+
+/// Arguments of `completions`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// The shell.
+    shell: clap_complete::Shell,
+}
+
+/// Runs the query for the command line `C`.
+///
+/// # Errors
+///
+/// Never fails today; the signature matches the other queries.
+pub fn run<C: clap::CommandFactory>(args: &Args) -> Result<(), failure::Failure> {
+    let mut command = C::command();
+    clap_complete::generate(args.shell, &mut command, "walnuthaven", &mut io::stdout());
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/queries/config_diff.rs
@@ -0,0 +1,36 @@
+//! `config diff`: how a document differs from the one in force.
+
+use std::path;
+
+use walnuthaven_lib::config;
+use walnuthaven_lib::versions;
+
+use crate::client;
+use crate::failure;
+use crate::queries;
+
+/// Arguments of `config diff`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// The document.
+    file: path::PathBuf,
+}
+
+/// Runs the query.
+///
+/// # Errors
+///
+/// Returns a failure if the document is not valid or its workspace does not exist.
+pub fn run(client: &client::Client, args: &Args) -> Result<(), failure::Failure> {
+    let (document, _) = queries::read_document(&args.file)?;
+    let stored = client.get(&format!("config/{}", document.workspace))?;
+    let in_force: config::Workspace = serde_json::from_value(stored["document"].clone())
+        .map_err(|error| failure::Failure::Unavailable(error.to_string()))?;
+    let text = |document| serde_json::to_string_pretty(document).unwrap_or_default();
+    let difference = versions::difference(&text(&in_force), &text(&document));
+    match difference.is_empty() {
+        true => println!("no difference from generation {}", stored["generation"]),
+        false => print!("{difference}"),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/queries/explain.rs
@@ -0,0 +1,43 @@
+//! `explain`: why a request went where it went.
+
+use crate::client;
+use crate::failure;
+use crate::output;
+
+/// Arguments of `explain`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// The request id.
+    id: String,
+}
+
+/// Runs the query.
+///
+/// # Errors
+///
+/// Returns a failure if the request's home is gone.
+pub fn run(
+    client: &client::Client,
+    args: &Args,
+    format: output::Format,
+) -> Result<(), failure::Failure> {
+    let request = client.get(&format!("requests/{}", args.id))?;
+    if format == output::Format::Json {
+        output::json(&request);
+        return Ok(());
+    }
+    let steps = request["steps"]
+        .as_array()
+        .map(Vec::as_slice)
+        .unwrap_or_default();
+    if steps.is_empty() {
+        println!("nothing is kept of {}", args.id);
+    }
+    for step in steps {
+        match step["what"].as_str() {
+            Some(what) => println!("{}  {what}", step["unix_ms"]),
+            None => println!("{}", output::text(step)),
+        }
+    }
+    Ok(())
+}
--- a/daemon/src/admin_api.rs
+++ b/daemon/src/admin_api.rs
@@ -224,7 +224,8 @@
     }
 }
 
-fn push_later(cx: &sync::Arc<host::Host>, workspace: &str) {
+/// Offers a document to other hosts, in the background.
+pub fn push_later(cx: &sync::Arc<host::Host>, workspace: &str) {
     let Some(stored) = host::read(&cx.config).get(workspace).cloned() else {
         return;
     };
--- a/daemon/src/console.rs
+++ b/daemon/src/console.rs
@@ -1,22 +1,485 @@
-//! The console: server-rendered pages that work without scripts.
+//! The console: server-rendered forms whose outcome is one validated document.
+//!
+//! A form changes one part of a copy of the document. The copy is validated whole, its difference is
+//! shown, and only the confirmation puts it into force.
 
-use maud::html;
+use std::io::Read as _;
+
+use serde_json::Value;
+use serde_json::json;
+use walnuthaven_lib::config;
+use walnuthaven_lib::validate;
+use walnuthaven_lib::versions;
 
 use crate::admin;
+use crate::admin_api;
+use crate::configure;
 use crate::dump;
+use crate::forms;
+use crate::gossip;
+use crate::host;
+use crate::pages;
+use crate::platform;
+
+const COOKIE: &str = "operator";
+const MAX_FORM_BYTES: u64 = 4_000_000;
 
-/// Answers a request for a page.
+/// Answers a request for a page or a submitted form.
 pub fn respond(admin: &admin::Admin, req: &rouille::Request) -> rouille::Response {
-    if req.url() != "/" {
-        return rouille::Response::text("not found\n").with_status_code(404);
+    let url = req.url();
+    let parts: Vec<&str> = url.trim_matches('/').split('/').collect();
+    if parts == ["login"] {
+        return sign_in(admin, req);
+    }
+    let token = cookie(req);
+    let Some(operator) = admin_api::operator(&admin.cx.settings, token.as_deref()) else {
+        return rouille::Response::html(pages::sign_in(false)).with_status_code(401);
+    };
+    let session = Session { admin, operator };
+    match (req.method(), parts.as_slice()) {
+        ("GET", ["logout"]) => sign_out(),
+        ("GET", [""]) => html(pages::overview(&dump::take(&admin.cx))),
+        ("GET", ["new"]) => html(new_workspace("", &[])),
+        ("GET", ["workspaces", name]) => session.workspace(name),
+        ("GET", ["workspaces", name, "document"]) => session.document(name),
+        ("GET", ["workspaces", name, "basics"]) => session.item(name, "basics", None),
+        ("GET", ["workspaces", name, "history", generation]) => session.past(name, generation),
+        ("GET", ["workspaces", name, part, "new"]) => session.item(name, part, None),
+        ("GET", ["workspaces", name, part, at]) => match at.parse() {
+            Ok(at) => session.item(name, part, Some(at)),
+            Err(_) => not_found(),
+        },
+        ("POST", _) if !session.operator.may_change => forbidden(&session.operator),
+        ("POST", path) => match form(req) {
+            Ok(form) => session.post(path, &form),
+            Err(response) => response,
+        },
+        _ => not_found(),
+    }
+}
+
+struct Session<'a> {
+    admin: &'a admin::Admin,
+    operator: admin_api::Operator,
+}
+
+type Form = Vec<(String, String)>;
+
+impl Session<'_> {
+    fn post(&self, path: &[&str], form: &Form) -> rouille::Response {
+        match path {
+            ["new"] => self.propose_new(form),
+            ["quarantine", digest, "lift"] => self.lift(digest),
+            ["workspaces", name, "apply"] => self.apply(name, form),
+            ["workspaces", name, "document"] => self.propose_text(name, form),
+            ["workspaces", name, "basics"] => self.propose_item(name, "basics", None, form),
+            ["workspaces", name, part, "new"] => self.propose_item(name, part, None, form),
+            ["workspaces", name, part, at] => match at.parse() {
+                Ok(at) => self.propose_item(name, part, Some(at), form),
+                Err(_) => not_found(),
+            },
+            _ => not_found(),
+        }
+    }
+
+    fn stored(&self, name: &str) -> Option<std::sync::Arc<versions::Stored>> {
+        host::read(&self.admin.cx.config).get(name).cloned()
+    }
+
+    fn workspace(&self, name: &str) -> rouille::Response {
+        match self.stored(name) {
+            Some(stored) => html(pages::workspace(&stored, &json!(stored.document))),
+            None => not_found(),
+        }
+    }
+
+    fn document(&self, name: &str) -> rouille::Response {
+        let Some(stored) = self.stored(name) else {
+            return not_found();
+        };
+        let title = format!("Document of workspace {name}");
+        let action = format!("/workspaces/{name}/document");
+        let text = pretty(&stored.document);
+        html(pages::whole(&title, &action, stored.generation, &text, &[]))
+    }
+
+    /// Shows the form of one item, of a new one without a place.
+    fn item(&self, name: &str, part: &str, at: Option<usize>) -> rouille::Response {
+        let Some(stored) = self.stored(name) else {
+            return not_found();
+        };
+        let document = json!(stored.document);
+        let generation = stored.generation;
+        match target(name, part, at, &document) {
+            Some((target, item)) => html(target.form(&item, generation, &[])),
+            None => not_found(),
+        }
+    }
+
+    /// Takes a form of one item and shows the difference, or the form with its errors.
+    fn propose_item(
+        &self,
+        name: &str,
+        part: &str,
+        at: Option<usize>,
+        form: &Form,
+    ) -> rouille::Response {
+        let Some(stored) = self.stored(name) else {
+            return not_found();
+        };
+        let mut document = json!(stored.document);
+        let Some((target, mut item)) = target(name, part, at, &document) else {
+            return not_found();
+        };
+        forms::read(&mut item, target.fields, form);
+        let remove = forms::value(form, "do") == Some("remove");
+        target.write(&mut document, &item, remove);
+        let seen = seen(form);
+        match validate::parse(&document.to_string()) {
+            Ok((proposed, warnings)) => self.confirm(&stored, seen, &proposed, &warnings),
+            Err(report) => {
+                let page = target.form(&item, seen, &report.faults);
+                html(page).with_status_code(422)
+            }
+        }
+    }
+
+    fn confirm(
+        &self,
+        stored: &versions::Stored,
+        seen: u64,
+        proposed: &config::Workspace,
+        warnings: &[validate::Finding],
+    ) -> rouille::Response {
+        let difference = admin_api::difference(&stored.document, proposed);
+        html(pages::confirm(
+            &proposed.workspace,
+            seen,
+            &new_change(),
+            &json!(proposed).to_string(),
+            &difference,
+            warnings,
+        ))
+    }
+
+    fn propose_text(&self, name: &str, form: &Form) -> rouille::Response {
+        let Some(stored) = self.stored(name) else {
+            return not_found();
+        };
+        let text = forms::value(form, "document").unwrap_or_default();
+        match validate::parse(text) {
+            Ok((proposed, warnings)) if *proposed.workspace == *name => {
+                self.confirm(&stored, seen(form), &proposed, &warnings)
+            }
+            Ok((proposed, _)) => {
+                let message = format!("workspace: {:?} is not {name:?}", proposed.workspace);
+                self.whole_again(name, form, &[finding("workspace", message)])
+            }
+            Err(report) => self.whole_again(name, form, &report.faults),
+        }
+    }
+
+    fn whole_again(
+        &self,
+        name: &str,
+        form: &Form,
+        findings: &[validate::Finding],
+    ) -> rouille::Response {
+        let title = format!("Document of workspace {name}");
+        let action = format!("/workspaces/{name}/document");
+        let text = forms::value(form, "document").unwrap_or_default();
+        let page = pages::whole(&title, &action, seen(form), text, findings);
+        html(page).with_status_code(422)
+    }
+
+    fn propose_new(&self, form: &Form) -> rouille::Response {
+        let name = forms::value(form, "name").unwrap_or_default().trim();
+        if self.stored(name).is_some() {
+            let findings = [finding(
+                "name",
+                format!("workspace {name:?} exists already"),
+            )];
+            return html(new_workspace(name, &findings)).with_status_code(422);
+        }
+        let document = json!({ "workspace": name });
+        match validate::parse(&document.to_string()) {
+            Ok((proposed, warnings)) => html(pages::confirm(
+                name,
+                0,
+                &new_change(),
+                &json!(proposed).to_string(),
+                &versions::difference("", &pretty(&proposed)),
+                &warnings,
+            )),
+            Err(report) => {
+                let findings: Vec<validate::Finding> = report
+                    .faults
+                    .into_iter()
+                    .map(|fault| finding("name", fault.message))
+                    .collect();
+                html(new_workspace(name, &findings)).with_status_code(422)
+            }
+        }
+    }
+
+    fn past(&self, name: &str, generation: &str) -> rouille::Response {
+        let Some(stored) = self.stored(name) else {
+            return not_found();
+        };
+        let known = stored
+            .recent
+            .iter()
+            .find(|c| c.generation.to_string() == generation);
+        let Some(known) = known else {
+            return not_found();
+        };
+        let object = configure::history_name(name, known.generation, &known.change);
+        let client = &self.admin.cx.platform;
+        let past: Option<versions::Stored> = match client.get(configure::HISTORY_KIND, &object) {
+            Ok(object) => serde_json::from_value(object.value).ok(),
+            Err(platform::Failure::NotFound) => None,
+            Err(failure) => return self.platform_failed(name, &format!("{failure:?}")),
+        };
+        match past {
+            Some(past) => self.confirm(&stored, stored.generation, &past.document, &[]),
+            None => {
+                let text = format!("The document of generation {generation} is no longer kept.");
+                let back = format!("/workspaces/{name}");
+                html(pages::message("Not kept", &text, &back, "Back")).with_status_code(404)
+            }
+        }
     }
-    let dump = dump::take(&admin.cx);
-    let page = html! {
-        (maud::DOCTYPE)
-        html lang="en" {
-            head { title { "walnuthaven " (dump.host) } }
-            body { h1 { "Host " (dump.host) } }
+
+    fn apply(&self, name: &str, form: &Form) -> rouille::Response {
+        let text = forms::value(form, "document").unwrap_or_default();
+        let document = match validate::parse(text) {
+            Ok((document, _)) if *document.workspace == *name => document,
+            _ => return not_found(),
+        };
+        let change = configure::Change {
+            seen: seen(form),
+            id: forms::value(form, "change").unwrap_or_default().to_owned(),
+            author: self.operator.name.to_string(),
+            document,
+        };
+        let cx = &self.admin.cx;
+        match configure::apply(cx, &change) {
+            configure::Applied::Accepted(generation) => {
+                let what = format!("config {name} generation {generation}");
+                admin_api::audit(&self.operator, &what);
+                admin_api::push_later(cx, name);
+                rouille::Response::redirect_303(format!("/workspaces/{name}"))
+            }
+            configure::Applied::Conflict(theirs) => {
+                let difference = admin_api::difference(&theirs.document, &change.document);
+                let page = pages::conflict(
+                    &theirs,
+                    &pretty(&theirs.document),
+                    &pretty(&change.document),
+                    &difference,
+                );
+                html(page).with_status_code(409)
+            }
+            configure::Applied::Refused(why) => self.platform_failed(name, &why),
+            configure::Applied::Unknown(why) => {
+                let text = format!("{why}. Look at the history before you try again.");
+                let back = format!("/workspaces/{name}");
+                html(pages::message("Not known yet", &text, &back, "Look")).with_status_code(504)
+            }
+        }
+    }
+
+    fn platform_failed(&self, name: &str, why: &str) -> rouille::Response {
+        let text = format!("Nothing was changed: {why}");
+        let back = format!("/workspaces/{name}");
+        html(pages::message("Not accepted", &text, &back, "Back")).with_status_code(503)
+    }
+
+    fn lift(&self, digest: &str) -> rouille::Response {
+        let Ok(number) = u64::from_str_radix(digest, 16) else {
+            return not_found();
+        };
+        let cx = self.admin.cx.clone();
+        if host::lock(&cx.quarantine).lift(number, cx.unix()).is_some() {
+            admin_api::audit(&self.operator, &format!("lifted quarantine of {digest}"));
+            self.admin
+                .runtime
+                .spawn(async move { gossip::announce(&cx).await });
         }
+        rouille::Response::redirect_303("/")
+    }
+}
+
+/// The item of a document that a form is about.
+struct Target<'a> {
+    workspace: &'a str,
+    part: &'a str,
+    label: &'static str,
+    at: Option<usize>,
+    next: usize,
+    fields: &'static [forms::Field],
+}
+
+fn target<'a>(
+    workspace: &'a str,
+    part: &'a str,
+    at: Option<usize>,
+    document: &Value,
+) -> Option<(Target<'a>, Value)> {
+    if part == "basics" {
+        let target = Target {
+            label: "Basics",
+            fields: forms::BASICS,
+            next: 0,
+            workspace,
+            part,
+            at,
+        };
+        return Some((target, document.clone()));
+    }
+    let known = forms::part(part)?;
+    let items = document[part].as_array()?;
+    let item = match at {
+        Some(at) => items.get(at)?.clone(),
+        None => forms::fresh(known),
+    };
+    let target = Target {
+        label: known.label,
+        fields: known.fields,
+        next: items.len(),
+        workspace,
+        part,
+        at,
+    };
+    Some((target, item))
+}
+
+impl Target<'_> {
+    fn form(&self, item: &Value, seen: u64, findings: &[validate::Finding]) -> String {
+        let place = self.at.map_or("new".to_owned(), |at| at.to_string());
+        let (action, path) = match self.part {
+            "basics" => (
+                format!("/workspaces/{}/basics", self.workspace),
+                String::new(),
+            ),
+            part => (
+                format!("/workspaces/{}/{part}/{place}", self.workspace),
+                format!("{part}[{}].", self.at.unwrap_or(self.next)),
+            ),
+        };
+        let form = pages::ItemForm {
+            title: format!("{} of workspace {}", self.label, self.workspace),
+            fields: self.fields,
+            removable: self.at.is_some(),
+            action,
+            path,
+            item,
+            seen,
+            findings,
+        };
+        form.render()
+    }
+
+    fn write(&self, document: &mut Value, item: &Value, remove: bool) {
+        if self.part == "basics" {
+            *document = item.clone();
+            return;
+        }
+        let Some(items) = document[self.part].as_array_mut() else {
+            return;
+        };
+        match self.at {
+            Some(at) if remove => drop(items.remove(at)),
+            Some(at) => items[at] = item.clone(),
+            None => items.push(item.clone()),
+        }
+    }
+}
+
+fn new_workspace(name: &str, findings: &[validate::Finding]) -> String {
+    let item = json!({ "name": name });
+    let form = pages::ItemForm {
+        title: "New workspace".into(),
+        action: "/new".into(),
+        path: String::new(),
+        fields: &forms::PARTS[0].fields[..1],
+        item: &item,
+        seen: 0,
+        findings,
+        removable: false,
+    };
+    form.render()
+}
+
+fn finding(path: &str, message: String) -> validate::Finding {
+    let path = path.to_owned();
+    validate::Finding { path, message }
+}
+
+fn sign_in(admin: &admin::Admin, req: &rouille::Request) -> rouille::Response {
+    let form = match form(req) {
+        Ok(form) => form,
+        Err(response) => return response,
     };
-    rouille::Response::html(page.into_string())
+    let token = forms::value(&form, "token").unwrap_or_default();
+    if admin_api::operator(&admin.cx.settings, Some(token)).is_none() {
+        return html(pages::sign_in(true)).with_status_code(401);
+    }
+    let cookie = format!("{COOKIE}={token}; HttpOnly; SameSite=Strict; Path=/");
+    rouille::Response::redirect_303("/").with_additional_header("Set-Cookie", cookie)
+}
+
+fn sign_out() -> rouille::Response {
+    let cookie = format!("{COOKIE}=; HttpOnly; SameSite=Strict; Path=/; Max-Age=0");
+    rouille::Response::redirect_303("/").with_additional_header("Set-Cookie", cookie)
+}
+
+fn cookie(req: &rouille::Request) -> Option<String> {
+    let cookies = rouille::input::cookies(req);
+    let mut found = cookies.filter(|(name, _)| *name == COOKIE);
+    found.next().map(|(_, value)| value.to_owned())
+}
+
+fn form(req: &rouille::Request) -> Result<Form, rouille::Response> {
+    let mut text = String::new();
+    let read = req
+        .data()
+        .map(|data| data.take(MAX_FORM_BYTES).read_to_string(&mut text));
+    match read {
+        Some(Ok(_)) => Ok(form_urlencoded::parse(text.as_bytes())
+            .into_owned()
+            .collect()),
+        _ => {
+            let text = "The form can't be read.";
+            let page = pages::message("Not understood", text, "/", "Back");
+            Err(html(page).with_status_code(400))
+        }
+    }
+}
+
+fn seen(form: &Form) -> u64 {
+    let seen = forms::value(form, "seen");
+    seen.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+fn new_change() -> String {
+    format!("form-{:016x}", rand::random::<u64>())
+}
+
+fn pretty(document: &config::Workspace) -> String {
+    serde_json::to_string_pretty(document).unwrap_or_default()
+}
+
+fn html(page: String) -> rouille::Response {
+    rouille::Response::html(page)
+}
+
+fn not_found() -> rouille::Response {
+    let page = pages::message("Not found", "There is no such page.", "/", "Overview");
+    html(page).with_status_code(404)
+}
+
+fn forbidden(operator: &admin_api::Operator) -> rouille::Response {
+    let text = format!("Operator {} may only look.", operator.name);
+    html(pages::message("Not allowed", &text, "/", "Overview")).with_status_code(403)
 }
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -7,6 +7,7 @@
 use std::sync;
 use std::time::Duration;
 
+use walnuthaven_lib::config;
 use walnuthaven_lib::ids;
 
 use crate::host;
@@ -121,11 +122,17 @@
     let Some(stored) = config.get(workspace) else {
         return Vec::new();
     };
-    let backends = stored.document.plain_backends(service);
-    backends.map(endpoint_of).collect()
+    servers_of(&stored.document, service)
 }
 
-fn endpoint_of(backend: &walnuthaven_lib::config::Backend) -> Endpoint {
+/// Returns the servers of a service that an operator has not drained.
+fn servers_of(document: &config::Workspace, service: &str) -> Vec<Endpoint> {
+    let servers = document.plain_backends(service);
+    let serving = servers.filter(|backend| !backend.draining);
+    serving.map(endpoint_of).collect()
+}
+
+fn endpoint_of(backend: &config::Backend) -> Endpoint {
     Endpoint {
         name: backend.name.clone(),
         addr: backend.addr.clone(),
@@ -153,10 +160,7 @@
         for stored in config.iter() {
             let document = &stored.document;
             for service in &document.services {
-                let servers: Vec<Endpoint> = document
-                    .plain_backends(&service.name)
-                    .map(endpoint_of)
-                    .collect();
+                let servers = servers_of(document, &service.name);
                 if !servers.is_empty() {
                     let cell = cell_name(&document.workspace, &service.name);
                     cells.push((cell, servers));
--- /dev/null
+++ b/daemon/src/forms.rs
@@ -0,0 +1,265 @@
+//! The console's forms: which fields each part of a document has, and how a form becomes JSON.
+
+use serde_json::Value;
+use serde_json::json;
+
+/// How a field is shown and read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// A line of text.
+    Text,
+    /// A line of text that may be empty.
+    OptionalText,
+    /// A whole number.
+    Number,
+    /// Yes or no.
+    Flag,
+    /// One of some words, the empty one standing for none.
+    Choice(&'static [&'static str]),
+    /// Words with commas between them.
+    List,
+}
+
+/// A field of a part.
+#[derive(Clone, Copy, Debug)]
+pub struct Field {
+    /// The name in the document.
+    pub name: &'static str,
+    /// What people read.
+    pub label: &'static str,
+    /// How it is shown and read.
+    pub kind: Kind,
+    /// The value in a new item.
+    pub default: &'static str,
+}
+
+/// A list in the document.
+#[derive(Clone, Copy, Debug)]
+pub struct Part {
+    /// The name in the document.
+    pub name: &'static str,
+    /// What people read.
+    pub label: &'static str,
+    /// The fields of an item.
+    pub fields: &'static [Field],
+}
+
+const fn field(
+    name: &'static str,
+    label: &'static str,
+    kind: Kind,
+    default: &'static str,
+) -> Field {
+    Field {
+        name,
+        label,
+        kind,
+        default,
+    }
+}
+
+/// The name field that every item has.
+const NAME: Field = field("name", "Name", Kind::Text, "");
+
+/// The fields outside of lists, with the limits written as `limits.name`.
+pub const BASICS: &[Field] = &[
+    field("share", "Fair share (weight)", Kind::Number, "1"),
+    field(
+        "limits.max_prompt_tokens",
+        "Longest prompt (tokens)",
+        Kind::Number,
+        "64000",
+    ),
+    field(
+        "limits.max_output_tokens",
+        "Longest answer (tokens)",
+        Kind::Number,
+        "4096",
+    ),
+    field(
+        "limits.max_open_requests",
+        "Open requests at one host",
+        Kind::Number,
+        "2000",
+    ),
+];
+
+/// The lists of a document.
+pub const PARTS: &[Part] = &[
+    Part {
+        name: "sites",
+        label: "Sites",
+        fields: &[NAME, field("zone", "Availability zone", Kind::Text, "")],
+    },
+    Part {
+        name: "priorities",
+        label: "Priorities",
+        fields: &[
+            NAME,
+            field(
+                "class",
+                "Class",
+                Kind::Choice(&["urgent", "normal", "patient"]),
+                "normal",
+            ),
+        ],
+    },
+    Part {
+        name: "pools",
+        label: "Engine pools",
+        fields: &[
+            NAME,
+            field("model", "Model", Kind::Text, ""),
+            field("version", "Version", Kind::Text, "1"),
+            field("adapters", "Adapters (commas between)", Kind::List, ""),
+            field("role_changes", "Engines may change roles", Kind::Flag, ""),
+            field(
+                "min_per_role",
+                "Fewest engines in a role",
+                Kind::Number,
+                "1",
+            ),
+        ],
+    },
+    Part {
+        name: "services",
+        label: "Services",
+        fields: &[
+            NAME,
+            field("kind", "Kind", Kind::Choice(&["model", "plain"]), "model"),
+            field("pool", "Pool (model services)", Kind::OptionalText, ""),
+            field("repeatable", "May run more than once", Kind::Flag, "true"),
+            field(
+                "first_token_ms",
+                "First-token target (ms)",
+                Kind::Number,
+                "1300",
+            ),
+            field("per_token_ms", "Between tokens (ms)", Kind::Number, "33"),
+            field(
+                "patient_age_ms",
+                "Age limit of patient work (ms)",
+                Kind::Number,
+                "60000",
+            ),
+            field(
+                "timeout_ms",
+                "Time limit of plain calls (ms)",
+                Kind::Number,
+                "2000",
+            ),
+        ],
+    },
+    Part {
+        name: "backends",
+        label: "Backend servers",
+        fields: &[
+            NAME,
+            field("addr", "IP address and port", Kind::Text, ""),
+            field("zone", "Availability zone", Kind::Text, ""),
+            field("pool", "Pool (engines)", Kind::OptionalText, ""),
+            field(
+                "role",
+                "Role (engines)",
+                Kind::Choice(&["", "prefill", "decode"]),
+                "",
+            ),
+            field("service", "Service (plain servers)", Kind::OptionalText, ""),
+            field("slots", "Decode slots", Kind::Number, "20"),
+            field(
+                "prefill_tokens_s",
+                "Prompt tokens computed per second",
+                Kind::Number,
+                "20000",
+            ),
+            field("link_mb_s", "Transfer link (MB/s)", Kind::Number, "4000"),
+            field(
+                "checks_fencing",
+                "Refuses orders with an old fencing number",
+                Kind::Flag,
+                "true",
+            ),
+            field("draining", "Gets no new work", Kind::Flag, ""),
+        ],
+    },
+    Part {
+        name: "keys",
+        label: "Callers' keys",
+        fields: &[
+            NAME,
+            field("salt", "Salt (from `walnuthaven key`)", Kind::Text, ""),
+            field("sha256", "Hash (from `walnuthaven key`)", Kind::Text, ""),
+        ],
+    },
+];
+
+/// Finds a part by its name.
+pub fn part(name: &str) -> Option<&'static Part> {
+    PARTS.iter().find(|part| part.name == name)
+}
+
+/// Returns the text of a field in an item.
+pub fn text(item: &Value, field: &Field) -> String {
+    let found = field
+        .name
+        .split('.')
+        .try_fold(item, |at, name| at.get(name));
+    match found {
+        None | Some(Value::Null) => String::new(),
+        Some(Value::String(text)) => text.clone(),
+        Some(Value::Array(list)) => {
+            let words: Vec<&str> = list.iter().filter_map(Value::as_str).collect();
+            words.join(", ")
+        }
+        Some(other) => other.to_string(),
+    }
+}
+
+/// Returns a new item with the defaults.
+pub fn fresh(part: &Part) -> Value {
+    let mut item = json!({});
+    for field in part.fields {
+        set(&mut item, field, field.default);
+    }
+    item
+}
+
+/// Writes a form's text into an item. Text that is no number is kept as text, so that the
+/// validation names it.
+pub fn set(item: &mut Value, field: &Field, text: &str) {
+    let text = text.trim();
+    let value = match field.kind {
+        Kind::Text => json!(text),
+        Kind::OptionalText | Kind::Choice(_) if text.is_empty() => Value::Null,
+        Kind::OptionalText | Kind::Choice(_) => json!(text),
+        Kind::Number => text
+            .parse::<u64>()
+            .map_or(json!(text), |number| json!(number)),
+        Kind::Flag => json!(text == "true"),
+        Kind::List => {
+            let words = text
+                .split(',')
+                .map(str::trim)
+                .filter(|word| !word.is_empty());
+            json!(words.collect::<Vec<&str>>())
+        }
+    };
+    let mut at = item;
+    for name in field.name.split('.') {
+        at = &mut at[name];
+    }
+    *at = value;
+}
+
+/// Finds a field's value in a submitted form.
+pub fn value<'a>(form: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    let found = form.iter().find(|(known, _)| known == name);
+    found.map(|(_, value)| value.as_str())
+}
+
+/// Reads all fields of a form into an item.
+pub fn read(item: &mut Value, fields: &[Field], form: &[(String, String)]) {
+    for field in fields {
+        set(item, field, value(form, field.name).unwrap_or_default());
+    }
+}
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -178,6 +178,9 @@
     /// Whether the server refuses orders with an old fencing number.
     #[serde(default = "default_fencing")]
     pub checks_fencing: bool,
+    /// Whether the server is to get no new work.
+    #[serde(default)]
+    pub draining: bool,
 }
 
 impl Workspace {
@@ -246,6 +249,7 @@
             slots: self.slots,
             prefill_tokens_s: self.prefill_tokens_s,
             link_mb_s: self.link_mb_s,
+            draining: self.draining,
         })
     }
 }
--- a/lib/src/engines.rs
+++ b/lib/src/engines.rs
@@ -41,6 +41,8 @@
     pub prefill_tokens_s: u32,
     /// Rate of its transfer link in megabytes per second.
     pub link_mb_s: u32,
+    /// Whether it is to get no new work.
+    pub draining: bool,
 }
 
 /// A load report of an engine.
@@ -193,7 +195,8 @@
 
     /// Returns whether the engine is known to leave.
     pub fn is_leaving(&self, name: &str) -> bool {
-        self.engines.get(name).is_some_and(|engine| engine.leaving)
+        let leaving = |engine: &Engine| engine.leaving || engine.spec.draining;
+        self.engines.get(name).is_some_and(leaving)
     }
 
     /// Advances the table's time, after which silent engines get no work.
@@ -350,7 +353,7 @@
             Some(seen) => now.saturating_sub(seen) > SILENT_AFTER,
             None => true,
         };
-        !self.leaving && !silent && now >= self.down_until
+        !self.leaving && !self.spec.draining && !silent && now >= self.down_until
     }
 
     fn free(&self) -> u32 {
