lib, daemon: prefill turns by count, stewards replaced when silent, role orders

Requests that waited at a paused steward stayed there until the connection broke. A stalled transfer cancelled its own export, so that the prompt was computed again. Waiting requests counted as decode demand, so roles never changed. Change: at most two turns an engine, summed; a waiting request asks the next steward as soon as membership names one; the export is kept for the next slot; pressure compares free slots with waiting work; role orders under a lease. Ruled out: too slow engines; the stand-in's queue was the wait.

--- a/daemon/src/acquire.rs
+++ b/daemon/src/acquire.rs
@@ -62,11 +62,15 @@
             });
         }
         let call = convert::ask_to_wire(&cell.name, &ask);
-        match cx.peers.acquire(&steward.peer_addr, call).await {
-            Ok(reply) => return reply_to_held(reply, cell, &steward.peer_addr),
-            Err(status) => {
-                log::debug!("steward {} of {}: {status}", steward.id, cell.name);
-            }
+        tokio::select! {
+            reply = cx.peers.acquire(&steward.peer_addr, call) => match reply {
+                Ok(reply) => return reply_to_held(reply, cell, &steward.peer_addr),
+                Err(status) => {
+                    log::debug!("steward {} of {}: {status}", steward.id, cell.name);
+                }
+            },
+            // A steward that is silent must not keep its waiting requests.
+            () = steward_changed(cx, &cell.name, &steward.id) => continue,
         }
         if waited > MAX_STEWARD_WAIT.min(ask.first_token) {
             let message = format!("the steward of {} does not answer", cell.name);
@@ -77,6 +81,16 @@
     }
 }
 
+/// Waits until another host stewards the cell.
+async fn steward_changed(cx: &host::Host, cell: &str, steward: &ids::HostId) {
+    loop {
+        tokio::time::sleep(STEWARD_RETRY).await;
+        if host::lock(&cx.members).steward(cell).id != *steward {
+            return;
+        }
+    }
+}
+
 /// Reports to the steward, in the background if it is another host.
 pub fn report(cx: &sync::Arc<host::Host>, held: &Held, event: grant::Event) {
     let wire = match event {
--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -101,6 +101,7 @@
     dispatched: bool,
     complete: bool,
     crash_reported: bool,
+    keeps_export: bool,
 }
 
 impl Guard {
@@ -119,6 +120,7 @@
             dispatched: false,
             complete: false,
             crash_reported: false,
+            keeps_export: false,
         }
     }
 
@@ -148,6 +150,8 @@
         }
         if self.dispatched && !self.complete {
             self.cancel_at(&self.held.grant.decode);
+        }
+        if self.dispatched && !self.complete && !self.keeps_export {
             self.cancel_at(&self.held.grant.prefill);
         }
     }
@@ -170,6 +174,7 @@
         },
     };
     if let Err(failed) = import(cx, guard, &export).await {
+        guard.keeps_export = failed.export.is_some();
         return Step::Failed(failed);
     }
     match decode(cx, job, guard, answer).await {
--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -34,6 +34,7 @@
 use crate::gossip;
 use crate::jobs;
 use crate::metrics;
+use crate::orders;
 use crate::peer_client;
 use crate::peer_server;
 use crate::plain;
@@ -158,6 +159,7 @@
         poll::spawn(&host);
         endpoints::spawn(&host);
         jobs::spawn(&host);
+        orders::spawn(&host);
         tokio::spawn(api::serve(host.clone(), api));
         Ok(Running {
             host,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod openai;
+pub mod orders;
 pub mod pages;
 pub mod peer_client;
 pub mod peer_server;
--- a/daemon/src/peer_client.rs
+++ b/daemon/src/peer_client.rs
@@ -17,7 +17,7 @@
 pub const KEY_ENTRY: &str = "x-host-key";
 
 /// Time limit of a probe.
-pub const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 const PLAIN_TIMEOUT_MARGIN: Duration = Duration::from_secs(12);
--- a/lib/src/cell.rs
+++ b/lib/src/cell.rs
@@ -207,17 +207,9 @@
         }
     }
 
-    /// Returns the estimated prefill work that waits, and the decode slots that are wanted.
-    pub fn demand(&self) -> Demand {
-        let prefill = self.waiting.values().map(|waiting| {
-            let tokens = waiting.ask.prompt_tokens;
-            self.engines.typical_prefill(tokens)
-        });
-        Demand {
-            prefill_wait: prefill.sum(),
-            decode_wanted: self.waiting.len() + self.held.len(),
-            hold: self.hold.mean(),
-        }
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
     }
 
     /// Takes an engine's list of running requests. Grants that no engine has shown for a while are
@@ -426,17 +418,6 @@
     pub held: usize,
 }
 
-/// What the waiting and running requests of a cell need.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Demand {
-    /// Prefill work that waits, as time on one engine.
-    pub prefill_wait: Duration,
-    /// Decode slots wanted by waiting and running requests.
-    pub decode_wanted: usize,
-    /// Smoothed time for which a request holds its decode slot.
-    pub hold: Duration,
-}
-
 fn finish_prefill(held: &mut Held, engines: &mut engines::Table, now: Duration) {
     if held.prefilling {
         held.prefilling = false;
--- a/lib/src/engines.rs
+++ b/lib/src/engines.rs
@@ -77,16 +77,24 @@
     role: Role,
     incarnation: u64,
     leaving: bool,
+    changing: bool,
     last_seen: Option<Duration>,
     down_until: Duration,
     granted: u32,
     foreign: u32,
     suspects: u32,
-    busy_until: Duration,
+    /// Prefill work granted and not done.
+    pending: Duration,
+    /// Prefill turns granted and not done.
+    turns: u32,
+    /// When the oldest of them began.
+    turn_began: Duration,
     index: prefix::Index,
 }
 
 const PREFILL_PIPELINE: Duration = Duration::from_millis(40);
+/// Prefill turns granted at an engine at once: one that runs and one that follows.
+const MAX_TURNS: u32 = 2;
 const CRASH_PAUSE: Duration = Duration::from_millis(500);
 const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -179,7 +187,8 @@
     pub fn on_crash(&mut self, name: &str, now: Duration) {
         if let Some(engine) = self.engines.get_mut(name) {
             engine.down_until = now + CRASH_PAUSE;
-            engine.busy_until = now;
+            engine.pending = Duration::ZERO;
+            engine.turns = 0;
             // The next report starts anew, so that one crash is not counted twice.
             engine.incarnation = 0;
             engine.index.reset();
@@ -193,6 +202,13 @@
         }
     }
 
+    /// Keeps new work from an engine that is about to change its role.
+    pub fn set_changing(&mut self, name: &str, changing: bool) {
+        if let Some(engine) = self.engines.get_mut(name) {
+            engine.changing = changing;
+        }
+    }
+
     /// Returns whether the engine is known to leave.
     pub fn is_leaving(&self, name: &str) -> bool {
         let leaving = |engine: &Engine| engine.leaving || engine.spec.draining;
@@ -224,9 +240,7 @@
     /// Returns the prefill work granted and not done.
     pub fn prefill_backlog(&self, now: Duration) -> Duration {
         let engines = self.working(Role::Prefill);
-        engines
-            .map(|engine| engine.busy_until.saturating_sub(now))
-            .sum()
+        engines.map(|engine| engine.busy_for(now)).sum()
     }
 
     /// Returns the time that a prompt of this length takes without cached prefix.
@@ -255,7 +269,7 @@
             .working(Role::Prefill)
             .filter(|engine| engine.may_run(ask))
             .min_by_key(|engine| engine.prefill_end(ask, now))?;
-        if prefill.busy_until > now + PREFILL_PIPELINE {
+        if prefill.turns >= MAX_TURNS || prefill.busy_for(now) > PREFILL_PIPELINE {
             return None;
         }
         let work = prefill.prefill_work(ask);
@@ -281,18 +295,21 @@
             engine.suspects += u32::from(ask.suspect);
         }
         if prefilling && let Some(engine) = self.engines.get_mut(&pick.prefill.name) {
-            engine.busy_until = engine.busy_until.max(now) + pick.work;
+            if engine.turns == 0 {
+                engine.turn_began = now;
+                engine.pending = Duration::ZERO;
+            }
+            engine.turns += 1;
+            engine.pending += pick.work;
         }
     }
 
-    /// Ends a prefill turn; the engine is free at once if nothing else is granted there.
+    /// Ends a prefill turn.
     pub fn prefill_done(&mut self, name: &str, work: Duration, now: Duration) {
         if let Some(engine) = self.engines.get_mut(name) {
-            let expected_end = engine.busy_until;
-            let others = expected_end.saturating_sub(now + work / 2);
-            if others < work / 2 {
-                engine.busy_until = now;
-            }
+            engine.turns = engine.turns.saturating_sub(1);
+            engine.pending = engine.pending.saturating_sub(work);
+            engine.turn_began = now;
         }
     }
 
@@ -338,12 +355,15 @@
             spec,
             incarnation: 0,
             leaving: false,
+            changing: false,
             last_seen: None,
             down_until: Duration::ZERO,
             granted: 0,
             foreign: 0,
             suspects: 0,
-            busy_until: Duration::ZERO,
+            pending: Duration::ZERO,
+            turns: 0,
+            turn_began: Duration::ZERO,
             index: prefix::Index::default(),
         }
     }
@@ -353,7 +373,7 @@
             Some(seen) => now.saturating_sub(seen) > SILENT_AFTER,
             None => true,
         };
-        !self.leaving && !self.spec.draining && !silent && now >= self.down_until
+        !self.leaving && !self.changing && !self.spec.draining && !silent && now >= self.down_until
     }
 
     fn free(&self) -> u32 {
@@ -361,6 +381,14 @@
         self.spec.slots.saturating_sub(used)
     }
 
+    /// Returns how long the granted prefill turns still take.
+    fn busy_for(&self, now: Duration) -> Duration {
+        match self.turns {
+            0 => Duration::ZERO,
+            _ => (self.turn_began + self.pending).saturating_sub(now),
+        }
+    }
+
     fn may_run(&self, ask: &grant::Ask) -> bool {
         let apart = !ask.suspect || self.suspects == 0;
         apart && !ask.exclude.contains(&self.spec.address.name)
@@ -372,7 +400,7 @@
     }
 
     fn prefill_end(&self, ask: &grant::Ask, now: Duration) -> Duration {
-        self.busy_until.max(now) + self.prefill_work(ask)
+        self.busy_for(now) + self.prefill_work(ask)
     }
 }
 
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -13,7 +13,7 @@
 use crate::rendezvous;
 
 /// How often each neighbour is probed.
-pub const PROBE_EVERY: Duration = Duration::from_millis(250);
+pub const PROBE_EVERY: Duration = Duration::from_millis(200);
 /// Neighbours that a host probes.
 pub const NEIGHBOURS: usize = 3;
 /// Updates carried by one message.
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -3,17 +3,14 @@
 use std::sync;
 use std::time::Duration;
 
-use walnuthaven_daemon::host;
-use walnuthaven_daemon::settings;
-
 use crate::driver;
 use crate::load;
+use crate::local;
 use crate::report;
 use crate::world;
 
 const HOSTS: usize = 3;
 const GRACE: Duration = Duration::from_secs(40);
-const SETTLE: Duration = Duration::from_secs(2);
 const LAST_CHECKS: Duration = Duration::from_millis(2_300);
 const PROGRESS_EVERY: Duration = Duration::from_secs(2);
 
@@ -30,10 +27,9 @@
         world.engines.len(),
         world.services.len()
     );
-    let hosts = start_hosts(&world).await?;
-    let addresses: Vec<String> = hosts.iter().map(|host| host.api.to_string()).collect();
+    let fleet = local::Fleet::start(&world, HOSTS, "current").await?;
+    let addresses = fleet.api_addresses();
     println!("hosts: {}", addresses.join(", "));
-    tokio::time::sleep(SETTLE).await;
     let driver = driver::Driver::new(world.clone(), &addresses)?;
     let length = Duration::from_secs(seconds);
     let arrivals = arrivals(length, seed);
@@ -57,28 +53,6 @@
     Ok(report.broken() == 0)
 }
 
-async fn start_hosts(world: &world::World) -> anyhow::Result<Vec<host::Running>> {
-    let mut hosts: Vec<host::Running> = Vec::new();
-    let zones = world.zones();
-    for at in 0..HOSTS {
-        let name = format!("host-{at}");
-        let seeds: Vec<String> = hosts.iter().map(|host| host.peer.to_string()).collect();
-        let zone = zones[at % zones.len()];
-        let text = world::settings_text(
-            &name,
-            zone,
-            &world.platform_url,
-            "current",
-            &seeds,
-            None,
-            None,
-        );
-        let settings = settings::parse("demo", &text)?;
-        hosts.push(host::Host::start(settings).await?);
-    }
-    Ok(hosts)
-}
-
 fn arrivals(length: Duration, seed: u64) -> Vec<load::Arrival> {
     let mut all = Vec::new();
     for user in [world::User::Coop, world::User::Studio] {
--- a/standin/src/experiment.rs
+++ b/standin/src/experiment.rs
@@ -30,6 +30,7 @@
     pub rate: f64,
 }
 
+const PHASE_SEEDS: u64 = 1_000;
 const SETTLE_TRIES: u32 = 100;
 const SETTLE_PAUSE: Duration = Duration::from_millis(100);
 const GRACE: Duration = Duration::from_secs(45);
@@ -42,7 +43,7 @@
 /// Returns an error if the fleet can't be run; broken promises are in the report.
 pub async fn run(plan: &Plan) -> anyhow::Result<report::Report> {
     let users: Vec<world::User> = plan.scenario.users.iter().map(|(user, _)| *user).collect();
-    let world = sync::Arc::new(world::World::start(&users).await?);
+    let world = sync::Arc::new(world::World::start_with(&users, plan.scenario.role_changes).await?);
     let mut fleet = fleet::Fleet::new(&world.platform_url, &plan.policy, plan.scenario.name)?;
     let zones = world.zones();
     for at in 0..plan.hosts {
@@ -68,6 +69,7 @@
         seed: plan.seed,
         platform_writes_per_s: (calls.writes - calls_before.writes) as f64 / seconds,
         platform_reads_per_s: (calls.reads - calls_before.reads) as f64 / seconds,
+        weight_loads: world.weights.loads(),
         ..report::Report::default()
     };
     world.ledger.extend(fleet.events()?);
@@ -86,10 +88,28 @@
         mix.jobs_s *= plan.rate;
         all.extend(load::arrivals(*user, &mix, plan.length, plan.seed));
     }
+    if let Some((user, _)) = plan.scenario.users.first() {
+        all.extend(phased(plan, *user));
+    }
     all.sort_by_key(|arrival| arrival.at);
     all
 }
 
+/// Draws the arrivals of loads that follow each other.
+fn phased(plan: &Plan, user: world::User) -> Vec<load::Arrival> {
+    let phases = u32::try_from(plan.scenario.phases.len()).unwrap_or(u32::MAX);
+    let mut all = Vec::new();
+    for (at, mix) in (0..phases).zip(&plan.scenario.phases) {
+        let length = plan.length / phases;
+        let seed = plan.seed + u64::from(at) * PHASE_SEEDS;
+        for mut arrival in load::arrivals(user, mix, length, seed) {
+            arrival.at += length * at;
+            all.push(arrival);
+        }
+    }
+    all
+}
+
 fn list_last(world: &world::World, fleet: &fleet::Fleet) {
     if let Some(host) = fleet.hosts.last() {
         let platform = &world.platform;
@@ -257,6 +277,7 @@
     tokens: u64,
     requests: u64,
     peak_kb: u64,
+    hosts: Vec<String>,
 }
 
 fn usage(fleet: &fleet::Fleet) -> Usage {
@@ -265,6 +286,7 @@
         let Ok(dump) = tokio::task::block_in_place(|| fleet.dump(at)) else {
             continue;
         };
+        usage.hosts.push(dump["host"].to_string());
         let number = |value: &serde_json::Value| value.as_u64().unwrap_or(0);
         usage.cpu_ms += number(&dump["cpu_ms"]);
         usage.tokens += number(&dump["counters"]["tokens"]);
@@ -276,10 +298,13 @@
 
 fn measure_hosts(report: &mut report::Report, fleet: &fleet::Fleet, before: &Usage) {
     let after = usage(fleet);
+    report.host_peak_rss_mb = after.peak_kb as f64 / 1_024.0;
+    if after.hosts != before.hosts {
+        return;
+    }
     let cpu_us = after.cpu_ms.saturating_sub(before.cpu_ms) as f64 * 1_000.0;
     let requests = after.requests.saturating_sub(before.requests).max(1);
     let tokens = after.tokens.saturating_sub(before.tokens).max(1);
-    report.host_cpu_us_per_request = cpu_us / requests as f64;
-    report.host_cpu_us_per_token = cpu_us / tokens as f64;
-    report.host_peak_rss_mb = after.peak_kb as f64 / 1_024.0;
+    report.host_cpu_us_per_request = Some(cpu_us / requests as f64);
+    report.host_cpu_us_per_token = Some(cpu_us / tokens as f64);
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod ledger;
 pub mod load;
+pub mod local;
 pub mod net;
 pub mod platform;
 pub mod report;
--- a/standin/src/report.rs
+++ b/standin/src/report.rs
@@ -63,14 +63,16 @@
     pub stale_orders: u64,
     /// Urgent requests that missed their target while later patient work was served.
     pub overtaken_urgent: u64,
+    /// Loads from the weight store, one for each role change.
+    pub weight_loads: u64,
     /// Platform writes a second.
     pub platform_writes_per_s: f64,
     /// Platform reads a second, a watch counted as one.
     pub platform_reads_per_s: f64,
-    /// Processor time of the hosts over requests.
-    pub host_cpu_us_per_request: f64,
-    /// Processor time of the hosts over tokens.
-    pub host_cpu_us_per_token: f64,
+    /// Processor time of the hosts over requests, if the same hosts ran all the time.
+    pub host_cpu_us_per_request: Option<f64>,
+    /// Processor time of the hosts over tokens, if the same hosts ran all the time.
+    pub host_cpu_us_per_token: Option<f64>,
     /// The largest memory of a host.
     pub host_peak_rss_mb: f64,
     /// Figures for each service and priority.
--- a/standin/src/scenario.rs
+++ b/standin/src/scenario.rs
@@ -39,6 +39,10 @@
     pub users: Vec<(world::User, load::Mix)>,
     /// Failures with their time as a share of the load's length.
     pub failures: Vec<(f64, Failure)>,
+    /// Whether engines may change roles.
+    pub role_changes: bool,
+    /// Loads that follow each other, each for an equal part of the length, instead of one.
+    pub phases: Vec<load::Mix>,
 }
 
 fn mix(user: world::User, load_factor: f64) -> load::Mix {
@@ -60,8 +64,20 @@
         about,
         users: vec![(user, mix)],
         failures,
+        role_changes: false,
+        phases: Vec::new(),
     };
     let seconds = Duration::from_secs;
+    let prefill_heavy = load::Mix {
+        prompt_factor: 6.0,
+        output_factor: 0.3,
+        ..coop(0.75)
+    };
+    let decode_heavy = load::Mix {
+        prompt_factor: 0.2,
+        output_factor: 2.5,
+        ..coop(0.55)
+    };
     vec![
         one(
             "calm",
@@ -190,6 +206,17 @@
             },
             vec![(0.2, F::LosePlainReplies(0.05))],
         ),
+        Scenario {
+            role_changes: true,
+            phases: vec![prefill_heavy, decode_heavy, prefill_heavy],
+            ..one(
+                "swings",
+                "demand turns from prefill-heavy to decode-heavy and back",
+                Coop,
+                coop(0.0),
+                vec![],
+            )
+        },
     ]
 }
 
--- a/standin/src/world.rs
+++ b/standin/src/world.rs
@@ -106,6 +106,15 @@
     ///
     /// Returns an error if ports can't be had.
     pub async fn start(users: &[User]) -> anyhow::Result<Self> {
+        Self::start_with(users, false).await
+    }
+
+    /// Starts the stand-ins; `role_changes` lets engines change between prefill and decode.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if ports can't be had.
+    pub async fn start_with(users: &[User], role_changes: bool) -> anyhow::Result<Self> {
         let ledger = sync::Arc::new(ledger::Ledger::default());
         let platform = platform::Platform::new(LIST_LAG);
         let addr = platform.serve(net::bind().await?)?;
@@ -120,7 +129,7 @@
             services: Vec::new(),
         };
         for user in users {
-            world.add_user(*user).await?;
+            world.add_user(*user, role_changes).await?;
         }
         Ok(world)
     }
@@ -138,7 +147,7 @@
         self.engines.iter().any(|engine| engine.holds(request))
     }
 
-    async fn add_user(&mut self, user: User) -> anyhow::Result<()> {
+    async fn add_user(&mut self, user: User, role_changes: bool) -> anyhow::Result<()> {
         let shape = user.shape();
         let mut backends = Vec::new();
         let count = shape.prefill + shape.decode;
@@ -185,7 +194,7 @@
                 self.services.push(server);
             }
         }
-        let document = document(user, &shape, backends);
+        let document = document(user, &shape, backends, role_changes);
         let stored = json!({
             "generation": 1,
             "change": "first",
@@ -201,7 +210,12 @@
     }
 }
 
-fn document(user: User, shape: &Shape, backends: Vec<serde_json::Value>) -> serde_json::Value {
+fn document(
+    user: User,
+    shape: &Shape,
+    backends: Vec<serde_json::Value>,
+    role_changes: bool,
+) -> serde_json::Value {
     let sites: Vec<serde_json::Value> = shape
         .zones
         .iter()
@@ -228,7 +242,7 @@
             { "name": "door", "class": "urgent" },
             { "name": "deadline", "class": "urgent" },
         ],
-        "pools": [{ "name": "main", "model": "summarizer", "role_changes": false,
+        "pools": [{ "name": "main", "model": "summarizer", "role_changes": role_changes,
                     "min_per_role": 2 }],
         "services": services,
         "backends": backends,
