daemon: no delayed acknowledgements between hosts

Cause: plain calls through another home took 50 ms at p95: the listener for calls between hosts was handed in, and its connections kept the default delay. Change: accepted connections send at once.

--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -45,10 +45,9 @@
     let server = peer_server::PeerServer::new(Server { cx: cx.clone() })
         .max_decoding_message_size(MAX_MESSAGE_BYTES);
     let server = service::interceptor::InterceptedService::new(server, check);
-    let incoming = wrappers::TcpListenerStream::new(listener);
+    let incoming = transport::server::TcpIncoming::from(listener).with_nodelay(Some(true));
     let ended = drain::wait_left(&cx);
     let served = transport::Server::builder()
-        .tcp_nodelay(true)
         .add_service(server)
         .serve_with_incoming_shutdown(incoming, ended)
         .await;
