tests, daemon: promises provoked in-process, and three faults they found

Cause: the promises were only watched by the demo. They found, each now fixed and kept as a test: a job's answer was shown before the platform kept it; a new steward refused everything until its first load reports; a leaving host closed idle connections so that a request on its way met a broken connection. Ruled out: the refusals of a new steward were not a slow platform.

--- a/daemon/src/api.rs
+++ b/daemon/src/api.rs
@@ -101,18 +101,12 @@
     let connection = connections::Connection::default();
     let shared = connection.clone();
     let service_cx = cx.clone();
-    let service = hyper::service::service_fn(move |mut req: hyper::Request<_>| {
-        if req.version() < http::Version::HTTP_2 {
-            // The next request on a connection means that the answer before was read.
-            shared.settle(&service_cx, true);
-        }
-        req.extensions_mut().insert(shared.clone());
+    let service = hyper::service::service_fn(move |req: hyper::Request<_>| {
+        let cx = service_cx.clone();
         let router = router.clone();
-        async move {
-            let req = req.map(body::Body::new);
-            let called = tower_call(router, req).await;
-            Ok::<_, Infallible>(called)
-        }
+        let connection = shared.clone();
+        let req = req.map(body::Body::new);
+        async move { Ok::<_, Infallible>(answer(&cx, router, connection, req).await) }
     });
     let mut builder = conn::auto::Builder::new(rt::TokioExecutor::new());
     builder
@@ -127,8 +121,7 @@
     let mut serving = std::pin::pin!(serving);
     let ended = tokio::select! {
         ended = serving.as_mut() => ended,
-        () = drain::wait_leaving(cx) => {
-            // Idle connections close now, busy ones after their answer.
+        () = may_close(cx, &connection) => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
@@ -136,6 +129,59 @@
     connection.settle(cx, ended.is_ok());
 }
 
+/// Waits until the connection can be closed without cutting a request off. A request on HTTP/1.1
+/// could cross the close, so such connections stay open until the host closes down; each answer
+/// asks the caller to close.
+async fn may_close(cx: &host::Host, connection: &connections::Connection) {
+    drain::wait_for(cx, drain::Phase::Leaving).await;
+    if !connection.is_multiplexed() {
+        drain::wait_for(cx, drain::Phase::Closing).await;
+    }
+}
+
+async fn answer(
+    cx: &sync::Arc<host::Host>,
+    router: axum::Router,
+    connection: connections::Connection,
+    mut req: http::Request<body::Body>,
+) -> http::Response<body::Body> {
+    let _call = OpenCall::new(cx);
+    let multiplexed = req.version() >= http::Version::HTTP_2;
+    connection.set_multiplexed(multiplexed);
+    if !multiplexed {
+        // The next request on a connection means that the answer before was read.
+        connection.settle(cx, true);
+    }
+    req.extensions_mut().insert(connection);
+    let mut response = tower_call(router, req).await;
+    if !multiplexed && drain::check(cx).is_err() {
+        let close = http::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    response
+}
+
+/// A call whose response has not begun.
+struct OpenCall(sync::Arc<host::Host>);
+
+impl OpenCall {
+    fn new(cx: &sync::Arc<host::Host>) -> Self {
+        cx.counters.calls.fetch_add(1, atomic::Ordering::Relaxed);
+        Self(cx.clone())
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0
+            .counters
+            .calls
+            .fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
 const MIN_HEADER_BYTES: usize = 8_192;
 
 async fn tower_call(
--- a/daemon/src/connections.rs
+++ b/daemon/src/connections.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::pin;
 use std::sync;
+use std::sync::atomic;
 use std::task;
 use std::time::Duration;
 
@@ -93,10 +94,22 @@
 /// One connection of a caller.
 #[derive(Clone, Debug, Default)]
 pub struct Connection {
+    multiplexed: sync::Arc<atomic::AtomicBool>,
     unsettled: sync::Arc<sync::Mutex<Vec<Delivery>>>,
 }
 
 impl Connection {
+    /// Notes the protocol of a request on the connection.
+    pub fn set_multiplexed(&self, multiplexed: bool) {
+        self.multiplexed
+            .store(multiplexed, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns whether the connection can be ended without a race with the next request.
+    pub fn is_multiplexed(&self) -> bool {
+        self.multiplexed.load(atomic::Ordering::Relaxed)
+    }
+
     /// Notes that an answer's last byte was handed to the connection.
     pub fn sent(&self, cx: &host::Host, delivery: Delivery) {
         delivery.sent(cx);
--- a/daemon/src/drain.rs
+++ b/daemon/src/drain.rs
@@ -14,18 +14,22 @@
 use crate::jobs;
 
 /// How far a host is on its way out.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
     /// It takes requests.
     Serving,
     /// It finishes what runs.
     Leaving,
+    /// Nothing runs any more; connections are closed.
+    Closing,
     /// Nothing is left.
     Left,
 }
 
 const CHECK_EVERY: Duration = Duration::from_millis(50);
+/// Time for connections to close.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
 /// Time for which a leaving host still answers others after its last request ended.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -64,36 +68,42 @@
         tokio::time::sleep(CHECK_EVERY).await;
     }
     tokio::time::sleep(LINGER).await;
+    cx.phase.send_replace(Phase::Closing);
+    let until = cx.now() + CLOSE_LIMIT;
+    while cx.now() < until && connections(cx) > 0 {
+        tokio::time::sleep(CHECK_EVERY).await;
+    }
     log::info!("host {} has left", cx.id);
     cx.phase.send_replace(Phase::Left);
 }
 
-/// Waits until the host leaves.
-pub async fn wait_leaving(cx: &host::Host) {
+/// Waits until the host has come to a phase.
+pub async fn wait_for(cx: &host::Host, wanted: Phase) {
     let mut phase = cx.phase.subscribe();
     // The sender lives as long as the host.
-    let _ = phase.wait_for(|phase| *phase != Phase::Serving).await;
+    let _ = phase.wait_for(|phase| *phase >= wanted).await;
 }
 
 /// Waits until the host has left.
 pub async fn wait_left(cx: &host::Host) {
-    let mut phase = cx.phase.subscribe();
-    // The sender lives as long as the host.
-    let _ = phase.wait_for(|phase| *phase == Phase::Left).await;
+    wait_for(cx, Phase::Left).await;
 }
 
 /// Returns whether no request runs, no answer is being sent and no other home waits for a cell here.
 fn is_idle(cx: &host::Host) -> bool {
-    let connections = cx
-        .counters
-        .connections
-        .load(sync::atomic::Ordering::Relaxed);
+    let calls = cx.counters.calls.load(sync::atomic::Ordering::Relaxed);
     let running = host::lock(&cx.ids).running();
     let waiting = cx.steward.all().iter().any(|cell| {
         let counts = cell.with(|cell| cell.counts());
         counts.urgent + counts.normal + counts.patient > 0
     });
-    connections == 0 && running == 0 && !waiting && !has_readers(cx)
+    calls == 0 && running == 0 && !waiting && !has_readers(cx)
+}
+
+fn connections(cx: &host::Host) -> u64 {
+    cx.counters
+        .connections
+        .load(sync::atomic::Ordering::Relaxed)
 }
 
 fn has_readers(cx: &host::Host) -> bool {
--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -113,6 +113,8 @@
     pub control_bytes: atomic::AtomicU64,
     /// Open connections of callers.
     pub connections: atomic::AtomicU64,
+    /// Calls of callers whose response has not begun.
+    pub calls: atomic::AtomicU64,
 }
 
 impl Counters {
--- a/daemon/src/journal_store.rs
+++ b/daemon/src/journal_store.rs
@@ -35,6 +35,8 @@
 #[derive(Debug)]
 struct Open {
     journal: journal::Journal,
+    /// The entries as the platform keeps them; only these are shown.
+    kept: collections::BTreeMap<String, journal::Entry>,
     version: u64,
     dirty: bool,
     waiters: Vec<tokio::sync::oneshot::Sender<Kept>>,
@@ -77,6 +79,7 @@
             let id = format!("{name}~{number:x}");
             let found = open.entry(name).or_insert_with(|| Open {
                 journal: journal::Journal::new(self.owner.clone()),
+                kept: collections::BTreeMap::new(),
                 version: 0,
                 dirty: true,
                 waiters: Vec::new(),
@@ -113,14 +116,11 @@
         rx.await.unwrap_or(Kept::Unknown("the host ends".into()))
     }
 
-    /// Returns a job that is kept here.
+    /// Returns a job as the platform keeps it, if its journal is open here.
     pub fn get(&self, id: &str) -> Option<journal::Entry> {
         let open = host::lock(&self.open);
         let found = open.get(journal_name(id))?;
-        if found.unwritten.iter().any(|unwritten| unwritten == id) {
-            return None;
-        }
-        found.journal.entries.get(id).cloned()
+        found.kept.get(id).cloned()
     }
 
     /// Returns how many jobs are kept here, and how many of them are not final.
@@ -134,6 +134,7 @@
     /// Adopts a journal that was taken over by a conditional write.
     pub fn adopt(&self, name: &str, journal: journal::Journal, version: u64) {
         let adopted = Open {
+            kept: journal.entries.clone(),
             journal,
             version,
             dirty: false,
@@ -187,8 +188,9 @@
             Written::Version(version) => {
                 if let Some(found) = open.get_mut(&batch.name) {
                     found.version = version;
-                    let entries = &batch.journal.entries;
-                    found.unwritten.retain(|id| !entries.contains_key(id));
+                    found.kept = batch.journal.entries;
+                    let kept = &found.kept;
+                    found.unwritten.retain(|id| !kept.contains_key(id));
                 }
                 Kept::Yes
             }
--- /dev/null
+++ b/daemon/tests/settings_file.rs
@@ -0,0 +1,142 @@
+//! Settings: each fault gives one clear line with file, section and key.
+
+use walnuthaven_daemon::settings;
+use walnuthaven_lib::auth;
+
+const SEED: u64 = 8;
+const GOOD: &str = "[host]\nname = h1\nzone = z1\n[platform]\nurl = http://127.0.0.1:1\n\
+                    [fleet]\nkey = 0123456789abcdef\n";
+
+fn fault(text: &str) -> String {
+    settings::parse("f.ini", text).expect_err(text).to_string()
+}
+
+#[test]
+fn reads_a_small_file() {
+    let settings = settings::parse("f.ini", GOOD).unwrap();
+    assert_eq!(&*settings.name, "h1");
+    assert_eq!(settings.drain_s, 120);
+    assert_eq!(settings.api.port(), 7_400);
+}
+
+#[test]
+fn reads_units() {
+    let text = format!("{GOOD}[limits]\nbody = 64kB\nheader_time = 500ms\nstall_time = 2min\n");
+    let settings = settings::parse("f.ini", &text).unwrap();
+    assert_eq!(settings.limits.body_bytes, 64_000);
+    assert_eq!(settings.limits.header_ms, 500);
+    assert_eq!(settings.limits.stall_ms, 120_000);
+}
+
+#[test]
+fn names_file_section_key_and_value() {
+    for (extra, wanted) in [
+        (
+            "[colour]\nx = 1\n",
+            "f.ini: section [colour]: unknown section",
+        ),
+        (
+            "[log]\nlevle = info\n",
+            "section [log], key \"levle\": unknown key",
+        ),
+        (
+            "[log]\nlevel = loud\n",
+            "key \"level\": \"loud\" is not off, error",
+        ),
+        (
+            "[log]\nlevel = info\nlevel = warn\n",
+            "section [log], key \"level\": appears twice",
+        ),
+        (
+            "[log]\n[metrics]\n[log]\nlevel = info\n",
+            "section [log]: appears twice",
+        ),
+        (
+            "[limits]\nbody = 64\n",
+            "key \"body\": \"64\" is not a size with unit",
+        ),
+        (
+            "[limits]\nheader_time = 5h\n",
+            "key \"header_time\": \"5h\" is not a duration",
+        ),
+        (
+            "[limits]\nconnections = 0\n",
+            "key \"connections\": 0 is outside 1 to",
+        ),
+        (
+            "[listen]\napi = localhost:1\n",
+            "key \"api\": \"localhost:1\" is not an IP address",
+        ),
+        (
+            "[metrics]\nstatsd = here\n",
+            "key \"statsd\": \"here\" is not an IP address",
+        ),
+        (
+            "[policy]\nscheduler = best\n",
+            "key \"scheduler\": \"best\" is neither",
+        ),
+        (
+            "[operator.anna]\nrole = king\n",
+            "section [operator.anna], key \"role\": \"king\"",
+        ),
+        (
+            "[operator.anna]\nrole = view\n",
+            "section [operator.anna], key \"salt\": is missing",
+        ),
+    ] {
+        let text = fault(&format!("{GOOD}{extra}"));
+        assert!(text.contains(wanted), "{extra:?}: {text}");
+        assert_eq!(text.lines().count(), 1);
+    }
+    for (from, to, wanted) in [
+        (
+            "name = h1",
+            "name = H1",
+            "section [host], key \"name\": \"H1\" is not a name",
+        ),
+        ("zone = z1", "", "section [host], key \"zone\": is missing"),
+        (
+            "http://127",
+            "https://127",
+            "section [platform], key \"url\"",
+        ),
+        (
+            "0123456789abcdef",
+            "short",
+            "section [fleet], key \"key\": is shorter",
+        ),
+    ] {
+        let text = fault(&GOOD.replace(from, to));
+        assert!(text.contains(wanted), "{to:?}: {text}");
+        assert!(!text.contains("short\""), "a secret is not shown: {text}");
+    }
+}
+
+#[test]
+fn secrets_do_not_show() {
+    let token = auth::HashedKey::new("anna", "5a17", "operator-secret");
+    let text = format!(
+        "{GOOD}[operator.anna]\nrole = change\nsalt = {}\nsha256 = {}\n",
+        token.salt, token.sha256
+    );
+    let settings = settings::parse("f.ini", &text).unwrap();
+    let shown = format!("{settings:?}");
+    assert!(!shown.contains("0123456789abcdef"), "{shown}");
+    assert!(settings.operators[0].may_change);
+}
+
+#[test]
+fn survives_any_bytes() {
+    fn property(bytes: Vec<u8>) -> bool {
+        let text = String::from_utf8_lossy(&bytes);
+        let garbage = settings::parse("f.ini", &text).is_err();
+        // A file with something appended is read or refused, but never ends the process.
+        let _ = settings::parse("f.ini", &format!("{GOOD}{text}"));
+        garbage
+    }
+    println!("seed {SEED}");
+    quickcheck::QuickCheck::new()
+        .tests(2_000)
+        .rng(quickcheck::Gen::from_size_and_seed(80, SEED))
+        .quickcheck(property as fn(Vec<u8>) -> bool);
+}
--- a/lib/src/cell.rs
+++ b/lib/src/cell.rs
@@ -47,6 +47,8 @@
 const MAX_QUEUED: usize = 4096;
 /// Time after which a grant that no engine shows is taken to be leaked.
 const UNSEEN_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time in which a new steward lets requests wait until it has heard of its engines.
+const WARM_UP: Duration = Duration::from_millis(1_000);
 const RECENT_RELEASE: Duration = Duration::from_millis(1_500);
 
 /// The state of a cell at its steward.
@@ -61,6 +63,7 @@
     hold: admission::HoldTime,
     next: u64,
     turn: usize,
+    first_ask: Option<Duration>,
 }
 
 impl Cell {
@@ -76,6 +79,7 @@
             hold: admission::HoldTime::default(),
             next: first_id,
             turn: 0,
+            first_ask: None,
         }
     }
 
@@ -100,7 +104,9 @@
     ///
     /// Refuses a request whose first token can't come in time.
     pub fn ask(&mut self, ask: grant::Ask, now: Duration) -> Result<u64, refusal::Refusal> {
-        if self.policy == Policy::Current {
+        let began = *self.first_ask.get_or_insert(now);
+        let warming = now.saturating_sub(began) < WARM_UP && self.engines.has_unseen();
+        if self.policy == Policy::Current && !warming {
             self.admit(&ask, now)?;
         }
         let ticket = self.take_id();
--- a/lib/src/engines.rs
+++ b/lib/src/engines.rs
@@ -220,6 +220,13 @@
         self.now = self.now.max(now);
     }
 
+    /// Returns whether some engine has sent no report yet.
+    pub fn has_unseen(&self) -> bool {
+        self.engines
+            .values()
+            .any(|engine| engine.last_seen.is_none())
+    }
+
     /// Returns the free decode slots.
     pub fn free_slots(&self) -> usize {
         let decoders = self.working(Role::Decode);
--- /dev/null
+++ b/lib/tests/job_journal.rs
@@ -0,0 +1,80 @@
+//! Journals: what a new owner runs, what it must not run, and their bounds.
+
+use std::time::Duration;
+
+use walnuthaven_lib::ids;
+use walnuthaven_lib::journal;
+use walnuthaven_lib::queue;
+use walnuthaven_lib::refusal;
+
+fn host(name: &str) -> ids::HostId {
+    ids::HostId {
+        name: name.into(),
+        incarnation: 1,
+    }
+}
+
+fn entry(repeatable: bool, progress: journal::Progress) -> journal::Entry {
+    journal::Entry {
+        job: journal::Job {
+            workspace: "w".into(),
+            service: "s".into(),
+            prompt: "p".repeat(1_000),
+            max_tokens: 100,
+            class: queue::Class::Patient,
+            repeatable,
+        },
+        progress,
+        changed: Duration::ZERO,
+    }
+}
+
+#[test]
+fn a_new_owner_repeats_only_what_may_be_repeated() {
+    let done = journal::Progress::Done {
+        text: "t".into(),
+        tokens: 1,
+    };
+    let mut journal = journal::Journal::new(host("a"));
+    for (id, repeatable, progress) in [
+        ("waiting", false, journal::Progress::Waiting),
+        ("begun", true, journal::Progress::Dispatched),
+        ("unsure", false, journal::Progress::Dispatched),
+        ("done", false, done.clone()),
+        ("fetched", true, journal::Progress::Fetched),
+    ] {
+        journal
+            .entries
+            .insert(id.into(), entry(repeatable, progress));
+    }
+    let to_run = journal.take_over(host("b"), Duration::from_secs(9));
+    assert_eq!(to_run, ["begun", "waiting"]);
+    assert_eq!(journal.owner, host("b"));
+    assert_eq!(journal.entries["done"].progress, done);
+    match &journal.entries["unsure"].progress {
+        journal::Progress::Failed { refusal } => assert_eq!(refusal.ran, refusal::Ran::Unknown),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_journal_stays_within_an_object() {
+    let mut journal = journal::Journal::new(host("a"));
+    let mut number = 0;
+    while journal.has_room(entry(true, journal::Progress::Waiting).size()) {
+        let id = format!("{number}");
+        journal
+            .entries
+            .insert(id, entry(true, journal::Progress::Waiting));
+        number += 1;
+    }
+    assert_eq!(number, journal::MAX_ENTRIES);
+    assert!(!journal.has_room(1));
+    let mut roomy = journal::Journal::new(host("a"));
+    assert!(!roomy.has_room(journal::MAX_BYTES + 1));
+    roomy
+        .entries
+        .insert("x".into(), entry(true, journal::Progress::Fetched));
+    assert!(!roomy.expire(Duration::from_secs(10)));
+    assert!(roomy.expire(journal::KEPT_FOR));
+}
--- /dev/null
+++ b/lib/tests/lease_fencing.rs
@@ -0,0 +1,160 @@
+//! Leases: one usable holder at a time, and numbers that only rise.
+
+use std::time::Duration;
+
+use walnuthaven_lib::engines;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::lease;
+use walnuthaven_lib::roles;
+
+const SEED: u64 = 12;
+
+fn host(name: &str) -> ids::HostId {
+    ids::HostId {
+        name: name.into(),
+        incarnation: 1,
+    }
+}
+
+fn secs(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// The platform's object with its version.
+#[derive(Default)]
+struct Stored {
+    record: Option<lease::Record>,
+    version: u64,
+}
+
+impl Stored {
+    fn put(&mut self, record: &lease::Record, expected: u64) -> bool {
+        if self.version != expected {
+            return false;
+        }
+        self.version += 1;
+        self.record = Some(record.clone());
+        true
+    }
+}
+
+fn attempt(lease: &mut lease::Lease, stored: &mut Stored, now: Duration, reply_lost: bool) {
+    let version = stored.version;
+    if let lease::Step::Write(record) = lease.observe(stored.record.as_ref(), true, now)
+        && stored.put(&record, version)
+        && !reply_lost
+    {
+        lease.written(&record, now);
+    }
+}
+
+#[test]
+fn a_successor_waits_for_the_paused_holder() {
+    let mut stored = Stored::default();
+    let mut first = lease::Lease::new(host("a"));
+    let mut second = lease::Lease::new(host("b"));
+    attempt(&mut first, &mut stored, secs(0), false);
+    let fence = first.held(secs(1)).expect("held").fence;
+    attempt(&mut second, &mut stored, secs(1), false);
+    assert!(second.held(secs(1)).is_none());
+    attempt(&mut second, &mut stored, secs(12), false);
+    assert!(
+        second.held(secs(12)).is_none(),
+        "an order may still be on its way"
+    );
+    attempt(&mut second, &mut stored, secs(13), false);
+    let next = second.held(secs(13)).expect("taken over").fence;
+    assert!(next > fence);
+    assert!(first.held(secs(20)).is_none(), "the paused holder wakes up");
+}
+
+#[test]
+fn a_lost_reply_gives_no_lease_until_it_is_read() {
+    let mut stored = Stored::default();
+    let mut lease = lease::Lease::new(host("a"));
+    attempt(&mut lease, &mut stored, secs(0), true);
+    assert!(lease.held(secs(0)).is_none());
+    attempt(&mut lease, &mut stored, secs(1), false);
+    assert!(lease.held(secs(1)).is_some());
+}
+
+#[test]
+fn two_hosts_never_hold_at_once() {
+    fn property(steps: Vec<(bool, u8, bool)>) -> bool {
+        let mut stored = Stored::default();
+        let mut leases = [lease::Lease::new(host("a")), lease::Lease::new(host("b"))];
+        let mut now = Duration::ZERO;
+        let mut highest = 0;
+        for (who, pause, reply_lost) in steps {
+            now += Duration::from_millis(u64::from(pause) * 60);
+            attempt(&mut leases[usize::from(who)], &mut stored, now, reply_lost);
+            let held: Vec<lease::Held> = leases.iter().filter_map(|l| l.held(now)).collect();
+            if held.len() > 1 {
+                return false;
+            }
+            if let Some(held) = held.first() {
+                if held.fence < highest {
+                    return false;
+                }
+                highest = held.fence;
+            }
+        }
+        true
+    }
+    println!("seed {SEED}");
+    quickcheck::QuickCheck::new()
+        .rng(quickcheck::Gen::from_size_and_seed(200, SEED))
+        .quickcheck(property as fn(Vec<(bool, u8, bool)>) -> bool);
+}
+
+#[test]
+fn roles_change_slowly_and_keep_their_minimum() {
+    let mut policy = roles::Policy::default();
+    let candidate = |name: &str, role, held| roles::Candidate {
+        name: name.into(),
+        role,
+        held,
+    };
+    let engines = [
+        candidate("p0", engines::Role::Prefill, 0),
+        candidate("d0", engines::Role::Decode, 9),
+        candidate("d1", engines::Role::Decode, 2),
+    ];
+    let prefill_heavy = roles::Pressure {
+        prefill: 1.0,
+        decode: 0.2,
+    };
+    let decode_heavy = roles::Pressure {
+        prefill: 0.2,
+        decode: 1.0,
+    };
+    assert_eq!(policy.decide(prefill_heavy, &engines, 1, secs(0)), None);
+    assert_eq!(
+        policy.decide(decode_heavy, &engines, 1, secs(1)),
+        None,
+        "a short swing"
+    );
+    assert_eq!(policy.decide(prefill_heavy, &engines, 1, secs(2)), None);
+    let change = policy
+        .decide(prefill_heavy, &engines, 1, secs(5))
+        .expect("it lasts");
+    assert_eq!((&*change.name, change.role), ("d1", engines::Role::Prefill));
+    for at in 5..15 {
+        assert_eq!(
+            policy.decide(prefill_heavy, &engines, 1, secs(at)),
+            None,
+            "rest"
+        );
+    }
+    assert!(
+        policy
+            .decide(prefill_heavy, &engines, 1, secs(20))
+            .is_some()
+    );
+    assert_eq!(policy.decide(prefill_heavy, &engines, 2, secs(60)), None);
+    assert_eq!(
+        policy.decide(prefill_heavy, &engines, 2, secs(90)),
+        None,
+        "the minimum stays"
+    );
+}
--- a/standin/src/local.rs
+++ b/standin/src/local.rs
@@ -3,22 +3,26 @@
 use std::sync;
 use std::time::Duration;
 
+use tokio::runtime;
 use walnuthaven_daemon::host;
 use walnuthaven_daemon::settings;
 use walnuthaven_lib::membership;
 
 use crate::world;
 
+const THREADS: usize = 2;
 /// How often a condition is looked at.
 pub const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// A condition that is not met by then is a failure.
 pub const GIVE_UP_AFTER: Duration = Duration::from_secs(60);
 
-/// Hosts inside this process.
+/// Hosts inside this process, each with a runtime of its own, so that it can be cut off like a
+/// crashed process.
 #[derive(Debug)]
 pub struct Fleet {
     /// The hosts.
     pub hosts: Vec<host::Running>,
+    runtimes: Vec<Option<runtime::Runtime>>,
 }
 
 impl Fleet {
@@ -33,7 +37,10 @@
         count: usize,
         scheduler: &str,
     ) -> anyhow::Result<Self> {
-        let mut fleet = Self { hosts: Vec::new() };
+        let mut fleet = Self {
+            hosts: Vec::new(),
+            runtimes: Vec::new(),
+        };
         for at in 0..count {
             fleet.add(world, &format!("host-{at}"), scheduler).await?;
         }
@@ -62,7 +69,13 @@
         let platform = &world.platform_url;
         let text = world::settings_text(name, zone, platform, scheduler, &seeds, None, None);
         let settings = settings::parse("local", &text)?;
-        self.hosts.push(host::Host::start(settings).await?);
+        let runtime = runtime::Builder::new_multi_thread()
+            .worker_threads(THREADS)
+            .enable_all()
+            .build()?;
+        let started = runtime.spawn(host::Host::start(settings)).await;
+        self.runtimes.push(Some(runtime));
+        self.hosts.push(started??);
         Ok(())
     }
 
@@ -76,6 +89,13 @@
         &self.hosts[at].host
     }
 
+    /// Ends a host as a crash does: all its connections break and nothing of it runs on.
+    pub fn crash(&mut self, at: usize) {
+        if let Some(runtime) = self.runtimes[at].take() {
+            runtime.shutdown_background();
+        }
+    }
+
     fn is_ready(&self, count: usize) -> bool {
         let known = self.hosts.iter().all(|running| {
             let members = host::lock(&running.host.members).members();
@@ -114,6 +134,14 @@
     }
 }
 
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for at in 0..self.runtimes.len() {
+            self.crash(at);
+        }
+    }
+}
+
 /// Waits until a condition holds.
 ///
 /// # Errors
--- /dev/null
+++ b/standin/tests/config_race.rs
@@ -0,0 +1,230 @@
+//! Configuration in force: races, lost replies, a restored platform, an outage.
+
+use std::collections;
+
+use serde_json::json;
+use walnuthaven_daemon::host;
+use walnuthaven_lib::config;
+use walnuthaven_standin::local;
+use walnuthaven_standin::platform;
+use walnuthaven_standin::world;
+
+const HOSTS: usize = 8;
+const CHANGES_PER_OPERATOR: usize = 50;
+
+struct Operator {
+    admin: String,
+}
+
+impl Operator {
+    fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&serde_json::Value>,
+    ) -> (u16, serde_json::Value) {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .build();
+        let agent: ureq::Agent = config.into();
+        let url = format!("http://{}/admin/{path}", self.admin);
+        let bearer = format!("Bearer {}", world::OPERATOR_TOKEN);
+        let sent = match body {
+            None => agent.get(url).header("authorization", bearer).call(),
+            Some(body) if method == "PUT" => agent
+                .put(url)
+                .header("authorization", bearer)
+                .send_json(body),
+            Some(body) => agent
+                .post(url)
+                .header("authorization", bearer)
+                .send_json(body),
+        };
+        let mut response = sent.unwrap();
+        let status = response.status().as_u16();
+        (status, response.body_mut().read_json().unwrap())
+    }
+
+    fn show(&self) -> (u64, serde_json::Value) {
+        let (status, stored) = self.call("GET", "config/hammam", None);
+        assert_eq!(status, 200);
+        (
+            stored["generation"].as_u64().unwrap(),
+            stored["document"].clone(),
+        )
+    }
+
+    fn put(
+        &self,
+        document: &serde_json::Value,
+        seen: u64,
+        change: &str,
+    ) -> (u16, serde_json::Value) {
+        let body = json!({ "document": document, "seen": seen, "change": change });
+        self.call("PUT", "config/hammam", Some(&body))
+    }
+}
+
+async fn setup() -> (world::World, local::Fleet) {
+    let world = world::World::start(&[world::User::Coop]).await.unwrap();
+    let fleet = local::Fleet::start(&world, HOSTS, "current").await.unwrap();
+    (world, fleet)
+}
+
+fn operator(fleet: &local::Fleet, at: usize) -> Operator {
+    Operator {
+        admin: fleet.hosts[at].admin.to_string(),
+    }
+}
+
+fn generation(fleet: &local::Fleet, at: usize) -> u64 {
+    let config = host::read(&fleet.host(at).config);
+    config.get("hammam").map_or(0, |stored| stored.generation)
+}
+
+async fn in_force_everywhere(fleet: &local::Fleet, wanted: u64) {
+    local::until("the generation is in force at every host", || {
+        (0..HOSTS).all(|at| generation(fleet, at) == wanted)
+    })
+    .await
+    .unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators_lose_no_accepted_change() {
+    let (_world, fleet) = setup().await;
+    let operators = [operator(&fleet, 0), operator(&fleet, 5)];
+    let race = |number: usize, operator: Operator| {
+        move || {
+            let mut accepted = Vec::new();
+            let mut conflicts = 0;
+            for step in 0..CHANGES_PER_OPERATOR {
+                let (seen, mut document) = operator.show();
+                document["share"] = json!(1 + (number * 500 + step) % 1_000);
+                let change = format!("race-{number}-{step}");
+                match operator.put(&document, seen, &change) {
+                    (200, body) => accepted.push((body["generation"].as_u64().unwrap(), change)),
+                    (409, body) => {
+                        assert!(body["difference"].is_string());
+                        conflicts += 1;
+                    }
+                    other => panic!("{other:?}"),
+                }
+            }
+            (accepted, conflicts)
+        }
+    };
+    let [first, second] = operators;
+    let first = tokio::task::spawn_blocking(race(0, first));
+    let second = tokio::task::spawn_blocking(race(1, second));
+    let (first, second) = (first.await.unwrap(), second.await.unwrap());
+    let conflicts = first.1 + second.1;
+    let accepted: collections::BTreeMap<u64, String> =
+        first.0.into_iter().chain(second.0).collect();
+    assert_eq!(
+        accepted.len() + conflicts,
+        2 * CHANGES_PER_OPERATOR,
+        "no generation twice"
+    );
+    let newest = *accepted.keys().last().unwrap();
+    assert_eq!(newest, accepted.len() as u64 + 1, "no gap");
+    in_force_everywhere(&fleet, newest).await;
+    let config = host::read(&fleet.host(3).config);
+    let stored = config.get("hammam").unwrap();
+    for change in &stored.recent {
+        let known = accepted.get(&change.generation);
+        assert_eq!(known.map_or("first", String::as_str), change.change);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_reply_is_read_back() {
+    let (world, fleet) = setup().await;
+    world.platform.set_faults(platform::Faults {
+        lose_replies: 1.0,
+        ..platform::Faults::default()
+    });
+    let operator = operator(&fleet, 1);
+    let (seen, mut document) = operator.show();
+    document["share"] = json!(7);
+    let put = tokio::task::spawn_blocking(move || {
+        let first = operator.put(&document, seen, "lost");
+        let repeat = operator.put(&document, seen, "lost");
+        (first, repeat)
+    });
+    let ((first, _), (repeat, body)) = put.await.unwrap();
+    // The history's write may lose its reply too; then nothing was changed and the repeat decides.
+    assert!(first == 200 || first == 503, "{first}");
+    world.platform.set_faults(platform::Faults::default());
+    if repeat == 200 {
+        assert_eq!(body["generation"], 2);
+        in_force_everywhere(&fleet, 2).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_refuses_clearly_and_a_restore_takes_nobody_back() {
+    let (world, fleet) = setup().await;
+    let old = world.platform.value("config", "hammam").unwrap();
+    let operator = operator(&fleet, 2);
+    let (seen, mut document) = operator.show();
+    document["share"] = json!(9);
+    let (status, _) = operator.put(&document, seen, "before");
+    assert_eq!(status, 200);
+    in_force_everywhere(&fleet, 2).await;
+    world.platform.set_faults(platform::Faults {
+        down: true,
+        ..platform::Faults::default()
+    });
+    let (status, body) = operator.put(&document, 2, "during");
+    assert_eq!(status, 503, "{body}");
+    world.platform.seed("config", "hammam", old);
+    world.platform.set_faults(platform::Faults::default());
+    local::until("the restored platform is repaired", || {
+        let stored = world.platform.value("config", "hammam").unwrap();
+        stored["generation"] == 2
+    })
+    .await
+    .unwrap();
+    assert!((0..HOSTS).all(|at| generation(&fleet, at) == 2));
+    let (status, body) = operator.put(&document, 2, "after");
+    assert_eq!((status, &body["generation"]), (200, &json!(3)), "{body}");
+    in_force_everywhere(&fleet, 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_started_in_an_outage_learns_from_its_peers() {
+    let world = world::World::start(&[world::User::Coop]).await.unwrap();
+    let mut fleet = local::Fleet::start(&world, 2, "current").await.unwrap();
+    world.platform.set_faults(platform::Faults {
+        down: true,
+        ..platform::Faults::default()
+    });
+    fleet.add(&world, "late", "current").await.unwrap();
+    local::until("the late host has the configuration", || {
+        generation(&fleet, 2) == 1
+    })
+    .await
+    .unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_with_faults_changes_nothing() {
+    let (_world, fleet) = setup().await;
+    let operator = operator(&fleet, 0);
+    let (seen, mut document) = operator.show();
+    document["share"] = json!(0);
+    document["backends"][0]["addr"] = json!("nowhere");
+    let (status, report) = operator.put(&document, seen, "faulty");
+    assert_eq!(status, 422);
+    let paths: Vec<&str> = report["faults"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|fault| fault["path"].as_str().unwrap())
+        .collect();
+    assert_eq!(paths, ["share", "backends[0].addr"]);
+    assert_eq!(generation(&fleet, 0), 1);
+    let parsed: config::Workspace = serde_json::from_value(operator.show().1).unwrap();
+    assert_eq!(parsed.share, 1);
+}
--- /dev/null
+++ b/standin/tests/plain_once.rs
@@ -0,0 +1,125 @@
+//! Plain calls that may not be repeated run at most once.
+
+use walnuthaven_lib::history;
+use walnuthaven_standin::agent;
+use walnuthaven_standin::local;
+use walnuthaven_standin::service;
+use walnuthaven_standin::world;
+
+async fn setup() -> (world::World, local::Fleet, agent::Agent) {
+    let world = world::World::start(&[world::User::Coop]).await.unwrap();
+    let fleet = local::Fleet::start(&world, 3, "current").await.unwrap();
+    let known = fleet.api_addresses();
+    let agent = agent::Agent::new(world::User::Coop, "jabal", known).unwrap();
+    (world, fleet, agent)
+}
+
+fn runs(world: &world::World, id: &str) -> usize {
+    let records = world.ledger.records();
+    let ran = records.iter().filter(
+        |record| matches!(&record.event, history::Event::Ran { request, .. } if request == id),
+    );
+    ran.count()
+}
+
+fn set_faults(world: &world::World, faults: service::Faults) {
+    world
+        .services
+        .iter()
+        .for_each(|server| server.set_faults(faults));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_hosts_asked_together_call_once() {
+    let (world, fleet, agent) = setup().await;
+    let (_, id) = agent.host_and_id(None).await.unwrap();
+    let hosts = fleet.api_addresses();
+    let calls = hosts.iter().map(|host| agent.plain(host, &id, "turnstile"));
+    for reply in futures_util::future::join_all(calls).await {
+        match reply {
+            Ok(body) => assert_eq!(body, format!("ok /check {id}")),
+            Err(agent::Failure::Refused(refused)) => {
+                assert_eq!(refused.code, "already_answered");
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(runs(&world, &id), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_reply_is_an_unknown_outcome() {
+    let (world, fleet, agent) = setup().await;
+    set_faults(
+        &world,
+        service::Faults {
+            lose_replies: 1.0,
+            fail: 0.0,
+        },
+    );
+    let (_, id) = agent.host_and_id(None).await.unwrap();
+    for host in fleet.api_addresses() {
+        match agent.plain(&host, &id, "turnstile").await {
+            Err(agent::Failure::Refused(refused)) => {
+                assert_eq!(
+                    (&*refused.code, &*refused.ran),
+                    ("outcome_unknown", "unknown")
+                );
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(runs(&world, &id), 1, "asked at three hosts, run once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_server_is_passed_over() {
+    let world = world::World::start(&[world::User::Coop]).await.unwrap();
+    let mut stored = world.platform.value("config", "hammam").unwrap();
+    for backend in stored["document"]["backends"].as_array_mut().unwrap() {
+        let name = backend["name"].as_str().unwrap();
+        if name.starts_with("hammam-turnstile") && name != "hammam-turnstile-3" {
+            // Nothing listens on the discard port.
+            let port = 2 + name.bytes().last().unwrap() as usize;
+            backend["addr"] = serde_json::json!(format!("127.0.0.1:{port}"));
+        }
+    }
+    world.platform.seed("config", "hammam", stored);
+    let fleet = local::Fleet::start(&world, 3, "current").await.unwrap();
+    let agent = agent::Agent::new(world::User::Coop, "jabal", fleet.api_addresses()).unwrap();
+    for _ in 0..6 {
+        let (host, id) = agent.host_and_id(None).await.unwrap();
+        let body = agent.plain(&host, &id, "turnstile").await.unwrap();
+        assert_eq!(body, format!("ok /check {id}"));
+        assert_eq!(runs(&world, &id), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_gets_no_calls() {
+    let (world, fleet, agent) = setup().await;
+    world.services[0].leave();
+    let leaver = world.services[0].name.clone();
+    local::until("the steward leaves the server out", || {
+        let host = &fleet.hosts;
+        let seen = host
+            .iter()
+            .map(|h| h.host.plain.stewarded("hammam/plain/turnstile"));
+        let mut known = seen.filter(|servers| !servers.is_empty());
+        known.any(|servers| servers.iter().all(|server| *server.name != *leaver))
+    })
+    .await
+    .unwrap();
+    // Other hosts keep the steward's answer for half a second.
+    tokio::time::sleep(std::time::Duration::from_millis(600)).await;
+    let before = world.ledger.records().len();
+    for _ in 0..40 {
+        let (host, id) = agent.host_and_id(None).await.unwrap();
+        agent.plain(&host, &id, "turnstile").await.unwrap();
+    }
+    let records = world.ledger.records();
+    let late = records[before..]
+        .iter()
+        .filter(|record| matches!(&record.event, history::Event::WorkAfterLeave { .. }));
+    assert_eq!(late.count(), 0);
+}
