daemon, lib: death can be refuted, models are rolled out, answers are swept

A host paused for more than 1.5 s, or cut off, stayed out of the fleet until its restart, because a death was final. Finished answers were never dropped. An answer that went out through a host which then died counted as sent. A new model version in a document reached no engine. Change: a death is refuted by the member's own higher number, the dead are probed now and then for two hours, and a silent zone stays suspected; answers are kept 60 s and at most 5,000; what went out through a gone host counts as not delivered; engines that report another model or version are drained and ordered one at a time; requests to which nobody comes back for 5 s are ended.

--- /dev/null
+++ b/cli/tests/operator_session.rs
@@ -0,0 +1,159 @@
+//! A whole session of an operator on the command line.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::io::Write as _;
+use std::path;
+use std::process;
+
+use walnuthaven_standin::local;
+use walnuthaven_standin::world;
+
+struct Session {
+    admin: String,
+    folder: path::PathBuf,
+    log: String,
+    replaced: Vec<(String, String)>,
+}
+
+impl Session {
+    /// Runs a command and notes its words, output and exit code.
+    fn run(&mut self, words: &[&str]) -> String {
+        self.run_with(words, world::OPERATOR_TOKEN, "")
+    }
+
+    fn run_with(&mut self, words: &[&str], token: &str, input: &str) -> String {
+        let mut child = process::Command::new(env!("CARGO_BIN_EXE_walnuthaven"))
+            .args(words)
+            .current_dir(&self.folder)
+            .env("WALNUTHAVEN_ADMIN", &self.admin)
+            .env("WALNUTHAVEN_TOKEN", token)
+            .stdin(process::Stdio::piped())
+            .stdout(process::Stdio::piped())
+            .stderr(process::Stdio::piped())
+            .spawn()
+            .unwrap();
+        child
+            .stdin
+            .take()
+            .unwrap()
+            .write_all(input.as_bytes())
+            .unwrap();
+        let output = child.wait_with_output().unwrap();
+        let out = String::from_utf8(output.stdout).unwrap();
+        let err = String::from_utf8(output.stderr).unwrap();
+        let code = output.status.code().unwrap();
+        writeln!(self.log, "$ walnuthaven {}", words.join(" ")).unwrap();
+        write!(self.log, "{out}{err}").unwrap();
+        writeln!(self.log, "exit {code}\n").unwrap();
+        out
+    }
+
+    fn golden(&self) -> String {
+        let mut text = self.log.clone();
+        for (from, to) in &self.replaced {
+            text = text.replace(from, to);
+        }
+        // Columns are as wide as their widest cell, which differs with the replaced texts.
+        let lines = text.lines().map(|line| {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            match line.starts_with(' ') || line.starts_with('+') || line.starts_with('-') {
+                true => line.to_owned(),
+                false => words.join(" "),
+            }
+        });
+        lines.collect::<Vec<String>>().join("\n")
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn from_the_first_look_to_a_conflict() {
+    let world = world::World::start(&[world::User::Coop]).await.unwrap();
+    let fleet = local::Fleet::start(&world, 1, "current").await.unwrap();
+    let running = &fleet.hosts[0];
+    let folder = tempfile::tempdir().unwrap();
+    let mut replaced = vec![
+        (running.api.to_string(), "[api]".into()),
+        (running.admin.to_string(), "[admin]".into()),
+        (
+            running.host.id.incarnation.to_string(),
+            "[incarnation]".into(),
+        ),
+    ];
+    for engine in &world.engines {
+        replaced.push((engine.addr.to_string(), format!("[{}]", engine.spec.name)));
+    }
+    let mut session = Session {
+        admin: running.admin.to_string(),
+        folder: folder.path().to_owned(),
+        log: String::new(),
+        replaced,
+    };
+    let ran = tokio::task::spawn_blocking(move || {
+        session.run_with(&["hosts"], "wrong", "");
+        session.run(&["hosts"]);
+        session.run(&["pools"]);
+        session.run(&["config", "show"]);
+        let shown = session.run(&["config", "show", "hammam"]);
+        session.log.clear();
+        let first = session.folder.join("first.json");
+        fs::write(&first, &shown).unwrap();
+        fs::write(
+            session.folder.join("changed.json"),
+            shown.replace("\"share\": 1", "\"share\": 3"),
+        )
+        .unwrap();
+        fs::write(
+            session.folder.join("faulty.json"),
+            shown.replace("\"share\": 1", "\"share\": 0"),
+        )
+        .unwrap();
+        session.run_with(&["hosts"], "wrong", "");
+        session.run(&["hosts"]);
+        session.run(&["pools"]);
+        session.run(&["config", "check", "faulty.json"]);
+        session.run(&["config", "check", "changed.json"]);
+        session.run(&["config", "diff", "first.json"]);
+        session.run(&["config", "diff", "changed.json"]);
+        session.run(&["config", "apply", "changed.json", "--change", "c1"]);
+        session.run(&[
+            "config",
+            "apply",
+            "changed.json",
+            "--change",
+            "c1",
+            "--seen",
+            "1",
+        ]);
+        session.run(&[
+            "config",
+            "apply",
+            "first.json",
+            "--change",
+            "c2",
+            "--seen",
+            "1",
+        ]);
+        session.run(&["drain", "hammam-engine-8"]);
+        session.run(&["drain", "hammam-engine-8", "--undo"]);
+        session.run(&["drain", "nothing"]);
+        session.run(&["quarantine", "list"]);
+        session.run(&["quarantine", "lift", "00000000000000aa"]);
+        session.run(&["requests", "show", "nonsense"]);
+        session.run(&["state", "dump", "host-9"]);
+        session.run(&["log-level", "loud"]);
+        session.run(&["--admin", "127.0.0.1:9", "hosts"]);
+        let key = session.run_with(&["key", "anna"], "", "a-new-token\n");
+        assert!(key.starts_with("salt = ") && key.contains("sha256 = "));
+        session
+    });
+    let session = ran.await.unwrap();
+    let (until_key, _) = session
+        .golden()
+        .split_once("$ walnuthaven key")
+        .map_or_else(
+            || panic!("{}", session.golden()),
+            |(head, tail)| (head.to_owned(), tail.to_owned()),
+        );
+    insta::assert_snapshot!(until_key);
+}
--- a/daemon/src/answer.rs
+++ b/daemon/src/answer.rs
@@ -35,6 +35,7 @@
 struct Inner {
     tokens: Vec<sync::Arc<str>>,
     end: Option<End>,
+    ended: Option<Duration>,
 }
 
 /// An answer.
@@ -71,8 +72,11 @@
     }
 
     /// Ends the answer. Only the first end counts.
-    pub fn finish(&self, end: End) {
-        self.lock().end.get_or_insert(end);
+    pub fn finish(&self, end: End, now: Duration) {
+        let mut inner = self.lock();
+        inner.end.get_or_insert(end);
+        inner.ended.get_or_insert(now);
+        drop(inner);
         self.progress.send_replace(());
     }
 
@@ -91,6 +95,11 @@
         self.lock().end.clone()
     }
 
+    /// Returns when the answer ended, if it did.
+    pub fn ended(&self) -> Option<Duration> {
+        self.lock().ended
+    }
+
     /// Returns the tokens that are there.
     pub fn tokens(&self) -> Vec<sync::Arc<str>> {
         self.lock().tokens.clone()
--- a/daemon/src/api.rs
+++ b/daemon/src/api.rs
@@ -407,20 +407,20 @@
     let id = parse_id(id)?;
     if id.home != cx.id {
         let message = format!("the home of {id} is host {}; ask there", id.home.name);
-        return Err(refusal::Refusal {
-            ran: refusal::Ran::Unknown,
-            ..refusal::Refusal::not_run(refusal::Code::NotFound, message)
-        });
+        return Err(refusal::Refusal::claims_nothing(
+            refusal::Code::NotFound,
+            message,
+        ));
     }
     let state = host::lock(&cx.ids).state(id.number).cloned();
     match state {
         Some(state) => Ok((id, state)),
         None => {
             let message = format!("request {id} is not known");
-            Err(refusal::Refusal {
-                ran: refusal::Ran::Unknown,
-                ..refusal::Refusal::not_run(refusal::Code::NotFound, message)
-            })
+            Err(refusal::Refusal::claims_nothing(
+                refusal::Code::NotFound,
+                message,
+            ))
         }
     }
 }
@@ -454,10 +454,10 @@
         Err(refusal) => refused(&refusal),
         Ok((_, identity::State::Running)) => {
             let message = "the request still runs; nothing to confirm";
-            refused(&refusal::Refusal {
-                ran: refusal::Ran::Unknown,
-                ..refusal::Refusal::not_run(refusal::Code::Conflict, message)
-            })
+            refused(&refusal::Refusal::claims_nothing(
+                refusal::Code::Conflict,
+                message,
+            ))
         }
         Ok((id, _)) => {
             connections::settle_home(&cx, &id, true, true);
@@ -479,10 +479,10 @@
     let answer = host::lock(&cx.answers).get(&id.number).cloned();
     let Some(answer) = answer.filter(|answer| answer.end().is_some()) else {
         let message = format!("no finished answer of {id} is kept");
-        return refused(&refusal::Refusal {
-            ran: refusal::Ran::Unknown,
-            ..refusal::Refusal::not_run(refusal::Code::NotFound, message)
-        });
+        return refused(&refusal::Refusal::claims_nothing(
+            refusal::Code::NotFound,
+            message,
+        ));
     };
     let body = serde_json::json!({
         "id": id.to_string(),
--- a/daemon/src/console.rs
+++ b/daemon/src/console.rs
@@ -133,15 +133,21 @@
         };
         forms::read(&mut item, target.fields, form);
         let remove = forms::value(form, "do") == Some("remove");
-        target.write(&mut document, &item, remove);
+        let mut readable = item.clone();
+        let mut findings = match remove {
+            true => Vec::new(),
+            false => forms::unreadable(&mut readable, target.fields, form, &target.path()),
+        };
+        target.write(&mut document, &readable, remove);
         let seen = seen(form);
         match validate::parse(&document.to_string()) {
-            Ok((proposed, warnings)) => self.confirm(&stored, seen, &proposed, &warnings),
-            Err(report) => {
-                let page = target.form(&item, seen, &report.faults);
-                html(page).with_status_code(422)
+            Ok((proposed, warnings)) if findings.is_empty() => {
+                return self.confirm(&stored, seen, &proposed, &warnings);
             }
+            Ok(_) => {}
+            Err(report) => findings.extend(report.faults),
         }
+        html(target.form(&item, seen, &findings)).with_status_code(422)
     }
 
     fn confirm(
@@ -355,17 +361,20 @@
 }
 
 impl Target<'_> {
+    /// Returns the beginning of the paths that findings about the item have.
+    fn path(&self) -> String {
+        match self.part {
+            "basics" => String::new(),
+            part => format!("{part}[{}].", self.at.unwrap_or(self.next)),
+        }
+    }
+
     fn form(&self, item: &Value, seen: u64, findings: &[validate::Finding]) -> String {
+        let path = self.path();
         let place = self.at.map_or("new".to_owned(), |at| at.to_string());
-        let (action, path) = match self.part {
-            "basics" => (
-                format!("/workspaces/{}/basics", self.workspace),
-                String::new(),
-            ),
-            part => (
-                format!("/workspaces/{}/{part}/{place}", self.workspace),
-                format!("{part}[{}].", self.at.unwrap_or(self.next)),
-            ),
+        let action = match self.part {
+            "basics" => format!("/workspaces/{}/basics", self.workspace),
+            part => format!("/workspaces/{}/{part}/{place}", self.workspace),
         };
         let form = pages::ItemForm {
             title: format!("{} of workspace {}", self.label, self.workspace),
--- a/daemon/src/engine.rs
+++ b/daemon/src/engine.rs
@@ -112,6 +112,10 @@
     pub leaving: bool,
     /// Its role.
     pub role: engines::Role,
+    /// The model it serves.
+    pub model: String,
+    /// The model's version.
+    pub version: String,
     /// Its decode slots.
     pub slots: u32,
     /// The requests it holds memory for.
--- a/daemon/src/forms.rs
+++ b/daemon/src/forms.rs
@@ -2,6 +2,7 @@
 
 use serde_json::Value;
 use serde_json::json;
+use walnuthaven_lib::validate;
 
 /// How a field is shown and read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -224,8 +225,7 @@
     item
 }
 
-/// Writes a form's text into an item. Text that is no number is kept as text, so that the
-/// validation names it.
+/// Writes a form's text into an item. Text that is no number is kept, to be shown again.
 pub fn set(item: &mut Value, field: &Field, text: &str) {
     let text = text.trim();
     let value = match field.kind {
@@ -251,6 +251,28 @@
     *at = value;
 }
 
+/// Returns the faults of fields that can't be read, with the paths that the validation would give
+/// them, and puts the defaults in their place so that the rest can be validated too.
+pub fn unreadable(
+    item: &mut Value,
+    fields: &[Field],
+    form: &[(String, String)],
+    path: &str,
+) -> Vec<validate::Finding> {
+    let mut findings = Vec::new();
+    for field in fields.iter().filter(|field| field.kind == Kind::Number) {
+        let text = value(form, field.name).unwrap_or_default().trim();
+        if text.parse::<u32>().is_err() {
+            findings.push(validate::Finding {
+                path: format!("{path}{}", field.name),
+                message: format!("{text:?} is not a whole number"),
+            });
+            set(item, field, field.default);
+        }
+    }
+    findings
+}
+
 /// Finds a field's value in a submitted form.
 pub fn value<'a>(form: &'a [(String, String)], name: &str) -> Option<&'a str> {
     let found = form.iter().find(|(known, _)| known == name);
--- a/daemon/src/forward.rs
+++ b/daemon/src/forward.rs
@@ -46,7 +46,7 @@
     let offset = ask.offset.unwrap_or(0);
     let answer = sync::Arc::new(answer::Answer::default());
     let reader = answer.read(0);
-    tokio::spawn(relay(events, answer, offset));
+    tokio::spawn(relay(cx.clone(), events, answer, offset));
     Ok(generate::Opened {
         reader,
         delivery: connections::Delivery::Forwarded {
@@ -114,10 +114,12 @@
         repeatable: ask.repeatable,
         offset: ask.offset,
         waited_ms: clock::millis(waited),
+        entry: cx.id.name.to_string(),
     }
 }
 
 async fn relay(
+    cx: sync::Arc<host::Host>,
     mut events: tonic::Streaming<peer::RunEvent>,
     answer: sync::Arc<answer::Answer>,
     offset: u32,
@@ -127,7 +129,7 @@
         // Dropping the stream tells the home that this caller left.
         () = answer.abandoned() => return,
     };
-    answer.finish(end);
+    answer.finish(end, cx.now());
 }
 
 /// Copies tokens into an answer of which the first token is number `offset`.
--- a/daemon/src/generate.rs
+++ b/daemon/src/generate.rs
@@ -277,7 +277,7 @@
         cx.trace(&job.request, format!("complete, {} tokens", answer.len()));
     }
     host::lock(&cx.ids).set(job.id.number, state, now);
-    answer.finish(end);
+    answer.finish(end, now);
 }
 
 /// Makes sure that a refusal claims `not run` only if nothing was dispatched.
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -10,6 +10,7 @@
 use crate::configure;
 use crate::convert;
 use crate::host;
+use crate::retention;
 
 const HELPERS: usize = 2;
 const MARKS_RECENT: Duration = Duration::from_secs(20);
@@ -205,6 +206,7 @@
         membership::Event::Gone(id) => {
             log::warn!("host {id} is gone");
             cx.metrics.count("membership.gone");
+            retention::entry_gone(cx, &id.name);
             for cell in cx.steward.all() {
                 cell.host_gone(cx, &id);
             }
--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -40,6 +40,7 @@
 use crate::plain;
 use crate::platform;
 use crate::poll;
+use crate::retention;
 use crate::settings;
 use crate::steward;
 use crate::stewardship;
@@ -72,6 +73,8 @@
     pub steward: steward::Steward,
     /// What is to be stewarded here.
     pub duties: stewardship::Cache,
+    /// Answers that go out through other hosts.
+    pub relayed: retention::Relayed,
     /// Calls to engines.
     pub engines: engine::Client,
     /// Calls to other hosts.
@@ -165,6 +168,7 @@
         endpoints::spawn(&host);
         jobs::spawn(&host);
         orders::spawn(&host);
+        retention::spawn(&host);
         tokio::spawn(api::serve(host.clone(), api));
         Ok(Running {
             host,
@@ -210,6 +214,7 @@
             answers: sync::Mutex::default(),
             steward,
             duties: stewardship::Cache::default(),
+            relayed: retention::Relayed::default(),
             engines: engine::Client::new()?,
             peers: peer_client::Peers::new(&settings.fleet_key),
             platform: platform::Client::new(&settings.platform),
--- a/daemon/src/jobs.rs
+++ b/daemon/src/jobs.rs
@@ -21,6 +21,7 @@
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 const SCAN_EVERY: Duration = Duration::from_secs(3);
 const MIN_UPTIME_FOR_SCAN: Duration = Duration::from_secs(4);
+const SILENT_OWNER: Duration = Duration::from_secs(30);
 const MAX_RUNNING: usize = 256;
 const SCAN_KEY: &str = "journal-scan";
 
@@ -93,9 +94,13 @@
     }
 }
 
+/// Returns whether a journal's owner is gone. An owner that was silent for long may live behind a
+/// cut; the conditional write decides which of the two goes on.
 fn owner_is_gone(cx: &host::Host, owner: &ids::HostId) -> bool {
     let members = host::lock(&cx.members);
-    members.is_gone(owner) || members.get(&owner.name).is_none()
+    let unknown = members.get(&owner.name).is_none();
+    let silent = members.silent_for(&owner.name, cx.now()) >= SILENT_OWNER;
+    members.is_gone(owner) || unknown || silent
 }
 
 async fn take_over(
--- a/daemon/src/jobs_api.rs
+++ b/daemon/src/jobs_api.rs
@@ -11,6 +11,7 @@
 use walnuthaven_lib::queue;
 use walnuthaven_lib::refusal;
 use walnuthaven_lib::versions;
+use walnuthaven_wire::peer;
 
 use crate::api;
 use crate::drain;
@@ -172,24 +173,16 @@
         }
         Ok(Err(platform::Failure::NotFound)) => Ok(None),
         _ => {
-            let refusal = refusal::Refusal {
-                code: refusal::Code::PlatformUnavailable,
-                ran: refusal::Ran::Unknown,
-                message: format!("job {id}: the platform does not answer"),
-                retry_after: Some(RETRY_PAUSE),
-            };
-            Err(refusal)
+            let message = format!("job {id}: the platform does not answer");
+            let code = refusal::Code::PlatformUnavailable;
+            Err(refusal::Refusal::claims_nothing(code, message).after(RETRY_PAUSE))
         }
     }
 }
 
 fn unknown_job(id: &str) -> refusal::Refusal {
-    refusal::Refusal {
-        code: refusal::Code::NotFound,
-        ran: refusal::Ran::Unknown,
-        message: format!("job {id:?} is not known in the workspace"),
-        retry_after: None,
-    }
+    let message = format!("job {id:?} is not known in the workspace");
+    refusal::Refusal::claims_nothing(refusal::Code::NotFound, message)
 }
 
 /// `GET /v1/jobs/{id}`: how far a job is.
@@ -229,12 +222,7 @@
         journal::Progress::Failed { refusal } => api::refused(&refusal),
         journal::Progress::Fetched => api::refused(&refusal::Refusal::already_answered()),
         journal::Progress::Waiting | journal::Progress::Dispatched => {
-            let refusal = refusal::Refusal {
-                code: refusal::Code::Conflict,
-                ran: refusal::Ran::Unknown,
-                message: format!("job {id} is not done"),
-                retry_after: Some(RETRY_PAUSE),
-            };
+            let refusal = not_done(&id);
             api::refused(&refusal)
         }
     }
@@ -251,19 +239,11 @@
         Err(refusal) => return api::refused(&refusal),
     };
     if !entry.progress.is_final() {
-        let refusal = refusal::Refusal {
-            code: refusal::Code::Conflict,
-            ran: refusal::Ran::Unknown,
-            message: format!("job {id} is not done; nothing to confirm"),
-            retry_after: Some(RETRY_PAUSE),
-        };
+        let refusal = not_done(&id);
         return api::refused(&refusal);
     }
     let kept = match cx.jobs.store().get(&id) {
-        Some(_) => {
-            let fetched = journal::Progress::Fetched;
-            cx.jobs.store().set(&id, fetched, cx.unix()).await
-        }
+        Some(_) => confirm_here(&cx, &id).await,
         None => confirm_elsewhere(&cx, &id).await,
     };
     match kept {
@@ -275,17 +255,41 @@
     }
 }
 
-/// Confirms at the owner of a journal elsewhere: by a conditional write, which the owner notices.
+/// Confirms at the host that owns the journal.
 async fn confirm_elsewhere(cx: &sync::Arc<host::Host>, id: &str) -> journal_store::Kept {
     let Ok(Some((journal, _))) = read_journal(cx, id).await else {
         return journal_store::Kept::Unknown("the journal can't be read".into());
     };
     let owner = host::lock(&cx.members).get(&journal.owner.name).cloned();
-    match owner {
-        Some(owner) => {
-            let message = format!("confirm at its owner {}", owner.api_addr);
-            journal_store::Kept::No(message)
-        }
-        None => journal_store::Kept::No("the owner is gone; try again".into()),
+    let Some(owner) = owner.filter(|owner| owner.id == journal.owner) else {
+        return journal_store::Kept::No("the owner is gone; try again".into());
+    };
+    let call = peer::ConfirmRequest {
+        request: id.to_owned(),
+        delivered: true,
+    };
+    match cx.peers.confirm(&owner.peer_addr, call).await {
+        Ok(true) => journal_store::Kept::Yes,
+        Ok(false) => journal_store::Kept::No("the owner refused".into()),
+        Err(status) => journal_store::Kept::Unknown(status.to_string()),
     }
 }
+
+/// Notes that the answer of a job that is kept here was received.
+pub async fn confirm_here(cx: &host::Host, id: &str) -> journal_store::Kept {
+    let done = cx
+        .jobs
+        .store()
+        .get(id)
+        .is_some_and(|entry| entry.progress.is_final());
+    if !done {
+        return journal_store::Kept::No("the job is not done here".into());
+    }
+    let fetched = journal::Progress::Fetched;
+    cx.jobs.store().set(id, fetched, cx.unix()).await
+}
+
+fn not_done(id: &str) -> refusal::Refusal {
+    let message = format!("job {id} is not done");
+    refusal::Refusal::claims_nothing(refusal::Code::Conflict, message).after(RETRY_PAUSE)
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod plain;
 pub mod platform;
 pub mod poll;
+pub mod retention;
 pub mod settings;
 pub mod steward;
 pub mod stewardship;
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -1,4 +1,4 @@
-//! Orders to engines: role changes under a lease with a fencing number.
+//! Orders to engines: models, versions and roles, under a lease with a fencing number.
 //!
 //! The steward of a pool's cell sees what is wanted and takes the pool's lease from the platform only
 //! when it has an order to give, so that idle pools cost no writes. An engine is drained before it
@@ -27,11 +27,11 @@
 const BUSY_PREFILL: Duration = Duration::from_millis(100);
 const FREE_SHARE: f64 = 0.4;
 
-/// A pool whose engines may change roles.
+/// A pool of which this host has a cell.
 struct Pool {
     lease_name: String,
-    model: ids::Name,
-    version: ids::Name,
+    serving: engines::Serving,
+    role_changes: bool,
     minimum: usize,
     cell: sync::Arc<steward::Cell>,
 }
@@ -45,11 +45,25 @@
 
 #[derive(Clone, Debug)]
 struct Outstanding {
-    change: roles::Change,
+    change: Change,
     since: Duration,
     sent: bool,
 }
 
+/// The state that an engine shall have.
+#[derive(Clone, Debug)]
+struct Change {
+    name: ids::Name,
+    role: engines::Role,
+    serving: engines::Serving,
+}
+
+impl Change {
+    fn is_done(&self, engine: &engines::State) -> bool {
+        engine.role == self.role && engine.serving.as_ref() == Some(&self.serving)
+    }
+}
+
 /// Starts to watch the pools that this host stewards.
 pub fn spawn(cx: &sync::Arc<host::Host>) {
     let cx = cx.clone();
@@ -73,21 +87,24 @@
     });
 }
 
-/// Returns the pools with role changes of which this host has the cell.
+/// Returns the pools of which this host has a cell.
 fn pools(cx: &host::Host) -> Vec<Pool> {
     let mut pools = Vec::new();
     let config = host::read(&cx.config);
     for stored in config.iter() {
         let document = &stored.document;
-        for pool in document.pools.iter().filter(|pool| pool.role_changes) {
+        for pool in &document.pools {
             for spec in document.cells(&pool.name) {
                 let Some(cell) = cx.steward.find(&spec.name) else {
                     continue;
                 };
                 pools.push(Pool {
                     lease_name: spec.name.replace('/', "."),
-                    model: pool.model.clone(),
-                    version: pool.version.clone(),
+                    serving: engines::Serving {
+                        model: pool.model.clone(),
+                        version: pool.version.clone(),
+                    },
+                    role_changes: pool.role_changes,
                     minimum: pool.min_per_role as usize,
                     cell,
                 });
@@ -103,7 +120,12 @@
         orders.outstanding = wanted(pool, &mut orders.policy, now);
         if let Some(outstanding) = &orders.outstanding {
             let change = &outstanding.change;
-            log::info!("{} is to change to {:?}", change.name, change.role);
+            log::info!(
+                "{} is to become {:?} of {:?}",
+                change.name,
+                change.role,
+                change.serving
+            );
             pool.cell
                 .with(|cell| cell.engines_mut().set_changing(&change.name, true));
         }
@@ -114,8 +136,8 @@
     let Some(engine) = engine else {
         return end(pool, orders, "the engine is not in the pool any more");
     };
-    if engine.role == outstanding.change.role {
-        cx.metrics.count("orders.role_changed");
+    if outstanding.change.is_done(&engine) {
+        cx.metrics.count("orders.done");
         return end(pool, orders, "done");
     }
     if waited > DRAIN_LIMIT + CONFIRM_LIMIT {
@@ -144,28 +166,66 @@
     states.into_iter().find(|state| *state.name == *name)
 }
 
-/// Asks the policy whether an engine should change.
+/// Returns the next change: first what the document asks for, one engine at a time, then what the
+/// demand asks for.
 fn wanted(pool: &Pool, policy: &mut roles::Policy, now: Duration) -> Option<Outstanding> {
-    let (pressure, candidates) = pool.cell.with(|cell| {
-        let engines = cell.engines();
-        let pressure = pressure(cell, now);
-        let states = engines.states();
-        let working = states.into_iter().filter(|state| state.reachable);
-        let candidates = working.map(|state| roles::Candidate {
-            name: state.name,
-            role: state.role,
-            held: state.granted + state.foreign,
-        });
-        (pressure, candidates.collect::<Vec<_>>())
-    });
-    let change = policy.decide(pressure, &candidates, pool.minimum, now)?;
-    Some(Outstanding {
+    let (pressure, states) = pool
+        .cell
+        .with(|cell| (pressure(cell, now), cell.engines().states()));
+    let working: Vec<engines::State> = states.into_iter().filter(|s| s.reachable).collect();
+    let change = outdated(pool, &working).or_else(|| swing(pool, policy, pressure, &working, now));
+    change.map(|change| Outstanding {
         change,
         since: now,
         sent: false,
     })
 }
 
+/// Returns the change of an engine that has loaded something else than the document says. The last
+/// engine of a role keeps serving what it has until another one is ready.
+fn outdated(pool: &Pool, working: &[engines::State]) -> Option<Change> {
+    let alone = |state: &engines::State| {
+        let same = working.iter().filter(|other| other.role == state.role);
+        same.count() < 2
+    };
+    let other = |state: &&engines::State| {
+        state
+            .serving
+            .as_ref()
+            .is_some_and(|serving| *serving != pool.serving)
+    };
+    let found = working.iter().filter(other).find(|state| !alone(state));
+    found.map(|state| Change {
+        name: state.name.clone(),
+        role: state.role,
+        serving: pool.serving.clone(),
+    })
+}
+
+fn swing(
+    pool: &Pool,
+    policy: &mut roles::Policy,
+    pressure: roles::Pressure,
+    working: &[engines::State],
+    now: Duration,
+) -> Option<Change> {
+    if !pool.role_changes {
+        return None;
+    }
+    let candidates = working.iter().map(|state| roles::Candidate {
+        name: state.name.clone(),
+        role: state.role,
+        held: state.granted + state.foreign,
+    });
+    let candidates: Vec<roles::Candidate> = candidates.collect();
+    let change = policy.decide(pressure, &candidates, pool.minimum, now)?;
+    Some(Change {
+        name: change.name,
+        role: change.role,
+        serving: pool.serving.clone(),
+    })
+}
+
 /// Compares both sides of a pool. Requests that wait while slots are free wait for prefill.
 fn pressure(cell: &cell::Cell, now: Duration) -> roles::Pressure {
     let engines = cell.engines();
@@ -185,7 +245,7 @@
     cx: &sync::Arc<host::Host>,
     pool: &Pool,
     orders: &mut Orders,
-    change: &roles::Change,
+    change: &Change,
 ) -> bool {
     if orders.lease.held(cx.now()).is_none() {
         take_lease(cx, pool, &mut orders.lease).await;
@@ -200,8 +260,8 @@
     let order = engine::Order {
         fence: held.fence,
         role: change.role,
-        model: pool.model.to_string(),
-        version: pool.version.to_string(),
+        model: change.serving.model.to_string(),
+        version: change.serving.version.to_string(),
     };
     let given = cx
         .engines
--- a/daemon/src/peer_client.rs
+++ b/daemon/src/peer_client.rs
@@ -159,7 +159,8 @@
         Ok(reply.into_inner().held)
     }
 
-    /// Tells a home whether an answer reached its caller.
+    /// Tells a home, or the owner of a job, whether an answer reached its caller. Returns whether
+    /// that is kept.
     ///
     /// # Errors
     ///
@@ -168,11 +169,10 @@
         &self,
         addr: &str,
         call: peer::ConfirmRequest,
-    ) -> Result<(), tonic::Status> {
-        self.stub(addr)?
-            .confirm(limited(call, CALL_TIMEOUT))
-            .await?;
-        Ok(())
+    ) -> Result<bool, tonic::Status> {
+        let call = limited(call, CALL_TIMEOUT);
+        let reply = self.stub(addr)?.confirm(call).await?;
+        Ok(reply.into_inner().kept)
     }
 
     /// Asks what became of a request.
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -10,6 +10,7 @@
 use walnuthaven_lib::auth;
 use walnuthaven_lib::clock;
 use walnuthaven_lib::grant;
+use walnuthaven_lib::ids;
 use walnuthaven_lib::permit;
 use walnuthaven_lib::queue;
 use walnuthaven_lib::refusal;
@@ -25,6 +26,8 @@
 use crate::generate;
 use crate::gossip;
 use crate::host;
+use crate::jobs_api;
+use crate::journal_store;
 use crate::peer_client;
 use crate::plain;
 use crate::poll;
@@ -98,11 +101,14 @@
         &self,
         req: tonic::Request<peer::RunRequest>,
     ) -> Result<tonic::Response<Events>, tonic::Status> {
-        let ask = self.ask(req.into_inner())?;
+        let call = req.into_inner();
+        let entry = call.entry.clone();
+        let ask = self.ask(call)?;
         let Some(id) = ask.id.clone() else {
             return Err(tonic::Status::invalid_argument("request id is missing"));
         };
         let (tx, rx) = mpsc::channel(EVENT_BUFFER);
+        self.cx.relayed.note(id.number, &entry);
         let opened = generate::open_here(&self.cx, ask, id);
         tokio::spawn(send_events(self.cx.clone(), opened, tx));
         Ok(tonic::Response::new(Events::new(rx)))
@@ -184,9 +190,19 @@
         req: tonic::Request<peer::ConfirmRequest>,
     ) -> Result<tonic::Response<peer::ConfirmReply>, tonic::Status> {
         let call = req.into_inner();
-        let id = parse_id(&call.request)?;
-        connections::settle_home(&self.cx, &id, true, call.delivered);
-        Ok(tonic::Response::new(peer::ConfirmReply {}))
+        let kept = match call.request.parse::<ids::RequestId>() {
+            Ok(id) => {
+                self.cx.relayed.settled(id.number);
+                connections::settle_home(&self.cx, &id, true, call.delivered);
+                true
+            }
+            // The ids of jobs have another form.
+            Err(_) => {
+                let kept = jobs_api::confirm_here(&self.cx, &call.request).await;
+                kept == journal_store::Kept::Yes
+            }
+        };
+        Ok(tonic::Response::new(peer::ConfirmReply { kept }))
     }
 
     async fn lookup(
@@ -313,11 +329,9 @@
     }
 }
 
-fn parse_id(text: &str) -> Result<walnuthaven_lib::ids::RequestId, tonic::Status> {
+fn parse_id(text: &str) -> Result<ids::RequestId, tonic::Status> {
     let id = text.parse();
-    id.map_err(|error: walnuthaven_lib::ids::ParseError| {
-        tonic::Status::invalid_argument(error.to_string())
-    })
+    id.map_err(|error: ids::ParseError| tonic::Status::invalid_argument(error.to_string()))
 }
 
 /// Streams an answer to the host that the caller is connected to. When that host drops the stream,
--- a/daemon/src/poll.rs
+++ b/daemon/src/poll.rs
@@ -1,5 +1,6 @@
 //! Load reports of the engines that this host stewards.
 
+use std::collections;
 use std::sync;
 use std::time::Duration;
 
@@ -19,6 +20,8 @@
 
 /// How often an engine is asked for its load.
 pub const POLL_EVERY: Duration = Duration::from_millis(200);
+/// A home comes back to its stream within this time or not at all.
+const DETACHED_LIMIT: Duration = Duration::from_secs(5);
 const FAILED_POLLS_FOR_CRASH: u32 = 2;
 
 /// Starts to poll the engines of this host's cells, and lets the cells decide.
@@ -48,7 +51,7 @@
 
 #[derive(Debug, Default)]
 struct Pollers {
-    engines: std::collections::HashMap<ids::Name, sync::Arc<sync::Mutex<Poller>>>,
+    engines: collections::HashMap<ids::Name, sync::Arc<sync::Mutex<Poller>>>,
 }
 
 #[derive(Debug, Default)]
@@ -57,6 +60,8 @@
     failures: u32,
     last_event: u64,
     incarnation: u64,
+    /// Since when nobody has been connected to a request's stream.
+    detached: collections::HashMap<String, Duration>,
 }
 
 impl Pollers {
@@ -100,7 +105,9 @@
                 let newest = load.events.iter().map(|event| event.number).max();
                 poller.last_event = poller.last_event.max(newest.unwrap_or(0));
             }
+            let orphans = orphans(cx, poller, &load);
             take_load(cx, cell, address, &load);
+            end_orphans(cx, address, orphans);
         }
         Err(failure) => {
             let failures = {
@@ -128,13 +135,16 @@
 ) {
     let now = cx.now();
     let held = load.running.iter().filter(|running| running.decoding);
-    let orphans = orphans(cx, load);
     let restarted = cell.with(|cell| {
         let foreign = held.filter(|running| !cell.knows(&running.request)).count();
         let report = engines::Load {
             incarnation: load.incarnation,
             leaving: load.leaving,
             role: Some(load.role),
+            serving: Some(engines::Serving {
+                model: load.model.as_str().into(),
+                version: load.version.as_str().into(),
+            }),
             foreign: u32::try_from(foreign).unwrap_or(u32::MAX),
         };
         let seen = load.running.iter().map(|running| running.request.as_str());
@@ -151,30 +161,49 @@
         };
         cell.cache_event(&address.name, event.number, change);
     }
-    for (request, attempt) in orphans {
-        log::info!("{} holds {request} for a host that is gone", address.name);
+    cell.advance(now);
+}
+
+/// Requests whose home is gone, or to which nobody has come back for a while. A request to whose
+/// stream someone is connected is left alone: then its home lives, whatever the membership says.
+fn orphans(
+    cx: &host::Host,
+    poller: &sync::Mutex<Poller>,
+    load: &engine::Load,
+) -> Vec<engine::Running> {
+    let now = cx.now();
+    let members = host::lock(&cx.members);
+    let mut poller = host::lock(poller);
+    let detached = |running: &&engine::Running| running.decoding && !running.attached;
+    let before = std::mem::take(&mut poller.detached);
+    let mut orphans = Vec::new();
+    for running in load.running.iter().filter(detached) {
+        let since = before.get(&running.request).copied().unwrap_or(now);
+        poller.detached.insert(running.request.clone(), since);
+        let home = convert::home_of(&running.home);
+        let gone = home.is_some_and(|home| members.is_gone(&home));
+        if gone || now.saturating_sub(since) >= DETACHED_LIMIT {
+            orphans.push(running.clone());
+        }
+    }
+    orphans
+}
+
+fn end_orphans(
+    cx: &sync::Arc<host::Host>,
+    address: &engines::Address,
+    orphans: Vec<engine::Running>,
+) {
+    for running in orphans {
+        log::info!("{} holds {} for nobody", address.name, running.request);
         cx.metrics.count("engine.orphan");
         let order = grant::Cancel {
             server: address.clone(),
-            request,
-            attempt,
+            request: running.request.into(),
+            attempt: running.attempt,
         };
         cancel::spawn(cx, order);
     }
-    cell.advance(now);
-}
-
-/// Requests that an engine holds for homes that are gone. A request to whose stream someone is
-/// connected is left alone: then its home lives, whatever the membership says.
-fn orphans(cx: &host::Host, load: &engine::Load) -> Vec<(ids::Name, u32)> {
-    let members = host::lock(&cx.members);
-    let gone = |running: &&engine::Running| {
-        let home = convert::home_of(&running.home);
-        !running.attached && home.is_some_and(|home| members.is_gone(&home))
-    };
-    let held = load.running.iter().filter(gone);
-    held.map(|running| (running.request.as_str().into(), running.attempt))
-        .collect()
 }
 
 /// Takes a home's report that an engine crashed under a grant. Only the first report of a crash
--- /dev/null
+++ b/daemon/src/retention.rs
@@ -0,0 +1,97 @@
+//! How long answers are kept, and what happens to those that went out through a host that is gone.
+
+use std::collections;
+use std::sync;
+use std::time::Duration;
+
+use walnuthaven_lib::identity;
+use walnuthaven_lib::ids;
+
+use crate::answer;
+use crate::host;
+
+/// How long a finished answer is kept.
+pub const KEPT_FOR: Duration = Duration::from_secs(60);
+/// Most finished answers kept; the oldest go first.
+pub const MAX_KEPT: usize = 5_000;
+const SWEEP_EVERY: Duration = Duration::from_secs(2);
+
+/// Answers that go out through other hosts, by request number.
+#[derive(Debug, Default)]
+pub struct Relayed {
+    entries: sync::Mutex<collections::HashMap<u64, ids::Name>>,
+}
+
+impl Relayed {
+    /// Notes that an answer goes out through another host.
+    pub fn note(&self, number: u64, entry: &str) {
+        host::lock(&self.entries).insert(number, entry.into());
+    }
+
+    /// Forgets an answer whose delivery was settled.
+    pub fn settled(&self, number: u64) {
+        host::lock(&self.entries).remove(&number);
+    }
+
+    /// Takes the answers that went out through a host.
+    fn take(&self, entry: &str) -> Vec<u64> {
+        let mut entries = host::lock(&self.entries);
+        let through = entries.iter().filter(|(_, name)| &***name == entry);
+        let numbers: Vec<u64> = through.map(|(number, _)| *number).collect();
+        entries.retain(|_, name| &**name != entry);
+        numbers
+    }
+
+    fn retain(&self, kept: impl Fn(u64) -> bool) {
+        host::lock(&self.entries).retain(|number, _| kept(*number));
+    }
+}
+
+/// Notes that a host is gone: what went out through it and was not confirmed counts as not
+/// delivered, so that a repeat gets the rest.
+pub fn entry_gone(cx: &host::Host, entry: &str) {
+    let numbers = cx.relayed.take(entry);
+    let mut ids = host::lock(&cx.ids);
+    for number in numbers {
+        if ids.state(number) == Some(&identity::State::Sent) {
+            ids.set(number, identity::State::Finished, cx.now());
+        }
+    }
+}
+
+/// Starts to drop answers whose time is over.
+pub fn spawn(cx: &sync::Arc<host::Host>) {
+    let cx = cx.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(SWEEP_EVERY).await;
+            sweep(&cx);
+        }
+    });
+}
+
+fn sweep(cx: &host::Host) {
+    let now = cx.now();
+    let mut answers = host::lock(&cx.answers);
+    answers.retain(|_, answer| !is_over(answer, now));
+    let excess = answers.len().saturating_sub(MAX_KEPT);
+    if excess > 0 {
+        let mut ended: Vec<(Duration, u64)> = answers
+            .iter()
+            .filter(|(_, answer)| !answer.has_readers())
+            .filter_map(|(number, answer)| Some((answer.ended()?, *number)))
+            .collect();
+        ended.sort_unstable();
+        for (_, number) in ended.into_iter().take(excess) {
+            answers.remove(&number);
+        }
+    }
+    cx.relayed.retain(|number| answers.contains_key(&number));
+}
+
+fn is_over(answer: &answer::Answer, now: Duration) -> bool {
+    let old = answer
+        .ended()
+        .is_some_and(|ended| now.saturating_sub(ended) >= KEPT_FOR);
+    old && !answer.has_readers()
+}
--- a/lib/src/engines.rs
+++ b/lib/src/engines.rs
@@ -45,6 +45,15 @@
     pub draining: bool,
 }
 
+/// What an engine has loaded.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct Serving {
+    /// The model.
+    pub model: ids::Name,
+    /// The model's version.
+    pub version: ids::Name,
+}
+
 /// A load report of an engine.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
@@ -54,6 +63,8 @@
     pub leaving: bool,
     /// The role it has now.
     pub role: Option<Role>,
+    /// What it has loaded.
+    pub serving: Option<Serving>,
     /// Requests it holds that this steward did not grant.
     pub foreign: u32,
 }
@@ -75,6 +86,7 @@
 struct Engine {
     spec: Spec,
     role: Role,
+    serving: Option<Serving>,
     incarnation: u64,
     leaving: bool,
     changing: bool,
@@ -141,6 +153,7 @@
             .map(|engine| State {
                 name: engine.spec.address.name.clone(),
                 role: engine.role,
+                serving: engine.serving.clone(),
                 slots: engine.spec.slots,
                 granted: engine.granted,
                 foreign: engine.foreign,
@@ -163,6 +176,7 @@
         engine.foreign = load.foreign;
         engine.last_seen = Some(now);
         engine.role = load.role.unwrap_or(engine.role);
+        engine.serving = load.serving.clone().or(engine.serving.take());
         if restarted {
             engine.index.reset();
         }
@@ -343,6 +357,8 @@
     pub name: ids::Name,
     /// Its role.
     pub role: Role,
+    /// What it has loaded, if it says so.
+    pub serving: Option<Serving>,
     /// Its decode slots.
     pub slots: u32,
     /// Slots granted by this steward.
@@ -360,6 +376,7 @@
         Self {
             role: spec.role,
             spec,
+            serving: None,
             incarnation: 0,
             leaving: false,
             changing: false,
--- a/lib/src/identity.rs
+++ b/lib/src/identity.rs
@@ -248,10 +248,6 @@
 }
 
 fn expired(id: &ids::RequestId) -> refusal::Refusal {
-    refusal::Refusal {
-        code: refusal::Code::IdExpired,
-        ran: refusal::Ran::Unknown,
-        message: format!("request id {id} is too old; ask for a new one"),
-        retry_after: None,
-    }
+    let message = format!("request id {id} is too old; ask for a new one");
+    refusal::Refusal::claims_nothing(refusal::Code::IdExpired, message)
 }
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -21,10 +21,11 @@
 /// A probe counts as failed only after helpers did not reach the member either.
 const FAILED_PROBES: u32 = 1;
 const SUSPECT_FOR: Duration = Duration::from_millis(900);
-const DEAD_KEPT_FOR: Duration = Duration::from_secs(120);
+/// A cut between regions lasts an hour at times; the dead are remembered and probed for longer.
+const DEAD_KEPT_FOR: Duration = Duration::from_secs(2 * 3_600);
+const DEAD_PROBED_EVERY: u64 = 16;
 const RETRANSMIT_FACTOR: u32 = 4;
 const MIN_ZONE_FOR_CUT: usize = 2;
-const CUT_SUSPECT_FOR: Duration = Duration::from_secs(30);
 
 /// The state of a member.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Serialize)]
@@ -36,7 +37,7 @@
     Suspect,
     /// It announced that it leaves.
     Leaving,
-    /// It is gone for good; only a new incarnation can return.
+    /// It is taken to be gone; it returns as a new incarnation or by its own word.
     Dead,
 }
 
@@ -64,7 +65,7 @@
 pub enum Event {
     /// A host run takes part.
     Joined(ids::HostId),
-    /// A host run is gone for good.
+    /// A host run is taken to be gone.
     Gone(ids::HostId),
 }
 
@@ -143,6 +144,7 @@
             return;
         }
         let died = update.state == State::Dead && known.state != State::Dead;
+        let returned = update.state != State::Dead && known.state == State::Dead;
         self.epoch += 1;
         entry.member = update.clone();
         entry.changed = now;
@@ -153,6 +155,9 @@
         if died {
             self.events.push(Event::Gone(update.id.clone()));
         }
+        if returned {
+            self.events.push(Event::Joined(update.id.clone()));
+        }
     }
 
     /// Takes a direct sign of life, which counts more than hearsay of the same refutation number.
@@ -162,7 +167,12 @@
         let Some(entry) = self.entries.get_mut(&member.id.name) else {
             return;
         };
-        if entry.member.id != member.id || entry.member.state == State::Dead {
+        if entry.member.id != member.id {
+            return;
+        }
+        if entry.member.state == State::Dead {
+            // It must hear of the rumour to refute it.
+            entry.sends_left = sends_left;
             return;
         }
         entry.failed_probes = 0;
@@ -206,11 +216,8 @@
                 entry.changed = now;
                 continue;
             }
-            let limit = match cut.contains(&entry.member.zone) {
-                true => CUT_SUSPECT_FOR,
-                false => SUSPECT_FOR,
-            };
-            if now.saturating_sub(entry.changed) >= limit {
+            let cut_off = cut.contains(&entry.member.zone);
+            if !cut_off && now.saturating_sub(entry.changed) >= SUSPECT_FOR {
                 self.epoch += 1;
                 entry.member.state = State::Dead;
                 entry.changed = now;
@@ -238,18 +245,30 @@
     }
 
     /// Returns one more member, chosen by a random number, so that news crosses the fleet and a
-    /// host that nobody has as neighbour is found too.
+    /// host that nobody has as neighbour is found too. Now and then it is a dead one, so that the
+    /// two sides of a cut find each other again.
     pub fn random_target(&self, random: u64) -> Option<Member> {
-        let live: Vec<&Entry> = self
-            .entries
-            .values()
-            .filter(|entry| entry.member.state != State::Dead)
+        let dead = random.is_multiple_of(DEAD_PROBED_EVERY);
+        let entries = self.entries.values();
+        let chosen: Vec<&Entry> = entries
+            .filter(|entry| dead || entry.member.state != State::Dead)
             .collect();
-        if live.is_empty() {
+        if chosen.is_empty() {
             return None;
         }
-        let at = usize::try_from(random % live.len() as u64).unwrap_or(0);
-        Some(live[at].member.clone())
+        let at = (random / DEAD_PROBED_EVERY) % chosen.len() as u64;
+        let at = usize::try_from(at).unwrap_or(0);
+        Some(chosen[at].member.clone())
+    }
+
+    /// Returns for how long a member has been suspected or dead.
+    pub fn silent_for(&self, name: &str, now: Duration) -> Duration {
+        match self.entries.get(name) {
+            Some(entry) if matches!(entry.member.state, State::Suspect | State::Dead) => {
+                now.saturating_sub(entry.changed)
+            }
+            _ => Duration::ZERO,
+        }
     }
 
     /// Returns updates to send along, the least often sent first.
@@ -290,8 +309,8 @@
         self.entries.get(name).map(|entry| &entry.member)
     }
 
-    /// Returns whether this host run is known to be gone for good: declared dead, or followed by a
-    /// newer incarnation.
+    /// Returns whether this host run is taken to be gone: declared dead, or followed by a newer
+    /// incarnation.
     pub fn is_gone(&self, id: &ids::HostId) -> bool {
         match self.get(&id.name) {
             Some(member) if member.id.incarnation > id.incarnation => true,
@@ -382,13 +401,9 @@
     }
 }
 
-/// Within one incarnation, a higher refutation wins, then the later state.
+/// Within one incarnation, a higher refutation wins, then the later state. A refutation is the
+/// member's own word, so it also ends a death: whatever was done meanwhile for a dead host is fenced
+/// one by one.
 fn supersedes(update: &Member, known: &Member) -> bool {
-    if known.state == State::Dead {
-        return false;
-    }
-    if update.state == State::Dead {
-        return true;
-    }
     (update.refutation, update.state) > (known.refutation, known.state)
 }
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -115,6 +115,16 @@
         }
     }
 
+    /// Makes a refusal with the given code that claims nothing about whether the request ran.
+    pub fn claims_nothing(code: Code, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            ran: Ran::Unknown,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
     /// Makes the refusal of a request that was answered before.
     pub fn already_answered() -> Self {
         Self {
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -101,6 +101,11 @@
         self.shared.slots_used()
     }
 
+    /// Returns the version that is loaded.
+    pub fn version(&self) -> String {
+        self.shared.version()
+    }
+
     /// Returns the role.
     pub fn role(&self) -> engines::Role {
         self.shared.role()
