daemon: journals leave a failing platform alone; commands that measure overhead

Change: after a failure a host waits 100 ms, doubled up to 2 s, with jitter; a submission in that time is refused at once.

--- a/daemon/src/journal_store.rs
+++ b/daemon/src/journal_store.rs
@@ -16,6 +16,8 @@
 /// The kind of journal objects.
 pub const KIND: &str = "journal";
 const MIN_WRITE_EVERY: Duration = Duration::from_millis(40);
+const MIN_BACK_OFF: Duration = Duration::from_millis(100);
+const MAX_BACK_OFF: Duration = Duration::from_secs(2);
 /// Keeps the fleet's journal writes near 200 a second at any number of hosts.
 const WRITE_EVERY_PER_HOST: Duration = Duration::from_millis(5);
 
@@ -51,6 +53,8 @@
     open: sync::Mutex<collections::BTreeMap<String, Open>>,
     next: sync::atomic::AtomicU64,
     changed: tokio::sync::Notify,
+    /// Why the last write failed, while the platform is left alone.
+    resting: sync::Mutex<Option<String>>,
 }
 
 impl Store {
@@ -61,11 +65,16 @@
             open: sync::Mutex::default(),
             next: sync::atomic::AtomicU64::new(1),
             changed: tokio::sync::Notify::new(),
+            resting: sync::Mutex::default(),
         }
     }
 
     /// Adds a job and waits until it is kept. Returns its id.
     pub async fn add(&self, job: journal::Job, unix: Duration) -> (String, Kept) {
+        // While the platform rests the answer is known, so nobody waits for it.
+        if let Some(why) = host::lock(&self.resting).clone() {
+            return (String::new(), Kept::No(why));
+        }
         let (tx, rx) = tokio::sync::oneshot::channel();
         let id = {
             let mut open = host::lock(&self.open);
@@ -182,7 +191,12 @@
         })
     }
 
-    fn written(&self, batch: Batch, outcome: Written) {
+    /// Takes the outcome of a write. Returns why the platform did not take it.
+    fn written(&self, batch: Batch, outcome: Written) -> Option<String> {
+        let failed = match &outcome {
+            Written::Refused(why) | Written::Unknown(why) => Some(why.clone()),
+            Written::Version(_) | Written::TakenOver => None,
+        };
         let mut open = host::lock(&self.open);
         let kept = match outcome {
             Written::Version(version) => {
@@ -214,6 +228,7 @@
             // A waiter that is gone needs no answer.
             let _ = waiter.send(kept.clone());
         }
+        failed
     }
 
     /// After a refusal: jobs that were never written are dropped, changes of others stay to be
@@ -254,8 +269,10 @@
     Unknown(String),
 }
 
-/// Writes changed journals, with a bounded number of writes a second.
+/// Writes changed journals, with a bounded number of writes a second. After a failure the platform is
+/// left alone for a while, longer after each further one and not at the same time by all hosts.
 pub async fn write_all(cx: &sync::Arc<host::Host>) {
+    let mut back_off = MIN_BACK_OFF;
     loop {
         let store = cx.jobs.store();
         if store.dirty().is_empty() {
@@ -264,21 +281,39 @@
         let hosts = host::lock(&cx.members).members().len();
         let pause = WRITE_EVERY_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
         tokio::time::sleep(pause.max(MIN_WRITE_EVERY)).await;
-        for name in store.dirty() {
-            let Some(batch) = store.batch(&name) else {
-                continue;
-            };
-            let client = cx.platform.clone();
-            let written = tokio::task::spawn_blocking(move || {
-                let outcome = write(&client, &batch);
-                (batch, outcome)
-            });
-            match written.await {
-                Ok((batch, outcome)) => store.written(batch, outcome),
-                Err(error) => log::error!("journal {name}: {error}"),
-            }
+        let failed = write_dirty(cx).await;
+        let Some(why) = failed else {
+            back_off = MIN_BACK_OFF;
+            continue;
+        };
+        *host::lock(&store.resting) = Some(why);
+        tokio::time::sleep(back_off.mul_f64(0.5 + rand::random::<f64>())).await;
+        *host::lock(&store.resting) = None;
+        back_off = (back_off * 2).min(MAX_BACK_OFF);
+    }
+}
+
+/// Writes each changed journal once. Stops at the first failure and returns its reason.
+async fn write_dirty(cx: &sync::Arc<host::Host>) -> Option<String> {
+    let store = cx.jobs.store();
+    for name in store.dirty() {
+        let Some(batch) = store.batch(&name) else {
+            continue;
+        };
+        let client = cx.platform.clone();
+        let written = tokio::task::spawn_blocking(move || {
+            let outcome = write(&client, &batch);
+            (batch, outcome)
+        });
+        let failed = match written.await {
+            Ok((batch, outcome)) => store.written(batch, outcome),
+            Err(error) => Some(format!("journal {name}: {error}")),
+        };
+        if failed.is_some() {
+            return failed;
         }
     }
+    None
 }
 
 fn write(client: &platform::Client, batch: &Batch) -> Written {
--- a/standin/src/control_cost.rs
+++ b/standin/src/control_cost.rs
@@ -15,6 +15,7 @@
 use walnuthaven_wire::peer;
 use walnuthaven_wire::peer::peer_server;
 
+use crate::experiment;
 use crate::fleet;
 use crate::net;
 use crate::platform;
@@ -160,6 +161,56 @@
     Ok(true)
 }
 
+/// Measures an idle fleet of real hosts, each with its part of the engines of both users, and prints
+/// one JSON object with the means of a host. Returns that nothing was broken.
+///
+/// # Errors
+///
+/// Returns an error if the fleet can't be run.
+pub async fn run_real(hosts: u32, seconds: u64) -> anyhow::Result<bool> {
+    let world = world::World::start(&[world::User::Coop, world::User::Studio]).await?;
+    let mut fleet = fleet::Fleet::new(&world.platform_url, "current", "control")?;
+    let zones = world.zones();
+    let count = usize::try_from(hosts)?;
+    for at in 0..count {
+        fleet.start(&format!("host-{at}"), zones[at % zones.len()])?;
+    }
+    experiment::settle(&fleet, count).await?;
+    tokio::time::sleep(WARM_UP).await;
+    let before = sums(&fleet)?;
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    let after = sums(&fleet)?;
+    let mean =
+        |of: fn(&Sums) -> f64| (of(&after) - of(&before)) / seconds as f64 / f64::from(hosts);
+    let body = json!({
+        "real_hosts": hosts,
+        "core_share": mean(|sums| sums.cpu_ms) / 1_000.0,
+        "control_bytes_per_s": mean(|sums| sums.bytes),
+        "peak_memory_mb": after.peak_kb / 1_024.0,
+    });
+    println!("{body}");
+    Ok(true)
+}
+
+#[derive(Default)]
+struct Sums {
+    cpu_ms: f64,
+    bytes: f64,
+    peak_kb: f64,
+}
+
+fn sums(fleet: &fleet::Fleet) -> anyhow::Result<Sums> {
+    let mut sums = Sums::default();
+    for at in 0..fleet.hosts.len() {
+        let dump = tokio::task::block_in_place(|| fleet.dump(at))?;
+        let number = |at: &str| dump.pointer(at).and_then(serde_json::Value::as_f64);
+        sums.cpu_ms += number("/cpu_ms").unwrap_or(0.0);
+        sums.bytes += number("/counters/control_bytes").unwrap_or(0.0);
+        sums.peak_kb = sums.peak_kb.max(number("/memory_kb").unwrap_or(0.0));
+    }
+    Ok(sums)
+}
+
 fn print(
     hosts: u32,
     workspaces: u32,
--- a/standin/src/experiment.rs
+++ b/standin/src/experiment.rs
@@ -121,7 +121,11 @@
 }
 
 /// Waits until every host knows the others and has the configuration.
-async fn settle(fleet: &fleet::Fleet, hosts: usize) -> anyhow::Result<()> {
+///
+/// # Errors
+///
+/// Returns an error if they don't.
+pub async fn settle(fleet: &fleet::Fleet, hosts: usize) -> anyhow::Result<()> {
     for _ in 0..SETTLE_TRIES {
         let ready = (0..fleet.hosts.len()).all(|at| is_ready(fleet, at, hosts));
         if ready {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod agent;
 pub mod caller;
+pub mod config_latency;
 pub mod control_cost;
 pub mod demo;
 pub mod driver;
@@ -17,6 +18,7 @@
 pub mod load;
 pub mod local;
 pub mod net;
+pub mod overhead;
 pub mod platform;
 pub mod plots;
 pub mod report;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -8,12 +8,14 @@
 use clap::Parser as _;
 use walnuthaven_daemon::logging;
 use walnuthaven_lib::engines;
+use walnuthaven_standin::config_latency;
 use walnuthaven_standin::control_cost;
 use walnuthaven_standin::demo;
 use walnuthaven_standin::engine;
 use walnuthaven_standin::experiment;
 use walnuthaven_standin::ledger;
 use walnuthaven_standin::net;
+use walnuthaven_standin::overhead;
 use walnuthaven_standin::platform;
 use walnuthaven_standin::plots;
 use walnuthaven_standin::scenario;
@@ -60,6 +62,21 @@
     Service,
     /// Runs the weight store alone.
     Weights,
+    /// Measures what a host adds to the first-token time, without queueing.
+    Overhead {
+        /// Requests each way.
+        #[arg(long, default_value_t = 300)]
+        requests: u32,
+    },
+    /// Measures how long an accepted configuration takes to be in force at every host.
+    ConfigLatency {
+        /// Hosts to start.
+        #[arg(long, default_value_t = 8)]
+        hosts: usize,
+        /// Changes to make.
+        #[arg(long, default_value_t = 200)]
+        changes: u64,
+    },
     /// Measures what control costs one real host in a fleet of generated peers.
     ControlCost {
         /// Size of the fleet.
@@ -68,6 +85,9 @@
         /// Workspaces with a document each.
         #[arg(long, default_value_t = 230)]
         workspaces: u32,
+        /// Starts that many real hosts instead of generating peers.
+        #[arg(long)]
+        real: bool,
         /// Time to measure in seconds.
         #[arg(long, default_value_t = 20)]
         seconds: u64,
@@ -131,10 +151,19 @@
             Command::Engine { role } => engine_alone(&role).await,
             Command::Service => service_alone().await,
             Command::Weights => weights_alone().await,
+            Command::Overhead { requests } => overhead::run(requests).await,
+            Command::ConfigLatency { hosts, changes } => config_latency::run(hosts, changes).await,
+            Command::ControlCost {
+                hosts,
+                seconds,
+                real: true,
+                ..
+            } => control_cost::run_real(hosts, seconds).await,
             Command::ControlCost {
                 hosts,
                 workspaces,
                 seconds,
+                real: false,
             } => control_cost::run(hosts, workspaces, seconds).await,
         }
     });
--- /dev/null
+++ b/standin/src/overhead.rs
@@ -0,0 +1,141 @@
+//! What a host adds to the first-token time: the same requests to the engines directly and through a
+//! host, in turn, so that both see the same machine.
+
+use std::time;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use serde_json::json;
+use walnuthaven_daemon::engine as protocol;
+use walnuthaven_lib::engines;
+
+use crate::agent;
+use crate::experiment;
+use crate::fleet;
+use crate::load;
+use crate::report;
+use crate::world;
+
+const HOSTS: usize = 3;
+const LIMIT: Duration = Duration::from_secs(5);
+const TOKENS: u32 = 2;
+const PROMPT_WORDS: usize = 100;
+
+/// Measures and prints one JSON object. Returns that nothing was broken.
+///
+/// # Errors
+///
+/// Returns an error if a request fails.
+pub async fn run(requests: u32) -> anyhow::Result<bool> {
+    let world = world::World::start(&[world::User::Coop]).await?;
+    let mut fleet = fleet::Fleet::new(&world.platform_url, "current", "overhead")?;
+    for at in 0..HOSTS {
+        fleet.start(&format!("host-{at}"), world.zones()[at])?;
+    }
+    experiment::settle(&fleet, HOSTS).await?;
+    let agent = agent::Agent::new(world::User::Coop, "jabal", fleet.api_addresses())?;
+    let client = protocol::Client::new()?;
+    let mut direct = Vec::new();
+    let mut routed = Vec::new();
+    for number in 0..requests {
+        direct.push(ask_engines(&world, &client, number).await?);
+        routed.push(ask_host(&agent, number).await?);
+    }
+    let direct = report::percentiles(direct.into_iter());
+    let routed = report::percentiles(routed.into_iter());
+    let added = [0, 1, 2].map(|at| routed[at] - direct[at]);
+    let body = json!({
+        "requests": requests,
+        "direct_ms": direct,
+        "routed_ms": routed,
+        "added_ms": added,
+    });
+    println!("{body}");
+    Ok(true)
+}
+
+fn prompt(kind: &str, number: u32) -> String {
+    format!("{kind} {number} ").repeat(PROMPT_WORDS / 3)
+}
+
+async fn ask_engines(
+    world: &world::World,
+    client: &protocol::Client,
+    number: u32,
+) -> anyhow::Result<Duration> {
+    let of_role = |role| {
+        let mut engines = world.engines.iter().filter(move |e| e.spec.role == role);
+        engines.next().context("no engine of the role")
+    };
+    let prefill = of_role(engines::Role::Prefill)?.addr.to_string();
+    let decode = of_role(engines::Role::Decode)?.addr.to_string();
+    let request = format!("direct-{number}");
+    let failed = |failure| anyhow::anyhow!("{request}: {failure:?}");
+    let began = time::Instant::now();
+    let call = protocol::Prefill {
+        request: request.clone(),
+        attempt: 1,
+        home: "direct.1".into(),
+        prompt: prompt("direct", number),
+        generated: Vec::new(),
+        priority: "normal".into(),
+        repeatable: true,
+    };
+    let exported = client
+        .prefill(&prefill, &call, LIMIT)
+        .await
+        .map_err(failed)?;
+    let call = protocol::Import {
+        request: request.clone(),
+        attempt: 1,
+        home: "direct.1".into(),
+        source: prefill,
+        export: exported.export,
+        tokens: exported.tokens,
+        wait: false,
+    };
+    client.import(&decode, &call, LIMIT).await.map_err(failed)?;
+    let call = protocol::Decode {
+        request: request.clone(),
+        attempt: 1,
+        offset: 0,
+        max_tokens: TOKENS,
+    };
+    let mut stream = client.decode(&decode, &call, LIMIT).await.map_err(failed)?;
+    stream.next().await.map_err(failed)?;
+    let first = began.elapsed();
+    while stream
+        .next()
+        .await
+        .map_err(failed)?
+        .iter()
+        .all(|frame| !frame.done)
+    {}
+    Ok(first)
+}
+
+async fn ask_host(agent: &agent::Agent, number: u32) -> anyhow::Result<Duration> {
+    let call = load::Generate {
+        service: "summary",
+        priority: "normal",
+        repeatable: true,
+        prompt: prompt("routed", number),
+        max_tokens: TOKENS,
+        leaves_after: None,
+    };
+    let (host, id) = agent.host_and_id(None).await.context("no host")?;
+    let failed = |failure| anyhow::anyhow!("{id}: {failure:?}");
+    let began = time::Instant::now();
+    let mut events = agent.generate(&host, &id, &call, 0).await.map_err(failed)?;
+    events.next().await.map_err(failed)?;
+    let first = began.elapsed();
+    while let Ok(events) = events.next().await {
+        if events
+            .iter()
+            .any(|event| matches!(event, agent::Event::Done))
+        {
+            break;
+        }
+    }
+    Ok(first)
+}
--- a/standin/src/report.rs
+++ b/standin/src/report.rs
@@ -241,7 +241,8 @@
     done.iter().filter(|done| f(done)).count() as u64
 }
 
-fn percentiles(times: impl Iterator<Item = Duration>) -> [f64; 3] {
+/// Returns the values in milliseconds below which half, 95 and 99 in 100 of the times are.
+pub fn percentiles(times: impl Iterator<Item = Duration>) -> [f64; 3] {
     let mut histogram = match hdrhistogram::Histogram::<u64>::new(3) {
         Ok(histogram) => histogram,
         Err(_) => return [0.0; 3],
