--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -2,11 +2,11 @@
 
 use std::fs;
 use std::path;
-use std::time::Duration;
+use std::time;
 
 use crate::failure;
 
-const TIMEOUT: Duration = Duration::from_secs(15);
+const TIMEOUT: time::Duration = time::Duration::from_secs(15);
 const TOKEN_VARIABLE: &str = "WALNUTHAVEN_TOKEN";
 
 /// Calls one host's operators' API.
--- a/daemon/src/acquire.rs
+++ b/daemon/src/acquire.rs
@@ -1,7 +1,7 @@
 //! Getting engines from the steward of a cell, here or at another host.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::clock::Clock as _;
 use walnuthaven_lib::config;
@@ -15,8 +15,8 @@
 use crate::host;
 use crate::poll;
 
-const STEWARD_RETRY: Duration = Duration::from_millis(100);
-const MAX_STEWARD_WAIT: Duration = Duration::from_secs(5);
+const STEWARD_RETRY: time::Duration = time::Duration::from_millis(100);
+const MAX_STEWARD_WAIT: time::Duration = time::Duration::from_secs(5);
 
 /// Engines granted by a steward, with where to report.
 #[derive(Clone, Debug)]
@@ -75,7 +75,7 @@
         if waited > MAX_STEWARD_WAIT.min(ask.first_token) {
             let message = format!("the steward of {} does not answer", cell.name);
             let refusal = refusal::Refusal::not_run(refusal::Code::Unavailable, message);
-            return Err(refusal.after(Duration::from_secs(1)));
+            return Err(refusal.after(time::Duration::from_secs(1)));
         }
         tokio::time::sleep(STEWARD_RETRY).await;
     }
--- a/daemon/src/answer.rs
+++ b/daemon/src/answer.rs
@@ -5,13 +5,13 @@
 //! abandoned.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use tokio::sync::watch;
 use walnuthaven_lib::refusal;
 
 /// How long a run goes on without a reader, so that a caller can come back.
-pub const READERLESS_GRACE: Duration = Duration::from_millis(400);
+pub const READERLESS_GRACE: time::Duration = time::Duration::from_millis(400);
 
 /// How an answer ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -35,7 +35,7 @@
 struct Inner {
     tokens: Vec<sync::Arc<str>>,
     end: Option<End>,
-    ended: Option<Duration>,
+    ended: Option<time::Duration>,
 }
 
 /// An answer.
@@ -72,7 +72,7 @@
     }
 
     /// Ends the answer. Only the first end counts.
-    pub fn finish(&self, end: End, now: Duration) {
+    pub fn finish(&self, end: End, now: time::Duration) {
         let mut inner = self.lock();
         inner.end.get_or_insert(end);
         inner.ended.get_or_insert(now);
@@ -96,7 +96,7 @@
     }
 
     /// Returns when the answer ended, if it did.
-    pub fn ended(&self) -> Option<Duration> {
+    pub fn ended(&self) -> Option<time::Duration> {
         self.lock().ended
     }
 
--- a/daemon/src/api.rs
+++ b/daemon/src/api.rs
@@ -1,9 +1,9 @@
 //! The callers' API: HTTP/1.1 and HTTP/2.
 
-use std::convert::Infallible;
+use std::convert;
 use std::sync;
 use std::sync::atomic;
-use std::time::Duration;
+use std::time;
 
 use axum::body;
 use axum::extract;
@@ -50,7 +50,7 @@
                 Ok((stream, _)) => accept_one(&cx, &router, stream),
                 Err(error) => {
                     log::warn!("accept: {error}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    tokio::time::sleep(time::Duration::from_millis(50)).await;
                 }
             }
         }
@@ -96,7 +96,7 @@
     let limits = &cx.settings.limits;
     // A caller's tokens must not wait for each other; failing to set this only delays them.
     let _ = stream.set_nodelay(true);
-    let stall = Duration::from_millis(limits.stall_ms);
+    let stall = time::Duration::from_millis(limits.stall_ms);
     let io = rt::TokioIo::new(connections::Guarded::new(stream, stall));
     let connection = connections::Connection::default();
     let shared = connection.clone();
@@ -106,13 +106,13 @@
         let router = router.clone();
         let connection = shared.clone();
         let req = req.map(body::Body::new);
-        async move { Ok::<_, Infallible>(answer(&cx, router, connection, req).await) }
+        async move { Ok::<_, convert::Infallible>(answer(&cx, router, connection, req).await) }
     });
     let mut builder = conn::auto::Builder::new(rt::TokioExecutor::new());
     builder
         .http1()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.header_ms))
+        .header_read_timeout(time::Duration::from_millis(limits.header_ms))
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BYTES))
         .http2()
         .timer(rt::TokioTimer::new())
--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One try of a request on granted engines: prefill, transfer, decode.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::cell;
 use walnuthaven_lib::engines;
@@ -17,10 +17,10 @@
 use crate::host;
 
 const PREFILL_FACTOR: u32 = 6;
-const MIN_PREFILL_LIMIT: Duration = Duration::from_secs(4);
-const DECODE_START_LIMIT: Duration = Duration::from_secs(2);
-const TOKEN_GAP_LIMIT: Duration = Duration::from_secs(3);
-const BASELINE_IMPORT_LIMIT: Duration = Duration::from_secs(10);
+const MIN_PREFILL_LIMIT: time::Duration = time::Duration::from_secs(4);
+const DECODE_START_LIMIT: time::Duration = time::Duration::from_secs(2);
+const TOKEN_GAP_LIMIT: time::Duration = time::Duration::from_secs(3);
+const BASELINE_IMPORT_LIMIT: time::Duration = time::Duration::from_secs(10);
 
 /// A computed prompt that can still be imported.
 #[derive(Clone, Debug)]
@@ -30,7 +30,7 @@
     /// The export.
     pub exported: engine::Exported,
     /// When it will be dropped.
-    pub until: Duration,
+    pub until: time::Duration,
 }
 
 /// How a try ended.
@@ -83,7 +83,7 @@
         self
     }
 
-    fn with_export(mut self, export: &Export, now: Duration) -> Self {
+    fn with_export(mut self, export: &Export, now: time::Duration) -> Self {
         if now < export.until {
             self.export = Some(export.clone());
         }
@@ -208,7 +208,7 @@
     match cx.engines.prefill(&server.addr, &call, limit).await {
         Ok(exported) => {
             acquire::report(cx, &guard.held, grant::Event::Prefilled);
-            let life = Duration::from_millis(exported.expires_ms);
+            let life = time::Duration::from_millis(exported.expires_ms);
             Ok(Export {
                 server: server.clone(),
                 exported,
--- a/daemon/src/cancel.rs
+++ b/daemon/src/cancel.rs
@@ -1,7 +1,7 @@
 //! Cancels at engines, repeated until they are confirmed.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::grant;
 
@@ -9,7 +9,7 @@
 use crate::host;
 
 const TRIES: u32 = 4;
-const PAUSE: Duration = Duration::from_millis(100);
+const PAUSE: time::Duration = time::Duration::from_millis(100);
 
 /// Frees what a request holds at an engine, in the background.
 pub fn spawn(cx: &sync::Arc<host::Host>, order: grant::Cancel) {
--- a/daemon/src/configure.rs
+++ b/daemon/src/configure.rs
@@ -6,7 +6,7 @@
 
 use std::sync;
 use std::sync::atomic;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::clock;
 use walnuthaven_lib::config;
@@ -26,9 +26,9 @@
 pub const HISTORY_KIND: &str = "config-history";
 /// Relays in each availability zone.
 pub const RELAYS_PER_ZONE: usize = 2;
-const IDLE: Duration = Duration::from_millis(500);
-const MIN_BACK_OFF: Duration = Duration::from_millis(200);
-const MAX_BACK_OFF: Duration = Duration::from_secs(5);
+const IDLE: time::Duration = time::Duration::from_millis(500);
+const MIN_BACK_OFF: time::Duration = time::Duration::from_millis(200);
+const MAX_BACK_OFF: time::Duration = time::Duration::from_secs(5);
 const PUSH_TO: usize = 8;
 
 const MAX_FETCHING: u32 = 16;
@@ -249,7 +249,7 @@
     })
 }
 
-fn jittered(wait: Duration) -> Duration {
+fn jittered(wait: time::Duration) -> time::Duration {
     wait.mul_f64(0.5 + rand::random::<f64>())
 }
 
--- a/daemon/src/connections.rs
+++ b/daemon/src/connections.rs
@@ -9,7 +9,7 @@
 use std::sync;
 use std::sync::atomic;
 use std::task;
-use std::time::Duration;
+use std::time;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -129,13 +129,13 @@
 #[derive(Debug)]
 pub struct Guarded {
     stream: tokio::net::TcpStream,
-    limit: Duration,
+    limit: time::Duration,
     stalled: Option<pin::Pin<Box<tokio::time::Sleep>>>,
 }
 
 impl Guarded {
     /// Guards a stream.
-    pub fn new(stream: tokio::net::TcpStream, limit: Duration) -> Self {
+    pub fn new(stream: tokio::net::TcpStream, limit: time::Duration) -> Self {
         Self {
             stream,
             limit,
--- a/daemon/src/convert.rs
+++ b/daemon/src/convert.rs
@@ -1,7 +1,7 @@
 //! Conversions between the decisions' types and the generated message types.
 
 use std::str::FromStr as _;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::clock;
 use walnuthaven_lib::engines;
@@ -79,8 +79,8 @@
             .iter()
             .map(|name| name.as_str().into())
             .collect(),
-        expires: Duration::from_millis(mark.expires_unix_ms),
-        changed: Duration::from_millis(mark.changed_unix_ms),
+        expires: time::Duration::from_millis(mark.expires_unix_ms),
+        changed: time::Duration::from_millis(mark.changed_unix_ms),
         lifted: mark.lifted,
     }
 }
@@ -108,7 +108,7 @@
         "ran" => refusal::Ran::Ran,
         _ => refusal::Ran::Unknown,
     };
-    let wait = Duration::from_millis(message.retry_after_ms);
+    let wait = time::Duration::from_millis(message.retry_after_ms);
     refusal::Refusal {
         code: code.unwrap_or(refusal::Code::OutcomeUnknown),
         ran,
@@ -155,8 +155,8 @@
         prompt_tokens: message.prompt_tokens,
         digest: message.digest,
         prefix: message.prefix.clone(),
-        first_token: Duration::from_millis(message.first_token_ms),
-        waited: Duration::from_millis(message.waited_ms),
+        first_token: time::Duration::from_millis(message.first_token_ms),
+        waited: time::Duration::from_millis(message.waited_ms),
         prefilled_on: prefilled_on.map(ids::Name::from),
         exclude: message.exclude.iter().map(|s| s.as_str().into()).collect(),
         suspect: message.suspect,
@@ -187,7 +187,7 @@
             name: grant.decode_name.as_str().into(),
             addr: grant.decode_addr.as_str().into(),
         },
-        transfer: Duration::from_millis(grant.transfer_ms),
+        transfer: time::Duration::from_millis(grant.transfer_ms),
     }
 }
 
--- a/daemon/src/drain.rs
+++ b/daemon/src/drain.rs
@@ -4,7 +4,7 @@
 //! New requests are refused with the addresses of others. What runs is finished; then the host ends.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::membership;
 use walnuthaven_lib::refusal;
@@ -27,11 +27,11 @@
     Left,
 }
 
-const CHECK_EVERY: Duration = Duration::from_millis(50);
+const CHECK_EVERY: time::Duration = time::Duration::from_millis(50);
 /// Time for connections to close.
-const CLOSE_LIMIT: Duration = Duration::from_secs(2);
+const CLOSE_LIMIT: time::Duration = time::Duration::from_secs(2);
 /// Time for which a leaving host still answers others after its last request ended.
-const LINGER: Duration = Duration::from_millis(500);
+const LINGER: time::Duration = time::Duration::from_millis(500);
 
 /// Refuses new work on a leaving host.
 ///
@@ -63,7 +63,7 @@
     host::lock(&cx.members).leave();
     gossip::announce(cx).await;
     jobs::hand_over(cx).await;
-    let until = cx.now() + Duration::from_secs(cx.settings.drain_s);
+    let until = cx.now() + time::Duration::from_secs(cx.settings.drain_s);
     while cx.now() < until && !is_idle(cx) {
         tokio::time::sleep(CHECK_EVERY).await;
     }
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -5,7 +5,7 @@
 
 use std::collections;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::config;
 use walnuthaven_lib::ids;
@@ -15,11 +15,11 @@
 use crate::stewardship;
 
 /// How long a host keeps the steward's answer.
-pub const VALID: Duration = Duration::from_millis(500);
-const CHECK_EVERY: Duration = Duration::from_millis(250);
-const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
-const AVOID_FOR: Duration = Duration::from_secs(1);
-const STALE_USABLE_FOR: Duration = Duration::from_secs(5);
+pub const VALID: time::Duration = time::Duration::from_millis(500);
+const CHECK_EVERY: time::Duration = time::Duration::from_millis(250);
+const HEALTH_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+const AVOID_FOR: time::Duration = time::Duration::from_secs(1);
+const STALE_USABLE_FOR: time::Duration = time::Duration::from_secs(5);
 
 /// A server of a plain service.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -35,7 +35,7 @@
 #[derive(Clone, Debug)]
 struct Known {
     endpoints: Vec<Endpoint>,
-    at: Duration,
+    at: time::Duration,
 }
 
 /// What a host knows of live servers.
@@ -43,7 +43,7 @@
 pub struct Cache {
     stewarded: sync::Mutex<collections::HashMap<String, Vec<Endpoint>>>,
     asked: sync::Mutex<collections::HashMap<String, Known>>,
-    avoided: sync::Mutex<collections::HashMap<ids::Name, Duration>>,
+    avoided: sync::Mutex<collections::HashMap<ids::Name, time::Duration>>,
 }
 
 impl Cache {
@@ -54,12 +54,12 @@
     }
 
     /// Notes that a server did not take a call.
-    pub fn avoid(&self, server: &ids::Name, now: Duration) {
+    pub fn avoid(&self, server: &ids::Name, now: time::Duration) {
         host::lock(&self.avoided).insert(server.clone(), now + AVOID_FOR);
     }
 
     /// Returns whether a server did not take a call a moment ago.
-    pub fn is_avoided(&self, server: &ids::Name, now: Duration) -> bool {
+    pub fn is_avoided(&self, server: &ids::Name, now: time::Duration) -> bool {
         let avoided = host::lock(&self.avoided);
         avoided.get(server).is_some_and(|until| now < *until)
     }
--- a/daemon/src/engine.rs
+++ b/daemon/src/engine.rs
@@ -1,6 +1,6 @@
 //! The protocol of model engines: JSON over HTTP/2, with tokens as lines of JSON.
 
-use std::time::Duration;
+use std::time;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -184,9 +184,9 @@
     Lost(String),
 }
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
-const LOAD_TIMEOUT: Duration = Duration::from_millis(800);
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+const CANCEL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+const LOAD_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 const MAX_LINE_BYTES: usize = 1_048_576;
 
 /// Calls engines. All calls to an engine share one connection.
@@ -221,7 +221,7 @@
         &self,
         addr: &str,
         call: &Prefill,
-        limit: Duration,
+        limit: time::Duration,
     ) -> Result<Exported, Failure> {
         self.unary(addr, "prefill", call, limit).await
     }
@@ -231,7 +231,12 @@
     /// # Errors
     ///
     /// Returns why the slot is not filled.
-    pub async fn import(&self, addr: &str, call: &Import, limit: Duration) -> Result<(), Failure> {
+    pub async fn import(
+        &self,
+        addr: &str,
+        call: &Import,
+        limit: time::Duration,
+    ) -> Result<(), Failure> {
         let _: serde_json::Value = self.unary(addr, "import", call, limit).await?;
         Ok(())
     }
@@ -245,7 +250,7 @@
         &self,
         addr: &str,
         call: &Decode,
-        limit: Duration,
+        limit: time::Duration,
     ) -> Result<Stream, Failure> {
         let sent = self.send(addr, "decode", call);
         let response = match tokio::time::timeout(limit, sent).await {
@@ -275,7 +280,12 @@
     /// # Errors
     ///
     /// Returns why the engine did not confirm.
-    pub async fn order(&self, addr: &str, call: &Order, limit: Duration) -> Result<(), Failure> {
+    pub async fn order(
+        &self,
+        addr: &str,
+        call: &Order,
+        limit: time::Duration,
+    ) -> Result<(), Failure> {
         let _: serde_json::Value = self.unary(addr, "orders", call, limit).await?;
         Ok(())
     }
@@ -297,7 +307,7 @@
         addr: &str,
         path: &str,
         call: &Q,
-        limit: Duration,
+        limit: time::Duration,
     ) -> Result<A, Failure> {
         let answer = async {
             let response = self.send(addr, path, call).await?;
--- a/daemon/src/generate.rs
+++ b/daemon/src/generate.rs
@@ -1,7 +1,7 @@
 //! The way of a generate request, from its arrival to its answer.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::cell;
 use walnuthaven_lib::config;
@@ -42,7 +42,7 @@
     /// How many tokens the caller has already, if it says so.
     pub offset: Option<u32>,
     /// When it arrived at the fleet.
-    pub arrived: Duration,
+    pub arrived: time::Duration,
 }
 
 /// A request that was let in.
@@ -84,7 +84,7 @@
     /// Whether it may run more than once.
     pub repeatable: bool,
     /// When it arrived.
-    pub arrived: Duration,
+    pub arrived: time::Duration,
     /// The slowest prefill rate in the pool.
     pub prefill_rate: u32,
 }
@@ -208,7 +208,7 @@
             "{running} requests of the workspace are open at this host, the limit is {limit}"
         );
         let refusal = refusal::Refusal::not_run(refusal::Code::Overloaded, message);
-        return Err(refusal.after(Duration::from_secs(1)));
+        return Err(refusal.after(time::Duration::from_secs(1)));
     }
     let digest = prefix::digest(&ask.prompt);
     if cx.settings.scheduler == cell::Policy::Current {
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -1,7 +1,7 @@
 //! Probes between hosts, and the news that travels with them.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::membership;
 use walnuthaven_lib::rendezvous;
@@ -13,9 +13,9 @@
 use crate::retention;
 
 const HELPERS: usize = 2;
-const MARKS_RECENT: Duration = Duration::from_secs(20);
+const MARKS_RECENT: time::Duration = time::Duration::from_secs(20);
 const MAX_MARKS: usize = 64;
-const JOIN_EVERY: Duration = Duration::from_secs(1);
+const JOIN_EVERY: time::Duration = time::Duration::from_secs(1);
 
 /// Starts to probe.
 pub fn spawn(cx: &sync::Arc<host::Host>) {
--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -7,7 +7,7 @@
 use std::net;
 use std::sync;
 use std::sync::atomic;
-use std::time::Duration;
+use std::time;
 
 use anyhow::Context as _;
 use tokio::runtime;
@@ -234,12 +234,12 @@
     }
 
     /// Returns the time since boot.
-    pub fn now(&self) -> Duration {
+    pub fn now(&self) -> time::Duration {
         self.clock.now()
     }
 
     /// Returns the wall-clock time.
-    pub fn unix(&self) -> Duration {
+    pub fn unix(&self) -> time::Duration {
         self.clock.unix()
     }
 
--- a/daemon/src/jobs.rs
+++ b/daemon/src/jobs.rs
@@ -6,7 +6,7 @@
 
 use std::sync;
 use std::sync::atomic;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::ids;
 use walnuthaven_lib::journal;
@@ -18,10 +18,10 @@
 use crate::journal_store;
 use crate::openai;
 
-const RETRY_PAUSE: Duration = Duration::from_secs(1);
-const SCAN_EVERY: Duration = Duration::from_secs(3);
-const MIN_UPTIME_FOR_SCAN: Duration = Duration::from_secs(4);
-const SILENT_OWNER: Duration = Duration::from_secs(30);
+const RETRY_PAUSE: time::Duration = time::Duration::from_secs(1);
+const SCAN_EVERY: time::Duration = time::Duration::from_secs(3);
+const MIN_UPTIME_FOR_SCAN: time::Duration = time::Duration::from_secs(4);
+const SILENT_OWNER: time::Duration = time::Duration::from_secs(30);
 const MAX_RUNNING: usize = 256;
 const SCAN_KEY: &str = "journal-scan";
 
--- a/daemon/src/jobs_api.rs
+++ b/daemon/src/jobs_api.rs
@@ -1,7 +1,7 @@
 //! The callers' side of jobs: submit, poll, fetch, confirm.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use axum::extract;
 use axum::response;
@@ -21,7 +21,7 @@
 use crate::openai;
 use crate::platform;
 
-const RETRY_PAUSE: Duration = Duration::from_secs(1);
+const RETRY_PAUSE: time::Duration = time::Duration::from_secs(1);
 const DEFAULT_MAX_TOKENS: u32 = 256;
 
 /// `POST /v1/jobs`: accepts work for later.
@@ -121,7 +121,7 @@
     let entry = journal::Entry {
         job: job.clone(),
         progress: journal::Progress::Waiting,
-        changed: Duration::ZERO,
+        changed: time::Duration::ZERO,
     };
     if entry.size() > journal::MAX_BYTES {
         let message = format!(
--- a/daemon/src/journal_store.rs
+++ b/daemon/src/journal_store.rs
@@ -5,7 +5,7 @@
 
 use std::collections;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::ids;
 use walnuthaven_lib::journal;
@@ -15,11 +15,11 @@
 
 /// The kind of journal objects.
 pub const KIND: &str = "journal";
-const MIN_WRITE_EVERY: Duration = Duration::from_millis(40);
-const MIN_BACK_OFF: Duration = Duration::from_millis(100);
-const MAX_BACK_OFF: Duration = Duration::from_secs(2);
+const MIN_WRITE_EVERY: time::Duration = time::Duration::from_millis(40);
+const MIN_BACK_OFF: time::Duration = time::Duration::from_millis(100);
+const MAX_BACK_OFF: time::Duration = time::Duration::from_secs(2);
 /// Keeps the fleet's journal writes near 200 a second at any number of hosts.
-const WRITE_EVERY_PER_HOST: Duration = Duration::from_millis(5);
+const WRITE_EVERY_PER_HOST: time::Duration = time::Duration::from_millis(5);
 
 /// Whether a change is kept.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -70,7 +70,7 @@
     }
 
     /// Adds a job and waits until it is kept. Returns its id.
-    pub async fn add(&self, job: journal::Job, unix: Duration) -> (String, Kept) {
+    pub async fn add(&self, job: journal::Job, unix: time::Duration) -> (String, Kept) {
         // While the platform rests the answer is known, so nobody waits for it.
         if let Some(why) = host::lock(&self.resting).clone() {
             return (String::new(), Kept::No(why));
@@ -106,7 +106,7 @@
     }
 
     /// Changes the progress of a job and waits until the change is kept.
-    pub async fn set(&self, id: &str, progress: journal::Progress, unix: Duration) -> Kept {
+    pub async fn set(&self, id: &str, progress: journal::Progress, unix: time::Duration) -> Kept {
         let (tx, rx) = tokio::sync::oneshot::channel();
         {
             let mut open = host::lock(&self.open);
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics by statsd. Names and units are listed in `docs/OPERATIONS.md`.
 
 use std::net;
-use std::time::Duration;
+use std::time;
 
 use anyhow::Context as _;
 use cadence::Counted as _;
@@ -50,7 +50,7 @@
     }
 
     /// Reports a duration in milliseconds.
-    pub fn time(&self, name: &str, duration: Duration) {
+    pub fn time(&self, name: &str, duration: time::Duration) {
         let _ = self.client.time(name, duration);
     }
 }
--- a/daemon/src/openai.rs
+++ b/daemon/src/openai.rs
@@ -1,6 +1,6 @@
 //! Generate requests in the shape of the common completions and chat APIs.
 
-use std::convert::Infallible;
+use std::convert;
 use std::sync;
 
 use axum::body;
@@ -363,7 +363,7 @@
         };
         let events = stream::unfold(state, |mut state| async {
             let bytes = state.next_bytes().await?;
-            Some((Ok::<_, Infallible>(bytes), state))
+            Some((Ok::<_, convert::Infallible>(bytes), state))
         });
         let headers = [
             (http::header::CONTENT_TYPE, "text/event-stream"),
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -6,7 +6,7 @@
 
 use std::collections;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::cell;
 use walnuthaven_lib::engines;
@@ -21,10 +21,10 @@
 
 /// The kind of lease objects.
 pub const KIND: &str = "lease";
-const TICK: Duration = Duration::from_millis(500);
-const DRAIN_LIMIT: Duration = Duration::from_secs(10);
-const CONFIRM_LIMIT: Duration = Duration::from_secs(20);
-const BUSY_PREFILL: Duration = Duration::from_millis(100);
+const TICK: time::Duration = time::Duration::from_millis(500);
+const DRAIN_LIMIT: time::Duration = time::Duration::from_secs(10);
+const CONFIRM_LIMIT: time::Duration = time::Duration::from_secs(20);
+const BUSY_PREFILL: time::Duration = time::Duration::from_millis(100);
 const FREE_SHARE: f64 = 0.4;
 
 /// A pool of which this host has a cell.
@@ -46,7 +46,7 @@
 #[derive(Clone, Debug)]
 struct Outstanding {
     change: Change,
-    since: Duration,
+    since: time::Duration,
     sent: bool,
 }
 
@@ -168,7 +168,7 @@
 
 /// Returns the next change: first what the document asks for, one engine at a time, then what the
 /// demand asks for.
-fn wanted(pool: &Pool, policy: &mut roles::Policy, now: Duration) -> Option<Outstanding> {
+fn wanted(pool: &Pool, policy: &mut roles::Policy, now: time::Duration) -> Option<Outstanding> {
     let (pressure, states) = pool
         .cell
         .with(|cell| (pressure(cell, now), cell.engines().states()));
@@ -207,7 +207,7 @@
     policy: &mut roles::Policy,
     pressure: roles::Pressure,
     working: &[engines::State],
-    now: Duration,
+    now: time::Duration,
 ) -> Option<Change> {
     if !pool.role_changes {
         return None;
@@ -227,7 +227,7 @@
 }
 
 /// Compares both sides of a pool. Requests that wait while slots are free wait for prefill.
-fn pressure(cell: &cell::Cell, now: Duration) -> roles::Pressure {
+fn pressure(cell: &cell::Cell, now: time::Duration) -> roles::Pressure {
     let engines = cell.engines();
     let total = engines.total_slots().max(1) as f64;
     let free = engines.free_slots() as f64 / total;
--- a/daemon/src/pages.rs
+++ b/daemon/src/pages.rs
@@ -2,6 +2,7 @@
 
 use maud::html;
 use serde_json::Value;
+use walnuthaven_lib::engines;
 use walnuthaven_lib::validate;
 use walnuthaven_lib::versions;
 
@@ -11,7 +12,7 @@
 const STYLE: &str = "body{font:15px/1.5 system-ui,sans-serif;margin:0 auto;max-width:60rem;padding:1rem;color:#222}\
  h1{font-size:1.5rem}h2{font-size:1.15rem;margin-top:1.6rem}table{border-collapse:collapse;width:100%}\
  th,td{text-align:left;padding:.25rem .6rem;border-bottom:1px solid #ddd}th{background:#f4f4f4}\
- label{display:block;margin:.6rem 0 .1rem}input[type=text],select,textarea{width:24rem;padding:.3rem;font:inherit}\
+ label{display:block;margin:.6rem 0 .1rem}input[type=text],select,textarea{width:24rem;padding:.3rem;font:inherit;box-sizing:border-box}\
  textarea{width:100%;height:18rem;font:13px/1.4 monospace}button{padding:.4rem 1rem;font:inherit;margin-top:1rem}\
  .error{color:#a00;font-weight:600}.warning{color:#850}.note{color:#555}pre{background:#f7f7f7;padding:.6rem;overflow:auto}\
  nav a{margin-right:1rem}.added{color:#060}.removed{color:#a00}.side{display:flex;gap:1rem}.side>div{flex:1;min-width:0}";
@@ -93,7 +94,11 @@
                     tr {
                         td { (engine.name) }
                         td { (format!("{:?}", engine.role).to_lowercase()) }
-                        td { (engine.granted + engine.foreign) " of " (engine.slots) }
+                        td {
+                            @if engine.role == engines::Role::Decode {
+                                (engine.granted + engine.foreign) " of " (engine.slots)
+                            } @else { "none" }
+                        }
                         td { @if engine.leaving { "leaving" } @else if engine.reachable { "takes work" }
                             @else { span.error { "not reachable" } } }
                     }
@@ -185,7 +190,7 @@
                 }
             }
         }
-        p { a href={ "/workspaces/" (workspace) "/" (part.name) "/new" } { "Add" } }
+        p { a href={ "/workspaces/" (workspace) "/" (part.name) "/new" } { "Add to " (part.label) } }
     }
 }
 
@@ -219,8 +224,10 @@
             form method="post" action=(self.action) {
                 input type="hidden" name="seen" value=(self.seen);
                 @for field in self.fields { (self.field(field)) }
-                button name="do" value="save" { "Look at the change" }
-                @if self.removable { " " button name="do" value="remove" { "Remove" } }
+                div {
+                    button name="do" value="save" { "Look at the change" }
+                    @if self.removable { " " button name="do" value="remove" { "Remove" } }
+                }
             }
         };
         page(&self.title, &body)
@@ -234,19 +241,25 @@
         let path = self.field_path(field);
         let value = forms::text(self.item, field);
         html! {
-            label for=(field.name) { (field.label) }
             @match field.kind {
+                forms::Kind::Flag => {
+                    label {
+                        input type="checkbox" name=(field.name) value="true" checked[value == "true"];
+                        " " (field.label)
+                    }
+                }
                 forms::Kind::Choice(words) => {
+                    label for=(field.name) { (field.label) }
                     select id=(field.name) name=(field.name) {
                         @for word in words {
                             option value=(word) selected[*word == value] { (word) }
                         }
                     }
                 }
-                forms::Kind::Flag => {
-                    input type="checkbox" id=(field.name) name=(field.name) value="true" checked[value == "true"];
+                _ => {
+                    label for=(field.name) { (field.label) }
+                    input type="text" id=(field.name) name=(field.name) value=(value);
                 }
-                _ => input type="text" id=(field.name) name=(field.name) value=(value);
             }
             @for finding in self.findings.iter().filter(|f| f.path == path) {
                 p.error { (finding.message) }
--- a/daemon/src/peer_client.rs
+++ b/daemon/src/peer_client.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use tonic::service;
 use tonic::transport;
@@ -17,11 +17,11 @@
 pub const KEY_ENTRY: &str = "x-host-key";
 
 /// Time limit of a probe.
-pub const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-const PLAIN_TIMEOUT_MARGIN: Duration = Duration::from_secs(12);
-const KEEP_ALIVE: Duration = Duration::from_secs(1);
+pub const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+const PLAIN_TIMEOUT_MARGIN: time::Duration = time::Duration::from_secs(12);
+const KEEP_ALIVE: time::Duration = time::Duration::from_secs(1);
 const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
 
 type Channel = service::interceptor::InterceptedService<transport::Channel, ShowKey>;
@@ -260,7 +260,7 @@
     }
 }
 
-fn limited<T>(message: T, limit: Duration) -> tonic::Request<T> {
+fn limited<T>(message: T, limit: time::Duration) -> tonic::Request<T> {
     let mut req = tonic::Request::new(message);
     req.set_timeout(limit);
     req
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -1,7 +1,7 @@
 //! Calls from other hosts.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use tokio::sync::mpsc;
 use tokio_stream::wrappers;
@@ -281,7 +281,7 @@
         })?;
         let class = queue::Class::parse(&call.priority);
         let class = class.ok_or_else(|| tonic::Status::invalid_argument("priority"))?;
-        let waited = Duration::from_millis(call.waited_ms);
+        let waited = time::Duration::from_millis(call.waited_ms);
         Ok(generate::Ask {
             arrived: self.cx.now().saturating_sub(waited),
             prompt: call.prompt,
--- a/daemon/src/plain.rs
+++ b/daemon/src/plain.rs
@@ -3,7 +3,7 @@
 use std::collections;
 use std::sync;
 use std::sync::atomic;
-use std::time::Duration;
+use std::time;
 
 use bytes::Bytes;
 use tokio::sync::watch;
@@ -24,9 +24,9 @@
 use crate::permits;
 
 const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 const MAX_CONNECT_TRIES: usize = 4;
-const REPLY_KEPT_FOR: Duration = Duration::from_secs(60);
+const REPLY_KEPT_FOR: time::Duration = time::Duration::from_secs(60);
 
 /// A call of a plain service.
 #[derive(Clone, Debug)]
@@ -363,7 +363,7 @@
         .plain
         .http
         .request(call.method.clone(), url)
-        .timeout(Duration::from_millis(call.service.timeout_ms))
+        .timeout(time::Duration::from_millis(call.service.timeout_ms))
         .header(http::header::CONTENT_TYPE, &call.content_type)
         .body(call.body.clone());
     if let Some(id) = id {
@@ -408,7 +408,8 @@
 
 fn unreachable(call: &Call) -> refusal::Refusal {
     let message = format!("no server of service {:?} takes work", call.service.name);
-    refusal::Refusal::not_run(refusal::Code::Unavailable, message).after(Duration::from_secs(1))
+    refusal::Refusal::not_run(refusal::Code::Unavailable, message)
+        .after(time::Duration::from_secs(1))
 }
 
 fn xxh(body: &Bytes) -> u64 {
--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -3,7 +3,7 @@
 //! Calls block, so they run on threads for blocking work. Back-off has jitter, and a host that is
 //! no relay and holds no lease makes no regular calls beside the host list.
 
-use std::time::Duration;
+use std::time;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -54,8 +54,8 @@
     Unknown(String),
 }
 
-const TIMEOUT: Duration = Duration::from_secs(2);
-const WATCH: Duration = Duration::from_secs(20);
+const TIMEOUT: time::Duration = time::Duration::from_secs(2);
+const WATCH: time::Duration = time::Duration::from_secs(20);
 
 /// Calls the platform.
 #[derive(Clone, Debug)]
@@ -163,7 +163,7 @@
     fn read<T: serde::de::DeserializeOwned>(
         &self,
         path: &str,
-        limit: Duration,
+        limit: time::Duration,
     ) -> Result<T, Failure> {
         let url = format!("{}{path}", self.base);
         let sent = self
--- a/daemon/src/poll.rs
+++ b/daemon/src/poll.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::cell;
 use walnuthaven_lib::config;
@@ -19,9 +19,9 @@
 use crate::stewardship;
 
 /// How often an engine is asked for its load.
-pub const POLL_EVERY: Duration = Duration::from_millis(200);
+pub const POLL_EVERY: time::Duration = time::Duration::from_millis(200);
 /// A home comes back to its stream within this time or not at all.
-const DETACHED_LIMIT: Duration = Duration::from_secs(5);
+const DETACHED_LIMIT: time::Duration = time::Duration::from_secs(5);
 const FAILED_POLLS_FOR_CRASH: u32 = 2;
 
 /// Starts to poll the engines of this host's cells, and lets the cells decide.
@@ -61,7 +61,7 @@
     last_event: u64,
     incarnation: u64,
     /// Since when nobody has been connected to a request's stream.
-    detached: collections::HashMap<String, Duration>,
+    detached: collections::HashMap<String, time::Duration>,
 }
 
 impl Pollers {
--- a/daemon/src/retention.rs
+++ b/daemon/src/retention.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::identity;
 use walnuthaven_lib::ids;
@@ -11,10 +11,10 @@
 use crate::host;
 
 /// How long a finished answer is kept.
-pub const KEPT_FOR: Duration = Duration::from_secs(60);
+pub const KEPT_FOR: time::Duration = time::Duration::from_secs(60);
 /// Most finished answers kept; the oldest go first.
 pub const MAX_KEPT: usize = 5_000;
-const SWEEP_EVERY: Duration = Duration::from_secs(2);
+const SWEEP_EVERY: time::Duration = time::Duration::from_secs(2);
 
 /// Answers that go out through other hosts, by request number.
 #[derive(Debug, Default)]
@@ -76,7 +76,7 @@
     answers.retain(|_, answer| !is_over(answer, now));
     let excess = answers.len().saturating_sub(MAX_KEPT);
     if excess > 0 {
-        let mut ended: Vec<(Duration, u64)> = answers
+        let mut ended: Vec<(time::Duration, u64)> = answers
             .iter()
             .filter(|(_, answer)| !answer.has_readers())
             .filter_map(|(number, answer)| Some((answer.ended()?, *number)))
@@ -89,7 +89,7 @@
     cx.relayed.retain(|number| answers.contains_key(&number));
 }
 
-fn is_over(answer: &answer::Answer, now: Duration) -> bool {
+fn is_over(answer: &answer::Answer, now: time::Duration) -> bool {
     let old = answer
         .ended()
         .is_some_and(|ended| now.saturating_sub(ended) >= KEPT_FOR);
--- a/daemon/src/steward.rs
+++ b/daemon/src/steward.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use tokio::sync::oneshot;
 use walnuthaven_lib::cell;
@@ -16,7 +16,7 @@
 use crate::cancel;
 use crate::host;
 
-const TICK: Duration = Duration::from_millis(4);
+const TICK: time::Duration = time::Duration::from_millis(4);
 
 /// The cells of this host.
 #[derive(Debug)]
@@ -156,7 +156,7 @@
     }
 
     /// Lets the cell decide and hands the decisions out.
-    pub fn advance(&self, now: Duration) {
+    pub fn advance(&self, now: time::Duration) {
         let mut inner = host::lock(&self.inner);
         inner.cell.engines_mut().advance(now);
         for (ticket, decision) in inner.cell.poll(now) {
@@ -173,7 +173,7 @@
     }
 
     /// Takes a report on a grant.
-    pub fn report(&self, grant: u64, event: grant::Event, now: Duration) {
+    pub fn report(&self, grant: u64, event: grant::Event, now: time::Duration) {
         self.with(|cell| cell.report(grant, event, now));
         self.advance(now);
     }
@@ -196,7 +196,7 @@
     cell: &'a Cell,
     ticket: u64,
     rx: oneshot::Receiver<grant::Decision>,
-    clock_now: Duration,
+    clock_now: time::Duration,
     decided: bool,
 }
 
--- a/daemon/src/trace.rs
+++ b/daemon/src/trace.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 const MAX_REQUESTS: usize = 5_000;
 const MAX_LINES: usize = 40;
@@ -30,7 +30,7 @@
 
 impl Traces {
     /// Adds a step.
-    pub fn add(&self, request: &str, unix: Duration, what: impl Into<String>) {
+    pub fn add(&self, request: &str, unix: time::Duration, what: impl Into<String>) {
         let step = Step {
             unix_ms: walnuthaven_lib::clock::millis(unix),
             what: what.into(),
--- a/daemon/src/tries.rs
+++ b/daemon/src/tries.rs
@@ -1,6 +1,6 @@
 //! The tries of one request: what to ask for next, and when to stop.
 
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::cell;
 use walnuthaven_lib::grant;
@@ -32,9 +32,9 @@
         let waited = now.saturating_sub(job.arrived);
         let (waited, first_token) = match &self.export {
             // A second slot is worth having only while the export lives.
-            Some(export) => (Duration::ZERO, export.until.saturating_sub(now)),
+            Some(export) => (time::Duration::ZERO, export.until.saturating_sub(now)),
             // A retry has missed its first chance; it may use the target once more.
-            None if self.count > 1 => (Duration::ZERO, target),
+            None if self.count > 1 => (time::Duration::ZERO, target),
             None => (waited, target),
         };
         grant::Ask {
@@ -109,6 +109,6 @@
             return Ok(());
         }
         let message = format!("the retry budget is spent: {}", failed.why);
-        Err(refusal::Refusal::unknown(message).after(Duration::from_secs(1)))
+        Err(refusal::Refusal::unknown(message).after(time::Duration::from_secs(1)))
     }
 }
--- a/lib/benches/decisions.rs
+++ b/lib/benches/decisions.rs
@@ -1,6 +1,6 @@
 //! The cost of each decision as its tables grow tenfold and hundredfold.
 
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::cell;
 use walnuthaven_lib::engines;
@@ -17,8 +17,8 @@
     divan::main();
 }
 
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
+fn ms(millis: u64) -> time::Duration {
+    time::Duration::from_millis(millis)
 }
 
 fn host(name: &str) -> ids::HostId {
@@ -39,8 +39,8 @@
         prompt_tokens: 500,
         digest: number as u64,
         prefix: Vec::new(),
-        first_token: Duration::from_secs(60),
-        waited: Duration::ZERO,
+        first_token: time::Duration::from_secs(60),
+        waited: time::Duration::ZERO,
         prefilled_on: None,
         exclude: Vec::new(),
         suspect: false,
@@ -101,8 +101,8 @@
             class: queue::Class::Normal,
             workspace: format!("w{}", ticket % 230).into(),
             share: 1,
-            since: Duration::ZERO,
-            age_limit: Duration::from_secs(60),
+            since: time::Duration::ZERO,
+            age_limit: time::Duration::from_secs(60),
         });
     }
     bencher.bench_local(|| queue.order(ms(1), 16));
--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -1,18 +1,18 @@
 //! Prediction of the first-token time and the decision to admit a request.
 
-use std::time::Duration;
+use std::time;
 
 use crate::refusal;
 
 const SMOOTHING: f64 = 0.05;
-const INITIAL_HOLD: Duration = Duration::from_millis(2_500);
+const INITIAL_HOLD: time::Duration = time::Duration::from_millis(2_500);
 const TARGET_SHARE: f64 = 0.85;
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(250);
 
 /// Smoothed time for which a request holds a decode slot.
 #[derive(Clone, Copy, Debug)]
 pub struct HoldTime {
-    mean: Duration,
+    mean: time::Duration,
 }
 
 impl Default for HoldTime {
@@ -23,13 +23,13 @@
 
 impl HoldTime {
     /// Adds one observed hold time.
-    pub fn observe(&mut self, hold: Duration) {
+    pub fn observe(&mut self, hold: time::Duration) {
         let mean = self.mean.as_secs_f64() * (1.0 - SMOOTHING) + hold.as_secs_f64() * SMOOTHING;
-        self.mean = Duration::from_secs_f64(mean);
+        self.mean = time::Duration::from_secs_f64(mean);
     }
 
     /// Returns the smoothed hold time.
-    pub fn mean(&self) -> Duration {
+    pub fn mean(&self) -> time::Duration {
         self.mean
     }
 }
@@ -44,21 +44,21 @@
     /// All decode slots that take work.
     pub total_slots: usize,
     /// Prefill work queued before this request.
-    pub prefill_work: Duration,
+    pub prefill_work: time::Duration,
     /// Prefill engines that take work.
     pub prefill_engines: usize,
     /// This request's own prefill and transfer.
-    pub own: Duration,
+    pub own: time::Duration,
 }
 
 /// Returns the predicted time until the first token.
-pub fn predict(backlog: &Backlog, hold: &HoldTime) -> Duration {
+pub fn predict(backlog: &Backlog, hold: &HoldTime) -> time::Duration {
     if backlog.total_slots == 0 || backlog.prefill_engines == 0 {
-        return Duration::MAX;
+        return time::Duration::MAX;
     }
     let short = (backlog.ahead + 1).saturating_sub(backlog.free_slots);
     let per_release = hold.mean().as_secs_f64() / backlog.total_slots as f64;
-    let slot_wait = Duration::from_secs_f64(per_release * short as f64);
+    let slot_wait = time::Duration::from_secs_f64(per_release * short as f64);
     let prefill_wait = backlog.prefill_work / u32::try_from(backlog.prefill_engines).unwrap_or(1);
     slot_wait.max(prefill_wait).saturating_add(backlog.own)
 }
@@ -68,16 +68,16 @@
 /// # Errors
 ///
 /// Returns a refusal with the time to come back when the target can't be met.
-pub fn admit(predicted: Duration, target: Duration) -> Result<(), refusal::Refusal> {
+pub fn admit(predicted: time::Duration, target: time::Duration) -> Result<(), refusal::Refusal> {
     let allowed = target.mul_f64(TARGET_SHARE);
     if predicted <= allowed {
         return Ok(());
     }
-    if predicted == Duration::MAX {
+    if predicted == time::Duration::MAX {
         let message = "no engine of the pool takes work now";
         return Err(
             refusal::Refusal::not_run(refusal::Code::Unavailable, message)
-                .after(Duration::from_secs(1)),
+                .after(time::Duration::from_secs(1)),
         );
     }
     let message = format!(
--- a/lib/src/cell.rs
+++ b/lib/src/cell.rs
@@ -5,7 +5,7 @@
 //! full refuses, so two stewards of one cell cost refusals and never correctness.
 
 use std::collections;
-use std::time::Duration;
+use std::time;
 
 use crate::admission;
 use crate::engines;
@@ -31,25 +31,25 @@
     ask: grant::Ask,
     prefill: ids::Name,
     decode: ids::Name,
-    granted: Duration,
-    last_seen: Duration,
+    granted: time::Duration,
+    last_seen: time::Duration,
     prefilling: bool,
-    work: Duration,
+    work: time::Duration,
 }
 
 #[derive(Debug)]
 struct Waiting {
     ask: grant::Ask,
-    since: Duration,
+    since: time::Duration,
 }
 
 const MAX_TRIED_PER_POLL: usize = 16;
 const MAX_QUEUED: usize = 4096;
 /// Time after which a grant that no engine shows is taken to be leaked.
-const UNSEEN_LIMIT: Duration = Duration::from_millis(2_500);
+const UNSEEN_LIMIT: time::Duration = time::Duration::from_millis(2_500);
 /// Time in which a new steward lets requests wait until it has heard of its engines.
-const WARM_UP: Duration = Duration::from_millis(1_000);
-const RECENT_RELEASE: Duration = Duration::from_millis(1_500);
+const WARM_UP: time::Duration = time::Duration::from_millis(1_000);
+const RECENT_RELEASE: time::Duration = time::Duration::from_millis(1_500);
 
 /// The state of a cell at its steward.
 #[derive(Debug)]
@@ -59,11 +59,11 @@
     queue: queue::Queue,
     waiting: collections::HashMap<u64, Waiting>,
     held: collections::HashMap<u64, Held>,
-    released: collections::VecDeque<(Duration, ids::Name)>,
+    released: collections::VecDeque<(time::Duration, ids::Name)>,
     hold: admission::HoldTime,
     next: u64,
     turn: usize,
-    first_ask: Option<Duration>,
+    first_ask: Option<time::Duration>,
 }
 
 impl Cell {
@@ -103,7 +103,7 @@
     /// # Errors
     ///
     /// Refuses a request whose first token can't come in time.
-    pub fn ask(&mut self, ask: grant::Ask, now: Duration) -> Result<u64, refusal::Refusal> {
+    pub fn ask(&mut self, ask: grant::Ask, now: time::Duration) -> Result<u64, refusal::Refusal> {
         let began = *self.first_ask.get_or_insert(now);
         let warming = now.saturating_sub(began) < WARM_UP && self.engines.has_unseen();
         if self.policy == Policy::Current && !warming {
@@ -132,7 +132,7 @@
 
     /// Decides on waiting requests. Call it after each change and at least every few milliseconds
     /// while requests wait.
-    pub fn poll(&mut self, now: Duration) -> Vec<(u64, grant::Decision)> {
+    pub fn poll(&mut self, now: time::Duration) -> Vec<(u64, grant::Decision)> {
         let mut decisions = Vec::new();
         self.forget_old_releases(now);
         self.refuse_late(now, &mut decisions);
@@ -149,7 +149,7 @@
     }
 
     /// Takes a report on a grant. Unknown grants are ignored: they belong to an earlier steward.
-    pub fn report(&mut self, grant: u64, event: grant::Event, now: Duration) {
+    pub fn report(&mut self, grant: u64, event: grant::Event, now: time::Duration) {
         match event {
             grant::Event::Prefilled => {
                 if let Some(held) = self.held.get_mut(&grant) {
@@ -162,7 +162,7 @@
     }
 
     /// Notes that an engine crashed, and returns the digests of the content it was working on.
-    pub fn crash(&mut self, server: &str, now: Duration) -> Vec<u64> {
+    pub fn crash(&mut self, server: &str, now: time::Duration) -> Vec<u64> {
         let asked_for = self.engines.is_leaving(server);
         let lost = self.grants_on(server);
         let mut digests: Vec<u64> = Vec::new();
@@ -179,7 +179,7 @@
     }
 
     /// Drops what a gone host waited for and held, and returns the engine calls that free it.
-    pub fn host_gone(&mut self, gone: &ids::HostId, now: Duration) -> Vec<grant::Cancel> {
+    pub fn host_gone(&mut self, gone: &ids::HostId, now: time::Duration) -> Vec<grant::Cancel> {
         let tickets: Vec<u64> = self
             .waiting
             .iter()
@@ -224,7 +224,7 @@
         &mut self,
         server: &str,
         running: impl Iterator<Item = &'a str>,
-        now: Duration,
+        now: time::Duration,
     ) {
         let running: collections::HashSet<&str> = running.collect();
         let mut leaked = Vec::new();
@@ -255,7 +255,7 @@
             || self.held.values().any(|held| &*held.ask.request == request)
     }
 
-    fn admit(&self, ask: &grant::Ask, now: Duration) -> Result<(), refusal::Refusal> {
+    fn admit(&self, ask: &grant::Ask, now: time::Duration) -> Result<(), refusal::Refusal> {
         if self.queue.len() >= MAX_QUEUED {
             let message = format!("the queue of the pool is full at {MAX_QUEUED} requests");
             let full = refusal::Refusal::not_run(refusal::Code::Overloaded, message);
@@ -278,17 +278,17 @@
         admission::admit(predicted.saturating_add(ask.waited), ask.first_token)
     }
 
-    fn prefill_work_ahead(&self, class: queue::Class, now: Duration) -> Duration {
+    fn prefill_work_ahead(&self, class: queue::Class, now: time::Duration) -> time::Duration {
         let ahead = self
             .waiting
             .values()
             .filter(|waiting| waiting.ask.class <= class && waiting.ask.prefilled_on.is_none())
             .map(|waiting| self.engines.typical_prefill(waiting.ask.prompt_tokens));
-        ahead.sum::<Duration>() + self.engines.prefill_backlog(now)
+        ahead.sum::<time::Duration>() + self.engines.prefill_backlog(now)
     }
 
     /// Refuses requests whose first token can't come in time any more.
-    fn refuse_late(&mut self, now: Duration, decisions: &mut Vec<(u64, grant::Decision)>) {
+    fn refuse_late(&mut self, now: time::Duration, decisions: &mut Vec<(u64, grant::Decision)>) {
         if self.policy == Policy::Baseline {
             return;
         }
@@ -307,7 +307,7 @@
         }
     }
 
-    fn try_grant(&mut self, ticket: u64, now: Duration) -> Option<grant::Grant> {
+    fn try_grant(&mut self, ticket: u64, now: time::Duration) -> Option<grant::Grant> {
         let waiting = self.waiting.get(&ticket)?;
         let ask = &waiting.ask;
         let pick = match self.policy {
@@ -350,7 +350,7 @@
         self.held.values().any(|held| held.ask.digest == digest)
     }
 
-    fn release(&mut self, grant: u64, event: grant::Event, now: Duration) {
+    fn release(&mut self, grant: u64, event: grant::Event, now: time::Duration) {
         let Some(mut held) = self.held.remove(&grant) else {
             return;
         };
@@ -386,7 +386,7 @@
             .collect()
     }
 
-    fn forget_old_releases(&mut self, now: Duration) {
+    fn forget_old_releases(&mut self, now: time::Duration) {
         while let Some((at, _)) = self.released.front() {
             if now.saturating_sub(*at) < RECENT_RELEASE {
                 return;
@@ -424,7 +424,7 @@
     pub held: usize,
 }
 
-fn finish_prefill(held: &mut Held, engines: &mut engines::Table, now: Duration) {
+fn finish_prefill(held: &mut Held, engines: &mut engines::Table, now: time::Duration) {
     if held.prefilling {
         held.prefilling = false;
         engines.prefill_done(&held.prefill, held.work, now);
@@ -432,7 +432,7 @@
     }
 }
 
-fn is_late(waiting: &Waiting, engines: &engines::Table, now: Duration) -> bool {
+fn is_late(waiting: &Waiting, engines: &engines::Table, now: time::Duration) -> bool {
     let ask = &waiting.ask;
     let waited = ask.waited + now.saturating_sub(waiting.since);
     if ask.class == queue::Class::Patient {
@@ -447,8 +447,8 @@
 }
 
 /// Returns the estimated time to compute `tokens` tokens at `rate` tokens per second.
-pub fn prefill_time(tokens: u32, rate: u32) -> Duration {
-    Duration::from_micros(u64::from(tokens) * 1_000_000 / u64::from(rate.max(1)))
+pub fn prefill_time(tokens: u32, rate: u32) -> time::Duration {
+    time::Duration::from_micros(u64::from(tokens) * 1_000_000 / u64::from(rate.max(1)))
 }
 
 /// Returns how many prompt tokens an engine must compute, given what it has cached.
--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -1,19 +1,18 @@
 //! Time as an interface.
 //!
-//! Decisions take the time since boot as a [`Duration`]. The clock keeps counting while the machine
+//! Decisions take the time since boot as a [`time::Duration`]. The clock keeps counting while the machine
 //! is suspended, which `std::time::Instant` does not, so that a lease held across a suspension is
 //! seen to have lapsed.
 
 use std::time;
-use std::time::Duration;
 
 /// A source of time.
 pub trait Clock: Clone + Send + Sync + 'static {
     /// Returns the time since the machine booted, including time spent suspended.
-    fn now(&self) -> Duration;
+    fn now(&self) -> time::Duration;
 
     /// Returns the wall-clock time since the Unix epoch, for records that leave the process.
-    fn unix(&self) -> Duration;
+    fn unix(&self) -> time::Duration;
 }
 
 /// The clock of the operating system.
@@ -21,12 +20,12 @@
 pub struct Boot;
 
 impl Clock for Boot {
-    fn now(&self) -> Duration {
+    fn now(&self) -> time::Duration {
         let spec = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-        Duration::new(spec.tv_sec.unsigned_abs(), spec.tv_nsec as u32)
+        time::Duration::new(spec.tv_sec.unsigned_abs(), spec.tv_nsec as u32)
     }
 
-    fn unix(&self) -> Duration {
+    fn unix(&self) -> time::Duration {
         time::SystemTime::now()
             .duration_since(time::UNIX_EPOCH)
             .unwrap_or_default()
@@ -34,6 +33,6 @@
 }
 
 /// Converts a duration to whole milliseconds, saturating.
-pub fn millis(d: Duration) -> u64 {
+pub fn millis(d: time::Duration) -> u64 {
     u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
 }
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -3,7 +3,7 @@
 //! One document describes one workspace. It is written and validated as a whole. The field
 //! reference is `docs/CONFIG.md`.
 
-use std::time::Duration;
+use std::time;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -256,10 +256,10 @@
 
 impl Service {
     /// Returns how long a request of this class may wait for its first token.
-    pub fn first_token(&self, class: queue::Class) -> Duration {
+    pub fn first_token(&self, class: queue::Class) -> time::Duration {
         match class {
-            queue::Class::Patient => Duration::from_millis(self.patient_age_ms),
-            _ => Duration::from_millis(self.first_token_ms),
+            queue::Class::Patient => time::Duration::from_millis(self.patient_age_ms),
+            _ => time::Duration::from_millis(self.first_token_ms),
         }
     }
 }
--- a/lib/src/engines.rs
+++ b/lib/src/engines.rs
@@ -1,7 +1,7 @@
 //! What a steward knows of the engines in its cell.
 
 use std::collections;
-use std::time::Duration;
+use std::time;
 
 use crate::cell;
 use crate::grant;
@@ -79,7 +79,7 @@
     /// The rate of the slower link between them.
     pub link_mb_s: u32,
     /// Estimated prefill time.
-    pub work: Duration,
+    pub work: time::Duration,
 }
 
 #[derive(Debug)]
@@ -90,31 +90,31 @@
     incarnation: u64,
     leaving: bool,
     changing: bool,
-    last_seen: Option<Duration>,
-    down_until: Duration,
+    last_seen: Option<time::Duration>,
+    down_until: time::Duration,
     granted: u32,
     foreign: u32,
     suspects: u32,
     /// Prefill work granted and not done.
-    pending: Duration,
+    pending: time::Duration,
     /// Prefill turns granted and not done.
     turns: u32,
     /// When the oldest of them began.
-    turn_began: Duration,
+    turn_began: time::Duration,
     index: prefix::Index,
 }
 
-const PREFILL_PIPELINE: Duration = Duration::from_millis(40);
+const PREFILL_PIPELINE: time::Duration = time::Duration::from_millis(40);
 /// Prefill turns granted at an engine at once: one that runs and one that follows.
 const MAX_TURNS: u32 = 2;
-const CRASH_PAUSE: Duration = Duration::from_millis(500);
-const SILENT_AFTER: Duration = Duration::from_millis(1_500);
+const CRASH_PAUSE: time::Duration = time::Duration::from_millis(500);
+const SILENT_AFTER: time::Duration = time::Duration::from_millis(1_500);
 
 /// The engines of a cell.
 #[derive(Debug, Default)]
 pub struct Table {
     engines: collections::BTreeMap<ids::Name, Engine>,
-    now: Duration,
+    now: time::Duration,
 }
 
 impl Table {
@@ -164,7 +164,7 @@
     }
 
     /// Takes a load report. Returns whether the engine restarted since the last one.
-    pub fn on_load(&mut self, name: &str, load: &Load, now: Duration) -> bool {
+    pub fn on_load(&mut self, name: &str, load: &Load, now: time::Duration) -> bool {
         self.now = self.now.max(now);
         let Some(engine) = self.engines.get_mut(name) else {
             return false;
@@ -198,10 +198,10 @@
     }
 
     /// Notes that an engine crashed; it gets no work for a moment.
-    pub fn on_crash(&mut self, name: &str, now: Duration) {
+    pub fn on_crash(&mut self, name: &str, now: time::Duration) {
         if let Some(engine) = self.engines.get_mut(name) {
             engine.down_until = now + CRASH_PAUSE;
-            engine.pending = Duration::ZERO;
+            engine.pending = time::Duration::ZERO;
             engine.turns = 0;
             // The next report starts anew, so that one crash is not counted twice.
             engine.incarnation = 0;
@@ -230,7 +230,7 @@
     }
 
     /// Advances the table's time, after which silent engines get no work.
-    pub fn advance(&mut self, now: Duration) {
+    pub fn advance(&mut self, now: time::Duration) {
         self.now = self.now.max(now);
     }
 
@@ -259,32 +259,32 @@
     }
 
     /// Returns the prefill work granted and not done.
-    pub fn prefill_backlog(&self, now: Duration) -> Duration {
+    pub fn prefill_backlog(&self, now: time::Duration) -> time::Duration {
         let engines = self.working(Role::Prefill);
         engines.map(|engine| engine.busy_for(now)).sum()
     }
 
     /// Returns the time that a prompt of this length takes without cached prefix.
-    pub fn typical_prefill(&self, tokens: u32) -> Duration {
+    pub fn typical_prefill(&self, tokens: u32) -> time::Duration {
         let rates = self.engines.values().map(|e| e.spec.prefill_tokens_s);
         cell::prefill_time(tokens, rates.max().unwrap_or(1))
     }
 
     /// Returns the time that the transfer of a prompt of this length takes.
-    pub fn typical_transfer(&self, tokens: u32) -> Duration {
+    pub fn typical_transfer(&self, tokens: u32) -> time::Duration {
         let rates = self.engines.values().map(|e| e.spec.link_mb_s);
         transfer::expected(tokens, rates.max().unwrap_or(1))
     }
 
     /// Picks engines for a request, or `None` if it must wait.
-    pub fn pick(&self, ask: &grant::Ask, now: Duration) -> Option<Pick> {
+    pub fn pick(&self, ask: &grant::Ask, now: time::Duration) -> Option<Pick> {
         let decode = self
             .working(Role::Decode)
             .filter(|engine| engine.free() > 0 && engine.may_run(ask))
             .max_by_key(|engine| engine.free())?;
         if let Some(name) = &ask.prefilled_on {
             let prefill = self.engines.get(name)?;
-            return Some(pair(prefill, decode, Duration::ZERO));
+            return Some(pair(prefill, decode, time::Duration::ZERO));
         }
         let prefill = self
             .working(Role::Prefill)
@@ -310,7 +310,7 @@
     }
 
     /// Books the engines of a grant.
-    pub fn occupy(&mut self, pick: &Pick, ask: &grant::Ask, prefilling: bool, now: Duration) {
+    pub fn occupy(&mut self, pick: &Pick, ask: &grant::Ask, prefilling: bool, now: time::Duration) {
         if let Some(engine) = self.engines.get_mut(&pick.decode.name) {
             engine.granted += 1;
             engine.suspects += u32::from(ask.suspect);
@@ -318,7 +318,7 @@
         if prefilling && let Some(engine) = self.engines.get_mut(&pick.prefill.name) {
             if engine.turns == 0 {
                 engine.turn_began = now;
-                engine.pending = Duration::ZERO;
+                engine.pending = time::Duration::ZERO;
             }
             engine.turns += 1;
             engine.pending += pick.work;
@@ -326,7 +326,7 @@
     }
 
     /// Ends a prefill turn.
-    pub fn prefill_done(&mut self, name: &str, work: Duration, now: Duration) {
+    pub fn prefill_done(&mut self, name: &str, work: time::Duration, now: time::Duration) {
         if let Some(engine) = self.engines.get_mut(name) {
             engine.turns = engine.turns.saturating_sub(1);
             engine.pending = engine.pending.saturating_sub(work);
@@ -381,18 +381,18 @@
             leaving: false,
             changing: false,
             last_seen: None,
-            down_until: Duration::ZERO,
+            down_until: time::Duration::ZERO,
             granted: 0,
             foreign: 0,
             suspects: 0,
-            pending: Duration::ZERO,
+            pending: time::Duration::ZERO,
             turns: 0,
-            turn_began: Duration::ZERO,
+            turn_began: time::Duration::ZERO,
             index: prefix::Index::default(),
         }
     }
 
-    fn takes_work(&self, now: Duration) -> bool {
+    fn takes_work(&self, now: time::Duration) -> bool {
         let silent = match self.last_seen {
             Some(seen) => now.saturating_sub(seen) > SILENT_AFTER,
             None => true,
@@ -406,9 +406,9 @@
     }
 
     /// Returns how long the granted prefill turns still take.
-    fn busy_for(&self, now: Duration) -> Duration {
+    fn busy_for(&self, now: time::Duration) -> time::Duration {
         match self.turns {
-            0 => Duration::ZERO,
+            0 => time::Duration::ZERO,
             _ => (self.turn_began + self.pending).saturating_sub(now),
         }
     }
@@ -418,17 +418,17 @@
         apart && !ask.exclude.contains(&self.spec.address.name)
     }
 
-    fn prefill_work(&self, ask: &grant::Ask) -> Duration {
+    fn prefill_work(&self, ask: &grant::Ask) -> time::Duration {
         let tokens = cell::uncached(ask, &self.index);
         cell::prefill_time(tokens, self.spec.prefill_tokens_s)
     }
 
-    fn prefill_end(&self, ask: &grant::Ask, now: Duration) -> Duration {
+    fn prefill_end(&self, ask: &grant::Ask, now: time::Duration) -> time::Duration {
         self.busy_for(now) + self.prefill_work(ask)
     }
 }
 
-fn pair(prefill: &Engine, decode: &Engine, work: Duration) -> Pick {
+fn pair(prefill: &Engine, decode: &Engine, work: time::Duration) -> Pick {
     Pick {
         prefill: prefill.spec.address.clone(),
         decode: decode.spec.address.clone(),
--- a/lib/src/grant.rs
+++ b/lib/src/grant.rs
@@ -1,6 +1,6 @@
 //! Requests for engines, and what becomes of them.
 
-use std::time::Duration;
+use std::time;
 
 use crate::engines;
 use crate::ids;
@@ -30,9 +30,9 @@
     pub prefix: Vec<u64>,
     /// Target for the first token, counted from the caller's arrival; the age limit of patient
     /// work.
-    pub first_token: Duration,
+    pub first_token: time::Duration,
     /// How long the request has waited before this ask.
-    pub waited: Duration,
+    pub waited: time::Duration,
     /// The engine that holds the prompt's KV already, if only a decode slot is wanted.
     pub prefilled_on: Option<ids::Name>,
     /// Engines not to use.
@@ -51,7 +51,7 @@
     /// The engine that generates.
     pub decode: engines::Address,
     /// The expected duration of the KV transfer.
-    pub transfer: Duration,
+    pub transfer: time::Duration,
 }
 
 /// A decision on a waiting request.
--- a/lib/src/identity.rs
+++ b/lib/src/identity.rs
@@ -4,16 +4,16 @@
 //! bounded in time and size; past the bound the answer is `id expired`, which claims nothing.
 
 use std::collections;
-use std::time::Duration;
+use std::time;
 
 use crate::ids;
 use crate::refusal;
 
 /// Ids handed out in one block.
 pub const BLOCK_IDS: u64 = 16;
-const RETAINED_FOR: Duration = Duration::from_secs(600);
+const RETAINED_FOR: time::Duration = time::Duration::from_secs(600);
 const MAX_RETAINED: usize = 200_000;
-const MINT_VALID_FOR: Duration = Duration::from_secs(300);
+const MINT_VALID_FOR: time::Duration = time::Duration::from_secs(300);
 
 /// What became of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -44,7 +44,7 @@
 #[derive(Debug)]
 struct Entry {
     state: State,
-    changed: Duration,
+    changed: time::Duration,
     workspace: ids::Name,
     content: u64,
 }
@@ -52,7 +52,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Block {
     last: u64,
-    minted: Duration,
+    minted: time::Duration,
 }
 
 /// The ids minted by this host run.
@@ -91,7 +91,7 @@
         &mut self,
         buddy: Option<&ids::HostId>,
         count: u64,
-        now: Duration,
+        now: time::Duration,
     ) -> Vec<ids::RequestId> {
         let first = self.minted + 1;
         self.minted += count;
@@ -117,7 +117,7 @@
         workspace: &ids::Name,
         content: u64,
         resumes: bool,
-        now: Duration,
+        now: time::Duration,
     ) -> Arrival {
         self.expire(now);
         if id.home != self.home || id.number > self.minted || id.number == 0 {
@@ -142,7 +142,7 @@
     }
 
     /// Notes that the request's state changed.
-    pub fn set(&mut self, number: u64, state: State, now: Duration) {
+    pub fn set(&mut self, number: u64, state: State, now: time::Duration) {
         let Some(entry) = self.entries.get_mut(&number) else {
             return;
         };
@@ -160,7 +160,7 @@
     }
 
     /// Makes sure that an id which has not been used never runs. Returns whether that is so.
-    pub fn fence(&mut self, id: &ids::RequestId, now: Duration) -> bool {
+    pub fn fence(&mut self, id: &ids::RequestId, now: time::Duration) -> bool {
         if id.home != self.home || self.entries.contains_key(&id.number) {
             return false;
         }
@@ -198,7 +198,7 @@
         self.running.get(workspace).copied().unwrap_or(0)
     }
 
-    fn expire(&mut self, now: Duration) {
+    fn expire(&mut self, now: time::Duration) {
         while let Some(block) = self.blocks.front() {
             if now.saturating_sub(block.minted) < MINT_VALID_FOR {
                 break;
--- a/lib/src/journal.rs
+++ b/lib/src/journal.rs
@@ -5,7 +5,7 @@
 //! accepted only once its object is written.
 
 use std::collections;
-use std::time::Duration;
+use std::time;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -19,7 +19,7 @@
 /// Bytes kept in one object, below the platform's limit of one megabyte.
 pub const MAX_BYTES: usize = 700_000;
 /// How long a finished answer is kept for its caller.
-pub const KEPT_FOR: Duration = Duration::from_secs(3_600);
+pub const KEPT_FOR: time::Duration = time::Duration::from_secs(3_600);
 
 /// What was submitted.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -77,7 +77,7 @@
     /// How far it is.
     pub progress: Progress,
     /// When the progress changed, in Unix time.
-    pub changed: Duration,
+    pub changed: time::Duration,
 }
 
 /// One journal object.
@@ -106,7 +106,7 @@
 
     /// Takes the journal over from an owner that is gone and returns the jobs to run. A
     /// non-repeatable job that may have been dispatched is concluded as unknown.
-    pub fn take_over(&mut self, owner: ids::HostId, unix: Duration) -> Vec<String> {
+    pub fn take_over(&mut self, owner: ids::HostId, unix: time::Duration) -> Vec<String> {
         self.owner = owner;
         let mut to_run = Vec::new();
         for (id, entry) in &mut self.entries {
@@ -125,7 +125,7 @@
     }
 
     /// Drops entries whose time is over. Returns whether none is left.
-    pub fn expire(&mut self, unix: Duration) -> bool {
+    pub fn expire(&mut self, unix: time::Duration) -> bool {
         self.entries.retain(|_, entry| {
             let old = unix.saturating_sub(entry.changed) >= KEPT_FOR;
             !(entry.progress.is_final() && old)
--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -5,7 +5,7 @@
 //! A successor waits the lease and the longest order, so that the last order of a paused holder has
 //! ended.
 
-use std::time::Duration;
+use std::time;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -13,11 +13,11 @@
 use crate::ids;
 
 /// How long a lease lasts.
-pub const LEASE: Duration = Duration::from_secs(10);
+pub const LEASE: time::Duration = time::Duration::from_secs(10);
 /// How long before its end the holder stops using a lease.
-pub const MARGIN: Duration = Duration::from_secs(3);
+pub const MARGIN: time::Duration = time::Duration::from_secs(3);
 /// The longest time that an order to an engine may take.
-pub const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+pub const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// The lease object as stored.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -35,12 +35,12 @@
 pub struct Held {
     /// The number that orders carry.
     pub fence: u64,
-    until: Duration,
+    until: time::Duration,
 }
 
 impl Held {
     /// Returns whether an order may be sent now.
-    pub fn is_usable(&self, now: Duration) -> bool {
+    pub fn is_usable(&self, now: time::Duration) -> bool {
         now + ORDER_TIMEOUT.min(MARGIN) < self.until
     }
 }
@@ -58,7 +58,7 @@
 #[derive(Debug)]
 pub struct Lease {
     own: ids::HostId,
-    seen: Option<(Record, Duration)>,
+    seen: Option<(Record, time::Duration)>,
     held: Option<Held>,
 }
 
@@ -74,7 +74,7 @@
 
     /// Takes the stored record, as read at `now`. `wanted` says whether this host should hold the
     /// lease.
-    pub fn observe(&mut self, stored: Option<&Record>, wanted: bool, now: Duration) -> Step {
+    pub fn observe(&mut self, stored: Option<&Record>, wanted: bool, now: time::Duration) -> Step {
         let Some(stored) = stored else {
             return if wanted { self.write(0, 0) } else { Step::Wait };
         };
@@ -99,7 +99,7 @@
     }
 
     /// Notes that the record was written. `sent` is the time before the write was sent.
-    pub fn written(&mut self, record: &Record, sent: Duration) {
+    pub fn written(&mut self, record: &Record, sent: time::Duration) {
         self.seen = Some((record.clone(), sent));
         self.held = Some(Held {
             fence: record.fence,
@@ -108,7 +108,7 @@
     }
 
     /// Returns the lease if an order may be sent now.
-    pub fn held(&self, now: Duration) -> Option<Held> {
+    pub fn held(&self, now: time::Duration) -> Option<Held> {
         self.held.filter(|held| held.is_usable(now))
     }
 
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -7,22 +7,22 @@
 //! than their death, so its hosts stay suspected: they get no work, but nothing of theirs is ended.
 
 use std::collections;
-use std::time::Duration;
+use std::time;
 
 use crate::ids;
 use crate::rendezvous;
 
 /// How often each neighbour is probed.
-pub const PROBE_EVERY: Duration = Duration::from_millis(250);
+pub const PROBE_EVERY: time::Duration = time::Duration::from_millis(250);
 /// Neighbours that a host probes.
 pub const NEIGHBOURS: usize = 2;
 /// Updates carried by one message.
 pub const MAX_UPDATES: usize = 8;
 /// A probe counts as failed only after helpers did not reach the member either.
 const FAILED_PROBES: u32 = 1;
-const SUSPECT_FOR: Duration = Duration::from_millis(900);
+const SUSPECT_FOR: time::Duration = time::Duration::from_millis(900);
 /// A cut between regions lasts an hour at times; the dead are remembered and probed for longer.
-const DEAD_KEPT_FOR: Duration = Duration::from_secs(2 * 3_600);
+const DEAD_KEPT_FOR: time::Duration = time::Duration::from_secs(2 * 3_600);
 const DEAD_PROBED_EVERY: u64 = 16;
 const RETRANSMIT_FACTOR: u32 = 4;
 const MIN_ZONE_FOR_CUT: usize = 2;
@@ -73,7 +73,7 @@
 struct Entry {
     member: Member,
     failed_probes: u32,
-    changed: Duration,
+    changed: time::Duration,
     sends_left: u32,
 }
 
@@ -83,7 +83,7 @@
     own: Member,
     entries: collections::BTreeMap<ids::Name, Entry>,
     events: Vec<Event>,
-    last_tick: Duration,
+    last_tick: time::Duration,
     epoch: u64,
 }
 
@@ -94,7 +94,7 @@
             own,
             entries: collections::BTreeMap::new(),
             events: Vec::new(),
-            last_tick: Duration::ZERO,
+            last_tick: time::Duration::ZERO,
             epoch: 0,
         }
     }
@@ -117,7 +117,7 @@
     }
 
     /// Merges what another host says of a member.
-    pub fn merge(&mut self, update: &Member, now: Duration) {
+    pub fn merge(&mut self, update: &Member, now: time::Duration) {
         if update.id.name == self.own.id.name {
             self.refute(update);
             return;
@@ -161,7 +161,7 @@
     }
 
     /// Takes a direct sign of life, which counts more than hearsay of the same refutation number.
-    pub fn heard_from(&mut self, member: &Member, now: Duration) {
+    pub fn heard_from(&mut self, member: &Member, now: time::Duration) {
         self.merge(member, now);
         let sends_left = self.sends();
         let Some(entry) = self.entries.get_mut(&member.id.name) else {
@@ -185,7 +185,7 @@
     }
 
     /// Notes that a probe, also through others, got no answer.
-    pub fn probe_failed(&mut self, name: &str, now: Duration) {
+    pub fn probe_failed(&mut self, name: &str, now: time::Duration) {
         let sends_left = self.sends();
         let Some(entry) = self.entries.get_mut(name) else {
             return;
@@ -202,7 +202,7 @@
     }
 
     /// Advances time: suspects that stay silent are declared dead, unless their zone is cut off.
-    pub fn tick(&mut self, now: Duration) -> Vec<Event> {
+    pub fn tick(&mut self, now: time::Duration) -> Vec<Event> {
         // After a pause of this process the others' silence proves nothing: start counting anew.
         let paused = now.saturating_sub(self.last_tick) > SUSPECT_FOR && !self.last_tick.is_zero();
         self.last_tick = now;
@@ -262,12 +262,12 @@
     }
 
     /// Returns for how long a member has been suspected or dead.
-    pub fn silent_for(&self, name: &str, now: Duration) -> Duration {
+    pub fn silent_for(&self, name: &str, now: time::Duration) -> time::Duration {
         match self.entries.get(name) {
             Some(entry) if matches!(entry.member.state, State::Suspect | State::Dead) => {
                 now.saturating_sub(entry.changed)
             }
-            _ => Duration::ZERO,
+            _ => time::Duration::ZERO,
         }
     }
 
@@ -350,7 +350,7 @@
         chosen.and_then(|name| self.get(name))
     }
 
-    fn insert(&mut self, member: Member, now: Duration, sends_left: u32) {
+    fn insert(&mut self, member: Member, now: time::Duration, sends_left: u32) {
         if member.state != State::Dead {
             self.events.push(Event::Joined(member.id.clone()));
         }
--- a/lib/src/permit.rs
+++ b/lib/src/permit.rs
@@ -6,11 +6,11 @@
 //! later, and the request has truly not run.
 
 use std::collections;
-use std::time::Duration;
+use std::time;
 
 use crate::refusal;
 
-const KEPT_FOR: Duration = Duration::from_secs(900);
+const KEPT_FOR: time::Duration = time::Duration::from_secs(900);
 const MAX_PERMITS: usize = 200_000;
 
 /// What the buddy knows of a request.
@@ -29,21 +29,21 @@
 #[derive(Debug)]
 struct Entry {
     state: State,
-    changed: Duration,
+    changed: time::Duration,
 }
 
 /// The permits kept at one host.
 #[derive(Debug)]
 pub struct Table {
     entries: collections::HashMap<String, Entry>,
-    order: collections::VecDeque<(Duration, String)>,
-    since: Duration,
+    order: collections::VecDeque<(time::Duration, String)>,
+    since: time::Duration,
     forgotten: bool,
 }
 
 impl Table {
     /// Makes an empty table.
-    pub fn new(now: Duration) -> Self {
+    pub fn new(now: time::Duration) -> Self {
         Self {
             entries: collections::HashMap::new(),
             order: collections::VecDeque::new(),
@@ -54,7 +54,7 @@
 
     /// Stores a permit. Returns whether the home may dispatch.
     #[must_use]
-    pub fn hold(&mut self, request: &str, now: Duration) -> bool {
+    pub fn hold(&mut self, request: &str, now: time::Duration) -> bool {
         self.expire(now);
         match self.entries.get(request).map(|entry| entry.state) {
             None => {
@@ -68,7 +68,7 @@
     }
 
     /// Notes the outcome that the home reported.
-    pub fn conclude(&mut self, request: &str, state: State, now: Duration) {
+    pub fn conclude(&mut self, request: &str, state: State, now: time::Duration) {
         if let Some(entry) = self.entries.get_mut(request)
             && entry.state == State::Held
         {
@@ -78,7 +78,7 @@
     }
 
     /// Answers for a home that is gone, and fences the id if no permit is held.
-    pub fn answer_for(&mut self, request: &str, now: Duration) -> refusal::Refusal {
+    pub fn answer_for(&mut self, request: &str, now: time::Duration) -> refusal::Refusal {
         self.expire(now);
         match self.entries.get(request).map(|entry| entry.state) {
             Some(State::Held) => refusal::Refusal::unknown("the host that ran the request is gone"),
@@ -109,7 +109,7 @@
         self.entries.is_empty()
     }
 
-    fn insert(&mut self, request: &str, state: State, now: Duration) {
+    fn insert(&mut self, request: &str, state: State, now: time::Duration) {
         let entry = Entry {
             state,
             changed: now,
@@ -118,7 +118,7 @@
         self.order.push_back((now, request.to_owned()));
     }
 
-    fn expire(&mut self, now: Duration) {
+    fn expire(&mut self, now: time::Duration) {
         while let Some((at, _)) = self.order.front() {
             let old = now.saturating_sub(*at.max(&self.since)) >= KEPT_FOR;
             if !old && self.order.len() <= MAX_PERMITS {
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -5,7 +5,7 @@
 //! the crashes of two servers is refused until its time is over or an operator lifts it.
 
 use std::collections;
-use std::time::Duration;
+use std::time;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -15,7 +15,7 @@
 
 /// Servers that must have crashed before content is quarantined.
 pub const SERVERS_TO_QUARANTINE: usize = 2;
-const KEPT_FOR: Duration = Duration::from_secs(3_600);
+const KEPT_FOR: time::Duration = time::Duration::from_secs(3_600);
 const MAX_MARKS: usize = 10_000;
 
 /// What is known about one content digest.
@@ -26,9 +26,9 @@
     /// The servers that crashed while it was in flight.
     pub servers: collections::BTreeSet<ids::Name>,
     /// When the mark ends, in Unix time.
-    pub expires: Duration,
+    pub expires: time::Duration,
     /// When the mark changed last, in Unix time.
-    pub changed: Duration,
+    pub changed: time::Duration,
     /// Whether an operator lifted it, or it was cleared by a whole answer.
     pub lifted: bool,
 }
@@ -48,7 +48,7 @@
 
 impl Table {
     /// Notes that a server crashed with the content in flight. Returns the mark.
-    pub fn crashed(&mut self, digest: u64, server: &ids::Name, unix: Duration) -> Mark {
+    pub fn crashed(&mut self, digest: u64, server: &ids::Name, unix: time::Duration) -> Mark {
         self.expire(unix);
         let fresh = Mark {
             digest,
@@ -69,7 +69,7 @@
     }
 
     /// Merges a mark from another host. Returns whether it brought news.
-    pub fn merge(&mut self, mark: &Mark, unix: Duration) -> bool {
+    pub fn merge(&mut self, mark: &Mark, unix: time::Duration) -> bool {
         if mark.expires <= unix {
             return false;
         }
@@ -96,18 +96,18 @@
 
     /// Lifts a mark: by an operator, or because a whole answer proves the content innocent. Returns
     /// the lifted mark.
-    pub fn lift(&mut self, digest: u64, unix: Duration) -> Option<Mark> {
+    pub fn lift(&mut self, digest: u64, unix: time::Duration) -> Option<Mark> {
         let mark = self.marks.get_mut(&digest)?;
         if mark.lifted {
             return None;
         }
         mark.lifted = true;
-        mark.changed = unix.max(mark.changed + Duration::from_millis(1));
+        mark.changed = unix.max(mark.changed + time::Duration::from_millis(1));
         Some(mark.clone())
     }
 
     /// Returns whether the content was in flight at a crash and is not cleared.
-    pub fn is_suspect(&self, digest: u64, unix: Duration) -> bool {
+    pub fn is_suspect(&self, digest: u64, unix: time::Duration) -> bool {
         let mark = self.marks.get(&digest);
         mark.is_some_and(|mark| !mark.lifted && mark.expires > unix)
     }
@@ -117,7 +117,7 @@
     /// # Errors
     ///
     /// Refuses quarantined content, naming the servers and the end time.
-    pub fn check(&self, digest: u64, unix: Duration) -> Result<(), refusal::Refusal> {
+    pub fn check(&self, digest: u64, unix: time::Duration) -> Result<(), refusal::Refusal> {
         let Some(mark) = self.marks.get(&digest) else {
             return Ok(());
         };
@@ -144,12 +144,12 @@
     }
 
     /// Returns marks that changed since the given Unix time, at most `limit`.
-    pub fn changed_since(&self, unix: Duration, limit: usize) -> Vec<Mark> {
+    pub fn changed_since(&self, unix: time::Duration, limit: usize) -> Vec<Mark> {
         let recent = self.marks.values().filter(|mark| mark.changed >= unix);
         recent.take(limit).cloned().collect()
     }
 
-    fn expire(&mut self, unix: Duration) {
+    fn expire(&mut self, unix: time::Duration) {
         self.marks.retain(|_, mark| mark.expires > unix);
         while self.marks.len() >= MAX_MARKS {
             let oldest = self.marks.values().min_by_key(|mark| mark.changed);
--- a/lib/src/queue.rs
+++ b/lib/src/queue.rs
@@ -2,7 +2,7 @@
 //! work.
 
 use std::collections;
-use std::time::Duration;
+use std::time;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -60,9 +60,9 @@
     /// The workspace's weight; a workspace of weight two gets twice the work of one of weight one.
     pub share: u32,
     /// When the entry came.
-    pub since: Duration,
+    pub since: time::Duration,
     /// How long patient work may be passed over.
-    pub age_limit: Duration,
+    pub age_limit: time::Duration,
 }
 
 /// A queue of tickets.
@@ -118,7 +118,7 @@
     ///
     /// Aged patient work comes first, then one patient entry after every nine others, then the
     /// classes in order, with fair shares between the workspaces of a class.
-    pub fn order(&self, now: Duration, limit: usize) -> Vec<u64> {
+    pub fn order(&self, now: time::Duration, limit: usize) -> Vec<u64> {
         let mut tickets = Vec::new();
         if let Some(line) = self.lines.get(&Class::Patient) {
             let floor = self.since_patient + 1 >= PATIENT_EVERY;
@@ -208,6 +208,6 @@
     }
 }
 
-fn is_aged(key: &Key, now: Duration) -> bool {
+fn is_aged(key: &Key, now: time::Duration) -> bool {
     now.saturating_sub(key.since) >= key.age_limit.mul_f64(AGED_SHARE)
 }
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -1,7 +1,7 @@
 //! Refusals: why a request got no answer, and whether it ran.
 
 use std::fmt;
-use std::time::Duration;
+use std::time;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -91,7 +91,7 @@
     pub message: String,
     /// When to come back.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub retry_after: Option<Duration>,
+    pub retry_after: Option<time::Duration>,
 }
 
 impl Refusal {
@@ -136,7 +136,7 @@
     }
 
     /// Adds the time after which a new try is worth while.
-    pub fn after(mut self, wait: Duration) -> Self {
+    pub fn after(mut self, wait: time::Duration) -> Self {
         self.retry_after = Some(wait);
         self
     }
--- a/lib/src/roles.rs
+++ b/lib/src/roles.rs
@@ -3,15 +3,15 @@
 //! The pressure on each side is compared with hysteresis, a change needs the pressure to last, a
 //! pool rests after each change, and each role keeps its minimum of engines.
 
-use std::time::Duration;
+use std::time;
 
 use crate::engines;
 use crate::ids;
 
 /// How long an imbalance must last before an engine changes its role.
-pub const SUSTAINED_FOR: Duration = Duration::from_secs(3);
+pub const SUSTAINED_FOR: time::Duration = time::Duration::from_secs(3);
 /// How long a pool rests after a change.
-pub const MIN_STAY: Duration = Duration::from_secs(10);
+pub const MIN_STAY: time::Duration = time::Duration::from_secs(10);
 const HIGH: f64 = 0.95;
 const LOW: f64 = 0.6;
 
@@ -47,8 +47,8 @@
 /// The role policy of one pool.
 #[derive(Debug, Default)]
 pub struct Policy {
-    since: Option<(engines::Role, Duration)>,
-    last_change: Option<Duration>,
+    since: Option<(engines::Role, time::Duration)>,
+    last_change: Option<time::Duration>,
 }
 
 impl Policy {
@@ -58,7 +58,7 @@
         pressure: Pressure,
         engines: &[Candidate],
         minimum: usize,
-        now: Duration,
+        now: time::Duration,
     ) -> Option<Change> {
         let wanted = wanted_role(pressure);
         self.since = match (wanted, self.since) {
--- a/lib/tests/cell_grants.rs
+++ b/lib/tests/cell_grants.rs
@@ -1,6 +1,6 @@
 //! The cell's grants: slots, turns, suspects, crashes and gone hosts.
 
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::cell;
 use walnuthaven_lib::engines;
@@ -43,19 +43,19 @@
         prompt_tokens: 100,
         digest: u64::from(request.as_bytes()[0]),
         prefix: Vec::new(),
-        first_token: Duration::from_millis(1_300),
-        waited: Duration::ZERO,
+        first_token: time::Duration::from_millis(1_300),
+        waited: time::Duration::ZERO,
         prefilled_on: None,
         exclude: Vec::new(),
         suspect: false,
     }
 }
 
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
+fn ms(millis: u64) -> time::Duration {
+    time::Duration::from_millis(millis)
 }
 
-fn report_load(cell: &mut cell::Cell, name: &str, incarnation: u64, now: Duration) {
+fn report_load(cell: &mut cell::Cell, name: &str, incarnation: u64, now: time::Duration) {
     let load = engines::Load {
         incarnation,
         ..engines::Load::default()
--- a/lib/tests/history_check.rs
+++ b/lib/tests/history_check.rs
@@ -1,10 +1,8 @@
 //! The checker finds a planted violation of each promise.
 
 use walnuthaven_lib::history;
-use walnuthaven_lib::history::Event;
-use walnuthaven_lib::history::Promise;
 
-fn check(events: Vec<Event>) -> Vec<Promise> {
+fn check(events: Vec<history::Event>) -> Vec<history::Promise> {
     let records: Vec<history::Record> = events
         .into_iter()
         .map(|event| history::Record { at_ms: 0, event })
@@ -16,23 +14,23 @@
         .collect()
 }
 
-fn answered(correct: bool) -> Event {
-    Event::Answered {
+fn answered(correct: bool) -> history::Event {
+    history::Event::Answered {
         request: "r".into(),
         correct,
     }
 }
 
-fn ran(repeatable: bool) -> Event {
-    Event::Ran {
+fn ran(repeatable: bool) -> history::Event {
+    history::Event::Ran {
         request: "r".into(),
         server: "s".into(),
         repeatable,
     }
 }
 
-fn in_force(incarnation: u64, generation: u64) -> Event {
-    Event::InForce {
+fn in_force(incarnation: u64, generation: u64) -> history::Event {
+    history::Event::InForce {
         host: "h".into(),
         workspace: "w".into(),
         incarnation,
@@ -40,8 +38,8 @@
     }
 }
 
-fn ordered(fence: u64) -> Event {
-    Event::Ordered {
+fn ordered(fence: u64) -> history::Event {
+    history::Event::Ordered {
         server: "s".into(),
         fence,
     }
@@ -53,35 +51,44 @@
 
 #[test]
 fn finds_each_planted_violation() {
-    let held = |after_ms| Event::HeldForGone {
+    let held = |after_ms| history::Event::HeldForGone {
         request: request(),
         after_ms,
     };
-    let late = |after_ms| Event::WorkAfterLeave {
+    let late = |after_ms| history::Event::WorkAfterLeave {
         server: "s".into(),
         after_ms,
     };
     for (events, promise) in [
-        (vec![answered(true), answered(true)], Promise::AnsweredTwice),
-        (vec![answered(false)], Promise::WrongAnswer),
-        (vec![ran(false), ran(false)], Promise::RanTwice),
         (
-            vec![Event::NotRun { request: request() }, ran(true)],
-            Promise::FalseNotRun,
+            vec![answered(true), answered(true)],
+            history::Promise::AnsweredTwice,
         ),
+        (vec![answered(false)], history::Promise::WrongAnswer),
+        (vec![ran(false), ran(false)], history::Promise::RanTwice),
         (
-            vec![ran(true), Event::NotRun { request: request() }],
-            Promise::FalseNotRun,
+            vec![history::Event::NotRun { request: request() }, ran(true)],
+            history::Promise::FalseNotRun,
         ),
-        (vec![Event::Accepted { request: request() }], Promise::Lost),
         (
-            vec![Event::CutByShutdown { request: request() }],
-            Promise::CutByShutdown,
+            vec![ran(true), history::Event::NotRun { request: request() }],
+            history::Promise::FalseNotRun,
         ),
-        (vec![held(2_001)], Promise::SlotsHeldForGone),
-        (vec![late(2_001)], Promise::WorkAfterLeave),
-        (vec![in_force(1, 2), in_force(1, 1)], Promise::ConfigReverts),
-        (vec![ordered(2), ordered(1)], Promise::StaleOrder),
+        (
+            vec![history::Event::Accepted { request: request() }],
+            history::Promise::Lost,
+        ),
+        (
+            vec![history::Event::CutByShutdown { request: request() }],
+            history::Promise::CutByShutdown,
+        ),
+        (vec![held(2_001)], history::Promise::SlotsHeldForGone),
+        (vec![late(2_001)], history::Promise::WorkAfterLeave),
+        (
+            vec![in_force(1, 2), in_force(1, 1)],
+            history::Promise::ConfigReverts,
+        ),
+        (vec![ordered(2), ordered(1)], history::Promise::StaleOrder),
     ] {
         assert_eq!(check(events), [promise]);
     }
@@ -89,14 +96,14 @@
 
 #[test]
 fn accepts_what_is_allowed() {
-    let concluded = Event::Concluded { request: request() };
-    let late = Event::WorkAfterLeave {
+    let concluded = history::Event::Concluded { request: request() };
+    let late = history::Event::WorkAfterLeave {
         server: "s".into(),
         after_ms: 1_999,
     };
     for events in [
         vec![ran(true), ran(true), answered(true)],
-        vec![Event::Accepted { request: request() }, concluded],
+        vec![history::Event::Accepted { request: request() }, concluded],
         vec![in_force(1, 2), in_force(2, 1), in_force(2, 2)],
         vec![ordered(1), ordered(1), ordered(2)],
         vec![late],
--- a/lib/tests/job_journal.rs
+++ b/lib/tests/job_journal.rs
@@ -1,6 +1,6 @@
 //! Journals: what a new owner runs, what it must not run, and their bounds.
 
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::ids;
 use walnuthaven_lib::journal;
@@ -25,7 +25,7 @@
             repeatable,
         },
         progress,
-        changed: Duration::ZERO,
+        changed: time::Duration::ZERO,
     }
 }
 
@@ -47,7 +47,7 @@
             .entries
             .insert(id.into(), entry(repeatable, progress));
     }
-    let to_run = journal.take_over(host("b"), Duration::from_secs(9));
+    let to_run = journal.take_over(host("b"), time::Duration::from_secs(9));
     assert_eq!(to_run, ["begun", "waiting"]);
     assert_eq!(journal.owner, host("b"));
     assert_eq!(journal.entries["done"].progress, done);
@@ -75,6 +75,6 @@
     roomy
         .entries
         .insert("x".into(), entry(true, journal::Progress::Fetched));
-    assert!(!roomy.expire(Duration::from_secs(10)));
+    assert!(!roomy.expire(time::Duration::from_secs(10)));
     assert!(roomy.expire(journal::KEPT_FOR));
 }
--- a/lib/tests/lease_fencing.rs
+++ b/lib/tests/lease_fencing.rs
@@ -1,6 +1,6 @@
 //! Leases: one usable holder at a time, and numbers that only rise.
 
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::engines;
 use walnuthaven_lib::ids;
@@ -16,8 +16,8 @@
     }
 }
 
-fn secs(seconds: u64) -> Duration {
-    Duration::from_secs(seconds)
+fn secs(seconds: u64) -> time::Duration {
+    time::Duration::from_secs(seconds)
 }
 
 /// The platform's object with its version.
@@ -38,7 +38,7 @@
     }
 }
 
-fn attempt(lease: &mut lease::Lease, stored: &mut Stored, now: Duration, reply_lost: bool) {
+fn attempt(lease: &mut lease::Lease, stored: &mut Stored, now: time::Duration, reply_lost: bool) {
     let version = stored.version;
     if let lease::Step::Write(record) = lease.observe(stored.record.as_ref(), true, now)
         && stored.put(&record, version)
@@ -83,10 +83,10 @@
     fn property(steps: Vec<(bool, u8, bool)>) -> bool {
         let mut stored = Stored::default();
         let mut leases = [lease::Lease::new(host("a")), lease::Lease::new(host("b"))];
-        let mut now = Duration::ZERO;
+        let mut now = time::Duration::ZERO;
         let mut highest = 0;
         for (who, pause, reply_lost) in steps {
-            now += Duration::from_millis(u64::from(pause) * 60);
+            now += time::Duration::from_millis(u64::from(pause) * 60);
             attempt(&mut leases[usize::from(who)], &mut stored, now, reply_lost);
             let held: Vec<lease::Held> = leases.iter().filter_map(|l| l.held(now)).collect();
             if held.len() > 1 {
--- a/lib/tests/membership_views.rs
+++ b/lib/tests/membership_views.rs
@@ -1,6 +1,6 @@
 //! Membership: suspicion, refutation, restarts, cuts and pauses.
 
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::ids;
 use walnuthaven_lib::membership;
@@ -22,8 +22,8 @@
     }
 }
 
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
+fn ms(millis: u64) -> time::Duration {
+    time::Duration::from_millis(millis)
 }
 
 /// Ticks as often as a running host does.
@@ -140,7 +140,7 @@
     silence(&mut table, "b", 1_000);
     assert!(run(&mut table, 1_000, 3_600_000).is_empty(), "for an hour");
     assert!(table.eligible().all(|member| &*member.zone != "z1"));
-    assert!(table.silent_for("a", ms(61_000)) >= Duration::from_secs(60));
+    assert!(table.silent_for("a", ms(61_000)) >= time::Duration::from_secs(60));
 }
 
 #[test]
--- a/lib/tests/quarantine_marks.rs
+++ b/lib/tests/quarantine_marks.rs
@@ -1,6 +1,6 @@
 //! Quarantine marks: the same verdict everywhere, an end time, and a way out.
 
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::quarantine;
 use walnuthaven_lib::refusal;
@@ -8,8 +8,8 @@
 const SEED: u64 = 5;
 const DIGEST: u64 = 0xabc;
 
-fn at(seconds: u64) -> Duration {
-    Duration::from_secs(1_000 + seconds)
+fn at(seconds: u64) -> time::Duration {
+    time::Duration::from_secs(1_000 + seconds)
 }
 
 #[test]
--- a/lib/tests/queue_order.rs
+++ b/lib/tests/queue_order.rs
@@ -1,6 +1,6 @@
 //! The order of the queue: classes, fair shares, the floor and the age limit of patient work.
 
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::queue;
 
@@ -12,15 +12,15 @@
         class,
         workspace: workspace.into(),
         share,
-        since: Duration::ZERO,
-        age_limit: Duration::from_secs(60),
+        since: time::Duration::ZERO,
+        age_limit: time::Duration::from_secs(60),
     }
 }
 
 fn drain(queue: &mut queue::Queue, classes: &[queue::Class], count: usize) -> Vec<u64> {
     let mut order = Vec::new();
     for _ in 0..count {
-        let next = queue.order(Duration::from_secs(1), 1)[0];
+        let next = queue.order(time::Duration::from_secs(1), 1)[0];
         for class in classes {
             let before = queue.len();
             queue.grant(*class, next);
@@ -54,8 +54,8 @@
     let mut queue = queue::Queue::default();
     queue.push(key(1, queue::Class::Patient, "a", 1));
     queue.push(key(2, queue::Class::Urgent, "a", 1));
-    assert_eq!(queue.order(Duration::from_secs(1), 1), [2]);
-    assert_eq!(queue.order(Duration::from_secs(31), 1), [1]);
+    assert_eq!(queue.order(time::Duration::from_secs(1), 1), [2]);
+    assert_eq!(queue.order(time::Duration::from_secs(31), 1), [1]);
 }
 
 #[test]
@@ -108,7 +108,7 @@
             queue.push(key(number, class, &workspace, 1));
             model.push((number, class));
         }
-        let mut order = queue.order(Duration::from_secs(1), usize::MAX);
+        let mut order = queue.order(time::Duration::from_secs(1), usize::MAX);
         order.sort_unstable();
         let mut expected: Vec<u64> = model.iter().map(|(ticket, _)| *ticket).collect();
         expected.sort_unstable();
--- a/lib/tests/request_ids.rs
+++ b/lib/tests/request_ids.rs
@@ -1,6 +1,6 @@
 //! Request ids and the table at their home.
 
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_lib::identity;
 use walnuthaven_lib::ids;
@@ -14,8 +14,8 @@
     }
 }
 
-fn at(seconds: u64) -> Duration {
-    Duration::from_secs(seconds)
+fn at(seconds: u64) -> time::Duration {
+    time::Duration::from_secs(seconds)
 }
 
 #[test]
--- a/standin/src/agent.rs
+++ b/standin/src/agent.rs
@@ -2,7 +2,6 @@
 
 use std::collections;
 use std::time;
-use std::time::Duration;
 
 use serde::Deserialize;
 use serde_json::json;
@@ -10,8 +9,8 @@
 use crate::load;
 use crate::world;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-const DIRECTORY_TIMEOUT: Duration = Duration::from_secs(2);
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+const DIRECTORY_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 const ATTEMPTS: usize = 3;
 
 /// The answer to "which addresses?".
@@ -143,7 +142,7 @@
             }
             state.hosts = hosts.hosts.into_iter().map(|host| host.address).collect();
             state.ids = hosts.request_ids.into();
-            let keep = Duration::from_secs(hosts.keep_s);
+            let keep = time::Duration::from_secs(hosts.keep_s);
             state.until = Some(time::Instant::now() + keep);
             return;
         }
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -1,7 +1,6 @@
 //! One caller: its tries, its rights and its patience.
 
 use std::time;
-use std::time::Duration;
 
 use walnuthaven_lib::history;
 
@@ -11,8 +10,8 @@
 use crate::tokens;
 
 const MAX_TRIES: u32 = 8;
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-const JOB_POLL: Duration = Duration::from_millis(300);
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
+const JOB_POLL: time::Duration = time::Duration::from_millis(300);
 
 /// One request of a caller.
 pub struct Call<'a> {
@@ -38,7 +37,11 @@
 
 impl Call<'_> {
     /// Asks for a streamed answer until it ends one way or the other.
-    pub async fn generate(&mut self, call: &load::Generate, at: Duration) -> Option<driver::Done> {
+    pub async fn generate(
+        &mut self,
+        call: &load::Generate,
+        at: time::Duration,
+    ) -> Option<driver::Done> {
         let mut seen = Seen::default();
         let ended = match call.leaves_after {
             None => self.generate_all(call, &mut seen).await,
@@ -195,7 +198,7 @@
         &mut self,
         service: &'static str,
         repeatable: bool,
-        at: Duration,
+        at: time::Duration,
     ) -> Option<driver::Done> {
         let ended = self.plain_all(service, repeatable).await;
         let took = self.intended.elapsed();
@@ -241,7 +244,7 @@
     }
 
     /// Submits a job and fetches its answer, `None` if it ended without one.
-    pub async fn job(&mut self, call: &load::Generate, at: Duration) -> Option<driver::Done> {
+    pub async fn job(&mut self, call: &load::Generate, at: time::Duration) -> Option<driver::Done> {
         let (ended, first) = match self.submit(call).await {
             Err(ended) => (ended, None),
             Ok(id) => {
@@ -359,7 +362,7 @@
         *self = Self::default();
     }
 
-    fn per_token(&self) -> Option<Duration> {
+    fn per_token(&self) -> Option<time::Duration> {
         let span = self.last? - self.first?;
         (self.tokens > 1).then(|| span / (self.tokens - 1))
     }
--- a/standin/src/config_latency.rs
+++ b/standin/src/config_latency.rs
@@ -1,7 +1,7 @@
 //! How long an accepted configuration takes to be in force at every host.
 
 use std::collections;
-use std::time::Duration;
+use std::time;
 
 use anyhow::Context as _;
 use serde_json::json;
@@ -14,8 +14,8 @@
 use crate::report;
 use crate::world;
 
-const BETWEEN_CHANGES: Duration = Duration::from_millis(60);
-const LAST_SPREAD: Duration = Duration::from_secs(3);
+const BETWEEN_CHANGES: time::Duration = time::Duration::from_millis(60);
+const LAST_SPREAD: time::Duration = time::Duration::from_secs(3);
 
 /// Measures and prints one JSON object. Returns whether every change came into force everywhere.
 ///
@@ -77,7 +77,7 @@
     events: &[history::Record],
     accepted: &collections::BTreeMap<u64, u64>,
     hosts: usize,
-) -> Vec<Duration> {
+) -> Vec<time::Duration> {
     let mut by_host: collections::BTreeMap<&str, Vec<(u64, u64)>> = collections::BTreeMap::new();
     for record in events {
         if let history::Event::InForce {
@@ -102,7 +102,7 @@
     };
     let spread = accepted.iter().filter_map(|(generation, at)| {
         let last = everywhere(*generation)?;
-        Some(Duration::from_millis(last.saturating_sub(*at)))
+        Some(time::Duration::from_millis(last.saturating_sub(*at)))
     });
     spread.collect()
 }
--- a/standin/src/control_cost.rs
+++ b/standin/src/control_cost.rs
@@ -4,7 +4,7 @@
 //! size, with as much news, and push configuration changes at the rate designed for.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use rand::RngExt as _;
 use serde_json::json;
@@ -26,7 +26,7 @@
 /// Membership changes a day at the size designed for, at 2,000 hosts.
 const MEMBER_CHANGES_A_DAY_AND_HOST: f64 = (160.0 + 930.0) / 2_000.0;
 const SECONDS_A_DAY: f64 = 86_400.0;
-const WARM_UP: Duration = Duration::from_secs(6);
+const WARM_UP: time::Duration = time::Duration::from_secs(6);
 const ZONES: u32 = 23;
 
 struct Peers {
@@ -128,7 +128,7 @@
 ///
 /// Returns an error if the host can't be run.
 pub async fn run(hosts: u32, workspaces: u32, seconds: u64) -> anyhow::Result<bool> {
-    let platform = platform::Platform::new(Duration::from_secs(5));
+    let platform = platform::Platform::new(time::Duration::from_secs(5));
     let platform_addr = platform.serve(net::bind().await?)?;
     for number in 0..workspaces {
         let stored = stored(number, 1, hosts, workspaces);
@@ -155,7 +155,7 @@
     tokio::spawn(push_changes(client, real, hosts, workspaces));
     tokio::time::sleep(WARM_UP).await;
     let before = tokio::task::block_in_place(|| fleet.dump(0))?;
-    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    tokio::time::sleep(time::Duration::from_secs(seconds)).await;
     let after = tokio::task::block_in_place(|| fleet.dump(0))?;
     print(hosts, workspaces, seconds, &before, &after)?;
     Ok(true)
@@ -178,7 +178,7 @@
     experiment::settle(&fleet, count).await?;
     tokio::time::sleep(WARM_UP).await;
     let before = sums(&fleet)?;
-    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    tokio::time::sleep(time::Duration::from_secs(seconds)).await;
     let after = sums(&fleet)?;
     let mean =
         |of: fn(&Sums) -> f64| (of(&after) - of(&before)) / seconds as f64 / f64::from(hosts);
@@ -302,7 +302,7 @@
     hosts: u32,
     workspaces: u32,
 ) {
-    let every = Duration::from_secs_f64(SECONDS_A_DAY / CHANGES_A_DAY);
+    let every = time::Duration::from_secs_f64(SECONDS_A_DAY / CHANGES_A_DAY);
     let mut generation = 1;
     let mut ticks = tokio::time::interval(every);
     loop {
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -1,7 +1,7 @@
 //! The demo: both users' workloads against three hosts in this process.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use crate::driver;
 use crate::load;
@@ -10,9 +10,9 @@
 use crate::world;
 
 const HOSTS: usize = 3;
-const GRACE: Duration = Duration::from_secs(40);
-const LAST_CHECKS: Duration = Duration::from_millis(2_300);
-const PROGRESS_EVERY: Duration = Duration::from_secs(2);
+const GRACE: time::Duration = time::Duration::from_secs(40);
+const LAST_CHECKS: time::Duration = time::Duration::from_millis(2_300);
+const PROGRESS_EVERY: time::Duration = time::Duration::from_secs(2);
 
 /// Runs the demo. Returns whether every promise held.
 ///
@@ -31,7 +31,7 @@
     let addresses = fleet.api_addresses();
     println!("hosts: {}", addresses.join(", "));
     let driver = driver::Driver::new(world.clone(), &addresses)?;
-    let length = Duration::from_secs(seconds);
+    let length = time::Duration::from_secs(seconds);
     let arrivals = arrivals(length, seed);
     let total = arrivals.len();
     println!("load: {total} requests in {seconds} s, seed {seed}");
@@ -53,7 +53,7 @@
     Ok(report.broken() == 0)
 }
 
-fn arrivals(length: Duration, seed: u64) -> Vec<load::Arrival> {
+fn arrivals(length: time::Duration, seed: u64) -> Vec<load::Arrival> {
     let mut all = Vec::new();
     for user in [world::User::Coop, world::User::Studio] {
         let mix = load::Mix {
--- a/standin/src/driver.rs
+++ b/standin/src/driver.rs
@@ -3,7 +3,6 @@
 use std::collections;
 use std::sync;
 use std::time;
-use std::time::Duration;
 
 use walnuthaven_lib::history;
 
@@ -13,7 +12,7 @@
 use crate::load;
 use crate::world;
 
-const GONE_CHECK: Duration = Duration::from_millis(history::GONE_GRACE_MS);
+const GONE_CHECK: time::Duration = time::Duration::from_millis(history::GONE_GRACE_MS);
 
 /// How a request ended for its caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -36,11 +35,11 @@
     /// The priority, `plain` for plain calls and `job` for submitted work.
     pub priority: &'static str,
     /// When it was to be sent, from the start of the load.
-    pub at: Duration,
+    pub at: time::Duration,
     /// Time to the first token, or to the reply of a plain call.
-    pub first: Option<Duration>,
+    pub first: Option<time::Duration>,
     /// Mean time between tokens.
-    pub per_token: Option<Duration>,
+    pub per_token: Option<time::Duration>,
     /// How it ended.
     pub ended: Ended,
     /// Tries made.
@@ -99,7 +98,7 @@
 
     /// Sends all arrivals at their times and waits for their ends, at most for `grace` after the
     /// last arrival.
-    pub async fn run(self: &sync::Arc<Self>, arrivals: Vec<load::Arrival>, grace: Duration) {
+    pub async fn run(self: &sync::Arc<Self>, arrivals: Vec<load::Arrival>, grace: time::Duration) {
         let began = time::Instant::now();
         let mut tasks = tokio::task::JoinSet::new();
         for (number, arrival) in arrivals.into_iter().enumerate() {
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -1,10 +1,10 @@
 //! Stand-in of a model engine: its HTTP border and its crashes.
 
 use std::collections;
-use std::convert::Infallible;
+use std::convert;
 use std::net;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use axum::body;
 use axum::extract;
@@ -54,7 +54,7 @@
     shared: sync::Arc<state::Shared>,
 }
 
-const RESTART: Duration = Duration::from_millis(1_500);
+const RESTART: time::Duration = time::Duration::from_millis(1_500);
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
 impl Engine {
@@ -235,7 +235,7 @@
         while let Ok(next) = guard.rx.try_recv() {
             write_frame(&mut out, &next);
         }
-        Some((Ok::<Bytes, Infallible>(out.into()), guard))
+        Some((Ok::<Bytes, convert::Infallible>(out.into()), guard))
     });
     body::Body::from_stream(lines).into_response()
 }
@@ -292,7 +292,7 @@
 }
 
 /// Returns how long a transfer takes on an idle link.
-pub fn transfer_time(tokens: u32, link_mb_s: u32) -> Duration {
+pub fn transfer_time(tokens: u32, link_mb_s: u32) -> time::Duration {
     transfer::expected(tokens, link_mb_s)
 }
 
--- a/standin/src/engine_memory.rs
+++ b/standin/src/engine_memory.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use walnuthaven_daemon::engine as protocol;
+use walnuthaven_lib::engines;
 use walnuthaven_lib::prefix;
 
 use crate::engine;
@@ -91,6 +92,17 @@
     pub(crate) snapshots: collections::VecDeque<(time::Instant, Vec<protocol::Running>)>,
 }
 
+/// What survives a crash: what the engine was told, and how it misbehaves.
+#[derive(Debug)]
+pub struct Orders {
+    pub(crate) role: engines::Role,
+    pub(crate) model: String,
+    pub(crate) version: String,
+    pub(crate) fence: u64,
+    pub(crate) leaving: Option<time::Instant>,
+    pub(crate) stalls: f64,
+}
+
 impl State {
     pub(crate) fn take_number(&mut self) -> u64 {
         self.next += 1;
--- a/standin/src/engine_state.rs
+++ b/standin/src/engine_state.rs
@@ -2,7 +2,6 @@
 
 use std::sync;
 use std::time;
-use std::time::Duration;
 
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -20,13 +19,13 @@
 use crate::world;
 
 /// How long an export is kept.
-pub const EXPORT_LIFE: Duration = Duration::from_millis(800);
-const TRANSFER_MARGIN: Duration = Duration::from_millis(20);
-const STEP_BASE: Duration = Duration::from_micros(12_000);
-const STEP_PER_REQUEST: Duration = Duration::from_micros(700);
-const IDLE: Duration = Duration::from_millis(2);
-const LOAD_LAG: Duration = Duration::from_millis(100);
-const EVENT_LAG: Duration = Duration::from_millis(150);
+pub const EXPORT_LIFE: time::Duration = time::Duration::from_millis(800);
+const TRANSFER_MARGIN: time::Duration = time::Duration::from_millis(20);
+const STEP_BASE: time::Duration = time::Duration::from_micros(12_000);
+const STEP_PER_REQUEST: time::Duration = time::Duration::from_micros(700);
+const IDLE: time::Duration = time::Duration::from_millis(2);
+const LOAD_LAG: time::Duration = time::Duration::from_millis(100);
+const EVENT_LAG: time::Duration = time::Duration::from_millis(150);
 const LOST_EVENT_EVERY: u64 = 50;
 /// A prompt with this text crashes the engine that computes it.
 pub const CRASH_PREFILL: &str = "crash-the-prefill-engine";
@@ -37,7 +36,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Sending {
     /// How long it takes, waiting for the link included.
-    pub wait: Duration,
+    pub wait: time::Duration,
     /// Whether it stalls.
     pub stalled: bool,
 }
@@ -48,28 +47,17 @@
     spec: engine::Spec,
     ledger: sync::Arc<ledger::Ledger>,
     state: sync::Mutex<memory::State>,
-    orders: sync::Mutex<Orders>,
+    orders: sync::Mutex<memory::Orders>,
     crash: watch::Sender<u64>,
     pub(crate) freed: tokio::sync::Notify,
     queued: tokio::sync::Notify,
     http: reqwest::Client,
 }
 
-/// What survives a crash: what the engine was told, and how it misbehaves.
-#[derive(Debug)]
-struct Orders {
-    role: engines::Role,
-    model: String,
-    version: String,
-    fence: u64,
-    leaving: Option<time::Instant>,
-    stalls: f64,
-}
-
 impl Shared {
     /// Makes an engine's state.
     pub fn new(spec: engine::Spec, ledger: sync::Arc<ledger::Ledger>) -> Self {
-        let orders = Orders {
+        let orders = memory::Orders {
             role: spec.role,
             model: world::MODEL.into(),
             version: "1".into(),
@@ -439,7 +427,7 @@
         let cached = u32::try_from(cached).unwrap_or(u32::MAX);
         let uncached = whole.saturating_sub(cached).max(1);
         let rate = f64::from(self.spec.prefill_tokens_s);
-        tokio::time::sleep(Duration::from_secs_f64(f64::from(uncached) / rate)).await;
+        tokio::time::sleep(time::Duration::from_secs_f64(f64::from(uncached) / rate)).await;
         self.ledger.prefill(&call.request, u64::from(uncached));
         let exported = self.lock().export(call, &blocks, whole, cached);
         // The caller may be gone; the export is evicted then.
@@ -489,7 +477,7 @@
 
     async fn observe(&self) {
         loop {
-            tokio::time::sleep(Duration::from_millis(50)).await;
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
             self.lock().snapshot();
         }
     }
@@ -500,7 +488,7 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    fn orders(&self) -> sync::MutexGuard<'_, Orders> {
+    fn orders(&self) -> sync::MutexGuard<'_, memory::Orders> {
         self.orders
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
--- a/standin/src/experiment.rs
+++ b/standin/src/experiment.rs
@@ -1,7 +1,7 @@
 //! An experiment: a scenario against real daemons, checked and measured.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use anyhow::Context as _;
 
@@ -25,7 +25,7 @@
     /// Hosts to start.
     pub hosts: usize,
     /// Length of the load.
-    pub length: Duration,
+    pub length: time::Duration,
     /// Factor on all arrival rates.
     pub rate: f64,
     /// Factor on all output lengths.
@@ -34,9 +34,9 @@
 
 const PHASE_SEEDS: u64 = 1_000;
 const SETTLE_TRIES: u32 = 100;
-const SETTLE_PAUSE: Duration = Duration::from_millis(100);
-const GRACE: Duration = Duration::from_secs(45);
-const LAST_CHECKS: Duration = Duration::from_millis(2_300);
+const SETTLE_PAUSE: time::Duration = time::Duration::from_millis(100);
+const GRACE: time::Duration = time::Duration::from_secs(45);
+const LAST_CHECKS: time::Duration = time::Duration::from_millis(2_300);
 
 /// Runs an experiment.
 ///
@@ -170,7 +170,7 @@
     Ok(())
 }
 
-fn platform_down(world: sync::Arc<world::World>, length: Duration) {
+fn platform_down(world: sync::Arc<world::World>, length: time::Duration) {
     tokio::spawn(async move {
         let down = platform::Faults {
             down: true,
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::io::BufRead as _;
 use std::path;
 use std::process;
-use std::time::Duration;
+use std::time;
 
 use anyhow::Context as _;
 
@@ -41,7 +41,7 @@
 }
 
 const END_TRIES: u32 = 700;
-const END_PAUSE: Duration = Duration::from_millis(100);
+const END_PAUSE: time::Duration = time::Duration::from_millis(100);
 
 impl Fleet {
     /// Makes a fleet without hosts.
@@ -157,7 +157,7 @@
     /// # Errors
     ///
     /// Returns an error if the signal can't be sent.
-    pub async fn pause(&self, at: usize, length: Duration) -> anyhow::Result<()> {
+    pub async fn pause(&self, at: usize, length: time::Duration) -> anyhow::Result<()> {
         signal(&self.hosts[at], rustix::process::Signal::STOP)?;
         tokio::time::sleep(length).await;
         signal(&self.hosts[at], rustix::process::Signal::CONT)
--- a/standin/src/load.rs
+++ b/standin/src/load.rs
@@ -1,6 +1,6 @@
 //! What callers send: arrivals of both users' workloads, drawn from a seed.
 
-use std::time::Duration;
+use std::time;
 
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -13,7 +13,7 @@
 #[derive(Clone, Debug)]
 pub struct Arrival {
     /// When it is sent, from the start of the load.
-    pub at: Duration,
+    pub at: time::Duration,
     /// The user who sends it.
     pub user: world::User,
     /// What is asked.
@@ -50,7 +50,7 @@
     /// Tokens wanted.
     pub max_tokens: u32,
     /// When the caller leaves, if it does.
-    pub leaves_after: Option<Duration>,
+    pub leaves_after: Option<time::Duration>,
 }
 
 /// How much of what is sent.
@@ -99,7 +99,7 @@
 }
 
 /// Draws the arrivals of one user over a time.
-pub fn arrivals(user: world::User, mix: &Mix, length: Duration, seed: u64) -> Vec<Arrival> {
+pub fn arrivals(user: world::User, mix: &Mix, length: time::Duration, seed: u64) -> Vec<Arrival> {
     let mut rng = rngs::StdRng::seed_from_u64(seed ^ (user as u64 + 1));
     let mut arrivals = Vec::new();
     poisson(&mut rng, mix.model_s, length, |rng, at| {
@@ -127,8 +127,8 @@
 fn poisson(
     rng: &mut rngs::StdRng,
     rate: f64,
-    length: Duration,
-    mut f: impl FnMut(&mut rngs::StdRng, Duration),
+    length: time::Duration,
+    mut f: impl FnMut(&mut rngs::StdRng, time::Duration),
 ) {
     if rate <= 0.0 {
         return;
@@ -140,7 +140,7 @@
         if at >= length.as_secs_f64() {
             return;
         }
-        f(rng, Duration::from_secs_f64(at));
+        f(rng, time::Duration::from_secs_f64(at));
     }
 }
 
@@ -159,7 +159,7 @@
     let prompt_tokens = f64::from(rng.random_range(prompt)) * mix.prompt_factor;
     let output_tokens = f64::from(rng.random_range(output)) * mix.output_factor;
     let leaves = rng.random_bool(mix.leavers);
-    let leaves_after = leaves.then(|| Duration::from_millis(rng.random_range(5..1_500)));
+    let leaves_after = leaves.then(|| time::Duration::from_millis(rng.random_range(5..1_500)));
     Generate {
         service,
         priority,
--- a/standin/src/local.rs
+++ b/standin/src/local.rs
@@ -1,7 +1,7 @@
 //! Hosts inside this process, for the demo and for tests.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use tokio::runtime;
 use walnuthaven_daemon::host;
@@ -12,9 +12,9 @@
 
 const THREADS: usize = 2;
 /// How often a condition is looked at.
-pub const LOOK_EVERY: Duration = Duration::from_millis(20);
+pub const LOOK_EVERY: time::Duration = time::Duration::from_millis(20);
 /// A condition that is not met by then is a failure.
-pub const GIVE_UP_AFTER: Duration = Duration::from_secs(60);
+pub const GIVE_UP_AFTER: time::Duration = time::Duration::from_secs(60);
 
 /// Hosts inside this process, each with a runtime of its own, so that it can be cut off like a
 /// crashed process.
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use anyhow::Context as _;
 use clap::Parser as _;
@@ -167,7 +167,7 @@
             } => control_cost::run(hosts, workspaces, seconds).await,
         }
     });
-    runtime.shutdown_timeout(Duration::from_millis(100));
+    runtime.shutdown_timeout(time::Duration::from_millis(100));
     ended
 }
 
@@ -189,7 +189,7 @@
         policy: args.policy.clone(),
         seed: args.seed,
         hosts: usize::try_from(args.hosts)?,
-        length: Duration::from_secs(args.seconds),
+        length: time::Duration::from_secs(args.seconds),
         rate: args.rate,
         output: args.output,
     };
@@ -217,7 +217,7 @@
 }
 
 async fn platform_alone() -> anyhow::Result<bool> {
-    let platform = platform::Platform::new(Duration::from_secs(5));
+    let platform = platform::Platform::new(time::Duration::from_secs(5));
     let addr = platform.serve(net::bind().await?)?;
     until_interrupted("platform", addr).await
 }
--- a/standin/src/net.rs
+++ b/standin/src/net.rs
@@ -1,6 +1,6 @@
 //! Serving HTTP in a way that can be cut off like a crashed process.
 
-use std::convert::Infallible;
+use std::convert;
 use std::net;
 
 use axum::body;
@@ -10,7 +10,7 @@
 use tokio::task;
 
 /// Accepts connections until the future is dropped, which cuts all of them.
-pub async fn serve(listener: tokio::net::TcpListener, router: axum::Router) -> Infallible {
+pub async fn serve(listener: tokio::net::TcpListener, router: axum::Router) -> convert::Infallible {
     let mut connections = task::JoinSet::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
--- a/standin/src/overhead.rs
+++ b/standin/src/overhead.rs
@@ -2,7 +2,6 @@
 //! host, in turn, so that both see the same machine.
 
 use std::time;
-use std::time::Duration;
 
 use anyhow::Context as _;
 use serde_json::json;
@@ -17,7 +16,7 @@
 use crate::world;
 
 const HOSTS: usize = 3;
-const LIMIT: Duration = Duration::from_secs(5);
+const LIMIT: time::Duration = time::Duration::from_secs(5);
 const TOKENS: u32 = 2;
 const PROMPT_WORDS: usize = 100;
 
@@ -62,7 +61,7 @@
     world: &world::World,
     client: &protocol::Client,
     number: u32,
-) -> anyhow::Result<Duration> {
+) -> anyhow::Result<time::Duration> {
     let of_role = |role| {
         let mut engines = world.engines.iter().filter(move |e| e.spec.role == role);
         engines.next().context("no engine of the role")
@@ -114,7 +113,7 @@
     Ok(first)
 }
 
-async fn ask_host(agent: &agent::Agent, number: u32) -> anyhow::Result<Duration> {
+async fn ask_host(agent: &agent::Agent, number: u32) -> anyhow::Result<time::Duration> {
     let call = load::Generate {
         service: "summary",
         priority: "normal",
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -5,7 +5,6 @@
 use std::net;
 use std::sync;
 use std::time;
-use std::time::Duration;
 
 use axum::extract;
 use axum::response;
@@ -18,7 +17,7 @@
 use crate::net as serving;
 
 const MAX_VALUE_BYTES: usize = 1_000_000;
-const MAX_WAIT: Duration = Duration::from_secs(30);
+const MAX_WAIT: time::Duration = time::Duration::from_secs(30);
 
 /// How the stand-in misbehaves.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
@@ -83,13 +82,13 @@
     state: sync::Arc<sync::Mutex<State>>,
     changed: watch::Sender<u64>,
     /// How long the host list lags behind.
-    pub list_lag: Duration,
+    pub list_lag: time::Duration,
     began: time::Instant,
 }
 
 impl Platform {
     /// Makes an empty platform.
-    pub fn new(list_lag: Duration) -> Self {
+    pub fn new(list_lag: time::Duration) -> Self {
         Self {
             state: sync::Arc::default(),
             changed: watch::Sender::new(0),
@@ -182,7 +181,7 @@
             return Err(http::StatusCode::TOO_MANY_REQUESTS.into_response());
         }
         if faults.slow_ms > 0 {
-            tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+            tokio::time::sleep(time::Duration::from_millis(faults.slow_ms)).await;
         }
         Ok(faults)
     }
@@ -239,7 +238,7 @@
         return response;
     }
     let mut changed = platform.changed.subscribe();
-    let until = time::Instant::now() + Duration::from_millis(query.wait_ms).min(MAX_WAIT);
+    let until = time::Instant::now() + time::Duration::from_millis(query.wait_ms).min(MAX_WAIT);
     loop {
         changed.mark_unchanged();
         let (version, items, down) = {
--- a/standin/src/report.rs
+++ b/standin/src/report.rs
@@ -1,7 +1,7 @@
 //! The figures of a run.
 
 use std::collections;
-use std::time::Duration;
+use std::time;
 
 use serde::Serialize;
 use walnuthaven_lib::history;
@@ -10,11 +10,11 @@
 use crate::ledger;
 
 /// First-token target of urgent and normal work.
-pub const FIRST_TOKEN: Duration = Duration::from_millis(1_300);
+pub const FIRST_TOKEN: time::Duration = time::Duration::from_millis(1_300);
 /// First-token target of patient work: its age limit.
-pub const PATIENT_FIRST: Duration = Duration::from_millis(30_000);
+pub const PATIENT_FIRST: time::Duration = time::Duration::from_millis(30_000);
 /// Target between tokens.
-pub const PER_TOKEN: Duration = Duration::from_millis(33);
+pub const PER_TOKEN: time::Duration = time::Duration::from_millis(33);
 
 /// The report of a run, one JSON object.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -185,7 +185,7 @@
 
 /// Counts urgent requests that missed their target while patient work that came later was served.
 fn overtaken(model: &[&driver::Done]) -> u64 {
-    let patient: Vec<(Duration, Duration)> = model
+    let patient: Vec<(time::Duration, time::Duration)> = model
         .iter()
         .filter(|done| done.priority == "patient")
         .filter_map(|done| Some((done.at, done.at + done.first?)))
@@ -242,7 +242,7 @@
 }
 
 /// Returns the values in milliseconds below which half, 95 and 99 in 100 of the times are.
-pub fn percentiles(times: impl Iterator<Item = Duration>) -> [f64; 3] {
+pub fn percentiles(times: impl Iterator<Item = time::Duration>) -> [f64; 3] {
     let mut histogram = match hdrhistogram::Histogram::<u64>::new(3) {
         Ok(histogram) => histogram,
         Err(_) => return [0.0; 3],
--- a/standin/src/scenario.rs
+++ b/standin/src/scenario.rs
@@ -1,6 +1,6 @@
 //! The scenarios of the experiment: a load and the failures in it.
 
-use std::time::Duration;
+use std::time;
 
 use crate::load;
 use crate::world;
@@ -11,7 +11,7 @@
     /// A host is killed.
     KillHost,
     /// A host process is frozen for a time.
-    PauseHost(Duration),
+    PauseHost(time::Duration),
     /// Every host is replaced, one by one, by graceful shutdown.
     RollHosts,
     /// An engine crashes.
@@ -23,7 +23,7 @@
     /// A share of the transfers stalls from now on.
     StallTransfers(f64),
     /// The platform answers nothing for a time.
-    PlatformDown(Duration),
+    PlatformDown(time::Duration),
     /// Plain servers lose a share of their replies from now on.
     LosePlainReplies(f64),
 }
@@ -67,7 +67,7 @@
         role_changes: false,
         phases: Vec::new(),
     };
-    let seconds = Duration::from_secs;
+    let seconds = time::Duration::from_secs;
     let prefill_heavy = load::Mix {
         prompt_factor: 6.0,
         output_factor: 0.3,
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use axum::extract;
 use axum::response;
@@ -41,7 +41,7 @@
     leaving: sync::Mutex<Option<std::time::Instant>>,
 }
 
-const WORK: Duration = Duration::from_millis(2);
+const WORK: time::Duration = time::Duration::from_millis(2);
 
 impl Server {
     /// Starts a server on a listener.
--- a/standin/src/weights.rs
+++ b/standin/src/weights.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use axum::extract;
 use axum::routing;
@@ -61,6 +61,6 @@
     store.loads.fetch_add(1, sync::atomic::Ordering::Relaxed);
     // Loads share the rate by taking turns.
     let _turn = store.turn.lock().await;
-    tokio::time::sleep(Duration::from_millis(MODEL_MB * 1_000 / store.mb_s)).await;
+    tokio::time::sleep(time::Duration::from_millis(MODEL_MB * 1_000 / store.mb_s)).await;
     format!("{model}: {MODEL_MB} MB\n")
 }
--- a/standin/src/world.rs
+++ b/standin/src/world.rs
@@ -1,7 +1,7 @@
 //! The sites of both users, made of stand-ins on loopback.
 
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use serde_json::json;
 use walnuthaven_lib::auth;
@@ -38,7 +38,7 @@
 const PREFILL_TOKENS_S: u32 = 10_000;
 const LINK_MB_S: u32 = 4_000;
 const SLOTS: u32 = 20;
-const LIST_LAG: Duration = Duration::from_secs(5);
+const LIST_LAG: time::Duration = time::Duration::from_secs(5);
 const WEIGHT_MB_S: u64 = 4_000;
 
 /// The shape of a user's sites.
--- a/standin/tests/bad_input.rs
+++ b/standin/tests/bad_input.rs
@@ -3,7 +3,7 @@
 use std::io::Read as _;
 use std::io::Write as _;
 use std::net;
-use std::time::Duration;
+use std::time;
 
 use serde_json::json;
 use walnuthaven_standin::local;
@@ -182,7 +182,7 @@
 /// Reads until the host closes the connection, and returns what came.
 fn read_all(stream: &mut net::TcpStream) -> Vec<u8> {
     stream
-        .set_read_timeout(Some(Duration::from_secs(40)))
+        .set_read_timeout(Some(time::Duration::from_secs(40)))
         .unwrap();
     let mut all = Vec::new();
     // A reset is as good an end as a close.
--- a/standin/tests/gone_callers.rs
+++ b/standin/tests/gone_callers.rs
@@ -1,6 +1,6 @@
 //! Callers who leave hold nothing, wherever their request is.
 
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_standin::agent;
 use walnuthaven_standin::load;
@@ -36,7 +36,7 @@
 }
 
 /// Lets a caller leave after a time, and waits until nothing is held.
-async fn leave_after(call: load::Generate, wait: Duration) {
+async fn leave_after(call: load::Generate, wait: time::Duration) {
     let world = world::World::start(&[world::User::Coop]).await.unwrap();
     let fleet = local::Fleet::start(&world, 3, "current").await.unwrap();
     let known = fleet.api_addresses();
@@ -57,24 +57,24 @@
     .await
     .unwrap();
     // A cancel that crossed the import must not be followed by a slot.
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
     assert_eq!(held(&world), 0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_during_prefill() {
-    leave_after(request(8_000, 50), Duration::from_millis(300)).await;
+    leave_after(request(8_000, 50), time::Duration::from_millis(300)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_during_decode() {
-    leave_after(request(100, 4_000), Duration::from_millis(900)).await;
+    leave_after(request(100, 4_000), time::Duration::from_millis(900)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_around_the_transfer() {
     for wait in [95, 105, 115, 125] {
-        leave_after(request(1_000, 4_000), Duration::from_millis(wait)).await;
+        leave_after(request(1_000, 4_000), time::Duration::from_millis(wait)).await;
     }
 }
 
@@ -100,7 +100,7 @@
         });
     }
     let all = futures_util::future::join_all(streams);
-    let left = tokio::time::timeout(Duration::from_secs(3), all).await;
+    let left = tokio::time::timeout(time::Duration::from_secs(3), all).await;
     assert!(left.is_err());
     local::until("engines and steward hold nothing", || {
         held(&world) == 0 && granted(&fleet) == 0
--- a/standin/tests/submitted_jobs.rs
+++ b/standin/tests/submitted_jobs.rs
@@ -1,6 +1,6 @@
 //! Work accepted for later: kept before it is accepted, answered once, handed on.
 
-use std::time::Duration;
+use std::time;
 
 use walnuthaven_standin::agent;
 use walnuthaven_standin::load;
@@ -9,7 +9,7 @@
 use walnuthaven_standin::tokens;
 use walnuthaven_standin::world;
 
-const PAUSE: Duration = Duration::from_millis(100);
+const PAUSE: time::Duration = time::Duration::from_millis(100);
 
 async fn setup() -> (world::World, local::Fleet, agent::Agent) {
     let world = world::World::start(&[world::User::Coop]).await.unwrap();
@@ -119,7 +119,7 @@
         down: true,
         ..platform::Faults::default()
     });
-    tokio::time::sleep(Duration::from_secs(2)).await;
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
     world.platform.set_faults(platform::Faults::default());
     for (id, prompt) in &jobs {
         await_state(&agent, &hosts[1..], id, "done").await;
