tests: submissions after an outage come back when the refusal says so

Ruled out: a lost job; the refusal was platform_unavailable, not run. Change: the test was wrong in taking the first try after the outage for accepted. It now asks five times during the outage, comes back as the refusals say, and checks that nothing refused has run, which the former did not.

--- a/standin/tests/submitted_jobs.rs
+++ b/standin/tests/submitted_jobs.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use walnuthaven_lib::history;
 use walnuthaven_standin::agent;
 use walnuthaven_standin::load;
 use walnuthaven_standin::local;
@@ -80,14 +81,32 @@
         ..platform::Faults::default()
     });
     let host = fleet.api_addresses()[0].clone();
-    let refusal = refused(agent.submit(&host, &job("a refund", 8)).await);
-    assert_eq!(
-        (&*refusal.code, &*refusal.ran),
-        ("platform_unavailable", "not_run")
-    );
+    for _ in 0..5 {
+        let refusal = refused(agent.submit(&host, &job("a refund", 8)).await);
+        assert_eq!(
+            (&*refusal.code, &*refusal.ran),
+            ("platform_unavailable", "not_run")
+        );
+    }
     world.platform.set_faults(platform::Faults::default());
-    let id = agent.submit(&host, &job("a refund", 8)).await.unwrap();
-    await_state(&agent, &[host], &id, "done").await;
+    // Hosts leave a failing platform alone for a while; the refusals say when to come back.
+    let mut accepted = None;
+    while accepted.is_none() {
+        accepted = match agent.submit(&host, &job("a refund", 8)).await {
+            Ok(id) => Some(id),
+            refusal => {
+                assert_eq!(refused(refusal).ran, "not_run");
+                tokio::time::sleep(PAUSE).await;
+                None
+            }
+        };
+    }
+    await_state(&agent, &[host], &accepted.unwrap(), "done").await;
+    let ran = world.ledger.records();
+    let ran = ran
+        .iter()
+        .filter(|r| matches!(r.event, history::Event::Ran { .. }));
+    assert_eq!(ran.count(), 1, "nothing that was refused has run");
 }
 
 #[tokio::test(flavor = "multi_thread")]
