tests: a caller that accepts nothing is cut, and a test named for what it does

Cause: the test of a slow reader only hung up; the answers of the stand-ins fit into the socket buffers, so the cut itself was not shown. Change: that test keeps its assertions under the name of what it does; a new one writes more than the buffers hold to a reader that takes nothing and expects the time limit's error.

--- /dev/null
+++ b/daemon/tests/slow_reader.rs
@@ -0,0 +1,22 @@
+//! A caller that accepts no bytes is cut.
+
+use std::io;
+use std::time;
+
+use tokio::io::AsyncWriteExt as _;
+use walnuthaven_daemon::connections;
+
+const LIMIT: time::Duration = time::Duration::from_millis(200);
+const MORE_THAN_BUFFERS_HOLD: usize = 64 * 1024 * 1024;
+
+#[tokio::test]
+async fn a_pending_write_fails_after_the_limit() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let reader = tokio::net::TcpStream::connect(addr).await.unwrap();
+    let (stream, _) = listener.accept().await.unwrap();
+    let mut guarded = connections::Guarded::new(stream, LIMIT);
+    let written = guarded.write_all(&vec![0; MORE_THAN_BUFFERS_HOLD]).await;
+    assert_eq!(written.unwrap_err().kind(), io::ErrorKind::TimedOut);
+    drop(reader);
+}
--- a/standin/tests/bad_input.rs
+++ b/standin/tests/bad_input.rs
@@ -266,7 +266,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_caller_that_reads_nothing_is_cut_and_holds_nothing() {
+async fn a_caller_that_hangs_up_unread_holds_nothing() {
     let (world, fleet, host) = setup().await;
     let slow = tokio::task::spawn_blocking(move || {
         let mut stream = net::TcpStream::connect(host).unwrap();
