daemon: one check of the tokens wanted, and no dead call

Cause: reading the whole change again, the limit on tokens and its default stood in the callers' API and again in submitted jobs, and a call to forget connections was never made. Change: both ways in use one check and one default; the dead call is gone. Behaviour and messages are as before. Left: lifting a quarantine stands in the operators' API and in the console; connections to addresses of former host runs are never dropped.

--- a/daemon/src/generate.rs
+++ b/daemon/src/generate.rs
@@ -242,17 +242,24 @@
         let message = format!("prompt: {tokens} tokens exceed the workspace's limit of {limit}");
         return Err(refusal::Refusal::not_run(refusal::Code::TooLarge, message));
     }
-    if ask.max_tokens == 0 || ask.max_tokens > limits.max_output_tokens {
-        let message = format!(
-            "max_tokens: {} is outside 1 to {}",
-            ask.max_tokens, limits.max_output_tokens
-        );
-        return Err(refusal::Refusal::not_run(
-            refusal::Code::BadRequest,
-            message,
-        ));
+    check_output(ask.max_tokens, limits)
+}
+
+/// Checks the number of tokens wanted.
+///
+/// # Errors
+///
+/// Refuses none, and more than the workspace's limit.
+pub fn check_output(max_tokens: u32, limits: &config::Limits) -> Result<(), refusal::Refusal> {
+    let limit = limits.max_output_tokens;
+    if (1..=limit).contains(&max_tokens) {
+        return Ok(());
     }
-    Ok(())
+    let message = format!("max_tokens: {max_tokens} is outside 1 to {limit}");
+    Err(refusal::Refusal::not_run(
+        refusal::Code::BadRequest,
+        message,
+    ))
 }
 
 /// Runs a request to its end, or until its callers are gone.
--- a/daemon/src/jobs_api.rs
+++ b/daemon/src/jobs_api.rs
@@ -15,6 +15,7 @@
 
 use crate::api;
 use crate::drain;
+use crate::generate;
 use crate::host;
 use crate::jobs;
 use crate::journal_store;
@@ -22,7 +23,6 @@
 use crate::platform;
 
 const RETRY_PAUSE: time::Duration = time::Duration::from_secs(1);
-const DEFAULT_MAX_TOKENS: u32 = 256;
 
 /// `POST /v1/jobs`: accepts work for later.
 pub async fn submit(
@@ -61,7 +61,7 @@
         workspace: workspace.document.workspace.clone(),
         service: service.name.clone(),
         prompt,
-        max_tokens: body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+        max_tokens: body.max_tokens.unwrap_or(openai::DEFAULT_MAX_TOKENS),
         class,
         repeatable: service.repeatable,
     };
@@ -107,17 +107,7 @@
 }
 
 fn check_size(job: &journal::Job, workspace: &versions::Stored) -> Result<(), refusal::Refusal> {
-    let limits = &workspace.document.limits;
-    if job.max_tokens == 0 || job.max_tokens > limits.max_output_tokens {
-        let message = format!(
-            "max_tokens: {} is outside 1 to {}",
-            job.max_tokens, limits.max_output_tokens
-        );
-        return Err(refusal::Refusal::not_run(
-            refusal::Code::BadRequest,
-            message,
-        ));
-    }
+    generate::check_output(job.max_tokens, &workspace.document.limits)?;
     let entry = journal::Entry {
         job: job.clone(),
         progress: journal::Progress::Waiting,
--- a/daemon/src/openai.rs
+++ b/daemon/src/openai.rs
@@ -23,7 +23,8 @@
 use crate::generate;
 use crate::host;
 
-const DEFAULT_MAX_TOKENS: u32 = 256;
+/// Tokens generated for a request that names no number.
+pub const DEFAULT_MAX_TOKENS: u32 = 256;
 
 /// The body of a completions or chat request. Fields of the common API that do not concern routing
 /// are accepted and left alone.
--- a/daemon/src/peer_client.rs
+++ b/daemon/src/peer_client.rs
@@ -235,11 +235,6 @@
         Ok(self.stub(addr)?.fetch_config(call).await?.into_inner())
     }
 
-    /// Forgets the connection to an address that nobody uses any more.
-    pub fn forget(&self, addr: &str) {
-        host::lock(&self.stubs).remove(addr);
-    }
-
     fn stub(&self, addr: &str) -> Result<Stub, tonic::Status> {
         let mut stubs = host::lock(&self.stubs);
         if let Some(stub) = stubs.get(addr) {
