--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -11,6 +11,7 @@
 use walnuthaven_daemon::drain;
 use walnuthaven_daemon::host;
 use walnuthaven_daemon::logging;
+use walnuthaven_daemon::router;
 use walnuthaven_daemon::settings;
 
 const EXIT_SETTINGS: u8 = 2;
@@ -26,10 +27,16 @@
     /// Only checks the settings.
     #[arg(long)]
     check: bool,
+    /// Serves callers on the deployment platform.
+    #[arg(long)]
+    entry: bool,
 }
 
 fn main() -> process::ExitCode {
     let args = Args::parse();
+    if args.entry {
+        return entry(&args);
+    }
     let settings = match settings::read(&args.config) {
         Ok(settings) => settings,
         Err(fault) => {
@@ -54,6 +61,37 @@
     }
 }
 
+/// Runs an entry host on the deployment platform.
+fn entry(args: &Args) -> process::ExitCode {
+    let settings = match router::settings::read(&args.config) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("walnuthavend: {fault}");
+            return process::ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.check {
+        println!("{}: the settings are valid", args.config.display());
+        return process::ExitCode::SUCCESS;
+    }
+    match run_entry(&args.config, settings) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("walnuthavend: {error:#}");
+            process::ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn run_entry(path: &path::Path, settings: router::settings::Settings) -> anyhow::Result<()> {
+    router::start_logging(settings.log_level)?;
+    // One thread: a host has a part of one core.
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(router::run(walnuthaven_platform::Platform, path, settings))
+}
+
 enum Failure {
     Start(anyhow::Error),
     Run(anyhow::Error),
--- /dev/null
+++ b/daemon/src/router/budget.rs
@@ -0,0 +1,55 @@
+//! Retry budgets of all services.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use walnuthaven_lib::retry_share;
+
+use crate::router::context;
+
+/// This host's shares of the retry budgets.
+#[derive(Debug, Default)]
+pub(crate) struct Budgets {
+    shares: sync::Mutex<collections::HashMap<sync::Arc<str>, retry_share::Share>>,
+}
+
+impl Budgets {
+    pub(crate) fn sent_first(
+        &self,
+        service: &sync::Arc<str>,
+        now: time::Duration,
+        terms: &retry_share::Terms,
+    ) {
+        let mut shares = context::lock(&self.shares);
+        shares
+            .entry(service.clone())
+            .or_default()
+            .sent_first(now, terms);
+    }
+
+    pub(crate) fn has_room(
+        &self,
+        service: &str,
+        now: time::Duration,
+        terms: &retry_share::Terms,
+        hosts: usize,
+    ) -> bool {
+        let shares = context::lock(&self.shares);
+        let share = shares.get(service).cloned().unwrap_or_default();
+        share.has_room(now, terms, hosts)
+    }
+
+    pub(crate) fn sent_again(
+        &self,
+        service: &sync::Arc<str>,
+        now: time::Duration,
+        terms: &retry_share::Terms,
+    ) {
+        let mut shares = context::lock(&self.shares);
+        shares
+            .entry(service.clone())
+            .or_default()
+            .sent_again(now, terms);
+    }
+}
--- /dev/null
+++ b/daemon/src/router/context.rs
@@ -0,0 +1,198 @@
+//! What the parts of an entry host share.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use walnuthaven_lib::backends;
+use walnuthaven_lib::clock;
+use walnuthaven_lib::clock::Clock as _;
+use walnuthaven_lib::dialect;
+use walnuthaven_lib::engine_room;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::peers;
+use walnuthaven_lib::routing;
+use walnuthaven_lib::server_health;
+use walnuthaven_lib::waiting;
+
+use crate::router::budget;
+use crate::router::pool;
+use crate::router::settings;
+use crate::router::telemetry;
+
+/// An entry host.
+#[derive(Debug)]
+pub(crate) struct Router<D> {
+    /// Translates for the platform.
+    pub(crate) dialect: D,
+    /// This run of the host.
+    pub(crate) id: ids::HostId,
+    /// The name under which this host's runs and prefills are known.
+    pub(crate) own: sync::Arc<str>,
+    settings: sync::RwLock<sync::Arc<settings::Settings>>,
+    table: sync::RwLock<Option<sync::Arc<routing::Table>>>,
+    /// Backend servers.
+    pub(crate) servers: sync::Mutex<backends::Registry>,
+    /// Whether backend servers have been listed once.
+    pub(crate) servers_known: atomic::AtomicBool,
+    /// Other hosts.
+    pub(crate) peers: sync::Mutex<peers::Peers>,
+    /// What was seen of backend servers.
+    pub(crate) health: sync::Mutex<server_health::Health>,
+    /// Memory and prompts of model engines.
+    pub(crate) room: sync::Mutex<engine_room::Room>,
+    /// Requests that wait for engines, by service.
+    pub(crate) queues: sync::Mutex<collections::HashMap<sync::Arc<str>, waiting::Queue>>,
+    /// Wakes requests that wait for engines.
+    pub(crate) room_changed: tokio::sync::Notify,
+    /// Wakes the sender of news.
+    pub(crate) news_due: tokio::sync::Notify,
+    /// Asks for the configuration to be read again.
+    pub(crate) table_outdated: tokio::sync::Notify,
+    /// Retry budgets.
+    pub(crate) budgets: budget::Budgets,
+    /// Connections to backend servers.
+    pub(crate) pool: pool::Pool,
+    /// Counters and histograms.
+    pub(crate) telemetry: telemetry::Telemetry,
+    leaving: tokio::sync::watch::Sender<bool>,
+    left_at: sync::RwLock<Option<time::Duration>>,
+    /// Requests that callers wait for.
+    pub(crate) in_flight: atomic::AtomicUsize,
+    numbers: atomic::AtomicU64,
+    clock: clock::Boot,
+}
+
+impl<D: dialect::Dialect> Router<D> {
+    pub(crate) fn new(dialect: D, settings: settings::Settings, clock: clock::Boot) -> Self {
+        let id = ids::HostId {
+            name: settings.name.clone(),
+            incarnation: clock::millis(clock.unix()),
+        };
+        Self {
+            dialect,
+            own: id.to_string().into(),
+            id,
+            settings: sync::RwLock::new(sync::Arc::new(settings)),
+            table: sync::RwLock::new(None),
+            servers: sync::Mutex::default(),
+            servers_known: atomic::AtomicBool::new(false),
+            peers: sync::Mutex::default(),
+            health: sync::Mutex::default(),
+            room: sync::Mutex::default(),
+            queues: sync::Mutex::default(),
+            room_changed: tokio::sync::Notify::new(),
+            news_due: tokio::sync::Notify::new(),
+            table_outdated: tokio::sync::Notify::new(),
+            budgets: budget::Budgets::default(),
+            pool: pool::Pool::default(),
+            telemetry: telemetry::Telemetry::default(),
+            leaving: tokio::sync::watch::Sender::new(false),
+            left_at: sync::RwLock::new(None),
+            in_flight: atomic::AtomicUsize::new(0),
+            numbers: atomic::AtomicU64::new(1),
+            clock,
+        }
+    }
+
+    /// Returns the time since boot.
+    pub(crate) fn now(&self) -> time::Duration {
+        self.clock.now()
+    }
+
+    pub(crate) fn settings(&self) -> sync::Arc<settings::Settings> {
+        read(&self.settings).clone()
+    }
+
+    pub(crate) fn set_settings(&self, settings: settings::Settings) {
+        *write(&self.settings) = sync::Arc::new(settings);
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn table(&self) -> Option<sync::Arc<routing::Table>> {
+        read(&self.table).clone()
+    }
+
+    /// Puts a configuration in force unless it is older than the one that is. Returns whether it was.
+    pub(crate) fn put_table(&self, table: routing::Table) -> bool {
+        let mut held = write(&self.table);
+        if held
+            .as_ref()
+            .is_some_and(|old| old.version >= table.version)
+        {
+            return false;
+        }
+        *held = Some(sync::Arc::new(table));
+        true
+    }
+
+    pub(crate) fn next_number(&self) -> u64 {
+        self.numbers.fetch_add(1, atomic::Ordering::Relaxed)
+    }
+
+    /// Waits until the host leaves.
+    pub(crate) async fn left(&self) {
+        let mut leaving = self.leaving.subscribe();
+        // The sender lives as long as the host.
+        let _ = leaving.wait_for(|leaving| *leaving).await;
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
+    /// Notes that the host leaves.
+    pub(crate) fn leave(&self) {
+        let now = self.now();
+        *write(&self.left_at) = Some(now);
+        self.leaving.send_replace(true);
+    }
+
+    /// Returns how long the host has been leaving.
+    pub(crate) fn left_for(&self) -> time::Duration {
+        let left_at = *read(&self.left_at);
+        left_at.map_or(time::Duration::ZERO, |at| self.now().saturating_sub(at))
+    }
+
+    /// Returns whether callers may be sent here.
+    pub(crate) fn takes_callers(&self) -> bool {
+        let known = self.servers_known.load(atomic::Ordering::Relaxed);
+        known && !self.is_leaving() && read(&self.table).is_some()
+    }
+
+    /// Returns the number of hosts that share budgets, counting this one.
+    pub(crate) fn hosts(&self) -> usize {
+        lock(&self.peers).count() + 1
+    }
+}
+
+/// Locks, also after a panic elsewhere: each critical section leaves the value whole.
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn read<T>(lock: &sync::RwLock<T>) -> sync::RwLockReadGuard<'_, T> {
+    lock.read().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn write<T>(lock: &sync::RwLock<T>) -> sync::RwLockWriteGuard<'_, T> {
+    lock.write().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// Counts a request that a caller waits for, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight<D>(sync::Arc<Router<D>>);
+
+impl<D> InFlight<D> {
+    pub(crate) fn new(cx: &sync::Arc<Router<D>>) -> Self {
+        cx.in_flight.fetch_add(1, atomic::Ordering::Relaxed);
+        Self(cx.clone())
+    }
+}
+
+impl<D> Drop for InFlight<D> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/daemon/src/router/engine_path.rs
@@ -0,0 +1,416 @@
+//! A request to model engines: a place, the prompt read, the answer's stream opened.
+
+use std::sync;
+use std::time;
+
+use walnuthaven_lib::backends;
+use walnuthaven_lib::dialect;
+use walnuthaven_lib::engine_room;
+use walnuthaven_lib::outcome;
+use walnuthaven_lib::routing;
+
+use crate::router::answer;
+use crate::router::context;
+use crate::router::events::event;
+use crate::router::seats;
+use crate::router::send;
+
+/// A prefill that takes this much longer than predicted has failed.
+const PREFILL_SLACK: time::Duration = time::Duration::from_millis(1_200);
+/// How long the first event of a stream that another server may run instead can be away.
+const FIRST_EVENT_SILENCE: time::Duration = time::Duration::from_millis(2_000);
+/// Longest time to free the result of a prefill.
+const FREE: time::Duration = time::Duration::from_secs(1);
+/// When callers come back after a server refused the request although room was predicted.
+const REFUSED_BY_SERVER: time::Duration = time::Duration::from_millis(400);
+
+/// A request on its way through engines.
+#[derive(Debug)]
+pub(crate) struct Journey<D> {
+    pub(crate) cx: sync::Arc<context::Router<D>>,
+    pub(crate) req: sync::Arc<send::Received>,
+    pub(crate) route: sync::Arc<routing::Route>,
+    pub(crate) service: sync::Arc<routing::Service>,
+    pub(crate) engines: routing::EnginePool,
+    /// When the request arrived.
+    pub(crate) arrived: time::Duration,
+    /// When its final answer is due.
+    pub(crate) until: time::Duration,
+    /// Servers to which it may still be sent.
+    pub(crate) attempts_left: u32,
+    /// The last event that was passed on.
+    pub(crate) delivered: Option<u64>,
+    /// Tokens generated so far.
+    pub(crate) made: u32,
+    may_have_run: bool,
+    sent_once: bool,
+    prefilled_once: bool,
+    tried: Vec<sync::Arc<str>>,
+}
+
+/// A stream whose head has arrived.
+#[derive(Debug)]
+pub(crate) struct Opened<D: dialect::Dialect> {
+    pub(crate) sent: send::Sent,
+    pub(crate) server: sync::Arc<backends::Backend>,
+    pub(crate) seat: seats::Seat<D>,
+}
+
+/// The result of a prefill, freed unless it was taken.
+#[derive(Debug)]
+struct Handle<D: dialect::Dialect> {
+    cx: sync::Arc<context::Router<D>>,
+    server: sync::Arc<backends::Backend>,
+    name: String,
+    taken: bool,
+}
+
+impl<D: dialect::Dialect> Drop for Handle<D> {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        let call = self.cx.dialect.free_handle(&self.name);
+        let mut headers = http::HeaderMap::new();
+        self.cx.dialect.meant_for(&self.server.id, &mut headers);
+        let (addr, server) = (self.server.addr, self.server.id.clone());
+        self.cx.telemetry.count("prefills.unused");
+        tokio::spawn(async move {
+            if let Err(error) = send::call(addr, call, headers, FREE).await {
+                event!(Info, "handle-not-freed", "server" => server, "cause" => error.to_string());
+            }
+        });
+    }
+}
+
+/// A prefill in progress, counted against its engine until it ends.
+struct Reading<'a, D: dialect::Dialect> {
+    cx: &'a context::Router<D>,
+    key: engine_room::Key,
+}
+
+impl<D: dialect::Dialect> Drop for Reading<'_, D> {
+    fn drop(&mut self) {
+        context::lock(&self.cx.room).remove_prefill(&self.key);
+        self.cx.room_changed.notify_waiters();
+        self.cx.news_due.notify_one();
+    }
+}
+
+/// Why there is no stream.
+#[derive(Debug)]
+pub(crate) enum Ended {
+    /// The answer that the caller gets.
+    Answer(answer::Answer),
+    /// The request ends without an answer of a server.
+    Unanswered(outcome::Next, &'static str),
+    /// No room.
+    NoRoom(seats::NoRoom),
+}
+
+impl<D: dialect::Dialect> Journey<D> {
+    pub(crate) fn new(
+        cx: &sync::Arc<context::Router<D>>,
+        req: sync::Arc<send::Received>,
+        route: sync::Arc<routing::Route>,
+        service: sync::Arc<routing::Service>,
+        engines: routing::EnginePool,
+        arrived: time::Duration,
+        until: time::Duration,
+    ) -> Self {
+        Self {
+            cx: cx.clone(),
+            arrived,
+            attempts_left: route.max_attempts,
+            delivered: req.head.resume_after,
+            made: 0,
+            may_have_run: false,
+            sent_once: false,
+            prefilled_once: false,
+            tried: Vec::new(),
+            req,
+            route,
+            service,
+            engines,
+            until,
+        }
+    }
+
+    /// Returns the longest pause between events that is still on time.
+    pub(crate) fn pause(&self) -> Option<time::Duration> {
+        match self.route.kind {
+            routing::Kind::Stream { pause, .. } => Some(pause),
+            _ => None,
+        }
+    }
+
+    fn id(&self) -> &str {
+        self.req.head.request_id.as_deref().unwrap_or("-")
+    }
+
+    /// Opens the stream of the answer, or of its rest.
+    pub(crate) async fn open(&mut self) -> Result<Opened<D>, Ended> {
+        loop {
+            let (seat, placement) = self.seat().await.map_err(Ended::NoRoom)?;
+            let handle = match &placement.prefill {
+                None => None,
+                Some(server) => match self.prefill(server).await {
+                    Ok(handle) => Some(handle),
+                    Err(failed) => {
+                        self.after(server, failed, true)?;
+                        continue;
+                    }
+                },
+            };
+            let server = placement.decode;
+            match self.decode(&server, handle).await? {
+                Ok(sent) => return Ok(Opened { sent, server, seat }),
+                Err(failed) => self.after(&server, failed, false)?,
+            }
+        }
+    }
+
+    async fn seat(&self) -> Result<(seats::Seat<D>, engine_room::Placement), seats::NoRoom> {
+        let wish = seats::Wish {
+            id: self.id(),
+            service: &self.service,
+            engines: &self.engines,
+            priority: self.route.priority,
+            need: seats::need_of(self.req.head.prompt.as_ref(), self.made),
+            first_event_by: self.arrived + self.route.target,
+            until: self.until,
+            tried: &self.tried,
+        };
+        seats::take(&self.cx, &wish).await
+    }
+
+    /// Has an engine read the prompt.
+    async fn prefill(
+        &mut self,
+        server: &sync::Arc<backends::Backend>,
+    ) -> Result<Handle<D>, send::Unanswered> {
+        let cx = self.cx.clone();
+        let started = cx.now();
+        let need = seats::need_of(self.req.head.prompt.as_ref(), self.made);
+        let key = (cx.own.clone(), cx.next_number());
+        let (ahead, reading) = {
+            let mut room = context::lock(&cx.room);
+            let ahead = room.prefill_backlog(&server.id, started);
+            let prefill = engine_room::Prefill {
+                engine: server.id.clone(),
+                tokens: need.prompt,
+                since: started,
+            };
+            room.add_prefill(key.clone(), prefill);
+            (ahead, room.reading_time(need.prompt))
+        };
+        cx.news_due.notify_one();
+        let _reading = Reading { cx: &cx, key };
+        let latest = started + (ahead + reading) * 2 + PREFILL_SLACK;
+        if std::mem::replace(&mut self.prefilled_once, true) {
+            self.count_repeat();
+        }
+        let options = send::Options {
+            until: latest.min(self.until),
+            repeatable: true,
+        };
+        let sending = dialect::Sending {
+            deadline: self.until.saturating_sub(started),
+            instance: &server.id,
+            work: dialect::Work::Prefill,
+            resume_after: self.resume_after(),
+        };
+        let sent = send::send(&cx, &self.req, server, &sending, options).await?;
+        let unrun = sent.head.unrun;
+        let (status, _, body) = send::whole(&cx, sent, options.until).await?;
+        let handle = cx.dialect.prefilled(&body).filter(|_| status.is_success());
+        let Some(handle) = handle else {
+            let outcome = match unrun {
+                true => outcome::Outcome::RefusedUnrun,
+                false => outcome::Outcome::ServerFailed,
+            };
+            let cause = "prefill refused";
+            return Err(send::Unanswered { outcome, cause });
+        };
+        let took = cx.now().saturating_sub(started);
+        cx.telemetry.time("prefill", took);
+        context::lock(&cx.room).prefill_took(need.prompt, ahead, took);
+        Ok(Handle {
+            cx: cx.clone(),
+            server: server.clone(),
+            name: handle.handle,
+            taken: false,
+        })
+    }
+
+    /// Has an engine generate the answer. Returns the head of a stream, or a send that may be made
+    /// again elsewhere.
+    async fn decode(
+        &mut self,
+        server: &sync::Arc<backends::Backend>,
+        mut handle: Option<Handle<D>>,
+    ) -> Result<Result<send::Sent, send::Unanswered>, Ended> {
+        let cx = self.cx.clone();
+        let now = cx.now();
+        if std::mem::replace(&mut self.sent_once, true) {
+            self.count_repeat();
+        } else {
+            cx.budgets
+                .sent_first(&self.service.name, now, &cx.settings().retry);
+        }
+        self.attempts_left = self.attempts_left.saturating_sub(1);
+        let repeatable = self.route.kind.may_run_again();
+        let silence = match repeatable {
+            true => (now + FIRST_EVENT_SILENCE).min(self.until),
+            false => self.until,
+        };
+        let options = send::Options {
+            until: silence,
+            repeatable,
+        };
+        let work = match &handle {
+            None => dialect::Work::Whole,
+            Some(handle) => dialect::Work::Decode {
+                source: handle.server.addr,
+                handle: &handle.name,
+            },
+        };
+        let sending = dialect::Sending {
+            deadline: self.until.saturating_sub(now),
+            instance: &server.id,
+            work,
+            resume_after: self.resume_after(),
+        };
+        let sent = match send::send(&cx, &self.req, server, &sending, options).await {
+            Ok(sent) => sent,
+            Err(failed) => return Ok(Err(failed)),
+        };
+        if sent.status.is_success() && sent.head.signed && !sent.head.encoded {
+            if let Some(handle) = &mut handle {
+                handle.taken = true;
+            }
+            return Ok(Ok(sent));
+        }
+        let unrun = sent.head.unrun;
+        let (status, headers, body) = match send::whole(&cx, sent, options.until).await {
+            Ok(whole) => whole,
+            Err(failed) => return Ok(Err(failed)),
+        };
+        if unrun {
+            let outcome = outcome::Outcome::RefusedUnrun;
+            let cause = "engine refused";
+            return Ok(Err(send::Unanswered { outcome, cause }));
+        }
+        if status.is_success() || promises_unrun(status) {
+            let outcome = outcome::Outcome::ServerFailed;
+            let cause = "answer without signature";
+            return Ok(Err(send::Unanswered { outcome, cause }));
+        }
+        event!(Info, "server-failed", "id" => self.id(), "server" => server.id,
+            "status" => status.as_u16());
+        let headers = cx.dialect.caller_headers(&headers);
+        Err(Ended::Answer(answer::whole(status, headers, body)))
+    }
+
+    /// Decides what follows a send without an answer. Returns an error if nothing does.
+    fn after(
+        &mut self,
+        server: &sync::Arc<backends::Backend>,
+        failed: send::Unanswered,
+        prefill: bool,
+    ) -> Result<(), Ended> {
+        let now = self.cx.now();
+        self.note_failure(server, &failed, now);
+        // Reading a prompt doesn't run the request, whatever became of it.
+        let outcome = match prefill {
+            true => outcome::Outcome::RefusedUnrun,
+            false => failed.outcome,
+        };
+        self.may_have_run |= !outcome.is_unrun();
+        if prefill && failed.outcome != outcome::Outcome::NeverWritten {
+            self.attempts_left = self.attempts_left.saturating_sub(1);
+        }
+        let next = self.next(outcome);
+        event!(Info, "send-failed", "id" => self.id(), "server" => server.id,
+            "cause" => failed.cause, "outcome" => format!("{:?}", failed.outcome),
+            "prefill" => prefill, "attempts_left" => self.attempts_left,
+            "next" => format!("{next:?}"));
+        match next {
+            outcome::Next::SendAgain => Ok(()),
+            other => Err(Ended::Unanswered(other, failed.cause)),
+        }
+    }
+
+    /// Decides what follows an outcome.
+    pub(crate) fn next(&self, outcome: outcome::Outcome) -> outcome::Next {
+        let cx = &self.cx;
+        let now = cx.now();
+        let terms = cx.settings().retry;
+        let left = outcome::Left {
+            attempts: self.attempts_left,
+            time: self.until.saturating_sub(now),
+            budget: cx
+                .budgets
+                .has_room(&self.service.name, now, &terms, cx.hosts()),
+        };
+        outcome::next(self.route.kind, outcome, left)
+    }
+
+    /// Notes what a failure says of a server.
+    pub(crate) fn note_failure(
+        &mut self,
+        server: &sync::Arc<backends::Backend>,
+        failed: &send::Unanswered,
+        now: time::Duration,
+    ) {
+        let mut health = context::lock(&self.cx.health);
+        match failed.outcome {
+            outcome::Outcome::NeverWritten | outcome::Outcome::RefusedUnrun => {}
+            outcome::Outcome::Silent | outcome::Outcome::BrokenBeforeAnswer => {
+                health.unreachable(&server.id, now);
+            }
+            outcome::Outcome::ServerFailed | outcome::Outcome::BrokenMidway => {
+                health.broke_off(&server.id);
+            }
+        }
+        drop(health);
+        if !self.tried.contains(&server.id) {
+            self.tried.push(server.id.clone());
+        }
+    }
+
+    fn count_repeat(&self) {
+        let cx = &self.cx;
+        let terms = cx.settings().retry;
+        cx.budgets.sent_again(&self.service.name, cx.now(), &terms);
+        cx.telemetry.count("repeats");
+    }
+
+    /// The event to continue after, if the router itself continues the stream.
+    fn resume_after(&self) -> Option<u64> {
+        self.delivered
+    }
+
+    /// Makes the answer to a request that ended without a stream.
+    pub(crate) fn final_answer(&self, ended: Ended) -> answer::Answer {
+        match ended {
+            Ended::Answer(answer) => answer,
+            Ended::NoRoom(no_room) if !self.may_have_run => {
+                answer::not_run(no_room.cause, no_room.retry_after)
+            }
+            Ended::NoRoom(no_room) => answer::own(http::StatusCode::BAD_GATEWAY, no_room.cause),
+            Ended::Unanswered(outcome::Next::RefuseUnrun, cause) if !self.may_have_run => {
+                answer::not_run(cause, REFUSED_BY_SERVER)
+            }
+            Ended::Unanswered(outcome::Next::TimedOut, cause) => {
+                answer::own(http::StatusCode::GATEWAY_TIMEOUT, cause)
+            }
+            Ended::Unanswered(_, cause) => answer::own(http::StatusCode::BAD_GATEWAY, cause),
+        }
+    }
+}
+
+/// Returns whether a status promises that a request hasn't run.
+pub(crate) fn promises_unrun(status: http::StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
--- /dev/null
+++ b/daemon/src/router/listen.rs
@@ -0,0 +1,194 @@
+//! Where callers and the platform connect.
+
+use std::convert;
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use hyper::body;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt;
+use walnuthaven_lib::dialect;
+
+use crate::router::answer;
+use crate::router::context;
+use crate::router::events;
+use crate::router::events::event;
+use crate::router::forward;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Idle connections are kept longer than callers use them, so that no request meets the close.
+const IDLE_SLACK: time::Duration = time::Duration::from_secs(2);
+/// Idle time before the configuration is known.
+const IDLE: time::Duration = time::Duration::from_secs(15);
+/// Smallest buffer for a request's head that the HTTP library takes.
+const MIN_HEAD: usize = 8_192;
+/// Descriptors kept free for files and connections to servers.
+const RESERVED_FILES: usize = 600;
+/// Pause after a connection couldn't be accepted.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
+/// Addresses in an answer.
+const MAX_ADDRESSES: usize = 64;
+
+/// What is served on an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Door {
+    /// Callers' requests.
+    Callers,
+    /// Questions of callers for addresses, and of the platform for readiness.
+    Questions,
+    /// Metrics as text.
+    Metrics,
+}
+
+/// Starts to listen.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub(crate) fn spawn<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+    addr: net::SocketAddr,
+    door: Door,
+) -> io::Result<()> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    let listener = socket.listen(BACKLOG)?;
+    tokio::spawn(accept(cx.clone(), listener, door));
+    Ok(())
+}
+
+async fn accept<D: dialect::Dialect>(
+    cx: sync::Arc<context::Router<D>>,
+    listener: tokio::net::TcpListener,
+    door: Door,
+) {
+    let most = cx.settings().files.saturating_sub(RESERVED_FILES).max(64);
+    let slots = sync::Arc::new(tokio::sync::Semaphore::new(most));
+    loop {
+        // The semaphore is never closed.
+        let Ok(slot) = slots.clone().acquire_owned().await else {
+            return;
+        };
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                event!(Warn, "accept-failed", "cause" => error.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let cx = cx.clone();
+        tokio::spawn(async move {
+            serve(cx, stream, door).await;
+            drop(slot);
+        });
+    }
+}
+
+async fn serve<D: dialect::Dialect>(
+    cx: sync::Arc<context::Router<D>>,
+    stream: tokio::net::TcpStream,
+    door: Door,
+) {
+    if stream.set_nodelay(true).is_err() {
+        // The connection is gone already.
+        return;
+    }
+    let table = cx.table();
+    let idle = table
+        .as_ref()
+        .map_or(IDLE, |table| table.limits.idle_timeout);
+    let head = table
+        .as_ref()
+        .map_or(MIN_HEAD * 2, |table| table.limits.header_bytes);
+    let leaving_cx = cx.clone();
+    let service = service::service_fn(move |req| {
+        let cx = cx.clone();
+        async move {
+            match door {
+                Door::Callers => forward::handle(cx, req).await,
+                Door::Questions => question(&cx, &req),
+                Door::Metrics => metrics(&cx),
+            }
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(idle + IDLE_SLACK)
+        .max_buf_size((head * 2).max(MIN_HEAD))
+        .serve_connection(rt::TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = leaving_cx.left() => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
+    if let Err(error) = ended
+        && error.is_parse()
+    {
+        event!(Info, "bad-request", "cause" => error.to_string());
+    }
+}
+
+fn question<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &http::Request<body::Incoming>,
+) -> Result<answer::Answer, convert::Infallible> {
+    let asked = cx.dialect.own_call(req.method(), req.uri().path());
+    let answer = match asked {
+        Some(dialect::OwnCall::Ready) if cx.takes_callers() => {
+            answer::own(http::StatusCode::OK, "ready")
+        }
+        Some(dialect::OwnCall::Ready) => {
+            answer::own(http::StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        }
+        Some(dialect::OwnCall::Resolve) => addresses(cx),
+        None => answer::own(http::StatusCode::NOT_FOUND, "unknown path"),
+    };
+    Ok(answer)
+}
+
+fn addresses<D: dialect::Dialect>(cx: &context::Router<D>) -> answer::Answer {
+    let settings = cx.settings();
+    let own = cx.takes_callers().then_some(settings.callers);
+    let mut others: Vec<_> = context::lock(&cx.peers).callers().collect();
+    if others.len() > MAX_ADDRESSES - 1 {
+        let start = rand::random_range(0..others.len());
+        others.rotate_left(start);
+    }
+    let addresses: Vec<_> = own.into_iter().chain(others).take(MAX_ADDRESSES).collect();
+    if addresses.is_empty() {
+        return answer::own(
+            http::StatusCode::SERVICE_UNAVAILABLE,
+            "no host takes callers",
+        );
+    }
+    let body = cx.dialect.addresses(&addresses, settings.address_ttl);
+    let mut answer = answer::whole(http::StatusCode::OK, http::HeaderMap::new(), body);
+    let json = http::HeaderValue::from_static("application/json");
+    answer
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, json);
+    answer
+}
+
+fn metrics<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+) -> Result<answer::Answer, convert::Infallible> {
+    let mut text = cx.telemetry.text();
+    text.push_str(&format!("walnuthaven_log_dropped {}\n", events::dropped()));
+    let headers = http::HeaderMap::new();
+    Ok(answer::whole(
+        http::StatusCode::OK,
+        headers,
+        Bytes::from(text),
+    ))
+}
--- /dev/null
+++ b/daemon/src/router/mod.rs
@@ -0,0 +1,28 @@
+//! The entry host on a deployment platform: callers' requests on their way to backend servers.
+//!
+//! [`forward`] holds a request's way from top to bottom. Decisions are in `walnuthaven-lib`, the
+//! platform's names behind [`dialect::Dialect`].
+
+pub mod settings;
+
+mod answer;
+mod budget;
+mod context;
+mod engine_path;
+mod events;
+mod forward;
+mod listen;
+mod news;
+mod orders;
+mod plain_path;
+mod pool;
+mod relay;
+mod run;
+mod seats;
+mod send;
+mod store;
+mod telemetry;
+mod views;
+
+pub use run::run;
+pub use run::start_logging;
--- /dev/null
+++ b/daemon/src/router/news.rs
@@ -0,0 +1,178 @@
+//! News between hosts: one datagram that holds all that the others need to know of a host.
+
+use std::io;
+use std::sync;
+use std::time;
+
+use prost::Message as _;
+use walnuthaven_lib::clock;
+use walnuthaven_lib::dialect;
+use walnuthaven_lib::engine_room;
+use walnuthaven_lib::peers;
+use walnuthaven_wire::news;
+
+use crate::router::context;
+use crate::router::events::event;
+
+/// Shortest time between two messages: what happens within it goes out together.
+const GAP: time::Duration = time::Duration::from_millis(2);
+/// Most runs in a message, so that it stays within one packet.
+const MAX_RUNS: usize = 32;
+const MAX_DATAGRAM: usize = 4_096;
+
+/// Starts to send and take news.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub(crate) async fn spawn<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+) -> io::Result<()> {
+    let socket = tokio::net::UdpSocket::bind(cx.settings().news).await?;
+    let socket = sync::Arc::new(socket);
+    tokio::spawn(tell(cx.clone(), socket.clone()));
+    tokio::spawn(listen(cx.clone(), socket));
+    Ok(())
+}
+
+async fn tell<D: dialect::Dialect>(
+    cx: sync::Arc<context::Router<D>>,
+    socket: sync::Arc<tokio::net::UdpSocket>,
+) {
+    let mut sequence = 0;
+    loop {
+        // A time-out means that nothing happened.
+        let _ = tokio::time::timeout(peers::NEWS_EVERY, cx.news_due.notified()).await;
+        sequence += 1;
+        let message = own_news(&cx, sequence).encode_to_vec();
+        let addresses: Vec<_> = context::lock(&cx.peers).addresses().collect();
+        for addr in addresses {
+            // A host that can't be reached is found by its silence.
+            let _ = socket.try_send_to(&message, addr);
+        }
+        tokio::time::sleep(GAP).await;
+    }
+}
+
+fn own_news<D: dialect::Dialect>(cx: &context::Router<D>, sequence: u64) -> news::News {
+    let now = cx.now();
+    let settings = cx.settings();
+    let age = |at| clock::millis(now.saturating_sub(at)) as u32;
+    let waiting: usize = context::lock(&cx.queues)
+        .values()
+        .map(|queue| queue.len())
+        .sum();
+    let room = context::lock(&cx.room);
+    let runs = room.runs_of(&cx.own).map(|(number, run)| news::Run {
+        number,
+        engine: run.engine.to_string(),
+        prompt: run.prompt,
+        output: run.output,
+        made: run.made,
+        age_ms: age(run.at),
+    });
+    let prefills = room
+        .prefills_of(&cx.own)
+        .map(|(number, prefill)| news::Prefill {
+            number,
+            engine: prefill.engine.to_string(),
+            tokens: prefill.tokens,
+            age_ms: age(prefill.since),
+        });
+    news::News {
+        host: cx.id.name.to_string(),
+        incarnation: cx.id.incarnation,
+        sequence,
+        callers: settings.callers.to_string(),
+        news: settings.news.to_string(),
+        takes_callers: cx.takes_callers(),
+        config_version: cx.table().map_or(0, |table| table.version),
+        waiting: waiting as u32,
+        runs: runs.take(MAX_RUNS).collect(),
+        prefills: prefills.take(MAX_RUNS).collect(),
+    }
+}
+
+async fn listen<D: dialect::Dialect>(
+    cx: sync::Arc<context::Router<D>>,
+    socket: sync::Arc<tokio::net::UdpSocket>,
+) {
+    let mut buf = [0; MAX_DATAGRAM];
+    loop {
+        let received = match socket.recv_from(&mut buf).await {
+            Ok((length, _)) => news::News::decode(&buf[..length]),
+            Err(error) => {
+                event!(Warn, "news-failed", "cause" => error.to_string());
+                tokio::time::sleep(GAP).await;
+                continue;
+            }
+        };
+        match received {
+            Ok(message) => take(&cx, message),
+            Err(error) => event!(Warn, "news-unreadable", "cause" => error.to_string()),
+        }
+    }
+}
+
+fn take<D: dialect::Dialect>(cx: &context::Router<D>, message: news::News) {
+    let (Ok(callers), Ok(addr)) = (message.callers.parse(), message.news.parse()) else {
+        event!(Warn, "news-unreadable", "cause" => "address");
+        return;
+    };
+    let now = cx.now();
+    let name: sync::Arc<str> = message.host.as_str().into();
+    if name == cx.id.name {
+        return;
+    }
+    let listed = peers::Listed {
+        name: name.clone(),
+        incarnation: message.incarnation,
+        callers,
+        news: addr,
+    };
+    let said = peers::Said {
+        sequence: message.sequence,
+        takes_callers: message.takes_callers,
+        config_version: message.config_version,
+        waiting: message.waiting,
+    };
+    let fresh = context::lock(&cx.peers).hear(listed, said, now);
+    if !fresh {
+        return;
+    }
+    let since = |age: u32| now.saturating_sub(time::Duration::from_millis(age.into()));
+    let runs = message.runs.into_iter().map(|run| {
+        let known = engine_room::Run {
+            engine: run.engine.into(),
+            prompt: run.prompt,
+            output: run.output,
+            made: run.made,
+            at: since(run.age_ms),
+        };
+        (run.number, known)
+    });
+    let prefills = message.prefills.into_iter().map(|prefill| {
+        let known = engine_room::Prefill {
+            engine: prefill.engine.into(),
+            tokens: prefill.tokens,
+            since: since(prefill.age_ms),
+        };
+        (prefill.number, known)
+    });
+    context::lock(&cx.room).replace_host(&name, runs.collect(), prefills.collect());
+    cx.room_changed.notify_waiters();
+    if message.config_version > cx.table().map_or(0, |table| table.version) {
+        cx.table_outdated.notify_one();
+    }
+}
+
+/// Drops hosts that fell silent, with what ran there: engines drop the requests of a host that is
+/// gone.
+pub(crate) fn expire<D: dialect::Dialect>(cx: &context::Router<D>) {
+    let silent = context::lock(&cx.peers).expire(cx.now());
+    for name in silent {
+        event!(Warn, "dependency-lost", "dependency" => "host", "host" => name);
+        context::lock(&cx.room).forget_host(&name);
+        cx.room_changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/daemon/src/router/orders.rs
@@ -0,0 +1,158 @@
+//! Orders to model engines, given by the host that holds the lease.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use serde::Deserialize as _;
+use walnuthaven_lib::backends;
+use walnuthaven_lib::dialect;
+use walnuthaven_lib::lease;
+use walnuthaven_lib::pool_balance;
+
+use crate::router::context;
+use crate::router::events::event;
+use crate::router::send;
+use crate::router::store;
+
+/// How often the balance of pools is looked at.
+const LOOK: time::Duration = time::Duration::from_millis(500);
+/// Longest time for an engine to answer an order.
+const ORDER: time::Duration = time::Duration::from_secs(1);
+/// The lease of all orders.
+const LEASE: &str = "engine-orders";
+
+/// Starts to keep the balance of pools.
+pub(crate) fn spawn<D: dialect::Dialect>(cx: &sync::Arc<context::Router<D>>) {
+    let keeper = Keeper {
+        cx: cx.clone(),
+        client: store::Client::new(cx),
+        lease: lease::Lease::new(cx.id.clone()),
+        recent: collections::HashMap::new(),
+        wanted_since: None,
+    };
+    tokio::spawn(keeper.run());
+}
+
+struct Keeper<D> {
+    cx: sync::Arc<context::Router<D>>,
+    client: store::Client<D>,
+    lease: lease::Lease,
+    /// Engines that were given an order, the stage and when that is settled.
+    recent: collections::HashMap<sync::Arc<str>, (backends::Stage, time::Duration)>,
+    wanted_since: Option<time::Duration>,
+}
+
+impl<D: dialect::Dialect> Keeper<D> {
+    async fn run(mut self) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            if self.cx.is_leaving() {
+                return;
+            }
+            self.look().await;
+        }
+    }
+
+    async fn look(&mut self) {
+        let now = self.cx.now();
+        self.recent.retain(|_, (_, until)| now < *until);
+        if self.wanted().is_none() {
+            self.wanted_since = None;
+            return;
+        }
+        let since = *self.wanted_since.get_or_insert(now);
+        if now.saturating_sub(since) < pool_balance::PERSISTS {
+            return;
+        }
+        while let Some(order) = self.wanted() {
+            if !self.hold_lease().await {
+                return;
+            }
+            self.give(order).await;
+        }
+    }
+
+    fn wanted(&self) -> Option<pool_balance::StageOrder> {
+        let table = self.cx.table()?;
+        let now = self.cx.now();
+        let recent = self
+            .recent
+            .iter()
+            .map(|(id, (stage, _))| (id.clone(), *stage));
+        let recent = recent.collect();
+        let services = table.services().filter(|service| service.engines.is_some());
+        let servers = context::lock(&self.cx.servers);
+        services
+            .map(|service| servers.usable(&service.name, now))
+            .find_map(|engines| pool_balance::next_order(&engines, &recent))
+    }
+
+    /// Takes or renews the lease. Returns whether this host holds it.
+    async fn hold_lease(&mut self) -> bool {
+        if self.lease.held(self.cx.now()).is_some() {
+            return true;
+        }
+        match self.try_lease().await {
+            Ok(held) => held,
+            Err(failure) => {
+                event!(Info, "lease-not-taken", "cause" => failure.to_string());
+                false
+            }
+        }
+    }
+
+    async fn try_lease(&mut self) -> Result<bool, store::Failure> {
+        let collection = dialect::Collection::Leases;
+        let (objects, _) = self.client.list(collection).await?;
+        let stored = objects.into_iter().find(|object| &*object.name == LEASE);
+        let record = stored.as_ref().and_then(|object| {
+            // A record that can't be read counts as none and is replaced.
+            lease::Record::deserialize(&object.value).ok()
+        });
+        let now = self.cx.now();
+        let lease::Step::Write(record) = self.lease.observe(record.as_ref(), true, now) else {
+            return Ok(false);
+        };
+        let value = serde_json::to_value(&record).map_err(|_| store::Failure::Unreadable)?;
+        match stored {
+            None => self.client.create(collection, LEASE, &value).await?,
+            Some(object) => {
+                self.client
+                    .replace(collection, LEASE, object.revision, &value)
+                    .await?;
+            }
+        }
+        self.lease.written(&record, now);
+        event!(Info, "lease-held", "fence" => record.fence, "renewal" => record.renewal);
+        Ok(true)
+    }
+
+    async fn give(&mut self, order: pool_balance::StageOrder) {
+        let now = self.cx.now();
+        let Some(held) = self.lease.held(now) else {
+            return;
+        };
+        let engine = &order.engine;
+        let settled = now + pool_balance::SETTLE;
+        self.recent
+            .insert(engine.id.clone(), (order.stage, settled));
+        let call = self.cx.dialect.stage_order(&dialect::StageCall {
+            stage: order.stage,
+            holder: &self.cx.id.name,
+            fence: held.fence,
+            orders: engine.orders,
+        });
+        let mut headers = http::HeaderMap::new();
+        self.cx.dialect.meant_for(&engine.id, &mut headers);
+        self.cx.telemetry.count("orders");
+        let answered = send::call(engine.addr, call, headers, ORDER).await;
+        let answer = match answered {
+            Ok((status, _)) => format!("{:?}", self.cx.dialect.order_answer(status)),
+            // The engine may carry it out later; its entry tells, and it isn't repeated before.
+            Err(error) => format!("no answer: {error}"),
+        };
+        event!(Info, "order", "server" => engine.id, "stage" => format!("{:?}", order.stage),
+            "fence" => held.fence, "orders" => engine.orders, "answer" => answer);
+    }
+}
--- /dev/null
+++ b/daemon/src/router/plain_path.rs
@@ -0,0 +1,223 @@
+//! A request to a plain service: a server, the answer as a whole, and what follows a failure.
+
+use std::sync;
+use std::time;
+
+use walnuthaven_lib::backends;
+use walnuthaven_lib::dialect;
+use walnuthaven_lib::outcome;
+use walnuthaven_lib::routing;
+
+use crate::router::answer;
+use crate::router::context;
+use crate::router::engine_path;
+use crate::router::events::event;
+use crate::router::send;
+
+/// A request that may be repeated is sent elsewhere when its server has been silent for this many
+/// times the time in which callers expect the answer.
+const SILENT_TARGETS: u32 = 2;
+/// When callers come back while no server is usable: about the time in which one restarts.
+const NO_SERVER: time::Duration = time::Duration::from_millis(300);
+/// When callers come back after servers refused the request.
+const REFUSED: time::Duration = time::Duration::from_millis(100);
+
+/// A request and where it may go.
+pub(crate) struct Call<'a, D> {
+    pub(crate) cx: &'a sync::Arc<context::Router<D>>,
+    pub(crate) req: &'a send::Received,
+    pub(crate) route: &'a routing::Route,
+    pub(crate) service: &'a sync::Arc<str>,
+    /// When the final answer is due.
+    pub(crate) until: time::Duration,
+}
+
+/// A send that ended.
+struct Ended {
+    failed: send::Unanswered,
+    /// The server's own failure, which the caller gets if nothing else follows.
+    answer: Option<answer::Answer>,
+}
+
+impl<D: dialect::Dialect> Call<'_, D> {
+    fn id(&self) -> &str {
+        self.req.head.request_id.as_deref().unwrap_or("-")
+    }
+
+    /// Sends the request and returns the answer.
+    pub(crate) async fn answer(&self) -> answer::Answer {
+        let cx = self.cx;
+        let mut tried: Vec<sync::Arc<str>> = Vec::new();
+        let mut may_have_run = false;
+        let mut last_failure = None;
+        loop {
+            let Some(server) = self.choose(&tried) else {
+                return self.give_up(last_failure, may_have_run);
+            };
+            self.count_send(!tried.is_empty());
+            tried.push(server.id.clone());
+            let ended = match self.send(&server).await {
+                Ok(answer) => return answer,
+                Err(ended) => ended,
+            };
+            may_have_run |= !ended.failed.outcome.is_unrun();
+            let now = cx.now();
+            let terms = cx.settings().retry;
+            let left = outcome::Left {
+                attempts: self.route.max_attempts.saturating_sub(tried.len() as u32),
+                time: self.until.saturating_sub(now),
+                budget: cx.budgets.has_room(self.service, now, &terms, cx.hosts()),
+            };
+            let next = outcome::next(self.route.kind, ended.failed.outcome, left);
+            event!(Info, "send-failed", "id" => self.id(), "server" => server.id,
+                "cause" => ended.failed.cause, "outcome" => format!("{:?}", ended.failed.outcome),
+                "attempts_left" => left.attempts, "budget" => left.budget,
+                "next" => format!("{next:?}"));
+            match next {
+                outcome::Next::SendAgain => last_failure = ended.answer.or(last_failure),
+                outcome::Next::RefuseUnrun => {
+                    let answer = ended.answer.or(last_failure);
+                    return self.give_up(answer, may_have_run);
+                }
+                outcome::Next::Fail => {
+                    let own = || answer::own(http::StatusCode::BAD_GATEWAY, ended.failed.cause);
+                    return ended.answer.or(last_failure).unwrap_or_else(own);
+                }
+                outcome::Next::TimedOut => {
+                    let own = || answer::own(http::StatusCode::GATEWAY_TIMEOUT, ended.failed.cause);
+                    return last_failure.unwrap_or_else(own);
+                }
+            }
+        }
+    }
+
+    fn choose(&self, tried: &[sync::Arc<str>]) -> Option<sync::Arc<backends::Backend>> {
+        let now = self.cx.now();
+        let servers = context::lock(&self.cx.servers).usable(self.service, now);
+        let zone = self.cx.settings().zone.clone();
+        let health = context::lock(&self.cx.health);
+        let chosen = health.choose(&servers, tried, &zone, rand::random(), now);
+        chosen.cloned()
+    }
+
+    fn count_send(&self, again: bool) {
+        let cx = self.cx;
+        let terms = cx.settings().retry;
+        match again {
+            true => {
+                cx.telemetry.count("repeats");
+                cx.budgets.sent_again(self.service, cx.now(), &terms);
+            }
+            false => cx.budgets.sent_first(self.service, cx.now(), &terms),
+        }
+    }
+
+    /// The answer when no further server can be tried.
+    fn give_up(&self, failure: Option<answer::Answer>, may_have_run: bool) -> answer::Answer {
+        if let Some(failure) = failure {
+            return failure;
+        }
+        if may_have_run {
+            return answer::own(http::StatusCode::BAD_GATEWAY, "no other server is usable");
+        }
+        let now = self.cx.now();
+        let none = context::lock(&self.cx.servers)
+            .usable(self.service, now)
+            .is_empty();
+        let (cause, wait) = match none {
+            true => ("no server is usable", NO_SERVER),
+            false => ("servers refused the request", REFUSED),
+        };
+        event!(Info, "refused", "id" => self.id(), "service" => self.service, "cause" => cause);
+        answer::not_run(cause, wait.mul_f64(1.0 + rand::random::<f64>()))
+    }
+
+    async fn send(&self, server: &backends::Backend) -> Result<answer::Answer, Ended> {
+        let cx = self.cx;
+        let started = cx.now();
+        let repeatable = self.route.kind.may_run_again();
+        let until = match repeatable {
+            true => self.until.min(started + self.route.target * SILENT_TARGETS),
+            false => self.until,
+        };
+        context::lock(&cx.health).sent(&server.id);
+        let _sent = Sent { cx, server };
+        let sending = dialect::Sending {
+            deadline: self.until.saturating_sub(started),
+            instance: &server.id,
+            work: dialect::Work::Whole,
+            resume_after: None,
+        };
+        let options = send::Options { until, repeatable };
+        let sent = match send::send(cx, self.req, server, &sending, options).await {
+            Ok(sent) => sent,
+            Err(failed) => return Err(self.unanswered(server, failed)),
+        };
+        let head = sent.head.clone();
+        let (status, headers, body) = match send::whole(cx, sent, self.until).await {
+            Ok(whole) => whole,
+            Err(failed) => return Err(self.unanswered(server, failed)),
+        };
+        let took = cx.now().saturating_sub(started);
+        let failed = status.is_server_error() || head.unrun;
+        context::lock(&cx.health).answered(&server.id, took, failed);
+        cx.telemetry.time("plain.answer", took);
+        let ended = |outcome, cause, answer| Ended {
+            failed: send::Unanswered { outcome, cause },
+            answer,
+        };
+        if head.unrun {
+            return Err(ended(
+                outcome::Outcome::RefusedUnrun,
+                "server refused",
+                None,
+            ));
+        }
+        if status.is_success() && (!head.signed || head.encoded) {
+            let cause = "answer without signature";
+            return Err(ended(outcome::Outcome::BrokenMidway, cause, None));
+        }
+        if engine_path::promises_unrun(status) {
+            // The server doesn't state that the request didn't run, so neither does the router.
+            let cause = "server failed";
+            return Err(ended(outcome::Outcome::ServerFailed, cause, None));
+        }
+        let answer = answer::whole(status, cx.dialect.caller_headers(&headers), body);
+        match status.is_server_error() {
+            true => Err(ended(
+                outcome::Outcome::ServerFailed,
+                "server failed",
+                Some(answer),
+            )),
+            false => Ok(answer),
+        }
+    }
+
+    fn unanswered(&self, server: &backends::Backend, failed: send::Unanswered) -> Ended {
+        let now = self.cx.now();
+        let mut health = context::lock(&self.cx.health);
+        match failed.outcome {
+            outcome::Outcome::NeverWritten | outcome::Outcome::RefusedUnrun => {}
+            outcome::Outcome::Silent if self.until <= now => health.broke_off(&server.id),
+            outcome::Outcome::Silent => health.unreachable(&server.id, now),
+            _ => health.broke_off(&server.id),
+        }
+        drop(health);
+        Ended {
+            failed,
+            answer: None,
+        }
+    }
+}
+
+/// A request that is at a server.
+struct Sent<'a, D> {
+    cx: &'a sync::Arc<context::Router<D>>,
+    server: &'a backends::Backend,
+}
+
+impl<D> Drop for Sent<'_, D> {
+    fn drop(&mut self) {
+        context::lock(&self.cx.health).ended(&self.server.id);
+    }
+}
--- /dev/null
+++ b/daemon/src/router/run.rs
@@ -0,0 +1,200 @@
+//! Start, reload and stop of an entry host.
+
+use std::path;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use anyhow::Context as _;
+use tokio::signal::unix;
+use walnuthaven_lib::clock;
+use walnuthaven_lib::dialect;
+
+use crate::router::context;
+use crate::router::events;
+use crate::router::events::event;
+use crate::router::forward;
+use crate::router::listen;
+use crate::router::news;
+use crate::router::orders;
+use crate::router::settings;
+use crate::router::store;
+use crate::router::views;
+
+/// How often silent hosts, vanished servers and idle connections are looked at.
+const UPKEEP: time::Duration = time::Duration::from_millis(250);
+/// How often the settings file is compared, as it may change without a signal.
+const SETTINGS: time::Duration = time::Duration::from_secs(2);
+/// First pause after the host's entry couldn't be written; doubled up to the longest.
+const ENTRY_PAUSE: time::Duration = time::Duration::from_millis(100);
+const LONGEST_ENTRY_PAUSE: time::Duration = time::Duration::from_secs(2);
+/// Time for callers to learn that the host leaves.
+const KNOWN_LEFT: time::Duration = time::Duration::from_millis(3_200);
+/// The process ends this long before it would be killed.
+const GRACE_MARGIN: time::Duration = time::Duration::from_millis(400);
+/// How often a leaving host looks whether its work has ended.
+const LEAVE_LOOK: time::Duration = time::Duration::from_millis(50);
+
+/// Starts logging to standard output.
+///
+/// # Errors
+///
+/// Returns an error if logging is set up already or its writer can't be started.
+pub fn start_logging(level: log::LevelFilter) -> anyhow::Result<()> {
+    events::start(level)
+}
+
+/// Runs an entry host until it is told to leave and has left.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be bound.
+pub async fn run<D: dialect::Dialect>(
+    dialect: D,
+    path: &path::Path,
+    settings: settings::Settings,
+) -> anyhow::Result<()> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let cx = sync::Arc::new(context::Router::new(dialect, settings, clock::Boot));
+    let settings = cx.settings();
+    let doors = [
+        (settings.callers, listen::Door::Callers),
+        (settings.ready, listen::Door::Questions),
+        (settings.directory, listen::Door::Questions),
+        (settings.metrics, listen::Door::Metrics),
+    ];
+    for (addr, door) in doors {
+        listen::spawn(&cx, addr, door).with_context(|| format!("{door:?} address {addr}"))?;
+    }
+    news::spawn(&cx)
+        .await
+        .with_context(|| format!("news address {}", settings.news))?;
+    views::spawn(&cx);
+    orders::spawn(&cx);
+    tokio::spawn(register(cx.clone()));
+    tokio::spawn(upkeep(cx.clone()));
+    tokio::spawn(reload(cx.clone(), path.to_owned()));
+    event!(Info, "start", "host" => cx.id.to_string(), "zone" => settings.zone,
+        "callers" => settings.callers, "store" => settings.store);
+    terminate.recv().await;
+    leave(&cx).await;
+    Ok(())
+}
+
+async fn upkeep<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>) {
+    loop {
+        tokio::time::sleep(UPKEEP).await;
+        let now = cx.now();
+        news::expire(&cx);
+        context::lock(&cx.servers).expire(now);
+        cx.pool.prune(now);
+    }
+}
+
+/// Writes the host's entry.
+async fn register<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>) {
+    let mut client = store::Client::new(&cx);
+    let mut pause = ENTRY_PAUSE;
+    while let Err(failure) = try_register(&cx, &mut client).await {
+        event!(Info, "entry-not-written", "cause" => failure.to_string());
+        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+        pause = (pause * 2).min(LONGEST_ENTRY_PAUSE);
+    }
+    event!(Info, "entry-written", "host" => cx.id.to_string());
+}
+
+async fn try_register<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    client: &mut store::Client<D>,
+) -> Result<(), store::Failure> {
+    let settings = cx.settings();
+    let entry = views::HostEntry {
+        incarnation: cx.id.incarnation,
+        callers: settings.callers,
+        news: settings.news,
+    };
+    let value = serde_json::to_value(&entry).map_err(|_| store::Failure::Unreadable)?;
+    let collection = dialect::Collection::Hosts;
+    match client.create(collection, &cx.id.name, &value).await {
+        Err(store::Failure::Status(dialect::StoreStatus::Conflict)) => {}
+        other => return other,
+    }
+    let (objects, _) = client.list(collection).await?;
+    let old = objects.iter().find(|object| object.name == cx.id.name);
+    let Some(old) = old else {
+        return client.create(collection, &cx.id.name, &value).await;
+    };
+    client
+        .replace(collection, &cx.id.name, old.revision, &value)
+        .await
+}
+
+/// Takes changed settings, at a signal or when the file has changed.
+async fn reload<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>, path: path::PathBuf) {
+    let mut hangup = match unix::signal(unix::SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            event!(Error, "no-reload", "cause" => error.to_string());
+            return;
+        }
+    };
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(SETTINGS) => false,
+        };
+        match settings::read(&path) {
+            Ok(fresh) if fresh != *cx.settings() => {
+                log::set_max_level(fresh.log_level);
+                cx.set_settings(fresh);
+                event!(Info, "reload", "signalled" => signalled, "changed" => true);
+            }
+            Ok(_) if signalled => {
+                event!(Info, "reload", "signalled" => true, "changed" => false);
+            }
+            Ok(_) => {}
+            Err(fault) => event!(Error, "reload-refused", "fault" => fault.to_string()),
+        }
+    }
+}
+
+/// Leaves: tells callers and other hosts, ends what runs, and removes the host's entry.
+async fn leave<D: dialect::Dialect>(cx: &sync::Arc<context::Router<D>>) {
+    let started = cx.now();
+    let settings = cx.settings();
+    cx.leave();
+    cx.news_due.notify_one();
+    event!(Info, "leave", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed));
+    tokio::spawn(unregister(cx.clone()));
+    let latest = settings.grace.saturating_sub(GRACE_MARGIN);
+    loop {
+        tokio::time::sleep(LEAVE_LOOK).await;
+        let gone = cx.now().saturating_sub(started);
+        let idle = cx.in_flight.load(atomic::Ordering::Relaxed) == 0;
+        let known = gone >= KNOWN_LEFT.max(forward::LEAVING_STREAMS);
+        if gone >= latest || (idle && known) {
+            break;
+        }
+    }
+    event!(Info, "stop", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed),
+        "took_ms" => cx.now().saturating_sub(started).as_millis() as u64);
+    // Lets the thread that writes the log finish.
+    tokio::time::sleep(LEAVE_LOOK).await;
+}
+
+async fn unregister<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>) {
+    let mut client = store::Client::new(&cx);
+    let collection = dialect::Collection::Hosts;
+    let gone = async {
+        let (objects, _) = client.list(collection).await?;
+        let own = objects.iter().find(|object| object.name == cx.id.name);
+        match own {
+            Some(own) => client.delete(collection, &cx.id.name, own.revision).await,
+            None => Ok(()),
+        }
+    };
+    if let Err(failure) = gone.await {
+        // Others notice the silence.
+        event!(Info, "entry-not-removed", "cause" => failure.to_string());
+    }
+}
--- /dev/null
+++ b/daemon/src/router/seats.rs
@@ -0,0 +1,283 @@
+//! Room on engines for one request: waiting for it, holding it and giving it back.
+
+use std::sync;
+use std::time;
+
+use walnuthaven_lib::dialect;
+use walnuthaven_lib::engine_room;
+use walnuthaven_lib::routing;
+use walnuthaven_lib::waiting;
+
+use crate::router::context;
+use crate::router::events::event;
+
+/// Time from the start of a prefill to the first event, beside reading the prompt: moving the result
+/// and making the first event take some tens of milliseconds.
+const FIRST_EVENT: time::Duration = time::Duration::from_millis(200);
+/// How often a waiting request looks again when nothing was heard: predictions move with time.
+const LOOK_AGAIN: time::Duration = time::Duration::from_millis(40);
+/// A host waits up to this time before it takes room that another host gave back, so that hosts with
+/// waiting requests don't all take the same room.
+const STAGGER: time::Duration = time::Duration::from_millis(6);
+/// When callers come back while no engine is usable: about the time in which a server restarts.
+const NO_ENGINE: time::Duration = time::Duration::from_millis(1_500);
+/// Length of an answer in tokens if its request names none.
+const DEFAULT_OUTPUT: u32 = 512;
+/// Tokens of a run whose time is used for the spacing of ends.
+const TYPICAL_OUTPUT: u32 = 3_500;
+
+/// Room that a request holds on a decode engine. Dropping it gives the room back.
+#[derive(Debug)]
+pub(crate) struct Seat<D: dialect::Dialect> {
+    cx: sync::Arc<context::Router<D>>,
+    key: engine_room::Key,
+}
+
+impl<D: dialect::Dialect> Seat<D> {
+    /// Notes that tokens were generated.
+    pub(crate) fn progress(&self, made: u32) {
+        let now = self.cx.now();
+        context::lock(&self.cx.room).progress(&self.key, made, now);
+    }
+}
+
+impl<D: dialect::Dialect> Drop for Seat<D> {
+    fn drop(&mut self) {
+        context::lock(&self.cx.room).remove_run(&self.key);
+        self.cx.room_changed.notify_waiters();
+        self.cx.news_due.notify_one();
+    }
+}
+
+/// A place in the queue. Dropping it leaves the queue.
+struct Waiting<'a, D: dialect::Dialect> {
+    cx: &'a context::Router<D>,
+    service: &'a sync::Arc<str>,
+    number: u64,
+}
+
+impl<D: dialect::Dialect> Drop for Waiting<'_, D> {
+    fn drop(&mut self) {
+        if let Some(queue) = context::lock(&self.cx.queues).get_mut(self.service) {
+            queue.remove(self.number);
+        }
+        self.cx.room_changed.notify_waiters();
+    }
+}
+
+/// Why a request got no room.
+#[derive(Clone, Debug)]
+pub(crate) struct NoRoom {
+    /// What is short.
+    pub(crate) cause: &'static str,
+    /// When to come back.
+    pub(crate) retry_after: time::Duration,
+}
+
+/// A request that wants room.
+#[derive(Debug)]
+pub(crate) struct Wish<'a> {
+    /// The request's id, for the log.
+    pub(crate) id: &'a str,
+    /// The service.
+    pub(crate) service: &'a routing::Service,
+    /// The service's engines.
+    pub(crate) engines: &'a routing::EnginePool,
+    /// The rank of its route.
+    pub(crate) priority: u8,
+    /// What it needs.
+    pub(crate) need: engine_room::Need,
+    /// When its first event should come.
+    pub(crate) first_event_by: time::Duration,
+    /// When its final answer is due.
+    pub(crate) until: time::Duration,
+    /// Servers that it must not be sent to again.
+    pub(crate) tried: &'a [sync::Arc<str>],
+}
+
+/// Returns what a request needs. `made` tokens were generated before an interruption.
+pub(crate) fn need_of(prompt: Option<&dialect::Prompt>, made: u32) -> engine_room::Need {
+    let (tokens, most, hint) = match prompt {
+        Some(prompt) => (prompt.tokens, prompt.max_output, prompt.output_hint),
+        None => (0, DEFAULT_OUTPUT, None),
+    };
+    let output = hint.unwrap_or(most).min(most).max(1);
+    engine_room::Need {
+        prompt: tokens.saturating_add(made),
+        output: output.saturating_sub(made).max(output / 5).max(1),
+    }
+}
+
+/// Waits for room for a request.
+pub(crate) async fn take<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+    wish: &Wish<'_>,
+) -> Result<(Seat<D>, engine_room::Placement), NoRoom> {
+    let arrived = cx.now();
+    let number = cx.next_number();
+    let service = &wish.service.name;
+    let reading = context::lock(&cx.room).reading_time(wish.need.prompt);
+    let entry = waiting::Entry {
+        number,
+        priority: wish.priority,
+        start_by: wish.first_event_by.saturating_sub(FIRST_EVENT + reading),
+        until: arrived + waiting::longest_wait(wish.until.saturating_sub(arrived)),
+    };
+    let ahead = {
+        let mut queues = context::lock(&cx.queues);
+        let queue = queues.entry(service.clone()).or_default();
+        let ahead = queue.ahead(arrived);
+        queue.push(entry);
+        ahead
+    };
+    let _waiting = Waiting {
+        cx,
+        service,
+        number,
+    };
+    let mut looked = false;
+    loop {
+        let changed = cx.room_changed.notified();
+        let now = cx.now();
+        let first = {
+            let queues = context::lock(&cx.queues);
+            queues.get(service).and_then(|queue| queue.first(now)) == Some(number)
+        };
+        let full = match first || !looked {
+            false => None,
+            true => match try_place(cx, wish, number, now, first) {
+                Ok(taken) => {
+                    log_placed(cx, wish, &taken.1, now.saturating_sub(arrived));
+                    return Ok(taken);
+                }
+                Err(full) => Some(full),
+            },
+        };
+        if !looked {
+            refuse_hopeless(cx, wish, full, ahead, entry.until.saturating_sub(now))?;
+            looked = true;
+            cx.telemetry.count("engines.waits");
+        }
+        if now >= entry.until {
+            let cause = "engines stayed full";
+            return Err(no_room(cx, wish, cause, NO_ENGINE));
+        }
+        let again = tokio::time::sleep(LOOK_AGAIN.min(entry.until.saturating_sub(now)));
+        tokio::select! {
+            () = changed => {
+                tokio::time::sleep(STAGGER.mul_f64(rand::random::<f64>())).await;
+            }
+            () = again => {}
+        }
+    }
+}
+
+fn try_place<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+    wish: &Wish<'_>,
+    number: u64,
+    now: time::Duration,
+    first: bool,
+) -> Result<(Seat<D>, engine_room::Placement), engine_room::Full> {
+    let usable = context::lock(&cx.servers).usable(&wish.service.name, now);
+    let health = context::lock(&cx.health);
+    let untried = usable
+        .into_iter()
+        .filter(|server| !wish.tried.contains(&server.id));
+    let engines: Vec<_> = untried
+        .filter(|server| !health.is_avoided(&server.id, now))
+        .collect();
+    drop(health);
+    let limits = engine_room::Limits {
+        memory_tokens: wish.engines.memory_tokens,
+        slots: wish.engines.slots,
+        prefill_within: wish
+            .first_event_by
+            .saturating_sub(now + FIRST_EVENT)
+            .max(context::lock(&cx.room).reading_time(wish.need.prompt) + FIRST_EVENT),
+    };
+    let mut room = context::lock(&cx.room);
+    let placement = room.place(&engines, wish.need, limits, &cx.settings().zone, now)?;
+    if !first {
+        // Others wait longer for the same room.
+        return Err(engine_room::Full::Memory(time::Duration::ZERO));
+    }
+    let key = (cx.own.clone(), number);
+    room.add_run(
+        key.clone(),
+        engine_room::Run {
+            engine: placement.decode.id.clone(),
+            prompt: wish.need.prompt,
+            output: wish.need.output,
+            made: 0,
+            at: now + FIRST_EVENT / 2,
+        },
+    );
+    drop(room);
+    cx.news_due.notify_one();
+    let seat = Seat {
+        cx: cx.clone(),
+        key,
+    };
+    Ok((seat, placement))
+}
+
+/// Refuses a request at its arrival if it can't start while its caller usefully waits.
+fn refuse_hopeless<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    wish: &Wish<'_>,
+    full: Option<engine_room::Full>,
+    ahead: usize,
+    longest: time::Duration,
+) -> Result<(), NoRoom> {
+    let (cause, wait) = match full {
+        None => return Ok(()),
+        Some(engine_room::Full::NoEngine) => {
+            return Err(no_room(cx, wish, "no engine is usable", NO_ENGINE));
+        }
+        Some(engine_room::Full::Memory(wait)) => ("engine memory is full", wait),
+        Some(engine_room::Full::Prompts(wait)) => ("prompts wait to be read", wait),
+    };
+    let everywhere = ahead + context::lock(&cx.peers).waiting();
+    let predicted = wait + spacing(cx, wish).mul_f64(everywhere as f64);
+    if predicted <= longest {
+        return Ok(());
+    }
+    Err(no_room(cx, wish, cause, predicted))
+}
+
+/// Returns the predicted time between the ends of two runs of the service.
+fn spacing<D: dialect::Dialect>(cx: &context::Router<D>, wish: &Wish<'_>) -> time::Duration {
+    let servers = context::lock(&cx.servers).usable(&wish.service.name, cx.now());
+    let room = context::lock(&cx.room);
+    let runs: usize = servers.iter().map(|server| room.runs_on(&server.id)).sum();
+    room.token_time() * TYPICAL_OUTPUT / (runs.max(1) as u32)
+}
+
+fn no_room<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    wish: &Wish<'_>,
+    cause: &'static str,
+    predicted: time::Duration,
+) -> NoRoom {
+    let retry_after = waiting::retry_after(predicted, rand::random());
+    cx.telemetry.count("engines.refusals");
+    event!(Info, "no-room", "id" => wish.id, "service" => wish.service.name, "cause" => cause,
+        "prompt" => wish.need.prompt, "output" => wish.need.output,
+        "predicted_ms" => predicted.as_millis() as u64,
+        "retry_after_ms" => retry_after.as_millis() as u64);
+    NoRoom { cause, retry_after }
+}
+
+fn log_placed<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    wish: &Wish<'_>,
+    placement: &engine_room::Placement,
+    waited: time::Duration,
+) {
+    cx.telemetry.time("engines.wait", waited);
+    event!(Info, "placed", "id" => wish.id, "decode" => placement.decode.id,
+        "prefill" => placement.prefill.as_ref().map(|server| server.id.clone()),
+        "prompt" => wish.need.prompt, "output" => wish.need.output,
+        "waited_ms" => waited.as_millis() as u64);
+}
--- /dev/null
+++ b/daemon/src/router/telemetry.rs
@@ -0,0 +1,122 @@
+//! Counters and latency histograms, read as text from the metrics address.
+
+use std::collections;
+use std::fmt::Write as _;
+use std::io;
+use std::sync;
+use std::time;
+
+use cadence::Counted as _;
+use cadence::Timed as _;
+
+use crate::router::context;
+
+const PREFIX: &str = "walnuthaven";
+/// Upper bounds of the histograms' buckets in milliseconds.
+const BUCKETS_MS: [u64; 12] = [5, 10, 20, 50, 100, 200, 300, 500, 900, 2_000, 5_000, 14_000];
+
+#[derive(Debug, Default)]
+struct Histogram {
+    buckets: [u64; BUCKETS_MS.len() + 1],
+    count: u64,
+    sum_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Values {
+    counters: collections::BTreeMap<String, u64>,
+    histograms: collections::BTreeMap<String, Histogram>,
+}
+
+/// Keeps what the metrics client emits.
+#[derive(Clone, Debug, Default)]
+struct Kept(sync::Arc<sync::Mutex<Values>>);
+
+impl cadence::MetricSink for Kept {
+    /// Takes a line `name:value|type`.
+    fn emit(&self, metric: &str) -> io::Result<usize> {
+        let parsed = metric.split_once(':').and_then(|(name, rest)| {
+            let (value, kind) = rest.split_once('|')?;
+            Some((name, value.parse::<u64>().ok()?, kind))
+        });
+        let Some((name, value, kind)) = parsed else {
+            return Err(io::ErrorKind::InvalidInput.into());
+        };
+        let mut values = context::lock(&self.0);
+        if kind == "c" {
+            match values.counters.get_mut(name) {
+                Some(counter) => *counter += value,
+                None => {
+                    values.counters.insert(name.to_owned(), value);
+                }
+            }
+        } else {
+            if !values.histograms.contains_key(name) {
+                values
+                    .histograms
+                    .insert(name.to_owned(), Histogram::default());
+            }
+            if let Some(histogram) = values.histograms.get_mut(name) {
+                let bucket = BUCKETS_MS.partition_point(|bound| *bound < value);
+                histogram.buckets[bucket] += 1;
+                histogram.count += 1;
+                histogram.sum_ms += value;
+            }
+        }
+        Ok(metric.len())
+    }
+}
+
+/// The metrics of an entry host. Names and units are listed in `docs/OPERATIONS.md`.
+#[derive(Debug)]
+pub(crate) struct Telemetry {
+    kept: Kept,
+    client: cadence::StatsdClient,
+}
+
+impl Default for Telemetry {
+    fn default() -> Self {
+        let kept = Kept::default();
+        let client = cadence::StatsdClient::from_sink(PREFIX, kept.clone());
+        Self { kept, client }
+    }
+}
+
+impl Telemetry {
+    /// Counts one event.
+    pub(crate) fn count(&self, name: &str) {
+        // The sink is memory and takes every well-formed metric.
+        let _ = self.client.count(name, 1);
+    }
+
+    /// Adds a duration to a histogram.
+    pub(crate) fn time(&self, name: &str, took: time::Duration) {
+        let _ = self.client.time(name, took);
+    }
+
+    /// Writes all values as text.
+    pub(crate) fn text(&self) -> String {
+        let values = context::lock(&self.kept.0);
+        let mut text = String::new();
+        for (name, value) in &values.counters {
+            // Writing to a string doesn't fail.
+            let _ = writeln!(text, "{} {value}", flat(name));
+        }
+        for (name, histogram) in &values.histograms {
+            let name = flat(name);
+            let mut sum = 0;
+            for (i, bucket) in histogram.buckets.iter().enumerate() {
+                sum += bucket;
+                let bound = BUCKETS_MS.get(i).map_or("+Inf".to_owned(), u64::to_string);
+                let _ = writeln!(text, "{name}_ms_bucket{{le=\"{bound}\"}} {sum}");
+            }
+            let _ = writeln!(text, "{name}_ms_sum {}", histogram.sum_ms);
+            let _ = writeln!(text, "{name}_ms_count {}", histogram.count);
+        }
+        text
+    }
+}
+
+fn flat(name: &str) -> String {
+    name.replace('.', "_")
+}
--- /dev/null
+++ b/lib/src/backends.rs
@@ -0,0 +1,184 @@
+//! Backend servers as a host knows them.
+//!
+//! The view follows the store. A server whose entry disappears isn't given new work, with one
+//! exception: entries lapse while the store is away, so a server that vanished without notice stays
+//! a last resort for a short time, in case that no other server of its service is left.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+/// How long a server whose entry vanished without notice may serve as a last resort. It has to stop
+/// getting work within the two seconds that a leaving server goes on serving.
+pub const DOUBTFUL_FOR: time::Duration = time::Duration::from_millis(1_200);
+/// How long after an outage of the store the servers whose entries lapsed are expected back.
+pub const RETURN_WITHIN: time::Duration = time::Duration::from_secs(2);
+
+/// The part of the work that a model engine does.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Stage {
+    /// Reads prompts.
+    Prefill,
+    /// Generates tokens.
+    Decode,
+}
+
+/// A backend server as it describes itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Backend {
+    /// The server's id, which may survive a restart.
+    pub id: sync::Arc<str>,
+    /// When this run of the server started, in Unix milliseconds, if it says so.
+    pub born: Option<u64>,
+    /// The service that it belongs to.
+    pub service: sync::Arc<str>,
+    /// Where it listens.
+    pub addr: net::SocketAddr,
+    /// Its availability zone.
+    pub zone: sync::Arc<str>,
+    /// Whether it takes no new work because it leaves.
+    pub draining: bool,
+    /// The stage of a model engine.
+    pub stage: Option<Stage>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Orders that it has accepted.
+    pub orders: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Tracked {
+    backend: sync::Arc<Backend>,
+    doubtful_until: Option<time::Duration>,
+}
+
+/// What a change of the view means for a server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The server is new.
+    Joined(sync::Arc<Backend>),
+    /// The server says something else than before.
+    Updated(sync::Arc<Backend>),
+    /// The server started again under its id.
+    Restarted(sync::Arc<Backend>),
+    /// The server's entry is gone.
+    Vanished(sync::Arc<Backend>),
+}
+
+/// The view of all backend servers.
+#[derive(Debug, Default)]
+pub struct Registry {
+    tracked: collections::BTreeMap<sync::Arc<str>, Tracked>,
+    store_away: bool,
+    store_back: Option<time::Duration>,
+}
+
+impl Registry {
+    /// Takes the whole list of entries.
+    pub fn replace_all(&mut self, listed: Vec<Backend>, now: time::Duration) -> Vec<Change> {
+        let names: collections::BTreeSet<_> = listed.iter().map(|b| b.id.clone()).collect();
+        let missing: Vec<_> = self
+            .tracked
+            .keys()
+            .filter(|id| !names.contains(*id))
+            .cloned()
+            .collect();
+        let mut changes: Vec<_> = missing
+            .iter()
+            .filter_map(|id| self.remove(id, now))
+            .collect();
+        changes.extend(listed.into_iter().filter_map(|backend| self.put(backend)));
+        changes
+    }
+
+    /// Takes one entry.
+    pub fn put(&mut self, backend: Backend) -> Option<Change> {
+        let backend = sync::Arc::new(backend);
+        let fresh = Tracked {
+            backend: backend.clone(),
+            doubtful_until: None,
+        };
+        let Some(old) = self.tracked.insert(backend.id.clone(), fresh) else {
+            return Some(Change::Joined(backend));
+        };
+        if old.backend.born != backend.born || old.backend.addr != backend.addr {
+            return Some(Change::Restarted(backend));
+        }
+        if old.doubtful_until.is_none() && old.backend == backend {
+            return None;
+        }
+        Some(Change::Updated(backend))
+    }
+
+    /// Takes the removal of an entry.
+    pub fn remove(&mut self, id: &str, now: time::Duration) -> Option<Change> {
+        let tracked = self.tracked.get_mut(id)?;
+        let backend = tracked.backend.clone();
+        if backend.draining {
+            self.tracked.remove(id);
+            return Some(Change::Vanished(backend));
+        }
+        if tracked.doubtful_until.is_some() {
+            return None;
+        }
+        let after_outage = self.store_back.map(|back| back + RETURN_WITHIN);
+        let until = (now + DOUBTFUL_FOR).max(after_outage.unwrap_or_default());
+        tracked.doubtful_until = Some(until);
+        Some(Change::Vanished(backend))
+    }
+
+    /// Notes that the store doesn't answer.
+    pub fn store_lost(&mut self) {
+        self.store_away = true;
+    }
+
+    /// Notes that the store answers. Call before taking what it says.
+    pub fn store_answered(&mut self, now: time::Duration) {
+        if self.store_away {
+            self.store_away = false;
+            self.store_back = Some(now);
+        }
+    }
+
+    /// Forgets servers that are gone for good.
+    pub fn expire(&mut self, now: time::Duration) {
+        self.tracked
+            .retain(|_, t| t.doubtful_until.is_none_or(|until| now < until));
+    }
+
+    /// Returns a server that hasn't vanished.
+    pub fn get(&self, id: &str) -> Option<&sync::Arc<Backend>> {
+        let tracked = self.tracked.get(id)?;
+        tracked.doubtful_until.is_none().then_some(&tracked.backend)
+    }
+
+    /// Returns the servers of a service that may get new work: those that are listed, or else those
+    /// that vanished a moment ago.
+    pub fn usable(&self, service: &str, now: time::Duration) -> Vec<sync::Arc<Backend>> {
+        let of_service = || {
+            self.tracked
+                .values()
+                .filter(|t| &*t.backend.service == service && !t.backend.draining)
+        };
+        let listed: Vec<_> = of_service()
+            .filter(|t| t.doubtful_until.is_none())
+            .map(|t| t.backend.clone())
+            .collect();
+        if !listed.is_empty() {
+            return listed;
+        }
+        of_service()
+            .filter(|t| t.doubtful_until.is_some_and(|until| now < until))
+            .map(|t| t.backend.clone())
+            .collect()
+    }
+
+    /// Returns all servers that haven't vanished.
+    pub fn listed(&self) -> impl Iterator<Item = &sync::Arc<Backend>> {
+        self.tracked
+            .values()
+            .filter(|t| t.doubtful_until.is_none())
+            .map(|t| &t.backend)
+    }
+}
--- /dev/null
+++ b/lib/src/engine_room.rs
@@ -0,0 +1,401 @@
+//! Memory and prompt queues of model engines, as all hosts together use them.
+//!
+//! Decode memory is the scarce resource: a run starts with its prompt and grows by a token a step
+//! until it ends, and an engine whose memory runs out preempts runs in the middle of their streams.
+//! All runs of an engine advance by one token a step, so the memory at any later step follows from
+//! prompt, predicted output and progress of each run. A run is placed only where the highest of
+//! these later values stays below the engine's memory, and before its prompt is read, because the
+//! result of a prefill lives for half a second only.
+//!
+//! Load pattern: bursts of twice the usual requests for four to five seconds, in which decode memory
+//! is full and every finished run makes room for about one waiting request.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use crate::backends;
+
+/// Part of an engine's memory that predictions may fill. Lengths are predicted with an error of
+/// about half their size; over the dozen runs of an engine it averages out to about a tenth.
+const FILL: f64 = 0.90;
+/// Part of its predicted output that a run is expected to go on for when it has passed it.
+const OVERRUN: f64 = 0.2;
+/// Weight of a new sample in learned speeds.
+const LEARNING: f64 = 0.1;
+/// Time of one token until one was measured.
+const INITIAL_TOKEN_TIME: time::Duration = time::Duration::from_micros(800);
+/// Prompt tokens a millisecond until a prefill was measured.
+const INITIAL_PREFILL_RATE: f64 = 50.0;
+/// Bounds of measured prefill rates in tokens a millisecond; others are artefacts of faults.
+const PREFILL_RATES: std::ops::Range<f64> = 5.0..500.0;
+/// Bounds of measured token times in seconds; longer ones are pauses, not steps.
+const TOKEN_TIMES: std::ops::Range<f64> = 0.000_1..0.005;
+
+/// Names a run or a prefill: the host that sent it, and the host's number for it.
+pub type Key = (sync::Arc<str>, u64);
+
+/// A run on a decode engine.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The engine's id.
+    pub engine: sync::Arc<str>,
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Predicted tokens of the output.
+    pub output: u32,
+    /// Tokens generated at `at`.
+    pub made: u32,
+    /// When `made` was true.
+    pub at: time::Duration,
+}
+
+/// A prompt that an engine reads.
+#[derive(Clone, Debug)]
+pub struct Prefill {
+    /// The engine's id.
+    pub engine: sync::Arc<str>,
+    /// Tokens to read.
+    pub tokens: u32,
+    /// When it was sent.
+    pub since: time::Duration,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// Tokens of the prompt, with those generated before an interruption.
+    pub prompt: u32,
+    /// Predicted tokens of the output.
+    pub output: u32,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// Generates the tokens.
+    pub decode: sync::Arc<backends::Backend>,
+    /// Reads the prompt; without one the decode engine does.
+    pub prefill: Option<sync::Arc<backends::Backend>>,
+}
+
+/// Why there is no place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Full {
+    /// No decode engine is usable at all.
+    NoEngine,
+    /// Decode memory is promised to others for about this long.
+    Memory(time::Duration),
+    /// The prompts before this one take this long to read.
+    Prompts(time::Duration),
+}
+
+/// Limits of a placement.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Tokens that one engine's memory holds.
+    pub memory_tokens: u32,
+    /// Requests that one engine runs at once.
+    pub slots: u32,
+    /// Longest time until the prompt must be read.
+    pub prefill_within: time::Duration,
+}
+
+/// The shared view of engines.
+#[derive(Debug)]
+pub struct Room {
+    runs: collections::HashMap<Key, Run>,
+    prefills: collections::HashMap<Key, Prefill>,
+    token_time: f64,
+    prefill_rate: f64,
+}
+
+impl Default for Room {
+    fn default() -> Self {
+        Self {
+            runs: collections::HashMap::new(),
+            prefills: collections::HashMap::new(),
+            token_time: INITIAL_TOKEN_TIME.as_secs_f64(),
+            prefill_rate: INITIAL_PREFILL_RATE,
+        }
+    }
+}
+
+/// Memory and remaining output of a run at one moment, in tokens.
+#[derive(Clone, Copy, Debug)]
+struct Growth {
+    held: u64,
+    remaining: u64,
+}
+
+impl Room {
+    /// Notes a run.
+    pub fn add_run(&mut self, key: Key, run: Run) {
+        self.runs.insert(key, run);
+    }
+
+    /// Notes the end of a run. Returns whether it was known.
+    pub fn remove_run(&mut self, key: &Key) -> bool {
+        self.runs.remove(key).is_some()
+    }
+
+    /// Notes that a run has generated `made` tokens.
+    pub fn progress(&mut self, key: &Key, made: u32, now: time::Duration) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        let tokens = made.saturating_sub(run.made);
+        if run.made > 0 && tokens > 0 {
+            let sample = now.saturating_sub(run.at).as_secs_f64() / f64::from(tokens);
+            if TOKEN_TIMES.contains(&sample) {
+                self.token_time += LEARNING * (sample - self.token_time);
+            }
+        }
+        run.made = made;
+        run.at = now;
+    }
+
+    /// Notes that an engine reads a prompt.
+    pub fn add_prefill(&mut self, key: Key, prefill: Prefill) {
+        self.prefills.insert(key, prefill);
+    }
+
+    /// Notes that a prompt was read, or given up. Returns whether it was known.
+    pub fn remove_prefill(&mut self, key: &Key) -> bool {
+        self.prefills.remove(key).is_some()
+    }
+
+    /// Learns from a prefill that took `took` when `ahead` was the predicted time of those before.
+    pub fn prefill_took(&mut self, tokens: u32, ahead: time::Duration, took: time::Duration) {
+        let work = f64::from(tokens) + ahead.as_secs_f64() * 1_000.0 * self.prefill_rate;
+        let sample = work / (took.as_secs_f64() * 1_000.0).max(0.1);
+        if PREFILL_RATES.contains(&sample) {
+            self.prefill_rate += LEARNING * (sample - self.prefill_rate);
+        }
+    }
+
+    /// Replaces everything known of another host's runs and prefills.
+    pub fn replace_host(
+        &mut self,
+        host: &str,
+        runs: Vec<(u64, Run)>,
+        prefills: Vec<(u64, Prefill)>,
+    ) {
+        self.forget_host(host);
+        let host: sync::Arc<str> = host.into();
+        for (number, run) in runs {
+            self.runs.insert((host.clone(), number), run);
+        }
+        for (number, prefill) in prefills {
+            self.prefills.insert((host.clone(), number), prefill);
+        }
+    }
+
+    /// Forgets a host that is gone.
+    pub fn forget_host(&mut self, host: &str) {
+        self.runs.retain(|(owner, _), _| &**owner != host);
+        self.prefills.retain(|(owner, _), _| &**owner != host);
+    }
+
+    /// Forgets what ran on an engine that started again or is gone.
+    pub fn forget_engine(&mut self, engine: &str) {
+        self.runs.retain(|_, run| &*run.engine != engine);
+        self.prefills
+            .retain(|_, prefill| &*prefill.engine != engine);
+    }
+
+    /// Returns the runs of one host.
+    pub fn runs_of<'a>(&'a self, host: &'a str) -> impl Iterator<Item = (u64, &'a Run)> {
+        let own = self
+            .runs
+            .iter()
+            .filter(move |((owner, _), _)| &**owner == host);
+        own.map(|((_, number), run)| (*number, run))
+    }
+
+    /// Returns the prefills of one host.
+    pub fn prefills_of<'a>(&'a self, host: &'a str) -> impl Iterator<Item = (u64, &'a Prefill)> {
+        let own = self
+            .prefills
+            .iter()
+            .filter(move |((owner, _), _)| &**owner == host);
+        own.map(|((_, number), prefill)| (*number, prefill))
+    }
+
+    /// Returns the time of one token.
+    pub fn token_time(&self) -> time::Duration {
+        time::Duration::from_secs_f64(self.token_time)
+    }
+
+    /// Returns the time that an engine needs for a prompt of its own.
+    pub fn reading_time(&self, tokens: u32) -> time::Duration {
+        time::Duration::from_secs_f64(f64::from(tokens) / self.prefill_rate / 1_000.0)
+    }
+
+    /// Returns the time until an engine has read the prompts that it has now.
+    pub fn prefill_backlog(&self, engine: &str, now: time::Duration) -> time::Duration {
+        let own = self.prefills.values().filter(|p| &*p.engine == engine);
+        let mut queue: Vec<_> = own.map(|p| (p.since, p.tokens)).collect();
+        queue.sort_unstable();
+        let end = queue
+            .into_iter()
+            .fold(time::Duration::ZERO, |end, (since, tokens)| {
+                end.max(since) + self.reading_time(tokens)
+            });
+        end.saturating_sub(now)
+    }
+
+    /// Returns the number of runs on an engine.
+    pub fn runs_on(&self, engine: &str) -> usize {
+        self.runs
+            .values()
+            .filter(|run| &*run.engine == engine)
+            .count()
+    }
+
+    /// Places a request. `zone` is preferred where the rest is equal.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is short, and for how long.
+    pub fn place(
+        &self,
+        engines: &[sync::Arc<backends::Backend>],
+        need: Need,
+        limits: Limits,
+        zone: &str,
+        now: time::Duration,
+    ) -> Result<Placement, Full> {
+        let is = |stage| move |e: &&sync::Arc<backends::Backend>| e.stage == Some(stage);
+        let mut prefills: Vec<_> = engines
+            .iter()
+            .filter(is(backends::Stage::Prefill))
+            .collect();
+        prefills.sort_by_key(|e| {
+            (
+                self.prefill_backlog(&e.id, now).as_millis(),
+                &*e.zone != zone,
+            )
+        });
+        let prefill = prefills.first().copied();
+        if let Some(prefill) = prefill {
+            let backlog = self.prefill_backlog(&prefill.id, now);
+            if backlog + self.reading_time(need.prompt) > limits.prefill_within {
+                return Err(Full::Prompts(backlog));
+            }
+        }
+        let near = prefill.map_or(zone, |p| &*p.zone);
+        let mut decodes = engines
+            .iter()
+            .filter(|e| e.stage != Some(backends::Stage::Prefill));
+        let mut best: Option<(u64, &sync::Arc<backends::Backend>)> = None;
+        let mut any = false;
+        for engine in decodes.by_ref() {
+            any = true;
+            let Some(peak) = self.peak(&engine.id, need, limits, now) else {
+                continue;
+            };
+            let far = u64::from(&*engine.zone != near) * u64::from(limits.memory_tokens) / 4;
+            if best.is_none_or(|(least, _)| peak + far < least) {
+                best = Some((peak + far, engine));
+            }
+        }
+        if !any {
+            return Err(Full::NoEngine);
+        }
+        let Some((_, decode)) = best else {
+            return Err(Full::Memory(self.next_room(engines, need, limits, now)));
+        };
+        Ok(Placement {
+            decode: decode.clone(),
+            prefill: prefill.cloned(),
+        })
+    }
+
+    /// Returns the highest predicted memory of an engine that takes the request, or `None` if that
+    /// is more than it has.
+    fn peak(&self, engine: &str, need: Need, limits: Limits, now: time::Duration) -> Option<u64> {
+        let mut runs = self.growths(engine, now);
+        if runs.len() >= limits.slots as usize {
+            return None;
+        }
+        let alone = runs.is_empty();
+        runs.push(Growth {
+            held: u64::from(need.prompt),
+            remaining: u64::from(need.output),
+        });
+        let peak = peak_of(&mut runs);
+        (alone || peak <= fillable(limits)).then_some(peak)
+    }
+
+    fn growths(&self, engine: &str, now: time::Duration) -> Vec<Growth> {
+        let runs = self.runs.values().filter(|run| &*run.engine == engine);
+        runs.map(|run| {
+            let since = now.saturating_sub(run.at).as_secs_f64();
+            let made = u64::from(run.made) + (since / self.token_time) as u64;
+            let made = made.min(u64::from(run.output).max(u64::from(run.made)));
+            let least = (f64::from(run.output) * OVERRUN) as u64;
+            Growth {
+                held: u64::from(run.prompt) + made,
+                remaining: u64::from(run.output).saturating_sub(made).max(least),
+            }
+        })
+        .collect()
+    }
+
+    /// Returns the time after which the first engine has room for the request.
+    fn next_room(
+        &self,
+        engines: &[sync::Arc<backends::Backend>],
+        need: Need,
+        limits: Limits,
+        now: time::Duration,
+    ) -> time::Duration {
+        let decodes = engines
+            .iter()
+            .filter(|e| e.stage != Some(backends::Stage::Prefill));
+        let waits = decodes.map(|e| {
+            let mut runs = self.growths(&e.id, now);
+            runs.sort_unstable_by_key(|run| run.remaining);
+            steps_until_room(&runs, need, limits)
+        });
+        let steps = waits.min().unwrap_or_default();
+        time::Duration::from_secs_f64(steps as f64 * self.token_time)
+    }
+}
+
+fn fillable(limits: Limits) -> u64 {
+    (f64::from(limits.memory_tokens) * FILL) as u64
+}
+
+/// Returns the highest sum of memory: it is reached just before one of the runs ends.
+fn peak_of(runs: &mut [Growth]) -> u64 {
+    runs.sort_unstable_by_key(|run| std::cmp::Reverse(run.remaining));
+    let mut held = 0;
+    let mut peak = 0;
+    for (i, run) in runs.iter().enumerate() {
+        held += run.held;
+        peak = peak.max(held + run.remaining * (i as u64 + 1));
+    }
+    peak
+}
+
+/// Returns the steps until the request fits. `runs` are in order of their ends.
+fn steps_until_room(runs: &[Growth], need: Need, limits: Limits) -> u64 {
+    for (ended, run) in runs.iter().enumerate() {
+        let steps = run.remaining;
+        let later = runs[ended + 1..].iter().map(|r| Growth {
+            held: r.held + steps,
+            remaining: r.remaining - steps,
+        });
+        let mut later: Vec<_> = later.collect();
+        later.push(Growth {
+            held: u64::from(need.prompt),
+            remaining: u64::from(need.output),
+        });
+        if later.len() <= limits.slots as usize && peak_of(&mut later) <= fillable(limits) {
+            return steps;
+        }
+    }
+    runs.last().map_or(0, |run| run.remaining)
+}
--- /dev/null
+++ b/lib/src/peers.rs
@@ -0,0 +1,178 @@
+//! The router's other hosts, by what they say themselves.
+//!
+//! The store lists hosts and their addresses; whether a host lives is judged by the news that it
+//! sends, so that no heartbeat goes through the store.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+/// How often a host sends news when nothing happens.
+pub const NEWS_EVERY: time::Duration = time::Duration::from_millis(500);
+/// How long a host may be silent until it is taken as gone: four losses in a row.
+pub const SILENT_FOR: time::Duration = time::Duration::from_millis(2_200);
+
+/// A host's entry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listed {
+    /// The host's name.
+    pub name: sync::Arc<str>,
+    /// When the process started, in Unix milliseconds; higher is newer.
+    pub incarnation: u64,
+    /// Where callers connect.
+    pub callers: net::SocketAddr,
+    /// Where it takes news.
+    pub news: net::SocketAddr,
+}
+
+/// What a host says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Said {
+    /// Raised with each message of one incarnation.
+    pub sequence: u64,
+    /// Whether callers may be sent there.
+    pub takes_callers: bool,
+    /// The version of the configuration that it has.
+    pub config_version: u64,
+    /// Requests that wait there for engines.
+    pub waiting: u32,
+}
+
+/// A host.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its entry.
+    pub listed: Listed,
+    said: Option<(Said, time::Duration)>,
+    in_store: bool,
+}
+
+/// All other hosts.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: collections::BTreeMap<sync::Arc<str>, Peer>,
+}
+
+impl Peers {
+    /// Takes the hosts that the store lists, without this host.
+    pub fn replace_listed(&mut self, listed: Vec<Listed>) {
+        for peer in self.known.values_mut() {
+            peer.in_store = false;
+        }
+        for entry in listed {
+            self.list(entry);
+        }
+        self.known
+            .retain(|_, peer| peer.in_store || peer.said.is_some());
+    }
+
+    /// Takes one entry of the store.
+    pub fn list(&mut self, entry: Listed) {
+        match self.known.get_mut(&entry.name) {
+            Some(peer) if peer.listed.incarnation >= entry.incarnation => peer.in_store = true,
+            _ => {
+                let peer = Peer {
+                    listed: entry.clone(),
+                    said: None,
+                    in_store: true,
+                };
+                self.known.insert(entry.name, peer);
+            }
+        }
+    }
+
+    /// Takes the removal of an entry: the host leaves.
+    pub fn unlist(&mut self, name: &str) {
+        self.known.remove(name);
+    }
+
+    /// Takes news from a host. Returns whether they are newer than what was known.
+    pub fn hear(&mut self, entry: Listed, said: Said, now: time::Duration) -> bool {
+        let fresh = match self.known.get(&entry.name) {
+            None => true,
+            Some(peer) if peer.listed.incarnation == entry.incarnation => peer
+                .said
+                .as_ref()
+                .is_none_or(|(old, _)| old.sequence < said.sequence),
+            Some(peer) => peer.listed.incarnation < entry.incarnation,
+        };
+        if fresh {
+            let in_store = self
+                .known
+                .get(&entry.name)
+                .is_some_and(|peer| peer.in_store);
+            let peer = Peer {
+                listed: entry.clone(),
+                said: Some((said, now)),
+                in_store,
+            };
+            self.known.insert(entry.name, peer);
+        }
+        fresh
+    }
+
+    /// Forgets hosts that have been silent for long and returns those that fell silent.
+    pub fn expire(&mut self, now: time::Duration) -> Vec<sync::Arc<str>> {
+        let silent = |peer: &Peer| {
+            let heard = peer.said.as_ref().map(|(_, at)| *at);
+            heard.is_some_and(|at| now.saturating_sub(at) > SILENT_FOR)
+        };
+        let names: Vec<_> = self
+            .known
+            .iter()
+            .filter(|(_, peer)| silent(peer))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &names {
+            let Some(peer) = self.known.get_mut(name) else {
+                continue;
+            };
+            peer.said = None;
+            if !peer.in_store {
+                self.known.remove(name);
+            }
+        }
+        names
+    }
+
+    /// Returns where news go: to every host that is listed or was heard.
+    pub fn addresses(&self) -> impl Iterator<Item = net::SocketAddr> {
+        self.known.values().map(|peer| peer.listed.news)
+    }
+
+    /// Returns where callers may connect.
+    pub fn callers(&self) -> impl Iterator<Item = net::SocketAddr> {
+        let said = self.known.values().filter_map(|peer| {
+            let (said, _) = peer.said.as_ref()?;
+            said.takes_callers.then_some(peer.listed.callers)
+        });
+        said.into_iter()
+    }
+
+    /// Returns the names of hosts that were heard lately.
+    pub fn alive(&self) -> impl Iterator<Item = &sync::Arc<str>> {
+        let alive = self.known.iter().filter(|(_, peer)| peer.said.is_some());
+        alive.map(|(name, _)| name)
+    }
+
+    /// Returns the number of other hosts, counting those that are only listed.
+    pub fn count(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Returns the newest version of the configuration that another host has.
+    pub fn config_version(&self) -> u64 {
+        let versions = self.known.values().filter_map(|peer| peer.said.as_ref());
+        versions
+            .map(|(said, _)| said.config_version)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Returns the number of requests that wait for engines at other hosts.
+    pub fn waiting(&self) -> usize {
+        let said = self.known.values().filter_map(|peer| peer.said.as_ref());
+        said.map(|(said, _)| said.waiting as usize).sum()
+    }
+}
--- /dev/null
+++ b/lib/src/pool_balance.rs
@@ -0,0 +1,70 @@
+//! How many engines of a service read prompts, and which engine changes its stage next.
+//!
+//! Reading a prompt takes about a fortieth of the engine time that generating its answer takes, but
+//! the answer's memory is held for the whole of that time, so most engines generate. An order costs
+//! an engine several seconds, so the balance moves by one engine at a time and not for short swings.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use crate::backends;
+
+/// Share of a service's engines that read prompts. Two of nine engines read twice the prompts of a
+/// usual day, which covers its bursts.
+const PREFILL_SHARE: f64 = 0.22;
+/// How long an engine is left alone after an order.
+pub const SETTLE: time::Duration = time::Duration::from_secs(8);
+/// How long the number of engines must be off before an order is given while requests are served.
+pub const PERSISTS: time::Duration = time::Duration::from_millis(1_500);
+
+/// An order to change an engine's stage.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StageOrder {
+    /// The engine.
+    pub engine: sync::Arc<backends::Backend>,
+    /// The stage that it should have.
+    pub stage: backends::Stage,
+}
+
+/// Returns the number of engines that should read prompts.
+pub fn prefill_engines(engines: usize) -> usize {
+    if engines < 2 {
+        return 0;
+    }
+    let wanted = (engines as f64 * PREFILL_SHARE).round() as usize;
+    wanted.clamp(1, engines - 1)
+}
+
+/// Returns the order that brings the pool nearer to its balance. Engines in `recent` were given an
+/// order a moment ago and count as having the stage that they were told.
+pub fn next_order(
+    engines: &[sync::Arc<backends::Backend>],
+    recent: &collections::HashMap<sync::Arc<str>, backends::Stage>,
+) -> Option<StageOrder> {
+    let staged: Vec<_> = engines.iter().filter(|e| e.stage.is_some()).collect();
+    let stage_of = |e: &sync::Arc<backends::Backend>| recent.get(&e.id).copied().or(e.stage);
+    let reading = staged
+        .iter()
+        .filter(|e| stage_of(e) == Some(backends::Stage::Prefill))
+        .count();
+    let wanted = prefill_engines(staged.len());
+    let (from, to) = match reading.cmp(&wanted) {
+        std::cmp::Ordering::Equal => return None,
+        std::cmp::Ordering::Less => (backends::Stage::Decode, backends::Stage::Prefill),
+        std::cmp::Ordering::Greater => (backends::Stage::Prefill, backends::Stage::Decode),
+    };
+    let candidates = staged
+        .into_iter()
+        .filter(|e| e.stage == Some(from) && !recent.contains_key(&e.id));
+    // Prefill engines stay spread over availability zones: the zone with most of a stage gives one.
+    let in_zone = |zone: &str| {
+        let same = engines.iter().filter(|e| &*e.zone == zone);
+        same.filter(|e| stage_of(e) == Some(from)).count()
+    };
+    let chosen = candidates.max_by_key(|e| (in_zone(&e.zone), e.id.clone()))?;
+    Some(StageOrder {
+        engine: chosen.clone(),
+        stage: to,
+    })
+}
--- /dev/null
+++ b/lib/src/retry_share.rs
@@ -0,0 +1,71 @@
+//! A host's share of the retry budget that all hosts have together for a service.
+//!
+//! The budget of a service is a ratio of its requests plus a constant. Each host spends the ratio of
+//! the requests that it sent first itself, and its part of the constant, so that no messages are
+//! needed and the sum over all hosts stays within the whole.
+
+use std::collections;
+use std::time;
+
+const BUCKETS: usize = 12;
+/// Part of the budget that hosts spend; the rest covers hosts that others don't know yet.
+const SPENT_SHARE: f64 = 0.7;
+
+/// The budget as the deployment states it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed beside the ratio, for all hosts together.
+    pub slack: f64,
+    /// The window in which repeats and requests are counted.
+    pub window: time::Duration,
+}
+
+/// Repeats and first sends of one host to one service.
+#[derive(Clone, Debug, Default)]
+pub struct Share {
+    buckets: collections::VecDeque<(u64, u32, u32)>,
+}
+
+impl Share {
+    /// Notes a first send.
+    pub fn sent_first(&mut self, now: time::Duration, terms: &Terms) {
+        self.bucket(now, terms).1 += 1;
+    }
+
+    /// Returns whether a repeat is within the budget.
+    pub fn has_room(&self, now: time::Duration, terms: &Terms, hosts: usize) -> bool {
+        let oldest = index(now, terms).saturating_sub(BUCKETS as u64 - 1);
+        let recent = self.buckets.iter().filter(|(at, ..)| *at >= oldest);
+        let (firsts, repeats) =
+            recent.fold((0, 0), |(f, r), (_, first, again)| (f + first, r + again));
+        let slack = terms.slack / hosts.max(1) as f64;
+        let most = SPENT_SHARE * (terms.ratio * f64::from(firsts) + slack);
+        f64::from(repeats) + 1.0 <= most
+    }
+
+    /// Notes a repeat.
+    pub fn sent_again(&mut self, now: time::Duration, terms: &Terms) {
+        self.bucket(now, terms).2 += 1;
+    }
+
+    fn bucket(&mut self, now: time::Duration, terms: &Terms) -> &mut (u64, u32, u32) {
+        let at = index(now, terms);
+        if self.buckets.back().is_none_or(|(last, ..)| *last != at) {
+            self.buckets.push_back((at, 0, 0));
+        }
+        while self.buckets.len() > BUCKETS {
+            self.buckets.pop_front();
+        }
+        let last = self.buckets.len() - 1;
+        &mut self.buckets[last]
+    }
+}
+
+/// The window is divided into `BUCKETS` - 2 parts, so that the buckets together cover a little more
+/// than the window.
+fn index(now: time::Duration, terms: &Terms) -> u64 {
+    let part = terms.window.as_millis().max(1) as u64 / (BUCKETS as u64 - 2);
+    now.as_millis() as u64 / part.max(1)
+}
