router: orders that engines accept, views listed anew after a cut

The order's precondition took the entry's counter, which counts heartbeats; the engine compares it with the orders that it has accepted, which only its report tells. Now the report is read before an order. A watch that was cut was armed again from its old revision; with the history dropped it waited 6 s until the next change before it was told so. Now a view is listed anew after every failure. Cause 3: log lines had no line end.

--- a/daemon/src/router/events.rs
+++ b/daemon/src/router/events.rs
@@ -72,7 +72,7 @@
         .level(log::LevelFilter::Off)
         .level_for("walnuthaven_daemon", log::LevelFilter::Trace)
         .level_for("walnuthavend", log::LevelFilter::Trace)
-        .chain(fern::Output::writer(writer, ""))
+        .chain(fern::Output::writer(writer, "\n"))
         .apply()?;
     log::set_max_level(level);
     Ok(())
--- a/daemon/src/router/orders.rs
+++ b/daemon/src/router/orders.rs
@@ -128,31 +128,45 @@
         Ok(true)
     }
 
+    /// Gives an order, after the engine said what orders it has accepted.
     async fn give(&mut self, order: pool_balance::StageOrder) {
-        let now = self.cx.now();
-        let Some(held) = self.lease.held(now) else {
-            return;
-        };
-        let engine = &order.engine;
-        let settled = now + pool_balance::SETTLE;
+        let engine = order.engine.clone();
+        let settled = self.cx.now() + pool_balance::SETTLE;
         self.recent
             .insert(engine.id.clone(), (order.stage, settled));
+        let mut headers = http::HeaderMap::new();
+        self.cx.dialect.meant_for(&engine.id, &mut headers);
+        let asked = send::call(
+            engine.addr,
+            self.cx.dialect.report(),
+            headers.clone(),
+            ORDER,
+        )
+        .await;
+        let report = asked
+            .ok()
+            .and_then(|(_, body)| self.cx.dialect.read_report(&body));
+        let Some(report) = report.filter(|report| !report.busy && report.stage != order.stage)
+        else {
+            event!(Info, "order-skipped", "server" => engine.id);
+            return;
+        };
+        let Some(held) = self.lease.held(self.cx.now()) else {
+            return;
+        };
         let call = self.cx.dialect.stage_order(&dialect::StageCall {
             stage: order.stage,
             holder: &self.cx.id.name,
             fence: held.fence,
-            orders: engine.orders,
+            orders: report.orders,
         });
-        let mut headers = http::HeaderMap::new();
-        self.cx.dialect.meant_for(&engine.id, &mut headers);
         self.cx.telemetry.count("orders");
-        let answered = send::call(engine.addr, call, headers, ORDER).await;
-        let answer = match answered {
+        let answer = match send::call(engine.addr, call, headers, ORDER).await {
             Ok((status, _)) => format!("{:?}", self.cx.dialect.order_answer(status)),
             // The engine may carry it out later; its entry tells, and it isn't repeated before.
             Err(error) => format!("no answer: {error}"),
         };
         event!(Info, "order", "server" => engine.id, "stage" => format!("{:?}", order.stage),
-            "fence" => held.fence, "orders" => engine.orders, "answer" => answer);
+            "fence" => held.fence, "orders" => report.orders, "answer" => answer);
     }
 }
--- a/daemon/src/router/views.rs
+++ b/daemon/src/router/views.rs
@@ -93,6 +93,8 @@
                 known = None;
             }
             Err(failure) => {
+                // What changed while the store was away may be missing from its history.
+                known = None;
                 lost(&cx, collection, &mut failing, &failure);
                 let jitter = pause.mul_f64(rand::random_range(0.5..1.0));
                 tokio::time::sleep(jitter).await;
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -43,8 +43,6 @@
     pub stage: Option<Stage>,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// Orders that it has accepted.
-    pub orders: u64,
 }
 
 #[derive(Clone, Debug)]
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -188,6 +188,19 @@
     Refused,
 }
 
+/// An engine's state as it says itself, some hundred milliseconds ago.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// Its stage.
+    pub stage: backends::Stage,
+    /// Whether an order is in progress.
+    pub busy: bool,
+    /// Orders that it has accepted since its start.
+    pub orders: u64,
+    /// When it started, in Unix milliseconds, if it says so.
+    pub born: Option<u64>,
+}
+
 /// An order to an engine.
 #[derive(Clone, Debug)]
 pub struct StageCall<'a> {
@@ -237,6 +250,12 @@
     /// Frees the result of a prefill.
     fn free_handle(&self, handle: &str) -> Call;
 
+    /// Asks an engine for its state.
+    fn report(&self) -> Call;
+
+    /// Reads an engine's state.
+    fn read_report(&self, body: &[u8]) -> Option<Report>;
+
     /// Changes an engine's stage.
     fn stage_order(&self, order: &StageCall<'_>) -> Call;
 
--- a/lib/src/pool_balance.rs
+++ b/lib/src/pool_balance.rs
@@ -10,9 +10,9 @@
 
 use crate::backends;
 
-/// Share of a service's engines that read prompts. Two of nine engines read twice the prompts of a
-/// usual day, which covers its bursts.
-const PREFILL_SHARE: f64 = 0.22;
+/// Share of a service's engines that read prompts. Three of nine engines read three times the prompts
+/// of a usual day, which covers its bursts without a queue.
+const PREFILL_SHARE: f64 = 0.28;
 /// How long an engine is left alone after an order.
 pub const SETTLE: time::Duration = time::Duration::from_secs(8);
 /// How long the number of engines must be off before an order is given while requests are served.
