router: connect before a prompt is read, and tell hosts of failing servers

Ruled out: engine memory (predicted fill was below 70% at these refusals).

Change: the connection to the decode engine is opened before the prompt is read; a result outlives a decode engine of the wrong stage; a refusal makes an engine avoided for a time that doubles; news between hosts name avoided servers; an engine that was given an order is avoided while it changes; orders wait seven seconds while requests run, so that a short crash gives none; a failed connection counts neither as an attempt nor against the budget.

--- a/daemon/src/router/engine_path.rs
+++ b/daemon/src/router/engine_path.rs
@@ -12,6 +12,7 @@
 use crate::router::answer;
 use crate::router::context;
 use crate::router::events::event;
+use crate::router::pool;
 use crate::router::seats;
 use crate::router::send;
 
@@ -19,6 +20,10 @@
 const PREFILL_SLACK: time::Duration = time::Duration::from_millis(1_200);
 /// How long the first event of a stream that another server may run instead can be away.
 const FIRST_EVENT_SILENCE: time::Duration = time::Duration::from_millis(2_000);
+/// Servers that may turn out unreachable before a request is refused.
+const MAX_CONNECTS_FAILED: u32 = 4;
+/// Part of its life in which the result of a prefill is given to another engine.
+const FRESH_SHARE: f64 = 0.6;
 /// Longest time to free the result of a prefill.
 const FREE: time::Duration = time::Duration::from_secs(1);
 /// When callers come back after a server refused the request although room was predicted.
@@ -43,6 +48,7 @@
     /// Tokens generated so far.
     pub(crate) made: u32,
     may_have_run: bool,
+    connects_failed: u32,
     sent_once: bool,
     prefilled_once: bool,
     tried: Vec<sync::Arc<str>>,
@@ -62,9 +68,19 @@
     cx: sync::Arc<context::Router<D>>,
     server: sync::Arc<backends::Backend>,
     name: String,
+    made_at: time::Duration,
+    ttl: time::Duration,
     taken: bool,
 }
 
+impl<D: dialect::Dialect> Handle<D> {
+    /// Returns whether the result will still be there when another engine asks for it.
+    fn is_fresh(&self) -> bool {
+        let age = self.cx.now().saturating_sub(self.made_at);
+        age < self.ttl.mul_f64(FRESH_SHARE)
+    }
+}
+
 impl<D: dialect::Dialect> Drop for Handle<D> {
     fn drop(&mut self) {
         if self.taken {
@@ -97,6 +113,13 @@
     }
 }
 
+/// What became of a request to generate.
+enum Decoded<D: dialect::Dialect> {
+    Stream(send::Sent),
+    /// Nothing came; with the result of the prefill if it can still be used.
+    Failed(send::Unanswered, Option<Handle<D>>),
+}
+
 /// Why there is no stream.
 #[derive(Debug)]
 pub(crate) enum Ended {
@@ -125,6 +148,7 @@
             delivered: req.head.resume_after,
             made: 0,
             may_have_run: false,
+            connects_failed: 0,
             sent_once: false,
             prefilled_once: false,
             tried: Vec::new(),
@@ -150,33 +174,85 @@
 
     /// Opens the stream of the answer, or of its rest.
     pub(crate) async fn open(&mut self) -> Result<Opened<D>, Ended> {
+        let mut kept: Option<Handle<D>> = None;
         loop {
-            let (seat, placement) = self.seat().await.map_err(Ended::NoRoom)?;
-            let handle = match &placement.prefill {
-                None => None,
-                Some(server) => match self.prefill(server).await {
-                    Ok(handle) => Some(handle),
+            kept = kept.filter(|handle| handle.is_fresh());
+            let (seat, placement) = self.seat(kept.is_some()).await.map_err(Ended::NoRoom)?;
+            let server = placement.decode;
+            // Opened first, so that no prompt is read for a server that is gone.
+            let connection = match self.connect(&server, self.route.kind.may_run_again()).await {
+                Ok(connection) => connection,
+                Err(failed) => {
+                    self.unreachable(&server, failed)?;
+                    continue;
+                }
+            };
+            let handle = match (kept.take(), &placement.prefill) {
+                (Some(handle), _) => Some(handle),
+                (None, None) => None,
+                (None, Some(reader)) => match self.connect(reader, true).await {
                     Err(failed) => {
-                        self.after(server, failed, true)?;
+                        self.unreachable(reader, failed)?;
                         continue;
                     }
+                    Ok(reading) => match self.prefill(reader, reading).await {
+                        Ok(handle) => Some(handle),
+                        Err(failed) => {
+                            self.after(reader, failed, true)?;
+                            continue;
+                        }
+                    },
                 },
             };
-            let server = placement.decode;
-            match self.decode(&server, handle).await? {
-                Ok(sent) => return Ok(Opened { sent, server, seat }),
-                Err(failed) => self.after(&server, failed, false)?,
+            match self.decode(&server, connection, handle).await? {
+                Decoded::Stream(sent) => return Ok(Opened { sent, server, seat }),
+                Decoded::Failed(failed, handle) => {
+                    self.after(&server, failed, false)?;
+                    kept = handle;
+                }
             }
         }
     }
 
-    async fn seat(&self) -> Result<(seats::Seat<D>, engine_room::Placement), seats::NoRoom> {
+    async fn connect(
+        &self,
+        server: &backends::Backend,
+        repeatable: bool,
+    ) -> Result<pool::Connection, send::Unanswered> {
+        let options = send::Options {
+            until: self.until,
+            repeatable,
+        };
+        send::open(&self.cx, server, options).await
+    }
+
+    /// Notes that a server couldn't be reached: nothing was sent, so another may be tried.
+    fn unreachable(
+        &mut self,
+        server: &sync::Arc<backends::Backend>,
+        failed: send::Unanswered,
+    ) -> Result<(), Ended> {
+        self.connects_failed += 1;
+        event!(Info, "server-unreachable", "id" => self.id(), "server" => server.id,
+            "cause" => failed.cause);
+        self.cx.news_due.notify_one();
+        if self.connects_failed > MAX_CONNECTS_FAILED {
+            return Err(Ended::Unanswered(outcome::Next::RefuseUnrun, failed.cause));
+        }
+        Ok(())
+    }
+
+    async fn seat(
+        &self,
+        prompt_read: bool,
+    ) -> Result<(seats::Seat<D>, engine_room::Placement), seats::NoRoom> {
         let wish = seats::Wish {
             id: self.id(),
             service: &self.service,
             engines: &self.engines,
             priority: self.route.priority,
             need: seats::need_of(self.req.head.prompt.as_ref(), self.made),
+            prompt_read,
             first_event_by: self.arrived + self.route.target,
             until: self.until,
             tried: &self.tried,
@@ -188,6 +264,7 @@
     async fn prefill(
         &mut self,
         server: &sync::Arc<backends::Backend>,
+        connection: pool::Connection,
     ) -> Result<Handle<D>, send::Unanswered> {
         let cx = self.cx.clone();
         let started = cx.now();
@@ -220,7 +297,7 @@
             work: dialect::Work::Prefill,
             resume_after: self.resume_after(),
         };
-        let sent = send::send(&cx, &self.req, server, &sending, options).await?;
+        let sent = send::send(&cx, &self.req, server, connection, &sending, options).await?;
         let unrun = sent.head.unrun;
         let (status, _, body) = send::whole(&cx, sent, options.until).await?;
         let handle = cx.dialect.prefilled(&body).filter(|_| status.is_success());
@@ -234,22 +311,25 @@
         };
         let took = cx.now().saturating_sub(started);
         cx.telemetry.time("prefill", took);
+        context::lock(&cx.health).served(&server.id, cx.now());
         context::lock(&cx.room).prefill_took(need.prompt, ahead, took);
         Ok(Handle {
             cx: cx.clone(),
             server: server.clone(),
             name: handle.handle,
+            made_at: cx.now(),
+            ttl: self.engines.handle_ttl,
             taken: false,
         })
     }
 
-    /// Has an engine generate the answer. Returns the head of a stream, or a send that may be made
-    /// again elsewhere.
+    /// Has an engine generate the answer.
     async fn decode(
         &mut self,
         server: &sync::Arc<backends::Backend>,
+        connection: pool::Connection,
         mut handle: Option<Handle<D>>,
-    ) -> Result<Result<send::Sent, send::Unanswered>, Ended> {
+    ) -> Result<Decoded<D>, Ended> {
         let cx = self.cx.clone();
         let now = cx.now();
         if std::mem::replace(&mut self.sent_once, true) {
@@ -281,30 +361,31 @@
             work,
             resume_after: self.resume_after(),
         };
-        let sent = match send::send(&cx, &self.req, server, &sending, options).await {
+        let sent = match send::send(&cx, &self.req, server, connection, &sending, options).await {
             Ok(sent) => sent,
-            Err(failed) => return Ok(Err(failed)),
+            Err(failed) if failed.outcome.is_unrun() => return Ok(Decoded::Failed(failed, handle)),
+            Err(failed) => return Ok(Decoded::Failed(failed, None)),
         };
         if sent.status.is_success() && sent.head.signed && !sent.head.encoded {
+            context::lock(&cx.health).served(&server.id, cx.now());
             if let Some(handle) = &mut handle {
                 handle.taken = true;
+                context::lock(&cx.health).fetched(&handle.server.id);
             }
-            return Ok(Ok(sent));
+            return Ok(Decoded::Stream(sent));
         }
         let unrun = sent.head.unrun;
         let (status, headers, body) = match send::whole(&cx, sent, options.until).await {
             Ok(whole) => whole,
-            Err(failed) => return Ok(Err(failed)),
+            Err(failed) => return Ok(Decoded::Failed(failed, None)),
         };
         if unrun {
-            let outcome = outcome::Outcome::RefusedUnrun;
-            let cause = "engine refused";
-            return Ok(Err(send::Unanswered { outcome, cause }));
+            return Ok(self.refused(status, handle));
         }
         if status.is_success() || promises_unrun(status) {
             let outcome = outcome::Outcome::ServerFailed;
             let cause = "answer without signature";
-            return Ok(Err(send::Unanswered { outcome, cause }));
+            return Ok(Decoded::Failed(send::Unanswered { outcome, cause }, None));
         }
         event!(Info, "server-failed", "id" => self.id(), "server" => server.id,
             "status" => status.as_u16());
@@ -312,6 +393,22 @@
         Err(Ended::Answer(answer::whole(status, headers, body)))
     }
 
+    /// Tells apart an engine that isn't what it was taken for and one that couldn't get the result
+    /// of the prefill.
+    fn refused(&self, status: http::StatusCode, handle: Option<Handle<D>>) -> Decoded<D> {
+        let outcome = outcome::Outcome::RefusedUnrun;
+        if status == http::StatusCode::MISDIRECTED_REQUEST {
+            let cause = "another server or stage";
+            return Decoded::Failed(send::Unanswered { outcome, cause }, handle);
+        }
+        if let Some(handle) = &handle {
+            let now = self.cx.now();
+            context::lock(&self.cx.health).lapsed(&handle.server.id, now);
+        }
+        let cause = "engine refused";
+        Decoded::Failed(send::Unanswered { outcome, cause }, None)
+    }
+
     /// Decides what follows a send without an answer. Returns an error if nothing does.
     fn after(
         &mut self,
@@ -365,7 +462,8 @@
     ) {
         let mut health = context::lock(&self.cx.health);
         match failed.outcome {
-            outcome::Outcome::NeverWritten | outcome::Outcome::RefusedUnrun => {}
+            outcome::Outcome::NeverWritten => {}
+            outcome::Outcome::RefusedUnrun => health.refused(&server.id, now),
             outcome::Outcome::Silent | outcome::Outcome::BrokenBeforeAnswer => {
                 health.unreachable(&server.id, now);
             }
@@ -374,6 +472,7 @@
             }
         }
         drop(health);
+        self.cx.news_due.notify_one();
         if !self.tried.contains(&server.id) {
             self.tried.push(server.id.clone());
         }
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -18,6 +18,10 @@
 const GAP: time::Duration = time::Duration::from_millis(2);
 /// Most runs in a message, so that it stays within one packet.
 const MAX_RUNS: usize = 32;
+/// Most avoided servers in a message.
+const MAX_AVOIDED: usize = 16;
+/// A host that avoids more than this part of all servers has lost its own links.
+const TRUSTED_AVOIDED: usize = 3;
 const MAX_DATAGRAM: usize = 4_096;
 
 /// Starts to send and take news.
@@ -58,6 +62,14 @@
     let now = cx.now();
     let settings = cx.settings();
     let age = |at| clock::millis(now.saturating_sub(at)) as u32;
+    let avoided = context::lock(&cx.health)
+        .avoided(now)
+        .take(MAX_AVOIDED)
+        .map(|(server, left)| news::Avoided {
+            server: server.to_string(),
+            for_ms: clock::millis(left) as u32,
+        })
+        .collect();
     let waiting: usize = context::lock(&cx.queues)
         .values()
         .map(|queue| queue.len())
@@ -90,6 +102,7 @@
         waiting: waiting as u32,
         runs: runs.take(MAX_RUNS).collect(),
         prefills: prefills.take(MAX_RUNS).collect(),
+        avoided,
     }
 }
 
@@ -160,12 +173,30 @@
         (prefill.number, known)
     });
     context::lock(&cx.room).replace_host(&name, runs.collect(), prefills.collect());
+    take_avoided(cx, &message.avoided, now);
     cx.room_changed.notify_waiters();
     if message.config_version > cx.table().map_or(0, |table| table.version) {
         cx.table_outdated.notify_one();
     }
 }
 
+/// Avoids the servers that another host found failing, for at most as long as it does.
+fn take_avoided<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    avoided: &[news::Avoided],
+    now: time::Duration,
+) {
+    let servers = context::lock(&cx.servers).listed().count();
+    if avoided.len() * TRUSTED_AVOIDED > servers {
+        return;
+    }
+    let mut health = context::lock(&cx.health);
+    for entry in avoided {
+        let until = now + time::Duration::from_millis(entry.for_ms.into());
+        health.heard_avoided(&entry.server, until, now);
+    }
+}
+
 /// Drops hosts that fell silent, with what ran there: engines drop the requests of a host that is
 /// gone.
 pub(crate) fn expire<D: dialect::Dialect>(cx: &context::Router<D>) {
--- a/daemon/src/router/orders.rs
+++ b/daemon/src/router/orders.rs
@@ -62,7 +62,8 @@
             return;
         }
         let since = *self.wanted_since.get_or_insert(now);
-        if now.saturating_sub(since) < pool_balance::PERSISTS {
+        let busy = context::lock(&self.cx.room).has_runs();
+        if now.saturating_sub(since) < pool_balance::patience(busy) {
             return;
         }
         while let Some(order) = self.wanted() {
@@ -161,6 +162,9 @@
             orders: report.orders,
         });
         self.cx.telemetry.count("orders");
+        let away = self.cx.now() + pool_balance::SETTLE;
+        context::lock(&self.cx.health).avoid(&engine.id, away);
+        self.cx.news_due.notify_one();
         let answer = match send::call(engine.addr, call, headers, ORDER).await {
             Ok((status, _)) => format!("{:?}", self.cx.dialect.order_answer(status)),
             // The engine may carry it out later; its entry tells, and it isn't repeated before.
--- a/daemon/src/router/plain_path.rs
+++ b/daemon/src/router/plain_path.rs
@@ -49,22 +49,23 @@
         let cx = self.cx;
         let mut tried: Vec<sync::Arc<str>> = Vec::new();
         let mut may_have_run = false;
+        let mut sends = 0;
         let mut last_failure = None;
         loop {
             let Some(server) = self.choose(&tried) else {
                 return self.give_up(last_failure, may_have_run);
             };
-            self.count_send(!tried.is_empty());
             tried.push(server.id.clone());
-            let ended = match self.send(&server).await {
+            let ended = match self.send(&server, sends > 0).await {
                 Ok(answer) => return answer,
                 Err(ended) => ended,
             };
+            sends += u32::from(ended.failed.outcome != outcome::Outcome::NeverWritten);
             may_have_run |= !ended.failed.outcome.is_unrun();
             let now = cx.now();
             let terms = cx.settings().retry;
             let left = outcome::Left {
-                attempts: self.route.max_attempts.saturating_sub(tried.len() as u32),
+                attempts: self.route.max_attempts.saturating_sub(sends),
                 time: self.until.saturating_sub(now),
                 budget: cx.budgets.has_room(self.service, now, &terms, cx.hosts()),
             };
@@ -132,7 +133,7 @@
         answer::not_run(cause, wait.mul_f64(1.0 + rand::random::<f64>()))
     }
 
-    async fn send(&self, server: &backends::Backend) -> Result<answer::Answer, Ended> {
+    async fn send(&self, server: &backends::Backend, again: bool) -> Result<answer::Answer, Ended> {
         let cx = self.cx;
         let started = cx.now();
         let repeatable = self.route.kind.may_run_again();
@@ -149,7 +150,12 @@
             resume_after: None,
         };
         let options = send::Options { until, repeatable };
-        let sent = match send::send(cx, self.req, server, &sending, options).await {
+        let connection = match send::open(cx, server, options).await {
+            Ok(connection) => connection,
+            Err(failed) => return Err(self.unanswered(server, failed)),
+        };
+        self.count_send(again);
+        let sent = match send::send(cx, self.req, server, connection, &sending, options).await {
             Ok(sent) => sent,
             Err(failed) => return Err(self.unanswered(server, failed)),
         };
@@ -160,7 +166,7 @@
         };
         let took = cx.now().saturating_sub(started);
         let failed = status.is_server_error() || head.unrun;
-        context::lock(&cx.health).answered(&server.id, took, failed);
+        context::lock(&cx.health).answered(&server.id, took, failed, cx.now());
         cx.telemetry.time("plain.answer", took);
         let ended = |outcome, cause, answer| Ended {
             failed: send::Unanswered { outcome, cause },
--- a/daemon/src/router/seats.rs
+++ b/daemon/src/router/seats.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::engine_room;
 use walnuthaven_lib::routing;
@@ -87,6 +88,8 @@
     pub(crate) priority: u8,
     /// What it needs.
     pub(crate) need: engine_room::Need,
+    /// Whether its prompt has been read.
+    pub(crate) prompt_read: bool,
     /// When its first event should come.
     pub(crate) first_event_by: time::Duration,
     /// When its final answer is due.
@@ -184,17 +187,22 @@
     let untried = usable
         .into_iter()
         .filter(|server| !wish.tried.contains(&server.id));
+    let lapses = |server: &backends::Backend| {
+        let reads = server.stage == Some(backends::Stage::Prefill);
+        reads && health.is_lapsing(&server.id, now)
+    };
     let engines: Vec<_> = untried
-        .filter(|server| !health.is_avoided(&server.id, now))
+        .filter(|server| !health.is_avoided(&server.id, now) && !lapses(server))
         .collect();
     drop(health);
     let limits = engine_room::Limits {
         memory_tokens: wish.engines.memory_tokens,
         slots: wish.engines.slots,
-        prefill_within: wish
-            .first_event_by
-            .saturating_sub(now + FIRST_EVENT)
-            .max(context::lock(&cx.room).reading_time(wish.need.prompt) + FIRST_EVENT),
+        prefill_within: (!wish.prompt_read).then(|| {
+            let least = context::lock(&cx.room).reading_time(wish.need.prompt) + FIRST_EVENT;
+            let left = wish.first_event_by.saturating_sub(now + FIRST_EVENT);
+            left.max(least)
+        }),
     };
     let mut room = context::lock(&cx.room);
     let placement = room.place(&engines, wish.need, limits, &cx.settings().zone, now)?;
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -19,7 +19,7 @@
 
 /// Longest time to open a connection to a server. Servers are a millisecond away and take one for
 /// opening; a lost packet costs a second, which is better spent at another server.
-const CONNECT: time::Duration = time::Duration::from_millis(400);
+const CONNECT: time::Duration = time::Duration::from_millis(150);
 /// A request that may not be repeated goes out on a connection that was used a moment ago, or on a
 /// new one, since a server may have dropped one that was idle.
 const REUSE_UNREPEATABLE: time::Duration = time::Duration::from_millis(800);
@@ -81,15 +81,15 @@
     pub(crate) repeatable: bool,
 }
 
-/// Sends a request to a server and waits for the head of the answer.
+/// Sends a request on a connection and waits for the head of the answer.
 pub(crate) async fn send<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     req: &Received,
     server: &backends::Backend,
+    mut connection: pool::Connection,
     sending: &dialect::Sending<'_>,
     options: Options,
 ) -> Result<Sent, Unanswered> {
-    let mut connection = open(cx, server, options).await?;
     let sent = time_left(cx, options.until);
     let head = http::Request::builder().method(req.method.clone());
     let mut message = head
@@ -140,7 +140,8 @@
     unanswered(outcome::Outcome::BrokenBeforeAnswer, cause)
 }
 
-async fn open<D: dialect::Dialect>(
+/// Takes a connection to a server from the pool, or opens one.
+pub(crate) async fn open<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     server: &backends::Backend,
     options: Options,
--- a/daemon/src/router/views.rs
+++ b/daemon/src/router/views.rs
@@ -286,6 +286,10 @@
     ) {
         cx.pool.forget(&server.id);
     }
+    if matches!(change, backends::Change::Updated(_)) {
+        // What was seen of it may have been another stage.
+        context::lock(&cx.health).forget(&server.id);
+    }
     if let backends::Change::Restarted(_) = change {
         context::lock(&cx.health).forget(&server.id);
         context::lock(&cx.room).forget_engine(&server.id);
--- a/lib/src/engine_room.rs
+++ b/lib/src/engine_room.rs
@@ -97,8 +97,8 @@
     pub memory_tokens: u32,
     /// Requests that one engine runs at once.
     pub slots: u32,
-    /// Longest time until the prompt must be read.
-    pub prefill_within: time::Duration,
+    /// Longest time until the prompt must be read; `None` if it has been.
+    pub prefill_within: Option<time::Duration>,
 }
 
 /// The shared view of engines.
@@ -222,6 +222,11 @@
         own.map(|((_, number), prefill)| (*number, prefill))
     }
 
+    /// Returns whether anything runs on any engine.
+    pub fn has_runs(&self) -> bool {
+        !self.runs.is_empty()
+    }
+
     /// Returns the time of one token.
     pub fn token_time(&self) -> time::Duration {
         time::Duration::from_secs_f64(self.token_time)
@@ -277,12 +282,13 @@
                 &*e.zone != zone,
             )
         });
-        let prefill = prefills.first().copied();
-        if let Some(prefill) = prefill {
-            let backlog = self.prefill_backlog(&prefill.id, now);
-            if backlog + self.reading_time(need.prompt) > limits.prefill_within {
+        let mut prefill = None;
+        if let (Some(within), Some(first)) = (limits.prefill_within, prefills.first()) {
+            let backlog = self.prefill_backlog(&first.id, now);
+            if backlog + self.reading_time(need.prompt) > within {
                 return Err(Full::Prompts(backlog));
             }
+            prefill = Some(*first);
         }
         let near = prefill.map_or(zone, |p| &*p.zone);
         let mut decodes = engines
--- a/lib/src/pool_balance.rs
+++ b/lib/src/pool_balance.rs
@@ -15,8 +15,18 @@
 const PREFILL_SHARE: f64 = 0.28;
 /// How long an engine is left alone after an order.
 pub const SETTLE: time::Duration = time::Duration::from_secs(8);
-/// How long the number of engines must be off before an order is given while requests are served.
-pub const PERSISTS: time::Duration = time::Duration::from_millis(1_500);
+/// How long the number of engines must be off before an order is given while nothing runs.
+const PERSISTS_IDLE: time::Duration = time::Duration::from_millis(1_500);
+/// The same while requests run: crashed engines are back after a few seconds.
+const PERSISTS: time::Duration = time::Duration::from_secs(7);
+
+/// Returns how long the number of engines must be off before an order is given.
+pub fn patience(requests_run: bool) -> time::Duration {
+    match requests_run {
+        true => PERSISTS,
+        false => PERSISTS_IDLE,
+    }
+}
 
 /// An order to change an engine's stage.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/lib/src/server_health.rs
+++ b/lib/src/server_health.rs
@@ -20,8 +20,20 @@
 const AVOID: time::Duration = time::Duration::from_millis(500);
 /// The longest such time; a crashed server is back after a few seconds.
 const MAX_AVOID: time::Duration = time::Duration::from_secs(2);
+/// Doublings of a time for which a server is avoided.
+const MAX_DOUBLINGS: u32 = 4;
+/// How long an engine that refused a request gets none; doubled with each further refusal.
+const REFUSING: time::Duration = time::Duration::from_millis(250);
+/// The longest such time: an engine changes its stage in some seconds.
+const MAX_REFUSING: time::Duration = time::Duration::from_secs(4);
+/// How long results of an engine that lapsed before they were fetched aren't trusted; doubled.
+const LAPSING: time::Duration = time::Duration::from_millis(300);
+/// The longest such time.
+const MAX_LAPSING: time::Duration = time::Duration::from_secs(2);
 /// Factor on the cost of a server in another availability zone.
 const FAR: f64 = 1.2;
+/// How long an answer that this host got goes before what other hosts say of the server.
+const TRUST_OWN: time::Duration = time::Duration::from_secs(1);
 /// How long connections to a server that sent bytes for another request aren't used again.
 const UNTRUSTED_FOR: time::Duration = time::Duration::from_secs(10);
 
@@ -31,7 +43,12 @@
     latency_ms: f64,
     failures: f64,
     unreachable: u32,
+    refusals: u32,
+    lapses: u32,
     avoid_until: time::Duration,
+    lapsing_until: time::Duration,
+    heard_until: time::Duration,
+    served_at: time::Duration,
     untrusted_until: time::Duration,
 }
 
@@ -42,7 +59,12 @@
             latency_ms: INITIAL_LATENCY_MS,
             failures: 0.0,
             unreachable: 0,
+            refusals: 0,
+            lapses: 0,
             avoid_until: time::Duration::ZERO,
+            lapsing_until: time::Duration::ZERO,
+            heard_until: time::Duration::ZERO,
+            served_at: time::Duration::ZERO,
             untrusted_until: time::Duration::ZERO,
         }
     }
@@ -74,14 +96,77 @@
     }
 
     /// Notes an answer, good or bad.
-    pub fn answered(&mut self, id: &str, took: time::Duration, failed: bool) {
+    pub fn answered(&mut self, id: &str, took: time::Duration, failed: bool, now: time::Duration) {
+        self.served(id, now);
         let seen = self.of(id);
         seen.latency_ms += LEARNING * (took.as_secs_f64() * 1_000.0 - seen.latency_ms);
         seen.failures += LEARNING * (f64::from(u8::from(failed)) - seen.failures);
+    }
+
+    /// Notes that an engine did what it was asked.
+    pub fn served(&mut self, id: &str, now: time::Duration) {
+        let seen = self.of(id);
+        seen.served_at = now;
+        seen.heard_until = time::Duration::ZERO;
         seen.unreachable = 0;
+        seen.refusals = 0;
         seen.avoid_until = time::Duration::ZERO;
     }
 
+    /// Notes that an engine refused a request that was placed there: its view of itself differs.
+    pub fn refused(&mut self, id: &str, now: time::Duration) {
+        let seen = self.of(id);
+        let wait = doubled(REFUSING, seen.refusals, MAX_REFUSING);
+        seen.refusals += 1;
+        seen.avoid_until = seen.avoid_until.max(now + wait);
+    }
+
+    /// Notes that a server gets no requests until a time.
+    pub fn avoid(&mut self, id: &str, until: time::Duration) {
+        let seen = self.of(id);
+        seen.avoid_until = seen.avoid_until.max(until);
+    }
+
+    /// Notes that another host avoids a server until a time. What this host found itself goes first.
+    pub fn heard_avoided(&mut self, id: &str, until: time::Duration, now: time::Duration) {
+        let seen = self.of(id);
+        if seen.avoid_until <= now && seen.served_at + TRUST_OWN < now {
+            seen.heard_until = until;
+        }
+    }
+
+    /// Notes that the result of a prefill was gone when it was fetched.
+    pub fn lapsed(&mut self, id: &str, now: time::Duration) {
+        let seen = self.of(id);
+        let wait = doubled(LAPSING, seen.lapses, MAX_LAPSING);
+        seen.lapses += 1;
+        seen.lapsing_until = now + wait;
+    }
+
+    /// Notes that the result of a prefill was fetched.
+    pub fn fetched(&mut self, id: &str) {
+        self.of(id).lapses = 0;
+    }
+
+    /// Returns whether results of prefills on the engine lapse.
+    pub fn is_lapsing(&self, id: &str, now: time::Duration) -> bool {
+        self.seen
+            .get(id)
+            .is_some_and(|seen| now < seen.lapsing_until)
+    }
+
+    /// Returns the servers that get no requests for now, and for how long.
+    pub fn avoided(
+        &self,
+        now: time::Duration,
+    ) -> impl Iterator<Item = (&sync::Arc<str>, time::Duration)> {
+        let avoided = self
+            .seen
+            .iter()
+            .filter(move |(_, seen)| now < seen.avoid_until);
+        avoided.map(move |(id, seen)| (id, seen.avoid_until - now))
+    }
+
     /// Notes that the server fell silent or broke off, though it could be reached.
     pub fn broke_off(&mut self, id: &str) {
         let seen = self.of(id);
@@ -91,9 +176,9 @@
     /// Notes that the server couldn't be reached, or isn't there any more.
     pub fn unreachable(&mut self, id: &str, now: time::Duration) {
         let seen = self.of(id);
-        let wait = AVOID * 2_u32.pow(seen.unreachable.min(4));
+        let wait = doubled(AVOID, seen.unreachable, MAX_AVOID);
         seen.unreachable += 1;
-        seen.avoid_until = now + wait.min(MAX_AVOID);
+        seen.avoid_until = seen.avoid_until.max(now + wait);
         seen.failures += LEARNING * (1.0 - seen.failures);
     }
 
@@ -111,7 +196,8 @@
 
     /// Returns whether the server should get no requests for now.
     pub fn is_avoided(&self, id: &str, now: time::Duration) -> bool {
-        self.seen.get(id).is_some_and(|seen| now < seen.avoid_until)
+        let seen = self.seen.get(id);
+        seen.is_some_and(|seen| now < seen.avoid_until.max(seen.heard_until))
     }
 
     /// Forgets a server.
@@ -151,3 +237,7 @@
         far * seen.latency_ms.max(1.0) * (1.0 + waiting) * failing
     }
 }
+
+fn doubled(first: time::Duration, times: u32, most: time::Duration) -> time::Duration {
+    (first * 2_u32.pow(times.min(MAX_DOUBLINGS))).min(most)
+}
