lib: predict answer lengths from estimates and earlier answers; balance pools by memory

And three engines that read prompts are too few or too many by site: an engine's decode rate goes with its memory.

Ruled out: a longer wait (requests that wait 3 s are then overtaken and refused); a lower fill for all (empties co-op engines, whose runs average out).

Change: `answer_lengths` weighs the estimate against the lengths seen by how far each was off; `pool_balance` takes the number of reading engines with which both stages serve most.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic;
 use std::time;
 
+use walnuthaven_lib::answer_lengths;
 use walnuthaven_lib::backends;
 use walnuthaven_lib::clock;
 use walnuthaven_lib::clock::Clock as _;
@@ -44,6 +45,8 @@
     pub(crate) room: sync::Mutex<engine_room::Room>,
     /// Requests that wait for engines, by service.
     pub(crate) queues: sync::Mutex<collections::HashMap<sync::Arc<str>, waiting::Queue>>,
+    /// Lengths of answers, by service.
+    pub(crate) lengths: sync::Mutex<collections::HashMap<sync::Arc<str>, answer_lengths::Lengths>>,
     /// Wakes requests that wait for engines.
     pub(crate) room_changed: tokio::sync::Notify,
     /// Wakes the sender of news.
@@ -82,6 +85,7 @@
             health: sync::Mutex::default(),
             room: sync::Mutex::default(),
             queues: sync::Mutex::default(),
+            lengths: sync::Mutex::default(),
             room_changed: tokio::sync::Notify::new(),
             news_due: tokio::sync::Notify::new(),
             table_outdated: tokio::sync::Notify::new(),
--- a/daemon/src/router/engine_path.rs
+++ b/daemon/src/router/engine_path.rs
@@ -124,7 +124,7 @@
 #[derive(Debug)]
 pub(crate) enum Ended {
     /// The answer that the caller gets.
-    Answer(answer::Answer),
+    Answer(Box<answer::Answer>),
     /// The request ends without an answer of a server.
     Unanswered(outcome::Next, &'static str),
     /// No room.
@@ -214,6 +214,11 @@
         }
     }
 
+    fn need(&self) -> engine_room::Need {
+        let prompt = self.req.head.prompt.as_ref();
+        seats::need_of(&self.cx, &self.service.name, prompt, self.made)
+    }
+
     async fn connect(
         &self,
         server: &backends::Backend,
@@ -251,7 +256,7 @@
             service: &self.service,
             engines: &self.engines,
             priority: self.route.priority,
-            need: seats::need_of(self.req.head.prompt.as_ref(), self.made),
+            need: self.need(),
             prompt_read,
             first_event_by: self.arrived + self.route.target,
             until: self.until,
@@ -268,7 +273,7 @@
     ) -> Result<Handle<D>, send::Unanswered> {
         let cx = self.cx.clone();
         let started = cx.now();
-        let need = seats::need_of(self.req.head.prompt.as_ref(), self.made);
+        let need = self.need();
         let key = (cx.own.clone(), cx.next_number());
         let (ahead, reading) = {
             let mut room = context::lock(&cx.room);
@@ -390,7 +395,9 @@
         event!(Info, "server-failed", "id" => self.id(), "server" => server.id,
             "status" => status.as_u16());
         let headers = cx.dialect.caller_headers(&headers);
-        Err(Ended::Answer(answer::whole(status, headers, body)))
+        Err(Ended::Answer(Box::new(answer::whole(
+            status, headers, body,
+        ))))
     }
 
     /// Tells apart an engine that isn't what it was taken for and one that couldn't get the result
@@ -493,7 +500,7 @@
     /// Makes the answer to a request that ended without a stream.
     pub(crate) fn final_answer(&self, ended: Ended) -> answer::Answer {
         match ended {
-            Ended::Answer(answer) => answer,
+            Ended::Answer(answer) => *answer,
             Ended::NoRoom(no_room) if !self.may_have_run => {
                 answer::not_run(no_room.cause, no_room.retry_after)
             }
--- a/daemon/src/router/events.rs
+++ b/daemon/src/router/events.rs
@@ -81,15 +81,14 @@
 /// Logs an event with its fields: `event!(Info, "place", "id" => id, "server" => server)`. Values are
 /// written as JSON.
 macro_rules! event {
-    ($level:ident, $name:literal $(, $key:literal => $value:expr)* $(,)?) => {
+    ($level:ident, $name:literal $(, $key:literal => $value:expr)+ $(,)?) => {
         if log::log_enabled!(log::Level::$level) {
             log::log!(log::Level::$level, "\"event\":\"{}\"{}", $name, {
-                #[allow(unused_mut, reason = "an event may have no fields")]
                 let mut fields = String::new();
                 $(
                     fields.push_str(concat!(",\"", $key, "\":"));
                     fields.push_str(&$crate::router::events::json(&$value));
-                )*
+                )+
                 fields
             });
         }
--- a/daemon/src/router/orders.rs
+++ b/daemon/src/router/orders.rs
@@ -82,11 +82,12 @@
             .iter()
             .map(|(id, (stage, _))| (id.clone(), *stage));
         let recent = recent.collect();
-        let services = table.services().filter(|service| service.engines.is_some());
         let servers = context::lock(&self.cx.servers);
-        services
-            .map(|service| servers.usable(&service.name, now))
-            .find_map(|engines| pool_balance::next_order(&engines, &recent))
+        table.services().find_map(|service| {
+            let memory = service.engines.as_ref()?.memory_tokens;
+            let engines = servers.usable(&service.name, now);
+            pool_balance::next_order(&engines, memory, &recent)
+        })
     }
 
     /// Takes or renews the lease. Returns whether this host holds it.
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -61,7 +61,10 @@
         let server = opened.server.clone();
         let end = part(&mut journey, opened, &tx).await;
         let failed = match end {
-            PartEnd::Complete => return finish(&journey, "complete", ""),
+            PartEnd::Complete => {
+                learn_length(&journey);
+                return finish(&journey, "complete", "");
+            }
             PartEnd::CallerLeft => return finish(&journey, "caller left", ""),
             PartEnd::Broken(failed) => failed,
         };
@@ -85,6 +88,18 @@
     }
 }
 
+/// Notes the length of a whole answer.
+fn learn_length<D: dialect::Dialect>(journey: &engine_path::Journey<D>) {
+    let Some(prompt) = &journey.req.head.prompt else {
+        return;
+    };
+    if journey.req.head.resume_after.is_none() {
+        let mut lengths = context::lock(&journey.cx.lengths);
+        let seen = lengths.entry(journey.service.name.clone()).or_default();
+        seen.seen(journey.made, prompt.output_hint);
+    }
+}
+
 async fn break_off<D: dialect::Dialect>(
     journey: &engine_path::Journey<D>,
     tx: &Caller,
--- a/daemon/src/router/seats.rs
+++ b/daemon/src/router/seats.rs
@@ -99,12 +99,21 @@
 }
 
 /// Returns what a request needs. `made` tokens were generated before an interruption.
-pub(crate) fn need_of(prompt: Option<&dialect::Prompt>, made: u32) -> engine_room::Need {
+pub(crate) fn need_of<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    service: &str,
+    prompt: Option<&dialect::Prompt>,
+    made: u32,
+) -> engine_room::Need {
+    let lengths = context::lock(&cx.lengths)
+        .get(service)
+        .copied()
+        .unwrap_or_default();
     let (tokens, most, hint) = match prompt {
         Some(prompt) => (prompt.tokens, prompt.max_output, prompt.output_hint),
         None => (0, DEFAULT_OUTPUT, None),
     };
-    let output = hint.unwrap_or(most).min(most).max(1);
+    let output = lengths.predict(hint, most);
     engine_room::Need {
         prompt: tokens.saturating_add(made),
         output: output.saturating_sub(made).max(output / 5).max(1),
--- a/lib/src/pool_balance.rs
+++ b/lib/src/pool_balance.rs
@@ -10,9 +10,18 @@
 
 use crate::backends;
 
-/// Share of a service's engines that read prompts. Three of nine engines read three times the prompts
-/// of a usual day, which covers its bursts without a queue.
-const PREFILL_SHARE: f64 = 0.28;
+/// Prompt tokens of a typical request: the briefs and summaries of both users.
+const TYPICAL_PROMPT: f64 = 5_200.0;
+/// Tokens of its answer.
+const TYPICAL_OUTPUT: f64 = 4_900.0;
+/// Seconds that a token of the answer takes on a full engine.
+const TOKEN_S: f64 = 0.000_75;
+/// Prompt tokens that an engine reads a second.
+const READ_PER_S: f64 = 55_000.0;
+/// Part of the time that engines which read prompts may be busy before requests queue there.
+const READING_LOAD: f64 = 0.85;
+/// Part of an engine's memory that runs fill.
+const MEMORY_FILL: f64 = 0.88;
 /// How long an engine is left alone after an order.
 pub const SETTLE: time::Duration = time::Duration::from_secs(8);
 /// How long the number of engines must be off before an order is given while nothing runs.
@@ -37,19 +46,29 @@
     pub stage: backends::Stage,
 }
 
-/// Returns the number of engines that should read prompts.
-pub fn prefill_engines(engines: usize) -> usize {
+/// Returns the number of engines that should read prompts: the one with which the pool serves most
+/// requests, as both stages bound it.
+pub fn prefill_engines(engines: usize, memory_tokens: u32) -> usize {
     if engines < 2 {
         return 0;
     }
-    let wanted = (engines as f64 * PREFILL_SHARE).round() as usize;
-    wanted.clamp(1, engines - 1)
+    let read = READ_PER_S * READING_LOAD / TYPICAL_PROMPT;
+    let held = (TYPICAL_PROMPT + TYPICAL_OUTPUT / 2.0) * TYPICAL_OUTPUT * TOKEN_S;
+    let generated = f64::from(memory_tokens) * MEMORY_FILL / held;
+    let served = |reading: usize| {
+        let generating = (engines - reading) as f64;
+        (read * reading as f64).min(generated * generating)
+    };
+    let all = 1..engines;
+    all.max_by(|a, b| served(*a).total_cmp(&served(*b)).then(b.cmp(a)))
+        .unwrap_or(1)
 }
 
 /// Returns the order that brings the pool nearer to its balance. Engines in `recent` were given an
 /// order a moment ago and count as having the stage that they were told.
 pub fn next_order(
     engines: &[sync::Arc<backends::Backend>],
+    memory_tokens: u32,
     recent: &collections::HashMap<sync::Arc<str>, backends::Stage>,
 ) -> Option<StageOrder> {
     let staged: Vec<_> = engines.iter().filter(|e| e.stage.is_some()).collect();
@@ -58,7 +77,7 @@
         .iter()
         .filter(|e| stage_of(e) == Some(backends::Stage::Prefill))
         .count();
-    let wanted = prefill_engines(staged.len());
+    let wanted = prefill_engines(staged.len(), memory_tokens);
     let (from, to) = match reading.cmp(&wanted) {
         std::cmp::Ordering::Equal => return None,
         std::cmp::Ordering::Less => (backends::Stage::Decode, backends::Stage::Prefill),
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -70,7 +70,7 @@
     /// Returns the service for a request. `point` is a uniform random number.
     pub fn service(&self, point: u32) -> Option<&sync::Arc<str>> {
         let total: u64 = self.shares.iter().map(|s| u64::from(s.weight)).sum();
-        let mut left = u64::from(point) * total >> 32;
+        let mut left = (u64::from(point) * total) >> 32;
         for share in &self.shares {
             if left < u64::from(share.weight) {
                 return Some(&share.service);
