router: speeds by engine, learned from all hosts' news; hosts are listed, not watched

Change: hosts are listed after the own entry is written and then learn of each other by news; changes of servers gather for 250 ms before the next watch; speeds of prefill and decode are kept by engine and learned from the progress that news carry; the choice among decode engines is spread by request; a waiting request staggers by the number that wait elsewhere.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -51,6 +51,8 @@
     pub(crate) room_changed: tokio::sync::Notify,
     /// Wakes the sender of news.
     pub(crate) news_due: tokio::sync::Notify,
+    /// Tells that the host's entry was written.
+    pub(crate) registered: tokio::sync::Notify,
     /// Asks for the configuration to be read again.
     pub(crate) table_outdated: tokio::sync::Notify,
     /// Retry budgets.
@@ -88,6 +90,7 @@
             lengths: sync::Mutex::default(),
             room_changed: tokio::sync::Notify::new(),
             news_due: tokio::sync::Notify::new(),
+            registered: tokio::sync::Notify::new(),
             table_outdated: tokio::sync::Notify::new(),
             budgets: budget::Budgets::default(),
             pool: pool::Pool::default(),
--- a/daemon/src/router/engine_path.rs
+++ b/daemon/src/router/engine_path.rs
@@ -103,11 +103,13 @@
 struct Reading<'a, D: dialect::Dialect> {
     cx: &'a context::Router<D>,
     key: engine_room::Key,
+    read: bool,
 }
 
 impl<D: dialect::Dialect> Drop for Reading<'_, D> {
     fn drop(&mut self) {
-        context::lock(&self.cx.room).remove_prefill(&self.key);
+        let now = self.cx.now();
+        context::lock(&self.cx.room).remove_prefill(&self.key, self.read, now);
         self.cx.room_changed.notify_waiters();
         self.cx.news_due.notify_one();
     }
@@ -275,7 +277,7 @@
         let started = cx.now();
         let need = self.need();
         let key = (cx.own.clone(), cx.next_number());
-        let (ahead, reading) = {
+        let (ahead, own) = {
             let mut room = context::lock(&cx.room);
             let ahead = room.prefill_backlog(&server.id, started);
             let prefill = engine_room::Prefill {
@@ -283,12 +285,16 @@
                 tokens: need.prompt,
                 since: started,
             };
-            room.add_prefill(key.clone(), prefill);
-            (ahead, room.reading_time(need.prompt))
+            room.add_prefill(key.clone(), prefill, started);
+            (ahead, room.reading_time_on(&server.id, need.prompt))
         };
         cx.news_due.notify_one();
-        let _reading = Reading { cx: &cx, key };
-        let latest = started + (ahead + reading) * 2 + PREFILL_SLACK;
+        let mut reading = Reading {
+            cx: &cx,
+            key,
+            read: false,
+        };
+        let latest = started + (ahead + own) * 2 + PREFILL_SLACK;
         if std::mem::replace(&mut self.prefilled_once, true) {
             self.count_repeat();
         }
@@ -317,7 +323,7 @@
         let took = cx.now().saturating_sub(started);
         cx.telemetry.time("prefill", took);
         context::lock(&cx.health).served(&server.id, cx.now());
-        context::lock(&cx.room).prefill_took(need.prompt, ahead, took);
+        reading.read = true;
         Ok(Handle {
             cx: cx.clone(),
             server: server.clone(),
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -172,7 +172,7 @@
         };
         (prefill.number, known)
     });
-    context::lock(&cx.room).replace_host(&name, runs.collect(), prefills.collect());
+    context::lock(&cx.room).replace_host(&name, runs.collect(), prefills.collect(), now);
     take_avoided(cx, &message.avoided, now);
     cx.room_changed.notify_waiters();
     if message.config_version > cx.table().map_or(0, |table| table.version) {
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -100,6 +100,7 @@
         tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
         pause = (pause * 2).min(LONGEST_ENTRY_PAUSE);
     }
+    cx.registered.notify_one();
     event!(Info, "entry-written", "host" => cx.id.to_string());
 }
 
--- a/daemon/src/router/seats.rs
+++ b/daemon/src/router/seats.rs
@@ -17,9 +17,11 @@
 const FIRST_EVENT: time::Duration = time::Duration::from_millis(200);
 /// How often a waiting request looks again when nothing was heard: predictions move with time.
 const LOOK_AGAIN: time::Duration = time::Duration::from_millis(40);
-/// A host waits up to this time before it takes room that another host gave back, so that hosts with
-/// waiting requests don't all take the same room.
-const STAGGER: time::Duration = time::Duration::from_millis(6);
+/// Room that was given back is taken after a random time of up to this for each request that waits
+/// elsewhere, so that they don't all take the same room before they hear of each other.
+const STAGGER: time::Duration = time::Duration::from_millis(4);
+/// Waiting requests for which the time grows.
+const MOST_STAGGERED: usize = 12;
 /// When callers come back while no engine is usable: about the time in which a server restarts.
 const NO_ENGINE: time::Duration = time::Duration::from_millis(1_500);
 /// Length of an answer in tokens if its request names none.
@@ -177,7 +179,9 @@
         let again = tokio::time::sleep(LOOK_AGAIN.min(entry.until.saturating_sub(now)));
         tokio::select! {
             () = changed => {
-                tokio::time::sleep(STAGGER.mul_f64(rand::random::<f64>())).await;
+                let others = 1 + context::lock(&cx.peers).waiting().min(MOST_STAGGERED);
+                let longest = STAGGER * others as u32;
+                tokio::time::sleep(longest.mul_f64(rand::random::<f64>())).await;
             }
             () = again => {}
         }
@@ -214,7 +218,14 @@
         }),
     };
     let mut room = context::lock(&cx.room);
-    let placement = room.place(&engines, wish.need, limits, &cx.settings().zone, now)?;
+    let placement = room.place(
+        &engines,
+        wish.need,
+        limits,
+        &cx.settings().zone,
+        wish.id,
+        now,
+    )?;
     if !first {
         // Others wait longer for the same room.
         return Err(engine_room::Full::Memory(time::Duration::ZERO));
--- a/daemon/src/router/views.rs
+++ b/daemon/src/router/views.rs
@@ -21,6 +21,15 @@
 /// Longest pause: short against the two seconds in which a configuration must be in force.
 const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(700);
 
+/// How often the hosts are listed again. They learn of each other by news: a new host lists them after
+/// its own entry was written, so that of two new hosts one finds the other, and sends it news.
+const HOSTS_EVERY: time::Duration = time::Duration::from_secs(40);
+/// How long changes of backend servers gather before the next are asked for, so that many changes at
+/// once cost few calls. Short against the two seconds in which a leaving server must be left alone.
+const GATHER_SERVERS: time::Duration = time::Duration::from_millis(250);
+/// The same for the configuration.
+const GATHER_CONFIGURATION: time::Duration = time::Duration::from_millis(40);
+
 /// How long another host may be ahead until the configuration is read again: a watch that works
 /// brings it within milliseconds.
 const BEHIND: time::Duration = time::Duration::from_millis(300);
@@ -63,19 +72,28 @@
                     let (objects, revision) = client.list(collection).await?;
                     back(&cx, collection, &mut failing);
                     take_all(&cx, collection, objects, revision);
-                    Ok(revision)
+                    Ok(Some(revision))
+                }
+                Some(_) if collection == dialect::Collection::Hosts => {
+                    let pause = HOSTS_EVERY.mul_f64(rand::random_range(0.5..1.0));
+                    tokio::select! {
+                        () = tokio::time::sleep(pause) => {}
+                        () = cx.registered.notified() => {}
+                    }
+                    Ok(None)
                 }
                 Some(revision) => {
+                    tokio::time::sleep(gather(collection)).await;
                     let changes = client.watch(collection, revision).await?;
                     back(&cx, collection, &mut failing);
                     for change in &changes.changes {
                         take(&cx, collection, change);
                     }
-                    Ok(changes.revision)
+                    Ok(Some(changes.revision))
                 }
             }
         };
-        let ended: Result<u64, store::Failure> = tokio::select! {
+        let ended: Result<Option<u64>, store::Failure> = tokio::select! {
             ended = step => ended,
             () = outdated(&cx, collection) => {
                 known = None;
@@ -85,7 +103,7 @@
         };
         match ended {
             Ok(revision) => {
-                known = Some(revision);
+                known = revision;
                 pause = FIRST_PAUSE;
             }
             Err(store::Failure::Status(dialect::StoreStatus::HistoryGone)) => {
@@ -120,6 +138,13 @@
     }
 }
 
+fn gather(collection: dialect::Collection) -> time::Duration {
+    match collection {
+        dialect::Collection::Configuration => GATHER_CONFIGURATION,
+        _ => GATHER_SERVERS,
+    }
+}
+
 fn name(collection: dialect::Collection) -> &'static str {
     match collection {
         dialect::Collection::Configuration => "configuration",
@@ -211,11 +236,10 @@
                 server_changed(cx, change);
             }
         }
-        dialect::Collection::Hosts => match host(cx, object) {
-            Some(entry) if !change.removed => context::lock(&cx.peers).list(entry),
-            _ => context::lock(&cx.peers).unlist(&object.name),
-        },
-        dialect::Collection::Configuration | dialect::Collection::Leases => {}
+        // Hosts are listed, not watched.
+        dialect::Collection::Configuration
+        | dialect::Collection::Hosts
+        | dialect::Collection::Leases => {}
     }
 }
 
--- a/lib/src/engine_room.rs
+++ b/lib/src/engine_room.rs
@@ -15,18 +15,23 @@
 use std::time;
 
 use crate::backends;
+use crate::rendezvous;
 
 /// Part of an engine's memory that predictions may fill. Lengths are predicted with an error of
 /// about half their size; over the dozen runs of an engine it averages out to about a tenth.
 const FILL: f64 = 0.90;
+/// Reading times that differ by less count as equal.
+const ABOUT_EQUAL_MS: u128 = 20;
 /// Part of its predicted output that a run is expected to go on for when it has passed it.
 const OVERRUN: f64 = 0.2;
 /// Weight of a new sample in learned speeds.
-const LEARNING: f64 = 0.1;
+const LEARNING: f64 = 0.2;
 /// Time of one token until one was measured.
 const INITIAL_TOKEN_TIME: time::Duration = time::Duration::from_micros(800);
 /// Prompt tokens a millisecond until a prefill was measured.
 const INITIAL_PREFILL_RATE: f64 = 50.0;
+/// Weight of a new sample in the speed of engines that weren't measured.
+const LEARNING_USUAL: f64 = 0.02;
 /// Bounds of measured prefill rates in tokens a millisecond; others are artefacts of faults.
 const PREFILL_RATES: std::ops::Range<f64> = 5.0..500.0;
 /// Bounds of measured token times in seconds; longer ones are pauses, not steps.
@@ -61,6 +66,31 @@
     pub since: time::Duration,
 }
 
+/// A prompt being read, with the predicted time of those before it.
+#[derive(Clone, Debug)]
+struct Queued {
+    prefill: Prefill,
+    ahead: time::Duration,
+}
+
+/// Measured speeds of one engine.
+#[derive(Clone, Copy, Debug)]
+struct Speed {
+    /// Seconds of one token.
+    token_time: f64,
+    /// Prompt tokens a millisecond.
+    prefill_rate: f64,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self {
+            token_time: INITIAL_TOKEN_TIME.as_secs_f64(),
+            prefill_rate: INITIAL_PREFILL_RATE,
+        }
+    }
+}
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need {
@@ -102,23 +132,13 @@
 }
 
 /// The shared view of engines.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Room {
     runs: collections::HashMap<Key, Run>,
-    prefills: collections::HashMap<Key, Prefill>,
-    token_time: f64,
-    prefill_rate: f64,
-}
-
-impl Default for Room {
-    fn default() -> Self {
-        Self {
-            runs: collections::HashMap::new(),
-            prefills: collections::HashMap::new(),
-            token_time: INITIAL_TOKEN_TIME.as_secs_f64(),
-            prefill_rate: INITIAL_PREFILL_RATE,
-        }
-    }
+    prefills: collections::HashMap<Key, Queued>,
+    speeds: collections::HashMap<sync::Arc<str>, Speed>,
+    /// The speed of engines that weren't measured yet.
+    usual: Speed,
 }
 
 /// Memory and remaining output of a run at one moment, in tokens.
@@ -144,50 +164,104 @@
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
-        let tokens = made.saturating_sub(run.made);
-        if run.made > 0 && tokens > 0 {
-            let sample = now.saturating_sub(run.at).as_secs_f64() / f64::from(tokens);
-            if TOKEN_TIMES.contains(&sample) {
-                self.token_time += LEARNING * (sample - self.token_time);
-            }
-        }
+        let old = run.clone();
         run.made = made;
         run.at = now;
+        self.learn_token_time(&old, made, now);
+    }
+
+    fn learn_token_time(&mut self, old: &Run, made: u32, now: time::Duration) {
+        let tokens = made.saturating_sub(old.made);
+        if old.made == 0 || tokens == 0 {
+            return;
+        }
+        let sample = now.saturating_sub(old.at).as_secs_f64() / f64::from(tokens);
+        if !TOKEN_TIMES.contains(&sample) {
+            return;
+        }
+        let usual = &mut self.usual.token_time;
+        *usual += LEARNING_USUAL * (sample - *usual);
+        let speed = self.speeds.entry(old.engine.clone()).or_insert(self.usual);
+        speed.token_time += LEARNING * (sample - speed.token_time);
     }
 
     /// Notes that an engine reads a prompt.
-    pub fn add_prefill(&mut self, key: Key, prefill: Prefill) {
-        self.prefills.insert(key, prefill);
+    pub fn add_prefill(&mut self, key: Key, prefill: Prefill, now: time::Duration) {
+        let ahead = self.prefill_backlog(&prefill.engine, now);
+        self.prefills.insert(key, Queued { prefill, ahead });
     }
 
-    /// Notes that a prompt was read, or given up. Returns whether it was known.
-    pub fn remove_prefill(&mut self, key: &Key) -> bool {
-        self.prefills.remove(key).is_some()
+    /// Notes that a prompt is read no further. `read` says whether it was read to its end.
+    pub fn remove_prefill(&mut self, key: &Key, read: bool, now: time::Duration) {
+        if let Some(queued) = self.prefills.remove(key)
+            && read
+        {
+            self.learn_prefill_rate(&queued, now);
+        }
     }
 
-    /// Learns from a prefill that took `took` when `ahead` was the predicted time of those before.
-    pub fn prefill_took(&mut self, tokens: u32, ahead: time::Duration, took: time::Duration) {
-        let work = f64::from(tokens) + ahead.as_secs_f64() * 1_000.0 * self.prefill_rate;
-        let sample = work / (took.as_secs_f64() * 1_000.0).max(0.1);
-        if PREFILL_RATES.contains(&sample) {
-            self.prefill_rate += LEARNING * (sample - self.prefill_rate);
+    fn learn_prefill_rate(&mut self, queued: &Queued, now: time::Duration) {
+        let Prefill {
+            engine,
+            tokens,
+            since,
+        } = &queued.prefill;
+        let speed = self.speed(engine);
+        let work = f64::from(*tokens) + queued.ahead.as_secs_f64() * 1_000.0 * speed.prefill_rate;
+        let took = now.saturating_sub(*since).as_secs_f64() * 1_000.0;
+        let sample = work / took.max(0.1);
+        if !PREFILL_RATES.contains(&sample) {
+            return;
         }
+        let usual = &mut self.usual.prefill_rate;
+        *usual += LEARNING_USUAL * (sample - *usual);
+        let speed = self.speeds.entry(engine.clone()).or_insert(self.usual);
+        speed.prefill_rate += LEARNING * (sample - speed.prefill_rate);
     }
 
-    /// Replaces everything known of another host's runs and prefills.
+    fn speed(&self, engine: &str) -> Speed {
+        self.speeds.get(engine).copied().unwrap_or(self.usual)
+    }
+
+    /// Replaces everything known of another host's runs and prefills, and learns from their progress.
     pub fn replace_host(
         &mut self,
         host: &str,
         runs: Vec<(u64, Run)>,
         prefills: Vec<(u64, Prefill)>,
+        now: time::Duration,
     ) {
-        self.forget_host(host);
         let host: sync::Arc<str> = host.into();
+        let mut old_runs = collections::HashMap::new();
+        self.runs.retain(|(owner, number), run| {
+            let other = *owner != host;
+            if !other {
+                old_runs.insert(*number, run.clone());
+            }
+            other
+        });
         for (number, run) in runs {
+            if let Some(old) = old_runs.get(&number) {
+                self.learn_token_time(old, run.made, run.at);
+            }
             self.runs.insert((host.clone(), number), run);
         }
+        let gone: Vec<_> = self
+            .prefills
+            .keys()
+            .filter(|(owner, number)| {
+                *owner == host && !prefills.iter().any(|(known, _)| known == number)
+            })
+            .cloned()
+            .collect();
+        for key in gone {
+            self.remove_prefill(&key, true, now);
+        }
         for (number, prefill) in prefills {
-            self.prefills.insert((host.clone(), number), prefill);
+            let key = (host.clone(), number);
+            if !self.prefills.contains_key(&key) {
+                self.add_prefill(key, prefill, now);
+            }
         }
     }
 
@@ -201,7 +275,8 @@
     pub fn forget_engine(&mut self, engine: &str) {
         self.runs.retain(|_, run| &*run.engine != engine);
         self.prefills
-            .retain(|_, prefill| &*prefill.engine != engine);
+            .retain(|_, queued| &*queued.prefill.engine != engine);
+        self.speeds.remove(engine);
     }
 
     /// Returns the runs of one host.
@@ -219,7 +294,7 @@
             .prefills
             .iter()
             .filter(move |((owner, _), _)| &**owner == host);
-        own.map(|((_, number), prefill)| (*number, prefill))
+        own.map(|((_, number), queued)| (*number, &queued.prefill))
     }
 
     /// Returns whether anything runs on any engine.
@@ -227,25 +302,32 @@
         !self.runs.is_empty()
     }
 
-    /// Returns the time of one token.
+    /// Returns the usual time of one token.
     pub fn token_time(&self) -> time::Duration {
-        time::Duration::from_secs_f64(self.token_time)
+        time::Duration::from_secs_f64(self.usual.token_time)
     }
 
-    /// Returns the time that an engine needs for a prompt of its own.
+    /// Returns the time that an engine usually needs for a prompt.
     pub fn reading_time(&self, tokens: u32) -> time::Duration {
-        time::Duration::from_secs_f64(f64::from(tokens) / self.prefill_rate / 1_000.0)
+        reading_time(self.usual, tokens)
+    }
+
+    /// Returns the time that a certain engine needs for a prompt.
+    pub fn reading_time_on(&self, engine: &str, tokens: u32) -> time::Duration {
+        reading_time(self.speed(engine), tokens)
     }
 
     /// Returns the time until an engine has read the prompts that it has now.
     pub fn prefill_backlog(&self, engine: &str, now: time::Duration) -> time::Duration {
-        let own = self.prefills.values().filter(|p| &*p.engine == engine);
+        let speed = self.speed(engine);
+        let queued = self.prefills.values().map(|queued| &queued.prefill);
+        let own = queued.filter(|prefill| &*prefill.engine == engine);
         let mut queue: Vec<_> = own.map(|p| (p.since, p.tokens)).collect();
         queue.sort_unstable();
         let end = queue
             .into_iter()
             .fold(time::Duration::ZERO, |end, (since, tokens)| {
-                end.max(since) + self.reading_time(tokens)
+                end.max(since) + reading_time(speed, tokens)
             });
         end.saturating_sub(now)
     }
@@ -258,7 +340,8 @@
             .count()
     }
 
-    /// Places a request. `zone` is preferred where the rest is equal.
+    /// Places a request. `zone` is preferred where the rest is equal. `salt` differs between requests,
+    /// so that hosts which place at the same moment don't choose the same engine.
     ///
     /// # Errors
     ///
@@ -269,6 +352,7 @@
         need: Need,
         limits: Limits,
         zone: &str,
+        salt: &str,
         now: time::Duration,
     ) -> Result<Placement, Full> {
         let is = |stage| move |e: &&sync::Arc<backends::Backend>| e.stage == Some(stage);
@@ -276,17 +360,14 @@
             .iter()
             .filter(is(backends::Stage::Prefill))
             .collect();
-        prefills.sort_by_key(|e| {
-            (
-                self.prefill_backlog(&e.id, now).as_millis(),
-                &*e.zone != zone,
-            )
-        });
+        let read_after = |e: &backends::Backend| {
+            self.prefill_backlog(&e.id, now) + self.reading_time_on(&e.id, need.prompt)
+        };
+        prefills.sort_by_key(|e| (read_after(e).as_millis() / ABOUT_EQUAL_MS, &*e.zone != zone));
         let mut prefill = None;
         if let (Some(within), Some(first)) = (limits.prefill_within, prefills.first()) {
-            let backlog = self.prefill_backlog(&first.id, now);
-            if backlog + self.reading_time(need.prompt) > within {
-                return Err(Full::Prompts(backlog));
+            if read_after(first) > within {
+                return Err(Full::Prompts(self.prefill_backlog(&first.id, now)));
             }
             prefill = Some(*first);
         }
@@ -302,8 +383,12 @@
                 continue;
             };
             let far = u64::from(&*engine.zone != near) * u64::from(limits.memory_tokens) / 4;
-            if best.is_none_or(|(least, _)| peak + far < least) {
-                best = Some((peak + far, engine));
+            let slow = self.speed(&engine.id).token_time / self.usual.token_time;
+            let spread =
+                rendezvous::score(&engine.id, salt) % (u64::from(limits.memory_tokens) / 8);
+            let cost = ((peak + far) as f64 * slow.max(1.0)) as u64 + spread;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, engine));
             }
         }
         if !any {
@@ -335,10 +420,11 @@
     }
 
     fn growths(&self, engine: &str, now: time::Duration) -> Vec<Growth> {
+        let token_time = self.speed(engine).token_time;
         let runs = self.runs.values().filter(|run| &*run.engine == engine);
         runs.map(|run| {
             let since = now.saturating_sub(run.at).as_secs_f64();
-            let made = u64::from(run.made) + (since / self.token_time) as u64;
+            let made = u64::from(run.made) + (since / token_time) as u64;
             let made = made.min(u64::from(run.output).max(u64::from(run.made)));
             let least = (f64::from(run.output) * OVERRUN) as u64;
             Growth {
@@ -366,10 +452,14 @@
             steps_until_room(&runs, need, limits)
         });
         let steps = waits.min().unwrap_or_default();
-        time::Duration::from_secs_f64(steps as f64 * self.token_time)
+        time::Duration::from_secs_f64(steps as f64 * self.usual.token_time)
     }
 }
 
+fn reading_time(speed: Speed, tokens: u32) -> time::Duration {
+    time::Duration::from_secs_f64(f64::from(tokens) / speed.prefill_rate / 1_000.0)
+}
+
 fn fillable(limits: Limits) -> u64 {
     (f64::from(limits.memory_tokens) * FILL) as u64
 }
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -82,11 +82,6 @@
         }
     }
 
-    /// Takes the removal of an entry: the host leaves.
-    pub fn unlist(&mut self, name: &str) {
-        self.known.remove(name);
-    }
-
     /// Takes news from a host. Returns whether they are newer than what was known.
     pub fn hear(&mut self, entry: Listed, said: Said, now: time::Duration) -> bool {
         let fresh = match self.known.get(&entry.name) {
