router: late requests yield to those of other hosts; hosts take turns for the lease

Cause: on the grown sites each of 64 or 70 hosts has one or two requests that wait, so the order "on time first" held within a host only, and after each burst the late ones of all hosts filled the room that fresh ones needed (p50 of the first event 768 ms). All hosts asked for the lease each half second while an order was wanted. A prefill that an engine doesn't finish was waited for 1.2 s.

--- a/daemon/src/router/engine_path.rs
+++ b/daemon/src/router/engine_path.rs
@@ -17,7 +17,7 @@
 use crate::router::send;
 
 /// A prefill that takes this much longer than predicted has failed.
-const PREFILL_SLACK: time::Duration = time::Duration::from_millis(1_200);
+const PREFILL_SLACK: time::Duration = time::Duration::from_millis(600);
 /// How long the first event of a stream that another server may run instead can be away.
 const FIRST_EVENT_SILENCE: time::Duration = time::Duration::from_millis(2_000);
 /// Servers that may turn out unreachable before a request is refused.
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -70,10 +70,12 @@
             for_ms: clock::millis(left) as u32,
         })
         .collect();
-    let waiting: usize = context::lock(&cx.queues)
-        .values()
-        .map(|queue| queue.len())
-        .sum();
+    let (waiting, on_time) = {
+        let queues = context::lock(&cx.queues);
+        let waiting: usize = queues.values().map(|queue| queue.len()).sum();
+        let on_time: usize = queues.values().map(|queue| queue.ahead(now)).sum();
+        (waiting, on_time)
+    };
     let room = context::lock(&cx.room);
     let runs = room.runs_of(&cx.own).map(|(number, run)| news::Run {
         number,
@@ -100,6 +102,7 @@
         takes_callers: cx.takes_callers(),
         config_version: cx.table().map_or(0, |table| table.version),
         waiting: waiting as u32,
+        waiting_on_time: on_time as u32,
         runs: runs.take(MAX_RUNS).collect(),
         prefills: prefills.take(MAX_RUNS).collect(),
         avoided,
@@ -148,6 +151,7 @@
         takes_callers: message.takes_callers,
         config_version: message.config_version,
         waiting: message.waiting,
+        waiting_on_time: message.waiting_on_time,
     };
     let fresh = context::lock(&cx.peers).hear(listed, said, now);
     if !fresh {
--- a/daemon/src/router/orders.rs
+++ b/daemon/src/router/orders.rs
@@ -9,6 +9,7 @@
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::lease;
 use walnuthaven_lib::pool_balance;
+use walnuthaven_lib::rendezvous;
 
 use crate::router::context;
 use crate::router::events::event;
@@ -19,6 +20,10 @@
 const LOOK: time::Duration = time::Duration::from_millis(500);
 /// Longest time for an engine to answer an order.
 const ORDER: time::Duration = time::Duration::from_secs(1);
+/// How long each host has before the next one in turn asks for the lease.
+const TURN: time::Duration = time::Duration::from_secs(3);
+/// Hosts that are told apart by their turn.
+const MOST_TURNS: usize = 3;
 /// The lease of all orders.
 const LEASE: &str = "engine-orders";
 
@@ -63,7 +68,7 @@
         }
         let since = *self.wanted_since.get_or_insert(now);
         let busy = context::lock(&self.cx.room).has_runs();
-        if now.saturating_sub(since) < pool_balance::patience(busy) {
+        if now.saturating_sub(since) < pool_balance::patience(busy) + self.turn() {
             return;
         }
         while let Some(order) = self.wanted() {
@@ -74,6 +79,16 @@
         }
     }
 
+    /// Returns how long this host leaves an order to the one whose turn it is, so that not all hosts
+    /// ask for the lease at once.
+    fn turn(&self) -> time::Duration {
+        let peers = context::lock(&self.cx.peers);
+        let names = peers.alive().map(|name| &**name).chain([&*self.cx.id.name]);
+        let ranked = rendezvous::ranked(LEASE, names, MOST_TURNS);
+        let own = ranked.iter().position(|name| **name == *self.cx.id.name);
+        TURN * own.unwrap_or(MOST_TURNS) as u32
+    }
+
     fn wanted(&self) -> Option<pool_balance::StageOrder> {
         let table = self.cx.table()?;
         let now = self.cx.now();
--- a/daemon/src/router/seats.rs
+++ b/daemon/src/router/seats.rs
@@ -155,8 +155,14 @@
         let now = cx.now();
         let first = {
             let queues = context::lock(&cx.queues);
-            queues.get(service).and_then(|queue| queue.first(now)) == Some(number)
+            queues
+                .get(service)
+                .and_then(|queue| queue.first(now))
+                .is_some_and(|first| first == number)
         };
+        // A late request leaves room to those of other hosts that can still be on time.
+        let yields = entry.start_by < now && context::lock(&cx.peers).on_time_wait();
+        let first = first && !yields;
         let full = match first || !looked {
             false => None,
             true => match try_place(cx, wish, number, now, first) {
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -37,6 +37,8 @@
     pub config_version: u64,
     /// Requests that wait there for engines.
     pub waiting: u32,
+    /// Those of them that can still be answered within their target.
+    pub waiting_on_time: u32,
 }
 
 /// A host.
@@ -165,6 +167,12 @@
             .unwrap_or(0)
     }
 
+    /// Returns whether requests that can be answered within their target wait at other hosts.
+    pub fn on_time_wait(&self) -> bool {
+        let mut said = self.known.values().filter_map(|peer| peer.said.as_ref());
+        said.any(|(said, _)| said.waiting_on_time > 0)
+    }
+
     /// Returns the number of requests that wait for engines at other hosts.
     pub fn waiting(&self) -> usize {
         let said = self.known.values().filter_map(|peer| peer.said.as_ref());
