--- /dev/null
+++ b/lib/tests/engine_placement.rs
@@ -0,0 +1,212 @@
+//! Placement on engines, replayed on a model of decode memory under a burst.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use walnuthaven_lib::backends;
+use walnuthaven_lib::engine_room;
+
+const MEMORY: u32 = 106_284;
+const STEP: time::Duration = time::Duration::from_micros(800);
+const LIMITS: engine_room::Limits = engine_room::Limits {
+    memory_tokens: MEMORY,
+    slots: 64,
+    prefill_within: Some(time::Duration::from_millis(700)),
+};
+
+fn ms(ms: u64) -> time::Duration {
+    time::Duration::from_millis(ms)
+}
+
+fn engine(id: &str, stage: backends::Stage) -> sync::Arc<backends::Backend> {
+    sync::Arc::new(backends::Backend {
+        id: id.into(),
+        born: None,
+        service: "scribe".into(),
+        addr: "127.0.0.1:80".parse().unwrap(),
+        zone: "z".into(),
+        draining: false,
+        stage: Some(stage),
+        slots: 64,
+    })
+}
+
+fn pool() -> Vec<sync::Arc<backends::Backend>> {
+    let reading = (0..3).map(|i| engine(&format!("p{i}"), backends::Stage::Prefill));
+    let generating = (0..6).map(|i| engine(&format!("d{i}"), backends::Stage::Decode));
+    reading.chain(generating).collect()
+}
+
+fn need(prompt: u32, output: u32) -> engine_room::Need {
+    engine_room::Need { prompt, output }
+}
+
+fn run_on(
+    placement: &engine_room::Placement,
+    need: engine_room::Need,
+    at: time::Duration,
+) -> engine_room::Run {
+    engine_room::Run {
+        engine: placement.decode.id.clone(),
+        prompt: need.prompt,
+        output: need.output,
+        made: 0,
+        at,
+    }
+}
+
+/// A burst of twice the usual requests for four seconds. Runs are as long as predicted, all hosts
+/// share the view: the engines' memory must never run out, and stay in use.
+#[test]
+fn a_burst_never_fills_memory_beyond_its_end() {
+    let engines = pool();
+    let mut room = engine_room::Room::default();
+    let mut running: collections::HashMap<u64, (engine_room::Run, time::Duration)> =
+        collections::HashMap::new();
+    let mut placed = 0;
+    let mut highest = 0;
+    for i in 0..100_u64 {
+        let now = ms(i * 40);
+        running.retain(|number, (run, start)| {
+            let lives = now < *start + STEP * run.output;
+            if !lives {
+                room.remove_run(&("h".into(), *number));
+            }
+            lives
+        });
+        let need = need(
+            2_000 + (i as u32 * 977) % 6_000,
+            1_500 + (i as u32 * 733) % 7_000,
+        );
+        let salt = i.to_string();
+        if let Ok(placement) = room.place(&engines, need, LIMITS, "z", &salt, now) {
+            let run = run_on(&placement, need, now);
+            room.add_run(("h".into(), i), run.clone());
+            running.insert(i, (run, now));
+            placed += 1;
+        }
+        for engine in &engines {
+            let held: u64 = running
+                .values()
+                .filter(|(run, _)| run.engine == engine.id)
+                .map(|(run, start)| {
+                    let made = (now - *start).as_secs_f64() / STEP.as_secs_f64();
+                    u64::from(run.prompt) + made as u64
+                })
+                .sum();
+            highest = highest.max(held);
+            assert!(
+                held <= u64::from(MEMORY),
+                "{} holds {held} tokens",
+                engine.id
+            );
+        }
+    }
+    assert!(
+        highest > u64::from(MEMORY) * 6 / 10,
+        "memory stood empty: {highest}"
+    );
+    assert!(placed > 60, "only {placed} of 100 were placed");
+}
+
+#[test]
+fn a_full_pool_tells_when_room_comes() {
+    let engines = vec![
+        engine("p", backends::Stage::Prefill),
+        engine("d", backends::Stage::Decode),
+    ];
+    let mut room = engine_room::Room::default();
+    let big = need(30_000, 50_000);
+    let placement = room.place(&engines, big, LIMITS, "z", "a", ms(0));
+    let placement = placement.expect("an empty engine takes what it can hold");
+    room.add_run(("h".into(), 1), run_on(&placement, big, ms(0)));
+    let full = room.place(&engines, big, LIMITS, "z", "b", ms(0));
+    let wait = match full {
+        Err(engine_room::Full::Memory(wait)) => wait,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(wait, STEP * 50_000);
+    room.forget_engine("d");
+    assert!(room.place(&engines, big, LIMITS, "z", "b", ms(0)).is_ok());
+}
+
+#[test]
+fn prompts_go_where_they_are_read_first() {
+    let engines = pool();
+    let mut room = engine_room::Room::default();
+    for (i, tokens) in [(0, 20_000), (1, 5_000), (2, 30_000)] {
+        let prefill = engine_room::Prefill {
+            engine: format!("p{i}").into(),
+            tokens,
+            since: ms(0),
+        };
+        room.add_prefill(("other".into(), i), prefill, ms(0));
+    }
+    let placed = room.place(&engines, need(1_000, 100), LIMITS, "z", "a", ms(0));
+    let reader = placed.unwrap().prefill.unwrap();
+    assert_eq!(&*reader.id, "p1");
+    room.forget_host("other");
+    assert_eq!(room.prefill_backlog("p2", ms(0)), time::Duration::ZERO);
+}
+
+#[test]
+fn a_prompt_that_cannot_be_read_in_time_is_told() {
+    let engines = vec![
+        engine("p", backends::Stage::Prefill),
+        engine("d", backends::Stage::Decode),
+    ];
+    let mut room = engine_room::Room::default();
+    let prefill = engine_room::Prefill {
+        engine: "p".into(),
+        tokens: 50_000,
+        since: ms(0),
+    };
+    room.add_prefill(("h".into(), 1), prefill, ms(0));
+    let full = room.place(&engines, need(1_000, 100), LIMITS, "z", "a", ms(0));
+    assert!(
+        matches!(full, Err(engine_room::Full::Prompts(_))),
+        "{full:?}"
+    );
+    let without = engine_room::Limits {
+        prefill_within: None,
+        ..LIMITS
+    };
+    let placed = room.place(&engines, need(1_000, 100), without, "z", "a", ms(0));
+    assert!(placed.unwrap().prefill.is_none());
+}
+
+#[test]
+fn a_slow_engine_is_learned_from_another_hosts_news() {
+    let engines = pool();
+    let mut room = engine_room::Room::default();
+    for i in 1..60_u32 {
+        let now = ms(u64::from(i) * 400);
+        let runs = (0..6).map(|number| {
+            // The first engine makes a token in 4 ms, the others in 0.8 ms.
+            let made = if number == 0 { i * 100 } else { i * 500 };
+            let engine = format!("d{number}").into();
+            let run = engine_room::Run {
+                engine,
+                prompt: 10,
+                output: 30_000,
+                made,
+                at: now,
+            };
+            (number, run)
+        });
+        room.replace_host("other", runs.collect(), Vec::new(), now);
+    }
+    room.forget_host("other");
+    for i in 0..50 {
+        let placed = room.place(
+            &engines,
+            need(5_000, 5_000),
+            LIMITS,
+            "z",
+            &i.to_string(),
+            ms(30_000),
+        );
+        assert_ne!(&*placed.unwrap().decode.id, "d0");
+    }
+}
--- /dev/null
+++ b/lib/tests/peer_news.rs
@@ -0,0 +1,68 @@
+//! What a host believes of others: news in any order, restarts, silence.
+
+use std::time;
+
+use walnuthaven_lib::peers;
+
+fn at(ms: u64) -> time::Duration {
+    time::Duration::from_millis(ms)
+}
+
+fn listed(incarnation: u64) -> peers::Listed {
+    peers::Listed {
+        name: "b".into(),
+        incarnation,
+        callers: "127.0.0.1:1".parse().unwrap(),
+        news: "127.0.0.1:2".parse().unwrap(),
+    }
+}
+
+fn said(sequence: u64) -> peers::Said {
+    peers::Said {
+        sequence,
+        takes_callers: true,
+        config_version: 4,
+        waiting: 2,
+        waiting_on_time: 0,
+    }
+}
+
+#[test]
+fn a_listed_host_is_told_to_callers_once_it_was_heard() {
+    let mut peers = peers::Peers::default();
+    peers.replace_listed(vec![listed(1)]);
+    assert_eq!((peers.count(), peers.callers().count()), (1, 0));
+    assert_eq!(peers.addresses().count(), 1);
+    assert!(peers.hear(listed(1), said(1), at(0)));
+    assert_eq!(peers.callers().count(), 1);
+}
+
+#[test]
+fn older_news_and_older_runs_change_nothing() {
+    let mut peers = peers::Peers::default();
+    assert!(peers.hear(listed(5), said(7), at(0)));
+    assert!(!peers.hear(listed(5), said(6), at(1)));
+    assert!(!peers.hear(listed(4), said(100), at(1)));
+    peers.replace_listed(vec![listed(4)]);
+    assert!(peers.hear(listed(6), said(1), at(2)));
+    assert_eq!(peers.config_version(), 4);
+}
+
+#[test]
+fn a_silent_host_is_told_to_nobody_but_counts_while_it_is_listed() {
+    let mut peers = peers::Peers::default();
+    peers.replace_listed(vec![listed(1)]);
+    peers.hear(listed(1), said(1), at(0));
+    assert!(peers.expire(peers::SILENT_FOR).is_empty());
+    assert_eq!(peers.expire(peers::SILENT_FOR + at(1)), ["b".into()]);
+    assert_eq!((peers.count(), peers.callers().count()), (1, 0));
+    assert!(peers.hear(listed(1), said(2), at(5_000)));
+    peers.replace_listed(Vec::new());
+    assert_eq!(
+        peers.count(),
+        1,
+        "a host that is heard counts though it isn't listed"
+    );
+    peers.expire(at(9_000));
+    assert_eq!(peers.count(), 0);
+}
--- /dev/null
+++ b/lib/tests/waiting_order.rs
@@ -0,0 +1,77 @@
+//! Which waiting request goes next, replayed over a burst.
+
+use std::time;
+
+use walnuthaven_lib::waiting;
+
+fn ms(ms: u64) -> time::Duration {
+    time::Duration::from_millis(ms)
+}
+
+fn entry(number: u64, arrived: u64) -> waiting::Entry {
+    waiting::Entry {
+        number,
+        priority: 1,
+        start_by: ms(arrived + 600),
+        until: ms(arrived + 4_000),
+    }
+}
+
+/// Requests arrive every 40 ms and one starts every 60 ms, for five seconds: in order of arrival all
+/// but the first second's would start late.
+#[test]
+fn most_requests_of_a_burst_start_in_time() {
+    let mut queue = waiting::Queue::default();
+    let mut started = 0;
+    let mut in_time = 0;
+    for tick in 0..250_u64 {
+        let now = tick * 20;
+        if tick % 2 == 0 {
+            queue.push(entry(tick, now));
+        }
+        if tick % 3 == 0
+            && let Some(number) = queue.first(ms(now))
+        {
+            queue.remove(number);
+            started += 1;
+            in_time += u32::from(now <= number * 20 + 600);
+        }
+    }
+    assert!(
+        in_time * 10 >= started * 9,
+        "{in_time} of {started} in time"
+    );
+    assert!(!queue.is_empty());
+}
+
+#[test]
+fn the_rank_of_a_route_goes_before_age_but_not_before_time() {
+    let mut queue = waiting::Queue::default();
+    queue.push(waiting::Entry {
+        priority: 2,
+        ..entry(1, 0)
+    });
+    queue.push(entry(2, 10));
+    assert_eq!(queue.first(ms(20)), Some(2));
+    queue.push(waiting::Entry {
+        start_by: ms(5),
+        ..entry(3, 0)
+    });
+    assert_eq!(queue.first(ms(20)), Some(2));
+    assert_eq!(queue.ahead(ms(20)), 2);
+    assert_eq!(queue.len(), 3);
+}
+
+#[test]
+fn nobody_waits_for_most_of_the_time_that_is_left() {
+    assert_eq!(waiting::longest_wait(ms(1_000)), ms(300));
+    assert_eq!(waiting::longest_wait(ms(60_000)), ms(4_000));
+}
+
+#[test]
+fn returns_are_spread_after_the_time_of_room() {
+    let soonest = waiting::retry_after(ms(1_000), 0.0);
+    let latest = waiting::retry_after(ms(1_000), 1.0);
+    assert_eq!((soonest, latest), (ms(1_000), ms(1_500)));
+    assert!(waiting::retry_after(ms(0), 0.0) > ms(0));
+}
