--- /dev/null
+++ b/daemon/tests/entry_leaving.rs
@@ -0,0 +1,101 @@
+//! An entry host that is told to leave.
+
+use std::sync::atomic;
+use std::time;
+
+use walnuthaven_platform_standin::caller;
+use walnuthaven_platform_standin::hosts;
+use walnuthaven_platform_standin::server;
+use walnuthaven_platform_standin::store;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
+const WITHIN: time::Duration = time::Duration::from_secs(9);
+const GRACE: time::Duration = time::Duration::from_secs(8);
+
+#[tokio::test]
+async fn nothing_is_cut_and_the_host_is_gone_within_its_grace() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    let server = server::Server::start("i-a", None).await;
+    server.register(&store, "gate");
+    let engine = server::Server::start("i-d", Some("decode")).await;
+    engine.events.store(30, atomic::Ordering::Relaxed);
+    engine.pace_ms.store(50, atomic::Ordering::Relaxed);
+    engine.register(&store, "scribe");
+    let mut host = hosts::Host::start(BINARY, "h1", addr);
+    host.wait_ready().await;
+    let callers = host.callers;
+    let long = tokio::spawn(async move {
+        let headers = "X-Token-Count: 10,70\r\n";
+        let bytes = caller::request("POST", "/single/x", "long", headers, "p");
+        caller::send(callers, &bytes, WITHIN).await
+    });
+    let start = time::Instant::now();
+    while engine.runs_of("long") == 0 {
+        assert!(start.elapsed() < WITHIN, "{}", host.log());
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+    let told = time::Instant::now();
+    host.signal(rustix::process::Signal::TERM).unwrap();
+    while host.ready().await == 200 {
+        assert!(told.elapsed() < time::Duration::from_secs(2), "still ready");
+    }
+    let bytes = caller::request("POST", "/once/x", "late", "", "");
+    let late = caller::send(callers, &bytes, WITHIN).await;
+    assert_eq!(
+        late.status, 200,
+        "callers that don't know yet are served: {late:?}"
+    );
+    assert_eq!(late.header("connection"), Some("close"));
+    let long = long.await.unwrap();
+    assert_eq!((long.status, long.complete), (200, true), "{long:?}");
+    assert!(long.body.ends_with("id: 30\ndata: event 30\n\n"));
+    let status = loop {
+        if let Some(status) = host.process.try_wait().unwrap() {
+            break status;
+        }
+        assert!(told.elapsed() < GRACE, "still there: {}", host.log());
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    };
+    assert!(status.success(), "{status}");
+    assert_eq!(store.names("walnuthaven-hosts"), Vec::<String>::new());
+    assert!(host.log().contains("\"event\":\"stop\""));
+}
+
+#[tokio::test]
+async fn settings_are_read_again_at_a_signal_and_a_bad_file_changes_nothing() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    let server = server::Server::start("i-a", None).await;
+    server.register(&store, "gate");
+    let host = hosts::Host::start(BINARY, "h1", addr);
+    host.wait_ready().await;
+    host.signal(rustix::process::Signal::HUP).unwrap();
+    let start = time::Instant::now();
+    while !host.log().contains("\"event\":\"reload\"") {
+        assert!(start.elapsed() < WITHIN, "{}", host.log());
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    std::fs::write(host.settings(), "[host]\nname = two words\n").unwrap();
+    while !host.log().contains("reload-refused") {
+        assert!(start.elapsed() < WITHIN, "{}", host.log());
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    assert!(
+        host.log().contains("two words"),
+        "the fault names the value: {}",
+        host.log()
+    );
+    let bytes = caller::request("POST", "/once/x", "r", "", "");
+    assert_eq!(caller::send(host.callers, &bytes, WITHIN).await.status, 200);
+    let metrics = caller::request("GET", "/metrics", "m", "", "");
+    let metrics = caller::send(host.metrics, &metrics, WITHIN).await;
+    assert!(
+        metrics.body.contains("walnuthaven_requests 1"),
+        "{metrics:?}"
+    );
+    assert!(
+        metrics.body.contains("walnuthaven_plain_answer_ms_count 1"),
+        "{metrics:?}"
+    );
+}
--- /dev/null
+++ b/daemon/tests/entry_store.rs
@@ -0,0 +1,215 @@
+//! What an entry host believes while the store changes, forgets, refuses and falls silent.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use serde_json::json;
+use walnuthaven_platform_standin::caller;
+use walnuthaven_platform_standin::hosts;
+use walnuthaven_platform_standin::server;
+use walnuthaven_platform_standin::store;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
+const WITHIN: time::Duration = time::Duration::from_secs(5);
+
+async fn status(host: &hosts::Host, path: &str) -> u16 {
+    let bytes = caller::request("POST", path, "r", "", "");
+    caller::send(host.callers, &bytes, WITHIN).await.status
+}
+
+/// Waits until a request gets a status.
+async fn until(host: &hosts::Host, path: &str, wanted: u16) {
+    let start = time::Instant::now();
+    while status(host, path).await != wanted {
+        assert!(
+            start.elapsed() < WITHIN * 2,
+            "{path} isn't {wanted}: {}",
+            host.log()
+        );
+        tokio::time::sleep(time::Duration::from_millis(30)).await;
+    }
+}
+
+async fn started() -> (
+    sync::Arc<store::Store>,
+    net::SocketAddr,
+    sync::Arc<server::Server>,
+) {
+    let (store, addr) = store::Store::start().await;
+    let server = server::Server::start("i-a", None).await;
+    server.register(&store, "gate");
+    (store, addr, server)
+}
+
+#[tokio::test]
+async fn before_the_first_configuration_nothing_is_unknown_only_not_ready() {
+    let (store, addr, _server) = started().await;
+    let host = hosts::Host::start(BINARY, "h1", addr);
+    let start = time::Instant::now();
+    while status(&host, "/once/x").await == 0 {
+        assert!(start.elapsed() < WITHIN, "{}", host.log());
+    }
+    assert_eq!(status(&host, "/once/x").await, 503);
+    assert_eq!(host.ready().await, 503);
+    hosts::configure(&store, 3);
+    until(&host, "/once/x", 200).await;
+    assert_eq!(host.ready().await, 200);
+}
+
+#[tokio::test]
+async fn a_configuration_never_goes_back() {
+    let (store, addr, _server) = started().await;
+    hosts::configure(&store, 7);
+    let host = hosts::Host::start(BINARY, "h1", addr);
+    host.wait_ready().await;
+    let mut older = hosts::configuration(6);
+    older["routes"] = json!([]);
+    store.put("config", "main", older);
+    tokio::time::sleep(time::Duration::from_millis(400)).await;
+    assert_eq!(status(&host, "/once/x").await, 200);
+    let mut newer = hosts::configuration(8);
+    newer["routes"] = json!([]);
+    store.put("config", "main", newer);
+    until(&host, "/once/x", 404).await;
+}
+
+#[tokio::test]
+async fn changes_are_seen_after_the_history_is_gone_and_after_an_outage() {
+    let (store, addr, _server) = started().await;
+    hosts::configure(&store, 3);
+    let host = hosts::Host::start(BINARY, "h1", addr);
+    host.wait_ready().await;
+    store.refuses.store(true, atomic::Ordering::Relaxed);
+    store.put(
+        "servers",
+        "i-other",
+        json!({"service": 5, "address": "nowhere"}),
+    );
+    let mut newer = hosts::configuration(4);
+    newer["routes"][0]["path_prefix"] = "/moved/".into();
+    store.put("config", "main", newer);
+    store.forget_history();
+    tokio::time::sleep(time::Duration::from_millis(600)).await;
+    assert_eq!(
+        status(&host, "/once/x").await,
+        200,
+        "an outage harms no traffic"
+    );
+    store.refuses.store(false, atomic::Ordering::Relaxed);
+    until(&host, "/moved/x", 200).await;
+    assert_eq!(status(&host, "/plain/x").await, 404);
+}
+
+#[tokio::test]
+async fn entries_that_cannot_be_read_name_no_server_and_hide_none() {
+    let (store, addr, server) = started().await;
+    hosts::configure(&store, 3);
+    let mut odd = server.entry("gate", "ready");
+    odd["slots"] = "many".into();
+    store.put("servers", "i-odd", odd);
+    let mut state = server.entry("gate", "asleep");
+    state["address"] = "127.0.0.1:1".into();
+    store.put("servers", "i-state", state);
+    store.put("servers", "i-null", json!(null));
+    store.put("servers", "i-list", json!([1, "\u{fffd}"]));
+    let host = hosts::Host::start(BINARY, "h1", addr);
+    host.wait_ready().await;
+    for _ in 0..10 {
+        assert_eq!(status(&host, "/once/x").await, 200);
+    }
+}
+
+#[tokio::test]
+async fn a_reused_address_runs_nothing_of_the_server_before() {
+    let (store, addr, server) = started().await;
+    hosts::configure(&store, 3);
+    store.put("servers", "i-old", server.entry("gate", "ready"));
+    store.remove("servers", "i-a");
+    let host = hosts::Host::start(BINARY, "h1", addr);
+    host.wait_ready().await;
+    let answer = status(&host, "/once/x").await;
+    assert_eq!(
+        answer, 503,
+        "the server there is another one, so nothing ran"
+    );
+    assert_eq!(server.runs_of("r"), 0);
+}
+
+#[tokio::test]
+async fn a_draining_server_gets_nothing_new_within_two_seconds() {
+    let (store, addr, server) = started().await;
+    hosts::configure(&store, 3);
+    let other = server::Server::start("i-b", None).await;
+    other.register(&store, "gate");
+    let host = hosts::Host::start(BINARY, "h1", addr);
+    host.wait_ready().await;
+    store.put("servers", "i-a", server.entry("gate", "draining"));
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    let before = server.seen().len();
+    for _ in 0..20 {
+        assert_eq!(status(&host, "/once/x").await, 200);
+    }
+    assert_eq!(server.seen().len(), before);
+}
+
+#[tokio::test]
+async fn an_entry_is_written_though_its_answer_is_lost() {
+    let (store, addr, _server) = started().await;
+    hosts::configure(&store, 3);
+    store.loses_answers.store(true, atomic::Ordering::Relaxed);
+    let host = hosts::Host::start(BINARY, "h1", addr);
+    host.wait_ready().await;
+    let start = time::Instant::now();
+    while store.names("walnuthaven-hosts").is_empty() {
+        assert!(start.elapsed() < WITHIN, "{}", host.log());
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    store.loses_answers.store(false, atomic::Ordering::Relaxed);
+    while !host.log().contains("entry-written") {
+        assert!(start.elapsed() < WITHIN * 2, "{}", host.log());
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    assert_eq!(store.names("walnuthaven-hosts"), ["h1"]);
+}
+
+#[tokio::test]
+async fn one_host_orders_an_engine_once_and_hosts_know_each_other() {
+    let (store, addr, _server) = started().await;
+    let mut engines = Vec::new();
+    for i in 0..4 {
+        let engine = server::Server::start(&format!("i-e{i}"), Some("prefill")).await;
+        engine.register(&store, "scribe");
+        engines.push(engine);
+    }
+    hosts::configure(&store, 3);
+    let all: Vec<_> = (1..=3)
+        .map(|i| hosts::Host::start(BINARY, &format!("h{i}"), addr))
+        .collect();
+    for host in &all {
+        host.wait_ready().await;
+    }
+    tokio::time::sleep(time::Duration::from_secs(5)).await;
+    let orders: Vec<_> = engines.iter().flat_map(|engine| engine.seen()).collect();
+    let ordered = |engine: &sync::Arc<server::Server>| engine.seen().len() <= 1;
+    assert!(
+        engines.iter().all(ordered),
+        "an engine was ordered twice: {orders:?}"
+    );
+    assert!(!orders.is_empty(), "nobody balanced the pool");
+    let holders: std::collections::BTreeSet<_> = orders
+        .iter()
+        .map(|seen| {
+            let order: serde_json::Value = serde_json::from_slice(&seen.body).unwrap();
+            order["holder"].to_string()
+        })
+        .collect();
+    assert_eq!(holders.len(), 1, "{orders:?}");
+    let path = "/walnuthaven/resolve?name=h.example&region=r&zone=z1";
+    let bytes = caller::request("GET", path, "q", "", "");
+    let told = caller::send(all[0].questions, &bytes, WITHIN).await;
+    for host in &all {
+        assert!(told.body.contains(&host.callers.to_string()), "{told:?}");
+    }
+}
