--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -61,7 +61,6 @@
     pub(crate) pool: pool::Pool,
     /// Counters and histograms.
     pub(crate) telemetry: telemetry::Telemetry,
-    leaving: tokio::sync::watch::Sender<bool>,
     left_at: sync::RwLock<Option<time::Duration>>,
     /// Requests that callers wait for.
     pub(crate) in_flight: atomic::AtomicUsize,
@@ -95,7 +94,6 @@
             budgets: budget::Budgets::default(),
             pool: pool::Pool::default(),
             telemetry: telemetry::Telemetry::default(),
-            leaving: tokio::sync::watch::Sender::new(false),
             left_at: sync::RwLock::new(None),
             in_flight: atomic::AtomicUsize::new(0),
             numbers: atomic::AtomicU64::new(1),
@@ -138,22 +136,14 @@
         self.numbers.fetch_add(1, atomic::Ordering::Relaxed)
     }
 
-    /// Waits until the host leaves.
-    pub(crate) async fn left(&self) {
-        let mut leaving = self.leaving.subscribe();
-        // The sender lives as long as the host.
-        let _ = leaving.wait_for(|leaving| *leaving).await;
-    }
-
     pub(crate) fn is_leaving(&self) -> bool {
-        *self.leaving.borrow()
+        read(&self.left_at).is_some()
     }
 
     /// Notes that the host leaves.
     pub(crate) fn leave(&self) {
         let now = self.now();
         *write(&self.left_at) = Some(now);
-        self.leaving.send_replace(true);
     }
 
     /// Returns how long the host has been leaving.
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -39,7 +39,13 @@
     let arrived = cx.now();
     let guard = context::InFlight::new(&cx);
     cx.telemetry.count("requests");
-    let answer = route(&cx, req, arrived, guard).await;
+    let mut answer = route(&cx, req, arrived, guard).await;
+    if cx.is_leaving() {
+        // The caller's next request goes to another host; the connection isn't closed under one that
+        // is on its way.
+        let close = http::HeaderValue::from_static("close");
+        answer.headers_mut().insert(http::header::CONNECTION, close);
+    }
     let status = answer.status();
     if status.is_client_error() || status.is_server_error() {
         cx.telemetry.count(&format!("answers.{}", status.as_u16()));
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -107,7 +107,6 @@
     let head = table
         .as_ref()
         .map_or(MIN_HEAD * 2, |table| table.limits.header_bytes);
-    let leaving_cx = cx.clone();
     let service = service::service_fn(move |req| {
         let cx = cx.clone();
         async move {
@@ -123,15 +122,7 @@
         .header_read_timeout(idle + IDLE_SLACK)
         .max_buf_size((head * 2).max(MIN_HEAD))
         .serve_connection(rt::TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = leaving_cx.left() => {
-            connection.as_mut().graceful_shutdown();
-            connection.as_mut().await
-        }
-    };
-    if let Err(error) = ended
+    if let Err(error) = connection.await
         && error.is_parse()
     {
         event!(Info, "bad-request", "cause" => error.to_string());
