router: time for a large configuration on a slow link

From the code: another host's newer version ends the watch that is still receiving it after 300 ms, and the list that replaces it had 1.5 s for head and body together, over a link that streams share; it failed and began anew.

Change: the head of an answer has 1.5 s, its body 6 s; another host is ahead for 900 ms before the configuration is read again.

--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -227,17 +227,28 @@
         .map_err(|_| io::ErrorKind::TimedOut)?
 }
 
-/// Makes a call on an open connection.
+async fn exchange(
+    connection: &mut pool::Connection,
+    addr: net::SocketAddr,
+    call: dialect::Call,
+    headers: http::HeaderMap,
+) -> io::Result<(http::StatusCode, Bytes)> {
+    let response = head(connection, addr, call, headers).await?;
+    let status = response.status();
+    Ok((status, body(response).await?))
+}
+
+/// Makes a call on an open connection and returns the answer once its head has arrived.
 ///
 /// # Errors
 ///
-/// Returns an error if there is no whole answer.
-pub(crate) async fn exchange(
+/// Returns an error if there is no answer.
+pub(crate) async fn head(
     connection: &mut pool::Connection,
     addr: net::SocketAddr,
     call: dialect::Call,
     headers: http::HeaderMap,
-) -> io::Result<(http::StatusCode, Bytes)> {
+) -> io::Result<http::Response<body::Incoming>> {
     connection.tx.ready().await.map_err(io::Error::other)?;
     let mut message = http::Request::builder()
         .method(call.method)
@@ -250,16 +261,19 @@
         .body(Full::new(call.body))
         .map_err(io::Error::other)?;
     message.headers_mut().extend(headers);
-    let response = connection
+    connection
         .tx
         .send_request(message)
         .await
-        .map_err(io::Error::other)?;
-    let status = response.status();
-    let body = response
-        .into_body()
-        .collect()
-        .await
-        .map_err(io::Error::other)?;
-    Ok((status, body.to_bytes()))
+        .map_err(io::Error::other)
+}
+
+/// Reads the body of an answer to a call.
+///
+/// # Errors
+///
+/// Returns an error if it breaks off.
+pub(crate) async fn body(response: http::Response<body::Incoming>) -> io::Result<Bytes> {
+    let body = response.into_body().collect().await;
+    Ok(body.map_err(io::Error::other)?.to_bytes())
 }
--- a/daemon/src/router/store.rs
+++ b/daemon/src/router/store.rs
@@ -13,6 +13,9 @@
 /// Longest time for a call that the store answers at once. It answers in milliseconds; a slow store
 /// takes up to sixty times as long.
 const CALL: time::Duration = time::Duration::from_millis(1_500);
+/// Longest time for the body of an answer: a configuration of half a megabyte takes half a second on
+/// the slowest link, which streams share.
+const BODY: time::Duration = time::Duration::from_secs(6);
 /// How long a watch waits for a change.
 const WATCH: time::Duration = time::Duration::from_secs(25);
 
@@ -133,15 +136,16 @@
                 None => pool::connect(addr, CALL).await?,
             };
             let headers = http::HeaderMap::new();
-            let answer = send::exchange(&mut connection, addr, call, headers).await?;
-            Ok::<_, std::io::Error>((answer, connection))
+            let head = send::head(&mut connection, addr, call, headers);
+            let head = tokio::time::timeout(within, head).await??;
+            let status = head.status();
+            let body = tokio::time::timeout(BODY, send::body(head)).await??;
+            Ok::<_, std::io::Error>((status, body, connection))
         };
         self.cx.telemetry.count("store.calls");
-        let ended = tokio::time::timeout(within, exchange).await;
-        let ((status, body), connection) = match ended {
-            Err(_) => return Err(Failure::NoAnswer("timed out".into())),
-            Ok(Err(error)) => return Err(Failure::NoAnswer(error.to_string())),
-            Ok(Ok(answer)) => answer,
+        let (status, body, connection) = match exchange.await {
+            Err(error) => return Err(Failure::NoAnswer(error.to_string())),
+            Ok(answer) => answer,
         };
         self.connection = Some(connection);
         match self.cx.dialect.store_status(status) {
--- a/daemon/src/router/views.rs
+++ b/daemon/src/router/views.rs
@@ -31,8 +31,8 @@
 const GATHER_CONFIGURATION: time::Duration = time::Duration::from_millis(40);
 
 /// How long another host may be ahead until the configuration is read again: a watch that works
-/// brings it within milliseconds.
-const BEHIND: time::Duration = time::Duration::from_millis(300);
+/// brings a large one within half a second.
+const BEHIND: time::Duration = time::Duration::from_millis(900);
 
 /// A host's entry in the store.
 #[derive(Debug, Deserialize, Serialize)]
