--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -54,6 +54,8 @@
     path: &path::Path,
     settings: settings::Settings,
 ) -> anyhow::Result<()> {
+    // Before anything else: until then a signal ends the process.
+    let hangup = unix::signal(unix::SignalKind::hangup())?;
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
     let cx = sync::Arc::new(context::Router::new(dialect, settings, clock::Boot));
     let settings = cx.settings();
@@ -73,7 +75,7 @@
     orders::spawn(&cx);
     tokio::spawn(register(cx.clone()));
     tokio::spawn(upkeep(cx.clone()));
-    tokio::spawn(reload(cx.clone(), path.to_owned()));
+    tokio::spawn(reload(cx.clone(), path.to_owned(), hangup));
     event!(Info, "start", "host" => cx.id.to_string(), "zone" => settings.zone,
         "callers" => settings.callers, "store" => settings.store);
     terminate.recv().await;
@@ -131,14 +133,11 @@
 }
 
 /// Takes changed settings, at a signal or when the file has changed.
-async fn reload<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>, path: path::PathBuf) {
-    let mut hangup = match unix::signal(unix::SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => {
-            event!(Error, "no-reload", "cause" => error.to_string());
-            return;
-        }
-    };
+async fn reload<D: dialect::Dialect>(
+    cx: sync::Arc<context::Router<D>>,
+    path: path::PathBuf,
+    mut hangup: unix::Signal,
+) {
     loop {
         let signalled = tokio::select! {
             _ = hangup.recv() => true,
