--- a/daemon/src/router/seats.rs
+++ b/daemon/src/router/seats.rs
@@ -275,6 +275,9 @@
     let everywhere = ahead + context::lock(&cx.peers).waiting();
     let predicted = wait + spacing(cx, wish).mul_f64(everywhere as f64);
     if predicted <= longest {
+        event!(Info, "waits", "id" => wish.id, "service" => wish.service.name, "cause" => cause,
+            "predicted_ms" => predicted.as_millis() as u64, "ahead" => everywhere,
+            "longest_ms" => longest.as_millis() as u64, "news_age_ms" => news_age_ms(cx));
         return Ok(());
     }
     Err(no_room(cx, wish, cause, predicted))
@@ -298,11 +301,16 @@
     cx.telemetry.count("engines.refusals");
     event!(Info, "no-room", "id" => wish.id, "service" => wish.service.name, "cause" => cause,
         "prompt" => wish.need.prompt, "output" => wish.need.output,
-        "predicted_ms" => predicted.as_millis() as u64,
+        "predicted_ms" => predicted.as_millis() as u64, "news_age_ms" => news_age_ms(cx),
         "retry_after_ms" => retry_after.as_millis() as u64);
     NoRoom { cause, retry_after }
 }
 
+fn news_age_ms<D: dialect::Dialect>(cx: &context::Router<D>) -> u64 {
+    let age = context::lock(&cx.peers).oldest_news(cx.now());
+    age.as_millis() as u64
+}
+
 fn log_placed<D: dialect::Dialect>(
     cx: &context::Router<D>,
     wish: &Wish<'_>,
@@ -313,5 +321,5 @@
     event!(Info, "placed", "id" => wish.id, "decode" => placement.decode.id,
         "prefill" => placement.prefill.as_ref().map(|server| server.id.clone()),
         "prompt" => wish.need.prompt, "output" => wish.need.output,
-        "waited_ms" => waited.as_millis() as u64);
+        "waited_ms" => waited.as_millis() as u64, "news_age_ms" => news_age_ms(cx));
 }
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -167,6 +167,13 @@
             .unwrap_or(0)
     }
 
+    /// Returns the age of the oldest news that decisions go by.
+    pub fn oldest_news(&self, now: time::Duration) -> time::Duration {
+        let heard = self.known.values().filter_map(|peer| peer.said.as_ref());
+        let oldest = heard.map(|(_, at)| now.saturating_sub(*at)).max();
+        oldest.unwrap_or_default()
+    }
+
     /// Returns whether requests that can be answered within their target wait at other hosts.
     pub fn on_time_wait(&self) -> bool {
         let mut said = self.known.values().filter_map(|peer| peer.said.as_ref());
