--- a/daemon/src/router/engine_path.rs
+++ b/daemon/src/router/engine_path.rs
@@ -13,6 +13,7 @@
 use crate::router::context;
 use crate::router::events::event;
 use crate::router::pool;
+use crate::router::prefills;
 use crate::router::seats;
 use crate::router::send;
 
@@ -22,10 +23,6 @@
 const FIRST_EVENT_SILENCE: time::Duration = time::Duration::from_millis(2_000);
 /// Servers that may turn out unreachable before a request is refused.
 const MAX_CONNECTS_FAILED: u32 = 4;
-/// Part of its life in which the result of a prefill is given to another engine.
-const FRESH_SHARE: f64 = 0.6;
-/// Longest time to free the result of a prefill.
-const FREE: time::Duration = time::Duration::from_secs(1);
 /// When callers come back after a server refused the request although room was predicted.
 const REFUSED_BY_SERVER: time::Duration = time::Duration::from_millis(400);
 
@@ -62,64 +59,11 @@
     pub(crate) seat: seats::Seat<D>,
 }
 
-/// The result of a prefill, freed unless it was taken.
-#[derive(Debug)]
-struct Handle<D: dialect::Dialect> {
-    cx: sync::Arc<context::Router<D>>,
-    server: sync::Arc<backends::Backend>,
-    name: String,
-    made_at: time::Duration,
-    ttl: time::Duration,
-    taken: bool,
-}
-
-impl<D: dialect::Dialect> Handle<D> {
-    /// Returns whether the result will still be there when another engine asks for it.
-    fn is_fresh(&self) -> bool {
-        let age = self.cx.now().saturating_sub(self.made_at);
-        age < self.ttl.mul_f64(FRESH_SHARE)
-    }
-}
-
-impl<D: dialect::Dialect> Drop for Handle<D> {
-    fn drop(&mut self) {
-        if self.taken {
-            return;
-        }
-        let call = self.cx.dialect.free_handle(&self.name);
-        let mut headers = http::HeaderMap::new();
-        self.cx.dialect.meant_for(&self.server.id, &mut headers);
-        let (addr, server) = (self.server.addr, self.server.id.clone());
-        self.cx.telemetry.count("prefills.unused");
-        tokio::spawn(async move {
-            if let Err(error) = send::call(addr, call, headers, FREE).await {
-                event!(Info, "handle-not-freed", "server" => server, "cause" => error.to_string());
-            }
-        });
-    }
-}
-
-/// A prefill in progress, counted against its engine until it ends.
-struct Reading<'a, D: dialect::Dialect> {
-    cx: &'a context::Router<D>,
-    key: engine_room::Key,
-    read: bool,
-}
-
-impl<D: dialect::Dialect> Drop for Reading<'_, D> {
-    fn drop(&mut self) {
-        let now = self.cx.now();
-        context::lock(&self.cx.room).remove_prefill(&self.key, self.read, now);
-        self.cx.room_changed.notify_waiters();
-        self.cx.news_due.notify_one();
-    }
-}
-
 /// What became of a request to generate.
 enum Decoded<D: dialect::Dialect> {
     Stream(send::Sent),
     /// Nothing came; with the result of the prefill if it can still be used.
-    Failed(send::Unanswered, Option<Handle<D>>),
+    Failed(send::Unanswered, Option<prefills::Handle<D>>),
 }
 
 /// Why there is no stream.
@@ -176,7 +120,7 @@
 
     /// Opens the stream of the answer, or of its rest.
     pub(crate) async fn open(&mut self) -> Result<Opened<D>, Ended> {
-        let mut kept: Option<Handle<D>> = None;
+        let mut kept: Option<prefills::Handle<D>> = None;
         loop {
             kept = kept.filter(|handle| handle.is_fresh());
             let (seat, placement) = self.seat(kept.is_some()).await.map_err(Ended::NoRoom)?;
@@ -272,7 +216,7 @@
         &mut self,
         server: &sync::Arc<backends::Backend>,
         connection: pool::Connection,
-    ) -> Result<Handle<D>, send::Unanswered> {
+    ) -> Result<prefills::Handle<D>, send::Unanswered> {
         let cx = self.cx.clone();
         let started = cx.now();
         let need = self.need();
@@ -289,7 +233,7 @@
             (ahead, room.reading_time_on(&server.id, need.prompt))
         };
         cx.news_due.notify_one();
-        let mut reading = Reading {
+        let mut reading = prefills::Reading {
             cx: &cx,
             key,
             read: false,
@@ -324,7 +268,7 @@
         cx.telemetry.time("prefill", took);
         context::lock(&cx.health).served(&server.id, cx.now());
         reading.read = true;
-        Ok(Handle {
+        Ok(prefills::Handle {
             cx: cx.clone(),
             server: server.clone(),
             name: handle.handle,
@@ -339,7 +283,7 @@
         &mut self,
         server: &sync::Arc<backends::Backend>,
         connection: pool::Connection,
-        mut handle: Option<Handle<D>>,
+        mut handle: Option<prefills::Handle<D>>,
     ) -> Result<Decoded<D>, Ended> {
         let cx = self.cx.clone();
         let now = cx.now();
@@ -408,7 +352,7 @@
 
     /// Tells apart an engine that isn't what it was taken for and one that couldn't get the result
     /// of the prefill.
-    fn refused(&self, status: http::StatusCode, handle: Option<Handle<D>>) -> Decoded<D> {
+    fn refused(&self, status: http::StatusCode, handle: Option<prefills::Handle<D>>) -> Decoded<D> {
         let outcome = outcome::Outcome::RefusedUnrun;
         if status == http::StatusCode::MISDIRECTED_REQUEST {
             let cause = "another server or stage";
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod plain_path;
 mod pool;
+mod prefills;
 mod relay;
 mod run;
 mod seats;
