--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod generate;
 pub mod gossip;
 pub mod host;
-mod ini_source;
+pub mod ini_source;
 pub mod jobs;
 pub mod jobs_api;
 pub mod journal_store;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -10,6 +10,7 @@
 use tokio::signal::unix;
 use walnuthaven_daemon::drain;
 use walnuthaven_daemon::host;
+use walnuthaven_daemon::ini_source;
 use walnuthaven_daemon::logging;
 use walnuthaven_daemon::router;
 use walnuthaven_daemon::settings;
@@ -37,17 +38,10 @@
     if args.entry {
         return entry(&args);
     }
-    let settings = match settings::read(&args.config) {
+    let settings = match checked(&args, settings::read(&args.config)) {
         Ok(settings) => settings,
-        Err(fault) => {
-            eprintln!("walnuthavend: {fault}");
-            return process::ExitCode::from(EXIT_SETTINGS);
-        }
+        Err(code) => return code,
     };
-    if args.check {
-        println!("{}: the settings are valid", args.config.display());
-        return process::ExitCode::SUCCESS;
-    }
     match run(&args.config, settings) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(Failure::Start(error)) => {
@@ -61,19 +55,27 @@
     }
 }
 
-/// Runs an entry host on the deployment platform.
-fn entry(args: &Args) -> process::ExitCode {
-    let settings = match router::settings::read(&args.config) {
-        Ok(settings) => settings,
+/// Returns the settings, or the exit status if they are faulty or only to be checked.
+fn checked<T>(args: &Args, settings: Result<T, ini_source::Fault>) -> Result<T, process::ExitCode> {
+    match settings {
+        Ok(_) if args.check => {
+            println!("{}: the settings are valid", args.config.display());
+            Err(process::ExitCode::SUCCESS)
+        }
+        Ok(settings) => Ok(settings),
         Err(fault) => {
             eprintln!("walnuthavend: {fault}");
-            return process::ExitCode::from(EXIT_SETTINGS);
+            Err(process::ExitCode::from(EXIT_SETTINGS))
         }
-    };
-    if args.check {
-        println!("{}: the settings are valid", args.config.display());
-        return process::ExitCode::SUCCESS;
     }
+}
+
+/// Runs an entry host on the deployment platform.
+fn entry(args: &Args) -> process::ExitCode {
+    let settings = match checked(args, router::settings::read(&args.config)) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
     match run_entry(&args.config, settings) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
