router: runs move to another engine before memory runs out or their engine leaves

Streams on leaving engines were cut.

Ruled out: filling less of the memory (0.84 already left it idle in bursts); reservations, which end after two seconds while a run takes four to six.

Change: run_moves decides from the shared view which run leaves an engine, moving.rs has the engine stop and copy it and goes on at the target after the last event passed on. New runs fill 0.84 of memory, moved ones 0.94. What the memory of one engine comes to is in engine_memory now; budgets count sends by one function; the reservations setting that nothing used is gone.

What is preempted still has no room to move to, or isn't seen in time; next.

--- a/daemon/src/router/budget.rs
+++ b/daemon/src/router/budget.rs
@@ -15,19 +15,20 @@
 }
 
 impl Budgets {
-    pub(crate) fn sent_first(
+    /// Notes a send to a server.
+    pub(crate) fn sent(
         &self,
         service: &sync::Arc<str>,
+        kind: retry_share::Send,
         now: time::Duration,
         terms: &retry_share::Terms,
     ) {
         let mut shares = context::lock(&self.shares);
-        shares
-            .entry(service.clone())
-            .or_default()
-            .sent_first(now, terms);
+        let share = shares.entry(service.clone()).or_default();
+        share.sent(kind, now, terms);
     }
 
+    /// Returns whether a repeat is within this host's share.
     pub(crate) fn has_room(
         &self,
         service: &str,
@@ -39,17 +40,4 @@
         let share = shares.get(service).cloned().unwrap_or_default();
         share.has_room(now, terms, hosts)
     }
-
-    pub(crate) fn sent_again(
-        &self,
-        service: &sync::Arc<str>,
-        now: time::Duration,
-        terms: &retry_share::Terms,
-    ) {
-        let mut shares = context::lock(&self.shares);
-        shares
-            .entry(service.clone())
-            .or_default()
-            .sent_again(now, terms);
-    }
 }
--- a/daemon/src/router/engine_path.rs
+++ b/daemon/src/router/engine_path.rs
@@ -5,8 +5,10 @@
 
 use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
+use walnuthaven_lib::engine_memory;
 use walnuthaven_lib::engine_room;
 use walnuthaven_lib::outcome;
+use walnuthaven_lib::retry_share;
 use walnuthaven_lib::routing;
 
 use crate::router::answer;
@@ -40,10 +42,12 @@
     pub(crate) until: time::Duration,
     /// Servers to which it may still be sent.
     pub(crate) attempts_left: u32,
-    /// The last event that was passed on.
+    /// The last event that was passed on, or that the caller had.
     pub(crate) delivered: Option<u64>,
     /// Tokens generated so far.
     pub(crate) made: u32,
+    /// How often the run went on at another engine with its memory.
+    pub(crate) moves: u32,
     may_have_run: bool,
     connects_failed: u32,
     sent_once: bool,
@@ -93,6 +97,7 @@
             attempts_left: route.max_attempts,
             delivered: req.head.resume_after,
             made: 0,
+            moves: 0,
             may_have_run: false,
             connects_failed: 0,
             sent_once: false,
@@ -114,7 +119,7 @@
         }
     }
 
-    fn id(&self) -> &str {
+    pub(crate) fn id(&self) -> &str {
         self.req.head.request_id.as_deref().unwrap_or("-")
     }
 
@@ -150,6 +155,7 @@
                     },
                 },
             };
+            self.count_attempt();
             match self.decode(&server, connection, handle).await? {
                 Decoded::Stream(sent) => return Ok(Opened { sent, server, seat }),
                 Decoded::Failed(failed, handle) => {
@@ -160,7 +166,7 @@
         }
     }
 
-    fn need(&self) -> engine_room::Need {
+    fn need(&self) -> engine_memory::Need {
         let prompt = self.req.head.prompt.as_ref();
         seats::need_of(&self.cx, &self.service.name, prompt, self.made)
     }
@@ -198,17 +204,65 @@
         prompt_read: bool,
     ) -> Result<(seats::Seat<D>, engine_room::Placement), seats::NoRoom> {
         let wish = seats::Wish {
+            prompt_read,
+            ..self.wish(engine_memory::Claim::New, &self.tried)
+        };
+        seats::take(&self.cx, &wish).await
+    }
+
+    fn wish<'a>(
+        &'a self,
+        claim: engine_memory::Claim,
+        tried: &'a [sync::Arc<str>],
+    ) -> seats::Wish<'a> {
+        seats::Wish {
             id: self.id(),
             service: &self.service,
             engines: &self.engines,
             priority: self.route.priority,
             need: self.need(),
-            prompt_read,
+            prompt_read: claim == engine_memory::Claim::Moved,
+            claim,
             first_event_by: self.arrived + self.route.target,
             until: self.until,
-            tried: &self.tried,
-        };
-        seats::take(&self.cx, &wish).await
+            tried,
+        }
+    }
+
+    /// Takes room on another engine for a run that leaves its own, if there is any now and another
+    /// send is allowed.
+    pub(crate) fn seat_for_move(
+        &self,
+        engine: &sync::Arc<str>,
+    ) -> Option<(seats::Seat<D>, sync::Arc<backends::Backend>)> {
+        let cx = &self.cx;
+        let terms = cx.settings().retry;
+        let service = &self.service.name;
+        if !cx.budgets.has_room(service, cx.now(), &terms, cx.hosts()) {
+            return None;
+        }
+        let tried: Vec<_> = self.tried.iter().chain([engine]).cloned().collect();
+        seats::take_for_move(cx, &self.wish(engine_memory::Claim::Moved, &tried))
+    }
+
+    /// Goes on at a server with the memory of a run that was stopped. It is the same run, so it doesn't
+    /// count as one of the route's attempts.
+    pub(crate) async fn go_on(
+        &mut self,
+        server: &sync::Arc<backends::Backend>,
+        connection: pool::Connection,
+        memory: prefills::Handle<D>,
+    ) -> Result<send::Sent, send::Unanswered> {
+        self.count_repeat();
+        match self.decode(server, connection, Some(memory)).await {
+            Ok(Decoded::Stream(sent)) => Ok(sent),
+            Ok(Decoded::Failed(failed, _)) => Err(failed),
+            Err(_) => {
+                let outcome = outcome::Outcome::ServerFailed;
+                let cause = "server failed";
+                Err(send::Unanswered { outcome, cause })
+            }
+        }
     }
 
     /// Has an engine read the prompt.
@@ -250,12 +304,15 @@
             deadline: self.until.saturating_sub(started),
             instance: &server.id,
             work: dialect::Work::Prefill,
-            resume_after: self.resume_after(),
+            resume_after: self.delivered,
         };
         let sent = send::send(&cx, &self.req, server, connection, &sending, options).await?;
         let unrun = sent.head.unrun;
         let (status, _, body) = send::whole(&cx, sent, options.until).await?;
-        let handle = cx.dialect.prefilled(&body).filter(|_| status.is_success());
+        let handle = cx
+            .dialect
+            .kept_memory(&body)
+            .filter(|_| status.is_success());
         let Some(handle) = handle else {
             let outcome = match unrun {
                 true => outcome::Outcome::RefusedUnrun,
@@ -287,13 +344,6 @@
     ) -> Result<Decoded<D>, Ended> {
         let cx = self.cx.clone();
         let now = cx.now();
-        if std::mem::replace(&mut self.sent_once, true) {
-            self.count_repeat();
-        } else {
-            cx.budgets
-                .sent_first(&self.service.name, now, &cx.settings().retry);
-        }
-        self.attempts_left = self.attempts_left.saturating_sub(1);
         let repeatable = self.route.kind.may_run_again();
         let silence = match repeatable {
             true => (now + FIRST_EVENT_SILENCE).min(self.until),
@@ -314,7 +364,7 @@
             deadline: self.until.saturating_sub(now),
             instance: &server.id,
             work,
-            resume_after: self.resume_after(),
+            resume_after: self.delivered,
         };
         let sent = match send::send(&cx, &self.req, server, connection, &sending, options).await {
             Ok(sent) => sent,
@@ -435,18 +485,27 @@
         }
     }
 
+    /// Counts a send of the request to an engine that runs it.
+    fn count_attempt(&mut self) {
+        if std::mem::replace(&mut self.sent_once, true) {
+            self.count_repeat();
+        } else {
+            let cx = &self.cx;
+            let terms = cx.settings().retry;
+            let kind = retry_share::Send::First;
+            cx.budgets.sent(&self.service.name, kind, cx.now(), &terms);
+        }
+        self.attempts_left = self.attempts_left.saturating_sub(1);
+    }
+
     fn count_repeat(&self) {
         let cx = &self.cx;
         let terms = cx.settings().retry;
-        cx.budgets.sent_again(&self.service.name, cx.now(), &terms);
+        let kind = retry_share::Send::Again;
+        cx.budgets.sent(&self.service.name, kind, cx.now(), &terms);
         cx.telemetry.count("repeats");
     }
 
-    /// The event to continue after, if the router itself continues the stream.
-    fn resume_after(&self) -> Option<u64> {
-        self.delivered
-    }
-
     /// Makes the answer to a request that ended without a stream.
     pub(crate) fn final_answer(&self, ended: Ended) -> answer::Answer {
         match ended {
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -12,6 +12,7 @@
 mod events;
 mod forward;
 mod listen;
+mod moving;
 mod news;
 mod orders;
 mod plain_path;
--- a/daemon/src/router/plain_path.rs
+++ b/daemon/src/router/plain_path.rs
@@ -6,6 +6,7 @@
 use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::outcome;
+use walnuthaven_lib::retry_share;
 use walnuthaven_lib::routing;
 
 use crate::router::answer;
@@ -104,12 +105,13 @@
     fn count_send(&self, again: bool) {
         let cx = self.cx;
         let terms = cx.settings().retry;
-        match again {
-            true => {
-                cx.telemetry.count("repeats");
-                cx.budgets.sent_again(self.service, cx.now(), &terms);
-            }
-            false => cx.budgets.sent_first(self.service, cx.now(), &terms),
+        let kind = match again {
+            true => retry_share::Send::Again,
+            false => retry_share::Send::First,
+        };
+        cx.budgets.sent(self.service, kind, cx.now(), &terms);
+        if again {
+            cx.telemetry.count("repeats");
         }
     }
 
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -1,10 +1,13 @@
 //! The stream of an answer: events are passed on as they come, and another server continues where
 //! that is allowed.
 
+use std::sync;
 use std::time;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
+use hyper::body;
+use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::event_stream;
 use walnuthaven_lib::outcome;
@@ -13,7 +16,9 @@
 use crate::router::context;
 use crate::router::engine_path;
 use crate::router::events::event;
+use crate::router::moving;
 use crate::router::pool;
+use crate::router::seats;
 use crate::router::send;
 
 /// Events that a caller may leave unread; then the server is read no further.
@@ -22,17 +27,29 @@
 /// many times the longest pause.
 const SILENT_PAUSES: u32 = 4;
 
+/// Time for the last events of a stopped run and the end of its stream to arrive.
+const CLOSED: time::Duration = time::Duration::from_millis(100);
+
 /// The sender of a stream to its caller.
 type Caller = tokio::sync::mpsc::Sender<Result<Bytes, answer::Broken>>;
 
-/// How the part of a stream that one server made has ended.
+/// How a server's stream has ended.
 #[derive(Debug)]
-enum PartEnd {
+enum StreamEnd {
     Complete,
     CallerLeft,
     Broken(send::Unanswered),
 }
 
+/// How the part of a stream that one server made has ended.
+#[derive(Debug)]
+enum PartEnd<D: dialect::Dialect> {
+    Ended(StreamEnd),
+    /// The stream ended while its run was on its way to another engine. Holds its room, the move, and
+    /// how the stream ended if the run wasn't stopped.
+    Stopped(seats::Seat<D>, moving::Move<D>, StreamEnd),
+}
+
 /// Makes the answer to a request whose stream was opened. The stream is relayed by a task of its own,
 /// which ends when the caller leaves.
 pub(crate) fn answer<D: dialect::Dialect>(
@@ -59,14 +76,30 @@
     let cx = journey.cx.clone();
     loop {
         let server = opened.server.clone();
-        let end = part(&mut journey, opened, &tx).await;
+        let end = match part(&mut journey, opened, &tx).await {
+            PartEnd::Ended(end) => end,
+            PartEnd::Stopped(seat, moving, unless_stopped) => {
+                let finished = tokio::select! {
+                    finished = moving.finish(&mut journey, seat) => finished,
+                    () = tx.closed() => return finish(&journey, "caller left", ""),
+                };
+                match finished {
+                    Some(Ok(moved)) => {
+                        opened = moved;
+                        continue;
+                    }
+                    Some(Err(failed)) => StreamEnd::Broken(failed),
+                    None => unless_stopped,
+                }
+            }
+        };
         let failed = match end {
-            PartEnd::Complete => {
+            StreamEnd::Complete => {
                 learn_length(&journey);
                 return finish(&journey, "complete", "");
             }
-            PartEnd::CallerLeft => return finish(&journey, "caller left", ""),
-            PartEnd::Broken(failed) => failed,
+            StreamEnd::CallerLeft => return finish(&journey, "caller left", ""),
+            StreamEnd::Broken(failed) => failed,
         };
         journey.note_failure(&server, &failed, cx.now());
         let next = journey.next(failed.outcome);
@@ -131,61 +164,91 @@
     journey: &mut engine_path::Journey<D>,
     opened: engine_path::Opened<D>,
     tx: &Caller,
-) -> PartEnd {
-    let cx = journey.cx.clone();
+) -> PartEnd<D> {
     let engine_path::Opened { sent, server, seat } = opened;
     let mut body = sent.body;
+    let mut moving: Option<moving::Move<D>> = None;
+    let end = pass_all(journey, &mut body, (&server, &seat), &mut moving, tx).await;
+    match (end, moving) {
+        (StreamEnd::CallerLeft, _) => PartEnd::Ended(StreamEnd::CallerLeft),
+        (end, Some(moving)) => PartEnd::Stopped(seat, moving, end),
+        (end, None) => {
+            if matches!(end, StreamEnd::Complete) {
+                tokio::spawn(pool::give_back(
+                    journey.cx.clone(),
+                    server.id.clone(),
+                    sent.head.keep_alive,
+                    sent.connection,
+                ));
+            }
+            PartEnd::Ended(end)
+        }
+    }
+}
+
+/// Passes on events until the stream ends, and starts to move the run where that is due.
+async fn pass_all<D: dialect::Dialect>(
+    journey: &mut engine_path::Journey<D>,
+    body: &mut body::Incoming,
+    (server, seat): (&sync::Arc<backends::Backend>, &seats::Seat<D>),
+    moving: &mut Option<moving::Move<D>>,
+    tx: &Caller,
+) -> StreamEnd {
     let mut splitter = event_stream::Splitter::default();
+    let broke = |outcome, cause| StreamEnd::Broken(send::Unanswered { outcome, cause });
+    let midway = outcome::Outcome::BrokenMidway;
     loop {
-        let silent_at = silent_at(journey, cx.now());
         let frame = tokio::select! {
             frame = body.frame() => frame,
-            () = tx.closed() => return PartEnd::CallerLeft,
-            () = tokio::time::sleep(silent_at.saturating_sub(cx.now())) => {
-                return PartEnd::Broken(broken(outcome::Outcome::Silent, "server fell silent"));
+            () = tx.closed() => return StreamEnd::CallerLeft,
+            () = silence(journey, moving.as_ref()) => {
+                return broke(outcome::Outcome::Silent, "server fell silent");
             }
         };
         let data = match frame {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-            Some(Err(_)) => {
-                return PartEnd::Broken(broken(outcome::Outcome::BrokenMidway, "stream broke off"));
-            }
-            None => break,
+            Some(Err(_)) => return broke(midway, "stream broke off"),
+            None if splitter.rest().is_empty() => return StreamEnd::Complete,
+            None => return broke(midway, "stream ended within an event"),
         };
         splitter.push(&data);
         while let Some(event) = splitter.next_event() {
             match pass_on(journey, &event) {
                 Order::Next => {}
                 Order::Repeated => continue,
-                Order::Gap => {
-                    let cause = "events are missing";
-                    return PartEnd::Broken(broken(outcome::Outcome::BrokenMidway, cause));
-                }
+                Order::Gap => return broke(midway, "events are missing"),
             }
             if tx.send(Ok(event.bytes)).await.is_err() {
-                return PartEnd::CallerLeft;
+                return StreamEnd::CallerLeft;
             }
             seat.progress(journey.made);
         }
         if splitter.is_overfull() {
-            return PartEnd::Broken(broken(outcome::Outcome::BrokenMidway, "event too large"));
+            return broke(midway, "event too large");
+        }
+        if moving.as_ref().is_some_and(moving::Move::has_failed) {
+            *moving = None;
+        }
+        if moving.is_none() && journey.made > 0 {
+            *moving = moving::start(journey, server, seat);
         }
     }
-    if !splitter.rest().is_empty() {
-        let cause = "stream ended within an event";
-        return PartEnd::Broken(broken(outcome::Outcome::BrokenMidway, cause));
-    }
-    tokio::spawn(pool::give_back(
-        cx,
-        server.id.clone(),
-        sent.head.keep_alive,
-        sent.connection,
-    ));
-    PartEnd::Complete
 }
 
-fn broken(outcome: outcome::Outcome, cause: &'static str) -> send::Unanswered {
-    send::Unanswered { outcome, cause }
+/// Waits until the server counts as silent, or its stopped run has ended without closing the stream.
+async fn silence<D: dialect::Dialect>(
+    journey: &engine_path::Journey<D>,
+    moving: Option<&moving::Move<D>>,
+) {
+    let now = journey.cx.now();
+    let silent = tokio::time::sleep(silent_at(journey, now).saturating_sub(now));
+    let Some(moving) = moving else {
+        return silent.await;
+    };
+    tokio::select! {
+        () = silent => {}
+        () = moving.stopped() => tokio::time::sleep(CLOSED).await,
+    }
 }
 
 /// Returns when the server counts as silent.
--- a/daemon/src/router/seats.rs
+++ b/daemon/src/router/seats.rs
@@ -5,6 +5,7 @@
 
 use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
+use walnuthaven_lib::engine_memory;
 use walnuthaven_lib::engine_room;
 use walnuthaven_lib::routing;
 use walnuthaven_lib::waiting;
@@ -33,7 +34,8 @@
 #[derive(Debug)]
 pub(crate) struct Seat<D: dialect::Dialect> {
     cx: sync::Arc<context::Router<D>>,
-    key: engine_room::Key,
+    /// The run's name in the shared view.
+    pub(crate) key: engine_room::Key,
 }
 
 impl<D: dialect::Dialect> Seat<D> {
@@ -89,9 +91,11 @@
     /// The rank of its route.
     pub(crate) priority: u8,
     /// What it needs.
-    pub(crate) need: engine_room::Need,
+    pub(crate) need: engine_memory::Need,
     /// Whether its prompt has been read.
     pub(crate) prompt_read: bool,
+    /// Whether it hasn't started, or leaves another engine.
+    pub(crate) claim: engine_memory::Claim,
     /// When its first event should come.
     pub(crate) first_event_by: time::Duration,
     /// When its final answer is due.
@@ -106,7 +110,7 @@
     service: &str,
     prompt: Option<&dialect::Prompt>,
     made: u32,
-) -> engine_room::Need {
+) -> engine_memory::Need {
     let lengths = context::lock(&cx.lengths)
         .get(service)
         .copied()
@@ -116,7 +120,7 @@
         None => (0, DEFAULT_OUTPUT, None),
     };
     let output = lengths.predict(hint, most);
-    engine_room::Need {
+    engine_memory::Need {
         prompt: tokens.saturating_add(made),
         output: output.saturating_sub(made).max(output / 5).max(1),
     }
@@ -194,6 +198,15 @@
     }
 }
 
+/// Takes room for a run that leaves its engine, if there is any now.
+pub(crate) fn take_for_move<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+    wish: &Wish<'_>,
+) -> Option<(Seat<D>, sync::Arc<backends::Backend>)> {
+    let (seat, placement) = try_place(cx, wish, cx.next_number(), cx.now(), true).ok()?;
+    Some((seat, placement.decode))
+}
+
 fn try_place<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     wish: &Wish<'_>,
@@ -214,8 +227,9 @@
         .filter(|server| !health.is_avoided(&server.id, now) && !lapses(server))
         .collect();
     drop(health);
-    let limits = engine_room::Limits {
+    let limits = engine_memory::Limits {
         memory_tokens: wish.engines.memory_tokens,
+        claim: wish.claim,
         slots: wish.engines.slots,
         prefill_within: (!wish.prompt_read).then(|| {
             let least = context::lock(&cx.room).reading_time(wish.need.prompt) + FIRST_EVENT;
--- a/daemon/tests/entry_streams.rs
+++ b/daemon/tests/entry_streams.rs
@@ -177,6 +177,84 @@
     assert_eq!(site.reader.seen().len(), 8, "each prompt is read once");
 }
 
+/// Lets the engine that runs `id` leave, and returns it with the other one.
+async fn let_engine_leave(
+    site: &Site,
+    id: &str,
+) -> (sync::Arc<server::Server>, sync::Arc<server::Server>) {
+    let start = time::Instant::now();
+    let running = loop {
+        let running = site.engines.iter().position(|e| e.runs_of(id) > 0);
+        if let Some(running) = running {
+            break running;
+        }
+        assert!(start.elapsed() < WITHIN, "the request never ran");
+        tokio::time::sleep(time::Duration::from_millis(2)).await;
+    };
+    let leaving = site.engines[running].clone();
+    let entry = leaving.entry("scribe", "draining");
+    site.store.put("servers", &leaving.id, entry);
+    (leaving, site.engines[1 - running].clone())
+}
+
+/// Streams of 70 events, 30 ms apart: they outlast an engine's notice to leave.
+fn make_long(site: &Site) {
+    for engine in &site.engines {
+        engine.events.store(70, atomic::Ordering::Relaxed);
+        engine.pace_ms.store(30, atomic::Ordering::Relaxed);
+    }
+}
+
+const LONG_PROMPT: &str = "X-Model: m\r\nX-Token-Count: 500,9000\r\nX-Length-Hint: 4900\r\n";
+
+#[tokio::test]
+async fn a_run_goes_on_at_another_engine_when_its_own_leaves() {
+    let site = site().await;
+    make_long(&site);
+    let bytes = caller::request("POST", "/single/x", "r1", LONG_PROMPT, "a prompt");
+    let (answer, (leaving, other)) = tokio::join!(
+        caller::send(site.host.callers, &bytes, WITHIN),
+        let_engine_leave(&site, "r1")
+    );
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(answer.body, whole(70), "each event once and in order");
+    let seen = other.seen();
+    assert_eq!(seen.len(), 1, "the run didn't go on elsewhere");
+    let source = format!("{}/m-r1", leaving.addr);
+    assert_eq!(seen[0].headers["x-kv-source"], source);
+    let after: u64 = seen[0].headers["last-event-id"].parse().unwrap();
+    assert!((1..70).contains(&after), "went on after {after}");
+    assert_eq!(leaving.working.load(atomic::Ordering::Relaxed), 0);
+    assert_eq!(site.reader.seen().len(), 1, "the prompt is read once");
+}
+
+#[tokio::test]
+async fn a_stopped_run_without_a_copy_is_sent_again_only_if_it_may_be() {
+    let site = site().await;
+    make_long(&site);
+    for engine in &site.engines {
+        engine.refuses_copies.store(true, atomic::Ordering::Relaxed);
+    }
+    for (path, id, whole_answer, runs) in
+        [("/single/x", "r1", false, 1), ("/brief/x", "r2", true, 2)]
+    {
+        let bytes = caller::request("POST", path, id, LONG_PROMPT, "a prompt");
+        let (answer, (leaving, _)) = tokio::join!(
+            caller::send(site.host.callers, &bytes, WITHIN),
+            let_engine_leave(&site, id)
+        );
+        assert_eq!(
+            (answer.status, answer.complete),
+            (200, whole_answer),
+            "{answer:?}"
+        );
+        assert!(whole(70).starts_with(&answer.body), "{answer:?}");
+        assert_eq!(site.runs_of(id), runs, "{path}");
+        leaving.register(&site.store, "scribe");
+        tokio::time::sleep(time::Duration::from_millis(600)).await;
+    }
+}
+
 #[tokio::test]
 async fn without_engines_a_request_is_refused_at_once() {
     let site = site().await;
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -151,6 +151,13 @@
         tracked.doubtful_until.is_none().then_some(&tracked.backend)
     }
 
+    /// Returns whether a server is about to end: it said so, or its entry is gone for good.
+    pub fn is_leaving(&self, id: &str) -> bool {
+        self.tracked
+            .get(id)
+            .is_none_or(|tracked| tracked.backend.draining)
+    }
+
     /// Returns the servers of a service that may get new work: those that are listed, or else those
     /// that vanished a moment ago.
     pub fn usable(&self, service: &str, now: time::Duration) -> Vec<sync::Arc<Backend>> {
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -52,11 +52,11 @@
     Whole,
     /// To read the prompt and keep the result.
     Prefill,
-    /// To generate from the result of a prefill.
+    /// To generate from memory that another engine kept.
     Decode {
-        /// The engine that read the prompt.
+        /// The engine that kept it.
         source: net::SocketAddr,
-        /// Its name for the result.
+        /// Its name for it.
         handle: &'a str,
     },
 }
@@ -89,10 +89,11 @@
     pub keep_alive: Option<time::Duration>,
 }
 
-/// The result of a prefill.
+/// Memory that an engine keeps until another one fetches it: the result of a prefill, or that of a run
+/// that was stopped.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Prefilled {
-    /// The engine's name for the result.
+pub struct KeptMemory {
+    /// The engine's name for it.
     pub handle: String,
 }
 
@@ -244,12 +245,15 @@
     /// Removes the server's signature, for an answer that isn't the server's any more.
     fn unsign(&self, headers: &mut http::HeaderMap);
 
-    /// Reads the result of a prefill.
-    fn prefilled(&self, body: &[u8]) -> Option<Prefilled>;
+    /// Reads an engine's answer that names memory which it keeps.
+    fn kept_memory(&self, body: &[u8]) -> Option<KeptMemory>;
 
-    /// Frees the result of a prefill.
+    /// Frees memory that an engine keeps.
     fn free_handle(&self, handle: &str) -> Call;
 
+    /// Stops a run and copies its memory to another engine.
+    fn stop_and_copy(&self, request_id: &str, to: net::SocketAddr) -> Call;
+
     /// Asks an engine for its state.
     fn report(&self) -> Call;
 
--- a/lib/src/engine_room.rs
+++ b/lib/src/engine_room.rs
@@ -15,12 +15,9 @@
 use std::time;
 
 use crate::backends;
+use crate::engine_memory;
 use crate::rendezvous;
 
-/// Part of an engine's memory that predictions may fill. Lengths are predicted with an error of about a
-/// third of their size, which averages out to a tenth over the runs of an engine; the rest is for hosts
-/// that place at the same moment.
-const FILL: f64 = 0.84;
 /// Reading times that differ by less count as equal.
 const ABOUT_EQUAL_MS: u128 = 20;
 /// Part of its predicted output that a run is expected to go on for when it has passed it.
@@ -56,6 +53,20 @@
     pub at: time::Duration,
 }
 
+impl Run {
+    /// Returns what the run holds by now, if a token takes `token_time` seconds.
+    fn growth(&self, token_time: f64, now: time::Duration) -> engine_memory::Growth {
+        let since = now.saturating_sub(self.at).as_secs_f64();
+        let made = u64::from(self.made) + (since / token_time) as u64;
+        let made = made.min(u64::from(self.output).max(u64::from(self.made)));
+        let least = (f64::from(self.output) * OVERRUN) as u64;
+        engine_memory::Growth {
+            held: u64::from(self.prompt) + made,
+            remaining: u64::from(self.output).saturating_sub(made).max(least),
+        }
+    }
+}
+
 /// A prompt that an engine reads.
 #[derive(Clone, Debug)]
 pub struct Prefill {
@@ -92,15 +103,6 @@
     }
 }
 
-/// What a request needs.
-#[derive(Clone, Copy, Debug)]
-pub struct Need {
-    /// Tokens of the prompt, with those generated before an interruption.
-    pub prompt: u32,
-    /// Predicted tokens of the output.
-    pub output: u32,
-}
-
 /// Where a request goes.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -121,17 +123,6 @@
     Prompts(time::Duration),
 }
 
-/// Limits of a placement.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// Tokens that one engine's memory holds.
-    pub memory_tokens: u32,
-    /// Requests that one engine runs at once.
-    pub slots: u32,
-    /// Longest time until the prompt must be read; `None` if it has been.
-    pub prefill_within: Option<time::Duration>,
-}
-
 /// The shared view of engines.
 #[derive(Debug, Default)]
 pub struct Room {
@@ -142,13 +133,6 @@
     usual: Speed,
 }
 
-/// Memory and remaining output of a run at one moment, in tokens.
-#[derive(Clone, Copy, Debug)]
-struct Growth {
-    held: u64,
-    remaining: u64,
-}
-
 impl Room {
     /// Notes a run.
     pub fn add_run(&mut self, key: Key, run: Run) {
@@ -303,6 +287,16 @@
         !self.runs.is_empty()
     }
 
+    /// Returns a run.
+    pub fn run(&self, key: &Key) -> Option<&Run> {
+        self.runs.get(key)
+    }
+
+    /// Returns the time of one token on a certain engine.
+    pub fn token_time_on(&self, engine: &str) -> time::Duration {
+        time::Duration::from_secs_f64(self.speed(engine).token_time)
+    }
+
     /// Returns the usual time of one token.
     pub fn token_time(&self) -> time::Duration {
         time::Duration::from_secs_f64(self.usual.token_time)
@@ -350,8 +344,8 @@
     pub fn place(
         &self,
         engines: &[sync::Arc<backends::Backend>],
-        need: Need,
-        limits: Limits,
+        need: engine_memory::Need,
+        limits: engine_memory::Limits,
         zone: &str,
         salt: &str,
         now: time::Duration,
@@ -406,42 +400,42 @@
 
     /// Returns the highest predicted memory of an engine that takes the request, or `None` if that
     /// is more than it has.
-    fn peak(&self, engine: &str, need: Need, limits: Limits, now: time::Duration) -> Option<u64> {
-        let mut runs = self.growths(engine, now);
-        if runs.len() >= limits.slots as usize {
-            return None;
-        }
-        let alone = runs.is_empty();
-        runs.push(Growth {
-            held: u64::from(need.prompt),
-            remaining: u64::from(need.output),
-        });
-        let peak = peak_of(&mut runs);
-        (alone || peak <= fillable(limits)).then_some(peak)
+    fn peak(
+        &self,
+        engine: &str,
+        need: engine_memory::Need,
+        limits: engine_memory::Limits,
+        now: time::Duration,
+    ) -> Option<u64> {
+        engine_memory::peak_with(self.growths(engine, now), need, limits)
     }
 
-    fn growths(&self, engine: &str, now: time::Duration) -> Vec<Growth> {
+    fn growths(&self, engine: &str, now: time::Duration) -> Vec<engine_memory::Growth> {
+        self.growing(engine, now)
+            .map(|(_, growth)| growth)
+            .collect()
+    }
+
+    /// Returns the runs of an engine with what they hold by now.
+    pub(crate) fn growing<'a>(
+        &'a self,
+        engine: &'a str,
+        now: time::Duration,
+    ) -> impl Iterator<Item = (&'a Key, engine_memory::Growth)> {
         let token_time = self.speed(engine).token_time;
-        let runs = self.runs.values().filter(|run| &*run.engine == engine);
-        runs.map(|run| {
-            let since = now.saturating_sub(run.at).as_secs_f64();
-            let made = u64::from(run.made) + (since / token_time) as u64;
-            let made = made.min(u64::from(run.output).max(u64::from(run.made)));
-            let least = (f64::from(run.output) * OVERRUN) as u64;
-            Growth {
-                held: u64::from(run.prompt) + made,
-                remaining: u64::from(run.output).saturating_sub(made).max(least),
-            }
-        })
-        .collect()
+        let runs = self
+            .runs
+            .iter()
+            .filter(move |(_, run)| &*run.engine == engine);
+        runs.map(move |(key, run)| (key, run.growth(token_time, now)))
     }
 
     /// Returns the time after which the first engine has room for the request.
     fn next_room(
         &self,
         engines: &[sync::Arc<backends::Backend>],
-        need: Need,
-        limits: Limits,
+        need: engine_memory::Need,
+        limits: engine_memory::Limits,
         now: time::Duration,
     ) -> time::Duration {
         let decodes = engines
@@ -450,7 +444,7 @@
         let waits = decodes.map(|e| {
             let mut runs = self.growths(&e.id, now);
             runs.sort_unstable_by_key(|run| run.remaining);
-            steps_until_room(&runs, need, limits)
+            engine_memory::steps_until_room(&runs, need, limits)
         });
         let steps = waits.min().unwrap_or_default();
         time::Duration::from_secs_f64(steps as f64 * self.usual.token_time)
@@ -460,39 +454,3 @@
 fn reading_time(speed: Speed, tokens: u32) -> time::Duration {
     time::Duration::from_secs_f64(f64::from(tokens) / speed.prefill_rate / 1_000.0)
 }
-
-fn fillable(limits: Limits) -> u64 {
-    (f64::from(limits.memory_tokens) * FILL) as u64
-}
-
-/// Returns the highest sum of memory: it is reached just before one of the runs ends.
-fn peak_of(runs: &mut [Growth]) -> u64 {
-    runs.sort_unstable_by_key(|run| std::cmp::Reverse(run.remaining));
-    let mut held = 0;
-    let mut peak = 0;
-    for (i, run) in runs.iter().enumerate() {
-        held += run.held;
-        peak = peak.max(held + run.remaining * (i as u64 + 1));
-    }
-    peak
-}
-
-/// Returns the steps until the request fits. `runs` are in order of their ends.
-fn steps_until_room(runs: &[Growth], need: Need, limits: Limits) -> u64 {
-    for (ended, run) in runs.iter().enumerate() {
-        let steps = run.remaining;
-        let later = runs[ended + 1..].iter().map(|r| Growth {
-            held: r.held + steps,
-            remaining: r.remaining - steps,
-        });
-        let mut later: Vec<_> = later.collect();
-        later.push(Growth {
-            held: u64::from(need.prompt),
-            remaining: u64::from(need.output),
-        });
-        if later.len() <= limits.slots as usize && peak_of(&mut later) <= fillable(limits) {
-            return steps;
-        }
-    }
-    runs.last().map_or(0, |run| run.remaining)
-}
--- a/lib/src/retry_share.rs
+++ b/lib/src/retry_share.rs
@@ -22,6 +22,15 @@
     pub window: time::Duration,
 }
 
+/// What a send counts as.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Send {
+    /// The first of a request.
+    First,
+    /// A repeat.
+    Again,
+}
+
 /// Repeats and first sends of one host to one service.
 #[derive(Clone, Debug, Default)]
 pub struct Share {
@@ -29,9 +38,13 @@
 }
 
 impl Share {
-    /// Notes a first send.
-    pub fn sent_first(&mut self, now: time::Duration, terms: &Terms) {
-        self.bucket(now, terms).1 += 1;
+    /// Notes a send.
+    pub fn sent(&mut self, kind: Send, now: time::Duration, terms: &Terms) {
+        let (_, first, again) = self.bucket(now, terms);
+        match kind {
+            Send::First => *first += 1,
+            Send::Again => *again += 1,
+        }
     }
 
     /// Returns whether a repeat is within the budget.
@@ -45,11 +58,6 @@
         f64::from(repeats) + 1.0 <= most
     }
 
-    /// Notes a repeat.
-    pub fn sent_again(&mut self, now: time::Duration, terms: &Terms) {
-        self.bucket(now, terms).2 += 1;
-    }
-
     fn bucket(&mut self, now: time::Duration, terms: &Terms) -> &mut (u64, u32, u32) {
         let at = index(now, terms);
         if self.buckets.back().is_none_or(|(last, ..)| *last != at) {
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -92,10 +92,10 @@
     pub tokens_per_event: u32,
     /// How long an engine keeps the result of a prefill.
     pub handle_ttl: time::Duration,
+    /// Whether engines copy the memory of a run to each other.
+    pub moves: bool,
     /// How long an engine is away while it changes its stage.
     pub switch: time::Duration,
-    /// Longest time-to-live of a reservation, if engines take them.
-    pub reservation_ttl: Option<time::Duration>,
 }
 
 /// A service.
--- a/lib/tests/engine_placement.rs
+++ b/lib/tests/engine_placement.rs
@@ -5,12 +5,14 @@
 use std::time;
 
 use walnuthaven_lib::backends;
+use walnuthaven_lib::engine_memory;
 use walnuthaven_lib::engine_room;
 
 const MEMORY: u32 = 106_284;
 const STEP: time::Duration = time::Duration::from_micros(800);
-const LIMITS: engine_room::Limits = engine_room::Limits {
+const LIMITS: engine_memory::Limits = engine_memory::Limits {
     memory_tokens: MEMORY,
+    claim: engine_memory::Claim::New,
     slots: 64,
     prefill_within: Some(time::Duration::from_millis(700)),
 };
@@ -38,13 +40,13 @@
     reading.chain(generating).collect()
 }
 
-fn need(prompt: u32, output: u32) -> engine_room::Need {
-    engine_room::Need { prompt, output }
+fn need(prompt: u32, output: u32) -> engine_memory::Need {
+    engine_memory::Need { prompt, output }
 }
 
 fn run_on(
     placement: &engine_room::Placement,
-    need: engine_room::Need,
+    need: engine_memory::Need,
     at: time::Duration,
 ) -> engine_room::Run {
     engine_room::Run {
@@ -168,7 +170,7 @@
         matches!(full, Err(engine_room::Full::Prompts(_))),
         "{full:?}"
     );
-    let without = engine_room::Limits {
+    let without = engine_memory::Limits {
         prefill_within: None,
         ..LIMITS
     };
--- a/lib/tests/retry_budget.rs
+++ b/lib/tests/retry_budget.rs
@@ -17,10 +17,10 @@
     for i in 0..requests_per_s * seconds {
         let now = time::Duration::from_secs_f64(f64::from(i) / f64::from(requests_per_s));
         let share = &mut shares[i as usize % hosts];
-        share.sent_first(now, &TERMS);
+        share.sent(retry_share::Send::First, now, &TERMS);
         log.push((now, false));
         while share.has_room(now, &TERMS, hosts) {
-            share.sent_again(now, &TERMS);
+            share.sent(retry_share::Send::Again, now, &TERMS);
             log.push((now, true));
         }
     }
@@ -50,7 +50,7 @@
     let mut share = retry_share::Share::default();
     let start = time::Duration::from_secs(100);
     while share.has_room(start, &TERMS, 6) {
-        share.sent_again(start, &TERMS);
+        share.sent(retry_share::Send::Again, start, &TERMS);
     }
     assert!(!share.has_room(start + TERMS.window, &TERMS, 6));
     assert!(share.has_room(start + TERMS.window * 2, &TERMS, 6));
