--- /dev/null
+++ b/daemon/src/router/bodies.rs
@@ -0,0 +1,40 @@
+//! Memory for the bodies of requests.
+
+use std::sync::atomic;
+
+/// Part of the process's memory that bodies may take; the rest is for connections, views and answers.
+const SHARE: usize = 3;
+
+/// Bytes of bodies that are held.
+#[derive(Debug, Default)]
+pub(crate) struct Bodies {
+    held: atomic::AtomicUsize,
+}
+
+/// Memory held for one body, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Held<'a> {
+    bodies: &'a Bodies,
+    bytes: usize,
+}
+
+impl Bodies {
+    /// Holds memory for a body of up to `bytes`, if there is room in a process with `memory` bytes.
+    pub(crate) fn hold(&self, bytes: usize, memory: usize) -> Option<Held<'_>> {
+        let most = memory / SHARE;
+        let held = self.held.fetch_add(bytes, atomic::Ordering::Relaxed) + bytes;
+        let guard = Held {
+            bodies: self,
+            bytes,
+        };
+        (held <= most).then_some(guard)
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.bodies
+            .held
+            .fetch_sub(self.bytes, atomic::Ordering::Relaxed);
+    }
+}
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -13,15 +13,21 @@
 use walnuthaven_lib::engine_room;
 use walnuthaven_lib::ids;
 use walnuthaven_lib::peers;
+use walnuthaven_lib::quarantine;
 use walnuthaven_lib::routing;
 use walnuthaven_lib::server_health;
 use walnuthaven_lib::waiting;
 
+use crate::router::bodies;
 use crate::router::budget;
+use crate::router::crash_marks;
 use crate::router::pool;
 use crate::router::settings;
 use crate::router::telemetry;
 
+/// One in this many of the connections that a server accepts may be idle.
+const IDLE_SHARE: usize = 2;
+
 /// An entry host.
 #[derive(Debug)]
 pub(crate) struct Router<D> {
@@ -55,6 +61,10 @@
     pub(crate) registered: tokio::sync::Notify,
     /// Asks for the configuration to be read again.
     pub(crate) table_outdated: tokio::sync::Notify,
+    /// Content that crashed backend servers.
+    pub(crate) crashes: sync::Mutex<quarantine::Table>,
+    /// Memory for bodies of requests.
+    pub(crate) bodies: bodies::Bodies,
     /// Retry budgets.
     pub(crate) budgets: budget::Budgets,
     /// Connections to backend servers.
@@ -91,6 +101,10 @@
             news_due: tokio::sync::Notify::new(),
             registered: tokio::sync::Notify::new(),
             table_outdated: tokio::sync::Notify::new(),
+            crashes: sync::Mutex::new(quarantine::Table::refusing_after(
+                crash_marks::SERVERS_TO_REFUSE,
+            )),
+            bodies: bodies::Bodies::default(),
             budgets: budget::Budgets::default(),
             pool: pool::Pool::default(),
             telemetry: telemetry::Telemetry::default(),
@@ -106,6 +120,11 @@
         self.clock.now()
     }
 
+    /// Returns the Unix time.
+    pub(crate) fn unix(&self) -> time::Duration {
+        self.clock.unix()
+    }
+
     pub(crate) fn settings(&self) -> sync::Arc<settings::Settings> {
         read(&self.settings).clone()
     }
@@ -158,6 +177,35 @@
         known && !self.is_leaving() && read(&self.table).is_some()
     }
 
+    /// Returns how many idle connections this host keeps to a server of a service: its part of what the
+    /// server accepts from all hosts, so that new ones of any host are still accepted.
+    pub(crate) fn idle_connections(&self, service: &str) -> usize {
+        let table = self.table();
+        let most = table
+            .as_ref()
+            .and_then(|table| table.service(service))
+            .map_or(u32::MAX, |service| service.max_connections);
+        let own = most as usize / self.hosts() / IDLE_SHARE;
+        own.clamp(1, pool::MAX_IDLE)
+    }
+
+    /// Returns the engines of a service on which this host's group places: its own, or all if no engine
+    /// falls to it.
+    pub(crate) fn engines(&self, service: &str) -> Vec<sync::Arc<backends::Backend>> {
+        let usable = lock(&self.servers).usable(service, self.now());
+        let groups = lock(&self.peers).groups();
+        let group = groups.group(&self.id.name);
+        let own: Vec<_> = usable
+            .iter()
+            .filter(|engine| groups.group(&engine.id) == group)
+            .cloned()
+            .collect();
+        match own.is_empty() {
+            true => usable.to_vec(),
+            false => own,
+        }
+    }
+
     /// Returns the number of hosts that share budgets, counting this one.
     pub(crate) fn hosts(&self) -> usize {
         lock(&self.peers).count() + 1
--- a/daemon/src/router/engine_path.rs
+++ b/daemon/src/router/engine_path.rs
@@ -8,12 +8,11 @@
 use walnuthaven_lib::engine_memory;
 use walnuthaven_lib::engine_room;
 use walnuthaven_lib::outcome;
-use walnuthaven_lib::retry_share;
-use walnuthaven_lib::routing;
 
 use crate::router::answer;
 use crate::router::context;
 use crate::router::events::event;
+use crate::router::journey;
 use crate::router::pool;
 use crate::router::prefills;
 use crate::router::seats;
@@ -25,35 +24,6 @@
 const FIRST_EVENT_SILENCE: time::Duration = time::Duration::from_millis(2_000);
 /// Servers that may turn out unreachable before a request is refused.
 const MAX_CONNECTS_FAILED: u32 = 4;
-/// When callers come back after a server refused the request although room was predicted.
-const REFUSED_BY_SERVER: time::Duration = time::Duration::from_millis(400);
-
-/// A request on its way through engines.
-#[derive(Debug)]
-pub(crate) struct Journey<D> {
-    pub(crate) cx: sync::Arc<context::Router<D>>,
-    pub(crate) req: sync::Arc<send::Received>,
-    pub(crate) route: sync::Arc<routing::Route>,
-    pub(crate) service: sync::Arc<routing::Service>,
-    pub(crate) engines: routing::EnginePool,
-    /// When the request arrived.
-    pub(crate) arrived: time::Duration,
-    /// When its final answer is due.
-    pub(crate) until: time::Duration,
-    /// Servers to which it may still be sent.
-    pub(crate) attempts_left: u32,
-    /// The last event that was passed on, or that the caller had.
-    pub(crate) delivered: Option<u64>,
-    /// Tokens generated so far.
-    pub(crate) made: u32,
-    /// How often the run went on at another engine with its memory.
-    pub(crate) moves: u32,
-    may_have_run: bool,
-    connects_failed: u32,
-    sent_once: bool,
-    prefilled_once: bool,
-    tried: Vec<sync::Arc<str>>,
-}
 
 /// A stream whose head has arrived.
 #[derive(Debug)]
@@ -70,65 +40,16 @@
     Failed(send::Unanswered, Option<prefills::Handle<D>>),
 }
 
-/// Why there is no stream.
-#[derive(Debug)]
-pub(crate) enum Ended {
-    /// The answer that the caller gets.
-    Answer(Box<answer::Answer>),
-    /// The request ends without an answer of a server.
-    Unanswered(outcome::Next, &'static str),
-    /// No room.
-    NoRoom(seats::NoRoom),
-}
-
-impl<D: dialect::Dialect> Journey<D> {
-    pub(crate) fn new(
-        cx: &sync::Arc<context::Router<D>>,
-        req: sync::Arc<send::Received>,
-        route: sync::Arc<routing::Route>,
-        service: sync::Arc<routing::Service>,
-        engines: routing::EnginePool,
-        arrived: time::Duration,
-        until: time::Duration,
-    ) -> Self {
-        Self {
-            cx: cx.clone(),
-            arrived,
-            attempts_left: route.max_attempts,
-            delivered: req.head.resume_after,
-            made: 0,
-            moves: 0,
-            may_have_run: false,
-            connects_failed: 0,
-            sent_once: false,
-            prefilled_once: false,
-            tried: Vec::new(),
-            req,
-            route,
-            service,
-            engines,
-            until,
-        }
-    }
-
-    /// Returns the longest pause between events that is still on time.
-    pub(crate) fn pause(&self) -> Option<time::Duration> {
-        match self.route.kind {
-            routing::Kind::Stream { pause, .. } => Some(pause),
-            _ => None,
-        }
-    }
-
-    pub(crate) fn id(&self) -> &str {
-        self.req.head.request_id.as_deref().unwrap_or("-")
-    }
-
+impl<D: dialect::Dialect> journey::Journey<D> {
     /// Opens the stream of the answer, or of its rest.
-    pub(crate) async fn open(&mut self) -> Result<Opened<D>, Ended> {
+    pub(crate) async fn open(&mut self) -> Result<Opened<D>, journey::Ended> {
         let mut kept: Option<prefills::Handle<D>> = None;
         loop {
             kept = kept.filter(|handle| handle.is_fresh());
-            let (seat, placement) = self.seat(kept.is_some()).await.map_err(Ended::NoRoom)?;
+            let (seat, placement) = self
+                .seat(kept.is_some())
+                .await
+                .map_err(journey::Ended::NoRoom)?;
             let server = placement.decode;
             // Opened first, so that no prompt is read for a server that is gone.
             let connection = match self.connect(&server, self.route.kind.may_run_again()).await {
@@ -166,11 +87,6 @@
         }
     }
 
-    fn need(&self) -> engine_memory::Need {
-        let prompt = self.req.head.prompt.as_ref();
-        seats::need_of(&self.cx, &self.service.name, prompt, self.made)
-    }
-
     async fn connect(
         &self,
         server: &backends::Backend,
@@ -188,13 +104,16 @@
         &mut self,
         server: &sync::Arc<backends::Backend>,
         failed: send::Unanswered,
-    ) -> Result<(), Ended> {
+    ) -> Result<(), journey::Ended> {
         self.connects_failed += 1;
         event!(Info, "server-unreachable", "id" => self.id(), "server" => server.id,
             "cause" => failed.cause);
         self.cx.news_due.notify_one();
         if self.connects_failed > MAX_CONNECTS_FAILED {
-            return Err(Ended::Unanswered(outcome::Next::RefuseUnrun, failed.cause));
+            return Err(journey::Ended::Unanswered(
+                outcome::Next::RefuseUnrun,
+                failed.cause,
+            ));
         }
         Ok(())
     }
@@ -210,41 +129,6 @@
         seats::take(&self.cx, &wish).await
     }
 
-    fn wish<'a>(
-        &'a self,
-        claim: engine_memory::Claim,
-        tried: &'a [sync::Arc<str>],
-    ) -> seats::Wish<'a> {
-        seats::Wish {
-            id: self.id(),
-            service: &self.service,
-            engines: &self.engines,
-            priority: self.route.priority,
-            need: self.need(),
-            prompt_read: claim == engine_memory::Claim::Moved,
-            claim,
-            first_event_by: self.arrived + self.route.target,
-            until: self.until,
-            tried,
-        }
-    }
-
-    /// Takes room on another engine for a run that leaves its own, if there is any now and another
-    /// send is allowed.
-    pub(crate) fn seat_for_move(
-        &self,
-        engine: &sync::Arc<str>,
-    ) -> Option<(seats::Seat<D>, sync::Arc<backends::Backend>)> {
-        let cx = &self.cx;
-        let terms = cx.settings().retry;
-        let service = &self.service.name;
-        if !cx.budgets.has_room(service, cx.now(), &terms, cx.hosts()) {
-            return None;
-        }
-        let tried: Vec<_> = self.tried.iter().chain([engine]).cloned().collect();
-        seats::take_for_move(cx, &self.wish(engine_memory::Claim::Moved, &tried))
-    }
-
     /// Goes on at a server with the memory of a run that was stopped. It is the same run, so it doesn't
     /// count as one of the route's attempts.
     pub(crate) async fn go_on(
@@ -341,7 +225,7 @@
         server: &sync::Arc<backends::Backend>,
         connection: pool::Connection,
         mut handle: Option<prefills::Handle<D>>,
-    ) -> Result<Decoded<D>, Ended> {
+    ) -> Result<Decoded<D>, journey::Ended> {
         let cx = self.cx.clone();
         let now = cx.now();
         let repeatable = self.route.kind.may_run_again();
@@ -387,7 +271,7 @@
         if unrun {
             return Ok(self.refused(status, handle));
         }
-        if status.is_success() || promises_unrun(status) {
+        if status.is_success() || journey::promises_unrun(status) {
             let outcome = outcome::Outcome::ServerFailed;
             let cause = "answer without signature";
             return Ok(Decoded::Failed(send::Unanswered { outcome, cause }, None));
@@ -395,7 +279,7 @@
         event!(Info, "server-failed", "id" => self.id(), "server" => server.id,
             "status" => status.as_u16());
         let headers = cx.dialect.caller_headers(&headers);
-        Err(Ended::Answer(Box::new(answer::whole(
+        Err(journey::Ended::Answer(Box::new(answer::whole(
             status, headers, body,
         ))))
     }
@@ -422,7 +306,7 @@
         server: &sync::Arc<backends::Backend>,
         failed: send::Unanswered,
         prefill: bool,
-    ) -> Result<(), Ended> {
+    ) -> Result<(), journey::Ended> {
         let now = self.cx.now();
         self.note_failure(server, &failed, now);
         // Reading a prompt doesn't run the request, whatever became of it.
@@ -441,91 +325,7 @@
             "next" => format!("{next:?}"));
         match next {
             outcome::Next::SendAgain => Ok(()),
-            other => Err(Ended::Unanswered(other, failed.cause)),
-        }
-    }
-
-    /// Decides what follows an outcome.
-    pub(crate) fn next(&self, outcome: outcome::Outcome) -> outcome::Next {
-        let cx = &self.cx;
-        let now = cx.now();
-        let terms = cx.settings().retry;
-        let left = outcome::Left {
-            attempts: self.attempts_left,
-            time: self.until.saturating_sub(now),
-            budget: cx
-                .budgets
-                .has_room(&self.service.name, now, &terms, cx.hosts()),
-        };
-        outcome::next(self.route.kind, outcome, left)
-    }
-
-    /// Notes what a failure says of a server.
-    pub(crate) fn note_failure(
-        &mut self,
-        server: &sync::Arc<backends::Backend>,
-        failed: &send::Unanswered,
-        now: time::Duration,
-    ) {
-        let mut health = context::lock(&self.cx.health);
-        match failed.outcome {
-            outcome::Outcome::NeverWritten => {}
-            outcome::Outcome::RefusedUnrun => health.refused(&server.id, now),
-            outcome::Outcome::Silent | outcome::Outcome::BrokenBeforeAnswer => {
-                health.unreachable(&server.id, now);
-            }
-            outcome::Outcome::ServerFailed | outcome::Outcome::BrokenMidway => {
-                health.broke_off(&server.id);
-            }
-        }
-        drop(health);
-        self.cx.news_due.notify_one();
-        if !self.tried.contains(&server.id) {
-            self.tried.push(server.id.clone());
-        }
-    }
-
-    /// Counts a send of the request to an engine that runs it.
-    fn count_attempt(&mut self) {
-        if std::mem::replace(&mut self.sent_once, true) {
-            self.count_repeat();
-        } else {
-            let cx = &self.cx;
-            let terms = cx.settings().retry;
-            let kind = retry_share::Send::First;
-            cx.budgets.sent(&self.service.name, kind, cx.now(), &terms);
+            other => Err(journey::Ended::Unanswered(other, failed.cause)),
         }
-        self.attempts_left = self.attempts_left.saturating_sub(1);
     }
-
-    fn count_repeat(&self) {
-        let cx = &self.cx;
-        let terms = cx.settings().retry;
-        let kind = retry_share::Send::Again;
-        cx.budgets.sent(&self.service.name, kind, cx.now(), &terms);
-        cx.telemetry.count("repeats");
-    }
-
-    /// Makes the answer to a request that ended without a stream.
-    pub(crate) fn final_answer(&self, ended: Ended) -> answer::Answer {
-        match ended {
-            Ended::Answer(answer) => *answer,
-            Ended::NoRoom(no_room) if !self.may_have_run => {
-                answer::not_run(no_room.cause, no_room.retry_after)
-            }
-            Ended::NoRoom(no_room) => answer::own(http::StatusCode::BAD_GATEWAY, no_room.cause),
-            Ended::Unanswered(outcome::Next::RefuseUnrun, cause) if !self.may_have_run => {
-                answer::not_run(cause, REFUSED_BY_SERVER)
-            }
-            Ended::Unanswered(outcome::Next::TimedOut, cause) => {
-                answer::own(http::StatusCode::GATEWAY_TIMEOUT, cause)
-            }
-            Ended::Unanswered(_, cause) => answer::own(http::StatusCode::BAD_GATEWAY, cause),
-        }
-    }
-}
-
-/// Returns whether a status promises that a request hasn't run.
-pub(crate) fn promises_unrun(status: http::StatusCode) -> bool {
-    matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -1,19 +1,22 @@
 //! A request's way: read, match a route, find a place, send, relay.
 
 use std::convert;
+use std::net;
 use std::sync;
 use std::time;
 
+use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
 use hyper::body;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::routing;
+use xxhash_rust::xxh3;
 
 use crate::router::answer;
 use crate::router::context;
-use crate::router::engine_path;
 use crate::router::events::event;
+use crate::router::journey;
 use crate::router::plain_path;
 use crate::router::relay;
 use crate::router::send;
@@ -24,6 +27,10 @@
 const LEAVING: time::Duration = time::Duration::from_millis(50);
 /// How long a leaving host still takes requests whose answers are streams.
 pub(crate) const LEAVING_STREAMS: time::Duration = time::Duration::from_millis(2_500);
+/// When callers come back whose body found no memory: about the time of a request.
+const NO_MEMORY: time::Duration = time::Duration::from_millis(500);
+/// When callers come back whose request crashed servers. It fails again until an operator acts.
+const CRASHES: time::Duration = time::Duration::from_secs(60);
 /// The longest wait of a caller that names none, on a route without a timeout.
 const DEFAULT_DEADLINE: time::Duration = time::Duration::from_secs(60);
 
@@ -34,12 +41,13 @@
 /// Never returns one.
 pub(crate) async fn handle<D: dialect::Dialect>(
     cx: sync::Arc<context::Router<D>>,
+    caller: net::IpAddr,
     req: http::Request<body::Incoming>,
 ) -> Result<answer::Answer, convert::Infallible> {
     let arrived = cx.now();
     let guard = context::InFlight::new(&cx);
     cx.telemetry.count("requests");
-    let mut answer = route(&cx, req, arrived, guard).await;
+    let mut answer = route(&cx, caller, req, arrived, guard).await;
     if cx.is_leaving() {
         // The caller's next request goes to another host; the connection isn't closed under one that
         // is on its way.
@@ -55,6 +63,7 @@
 
 async fn route<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
+    caller: net::IpAddr,
     req: http::Request<body::Incoming>,
     arrived: time::Duration,
     guard: context::InFlight<D>,
@@ -84,6 +93,11 @@
         return answer::own(http::StatusCode::NOT_FOUND, "no route matches");
     };
     let until = arrived + time_for(route, &head);
+    let longest = longest_body(&parts.headers, &table.limits);
+    let Some(_held) = cx.bodies.hold(longest, cx.settings().memory) else {
+        event!(Info, "refused", "id" => id, "cause" => "no memory for the body", "bytes" => longest);
+        return answer::not_run("no memory for the body", NO_MEMORY);
+    };
     let reading = Limited::new(body, table.limits.body_bytes).collect();
     let body = match tokio::time::timeout(until.saturating_sub(cx.now()), reading).await {
         Ok(Ok(body)) => body.to_bytes(),
@@ -104,16 +118,24 @@
         event!(Warn, "no-service", "id" => id, "route" => route.name, "version" => table.version);
         return answer::not_run("the route's service isn't configured", NOT_READY);
     };
+    let digest = digest(caller, &parts.uri, &body);
+    let unix = cx.unix();
+    if let Err(refusal) = context::lock(&cx.crashes).check(digest, unix) {
+        event!(Info, "refused", "id" => id, "cause" => "crashes servers",
+            "digest" => format!("{digest:016x}"), "marked" => refusal.message);
+        return answer::not_run("this request crashed several servers", CRASHES);
+    }
     let received = send::Received {
         method: parts.method,
         target: parts.uri,
         headers: parts.headers,
         head,
         body,
+        digest,
     };
     let answer = match (&service.engines, route.kind) {
         (Some(engines), routing::Kind::Stream { .. }) => {
-            let journey = engine_path::Journey::new(
+            let journey = journey::Journey::new(
                 cx,
                 sync::Arc::new(received),
                 route.clone(),
@@ -143,7 +165,7 @@
 
 async fn stream<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
-    mut journey: engine_path::Journey<D>,
+    mut journey: journey::Journey<D>,
     guard: context::InFlight<D>,
 ) -> answer::Answer {
     if cx.left_for() > LEAVING_STREAMS {
@@ -155,6 +177,29 @@
     }
 }
 
+/// Returns the most memory that a body may take.
+fn longest_body(headers: &http::HeaderMap, limits: &routing::CallerLimits) -> usize {
+    let length = headers.get(http::header::CONTENT_LENGTH);
+    let stated = length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
+    let chunked = headers.contains_key(http::header::TRANSFER_ENCODING);
+    let longest = match (stated, chunked) {
+        (Some(stated), _) => stated,
+        (None, true) => limits.body_bytes,
+        (None, false) => 0,
+    };
+    longest.min(limits.body_bytes)
+}
+
+/// Returns what identifies a request that comes again: its caller, target and body.
+fn digest(caller: net::IpAddr, target: &http::Uri, body: &Bytes) -> u64 {
+    let mut hasher = xxh3::Xxh3::new();
+    hasher.update(caller.to_string().as_bytes());
+    hasher.update(target.to_string().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(body);
+    hasher.digest()
+}
+
 /// Returns how long the answer may take: as long as the caller waits and the route allows.
 fn time_for(route: &routing::Route, head: &dialect::CallerHead) -> time::Duration {
     let limits = [route.timeout, head.deadline];
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -18,6 +18,7 @@
 use crate::router::events;
 use crate::router::events::event;
 use crate::router::forward;
+use crate::router::head_timer;
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -75,8 +76,8 @@
         let Ok(slot) = slots.clone().acquire_owned().await else {
             return;
         };
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, caller) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 event!(Warn, "accept-failed", "cause" => error.to_string());
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -85,7 +86,7 @@
         };
         let cx = cx.clone();
         tokio::spawn(async move {
-            serve(cx, stream, door).await;
+            serve(cx, stream, caller.ip(), door).await;
             drop(slot);
         });
     }
@@ -94,6 +95,7 @@
 async fn serve<D: dialect::Dialect>(
     cx: sync::Arc<context::Router<D>>,
     stream: tokio::net::TcpStream,
+    caller: net::IpAddr,
     door: Door,
 ) {
     if stream.set_nodelay(true).is_err() {
@@ -107,21 +109,29 @@
     let head = table
         .as_ref()
         .map_or(MIN_HEAD * 2, |table| table.limits.header_bytes);
+    let head_time = table
+        .as_ref()
+        .map_or(IDLE, |table| table.limits.header_timeout);
+    let phase = head_timer::Phase::default();
+    let timed = head_timer::Timed::new(stream, phase.clone(), head_time);
     let service = service::service_fn(move |req| {
         let cx = cx.clone();
+        let phase = phase.clone();
+        phase.head_read();
         async move {
-            match door {
-                Door::Callers => forward::handle(cx, req).await,
+            let answer = match door {
+                Door::Callers => forward::handle(cx, caller, req).await,
                 Door::Questions => question(&cx, &req),
                 Door::Metrics => metrics(&cx),
-            }
+            };
+            answer.map(|answer| answer.map(|body| head_timer::Answering::new(body, phase)))
         }
     });
     let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(idle + IDLE_SLACK)
         .max_buf_size((head * 2).max(MIN_HEAD))
-        .serve_connection(rt::TokioIo::new(stream), service);
+        .serve_connection(rt::TokioIo::new(timed), service);
     if let Err(error) = connection.await
         && error.is_parse()
     {
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -6,11 +6,15 @@
 pub mod settings;
 
 mod answer;
+mod bodies;
 mod budget;
 mod context;
+mod crash_marks;
 mod engine_path;
 mod events;
 mod forward;
+mod head_timer;
+mod journey;
 mod listen;
 mod moving;
 mod news;
--- a/daemon/src/router/moving.rs
+++ b/daemon/src/router/moving.rs
@@ -12,6 +12,7 @@
 use crate::router::context;
 use crate::router::engine_path;
 use crate::router::events::event;
+use crate::router::journey;
 use crate::router::pool;
 use crate::router::prefills;
 use crate::router::seats;
@@ -44,7 +45,7 @@
 
 /// Starts to move a run if it should leave its engine and another one has room.
 pub(crate) fn start<D: dialect::Dialect>(
-    journey: &engine_path::Journey<D>,
+    journey: &journey::Journey<D>,
     source: &sync::Arc<backends::Backend>,
     seat: &seats::Seat<D>,
 ) -> Option<Move<D>> {
@@ -60,7 +61,10 @@
         let room = context::lock(&cx.room);
         run_moves::reason(&room, &seat.key, memory, leaves, now)?
     };
-    let (seat, target) = journey.seat_for_move(&source.id)?;
+    let Some((seat, target)) = journey.seat_for_move(&source.id) else {
+        cx.telemetry.count("runs.nowhere_to_move");
+        return None;
+    };
     cx.telemetry.count("runs.moved");
     event!(Info, "move", "id" => id, "from" => source.id, "to" => target.id,
         "reason" => format!("{reason:?}"), "tokens" => journey.made);
@@ -150,7 +154,7 @@
     /// Returns `None` if the run wasn't stopped.
     pub(crate) async fn finish(
         self,
-        journey: &mut engine_path::Journey<D>,
+        journey: &mut journey::Journey<D>,
         old: seats::Seat<D>,
     ) -> Option<Result<engine_path::Opened<D>, send::Unanswered>> {
         // The task neither panics nor is cancelled.
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -12,6 +12,7 @@
 use walnuthaven_wire::news;
 
 use crate::router::context;
+use crate::router::crash_marks;
 use crate::router::events::event;
 
 /// Shortest time between two messages: what happens within it goes out together.
@@ -49,7 +50,7 @@
         let _ = tokio::time::timeout(peers::NEWS_EVERY, cx.news_due.notified()).await;
         sequence += 1;
         let message = own_news(&cx, sequence).encode_to_vec();
-        let addresses: Vec<_> = context::lock(&cx.peers).addresses().collect();
+        let addresses: Vec<_> = context::lock(&cx.peers).addresses(&cx.id.name).collect();
         for addr in addresses {
             // A host that can't be reached is found by its silence.
             let _ = socket.try_send_to(&message, addr);
@@ -106,6 +107,7 @@
         runs: runs.take(MAX_RUNS).collect(),
         prefills: prefills.take(MAX_RUNS).collect(),
         avoided,
+        crash_marks: crash_marks::told(cx),
     }
 }
 
@@ -178,6 +180,7 @@
     });
     context::lock(&cx.room).replace_host(&name, runs.collect(), prefills.collect(), now);
     take_avoided(cx, &message.avoided, now);
+    crash_marks::take(cx, message.crash_marks);
     cx.room_changed.notify_waiters();
     if message.config_version > cx.table().map_or(0, |table| table.version) {
         cx.table_outdated.notify_one();
@@ -190,8 +193,7 @@
     avoided: &[news::Avoided],
     now: time::Duration,
 ) {
-    let servers = context::lock(&cx.servers).listed().count();
-    if avoided.len() * TRUSTED_AVOIDED > servers {
+    if avoided.len() * TRUSTED_AVOIDED > context::lock(&cx.servers).count() {
         return;
     }
     let mut health = context::lock(&cx.health);
--- a/daemon/src/router/orders.rs
+++ b/daemon/src/router/orders.rs
@@ -97,11 +97,16 @@
             .iter()
             .map(|(id, (stage, _))| (id.clone(), *stage));
         let recent = recent.collect();
-        let servers = context::lock(&self.cx.servers);
+        let groups = context::lock(&self.cx.peers).groups();
         table.services().find_map(|service| {
             let memory = service.engines.as_ref()?.memory_tokens;
-            let engines = servers.usable(&service.name, now);
-            pool_balance::next_order(&engines, memory, &recent)
+            let usable = context::lock(&self.cx.servers).usable(&service.name, now);
+            // Each group of hosts has a pool of its own.
+            (0..groups.count()).find_map(|group| {
+                let of_group = usable.iter().filter(|e| groups.group(&e.id) == group);
+                let engines: Vec<_> = of_group.cloned().collect();
+                pool_balance::next_order(&engines, memory, &recent)
+            })
         })
     }
 
@@ -121,7 +126,10 @@
 
     async fn try_lease(&mut self) -> Result<bool, store::Failure> {
         let collection = dialect::Collection::Leases;
-        let (objects, _) = self.client.list(collection).await?;
+        let (objects, _) = self
+            .client
+            .list(collection, dialect::Freshness::Newest)
+            .await?;
         let stored = objects.into_iter().find(|object| &*object.name == LEASE);
         let record = stored.as_ref().and_then(|object| {
             // A record that can't be read counts as none and is replaced.
--- a/daemon/src/router/plain_path.rs
+++ b/daemon/src/router/plain_path.rs
@@ -11,8 +11,9 @@
 
 use crate::router::answer;
 use crate::router::context;
-use crate::router::engine_path;
+use crate::router::crash_marks;
 use crate::router::events::event;
+use crate::router::journey;
 use crate::router::send;
 
 /// A request that may be repeated is sent elsewhere when its server has been silent for this many
@@ -135,7 +136,11 @@
         answer::not_run(cause, wait.mul_f64(1.0 + rand::random::<f64>()))
     }
 
-    async fn send(&self, server: &backends::Backend, again: bool) -> Result<answer::Answer, Ended> {
+    async fn send(
+        &self,
+        server: &sync::Arc<backends::Backend>,
+        again: bool,
+    ) -> Result<answer::Answer, Ended> {
         let cx = self.cx;
         let started = cx.now();
         let repeatable = self.route.kind.may_run_again();
@@ -185,7 +190,7 @@
             let cause = "answer without signature";
             return Err(ended(outcome::Outcome::BrokenMidway, cause, None));
         }
-        if engine_path::promises_unrun(status) {
+        if journey::promises_unrun(status) {
             // The server doesn't state that the request didn't run, so neither does the router.
             let cause = "server failed";
             return Err(ended(outcome::Outcome::ServerFailed, cause, None));
@@ -197,7 +202,10 @@
                 "server failed",
                 Some(answer),
             )),
-            false => Ok(answer),
+            false => {
+                crash_marks::clear(cx, self.req.digest);
+                Ok(answer)
+            }
         }
     }
 
@@ -211,6 +219,7 @@
             _ => health.broke_off(&server.id),
         }
         drop(health);
+        crash_marks::look_after(self.cx, server, self.req.digest, failed.outcome);
         Ended {
             failed,
             answer: None,
--- a/daemon/src/router/pool.rs
+++ b/daemon/src/router/pool.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt;
+use walnuthaven_lib::backends;
 
 use crate::router::context;
 
@@ -19,7 +20,7 @@
 /// the close on its way.
 const IDLE_MARGIN: time::Duration = time::Duration::from_secs(1);
 /// Most idle connections to one server.
-const MAX_IDLE: usize = 8;
+pub(crate) const MAX_IDLE: usize = 8;
 /// How long a connection may take to become idle after an answer.
 const SETTLE: time::Duration = time::Duration::from_millis(100);
 /// Probes find a connection whose other side fell silent within three seconds.
@@ -76,7 +77,8 @@
 
     fn put(
         &self,
-        server: &sync::Arc<str>,
+        server: &backends::Backend,
+        most: usize,
         idle_for: Option<time::Duration>,
         entry: Connection,
         now: time::Duration,
@@ -84,8 +86,8 @@
         let limit = idle_for.unwrap_or(IDLE);
         let until = now + limit.saturating_sub(IDLE_MARGIN);
         let mut idle = context::lock(&self.idle);
-        let list = idle.entry(server.clone()).or_default();
-        if list.len() < MAX_IDLE {
+        let list = idle.entry(server.id.clone()).or_default();
+        if list.len() < most {
             list.push(Idle {
                 connection: entry,
                 since: now,
@@ -111,14 +113,15 @@
 /// Gives a connection back once its answer has ended.
 pub(crate) async fn give_back<D: walnuthaven_lib::dialect::Dialect>(
     cx: sync::Arc<context::Router<D>>,
-    server: sync::Arc<str>,
+    server: sync::Arc<backends::Backend>,
     keep_alive: Option<time::Duration>,
     mut connection: Connection,
 ) {
     let ready = tokio::time::timeout(SETTLE, connection.tx.ready()).await;
     if let Ok(Ok(())) = ready {
         connection.reused = true;
-        cx.pool.put(&server, keep_alive, connection, cx.now());
+        let most = cx.idle_connections(&server.service);
+        cx.pool.put(&server, most, keep_alive, connection, cx.now());
     }
 }
 
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -14,8 +14,10 @@
 
 use crate::router::answer;
 use crate::router::context;
+use crate::router::crash_marks;
 use crate::router::engine_path;
 use crate::router::events::event;
+use crate::router::journey;
 use crate::router::moving;
 use crate::router::pool;
 use crate::router::seats;
@@ -53,7 +55,7 @@
 /// Makes the answer to a request whose stream was opened. The stream is relayed by a task of its own,
 /// which ends when the caller leaves.
 pub(crate) fn answer<D: dialect::Dialect>(
-    journey: engine_path::Journey<D>,
+    journey: journey::Journey<D>,
     opened: engine_path::Opened<D>,
     guard: context::InFlight<D>,
 ) -> answer::Answer {
@@ -69,7 +71,7 @@
 }
 
 async fn relay<D: dialect::Dialect>(
-    mut journey: engine_path::Journey<D>,
+    mut journey: journey::Journey<D>,
     mut opened: engine_path::Opened<D>,
     tx: Caller,
 ) {
@@ -96,6 +98,7 @@
         let failed = match end {
             StreamEnd::Complete => {
                 learn_length(&journey);
+                crash_marks::clear(&cx, journey.req.digest);
                 return finish(&journey, "complete", "");
             }
             StreamEnd::CallerLeft => return finish(&journey, "caller left", ""),
@@ -122,7 +125,7 @@
 }
 
 /// Notes the length of a whole answer.
-fn learn_length<D: dialect::Dialect>(journey: &engine_path::Journey<D>) {
+fn learn_length<D: dialect::Dialect>(journey: &journey::Journey<D>) {
     let Some(prompt) = &journey.req.head.prompt else {
         return;
     };
@@ -134,7 +137,7 @@
 }
 
 async fn break_off<D: dialect::Dialect>(
-    journey: &engine_path::Journey<D>,
+    journey: &journey::Journey<D>,
     tx: &Caller,
     cause: &'static str,
 ) {
@@ -144,7 +147,7 @@
 }
 
 fn finish<D: dialect::Dialect>(
-    journey: &engine_path::Journey<D>,
+    journey: &journey::Journey<D>,
     how: &'static str,
     cause: &'static str,
 ) {
@@ -161,7 +164,7 @@
 
 /// Passes on what one server makes.
 async fn part<D: dialect::Dialect>(
-    journey: &mut engine_path::Journey<D>,
+    journey: &mut journey::Journey<D>,
     opened: engine_path::Opened<D>,
     tx: &Caller,
 ) -> PartEnd<D> {
@@ -176,7 +179,7 @@
             if matches!(end, StreamEnd::Complete) {
                 tokio::spawn(pool::give_back(
                     journey.cx.clone(),
-                    server.id.clone(),
+                    server,
                     sent.head.keep_alive,
                     sent.connection,
                 ));
@@ -188,7 +191,7 @@
 
 /// Passes on events until the stream ends, and starts to move the run where that is due.
 async fn pass_all<D: dialect::Dialect>(
-    journey: &mut engine_path::Journey<D>,
+    journey: &mut journey::Journey<D>,
     body: &mut body::Incoming,
     (server, seat): (&sync::Arc<backends::Backend>, &seats::Seat<D>),
     moving: &mut Option<moving::Move<D>>,
@@ -221,6 +224,7 @@
             if tx.send(Ok(event.bytes)).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
+            note_pause(journey, &server.id);
             seat.progress(journey.made);
         }
         if splitter.is_overfull() {
@@ -235,9 +239,26 @@
     }
 }
 
+/// Notes a pause before the event that was just passed on, if it made the answer late.
+fn note_pause<D: dialect::Dialect>(journey: &mut journey::Journey<D>, server: &sync::Arc<str>) {
+    let cx = &journey.cx;
+    let now = cx.now();
+    let Some(last) = journey.delivered_at.replace(now) else {
+        return;
+    };
+    let took = now.saturating_sub(last);
+    if journey.pause().is_some_and(|longest| took > longest) {
+        cx.telemetry.time("streams.pause", took);
+        let (runs, tokens) = context::lock(&cx.room).load(server, now);
+        event!(Info, "pause", "id" => journey.id(), "server" => server,
+            "took_ms" => took.as_millis() as u64, "after_event" => journey.delivered,
+            "engine_runs" => runs, "engine_tokens" => tokens);
+    }
+}
+
 /// Waits until the server counts as silent, or its stopped run has ended without closing the stream.
 async fn silence<D: dialect::Dialect>(
-    journey: &engine_path::Journey<D>,
+    journey: &journey::Journey<D>,
     moving: Option<&moving::Move<D>>,
 ) {
     let now = journey.cx.now();
@@ -253,7 +274,7 @@
 
 /// Returns when the server counts as silent.
 fn silent_at<D: dialect::Dialect>(
-    journey: &engine_path::Journey<D>,
+    journey: &journey::Journey<D>,
     now: time::Duration,
 ) -> time::Duration {
     match journey
@@ -273,7 +294,7 @@
 
 /// Checks an event's id against the last one and counts the event.
 fn pass_on<D: dialect::Dialect>(
-    journey: &mut engine_path::Journey<D>,
+    journey: &mut journey::Journey<D>,
     event: &event_stream::Event,
 ) -> Order {
     if let (Some(id), Some(last)) = (event.id, journey.delivered) {
--- a/daemon/src/router/seats.rs
+++ b/daemon/src/router/seats.rs
@@ -214,7 +214,7 @@
     now: time::Duration,
     first: bool,
 ) -> Result<(Seat<D>, engine_room::Placement), engine_room::Full> {
-    let usable = context::lock(&cx.servers).usable(&wish.service.name, now);
+    let usable = cx.engines(&wish.service.name);
     let health = context::lock(&cx.health);
     let untried = usable
         .into_iter()
@@ -299,7 +299,7 @@
 
 /// Returns the predicted time between the ends of two runs of the service.
 fn spacing<D: dialect::Dialect>(cx: &context::Router<D>, wish: &Wish<'_>) -> time::Duration {
-    let servers = context::lock(&cx.servers).usable(&wish.service.name, cx.now());
+    let servers = cx.engines(&wish.service.name);
     let room = context::lock(&cx.room);
     let runs: usize = servers.iter().map(|server| room.runs_on(&server.id)).sum();
     room.token_time() * TYPICAL_OUTPUT / (runs.max(1) as u32)
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -41,6 +41,8 @@
     pub(crate) head: dialect::CallerHead,
     /// The body.
     pub(crate) body: Bytes,
+    /// Digest of the caller and what it asks for: the same in each attempt.
+    pub(crate) digest: u64,
 }
 
 /// An answer whose head has arrived.
@@ -56,7 +58,7 @@
     pub(crate) body: body::Incoming,
     /// The connection, in use until the body has ended.
     pub(crate) connection: pool::Connection,
-    server: sync::Arc<str>,
+    server: sync::Arc<backends::Backend>,
 }
 
 /// A send without an answer.
@@ -85,7 +87,7 @@
 pub(crate) async fn send<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     req: &Received,
-    server: &backends::Backend,
+    server: &sync::Arc<backends::Backend>,
     mut connection: pool::Connection,
     sending: &dialect::Sending<'_>,
     options: Options,
@@ -127,7 +129,7 @@
         head,
         body,
         connection,
-        server: server.id.clone(),
+        server: server.clone(),
     })
 }
 
--- a/daemon/src/router/store.rs
+++ b/daemon/src/router/store.rs
@@ -59,12 +59,14 @@
     pub(crate) async fn list(
         &mut self,
         collection: dialect::Collection,
+        freshness: dialect::Freshness,
     ) -> Result<(Vec<dialect::Object>, u64), Failure> {
         let mut objects: Vec<dialect::Object> = Vec::new();
         let mut first_revision = None;
         loop {
             let after = objects.last().map(|object| object.name.clone());
-            let call = self.cx.dialect.list(collection, after.as_deref());
+            let after = after.as_deref();
+            let call = self.cx.dialect.list(collection, freshness, after);
             let body = self.call(call, CALL).await?;
             let page = self.cx.dialect.page(&body).ok_or(Failure::Unreadable)?;
             // Changes while the pages are read are seen by a watch from the first page's revision.
--- a/daemon/src/router/views.rs
+++ b/daemon/src/router/views.rs
@@ -26,7 +26,7 @@
 const HOSTS_EVERY: time::Duration = time::Duration::from_secs(40);
 /// How long changes of backend servers gather before the next are asked for, so that many changes at
 /// once cost few calls. Short against the two seconds in which a leaving server must be left alone.
-const GATHER_SERVERS: time::Duration = time::Duration::from_millis(250);
+const GATHER_SERVERS: time::Duration = time::Duration::from_millis(600);
 /// The same for the configuration.
 const GATHER_CONFIGURATION: time::Duration = time::Duration::from_millis(40);
 
@@ -65,11 +65,19 @@
     let mut pause = FIRST_PAUSE;
     let mut known: Option<u64> = None;
     let mut failing = false;
+    let mut may_lag = collection == dialect::Collection::Backends;
     loop {
         let step = async {
             match known {
                 None => {
-                    let (objects, revision) = client.list(collection).await?;
+                    let freshness = match may_lag {
+                        true => dialect::Freshness::MayLag,
+                        false => dialect::Freshness::Newest,
+                    };
+                    let (objects, revision) = client.list(collection, freshness).await?;
+                    // A view never goes back, so only the first list of what is watched may lag; the
+                    // watch that follows brings what it lacks.
+                    may_lag = false;
                     back(&cx, collection, &mut failing);
                     take_all(&cx, collection, objects, revision);
                     Ok(Some(revision))
@@ -77,7 +85,7 @@
                 Some(_) if collection == dialect::Collection::Hosts => {
                     let pause = HOSTS_EVERY.mul_f64(rand::random_range(0.5..1.0));
                     tokio::select! {
-                        () = tokio::time::sleep(pause) => {}
+                        () = tokio::time::sleep(pause) => may_lag = true,
                         () = cx.registered.notified() => {}
                     }
                     Ok(None)
--- a/daemon/tests/entry_store.rs
+++ b/daemon/tests/entry_store.rs
@@ -213,3 +213,29 @@
         assert!(told.body.contains(&host.callers.to_string()), "{told:?}");
     }
 }
+
+#[tokio::test]
+async fn hosts_and_servers_are_known_though_lists_lag() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    store.lag();
+    let server = server::Server::start("i-a", None).await;
+    server.register(&store, "gate");
+    let names = ["h1", "h2", "h3"];
+    let started = names.map(|name| hosts::Host::start(BINARY, name, addr));
+    for host in &started {
+        host.wait_ready().await;
+        until(host, "/once/x", 200).await;
+        let start = time::Instant::now();
+        loop {
+            let question = caller::request("GET", "/walnuthaven/resolve", "q", "", "");
+            let answer = caller::send(host.questions, &question, WITHIN).await;
+            let known = |other: &hosts::Host| answer.body.contains(&other.callers.to_string());
+            if started.iter().all(known) {
+                break;
+            }
+            assert!(start.elapsed() < WITHIN * 2, "{}: {answer:?}", host.name);
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+    }
+}
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -68,6 +68,8 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     tracked: collections::BTreeMap<sync::Arc<str>, Tracked>,
+    /// Listed servers that don't drain, by service. Made anew after a change.
+    listed: collections::HashMap<sync::Arc<str>, sync::Arc<[sync::Arc<Backend>]>>,
     store_away: bool,
     store_back: Option<time::Duration>,
 }
@@ -92,6 +94,7 @@
 
     /// Takes one entry.
     pub fn put(&mut self, backend: Backend) -> Option<Change> {
+        self.listed.clear();
         let backend = sync::Arc::new(backend);
         let fresh = Tracked {
             backend: backend.clone(),
@@ -111,6 +114,7 @@
 
     /// Takes the removal of an entry.
     pub fn remove(&mut self, id: &str, now: time::Duration) -> Option<Change> {
+        self.listed.clear();
         let tracked = self.tracked.get_mut(id)?;
         let backend = tracked.backend.clone();
         if backend.draining {
@@ -145,12 +149,6 @@
             .retain(|_, t| t.doubtful_until.is_none_or(|until| now < until));
     }
 
-    /// Returns a server that hasn't vanished.
-    pub fn get(&self, id: &str) -> Option<&sync::Arc<Backend>> {
-        let tracked = self.tracked.get(id)?;
-        tracked.doubtful_until.is_none().then_some(&tracked.backend)
-    }
-
     /// Returns whether a server is about to end: it said so, or its entry is gone for good.
     pub fn is_leaving(&self, id: &str) -> bool {
         self.tracked
@@ -160,17 +158,25 @@
 
     /// Returns the servers of a service that may get new work: those that are listed, or else those
     /// that vanished a moment ago.
-    pub fn usable(&self, service: &str, now: time::Duration) -> Vec<sync::Arc<Backend>> {
+    pub fn usable(
+        &mut self,
+        service: &str,
+        now: time::Duration,
+    ) -> sync::Arc<[sync::Arc<Backend>]> {
+        if let Some(listed) = self.listed.get(service) {
+            return listed.clone();
+        }
         let of_service = || {
             self.tracked
                 .values()
                 .filter(|t| &*t.backend.service == service && !t.backend.draining)
         };
-        let listed: Vec<_> = of_service()
+        let listed: sync::Arc<[_]> = of_service()
             .filter(|t| t.doubtful_until.is_none())
             .map(|t| t.backend.clone())
             .collect();
         if !listed.is_empty() {
+            self.listed.insert(service.into(), listed.clone());
             return listed;
         }
         of_service()
@@ -179,11 +185,8 @@
             .collect()
     }
 
-    /// Returns all servers that haven't vanished.
-    pub fn listed(&self) -> impl Iterator<Item = &sync::Arc<Backend>> {
-        self.tracked
-            .values()
-            .filter(|t| t.doubtful_until.is_none())
-            .map(|t| &t.backend)
+    /// Returns the number of servers, counting those that vanished a moment ago.
+    pub fn count(&self) -> usize {
+        self.tracked.len()
     }
 }
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -121,6 +121,15 @@
     Leases,
 }
 
+/// Which state of the store a list shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Freshness {
+    /// The newest.
+    Newest,
+    /// One that may be seconds old. It costs a fraction and is beyond the store's limits.
+    MayLag,
+}
+
 /// An object in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Object {
@@ -276,7 +285,7 @@
     fn addresses(&self, addresses: &[net::SocketAddr], ttl: time::Duration) -> Bytes;
 
     /// Lists the objects of a collection from a name on.
-    fn list(&self, collection: Collection, after: Option<&str>) -> Call;
+    fn list(&self, collection: Collection, freshness: Freshness, after: Option<&str>) -> Call;
 
     /// Waits for changes of a collection.
     fn watch(&self, collection: Collection, revision: u64, wait: time::Duration) -> Call;
--- a/lib/src/engine_room.rs
+++ b/lib/src/engine_room.rs
@@ -17,6 +17,8 @@
 use crate::backends;
 use crate::engine_memory;
 use crate::rendezvous;
+use crate::work_index;
+pub use crate::work_index::Key;
 
 /// Reading times that differ by less count as equal.
 const ABOUT_EQUAL_MS: u128 = 20;
@@ -35,9 +37,6 @@
 /// Bounds of measured token times in seconds; longer ones are pauses, not steps.
 const TOKEN_TIMES: std::ops::Range<f64> = 0.000_1..0.005;
 
-/// Names a run or a prefill: the host that sent it, and the host's number for it.
-pub type Key = (sync::Arc<str>, u64);
-
 /// A run on a decode engine.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -85,6 +84,18 @@
     ahead: time::Duration,
 }
 
+impl work_index::OnEngine for Run {
+    fn engine(&self) -> &sync::Arc<str> {
+        &self.engine
+    }
+}
+
+impl work_index::OnEngine for Queued {
+    fn engine(&self) -> &sync::Arc<str> {
+        &self.prefill.engine
+    }
+}
+
 /// Measured speeds of one engine.
 #[derive(Clone, Copy, Debug)]
 struct Speed {
@@ -126,8 +137,8 @@
 /// The shared view of engines.
 #[derive(Debug, Default)]
 pub struct Room {
-    runs: collections::HashMap<Key, Run>,
-    prefills: collections::HashMap<Key, Queued>,
+    runs: work_index::Index<Run>,
+    prefills: work_index::Index<Queued>,
     speeds: collections::HashMap<sync::Arc<str>, Speed>,
     /// The speed of engines that weren't measured yet.
     usual: Speed,
@@ -146,13 +157,12 @@
 
     /// Notes that a run has generated `made` tokens.
     pub fn progress(&mut self, key: &Key, made: u32, now: time::Duration) {
-        let Some(run) = self.runs.get_mut(key) else {
+        let Some(old) = self.runs.remove(key) else {
             return;
         };
-        let old = run.clone();
-        run.made = made;
-        run.at = now;
         self.learn_token_time(&old, made, now);
+        let at = now;
+        self.runs.insert(key.clone(), Run { made, at, ..old });
     }
 
     fn learn_token_time(&mut self, old: &Run, made: u32, now: time::Duration) {
@@ -217,34 +227,23 @@
         now: time::Duration,
     ) {
         let host: sync::Arc<str> = host.into();
-        let mut old_runs = collections::HashMap::new();
-        self.runs.retain(|(owner, number), run| {
-            let other = *owner != host;
-            if !other {
-                old_runs.insert(*number, run.clone());
-            }
-            other
-        });
+        let old_runs = self.runs.take_host(&host);
         for (number, run) in runs {
             if let Some(old) = old_runs.get(&number) {
                 self.learn_token_time(old, run.made, run.at);
             }
             self.runs.insert((host.clone(), number), run);
         }
-        let gone: Vec<_> = self
-            .prefills
-            .keys()
-            .filter(|(owner, number)| {
-                *owner == host && !prefills.iter().any(|(known, _)| known == number)
-            })
-            .cloned()
+        let known = self.prefills.of_host(&host).map(|(number, _)| number);
+        let gone: Vec<_> = known
+            .filter(|number| !prefills.iter().any(|(said, _)| said == number))
             .collect();
-        for key in gone {
-            self.remove_prefill(&key, true, now);
+        for number in gone {
+            self.remove_prefill(&(host.clone(), number), true, now);
         }
         for (number, prefill) in prefills {
             let key = (host.clone(), number);
-            if !self.prefills.contains_key(&key) {
+            if self.prefills.get(&key).is_none() {
                 self.add_prefill(key, prefill, now);
             }
         }
@@ -252,34 +251,33 @@
 
     /// Forgets a host that is gone.
     pub fn forget_host(&mut self, host: &str) {
-        self.runs.retain(|(owner, _), _| &**owner != host);
-        self.prefills.retain(|(owner, _), _| &**owner != host);
+        let host = host.into();
+        self.runs.take_host(&host);
+        self.prefills.take_host(&host);
     }
 
     /// Forgets what ran on an engine that started again or is gone.
     pub fn forget_engine(&mut self, engine: &str) {
-        self.runs.retain(|_, run| &*run.engine != engine);
-        self.prefills
-            .retain(|_, queued| &*queued.prefill.engine != engine);
+        self.runs.forget_engine(engine);
+        self.prefills.forget_engine(engine);
         self.speeds.remove(engine);
     }
 
     /// Returns the runs of one host.
     pub fn runs_of<'a>(&'a self, host: &'a str) -> impl Iterator<Item = (u64, &'a Run)> {
-        let own = self
-            .runs
-            .iter()
-            .filter(move |((owner, _), _)| &**owner == host);
-        own.map(|((_, number), run)| (*number, run))
+        self.runs.of_host(host)
     }
 
     /// Returns the prefills of one host.
     pub fn prefills_of<'a>(&'a self, host: &'a str) -> impl Iterator<Item = (u64, &'a Prefill)> {
-        let own = self
-            .prefills
-            .iter()
-            .filter(move |((owner, _), _)| &**owner == host);
-        own.map(|((_, number), queued)| (*number, &queued.prefill))
+        let own = self.prefills.of_host(host);
+        own.map(|(number, queued)| (number, &queued.prefill))
+    }
+
+    /// Returns the number of runs on an engine and the tokens that they hold by now.
+    pub fn load(&self, engine: &str, now: time::Duration) -> (usize, u64) {
+        let held = self.growing(engine, now).map(|(_, growth)| growth.held);
+        (self.runs_on(engine), held.sum())
     }
 
     /// Returns whether anything runs on any engine.
@@ -315,9 +313,10 @@
     /// Returns the time until an engine has read the prompts that it has now.
     pub fn prefill_backlog(&self, engine: &str, now: time::Duration) -> time::Duration {
         let speed = self.speed(engine);
-        let queued = self.prefills.values().map(|queued| &queued.prefill);
-        let own = queued.filter(|prefill| &*prefill.engine == engine);
-        let mut queue: Vec<_> = own.map(|p| (p.since, p.tokens)).collect();
+        let queued = self.prefills.on_engine(engine);
+        let mut queue: Vec<_> = queued
+            .map(|(_, queued)| (queued.prefill.since, queued.prefill.tokens))
+            .collect();
         queue.sort_unstable();
         let end = queue
             .into_iter()
@@ -329,10 +328,7 @@
 
     /// Returns the number of runs on an engine.
     pub fn runs_on(&self, engine: &str) -> usize {
-        self.runs
-            .values()
-            .filter(|run| &*run.engine == engine)
-            .count()
+        self.runs.count_on(engine)
     }
 
     /// Places a request. `zone` is preferred where the rest is equal. `salt` differs between requests,
@@ -351,20 +347,19 @@
         now: time::Duration,
     ) -> Result<Placement, Full> {
         let is = |stage| move |e: &&sync::Arc<backends::Backend>| e.stage == Some(stage);
-        let mut prefills: Vec<_> = engines
-            .iter()
-            .filter(is(backends::Stage::Prefill))
-            .collect();
         let read_after = |e: &backends::Backend| {
             self.prefill_backlog(&e.id, now) + self.reading_time_on(&e.id, need.prompt)
         };
-        prefills.sort_by_key(|e| (read_after(e).as_millis() / ABOUT_EQUAL_MS, &*e.zone != zone));
+        let reading = engines.iter().filter(is(backends::Stage::Prefill));
+        let timed = reading.map(|e| (read_after(e), e));
+        let first =
+            timed.min_by_key(|(after, e)| (after.as_millis() / ABOUT_EQUAL_MS, &*e.zone != zone));
         let mut prefill = None;
-        if let (Some(within), Some(first)) = (limits.prefill_within, prefills.first()) {
-            if read_after(first) > within {
+        if let (Some(within), Some((after, first))) = (limits.prefill_within, first) {
+            if after > within {
                 return Err(Full::Prompts(self.prefill_backlog(&first.id, now)));
             }
-            prefill = Some(*first);
+            prefill = Some(first);
         }
         let near = prefill.map_or(zone, |p| &*p.zone);
         let mut decodes = engines
@@ -423,10 +418,7 @@
         now: time::Duration,
     ) -> impl Iterator<Item = (&'a Key, engine_memory::Growth)> {
         let token_time = self.speed(engine).token_time;
-        let runs = self
-            .runs
-            .iter()
-            .filter(move |(_, run)| &*run.engine == engine);
+        let runs = self.runs.on_engine(engine);
         runs.map(move |(key, run)| (key, run.growth(token_time, now)))
     }
 
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -8,6 +8,8 @@
 use std::sync;
 use std::time;
 
+use crate::host_groups;
+
 /// How often a host sends news when nothing happens.
 pub const NEWS_EVERY: time::Duration = time::Duration::from_millis(500);
 /// How long a host may be silent until it is taken as gone: four losses in a row.
@@ -133,9 +135,18 @@
         names
     }
 
-    /// Returns where news go: to every host that is listed or was heard.
-    pub fn addresses(&self) -> impl Iterator<Item = net::SocketAddr> {
-        self.known.values().map(|peer| peer.listed.news)
+    /// Returns where news go: to every host of `own`'s group that is listed or was heard.
+    pub fn addresses(&self, own: &str) -> impl Iterator<Item = net::SocketAddr> {
+        let groups = self.groups();
+        let group = groups.group(own);
+        let known = self.known.values();
+        let same = known.filter(move |peer| groups.group(&peer.listed.name) == group);
+        same.map(|peer| peer.listed.news)
+    }
+
+    /// Returns how these hosts and this one are split into groups.
+    pub fn groups(&self) -> host_groups::Groups {
+        host_groups::Groups::of(self.count() + 1)
     }
 
     /// Returns where callers may connect.
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -36,17 +36,36 @@
 impl Mark {
     /// Returns whether the content is refused.
     pub fn is_quarantined(&self) -> bool {
-        !self.lifted && self.servers.len() >= SERVERS_TO_QUARANTINE
+        self.has_crashed(SERVERS_TO_QUARANTINE)
+    }
+
+    fn has_crashed(&self, servers: usize) -> bool {
+        !self.lifted && self.servers.len() >= servers
     }
 }
 
 /// The marks known at one host. Times are Unix times, since marks travel between hosts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Table {
     marks: collections::BTreeMap<u64, Mark>,
+    servers_needed: usize,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self::refusing_after(SERVERS_TO_QUARANTINE)
+    }
 }
 
 impl Table {
+    /// Makes a table that refuses content after the crash of this many servers.
+    pub fn refusing_after(servers: usize) -> Self {
+        Self {
+            marks: collections::BTreeMap::new(),
+            servers_needed: servers,
+        }
+    }
+
     /// Notes that a server crashed with the content in flight. Returns the mark.
     pub fn crashed(&mut self, digest: u64, server: &ids::Name, unix: time::Duration) -> Mark {
         self.expire(unix);
@@ -121,7 +140,7 @@
         let Some(mark) = self.marks.get(&digest) else {
             return Ok(());
         };
-        if !mark.is_quarantined() || mark.expires <= unix {
+        if !mark.has_crashed(self.servers_needed) || mark.expires <= unix {
             return Ok(());
         }
         let left = mark.expires - unix;
--- a/lib/tests/backend_registry.rs
+++ b/lib/tests/backend_registry.rs
@@ -22,7 +22,7 @@
     }
 }
 
-fn usable(view: &backends::Registry, now: time::Duration) -> Vec<sync::Arc<str>> {
+fn usable(view: &mut backends::Registry, now: time::Duration) -> Vec<sync::Arc<str>> {
     let usable = view.usable("gate", now);
     usable.iter().map(|server| server.id.clone()).collect()
 }
@@ -39,9 +39,9 @@
     let mut leaving = server("a");
     leaving.draining = true;
     view.put(leaving);
-    assert_eq!(usable(&view, ms(0)), ["b".into()]);
+    assert_eq!(usable(&mut view, ms(0)), ["b".into()]);
     view.remove("a", ms(10));
-    assert_eq!(usable(&view, ms(10)), ["b".into()]);
+    assert_eq!(usable(&mut view, ms(10)), ["b".into()]);
 }
 
 #[test]
@@ -51,17 +51,17 @@
     leaving.draining = true;
     view.put(leaving);
     view.remove("a", ms(10));
-    assert!(usable(&view, ms(10)).is_empty());
+    assert!(usable(&mut view, ms(10)).is_empty());
 }
 
 #[test]
 fn a_vanished_server_is_used_only_without_another_and_not_for_long() {
     let mut view = view_of(&["a", "b"]);
     view.remove("a", ms(100));
-    assert_eq!(usable(&view, ms(100)), ["b".into()]);
+    assert_eq!(usable(&mut view, ms(100)), ["b".into()]);
     view.remove("b", ms(100));
-    assert_eq!(usable(&view, ms(200)).len(), 2);
-    assert!(usable(&view, ms(100) + backends::DOUBTFUL_FOR).is_empty());
+    assert_eq!(usable(&mut view, ms(200)).len(), 2);
+    assert!(usable(&mut view, ms(100) + backends::DOUBTFUL_FOR).is_empty());
     assert!(
         backends::DOUBTFUL_FOR < ms(2_000),
         "a leaving server serves for two seconds"
@@ -74,12 +74,12 @@
     view.store_lost();
     view.store_answered(ms(10_000));
     view.replace_all(Vec::new(), ms(10_000));
-    assert_eq!(usable(&view, ms(11_900)).len(), 2);
-    assert!(usable(&view, ms(12_000)).is_empty());
+    assert_eq!(usable(&mut view, ms(11_900)).len(), 2);
+    assert!(usable(&mut view, ms(12_000)).is_empty());
     view.put(server("b"));
-    assert_eq!(usable(&view, ms(12_000)), ["b".into()]);
+    assert_eq!(usable(&mut view, ms(12_000)), ["b".into()]);
     view.expire(ms(12_000));
-    assert!(view.get("a").is_none());
+    assert_eq!(view.count(), 1);
 }
 
 #[test]
--- a/lib/tests/peer_news.rs
+++ b/lib/tests/peer_news.rs
@@ -32,7 +32,7 @@
     let mut peers = peers::Peers::default();
     peers.replace_listed(vec![listed(1)]);
     assert_eq!((peers.count(), peers.callers().count()), (1, 0));
-    assert_eq!(peers.addresses().count(), 1);
+    assert_eq!(peers.addresses("own").count(), 1);
     assert!(peers.hear(listed(1), said(1), at(0)));
     assert_eq!(peers.callers().count(), 1);
 }
