router: state dump and explain for entry hosts; log lines are queued whole

Cause: walnuthaven state dump and explain didn't reach entry hosts. The test for explain showed that the log's queue took lines in the pieces in which the library writes them: a full queue would have dropped pieces and left broken lines.

Change: the metrics address answers the two paths of the operators' API that the command line asks; the newest 256 kB of lines are kept for explain. A line is queued as one. Both settings readers share the log level's key.

--- a/daemon/src/ini_source.rs
+++ b/daemon/src/ini_source.rs
@@ -152,6 +152,11 @@
             .map_err(|_| self.fault(section, key, format!("{value:?} is not {wanted}")))
     }
 
+    pub(crate) fn log_level(&self) -> Result<log::LevelFilter, Fault> {
+        let levels = "off, error, warn, info, debug or trace";
+        self.parsed("log", "level", levels, Some("info"))
+    }
+
     pub(crate) fn name(&self, section: &str, key: &str) -> Result<ids::Name, Fault> {
         let value = self.required(section, key)?;
         if !ids::is_name(value) {
--- a/daemon/src/router/events.rs
+++ b/daemon/src/router/events.rs
@@ -3,18 +3,30 @@
 //! A line is handed to a thread that writes it, through a channel of bounded length. If nothing
 //! reads the output, lines are dropped and counted; a request never waits for the log.
 
+use std::collections;
 use std::io;
 use std::io::Write as _;
+use std::sync;
 use std::sync::atomic;
 use std::sync::mpsc;
 use std::thread;
 
+use bytes::Bytes;
 use walnuthaven_lib::clock;
 use walnuthaven_lib::clock::Clock as _;
 
+use crate::router::context;
+
 /// Lines that wait to be written.
 const MAX_LINES: usize = 2_048;
 
+/// Bytes of the newest lines that are kept for questions about requests.
+const MAX_RECENT: usize = 256 * 1024;
+
+static RECENT: sync::Mutex<Recent> = sync::Mutex::new(Recent {
+    lines: collections::VecDeque::new(),
+    bytes: 0,
+});
 static DROPPED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
 
 /// Returns the number of lines that were dropped.
@@ -22,12 +34,51 @@
     DROPPED.load(atomic::Ordering::Relaxed)
 }
 
-struct Queue(mpsc::SyncSender<Vec<u8>>);
+/// The newest lines.
+struct Recent {
+    lines: collections::VecDeque<Bytes>,
+    bytes: usize,
+}
+
+impl Recent {
+    fn push(&mut self, line: Bytes) {
+        self.bytes += line.len();
+        self.lines.push_back(line);
+        while self.bytes > MAX_RECENT
+            && let Some(oldest) = self.lines.pop_front()
+        {
+            self.bytes -= oldest.len();
+        }
+    }
+}
+
+/// Returns the newest lines about a request, the oldest first.
+pub(crate) fn recent_of(id: &str) -> Vec<String> {
+    let wanted = format!("\"id\":{}", json(id));
+    let recent = context::lock(&RECENT);
+    let lines = recent
+        .lines
+        .iter()
+        .map(|line| String::from_utf8_lossy(line));
+    let of_request = lines.filter(|line| line.contains(&wanted));
+    of_request.map(|line| line.trim_end().to_owned()).collect()
+}
+
+/// Takes lines in pieces and hands them on whole, so that what is dropped is a line.
+struct Queue {
+    tx: mpsc::SyncSender<Bytes>,
+    line: Vec<u8>,
+}
 
 impl io::Write for Queue {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        if self.0.try_send(buf.to_vec()).is_err() {
-            DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
+        self.line.extend_from_slice(buf);
+        if self.line.ends_with(b"\n") {
+            let line = Bytes::from(std::mem::take(&mut self.line));
+            context::lock(&RECENT).push(line.clone());
+            if self.tx.try_send(line).is_err() {
+                DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
+            }
         }
         Ok(buf.len())
     }
@@ -43,13 +94,14 @@
 ///
 /// Returns an error if logging is set up already or the writer can't be started.
 pub(crate) fn start(level: log::LevelFilter) -> anyhow::Result<()> {
-    let (tx, rx) = mpsc::sync_channel::<Vec<u8>>(MAX_LINES);
+    let (tx, rx) = mpsc::sync_channel::<Bytes>(MAX_LINES);
     thread::Builder::new()
         .name("log".into())
         .stack_size(64 * 1024)
         .spawn(move || {
             let mut out = io::stdout();
-            while let Ok(mut lines) = rx.recv() {
+            while let Ok(first) = rx.recv() {
+                let mut lines = first.to_vec();
                 while lines.len() < 64 * 1024
                     && let Ok(more) = rx.try_recv()
                 {
@@ -60,7 +112,10 @@
                 }
             }
         })?;
-    let writer: Box<dyn io::Write + Send> = Box::new(Queue(tx));
+    let writer: Box<dyn io::Write + Send> = Box::new(Queue {
+        tx,
+        line: Vec::new(),
+    });
     fern::Dispatch::new()
         .format(|out, message, record| {
             let level = record.level().as_str();
--- /dev/null
+++ b/daemon/src/router/inspect.rs
@@ -0,0 +1,90 @@
+//! What operators see of a running host with `walnuthaven state dump` and `walnuthaven explain`.
+
+use std::sync::atomic;
+
+use serde_json::Value;
+use serde_json::json;
+use walnuthaven_lib::dialect;
+
+use crate::router::context;
+use crate::router::events;
+
+/// Version of the dump's layout.
+const VERSION: u32 = 1;
+/// Most entries of one list in a dump.
+const MAX_LISTED: usize = 2_000;
+
+/// Returns the answer to a path of the operators' API, or `None` if there is nothing at it.
+pub(crate) fn answer<D: dialect::Dialect>(cx: &context::Router<D>, path: &str) -> Option<Value> {
+    match path.strip_prefix("/admin/")? {
+        "dump" => Some(dump(cx)),
+        path => path.strip_prefix("requests/").map(explain),
+    }
+}
+
+/// Returns the lines that were logged lately about a request.
+fn explain(id: &str) -> Value {
+    let steps = events::recent_of(id).into_iter().map(|line| {
+        let fields: Value = serde_json::from_str(&line).unwrap_or(Value::Null);
+        json!({"unix_ms": fields["unix_ms"], "what": line})
+    });
+    json!({"id": id, "steps": steps.collect::<Vec<_>>()})
+}
+
+fn dump<D: dialect::Dialect>(cx: &context::Router<D>) -> Value {
+    let now = cx.now();
+    let table = cx.table();
+    let avoided: Vec<_> = context::lock(&cx.health)
+        .avoided(now)
+        .map(|(id, left)| json!({"server": id, "for_ms": left.as_millis() as u64}))
+        .collect();
+    let servers: Vec<_> = context::lock(&cx.servers)
+        .all()
+        .take(MAX_LISTED)
+        .map(|(server, vanished)| {
+            json!({
+                "id": server.id, "service": server.service, "addr": server.addr,
+                "zone": server.zone, "draining": server.draining, "vanished": vanished,
+                "stage": server.stage.map(|stage| format!("{stage:?}")), "born": server.born,
+            })
+        })
+        .collect();
+    let hosts: Vec<_> = context::lock(&cx.peers)
+        .all(now)
+        .take(MAX_LISTED)
+        .map(|(listed, age)| {
+            json!({
+                "name": listed.name, "incarnation": listed.incarnation, "callers": listed.callers,
+                "news_age_ms": age.map(|age| age.as_millis() as u64),
+            })
+        })
+        .collect();
+    let waiting: serde_json::Map<_, _> = context::lock(&cx.queues)
+        .iter()
+        .map(|(service, queue)| (service.to_string(), queue.len().into()))
+        .collect();
+    let room = context::lock(&cx.room);
+    let runs: Vec<_> = room
+        .runs_of(&cx.own)
+        .map(|(number, run)| {
+            json!({
+                "number": number, "engine": run.engine, "prompt": run.prompt,
+                "output": run.output, "made": run.made,
+            })
+        })
+        .collect();
+    json!({
+        "version": VERSION,
+        "host": {"name": &*cx.id.name, "incarnation": cx.id.incarnation},
+        "takes_callers": cx.takes_callers(),
+        "leaving_ms": cx.left_for().as_millis() as u64,
+        "configuration": table.map(|table| table.version),
+        "in_flight": cx.in_flight.load(atomic::Ordering::Relaxed),
+        "hosts": hosts,
+        "servers": servers,
+        "avoided": avoided,
+        "waiting": waiting,
+        "runs": runs,
+        "log_dropped": events::dropped(),
+    })
+}
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -19,6 +19,7 @@
 use crate::router::events::event;
 use crate::router::forward;
 use crate::router::head_timer;
+use crate::router::inspect;
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -42,7 +43,7 @@
     Callers,
     /// Questions of callers for addresses, and of the platform for readiness.
     Questions,
-    /// Metrics as text.
+    /// Metrics as text, and the state of the host for operators.
     Metrics,
 }
 
@@ -122,7 +123,7 @@
             let answer = match door {
                 Door::Callers => forward::handle(cx, caller, req).await,
                 Door::Questions => question(&cx, &req),
-                Door::Metrics => metrics(&cx),
+                Door::Metrics => operators(&cx, &req),
             };
             answer.map(|answer| answer.map(|body| head_timer::Answering::new(body, phase)))
         }
@@ -172,18 +173,23 @@
             "no host takes callers",
         );
     }
-    let body = cx.dialect.addresses(&addresses, settings.address_ttl);
-    let mut answer = answer::whole(http::StatusCode::OK, http::HeaderMap::new(), body);
+    json_answer(cx.dialect.addresses(&addresses, settings.address_ttl))
+}
+
+fn json_answer(body: Bytes) -> answer::Answer {
+    let mut headers = http::HeaderMap::new();
     let json = http::HeaderValue::from_static("application/json");
-    answer
-        .headers_mut()
-        .insert(http::header::CONTENT_TYPE, json);
-    answer
+    headers.insert(http::header::CONTENT_TYPE, json);
+    answer::whole(http::StatusCode::OK, headers, body)
 }
 
-fn metrics<D: dialect::Dialect>(
+fn operators<D: dialect::Dialect>(
     cx: &context::Router<D>,
+    req: &http::Request<body::Incoming>,
 ) -> Result<answer::Answer, convert::Infallible> {
+    if let Some(value) = inspect::answer(cx, req.uri().path()) {
+        return Ok(json_answer(Bytes::from(value.to_string())));
+    }
     let mut text = cx.telemetry.text();
     text.push_str(&format!("walnuthaven_log_dropped {}\n", events::dropped()));
     let headers = http::HeaderMap::new();
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -14,6 +14,7 @@
 mod events;
 mod forward;
 mod head_timer;
+mod inspect;
 mod journey;
 mod listen;
 mod moving;
--- a/daemon/src/router/settings.rs
+++ b/daemon/src/router/settings.rs
@@ -110,11 +110,6 @@
             slack: source.parsed("retry", "slack", "a number", Some("10"))?,
             window: millis("retry", "window", DEFAULT_WINDOW_MS)?,
         },
-        log_level: source.parsed(
-            "log",
-            "level",
-            "off, error, warn, info, debug or trace",
-            Some("info"),
-        )?,
+        log_level: source.log_level()?,
     })
 }
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -155,12 +155,7 @@
         seeds: seeds(&source)?,
         scheduler: scheduler(&source)?,
         limits: limits(&source)?,
-        log_level: source.parsed(
-            "log",
-            "level",
-            "off, error, warn, info, debug or trace",
-            Some("info"),
-        )?,
+        log_level: source.log_level()?,
         log_file: source.get("log", "file").map(path::PathBuf::from),
         events_file: source.get("log", "events").map(path::PathBuf::from),
         statsd: statsd(&source)?,
--- a/daemon/tests/entry_plain.rs
+++ b/daemon/tests/entry_plain.rs
@@ -231,3 +231,29 @@
     );
     assert_eq!(site.runs_of("r3") + site.runs_of("r4"), 0);
 }
+
+#[tokio::test]
+async fn operators_see_the_state_and_what_became_of_a_request() {
+    let site = site().await;
+    assert_eq!(site.send("/once/x", "r1", "").await.status, 200);
+    let ask = async |path: &str| {
+        let bytes = caller::request("GET", path, "q", "", "");
+        let answer = caller::send(site.host.metrics, &bytes, WITHIN).await;
+        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+        serde_json::from_str::<serde_json::Value>(&answer.body).unwrap()
+    };
+    let explained = ask("/admin/requests/r1").await;
+    let steps = explained["steps"].as_array().unwrap();
+    let last = steps.last().unwrap()["what"].as_str().unwrap();
+    assert!(last.contains("\"event\":\"answered\""), "{explained}");
+    assert!(last.contains("\"status\":200"), "{explained}");
+    let unknown = ask("/admin/requests/r2").await;
+    assert_eq!(unknown["steps"].as_array().unwrap().len(), 0);
+    let dump = ask("/admin/dump").await;
+    assert_eq!(
+        (&dump["host"]["name"], &dump["configuration"]),
+        (&"h1".into(), &3.into())
+    );
+    assert_eq!(dump["servers"].as_array().unwrap().len(), 2, "{dump}");
+    assert_eq!(dump["takes_callers"], true);
+}
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -185,6 +185,13 @@
             .collect()
     }
 
+    /// Returns all servers, and whether each vanished a moment ago.
+    pub fn all(&self) -> impl Iterator<Item = (&sync::Arc<Backend>, bool)> {
+        self.tracked
+            .values()
+            .map(|t| (&t.backend, t.doubtful_until.is_some()))
+    }
+
     /// Returns the number of servers, counting those that vanished a moment ago.
     pub fn count(&self) -> usize {
         self.tracked.len()
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -158,6 +158,18 @@
         said.into_iter()
     }
 
+    /// Returns all other hosts, with the age of the news of those that were heard lately.
+    pub fn all(
+        &self,
+        now: time::Duration,
+    ) -> impl Iterator<Item = (&Listed, Option<time::Duration>)> {
+        self.known.values().map(move |peer| {
+            let heard = peer.said.as_ref();
+            let age = heard.map(|(_, at)| now.saturating_sub(*at));
+            (&peer.listed, age)
+        })
+    }
+
     /// Returns the names of hosts that were heard lately.
     pub fn alive(&self) -> impl Iterator<Item = &sync::Arc<str>> {
         let alive = self.known.iter().filter(|(_, peer)| peer.said.is_some());
