--- a/daemon/src/acquire.rs
+++ b/daemon/src/acquire.rs
@@ -13,6 +13,7 @@
 
 use crate::convert;
 use crate::host;
+use crate::locks;
 use crate::poll;
 
 const STEWARD_RETRY: time::Duration = time::Duration::from_millis(100);
@@ -51,7 +52,7 @@
     loop {
         let waited = cx.clock.now().saturating_sub(began);
         ask.waited = already_waited + waited;
-        let steward = host::lock(&cx.members).steward(&cell.name).clone();
+        let steward = locks::lock(&cx.members).steward(&cell.name).clone();
         if steward.id == cx.id {
             let local = cx.steward.cell(cell);
             let grant = local.acquire(cx, ask).await?;
@@ -85,7 +86,7 @@
 async fn steward_changed(cx: &host::Host, cell: &str, steward: &ids::HostId) {
     loop {
         tokio::time::sleep(STEWARD_RETRY).await;
-        if host::lock(&cx.members).steward(cell).id != *steward {
+        if locks::lock(&cx.members).steward(cell).id != *steward {
             return;
         }
     }
--- a/daemon/src/admin_api.rs
+++ b/daemon/src/admin_api.rs
@@ -20,6 +20,7 @@
 use crate::forward;
 use crate::gossip;
 use crate::host;
+use crate::locks;
 use crate::logging;
 use crate::platform;
 use crate::settings;
@@ -68,7 +69,7 @@
     let cx = &admin.cx;
     match (req.method(), parts.as_slice()) {
         ("GET", ["dump"]) => rouille::Response::json(&dump::take(cx)),
-        ("GET", ["hosts"]) => rouille::Response::json(&host::lock(&cx.members).all()),
+        ("GET", ["hosts"]) => rouille::Response::json(&locks::lock(&cx.members).all()),
         ("GET", ["pools"]) => rouille::Response::json(&pools(cx)),
         ("GET", ["config"]) => rouille::Response::json(&dump::take(cx).config),
         ("POST", ["config", "check"]) => check(req),
@@ -143,7 +144,7 @@
 }
 
 fn show(cx: &host::Host, workspace: &str) -> rouille::Response {
-    match host::read(&cx.config).get(workspace) {
+    match locks::read(&cx.config).get(workspace) {
         Some(stored) => rouille::Response::json(&**stored),
         None => no_workspace(workspace),
     }
@@ -226,7 +227,7 @@
 
 /// Offers a document to other hosts, in the background.
 pub fn push_later(cx: &sync::Arc<host::Host>, workspace: &str) {
-    let Some(stored) = host::read(&cx.config).get(workspace).cloned() else {
+    let Some(stored) = locks::read(&cx.config).get(workspace).cloned() else {
         return;
     };
     let cx = cx.clone();
@@ -243,7 +244,7 @@
 }
 
 fn history(cx: &host::Host, workspace: &str) -> rouille::Response {
-    match host::read(&cx.config).get(workspace) {
+    match locks::read(&cx.config).get(workspace) {
         Some(stored) => rouille::Response::json(&stored.recent),
         None => no_workspace(workspace),
     }
@@ -251,7 +252,7 @@
 
 /// Shows an earlier document, to be applied again as a new generation.
 fn past(cx: &host::Host, workspace: &str, generation: &str) -> rouille::Response {
-    let Some(stored) = host::read(&cx.config).get(workspace).cloned() else {
+    let Some(stored) = locks::read(&cx.config).get(workspace).cloned() else {
         return no_workspace(workspace);
     };
     let wanted = stored
@@ -273,8 +274,8 @@
 }
 
 fn pools(cx: &host::Host) -> serde_json::Value {
-    let config = host::read(&cx.config);
-    let members = host::lock(&cx.members);
+    let config = locks::read(&cx.config);
+    let members = locks::lock(&cx.members);
     let mut pools = Vec::new();
     for stored in config.iter() {
         for pool in &stored.document.pools {
@@ -295,7 +296,7 @@
 }
 
 fn quarantine(cx: &host::Host) -> rouille::Response {
-    let quarantine = host::lock(&cx.quarantine);
+    let quarantine = locks::lock(&cx.quarantine);
     let marks: Vec<serde_json::Value> = quarantine
         .marks()
         .map(|mark| {
@@ -317,7 +318,7 @@
         return error(400, "bad_request", &message);
     };
     let cx = &admin.cx;
-    let lifted = host::lock(&cx.quarantine).lift(number, cx.unix());
+    let lifted = locks::lock(&cx.quarantine).lift(number, cx.unix());
     if lifted.is_none() {
         let message = format!("content {digest} is not marked");
         return error(404, "not_found", &message);
@@ -338,7 +339,7 @@
         Err(why) => return error(400, "bad_request", &why.to_string()),
     };
     if parsed.home == cx.id {
-        let state = host::lock(&cx.ids).state(parsed.number).cloned();
+        let state = locks::lock(&cx.ids).state(parsed.number).cloned();
         let state = state.map(|state| format!("{state:?}"));
         let steps = cx.traces.get(id);
         return rouille::Response::json(&json!({ "id": id, "state": state, "steps": steps }));
--- a/daemon/src/api.rs
+++ b/daemon/src/api.rs
@@ -23,6 +23,7 @@
 use crate::drain;
 use crate::host;
 use crate::jobs_api;
+use crate::locks;
 use crate::openai;
 use crate::plain;
 
@@ -285,7 +286,7 @@
 }
 
 async fn health(extract::State(cx): Cx) -> response::Response {
-    let serving = drain::check(&cx).and_then(|()| match host::read(&cx.config).is_empty() {
+    let serving = drain::check(&cx).and_then(|()| match locks::read(&cx.config).is_empty() {
         true => {
             let message = "this host has no configuration yet";
             let code = refusal::Code::Unavailable;
@@ -412,7 +413,7 @@
             message,
         ));
     }
-    let state = host::lock(&cx.ids).state(id.number).cloned();
+    let state = locks::lock(&cx.ids).state(id.number).cloned();
     match state {
         Some(state) => Ok((id, state)),
         None => {
@@ -476,7 +477,7 @@
         Ok(found) => found,
         Err(refusal) => return refused(&refusal),
     };
-    let answer = host::lock(&cx.answers).get(&id.number).cloned();
+    let answer = locks::lock(&cx.answers).get(&id.number).cloned();
     let Some(answer) = answer.filter(|answer| answer.end().is_some()) else {
         let message = format!("no finished answer of {id} is kept");
         return refused(&refusal::Refusal::claims_nothing(
--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -11,7 +11,6 @@
 
 use crate::acquire;
 use crate::answer;
-use crate::cancel;
 use crate::engine;
 use crate::generate;
 use crate::host;
@@ -135,7 +134,7 @@
             request: self.request.clone(),
             attempt: self.attempt,
         };
-        cancel::spawn(&self.cx, order);
+        self.cx.cancel(order);
     }
 }
 
--- a/daemon/src/cancel.rs
+++ b/daemon/src/cancel.rs
@@ -6,21 +6,20 @@
 use walnuthaven_lib::grant;
 
 use crate::engine;
-use crate::host;
+use crate::metrics;
 
 const TRIES: u32 = 4;
 const PAUSE: time::Duration = time::Duration::from_millis(100);
 
 /// Frees what a request holds at an engine, in the background.
-pub fn spawn(cx: &sync::Arc<host::Host>, order: grant::Cancel) {
-    let cx = cx.clone();
+pub fn spawn(engines: engine::Client, metrics: sync::Arc<metrics::Metrics>, order: grant::Cancel) {
     tokio::spawn(async move {
         let call = engine::Cancel {
             request: order.request.to_string(),
             attempt: order.attempt,
         };
         for _ in 0..TRIES {
-            match cx.engines.cancel(&order.server.addr, &call).await {
+            match engines.cancel(&order.server.addr, &call).await {
                 Ok(()) => return,
                 // A server that is not there holds nothing.
                 Err(engine::Failure::Unreached) => return,
@@ -32,6 +31,6 @@
             }
             tokio::time::sleep(PAUSE).await;
         }
-        cx.metrics.count("cancel.unconfirmed");
+        metrics.count("cancel.unconfirmed");
     });
 }
--- a/daemon/src/configure.rs
+++ b/daemon/src/configure.rs
@@ -18,6 +18,7 @@
 use walnuthaven_wire::peer;
 
 use crate::host;
+use crate::locks;
 use crate::platform;
 
 /// The kind of objects that hold the documents in force.
@@ -43,7 +44,7 @@
     let mut version = 0;
     let mut back_off = MIN_BACK_OFF;
     loop {
-        let cold = host::read(&cx.config).is_empty();
+        let cold = locks::read(&cx.config).is_empty();
         if !is_relay(cx) && !cold {
             version = 0;
             tokio::time::sleep(IDLE).await;
@@ -77,7 +78,7 @@
 
 /// Returns whether this host watches the platform for its availability zone.
 pub fn is_relay(cx: &host::Host) -> bool {
-    let members = host::lock(&cx.members);
+    let members = locks::lock(&cx.members);
     let zone = &cx.settings.zone;
     let own_zone = members.eligible().filter(|member| member.zone == *zone);
     let names = own_zone.map(|member| &*member.id.name);
@@ -107,7 +108,7 @@
 /// Writes back what is in force over an older document of a restored platform.
 fn repair(cx: &sync::Arc<host::Host>, stored: &versions::Stored, version: u64) {
     let workspace = stored.document.workspace.clone();
-    let Some(known) = host::read(&cx.config).get(&workspace).cloned() else {
+    let Some(known) = locks::read(&cx.config).get(&workspace).cloned() else {
         return;
     };
     if known.generation <= stored.generation {
@@ -132,7 +133,7 @@
         return false;
     }
     // The event is written under the lock, so that events come in the order of their effect.
-    let mut config = host::write(&cx.config);
+    let mut config = locks::write(&cx.config);
     if !config.offer(stored) {
         return false;
     }
@@ -157,7 +158,7 @@
         documents: fresh.iter().filter_map(to_wire).collect(),
     };
     let targets: Vec<membership::Member> = {
-        let members = host::lock(&cx.members);
+        let members = locks::lock(&cx.members);
         let others = members.eligible().filter(|member| member.id != cx.id);
         others.take(PUSH_TO).cloned().collect()
     };
@@ -196,7 +197,7 @@
     let addr = addr.to_owned();
     tokio::spawn(async move {
         let known = {
-            let config = host::read(&cx.config);
+            let config = locks::read(&cx.config);
             let known = config.iter().map(|stored| peer::ConfigVersion {
                 workspace: stored.document.workspace.to_string(),
                 generation: stored.generation,
@@ -217,7 +218,7 @@
 
 /// Returns the documents in force that are newer than the known ones.
 pub fn newer_than(cx: &host::Host, known: &[peer::ConfigVersion]) -> peer::ConfigPush {
-    let config = host::read(&cx.config);
+    let config = locks::read(&cx.config);
     let is_news = |stored: &&sync::Arc<versions::Stored>| {
         let name = &*stored.document.workspace;
         let theirs = known.iter().find(|version| version.workspace == name);
@@ -234,7 +235,7 @@
     let mut parts = name.split('/');
     let workspace = parts.next()?;
     let pool = parts.next()?;
-    let config = host::read(&cx.config);
+    let config = locks::read(&cx.config);
     let stored = config.get(workspace)?;
     let cells = stored.document.cells(pool);
     cells.into_iter().find(|cell| *cell.name == *name)
@@ -290,7 +291,7 @@
             return Applied::Refused(format!("the platform can't be read: {failure:?}"));
         }
     };
-    let in_force = host::read(&cx.config)
+    let in_force = locks::read(&cx.config)
         .get(&name)
         .map(|known| (**known).clone());
     // A restored platform may show less than what is in force.
--- a/daemon/src/connections.rs
+++ b/daemon/src/connections.rs
@@ -18,6 +18,7 @@
 use walnuthaven_wire::peer;
 
 use crate::host;
+use crate::locks;
 use crate::permits;
 
 /// Where the delivery of an answer is accounted for.
@@ -81,7 +82,7 @@
 }
 
 fn set(cx: &host::Host, number: u64, state: identity::State) {
-    let mut ids = host::lock(&cx.ids);
+    let mut ids = locks::lock(&cx.ids);
     let open = matches!(
         ids.state(number),
         Some(identity::State::Running | identity::State::Finished | identity::State::Sent)
@@ -113,12 +114,12 @@
     /// Notes that an answer's last byte was handed to the connection.
     pub fn sent(&self, cx: &host::Host, delivery: Delivery) {
         delivery.sent(cx);
-        host::lock(&self.unsettled).push(delivery);
+        locks::lock(&self.unsettled).push(delivery);
     }
 
     /// Settles everything sent so far.
     pub fn settle(&self, cx: &sync::Arc<host::Host>, delivered: bool) {
-        let unsettled = std::mem::take(&mut *host::lock(&self.unsettled));
+        let unsettled = std::mem::take(&mut *locks::lock(&self.unsettled));
         for delivery in unsettled {
             delivery.settle(cx, delivered);
         }
--- a/daemon/src/console.rs
+++ b/daemon/src/console.rs
@@ -17,7 +17,7 @@
 use crate::dump;
 use crate::forms;
 use crate::gossip;
-use crate::host;
+use crate::locks;
 use crate::pages;
 use crate::platform;
 
@@ -83,7 +83,7 @@
     }
 
     fn stored(&self, name: &str) -> Option<std::sync::Arc<versions::Stored>> {
-        host::read(&self.admin.cx.config).get(name).cloned()
+        locks::read(&self.admin.cx.config).get(name).cloned()
     }
 
     fn workspace(&self, name: &str) -> rouille::Response {
@@ -306,7 +306,10 @@
             return not_found();
         };
         let cx = self.admin.cx.clone();
-        if host::lock(&cx.quarantine).lift(number, cx.unix()).is_some() {
+        if locks::lock(&cx.quarantine)
+            .lift(number, cx.unix())
+            .is_some()
+        {
             admin_api::audit(&self.operator, &format!("lifted quarantine of {digest}"));
             self.admin
                 .runtime
--- a/daemon/src/directory.rs
+++ b/daemon/src/directory.rs
@@ -15,6 +15,7 @@
 use crate::drain;
 use crate::generate;
 use crate::host;
+use crate::locks;
 
 /// How long callers keep the answer to "which addresses?".
 pub const KEEP_S: u64 = 20;
@@ -42,7 +43,7 @@
     cx: &host::Host,
     key: Option<&str>,
 ) -> Result<sync::Arc<versions::Stored>, refusal::Refusal> {
-    let config = host::read(&cx.config);
+    let config = locks::read(&cx.config);
     if config.is_empty() {
         let message = "this host has no configuration yet";
         return Err(refusal::Refusal::not_run(
@@ -58,7 +59,7 @@
         ));
     };
     let fingerprint = auth::fingerprint(key);
-    let mut known = host::lock(&cx.keys.known);
+    let mut known = locks::lock(&cx.keys.known);
     if let Some(verified) = known.get(&fingerprint)
         && let Some(stored) = config.get(&verified.workspace)
         && stored.generation == verified.generation
@@ -111,7 +112,7 @@
 pub fn hosts(cx: &host::Host, zone: Option<&str>, caller: &str) -> Hosts {
     let zone = zone.unwrap_or(&cx.settings.zone).to_owned();
     let mut members: Vec<membership::Member> = {
-        let table = host::lock(&cx.members);
+        let table = locks::lock(&cx.members);
         let live = table
             .eligible()
             .filter(|member| drain::takes_callers(member));
--- a/daemon/src/drain.rs
+++ b/daemon/src/drain.rs
@@ -12,6 +12,7 @@
 use crate::gossip;
 use crate::host;
 use crate::jobs;
+use crate::locks;
 
 /// How far a host is on its way out.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Serialize)]
@@ -48,7 +49,7 @@
 }
 
 fn other_addresses(cx: &host::Host) -> Vec<String> {
-    let members = host::lock(&cx.members);
+    let members = locks::lock(&cx.members);
     let others = members.eligible().filter(|member| member.id != cx.id);
     others.map(|member| member.api_addr.to_string()).collect()
 }
@@ -60,7 +61,7 @@
     }
     log::info!("host {} leaves", cx.id);
     cx.phase.send_replace(Phase::Leaving);
-    host::lock(&cx.members).leave();
+    locks::lock(&cx.members).leave();
     gossip::announce(cx).await;
     jobs::hand_over(cx).await;
     let until = cx.now() + time::Duration::from_secs(cx.settings.drain_s);
@@ -92,7 +93,7 @@
 /// Returns whether no request runs, no answer is being sent and no other home waits for a cell here.
 fn is_idle(cx: &host::Host) -> bool {
     let calls = cx.counters.calls.load(sync::atomic::Ordering::Relaxed);
-    let running = host::lock(&cx.ids).running();
+    let running = locks::lock(&cx.ids).running();
     let waiting = cx.steward.all().iter().any(|cell| {
         let counts = cell.with(|cell| cell.counts());
         counts.urgent + counts.normal + counts.patient > 0
@@ -107,7 +108,7 @@
 }
 
 fn has_readers(cx: &host::Host) -> bool {
-    let answers = host::lock(&cx.answers);
+    let answers = locks::lock(&cx.answers);
     answers.values().any(|answer| answer.has_readers())
 }
 
--- a/daemon/src/dump.rs
+++ b/daemon/src/dump.rs
@@ -13,6 +13,7 @@
 use crate::configure;
 use crate::drain;
 use crate::host;
+use crate::locks;
 
 /// The version of the dump's shape.
 pub const VERSION: u32 = 1;
@@ -104,10 +105,10 @@
 /// Takes the state of a host.
 pub fn take(cx: &host::Host) -> Dump {
     let (ids, running) = {
-        let ids = host::lock(&cx.ids);
+        let ids = locks::lock(&cx.ids);
         (ids.len(), ids.running())
     };
-    let config = host::read(&cx.config);
+    let config = locks::read(&cx.config);
     let config = config.iter().map(|stored| Config {
         workspace: stored.document.workspace.clone(),
         generation: stored.generation,
@@ -121,14 +122,14 @@
         unix_ms: clock::millis(cx.unix()),
         phase: *cx.phase.borrow(),
         relay: configure::is_relay(cx),
-        members: host::lock(&cx.members).all(),
+        members: locks::lock(&cx.members).all(),
         config: config.collect(),
         cells: cells(cx),
         ids,
         running,
-        permits: host::lock(&cx.permits).len(),
+        permits: locks::lock(&cx.permits).len(),
         jobs: cx.jobs.store().counts(),
-        quarantine: host::lock(&cx.quarantine).marks().cloned().collect(),
+        quarantine: locks::lock(&cx.quarantine).marks().cloned().collect(),
         counters: counters(&cx.counters),
         memory_kb: usage.memory_kb,
         cpu_ms: usage.cpu_ms,
--- a/daemon/src/endpoints.rs
+++ b/daemon/src/endpoints.rs
@@ -11,8 +11,8 @@
 use walnuthaven_lib::ids;
 
 use crate::host;
+use crate::locks;
 use crate::plain;
-use crate::stewardship;
 
 /// How long a host keeps the steward's answer.
 pub const VALID: time::Duration = time::Duration::from_millis(500);
@@ -49,18 +49,18 @@
 impl Cache {
     /// Returns the live servers of a service that this host stewards.
     pub fn stewarded(&self, cell: &str) -> Vec<Endpoint> {
-        let stewarded = host::lock(&self.stewarded);
+        let stewarded = locks::lock(&self.stewarded);
         stewarded.get(cell).cloned().unwrap_or_default()
     }
 
     /// Notes that a server did not take a call.
     pub fn avoid(&self, server: &ids::Name, now: time::Duration) {
-        host::lock(&self.avoided).insert(server.clone(), now + AVOID_FOR);
+        locks::lock(&self.avoided).insert(server.clone(), now + AVOID_FOR);
     }
 
     /// Returns whether a server did not take a call a moment ago.
     pub fn is_avoided(&self, server: &ids::Name, now: time::Duration) -> bool {
-        let avoided = host::lock(&self.avoided);
+        let avoided = locks::lock(&self.avoided);
         avoided.get(server).is_some_and(|until| now < *until)
     }
 }
@@ -72,7 +72,7 @@
 
 /// Returns the servers that take work, from the steward of the service.
 pub async fn live(cx: &sync::Arc<host::Host>, cell: &str) -> Vec<Endpoint> {
-    let steward = host::lock(&cx.members).steward(cell).clone();
+    let steward = locks::lock(&cx.members).steward(cell).clone();
     let cache = cx.plain.endpoints();
     if steward.id == cx.id {
         let live = cache.stewarded(cell);
@@ -83,7 +83,7 @@
         };
     }
     let now = cx.now();
-    let known = host::lock(&cache.asked).get(cell).cloned();
+    let known = locks::lock(&cache.asked).get(cell).cloned();
     if let Some(known) = &known
         && now.saturating_sub(known.at) < VALID
     {
@@ -96,7 +96,7 @@
                 endpoints: endpoints.clone(),
                 at: now,
             };
-            host::lock(&cache.asked).insert(cell.to_owned(), fresh);
+            locks::lock(&cache.asked).insert(cell.to_owned(), fresh);
             endpoints
         }
         _ => match known {
@@ -119,7 +119,7 @@
     let mut parts = cell.split('/');
     let workspace = parts.next().unwrap_or_default();
     let service = parts.nth(1).unwrap_or_default();
-    let config = host::read(&cx.config);
+    let config = locks::read(&cx.config);
     let Some(stored) = config.get(workspace) else {
         return Vec::new();
     };
@@ -155,7 +155,7 @@
 }
 
 async fn check(cx: &sync::Arc<host::Host>) {
-    let duties = stewardship::duties(cx);
+    let duties = cx.stewarded();
     let mut checked = collections::HashMap::new();
     for (cell, servers) in &duties.services {
         let health = servers.iter().map(|server| is_healthy(&cx.plain, server));
@@ -166,7 +166,7 @@
             live.map(|(server, _)| server.clone()).collect(),
         );
     }
-    *host::lock(&cx.plain.endpoints().stewarded) = checked;
+    *locks::lock(&cx.plain.endpoints().stewarded) = checked;
 }
 
 async fn is_healthy(plain: &plain::Directory, server: &Endpoint) -> bool {
--- a/daemon/src/forward.rs
+++ b/daemon/src/forward.rs
@@ -13,6 +13,7 @@
 use crate::convert;
 use crate::generate;
 use crate::host;
+use crate::locks;
 
 /// Opens a request at its home and relays the answer.
 ///
@@ -59,7 +60,7 @@
 
 /// Returns the home of an id if that run of the host may still be there.
 pub fn find_home(cx: &host::Host, id: &ids::RequestId) -> Option<membership::Member> {
-    let members = host::lock(&cx.members);
+    let members = locks::lock(&cx.members);
     let member = members.get(&id.home.name)?;
     let there = member.id == id.home && member.state != membership::State::Dead;
     there.then(|| member.clone())
@@ -83,9 +84,9 @@
         return unknown();
     };
     if *buddy == cx.id {
-        return host::lock(&cx.permits).answer_for(&id.to_string(), cx.now());
+        return locks::lock(&cx.permits).answer_for(&id.to_string(), cx.now());
     }
-    let member = host::lock(&cx.members).get(&buddy.name).cloned();
+    let member = locks::lock(&cx.members).get(&buddy.name).cloned();
     let Some(member) = member.filter(|member| member.id == *buddy) else {
         return unknown();
     };
--- a/daemon/src/generate.rs
+++ b/daemon/src/generate.rs
@@ -19,6 +19,7 @@
 use crate::drain;
 use crate::forward;
 use crate::host;
+use crate::locks;
 use crate::permits;
 use crate::tries;
 
@@ -116,10 +117,10 @@
 
 /// Mints request ids of this host.
 pub fn mint(cx: &host::Host, count: u64) -> Vec<ids::RequestId> {
-    let buddy = host::lock(&cx.members)
+    let buddy = locks::lock(&cx.members)
         .buddy()
         .map(|member| member.id.clone());
-    host::lock(&cx.ids).mint(buddy.as_ref(), count, cx.now())
+    locks::lock(&cx.ids).mint(buddy.as_ref(), count, cx.now())
 }
 
 /// Makes the refusal of a non-repeatable request without id.
@@ -142,7 +143,7 @@
     let content = prefix::digest(&ask.prompt) ^ u64::from(ask.max_tokens);
     let workspace = &ask.workspace.document.workspace;
     let resumes = ask.offset.is_some();
-    let arrival = host::lock(&cx.ids).arrive(&id, workspace, content, resumes, cx.now());
+    let arrival = locks::lock(&cx.ids).arrive(&id, workspace, content, resumes, cx.now());
     let answer = match arrival {
         identity::Arrival::Final(refusal) => return Err(refusal),
         identity::Arrival::Attach => find_answer(cx, &id)?,
@@ -162,7 +163,7 @@
     cx: &host::Host,
     id: &ids::RequestId,
 ) -> Result<sync::Arc<answer::Answer>, refusal::Refusal> {
-    let answers = host::lock(&cx.answers);
+    let answers = locks::lock(&cx.answers);
     let answer = answers.get(&id.number).cloned();
     answer.ok_or_else(|| refusal::Refusal {
         code: refusal::Code::IdExpired,
@@ -182,12 +183,12 @@
         Ok(job) => job,
         Err(refusal) => {
             let state = identity::State::Refused(refusal.clone());
-            host::lock(&cx.ids).set(id.number, state, cx.now());
+            locks::lock(&cx.ids).set(id.number, state, cx.now());
             return Err(refusal);
         }
     };
     let answer = sync::Arc::new(answer::Answer::default());
-    host::lock(&cx.answers).insert(id.number, answer.clone());
+    locks::lock(&cx.answers).insert(id.number, answer.clone());
     let cx = cx.clone();
     let shared = answer.clone();
     tokio::spawn(async move { run(&cx, &job, &shared).await });
@@ -201,7 +202,7 @@
 ) -> Result<Job, refusal::Refusal> {
     drain::check(cx)?;
     let document = &ask.workspace.document;
-    let running = host::lock(&cx.ids).running_of(&document.workspace);
+    let running = locks::lock(&cx.ids).running_of(&document.workspace);
     let limit = document.limits.max_open_requests as usize;
     if running > limit {
         let message = format!(
@@ -212,7 +213,7 @@
     }
     let digest = prefix::digest(&ask.prompt);
     if cx.settings.scheduler == cell::Policy::Current {
-        host::lock(&cx.quarantine).check(digest, cx.unix())?;
+        locks::lock(&cx.quarantine).check(digest, cx.unix())?;
     }
     let pool = ask.service.pool.as_deref().unwrap_or_default();
     let rates = document.pool_backends(pool).map(|b| b.prefill_tokens_s);
@@ -283,7 +284,7 @@
     if end == answer::End::Complete {
         cx.trace(&job.request, format!("complete, {} tokens", answer.len()));
     }
-    host::lock(&cx.ids).set(job.id.number, state, now);
+    locks::lock(&cx.ids).set(job.id.number, state, now);
     answer.finish(end, now);
 }
 
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -10,6 +10,7 @@
 use crate::configure;
 use crate::convert;
 use crate::host;
+use crate::locks;
 use crate::retention;
 
 const HELPERS: usize = 2;
@@ -34,7 +35,7 @@
 
 /// Tells every neighbour at once, for news that must not wait for the next round.
 pub async fn announce(cx: &sync::Arc<host::Host>) {
-    let targets = host::lock(&cx.members).members();
+    let targets = locks::lock(&cx.members).members();
     let others = targets.into_iter().filter(|member| member.id != cx.id);
     let probes = others.map(|member| async move {
         let call = request(cx);
@@ -57,7 +58,7 @@
                 .filter(|h| h.kind == "entry" && !h.leaving);
             addrs.extend(hosts.map(|host| host.addr));
         }
-        let own = host::lock(&cx.members).own().peer_addr.to_string();
+        let own = locks::lock(&cx.members).own().peer_addr.to_string();
         addrs.retain(|addr| *addr != own);
         addrs.sort();
         addrs.dedup();
@@ -66,7 +67,7 @@
                 take_reply(cx, &addr, &reply);
             }
         }
-        if host::lock(&cx.members).members().len() > 1 {
+        if locks::lock(&cx.members).members().len() > 1 {
             return;
         }
         tokio::time::sleep(JOIN_EVERY).await;
@@ -75,7 +76,7 @@
 
 fn round(cx: &sync::Arc<host::Host>) {
     let (events, targets) = {
-        let mut members = host::lock(&cx.members);
+        let mut members = locks::lock(&cx.members);
         let events = members.tick(cx.now());
         let mut targets = members.probe_targets();
         if let Some(random) = members.random_target(rand::random())
@@ -103,15 +104,15 @@
     for helper in helpers(cx, &target) {
         let reached = cx.peers.probe_via(&helper.peer_addr, &target.id.name).await;
         if reached.unwrap_or(false) {
-            host::lock(&cx.members).heard_from(&target, cx.now());
+            locks::lock(&cx.members).heard_from(&target, cx.now());
             return;
         }
     }
-    host::lock(&cx.members).probe_failed(&target.id.name, cx.now());
+    locks::lock(&cx.members).probe_failed(&target.id.name, cx.now());
 }
 
 fn helpers(cx: &host::Host, target: &membership::Member) -> Vec<membership::Member> {
-    let members = host::lock(&cx.members);
+    let members = locks::lock(&cx.members);
     let others = members
         .eligible()
         .filter(|member| member.id != cx.id && member.id != target.id);
@@ -127,7 +128,7 @@
     peer::ProbeRequest {
         from: Some(own),
         updates,
-        config_digest: host::read(&cx.config).digest(),
+        config_digest: locks::read(&cx.config).digest(),
         marks: recent_marks(cx),
     }
 }
@@ -138,7 +139,7 @@
     peer::ProbeReply {
         from: Some(own),
         updates,
-        config_digest: host::read(&cx.config).digest(),
+        config_digest: locks::read(&cx.config).digest(),
         marks: recent_marks(cx),
     }
 }
@@ -159,7 +160,7 @@
 }
 
 fn news(cx: &host::Host) -> (peer::Member, Vec<peer::Member>) {
-    let mut members = host::lock(&cx.members);
+    let mut members = locks::lock(&cx.members);
     let updates = members.updates();
     let updates = updates.iter().map(convert::member_to_wire).collect();
     (convert::member_to_wire(members.own()), updates)
@@ -167,7 +168,7 @@
 
 fn recent_marks(cx: &host::Host) -> Vec<peer::CrashMark> {
     let since = cx.unix().saturating_sub(MARKS_RECENT);
-    let marks = host::lock(&cx.quarantine).changed_since(since, MAX_MARKS);
+    let marks = locks::lock(&cx.quarantine).changed_since(since, MAX_MARKS);
     marks.iter().map(convert::mark_to_wire).collect()
 }
 
@@ -179,7 +180,7 @@
 ) {
     let now = cx.now();
     {
-        let mut members = host::lock(&cx.members);
+        let mut members = locks::lock(&cx.members);
         if let Some(member) = from.and_then(convert::member_from_wire) {
             members.heard_from(&member, now);
         }
@@ -188,14 +189,14 @@
         }
     }
     let unix = cx.unix();
-    let mut quarantine = host::lock(&cx.quarantine);
+    let mut quarantine = locks::lock(&cx.quarantine);
     for mark in marks {
         quarantine.merge(&convert::mark_from_wire(mark), unix);
     }
 }
 
 fn compare_config(cx: &sync::Arc<host::Host>, addr: &str, digest: u64) {
-    if host::read(&cx.config).digest() != digest {
+    if locks::read(&cx.config).digest() != digest {
         configure::fetch_from(cx, addr);
     }
 }
@@ -212,6 +213,6 @@
             }
         }
     }
-    let members = host::lock(&cx.members).members().len() as u64;
+    let members = locks::lock(&cx.members).members().len() as u64;
     cx.metrics.gauge("membership.members", members);
 }
--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 use walnuthaven_lib::clock;
 use walnuthaven_lib::clock::Clock as _;
+use walnuthaven_lib::grant;
 use walnuthaven_lib::history;
 use walnuthaven_lib::identity;
 use walnuthaven_lib::ids;
@@ -26,6 +27,7 @@
 use crate::admin;
 use crate::answer;
 use crate::api;
+use crate::cancel;
 use crate::configure;
 use crate::directory;
 use crate::drain;
@@ -33,6 +35,7 @@
 use crate::engine;
 use crate::gossip;
 use crate::jobs;
+use crate::locks;
 use crate::metrics;
 use crate::orders;
 use crate::peer_client;
@@ -86,7 +89,7 @@
     /// Work accepted for later.
     pub jobs: jobs::Jobs,
     /// Metrics.
-    pub metrics: metrics::Metrics,
+    pub metrics: sync::Arc<metrics::Metrics>,
     /// What happened to each request.
     pub traces: trace::Traces,
     /// Keys that were verified.
@@ -144,6 +147,18 @@
 }
 
 impl Host {
+    /// Frees what a request holds at an engine, in the background.
+    pub fn cancel(&self, order: grant::Cancel) {
+        cancel::spawn(self.engines.clone(), self.metrics.clone(), order);
+    }
+
+    /// Returns what this host stewards now.
+    pub fn stewarded(&self) -> sync::Arc<stewardship::Duties> {
+        let config = locks::read(&self.config);
+        let members = locks::lock(&self.members);
+        self.duties.duties(&self.id, &config, &members)
+    }
+
     /// Starts a host inside the current runtime. It listens when this returns.
     ///
     /// # Errors
@@ -220,7 +235,7 @@
             platform: platform::Client::new(&settings.platform),
             plain: plain::Directory::new()?,
             jobs: jobs::Jobs::new(&id),
-            metrics: metrics::Metrics::new(settings.statsd, &settings.name)?,
+            metrics: sync::Arc::new(metrics::Metrics::new(settings.statsd, &settings.name)?),
             traces: trace::Traces::default(),
             keys: directory::KeyCache::default(),
             phase: watch::Sender::new(drain::Phase::Serving),
@@ -257,27 +272,12 @@
             at_ms: clock::millis(self.unix()),
             event,
         };
-        if let Err(error) = write_event(&mut lock(events), &record) {
+        if let Err(error) = write_event(&mut locks::lock(events), &record) {
             log::warn!("events file: {error}");
         }
     }
 }
 
-/// Locks a mutex. A poisoned lock is used on: holders keep the state whole at each step.
-pub fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
-/// Locks for reading.
-pub fn read<T>(lock: &sync::RwLock<T>) -> sync::RwLockReadGuard<'_, T> {
-    lock.read().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
-/// Locks for writing.
-pub fn write<T>(lock: &sync::RwLock<T>) -> sync::RwLockWriteGuard<'_, T> {
-    lock.write().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
 struct Addresses {
     api: net::SocketAddr,
     peer: net::SocketAddr,
--- a/daemon/src/jobs.rs
+++ b/daemon/src/jobs.rs
@@ -16,6 +16,7 @@
 use crate::generate;
 use crate::host;
 use crate::journal_store;
+use crate::locks;
 use crate::openai;
 
 const RETRY_PAUSE: time::Duration = time::Duration::from_secs(1);
@@ -59,7 +60,7 @@
         loop {
             tokio::time::sleep(SCAN_EVERY).await;
             let up = cx.now().saturating_sub(began) >= MIN_UPTIME_FOR_SCAN;
-            let scans = host::lock(&cx.members).steward(SCAN_KEY).id == cx.id;
+            let scans = locks::lock(&cx.members).steward(SCAN_KEY).id == cx.id;
             if up && scans {
                 scan(&cx).await;
             }
@@ -97,7 +98,7 @@
 /// Returns whether a journal's owner is gone. An owner that was silent for long may live behind a
 /// cut; the conditional write decides which of the two goes on.
 fn owner_is_gone(cx: &host::Host, owner: &ids::HostId) -> bool {
-    let members = host::lock(&cx.members);
+    let members = locks::lock(&cx.members);
     let unknown = members.get(&owner.name).is_none();
     let silent = members.silent_for(&owner.name, cx.now()) >= SILENT_OWNER;
     members.is_gone(owner) || unknown || silent
@@ -201,7 +202,7 @@
     cx: &sync::Arc<host::Host>,
     job: &journal::Job,
 ) -> Result<Vec<sync::Arc<str>>, refusal::Refusal> {
-    let workspace = host::read(&cx.config).get(&job.workspace).cloned();
+    let workspace = locks::read(&cx.config).get(&job.workspace).cloned();
     let workspace = workspace.ok_or_else(|| {
         let message = format!("workspace {:?} does not exist any more", job.workspace);
         refusal::Refusal::not_run(refusal::Code::NotFound, message)
--- a/daemon/src/jobs_api.rs
+++ b/daemon/src/jobs_api.rs
@@ -19,6 +19,7 @@
 use crate::host;
 use crate::jobs;
 use crate::journal_store;
+use crate::locks;
 use crate::openai;
 use crate::platform;
 
@@ -250,7 +251,7 @@
     let Ok(Some((journal, _))) = read_journal(cx, id).await else {
         return journal_store::Kept::Unknown("the journal can't be read".into());
     };
-    let owner = host::lock(&cx.members).get(&journal.owner.name).cloned();
+    let owner = locks::lock(&cx.members).get(&journal.owner.name).cloned();
     let Some(owner) = owner.filter(|owner| owner.id == journal.owner) else {
         return journal_store::Kept::No("the owner is gone; try again".into());
     };
--- a/daemon/src/journal_store.rs
+++ b/daemon/src/journal_store.rs
@@ -11,6 +11,7 @@
 use walnuthaven_lib::journal;
 
 use crate::host;
+use crate::locks;
 use crate::platform;
 
 /// The kind of journal objects.
@@ -72,12 +73,12 @@
     /// Adds a job and waits until it is kept. Returns its id.
     pub async fn add(&self, job: journal::Job, unix: time::Duration) -> (String, Kept) {
         // While the platform rests the answer is known, so nobody waits for it.
-        if let Some(why) = host::lock(&self.resting).clone() {
+        if let Some(why) = locks::lock(&self.resting).clone() {
             return (String::new(), Kept::No(why));
         }
         let (tx, rx) = tokio::sync::oneshot::channel();
         let id = {
-            let mut open = host::lock(&self.open);
+            let mut open = locks::lock(&self.open);
             let number = self.next.fetch_add(1, sync::atomic::Ordering::Relaxed);
             let entry = journal::Entry {
                 job,
@@ -109,7 +110,7 @@
     pub async fn set(&self, id: &str, progress: journal::Progress, unix: time::Duration) -> Kept {
         let (tx, rx) = tokio::sync::oneshot::channel();
         {
-            let mut open = host::lock(&self.open);
+            let mut open = locks::lock(&self.open);
             let Some(found) = open.get_mut(journal_name(id)) else {
                 return Kept::TakenOver;
             };
@@ -127,14 +128,14 @@
 
     /// Returns a job as the platform keeps it, if its journal is open here.
     pub fn get(&self, id: &str) -> Option<journal::Entry> {
-        let open = host::lock(&self.open);
+        let open = locks::lock(&self.open);
         let found = open.get(journal_name(id))?;
         found.kept.get(id).cloned()
     }
 
     /// Returns how many jobs are kept here, and how many of them are not final.
     pub fn counts(&self) -> (usize, usize) {
-        let open = host::lock(&self.open);
+        let open = locks::lock(&self.open);
         let entries = || open.values().flat_map(|open| open.journal.entries.values());
         let unfinished = entries().filter(|entry| !entry.progress.is_final());
         (entries().count(), unfinished.count())
@@ -150,12 +151,12 @@
             waiters: Vec::new(),
             unwritten: Vec::new(),
         };
-        host::lock(&self.open).insert(name.to_owned(), adopted);
+        locks::lock(&self.open).insert(name.to_owned(), adopted);
     }
 
     /// Returns whether a journal is open here.
     pub fn has(&self, name: &str) -> bool {
-        host::lock(&self.open).contains_key(name)
+        locks::lock(&self.open).contains_key(name)
     }
 
     fn journal_with_room(
@@ -173,14 +174,14 @@
     }
 
     fn dirty(&self) -> Vec<String> {
-        let open = host::lock(&self.open);
+        let open = locks::lock(&self.open);
         let dirty = open.iter().filter(|(_, open)| open.dirty);
         dirty.map(|(name, _)| name.clone()).collect()
     }
 
     /// Takes what is to be written of one journal.
     fn batch(&self, name: &str) -> Option<Batch> {
-        let mut open = host::lock(&self.open);
+        let mut open = locks::lock(&self.open);
         let found = open.get_mut(name)?;
         found.dirty = false;
         Some(Batch {
@@ -197,7 +198,7 @@
             Written::Refused(why) | Written::Unknown(why) => Some(why.clone()),
             Written::Version(_) | Written::TakenOver => None,
         };
-        let mut open = host::lock(&self.open);
+        let mut open = locks::lock(&self.open);
         let kept = match outcome {
             Written::Version(version) => {
                 if let Some(found) = open.get_mut(&batch.name) {
@@ -278,7 +279,7 @@
         if store.dirty().is_empty() {
             store.changed.notified().await;
         }
-        let hosts = host::lock(&cx.members).members().len();
+        let hosts = locks::lock(&cx.members).members().len();
         let pause = WRITE_EVERY_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
         tokio::time::sleep(pause.max(MIN_WRITE_EVERY)).await;
         let failed = write_dirty(cx).await;
@@ -286,9 +287,9 @@
             back_off = MIN_BACK_OFF;
             continue;
         };
-        *host::lock(&store.resting) = Some(why);
+        *locks::lock(&store.resting) = Some(why);
         tokio::time::sleep(back_off.mul_f64(0.5 + rand::random::<f64>())).await;
-        *host::lock(&store.resting) = None;
+        *locks::lock(&store.resting) = None;
         back_off = (back_off * 2).min(MAX_BACK_OFF);
     }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod jobs;
 pub mod jobs_api;
 pub mod journal_store;
+pub mod locks;
 pub mod logging;
 pub mod metrics;
 pub mod openai;
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -16,6 +16,7 @@
 
 use crate::engine;
 use crate::host;
+use crate::locks;
 use crate::platform;
 use crate::steward;
 
@@ -90,7 +91,7 @@
 /// Returns the pools of which this host has a cell.
 fn pools(cx: &host::Host) -> Vec<Pool> {
     let mut pools = Vec::new();
-    let config = host::read(&cx.config);
+    let config = locks::read(&cx.config);
     for stored in config.iter() {
         let document = &stored.document;
         for pool in &document.pools {
--- a/daemon/src/peer_client.rs
+++ b/daemon/src/peer_client.rs
@@ -10,7 +10,7 @@
 use walnuthaven_wire::peer;
 use walnuthaven_wire::peer::peer_client;
 
-use crate::host;
+use crate::locks;
 use crate::settings;
 
 /// The metadata entry with the key that hosts show each other.
@@ -236,7 +236,7 @@
     }
 
     fn stub(&self, addr: &str) -> Result<Stub, tonic::Status> {
-        let mut stubs = host::lock(&self.stubs);
+        let mut stubs = locks::lock(&self.stubs);
         if let Some(stub) = stubs.get(addr) {
             return Ok(stub.clone());
         }
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -28,6 +28,7 @@
 use crate::host;
 use crate::jobs_api;
 use crate::journal_store;
+use crate::locks;
 use crate::peer_client;
 use crate::plain;
 use crate::poll;
@@ -84,7 +85,7 @@
         req: tonic::Request<peer::ProbeViaRequest>,
     ) -> Result<tonic::Response<peer::ProbeViaReply>, tonic::Status> {
         let name = req.into_inner().target;
-        let target = host::lock(&self.cx.members).get(&name).cloned();
+        let target = locks::lock(&self.cx.members).get(&name).cloned();
         let reached = match target {
             None => false,
             Some(target) => {
@@ -165,7 +166,7 @@
         req: tonic::Request<peer::PermitRequest>,
     ) -> Result<tonic::Response<peer::PermitReply>, tonic::Status> {
         let call = req.into_inner();
-        let mut permits = host::lock(&self.cx.permits);
+        let mut permits = locks::lock(&self.cx.permits);
         let now = self.cx.now();
         let held = match call.outcome.as_str() {
             "" => permits.hold(&call.request, now),
@@ -212,14 +213,14 @@
         let call = req.into_inner();
         let id = parse_id(&call.request)?;
         if call.fence {
-            let refusal = host::lock(&self.cx.permits).answer_for(&call.request, self.cx.now());
+            let refusal = locks::lock(&self.cx.permits).answer_for(&call.request, self.cx.now());
             let reply = peer::LookupReply {
                 refusal: Some(convert::refusal_to_wire(&refusal)),
                 ..peer::LookupReply::default()
             };
             return Ok(tonic::Response::new(reply));
         }
-        let state = host::lock(&self.cx.ids).state(id.number).cloned();
+        let state = locks::lock(&self.cx.ids).state(id.number).cloned();
         let steps = self.cx.traces.get(&call.request);
         let reply = peer::LookupReply {
             state: state.map(|state| format!("{state:?}")).unwrap_or_default(),
@@ -251,7 +252,7 @@
         req: tonic::Request<peer::ConfigPush>,
     ) -> Result<tonic::Response<peer::ConfigAck>, tonic::Status> {
         configure::take_push(&self.cx, &req.into_inner());
-        let digest = host::read(&self.cx.config).digest();
+        let digest = locks::read(&self.cx.config).digest();
         Ok(tonic::Response::new(peer::ConfigAck { digest }))
     }
 
@@ -268,7 +269,7 @@
 impl Server {
     fn ask(&self, call: peer::RunRequest) -> Result<generate::Ask, tonic::Status> {
         let id = parse_id(&call.request)?;
-        let config = host::read(&self.cx.config);
+        let config = locks::read(&self.cx.config);
         let workspace = config.get(&call.workspace).cloned();
         let workspace = workspace.ok_or_else(|| {
             let message = format!("workspace {:?} is not in force here", call.workspace);
@@ -306,7 +307,7 @@
         })?;
         let ask = convert::ask_from_wire(call);
         let mut ask = ask.ok_or_else(|| tonic::Status::invalid_argument("priority"))?;
-        ask.suspect |= host::lock(&self.cx.quarantine).is_suspect(ask.digest, self.cx.unix());
+        ask.suspect |= locks::lock(&self.cx.quarantine).is_suspect(ask.digest, self.cx.unix());
         let cell = self.cx.steward.cell(&spec);
         Ok(cell.acquire(&self.cx, ask).await)
     }
--- a/daemon/src/permits.rs
+++ b/daemon/src/permits.rs
@@ -7,6 +7,7 @@
 use walnuthaven_wire::peer;
 
 use crate::host;
+use crate::locks;
 
 /// Copies the permit of a non-repeatable request to the buddy that its id names.
 ///
@@ -21,7 +22,7 @@
     let Some(buddy) = &id.buddy else {
         return Ok(());
     };
-    let member = host::lock(&cx.members).get(&buddy.name).cloned();
+    let member = locks::lock(&cx.members).get(&buddy.name).cloned();
     let Some(member) = member.filter(|member| member.id == *buddy) else {
         return Err(no_buddy(id));
     };
@@ -44,7 +45,7 @@
     let Some(buddy) = &id.buddy else {
         return;
     };
-    let member = host::lock(&cx.members).get(&buddy.name).cloned();
+    let member = locks::lock(&cx.members).get(&buddy.name).cloned();
     let Some(member) = member.filter(|member| member.id == *buddy) else {
         return;
     };
--- a/daemon/src/plain.rs
+++ b/daemon/src/plain.rs
@@ -21,6 +21,7 @@
 use crate::forward;
 use crate::generate;
 use crate::host;
+use crate::locks;
 use crate::permits;
 
 const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
@@ -154,7 +155,7 @@
         .request
         .parse()
         .map_err(|_| bad("the request id is malformed"))?;
-    let workspace = host::read(&cx.config).get(&message.workspace).cloned();
+    let workspace = locks::read(&cx.config).get(&message.workspace).cloned();
     let workspace = workspace.ok_or_else(|| bad("the workspace is not in force at the home"))?;
     let service = workspace.document.service(&message.service).cloned();
     let service = service.ok_or_else(|| bad("the service is not in force at the home"))?;
@@ -221,11 +222,11 @@
 ) -> Result<Reply, refusal::Refusal> {
     let content = prefix::digest(&call.path) ^ xxh(&call.body);
     let workspace = call.workspace.document.workspace.clone();
-    let arrival = host::lock(&cx.ids).arrive(id, &workspace, content, false, cx.now());
+    let arrival = locks::lock(&cx.ids).arrive(id, &workspace, content, false, cx.now());
     let mut outcome = match arrival {
         identity::Arrival::Final(refusal) => return Err(refusal),
         identity::Arrival::Attach => {
-            let known = host::lock(&cx.plain.replies).get(&id.number).cloned();
+            let known = locks::lock(&cx.plain.replies).get(&id.number).cloned();
             known.ok_or_else(refusal::Refusal::already_answered)?
         }
         identity::Arrival::Run => start_once(cx, call, id, workspace),
@@ -249,7 +250,7 @@
     workspace: ids::Name,
 ) -> watch::Receiver<Outcome> {
     let (tx, rx) = watch::channel(None);
-    host::lock(&cx.plain.replies).insert(id.number, rx.clone());
+    locks::lock(&cx.plain.replies).insert(id.number, rx.clone());
     let cx = cx.clone();
     let id = id.clone();
     tokio::spawn(async move {
@@ -258,10 +259,10 @@
             Ok(_) => identity::State::Finished,
             Err(refusal) => identity::State::Refused(refusal.clone()),
         };
-        host::lock(&cx.ids).set(id.number, state, cx.now());
+        locks::lock(&cx.ids).set(id.number, state, cx.now());
         tx.send_replace(Some(ended));
         tokio::time::sleep(REPLY_KEPT_FOR).await;
-        host::lock(&cx.plain.replies).remove(&id.number);
+        locks::lock(&cx.plain.replies).remove(&id.number);
     });
     rx
 }
@@ -322,7 +323,7 @@
     f: impl FnOnce(&mut walnuthaven_lib::retry::Budget) -> T,
 ) -> T {
     let workspace = call.workspace.document.workspace.clone();
-    f(host::lock(&cx.budgets).entry(workspace).or_default())
+    f(locks::lock(&cx.budgets).entry(workspace).or_default())
 }
 
 /// Orders the servers: the own zone first, in turn within a zone.
--- a/daemon/src/poll.rs
+++ b/daemon/src/poll.rs
@@ -11,12 +11,11 @@
 use walnuthaven_lib::ids;
 use walnuthaven_lib::prefix;
 
-use crate::cancel;
 use crate::convert;
 use crate::engine;
 use crate::host;
+use crate::locks;
 use crate::steward;
-use crate::stewardship;
 
 /// How often an engine is asked for its load.
 pub const POLL_EVERY: time::Duration = time::Duration::from_millis(200);
@@ -34,7 +33,7 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            let duties = stewardship::duties(&cx);
+            let duties = cx.stewarded();
             retire_others(&cx, &duties.cells);
             pollers.round(&cx, &duties.cells);
         }
@@ -71,7 +70,7 @@
             for engine in &spec.engines {
                 let name = engine.address.name.clone();
                 let poller = self.engines.entry(name).or_default().clone();
-                if std::mem::replace(&mut host::lock(&poller).busy, true) {
+                if std::mem::replace(&mut locks::lock(&poller).busy, true) {
                     continue;
                 }
                 let cx = cx.clone();
@@ -79,7 +78,7 @@
                 let address = engine.address.clone();
                 tokio::spawn(async move {
                     poll(&cx, &cell, &address, &poller).await;
-                    host::lock(&poller).busy = false;
+                    locks::lock(&poller).busy = false;
                 });
             }
         }
@@ -92,11 +91,11 @@
     address: &engines::Address,
     poller: &sync::Mutex<Poller>,
 ) {
-    let after = host::lock(poller).last_event;
+    let after = locks::lock(poller).last_event;
     match cx.engines.load(&address.addr, after).await {
         Ok(load) => {
             {
-                let mut poller = host::lock(poller);
+                let mut poller = locks::lock(poller);
                 poller.failures = 0;
                 if poller.incarnation != load.incarnation {
                     poller.incarnation = load.incarnation;
@@ -111,7 +110,7 @@
         }
         Err(failure) => {
             let failures = {
-                let mut poller = host::lock(poller);
+                let mut poller = locks::lock(poller);
                 poller.failures += 1;
                 poller.failures
             };
@@ -172,8 +171,8 @@
     load: &engine::Load,
 ) -> Vec<engine::Running> {
     let now = cx.now();
-    let members = host::lock(&cx.members);
-    let mut poller = host::lock(poller);
+    let members = locks::lock(&cx.members);
+    let mut poller = locks::lock(poller);
     let detached = |running: &&engine::Running| running.decoding && !running.attached;
     let before = std::mem::take(&mut poller.detached);
     let mut orphans = Vec::new();
@@ -202,7 +201,7 @@
             request: running.request.into(),
             attempt: running.attempt,
         };
-        cancel::spawn(cx, order);
+        cx.cancel(order);
     }
 }
 
@@ -231,7 +230,7 @@
     log::warn!("{server} crashed with {} requests in flight", digests.len());
     cx.metrics.count("engine.crash");
     {
-        let mut quarantine = host::lock(&cx.quarantine);
+        let mut quarantine = locks::lock(&cx.quarantine);
         for digest in digests {
             quarantine.crashed(digest, server, cx.unix());
         }
--- a/daemon/src/retention.rs
+++ b/daemon/src/retention.rs
@@ -9,6 +9,7 @@
 
 use crate::answer;
 use crate::host;
+use crate::locks;
 
 /// How long a finished answer is kept.
 pub const KEPT_FOR: time::Duration = time::Duration::from_secs(60);
@@ -25,17 +26,17 @@
 impl Relayed {
     /// Notes that an answer goes out through another host.
     pub fn note(&self, number: u64, entry: &str) {
-        host::lock(&self.entries).insert(number, entry.into());
+        locks::lock(&self.entries).insert(number, entry.into());
     }
 
     /// Forgets an answer whose delivery was settled.
     pub fn settled(&self, number: u64) {
-        host::lock(&self.entries).remove(&number);
+        locks::lock(&self.entries).remove(&number);
     }
 
     /// Takes the answers that went out through a host.
     fn take(&self, entry: &str) -> Vec<u64> {
-        let mut entries = host::lock(&self.entries);
+        let mut entries = locks::lock(&self.entries);
         let through = entries.iter().filter(|(_, name)| &***name == entry);
         let numbers: Vec<u64> = through.map(|(number, _)| *number).collect();
         entries.retain(|_, name| &**name != entry);
@@ -43,7 +44,7 @@
     }
 
     fn retain(&self, kept: impl Fn(u64) -> bool) {
-        host::lock(&self.entries).retain(|number, _| kept(*number));
+        locks::lock(&self.entries).retain(|number, _| kept(*number));
     }
 }
 
@@ -51,7 +52,7 @@
 /// delivered, so that a repeat gets the rest.
 pub fn entry_gone(cx: &host::Host, entry: &str) {
     let numbers = cx.relayed.take(entry);
-    let mut ids = host::lock(&cx.ids);
+    let mut ids = locks::lock(&cx.ids);
     for number in numbers {
         if ids.state(number) == Some(&identity::State::Sent) {
             ids.set(number, identity::State::Finished, cx.now());
@@ -72,7 +73,7 @@
 
 fn sweep(cx: &host::Host) {
     let now = cx.now();
-    let mut answers = host::lock(&cx.answers);
+    let mut answers = locks::lock(&cx.answers);
     answers.retain(|_, answer| !is_over(answer, now));
     let excess = answers.len().saturating_sub(MAX_KEPT);
     if excess > 0 {
--- a/daemon/src/router/budget.rs
+++ b/daemon/src/router/budget.rs
@@ -6,7 +6,7 @@
 
 use walnuthaven_lib::retry_share;
 
-use crate::router::context;
+use crate::locks;
 
 /// This host's shares of the retry budgets.
 #[derive(Debug, Default)]
@@ -23,7 +23,7 @@
         now: time::Duration,
         terms: &retry_share::Terms,
     ) {
-        let mut shares = context::lock(&self.shares);
+        let mut shares = locks::lock(&self.shares);
         let share = shares.entry(service.clone()).or_default();
         share.sent(kind, now, terms);
     }
@@ -36,7 +36,7 @@
         terms: &retry_share::Terms,
         hosts: usize,
     ) -> bool {
-        let shares = context::lock(&self.shares);
+        let shares = locks::lock(&self.shares);
         let share = shares.get(service).cloned().unwrap_or_default();
         share.has_room(now, terms, hosts)
     }
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -18,6 +18,7 @@
 use walnuthaven_lib::server_health;
 use walnuthaven_lib::waiting;
 
+use crate::locks;
 use crate::router::bodies;
 use crate::router::budget;
 use crate::router::crash_marks;
@@ -126,21 +127,21 @@
     }
 
     pub(crate) fn settings(&self) -> sync::Arc<settings::Settings> {
-        read(&self.settings).clone()
+        locks::read(&self.settings).clone()
     }
 
     pub(crate) fn set_settings(&self, settings: settings::Settings) {
-        *write(&self.settings) = sync::Arc::new(settings);
+        *locks::write(&self.settings) = sync::Arc::new(settings);
     }
 
     /// Returns the configuration in force.
     pub(crate) fn table(&self) -> Option<sync::Arc<routing::Table>> {
-        read(&self.table).clone()
+        locks::read(&self.table).clone()
     }
 
     /// Puts a configuration in force unless it is older than the one that is. Returns whether it was.
     pub(crate) fn put_table(&self, table: routing::Table) -> bool {
-        let mut held = write(&self.table);
+        let mut held = locks::write(&self.table);
         if held
             .as_ref()
             .is_some_and(|old| old.version >= table.version)
@@ -156,25 +157,25 @@
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
-        read(&self.left_at).is_some()
+        locks::read(&self.left_at).is_some()
     }
 
     /// Notes that the host leaves.
     pub(crate) fn leave(&self) {
         let now = self.now();
-        *write(&self.left_at) = Some(now);
+        *locks::write(&self.left_at) = Some(now);
     }
 
     /// Returns how long the host has been leaving.
     pub(crate) fn left_for(&self) -> time::Duration {
-        let left_at = *read(&self.left_at);
+        let left_at = *locks::read(&self.left_at);
         left_at.map_or(time::Duration::ZERO, |at| self.now().saturating_sub(at))
     }
 
     /// Returns whether callers may be sent here.
     pub(crate) fn takes_callers(&self) -> bool {
         let known = self.servers_known.load(atomic::Ordering::Relaxed);
-        known && !self.is_leaving() && read(&self.table).is_some()
+        known && !self.is_leaving() && locks::read(&self.table).is_some()
     }
 
     /// Returns how many idle connections this host keeps to a server of a service: its part of what the
@@ -192,8 +193,8 @@
     /// Returns the engines of a service on which this host's group places: its own, or all if no engine
     /// falls to it.
     pub(crate) fn engines(&self, service: &str) -> Vec<sync::Arc<backends::Backend>> {
-        let usable = lock(&self.servers).usable(service, self.now());
-        let groups = lock(&self.peers).groups();
+        let usable = locks::lock(&self.servers).usable(service, self.now());
+        let groups = locks::lock(&self.peers).groups();
         let group = groups.group(&self.id.name);
         let own: Vec<_> = usable
             .iter()
@@ -208,23 +209,10 @@
 
     /// Returns the number of hosts that share budgets, counting this one.
     pub(crate) fn hosts(&self) -> usize {
-        lock(&self.peers).count() + 1
+        locks::lock(&self.peers).count() + 1
     }
 }
 
-/// Locks, also after a panic elsewhere: each critical section leaves the value whole.
-pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
-fn read<T>(lock: &sync::RwLock<T>) -> sync::RwLockReadGuard<'_, T> {
-    lock.read().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
-fn write<T>(lock: &sync::RwLock<T>) -> sync::RwLockWriteGuard<'_, T> {
-    lock.write().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
 /// Counts a request that a caller waits for, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct InFlight<D>(sync::Arc<Router<D>>);
--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -11,6 +11,7 @@
 use walnuthaven_lib::quarantine;
 use walnuthaven_wire::news;
 
+use crate::locks;
 use crate::router::context;
 use crate::router::events::event;
 use crate::router::pool;
@@ -51,7 +52,7 @@
             return;
         }
         let unix = cx.unix();
-        let mark = context::lock(&cx.crashes).crashed(digest, &start, unix);
+        let mark = locks::lock(&cx.crashes).crashed(digest, &start, unix);
         event!(Warn, "content-crashed-server", "digest" => format!("{digest:016x}"),
             "server" => start, "servers" => mark.servers.len());
         cx.news_due.notify_one();
@@ -60,7 +61,7 @@
 
 /// Notes that content was answered whole, which proves it innocent.
 pub(crate) fn clear<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) {
-    let mut crashes = context::lock(&cx.crashes);
+    let mut crashes = locks::lock(&cx.crashes);
     if let Some(mark) = crashes.lift(digest, cx.unix()) {
         event!(Info, "content-cleared", "digest" => format!("{digest:016x}"),
             "servers" => mark.servers.len());
@@ -70,7 +71,7 @@
 
 /// Returns what other hosts are told.
 pub(crate) fn told<D: dialect::Dialect>(cx: &context::Router<D>) -> Vec<news::CrashMark> {
-    let crashes = context::lock(&cx.crashes);
+    let crashes = locks::lock(&cx.crashes);
     let since = cx.unix().saturating_sub(TOLD_FOR);
     let changed = crashes.changed_since(since, MAX_TOLD).into_iter();
     let told = changed.map(|mark| news::CrashMark {
@@ -89,7 +90,7 @@
         return;
     }
     let unix = cx.unix();
-    let mut crashes = context::lock(&cx.crashes);
+    let mut crashes = locks::lock(&cx.crashes);
     for mark in told {
         let known = quarantine::Mark {
             digest: mark.digest,
--- a/daemon/src/router/engine_path.rs
+++ b/daemon/src/router/engine_path.rs
@@ -9,8 +9,8 @@
 use walnuthaven_lib::engine_room;
 use walnuthaven_lib::outcome;
 
+use crate::locks;
 use crate::router::answer;
-use crate::router::context;
 use crate::router::events::event;
 use crate::router::journey;
 use crate::router::pool;
@@ -160,7 +160,7 @@
         let need = self.need();
         let key = (cx.own.clone(), cx.next_number());
         let (ahead, own) = {
-            let mut room = context::lock(&cx.room);
+            let mut room = locks::lock(&cx.room);
             let ahead = room.prefill_backlog(&server.id, started);
             let prefill = engine_room::Prefill {
                 engine: server.id.clone(),
@@ -207,7 +207,7 @@
         };
         let took = cx.now().saturating_sub(started);
         cx.telemetry.time("prefill", took);
-        context::lock(&cx.health).served(&server.id, cx.now());
+        locks::lock(&cx.health).served(&server.id, cx.now());
         reading.read = true;
         Ok(prefills::Handle {
             cx: cx.clone(),
@@ -256,10 +256,10 @@
             Err(failed) => return Ok(Decoded::Failed(failed, None)),
         };
         if sent.status.is_success() && sent.head.signed && !sent.head.encoded {
-            context::lock(&cx.health).served(&server.id, cx.now());
+            locks::lock(&cx.health).served(&server.id, cx.now());
             if let Some(handle) = &mut handle {
                 handle.taken = true;
-                context::lock(&cx.health).fetched(&handle.server.id);
+                locks::lock(&cx.health).fetched(&handle.server.id);
             }
             return Ok(Decoded::Stream(sent));
         }
@@ -294,7 +294,7 @@
         }
         if let Some(handle) = &handle {
             let now = self.cx.now();
-            context::lock(&self.cx.health).lapsed(&handle.server.id, now);
+            locks::lock(&self.cx.health).lapsed(&handle.server.id, now);
         }
         let cause = "engine refused";
         Decoded::Failed(send::Unanswered { outcome, cause }, None)
--- a/daemon/src/router/events.rs
+++ b/daemon/src/router/events.rs
@@ -15,7 +15,7 @@
 use walnuthaven_lib::clock;
 use walnuthaven_lib::clock::Clock as _;
 
-use crate::router::context;
+use crate::locks;
 
 /// Lines that wait to be written.
 const MAX_LINES: usize = 2_048;
@@ -55,7 +55,7 @@
 /// Returns the newest lines about a request, the oldest first.
 pub(crate) fn recent_of(id: &str) -> Vec<String> {
     let wanted = format!("\"id\":{}", json(id));
-    let recent = context::lock(&RECENT);
+    let recent = locks::lock(&RECENT);
     let lines = recent
         .lines
         .iter()
@@ -75,7 +75,7 @@
         self.line.extend_from_slice(buf);
         if self.line.ends_with(b"\n") {
             let line = Bytes::from(std::mem::take(&mut self.line));
-            context::lock(&RECENT).push(line.clone());
+            locks::lock(&RECENT).push(line.clone());
             if self.tx.try_send(line).is_err() {
                 DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
             }
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -13,6 +13,7 @@
 use walnuthaven_lib::routing;
 use xxhash_rust::xxh3;
 
+use crate::locks;
 use crate::router::answer;
 use crate::router::context;
 use crate::router::events::event;
@@ -120,7 +121,7 @@
     };
     let digest = digest(caller, &parts.uri, &body);
     let unix = cx.unix();
-    if let Err(refusal) = context::lock(&cx.crashes).check(digest, unix) {
+    if let Err(refusal) = locks::lock(&cx.crashes).check(digest, unix) {
         event!(Info, "refused", "id" => id, "cause" => "crashes servers",
             "digest" => format!("{digest:016x}"), "marked" => refusal.message);
         return answer::not_run("this request crashed several servers", CRASHES);
--- a/daemon/src/router/inspect.rs
+++ b/daemon/src/router/inspect.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 use walnuthaven_lib::dialect;
 
+use crate::locks;
 use crate::router::context;
 use crate::router::events;
 
@@ -34,11 +35,11 @@
 fn dump<D: dialect::Dialect>(cx: &context::Router<D>) -> Value {
     let now = cx.now();
     let table = cx.table();
-    let avoided: Vec<_> = context::lock(&cx.health)
+    let avoided: Vec<_> = locks::lock(&cx.health)
         .avoided(now)
         .map(|(id, left)| json!({"server": id, "for_ms": left.as_millis() as u64}))
         .collect();
-    let servers: Vec<_> = context::lock(&cx.servers)
+    let servers: Vec<_> = locks::lock(&cx.servers)
         .all()
         .take(MAX_LISTED)
         .map(|(server, vanished)| {
@@ -49,7 +50,7 @@
             })
         })
         .collect();
-    let hosts: Vec<_> = context::lock(&cx.peers)
+    let hosts: Vec<_> = locks::lock(&cx.peers)
         .all(now)
         .take(MAX_LISTED)
         .map(|(listed, age)| {
@@ -59,11 +60,11 @@
             })
         })
         .collect();
-    let waiting: serde_json::Map<_, _> = context::lock(&cx.queues)
+    let waiting: serde_json::Map<_, _> = locks::lock(&cx.queues)
         .iter()
         .map(|(service, queue)| (service.to_string(), queue.len().into()))
         .collect();
-    let room = context::lock(&cx.room);
+    let room = locks::lock(&cx.room);
     let runs: Vec<_> = room
         .runs_of(&cx.own)
         .map(|(number, run)| {
--- a/daemon/src/router/journey.rs
+++ b/daemon/src/router/journey.rs
@@ -10,6 +10,7 @@
 use walnuthaven_lib::retry_share;
 use walnuthaven_lib::routing;
 
+use crate::locks;
 use crate::router::answer;
 use crate::router::context;
 use crate::router::crash_marks;
@@ -168,7 +169,7 @@
         failed: &send::Unanswered,
         now: time::Duration,
     ) {
-        let mut health = context::lock(&self.cx.health);
+        let mut health = locks::lock(&self.cx.health);
         match failed.outcome {
             outcome::Outcome::NeverWritten => {}
             outcome::Outcome::RefusedUnrun => health.refused(&server.id, now),
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt;
 use walnuthaven_lib::dialect;
 
+use crate::locks;
 use crate::router::answer;
 use crate::router::context;
 use crate::router::events;
@@ -161,7 +162,7 @@
 fn addresses<D: dialect::Dialect>(cx: &context::Router<D>) -> answer::Answer {
     let settings = cx.settings();
     let own = cx.takes_callers().then_some(settings.callers);
-    let mut others: Vec<_> = context::lock(&cx.peers).callers().collect();
+    let mut others: Vec<_> = locks::lock(&cx.peers).callers().collect();
     if others.len() > MAX_ADDRESSES - 1 {
         let start = rand::random_range(0..others.len());
         others.rotate_left(start);
--- a/daemon/src/router/moving.rs
+++ b/daemon/src/router/moving.rs
@@ -9,6 +9,7 @@
 use walnuthaven_lib::outcome;
 use walnuthaven_lib::run_moves;
 
+use crate::locks;
 use crate::router::context;
 use crate::router::engine_path;
 use crate::router::events::event;
@@ -56,9 +57,9 @@
     let cx = &journey.cx;
     let now = cx.now();
     let memory = journey.engines.memory_tokens;
-    let leaves = context::lock(&cx.servers).is_leaving(&source.id);
+    let leaves = locks::lock(&cx.servers).is_leaving(&source.id);
     let reason = {
-        let room = context::lock(&cx.room);
+        let room = locks::lock(&cx.room);
         run_moves::reason(&room, &seat.key, memory, leaves, now)?
     };
     let Some((seat, target)) = journey.seat_for_move(&source.id) else {
@@ -184,7 +185,7 @@
     cx: &sync::Arc<context::Router<D>>,
     source: &backends::Backend,
 ) -> Result<pool::Connection, send::Unanswered> {
-    if context::lock(&cx.servers).is_leaving(&source.id) {
+    if locks::lock(&cx.servers).is_leaving(&source.id) {
         let outcome = outcome::Outcome::BrokenMidway;
         let cause = "run stopped on a leaving engine";
         return Err(send::Unanswered { outcome, cause });
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -11,6 +11,7 @@
 use walnuthaven_lib::peers;
 use walnuthaven_wire::news;
 
+use crate::locks;
 use crate::router::context;
 use crate::router::crash_marks;
 use crate::router::events::event;
@@ -50,7 +51,7 @@
         let _ = tokio::time::timeout(peers::NEWS_EVERY, cx.news_due.notified()).await;
         sequence += 1;
         let message = own_news(&cx, sequence).encode_to_vec();
-        let addresses: Vec<_> = context::lock(&cx.peers).addresses(&cx.id.name).collect();
+        let addresses: Vec<_> = locks::lock(&cx.peers).addresses(&cx.id.name).collect();
         for addr in addresses {
             // A host that can't be reached is found by its silence.
             let _ = socket.try_send_to(&message, addr);
@@ -63,7 +64,7 @@
     let now = cx.now();
     let settings = cx.settings();
     let age = |at| clock::millis(now.saturating_sub(at)) as u32;
-    let avoided = context::lock(&cx.health)
+    let avoided = locks::lock(&cx.health)
         .avoided(now)
         .take(MAX_AVOIDED)
         .map(|(server, left)| news::Avoided {
@@ -72,12 +73,12 @@
         })
         .collect();
     let (waiting, on_time) = {
-        let queues = context::lock(&cx.queues);
+        let queues = locks::lock(&cx.queues);
         let waiting: usize = queues.values().map(|queue| queue.len()).sum();
         let on_time: usize = queues.values().map(|queue| queue.ahead(now)).sum();
         (waiting, on_time)
     };
-    let room = context::lock(&cx.room);
+    let room = locks::lock(&cx.room);
     let runs = room.runs_of(&cx.own).map(|(number, run)| news::Run {
         number,
         engine: run.engine.to_string(),
@@ -155,7 +156,7 @@
         waiting: message.waiting,
         waiting_on_time: message.waiting_on_time,
     };
-    let fresh = context::lock(&cx.peers).hear(listed, said, now);
+    let fresh = locks::lock(&cx.peers).hear(listed, said, now);
     if !fresh {
         return;
     }
@@ -178,7 +179,7 @@
         };
         (prefill.number, known)
     });
-    context::lock(&cx.room).replace_host(&name, runs.collect(), prefills.collect(), now);
+    locks::lock(&cx.room).replace_host(&name, runs.collect(), prefills.collect(), now);
     take_avoided(cx, &message.avoided, now);
     crash_marks::take(cx, message.crash_marks);
     cx.room_changed.notify_waiters();
@@ -193,10 +194,10 @@
     avoided: &[news::Avoided],
     now: time::Duration,
 ) {
-    if avoided.len() * TRUSTED_AVOIDED > context::lock(&cx.servers).count() {
+    if avoided.len() * TRUSTED_AVOIDED > locks::lock(&cx.servers).count() {
         return;
     }
-    let mut health = context::lock(&cx.health);
+    let mut health = locks::lock(&cx.health);
     for entry in avoided {
         let until = now + time::Duration::from_millis(entry.for_ms.into());
         health.heard_avoided(&entry.server, until, now);
@@ -206,10 +207,10 @@
 /// Drops hosts that fell silent, with what ran there: engines drop the requests of a host that is
 /// gone.
 pub(crate) fn expire<D: dialect::Dialect>(cx: &context::Router<D>) {
-    let silent = context::lock(&cx.peers).expire(cx.now());
+    let silent = locks::lock(&cx.peers).expire(cx.now());
     for name in silent {
         event!(Warn, "dependency-lost", "dependency" => "host", "host" => name);
-        context::lock(&cx.room).forget_host(&name);
+        locks::lock(&cx.room).forget_host(&name);
         cx.room_changed.notify_waiters();
     }
 }
--- a/daemon/src/router/orders.rs
+++ b/daemon/src/router/orders.rs
@@ -11,6 +11,7 @@
 use walnuthaven_lib::pool_balance;
 use walnuthaven_lib::rendezvous;
 
+use crate::locks;
 use crate::router::context;
 use crate::router::events::event;
 use crate::router::send;
@@ -67,7 +68,7 @@
             return;
         }
         let since = *self.wanted_since.get_or_insert(now);
-        let busy = context::lock(&self.cx.room).has_runs();
+        let busy = locks::lock(&self.cx.room).has_runs();
         if now.saturating_sub(since) < pool_balance::patience(busy) + self.turn() {
             return;
         }
@@ -82,7 +83,7 @@
     /// Returns how long this host leaves an order to the one whose turn it is, so that not all hosts
     /// ask for the lease at once.
     fn turn(&self) -> time::Duration {
-        let peers = context::lock(&self.cx.peers);
+        let peers = locks::lock(&self.cx.peers);
         let names = peers.alive().map(|name| &**name).chain([&*self.cx.id.name]);
         let ranked = rendezvous::ranked(LEASE, names, MOST_TURNS);
         let own = ranked.iter().position(|name| **name == *self.cx.id.name);
@@ -97,10 +98,10 @@
             .iter()
             .map(|(id, (stage, _))| (id.clone(), *stage));
         let recent = recent.collect();
-        let groups = context::lock(&self.cx.peers).groups();
+        let groups = locks::lock(&self.cx.peers).groups();
         table.services().find_map(|service| {
             let memory = service.engines.as_ref()?.memory_tokens;
-            let usable = context::lock(&self.cx.servers).usable(&service.name, now);
+            let usable = locks::lock(&self.cx.servers).usable(&service.name, now);
             // Each group of hosts has a pool of its own.
             (0..groups.count()).find_map(|group| {
                 let of_group = usable.iter().filter(|e| groups.group(&e.id) == group);
@@ -187,7 +188,7 @@
         });
         self.cx.telemetry.count("orders");
         let away = self.cx.now() + pool_balance::SETTLE;
-        context::lock(&self.cx.health).avoid(&engine.id, away);
+        locks::lock(&self.cx.health).avoid(&engine.id, away);
         self.cx.news_due.notify_one();
         let answer = match send::call(engine.addr, call, headers, ORDER).await {
             Ok((status, _)) => format!("{:?}", self.cx.dialect.order_answer(status)),
--- a/daemon/src/router/plain_path.rs
+++ b/daemon/src/router/plain_path.rs
@@ -9,6 +9,7 @@
 use walnuthaven_lib::retry_share;
 use walnuthaven_lib::routing;
 
+use crate::locks;
 use crate::router::answer;
 use crate::router::context;
 use crate::router::crash_marks;
@@ -96,9 +97,9 @@
 
     fn choose(&self, tried: &[sync::Arc<str>]) -> Option<sync::Arc<backends::Backend>> {
         let now = self.cx.now();
-        let servers = context::lock(&self.cx.servers).usable(self.service, now);
+        let servers = locks::lock(&self.cx.servers).usable(self.service, now);
         let zone = self.cx.settings().zone.clone();
-        let health = context::lock(&self.cx.health);
+        let health = locks::lock(&self.cx.health);
         let chosen = health.choose(&servers, tried, &zone, rand::random(), now);
         chosen.cloned()
     }
@@ -125,7 +126,7 @@
             return answer::own(http::StatusCode::BAD_GATEWAY, "no other server is usable");
         }
         let now = self.cx.now();
-        let none = context::lock(&self.cx.servers)
+        let none = locks::lock(&self.cx.servers)
             .usable(self.service, now)
             .is_empty();
         let (cause, wait) = match none {
@@ -148,7 +149,7 @@
             true => self.until.min(started + self.route.target * SILENT_TARGETS),
             false => self.until,
         };
-        context::lock(&cx.health).sent(&server.id);
+        locks::lock(&cx.health).sent(&server.id);
         let _sent = Sent { cx, server };
         let sending = dialect::Sending {
             deadline: self.until.saturating_sub(started),
@@ -173,7 +174,7 @@
         };
         let took = cx.now().saturating_sub(started);
         let failed = status.is_server_error() || head.unrun;
-        context::lock(&cx.health).answered(&server.id, took, failed, cx.now());
+        locks::lock(&cx.health).answered(&server.id, took, failed, cx.now());
         cx.telemetry.time("plain.answer", took);
         let ended = |outcome, cause, answer| Ended {
             failed: send::Unanswered { outcome, cause },
@@ -211,7 +212,7 @@
 
     fn unanswered(&self, server: &backends::Backend, failed: send::Unanswered) -> Ended {
         let now = self.cx.now();
-        let mut health = context::lock(&self.cx.health);
+        let mut health = locks::lock(&self.cx.health);
         match failed.outcome {
             outcome::Outcome::NeverWritten | outcome::Outcome::RefusedUnrun => {}
             outcome::Outcome::Silent if self.until <= now => health.broke_off(&server.id),
@@ -235,6 +236,6 @@
 
 impl<D> Drop for Sent<'_, D> {
     fn drop(&mut self) {
-        context::lock(&self.cx.health).ended(&self.server.id);
+        locks::lock(&self.cx.health).ended(&self.server.id);
     }
 }
--- a/daemon/src/router/pool.rs
+++ b/daemon/src/router/pool.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt;
 use walnuthaven_lib::backends;
 
+use crate::locks;
 use crate::router::context;
 
 /// How long a connection may be idle where the server names no time.
@@ -64,7 +65,7 @@
         now: time::Duration,
         max_idle: time::Duration,
     ) -> Option<Connection> {
-        let mut idle = context::lock(&self.idle);
+        let mut idle = locks::lock(&self.idle);
         let list = idle.get_mut(server)?;
         while let Some(entry) = list.pop() {
             let fresh = now < entry.until && now.saturating_sub(entry.since) <= max_idle;
@@ -85,7 +86,7 @@
     ) {
         let limit = idle_for.unwrap_or(IDLE);
         let until = now + limit.saturating_sub(IDLE_MARGIN);
-        let mut idle = context::lock(&self.idle);
+        let mut idle = locks::lock(&self.idle);
         let list = idle.entry(server.id.clone()).or_default();
         if list.len() < most {
             list.push(Idle {
@@ -98,12 +99,12 @@
 
     /// Closes the idle connections to a server.
     pub(crate) fn forget(&self, server: &str) {
-        context::lock(&self.idle).remove(server);
+        locks::lock(&self.idle).remove(server);
     }
 
     /// Closes connections that were idle for too long.
     pub(crate) fn prune(&self, now: time::Duration) {
-        context::lock(&self.idle).retain(|_, list| {
+        locks::lock(&self.idle).retain(|_, list| {
             list.retain(|entry| now < entry.until && !entry.connection.tx.is_closed());
             !list.is_empty()
         });
--- a/daemon/src/router/prefills.rs
+++ b/daemon/src/router/prefills.rs
@@ -7,6 +7,7 @@
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::engine_room;
 
+use crate::locks;
 use crate::router::context;
 use crate::router::events::event;
 use crate::router::send;
@@ -63,7 +64,7 @@
 impl<D: dialect::Dialect> Drop for Reading<'_, D> {
     fn drop(&mut self) {
         let now = self.cx.now();
-        context::lock(&self.cx.room).remove_prefill(&self.key, self.read, now);
+        locks::lock(&self.cx.room).remove_prefill(&self.key, self.read, now);
         self.cx.room_changed.notify_waiters();
         self.cx.news_due.notify_one();
     }
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -12,6 +12,7 @@
 use walnuthaven_lib::event_stream;
 use walnuthaven_lib::outcome;
 
+use crate::locks;
 use crate::router::answer;
 use crate::router::context;
 use crate::router::crash_marks;
@@ -130,7 +131,7 @@
         return;
     };
     if journey.req.head.resume_after.is_none() {
-        let mut lengths = context::lock(&journey.cx.lengths);
+        let mut lengths = locks::lock(&journey.cx.lengths);
         let seen = lengths.entry(journey.service.name.clone()).or_default();
         seen.seen(journey.made, prompt.output_hint);
     }
@@ -249,7 +250,7 @@
     let took = now.saturating_sub(last);
     if journey.pause().is_some_and(|longest| took > longest) {
         cx.telemetry.time("streams.pause", took);
-        let (runs, tokens) = context::lock(&cx.room).load(server, now);
+        let (runs, tokens) = locks::lock(&cx.room).load(server, now);
         event!(Info, "pause", "id" => journey.id(), "server" => server,
             "took_ms" => took.as_millis() as u64, "after_event" => journey.delivered,
             "engine_runs" => runs, "engine_tokens" => tokens);
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -10,6 +10,7 @@
 use walnuthaven_lib::clock;
 use walnuthaven_lib::dialect;
 
+use crate::locks;
 use crate::router::context;
 use crate::router::events;
 use crate::router::events::event;
@@ -88,7 +89,7 @@
         tokio::time::sleep(UPKEEP).await;
         let now = cx.now();
         news::expire(&cx);
-        context::lock(&cx.servers).expire(now);
+        locks::lock(&cx.servers).expire(now);
         cx.pool.prune(now);
     }
 }
--- a/daemon/src/router/seats.rs
+++ b/daemon/src/router/seats.rs
@@ -10,6 +10,7 @@
 use walnuthaven_lib::routing;
 use walnuthaven_lib::waiting;
 
+use crate::locks;
 use crate::router::context;
 use crate::router::events::event;
 
@@ -42,13 +43,13 @@
     /// Notes that tokens were generated.
     pub(crate) fn progress(&self, made: u32) {
         let now = self.cx.now();
-        context::lock(&self.cx.room).progress(&self.key, made, now);
+        locks::lock(&self.cx.room).progress(&self.key, made, now);
     }
 }
 
 impl<D: dialect::Dialect> Drop for Seat<D> {
     fn drop(&mut self) {
-        context::lock(&self.cx.room).remove_run(&self.key);
+        locks::lock(&self.cx.room).remove_run(&self.key);
         self.cx.room_changed.notify_waiters();
         self.cx.news_due.notify_one();
     }
@@ -63,7 +64,7 @@
 
 impl<D: dialect::Dialect> Drop for Waiting<'_, D> {
     fn drop(&mut self) {
-        if let Some(queue) = context::lock(&self.cx.queues).get_mut(self.service) {
+        if let Some(queue) = locks::lock(&self.cx.queues).get_mut(self.service) {
             queue.remove(self.number);
         }
         self.cx.room_changed.notify_waiters();
@@ -111,7 +112,7 @@
     prompt: Option<&dialect::Prompt>,
     made: u32,
 ) -> engine_memory::Need {
-    let lengths = context::lock(&cx.lengths)
+    let lengths = locks::lock(&cx.lengths)
         .get(service)
         .copied()
         .unwrap_or_default();
@@ -134,7 +135,7 @@
     let arrived = cx.now();
     let number = cx.next_number();
     let service = &wish.service.name;
-    let reading = context::lock(&cx.room).reading_time(wish.need.prompt);
+    let reading = locks::lock(&cx.room).reading_time(wish.need.prompt);
     let entry = waiting::Entry {
         number,
         priority: wish.priority,
@@ -142,7 +143,7 @@
         until: arrived + waiting::longest_wait(wish.until.saturating_sub(arrived)),
     };
     let ahead = {
-        let mut queues = context::lock(&cx.queues);
+        let mut queues = locks::lock(&cx.queues);
         let queue = queues.entry(service.clone()).or_default();
         let ahead = queue.ahead(arrived);
         queue.push(entry);
@@ -158,14 +159,14 @@
         let changed = cx.room_changed.notified();
         let now = cx.now();
         let first = {
-            let queues = context::lock(&cx.queues);
+            let queues = locks::lock(&cx.queues);
             queues
                 .get(service)
                 .and_then(|queue| queue.first(now))
                 .is_some_and(|first| first == number)
         };
         // A late request leaves room to those of other hosts that can still be on time.
-        let yields = entry.start_by < now && context::lock(&cx.peers).on_time_wait();
+        let yields = entry.start_by < now && locks::lock(&cx.peers).on_time_wait();
         let first = first && !yields;
         let full = match first || !looked {
             false => None,
@@ -189,7 +190,7 @@
         let again = tokio::time::sleep(LOOK_AGAIN.min(entry.until.saturating_sub(now)));
         tokio::select! {
             () = changed => {
-                let others = 1 + context::lock(&cx.peers).waiting().min(MOST_STAGGERED);
+                let others = 1 + locks::lock(&cx.peers).waiting().min(MOST_STAGGERED);
                 let longest = STAGGER * others as u32;
                 tokio::time::sleep(longest.mul_f64(rand::random::<f64>())).await;
             }
@@ -215,7 +216,7 @@
     first: bool,
 ) -> Result<(Seat<D>, engine_room::Placement), engine_room::Full> {
     let usable = cx.engines(&wish.service.name);
-    let health = context::lock(&cx.health);
+    let health = locks::lock(&cx.health);
     let untried = usable
         .into_iter()
         .filter(|server| !wish.tried.contains(&server.id));
@@ -232,12 +233,12 @@
         claim: wish.claim,
         slots: wish.engines.slots,
         prefill_within: (!wish.prompt_read).then(|| {
-            let least = context::lock(&cx.room).reading_time(wish.need.prompt) + FIRST_EVENT;
+            let least = locks::lock(&cx.room).reading_time(wish.need.prompt) + FIRST_EVENT;
             let left = wish.first_event_by.saturating_sub(now + FIRST_EVENT);
             left.max(least)
         }),
     };
-    let mut room = context::lock(&cx.room);
+    let mut room = locks::lock(&cx.room);
     let placement = room.place(
         &engines,
         wish.need,
@@ -286,7 +287,7 @@
         Some(engine_room::Full::Memory(wait)) => ("engine memory is full", wait),
         Some(engine_room::Full::Prompts(wait)) => ("prompts wait to be read", wait),
     };
-    let everywhere = ahead + context::lock(&cx.peers).waiting();
+    let everywhere = ahead + locks::lock(&cx.peers).waiting();
     let predicted = wait + spacing(cx, wish).mul_f64(everywhere as f64);
     if predicted <= longest {
         event!(Info, "waits", "id" => wish.id, "service" => wish.service.name, "cause" => cause,
@@ -300,7 +301,7 @@
 /// Returns the predicted time between the ends of two runs of the service.
 fn spacing<D: dialect::Dialect>(cx: &context::Router<D>, wish: &Wish<'_>) -> time::Duration {
     let servers = cx.engines(&wish.service.name);
-    let room = context::lock(&cx.room);
+    let room = locks::lock(&cx.room);
     let runs: usize = servers.iter().map(|server| room.runs_on(&server.id)).sum();
     room.token_time() * TYPICAL_OUTPUT / (runs.max(1) as u32)
 }
@@ -321,7 +322,7 @@
 }
 
 fn news_age_ms<D: dialect::Dialect>(cx: &context::Router<D>) -> u64 {
-    let age = context::lock(&cx.peers).oldest_news(cx.now());
+    let age = locks::lock(&cx.peers).oldest_news(cx.now());
     age.as_millis() as u64
 }
 
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -14,6 +14,7 @@
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::outcome;
 
+use crate::locks;
 use crate::router::context;
 use crate::router::pool;
 
@@ -116,7 +117,7 @@
     if let (Some(own), Some(other)) = (own_id, head.request_id.as_deref())
         && own != other
     {
-        context::lock(&cx.health).crossed(&server.id, cx.now());
+        locks::lock(&cx.health).crossed(&server.id, cx.now());
         cx.pool.forget(&server.id);
         return Err(unanswered(
             outcome::Outcome::BrokenBeforeAnswer,
@@ -153,7 +154,7 @@
         true => REUSE,
         false => REUSE_UNREPEATABLE,
     };
-    let may_reuse = context::lock(&cx.health).may_reuse(&server.id, now);
+    let may_reuse = locks::lock(&cx.health).may_reuse(&server.id, now);
     if may_reuse && let Some(connection) = cx.pool.take(&server.id, now, max_idle) {
         return Ok(connection);
     }
@@ -161,7 +162,7 @@
     let opened = pool::connect(server.addr, within).await;
     cx.telemetry.count("server.connections");
     opened.map_err(|error| {
-        context::lock(&cx.health).unreachable(&server.id, cx.now());
+        locks::lock(&cx.health).unreachable(&server.id, cx.now());
         let cause = match error.kind() {
             io::ErrorKind::TimedOut => "connection timed out",
             io::ErrorKind::ConnectionRefused => "connection refused",
--- a/daemon/src/router/telemetry.rs
+++ b/daemon/src/router/telemetry.rs
@@ -9,7 +9,7 @@
 use cadence::Counted as _;
 use cadence::Timed as _;
 
-use crate::router::context;
+use crate::locks;
 
 const PREFIX: &str = "walnuthaven";
 /// Upper bounds of the histograms' buckets in milliseconds.
@@ -42,7 +42,7 @@
         let Some((name, value, kind)) = parsed else {
             return Err(io::ErrorKind::InvalidInput.into());
         };
-        let mut values = context::lock(&self.0);
+        let mut values = locks::lock(&self.0);
         if kind == "c" {
             match values.counters.get_mut(name) {
                 Some(counter) => *counter += value,
@@ -96,7 +96,7 @@
 
     /// Writes all values as text.
     pub(crate) fn text(&self) -> String {
-        let values = context::lock(&self.kept.0);
+        let values = locks::lock(&self.kept.0);
         let mut text = String::new();
         for (name, value) in &values.counters {
             // Writing to a string doesn't fail.
--- a/daemon/src/router/views.rs
+++ b/daemon/src/router/views.rs
@@ -12,6 +12,7 @@
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::peers;
 
+use crate::locks;
 use crate::router::context;
 use crate::router::events::event;
 use crate::router::store;
@@ -138,7 +139,7 @@
     loop {
         cx.table_outdated.notified().await;
         tokio::time::sleep(BEHIND).await;
-        let newest = context::lock(&cx.peers).config_version();
+        let newest = locks::lock(&cx.peers).config_version();
         if cx.table().is_none_or(|table| table.version < newest) {
             event!(Warn, "configuration-behind", "newest" => newest);
             return;
@@ -169,7 +170,7 @@
     failure: &store::Failure,
 ) {
     if collection == dialect::Collection::Backends {
-        context::lock(&cx.servers).store_lost();
+        locks::lock(&cx.servers).store_lost();
     }
     cx.telemetry.count("store.failures");
     if !std::mem::replace(failing, true) {
@@ -184,7 +185,7 @@
     failing: &mut bool,
 ) {
     if collection == dialect::Collection::Backends {
-        context::lock(&cx.servers).store_answered(cx.now());
+        locks::lock(&cx.servers).store_answered(cx.now());
     }
     if std::mem::replace(failing, false) {
         event!(Info, "dependency-regained", "dependency" => "store", "view" => name(collection));
@@ -203,7 +204,7 @@
         }
         dialect::Collection::Backends => {
             let listed = objects.iter().filter_map(|object| backend(cx, object));
-            let changes = context::lock(&cx.servers).replace_all(listed.collect(), cx.now());
+            let changes = locks::lock(&cx.servers).replace_all(listed.collect(), cx.now());
             changes
                 .into_iter()
                 .for_each(|change| server_changed(cx, change));
@@ -211,7 +212,7 @@
         }
         dialect::Collection::Hosts => {
             let listed = objects.iter().filter_map(|object| host(cx, object));
-            context::lock(&cx.peers).replace_listed(listed.collect());
+            locks::lock(&cx.peers).replace_listed(listed.collect());
         }
         dialect::Collection::Leases => {}
     }
@@ -228,7 +229,7 @@
     match collection {
         dialect::Collection::Configuration if !change.removed => take_table(cx, object),
         dialect::Collection::Backends => {
-            let mut servers = context::lock(&cx.servers);
+            let mut servers = locks::lock(&cx.servers);
             let entry = if change.removed {
                 None
             } else {
@@ -320,11 +321,11 @@
     }
     if matches!(change, backends::Change::Updated(_)) {
         // What was seen of it may have been another stage.
-        context::lock(&cx.health).forget(&server.id);
+        locks::lock(&cx.health).forget(&server.id);
     }
     if let backends::Change::Restarted(_) = change {
-        context::lock(&cx.health).forget(&server.id);
-        context::lock(&cx.room).forget_engine(&server.id);
+        locks::lock(&cx.health).forget(&server.id);
+        locks::lock(&cx.room).forget_engine(&server.id);
     }
     cx.room_changed.notify_waiters();
 }
--- a/daemon/src/steward.rs
+++ b/daemon/src/steward.rs
@@ -13,8 +13,8 @@
 use walnuthaven_lib::prefix;
 use walnuthaven_lib::refusal;
 
-use crate::cancel;
 use crate::host;
+use crate::locks;
 
 const TICK: time::Duration = time::Duration::from_millis(4);
 
@@ -56,7 +56,7 @@
 
     /// Returns a cell, made on first use, with the engines of the configuration in force.
     pub fn cell(&self, spec: &config::CellSpec) -> sync::Arc<Cell> {
-        let mut cells = host::lock(&self.cells);
+        let mut cells = locks::lock(&self.cells);
         let known = cells.entry(spec.name.clone()).or_insert_with(|| {
             let inner = Inner {
                 cell: cell::Cell::new(self.policy, self.first_id),
@@ -76,17 +76,17 @@
 
     /// Returns a cell if this host has it.
     pub fn find(&self, name: &str) -> Option<sync::Arc<Cell>> {
-        host::lock(&self.cells).get(name).cloned()
+        locks::lock(&self.cells).get(name).cloned()
     }
 
     /// Returns all cells of this host.
     pub fn all(&self) -> Vec<sync::Arc<Cell>> {
-        host::lock(&self.cells).values().cloned().collect()
+        locks::lock(&self.cells).values().cloned().collect()
     }
 
     /// Drops a cell that another host stewards once nothing waits or runs here.
     pub fn retire(&self, name: &str) {
-        let mut cells = host::lock(&self.cells);
+        let mut cells = locks::lock(&self.cells);
         let idle = cells.get(name).is_some_and(|cell| {
             let counts = cell.with(|cell| cell.counts());
             counts == cell::Counts::default()
@@ -101,7 +101,7 @@
 
 impl Cell {
     fn configure(&self, engines: &[engines::Spec]) {
-        let mut inner = host::lock(&self.inner);
+        let mut inner = locks::lock(&self.inner);
         if inner.engines != engines {
             inner.engines = engines.to_vec();
             inner.cell.configure(engines.to_vec());
@@ -110,7 +110,7 @@
 
     /// Runs a closure on the cell's decisions.
     pub fn with<T>(&self, f: impl FnOnce(&mut cell::Cell) -> T) -> T {
-        f(&mut host::lock(&self.inner).cell)
+        f(&mut locks::lock(&self.inner).cell)
     }
 
     /// Waits until the request gets engines or is refused. Dropping the future takes the request
@@ -126,7 +126,7 @@
     ) -> Result<grant::Grant, refusal::Refusal> {
         let (tx, rx) = oneshot::channel();
         let ticket = {
-            let mut inner = host::lock(&self.inner);
+            let mut inner = locks::lock(&self.inner);
             let ticket = inner.cell.ask(ask, cx.now())?;
             inner.waiters.insert(ticket, tx);
             ticket
@@ -157,7 +157,7 @@
 
     /// Lets the cell decide and hands the decisions out.
     pub fn advance(&self, now: time::Duration) {
-        let mut inner = host::lock(&self.inner);
+        let mut inner = locks::lock(&self.inner);
         inner.cell.engines_mut().advance(now);
         for (ticket, decision) in inner.cell.poll(now) {
             let grant = match &decision {
@@ -187,7 +187,7 @@
     pub fn host_gone(&self, cx: &sync::Arc<host::Host>, gone: &ids::HostId) {
         let cancels = self.with(|cell| cell.host_gone(gone, cx.now()));
         for order in cancels {
-            cancel::spawn(cx, order);
+            cx.cancel(order);
         }
     }
 }
@@ -205,7 +205,7 @@
         if self.decided {
             return;
         }
-        let mut inner = host::lock(&self.cell.inner);
+        let mut inner = locks::lock(&self.cell.inner);
         inner.waiters.remove(&self.ticket);
         inner.cell.withdraw(self.ticket);
         // A grant that was sent but not received must not leak.
@@ -236,6 +236,6 @@
 
 impl Cell {
     fn has_waiters(&self) -> bool {
-        !host::lock(&self.inner).waiters.is_empty()
+        !locks::lock(&self.inner).waiters.is_empty()
     }
 }
--- a/daemon/src/stewardship.rs
+++ b/daemon/src/stewardship.rs
@@ -4,9 +4,12 @@
 use std::sync;
 
 use walnuthaven_lib::config;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::membership;
+use walnuthaven_lib::versions;
 
 use crate::endpoints;
-use crate::host;
+use crate::locks;
 
 /// What a host stewards.
 #[derive(Debug, Default)]
@@ -30,30 +33,35 @@
     known: sync::Mutex<Option<Known>>,
 }
 
-/// Returns what this host stewards now.
-pub fn duties(cx: &host::Host) -> sync::Arc<Duties> {
-    let digest = host::read(&cx.config).digest();
-    let epoch = host::lock(&cx.members).epoch();
-    let mut known = host::lock(&cx.duties.known);
-    if let Some(known) = &*known
-        && known.epoch == epoch
-        && known.digest == digest
-    {
-        return known.duties.clone();
+impl Cache {
+    /// Returns what the host `own` stewards now.
+    pub fn duties(
+        &self,
+        own: &ids::HostId,
+        config: &versions::InForce,
+        members: &membership::Table,
+    ) -> sync::Arc<Duties> {
+        let digest = config.digest();
+        let epoch = members.epoch();
+        let mut known = locks::lock(&self.known);
+        if let Some(known) = &*known
+            && known.epoch == epoch
+            && known.digest == digest
+        {
+            return known.duties.clone();
+        }
+        let duties = sync::Arc::new(work_out(own, config, members));
+        *known = Some(Known {
+            duties: duties.clone(),
+            epoch,
+            digest,
+        });
+        duties
     }
-    let duties = sync::Arc::new(work_out(cx));
-    *known = Some(Known {
-        duties: duties.clone(),
-        epoch,
-        digest,
-    });
-    duties
 }
 
-fn work_out(cx: &host::Host) -> Duties {
-    let config = host::read(&cx.config);
-    let members = host::lock(&cx.members);
-    let is_own = |name: &str| members.steward(name).id == cx.id;
+fn work_out(own: &ids::HostId, config: &versions::InForce, members: &membership::Table) -> Duties {
+    let is_own = |name: &str| members.steward(name).id == *own;
     let mut duties = Duties::default();
     for stored in config.iter() {
         let document = &stored.document;
--- a/daemon/src/tries.rs
+++ b/daemon/src/tries.rs
@@ -11,6 +11,7 @@
 use crate::attempt;
 use crate::generate;
 use crate::host;
+use crate::locks;
 
 const MAX_ATTEMPTS: u32 = 6;
 
@@ -51,17 +52,17 @@
             waited,
             prefilled_on: self.export.as_ref().map(|e| e.server.name.clone()),
             exclude: self.exclude.clone(),
-            suspect: host::lock(&cx.quarantine).is_suspect(job.digest, cx.unix()),
+            suspect: locks::lock(&cx.quarantine).is_suspect(job.digest, cx.unix()),
         }
     }
 
     /// Notes that the answer is complete.
     pub fn succeeded(&self, cx: &host::Host, job: &generate::Job) {
-        host::lock(&cx.budgets)
+        locks::lock(&cx.budgets)
             .entry(job.workspace.clone())
             .or_default()
             .on_success();
-        let mut quarantine = host::lock(&cx.quarantine);
+        let mut quarantine = locks::lock(&cx.quarantine);
         if quarantine.is_suspect(job.digest, cx.unix()) {
             // A whole answer proves the content innocent.
             quarantine.lift(job.digest, cx.unix());
@@ -99,11 +100,11 @@
             return Ok(());
         }
         if let Some(server) = &failed.crashed {
-            let mut quarantine = host::lock(&cx.quarantine);
+            let mut quarantine = locks::lock(&cx.quarantine);
             quarantine.crashed(job.digest, server, cx.unix());
             quarantine.check(job.digest, cx.unix())?;
         }
-        let mut budgets = host::lock(&cx.budgets);
+        let mut budgets = locks::lock(&cx.budgets);
         let budget = budgets.entry(job.workspace.clone()).or_default();
         if failed.refused || budget.try_spend() {
             return Ok(());
--- a/standin/src/local.rs
+++ b/standin/src/local.rs
@@ -5,6 +5,7 @@
 
 use tokio::runtime;
 use walnuthaven_daemon::host;
+use walnuthaven_daemon::locks;
 use walnuthaven_daemon::settings;
 use walnuthaven_lib::membership;
 
@@ -98,11 +99,11 @@
 
     fn is_ready(&self, count: usize) -> bool {
         let known = self.hosts.iter().all(|running| {
-            let members = host::lock(&running.host.members).members();
+            let members = locks::lock(&running.host.members).members();
             let alive = members
                 .iter()
                 .filter(|m| m.state == membership::State::Alive);
-            let configured = !host::read(&running.host.config).is_empty();
+            let configured = !locks::read(&running.host.config).is_empty();
             alive.count() >= count && configured
         });
         known && self.engines_known()
@@ -113,7 +114,7 @@
         let Some(first) = self.hosts.first() else {
             return true;
         };
-        let config = host::read(&first.host.config);
+        let config = locks::read(&first.host.config);
         let pools = config.iter().flat_map(|stored| {
             let document = &stored.document;
             document
--- a/standin/tests/config_race.rs
+++ b/standin/tests/config_race.rs
@@ -3,7 +3,7 @@
 use std::collections;
 
 use serde_json::json;
-use walnuthaven_daemon::host;
+use walnuthaven_daemon::locks;
 use walnuthaven_lib::config;
 use walnuthaven_standin::local;
 use walnuthaven_standin::platform;
@@ -78,7 +78,7 @@
 }
 
 fn generation(fleet: &local::Fleet, at: usize) -> u64 {
-    let config = host::read(&fleet.host(at).config);
+    let config = locks::read(&fleet.host(at).config);
     config.get("hammam").map_or(0, |stored| stored.generation)
 }
 
@@ -129,7 +129,7 @@
     let newest = *accepted.keys().last().unwrap();
     assert_eq!(newest, accepted.len() as u64 + 1, "no gap");
     in_force_everywhere(&fleet, newest).await;
-    let config = host::read(&fleet.host(3).config);
+    let config = locks::read(&fleet.host(3).config);
     let stored = config.get("hammam").unwrap();
     for change in &stored.recent {
         let known = accepted.get(&change.generation);
--- a/standin/tests/crash_marks.rs
+++ b/standin/tests/crash_marks.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use walnuthaven_daemon::host;
+use walnuthaven_daemon::locks;
 use walnuthaven_lib::history;
 use walnuthaven_lib::prefix;
 use walnuthaven_standin::agent;
@@ -83,12 +83,14 @@
     local::until("every host refuses the content", || {
         fleet.hosts.iter().all(|running| {
             let cx = &running.host;
-            host::lock(&cx.quarantine).check(digest, cx.unix()).is_err()
+            locks::lock(&cx.quarantine)
+                .check(digest, cx.unix())
+                .is_err()
         })
     })
     .await
     .unwrap();
-    let quarantine = host::lock(&fleet.host(0).quarantine);
+    let quarantine = locks::lock(&fleet.host(0).quarantine);
     let marks: Vec<_> = quarantine.marks().filter(|m| m.is_quarantined()).collect();
     assert_eq!(marks.len(), 1, "no innocent content is refused");
     assert_eq!(marks[0].servers.len(), 2, "two servers lost, not more");
--- a/standin/tests/host_drain.rs
+++ b/standin/tests/host_drain.rs
@@ -84,7 +84,7 @@
     let world = world::World::start(&[world::User::Coop]).await.unwrap();
     let fleet = local::Fleet::start(&world, 3, "current").await.unwrap();
     let steward = |at: usize| {
-        let members = walnuthaven_daemon::host::lock(&fleet.host(at).members);
+        let members = walnuthaven_daemon::locks::lock(&fleet.host(at).members);
         members.steward("hammam/main/0").id.clone()
     };
     let first = steward(0);
--- a/standin/tests/model_versions.rs
+++ b/standin/tests/model_versions.rs
@@ -1,7 +1,7 @@
 //! A new model version reaches every engine, one at a time, while callers are served.
 
 use walnuthaven_daemon::configure;
-use walnuthaven_daemon::host;
+use walnuthaven_daemon::locks;
 use walnuthaven_standin::agent;
 use walnuthaven_standin::load;
 use walnuthaven_standin::local;
@@ -13,7 +13,7 @@
     let fleet = local::Fleet::start(&world, 2, "current").await.unwrap();
     let cx = fleet.host(0).clone();
     let mut document = {
-        let config = host::read(&cx.config);
+        let config = locks::read(&cx.config);
         config.get("hammam").unwrap().document.clone()
     };
     document.pools[0].version = "2".into();
--- a/standin/tests/relayed_answers.rs
+++ b/standin/tests/relayed_answers.rs
@@ -40,14 +40,14 @@
     let parsed: walnuthaven_lib::ids::RequestId = id.parse().unwrap();
     let cx = fleet.host(home_at).clone();
     local::until("the answer is complete at its home", || {
-        let ids = walnuthaven_daemon::host::lock(&cx.ids);
+        let ids = walnuthaven_daemon::locks::lock(&cx.ids);
         ids.running() == 0 && ids.state(parsed.number).is_some()
     })
     .await
     .unwrap();
     fleet.crash(relay);
     local::until("the home knows that the relay is gone", || {
-        let members = walnuthaven_daemon::host::lock(&cx.members);
+        let members = walnuthaven_daemon::locks::lock(&cx.members);
         members.members().len() == 2
     })
     .await
