router: engines spread by request, broken streams reopened over 40 ms, memory filled by number of hosts

Change: costs of engines spread over half of their memory instead of an eighth; streams that break are opened again after up to 40 ms; new runs fill 0.91 of memory less 0.001 a host, at least 0.84, as moves take care of what turns out longer. A test of the fill failed before.

--- a/daemon/src/router/engine_path.rs
+++ b/daemon/src/router/engine_path.rs
@@ -122,9 +122,11 @@
         &self,
         prompt_read: bool,
     ) -> Result<(seats::Seat<D>, engine_room::Placement), seats::NoRoom> {
+        let hosts = self.cx.hosts();
+        let claim = engine_memory::Claim::New { hosts };
         let wish = seats::Wish {
             prompt_read,
-            ..self.wish(engine_memory::Claim::New, &self.tried)
+            ..self.wish(claim, &self.tried)
         };
         seats::take(&self.cx, &wish).await
     }
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -33,6 +33,10 @@
 /// Time for the last events of a stopped run and the end of its stream to arrive.
 const CLOSED: time::Duration = time::Duration::from_millis(100);
 
+/// Time over which streams that broke together are opened again. Short against the time to read a
+/// prompt.
+const REOPEN_SPREAD: time::Duration = time::Duration::from_millis(40);
+
 /// The sender of a stream to its caller.
 type Caller = tokio::sync::mpsc::Sender<Result<Bytes, answer::Broken>>;
 
@@ -112,7 +116,7 @@
             "next" => format!("{next:?}"));
         let reopened = match next {
             outcome::Next::SendAgain => tokio::select! {
-                reopened = journey.open() => reopened,
+                reopened = reopen(&mut journey) => reopened,
                 () = tx.closed() => return finish(&journey, "caller left", ""),
             },
             _ => return break_off(&journey, &tx, failed.cause).await,
@@ -125,6 +129,15 @@
     }
 }
 
+/// Opens the rest of a stream. All streams of a server that crashed break in the same millisecond, at
+/// many hosts; a random pause lets each hear where others went.
+async fn reopen<D: dialect::Dialect>(
+    journey: &mut journey::Journey<D>,
+) -> Result<engine_path::Opened<D>, journey::Ended> {
+    tokio::time::sleep(REOPEN_SPREAD.mul_f64(rand::random::<f64>())).await;
+    journey.open().await
+}
+
 /// Notes the length of a whole answer.
 fn learn_length<D: dialect::Dialect>(journey: &journey::Journey<D>) {
     let Some(prompt) = &journey.req.head.prompt else {
--- a/lib/src/engine_memory.rs
+++ b/lib/src/engine_memory.rs
@@ -5,11 +5,15 @@
 
 use std::time;
 
-/// Part of an engine's memory that new runs may fill by prediction. Lengths are predicted with an
-/// error of about a third of their size, which averages out to a tenth over the runs of an engine; the
-/// rest is for hosts that place at the same moment.
-const FILL_NEW: f64 = 0.84;
-/// The same for runs that leave an engine whose memory runs out: what they need is known better, and
+/// Part of an engine's memory that new runs may fill by prediction at a host that is alone. Lengths are
+/// predicted with an error of about a third of their size, which averages out to a tenth over the runs of
+/// an engine; what turns out longer moves.
+const FILL_NEW: f64 = 0.91;
+/// Part that each further host leaves free, as it may place before it is heard of.
+const FILL_NEW_PER_HOST: f64 = 0.001;
+/// The least part that new runs may fill.
+const FILL_NEW_LEAST: f64 = 0.84;
+/// The part for runs that leave an engine whose memory runs out: what they need is known better, and
 /// they lose more than a request that waits.
 const FILL_MOVED: f64 = 0.94;
 
@@ -34,8 +38,11 @@
 /// Who asks for room.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Claim {
-    /// A request that hasn't started.
-    New,
+    /// A request that hasn't started, at one of `hosts` that place on the same engines.
+    New {
+        /// The number of hosts.
+        hosts: usize,
+    },
     /// A run that leaves another engine.
     Moved,
 }
@@ -57,7 +64,9 @@
     /// Returns the tokens that predictions may fill.
     fn fillable(&self) -> u64 {
         let part = match self.claim {
-            Claim::New => FILL_NEW,
+            Claim::New { hosts } => {
+                (FILL_NEW - FILL_NEW_PER_HOST * hosts as f64).max(FILL_NEW_LEAST)
+            }
             Claim::Moved => FILL_MOVED,
         };
         (f64::from(self.memory_tokens) * part) as u64
--- a/lib/src/engine_room.rs
+++ b/lib/src/engine_room.rs
@@ -20,6 +20,10 @@
 use crate::work_index;
 pub use crate::work_index::Key;
 
+/// Engines are taken as fuller by up to one part in this many of their memory, which differs from request
+/// to request: hosts that place at the same moment, before they hear of each other, hardly take the
+/// same engine, also when one has just become empty.
+const SPREAD: u64 = 2;
 /// Reading times that differ by less count as equal.
 const ABOUT_EQUAL_MS: u128 = 20;
 /// Part of its predicted output that a run is expected to go on for when it has passed it.
@@ -374,9 +378,9 @@
             };
             let far = u64::from(&*engine.zone != near) * u64::from(limits.memory_tokens) / 4;
             let slow = self.speed(&engine.id).token_time / self.usual.token_time;
-            let spread =
-                rendezvous::score(&engine.id, salt) % (u64::from(limits.memory_tokens) / 8);
-            let cost = ((peak + far) as f64 * slow.max(1.0)) as u64 + spread;
+            let point = rendezvous::score(&engine.id, salt);
+            let spread = point % (u64::from(limits.memory_tokens) / SPREAD);
+            let cost = ((peak + far + spread) as f64 * slow.max(1.0)) as u64;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, engine));
             }
--- a/lib/tests/engine_placement.rs
+++ b/lib/tests/engine_placement.rs
@@ -12,7 +12,7 @@
 const STEP: time::Duration = time::Duration::from_micros(800);
 const LIMITS: engine_memory::Limits = engine_memory::Limits {
     memory_tokens: MEMORY,
-    claim: engine_memory::Claim::New,
+    claim: engine_memory::Claim::New { hosts: 6 },
     slots: 64,
     prefill_within: Some(time::Duration::from_millis(700)),
 };
@@ -212,3 +212,47 @@
         assert_ne!(&*placed.unwrap().decode.id, "d0");
     }
 }
+
+#[test]
+fn more_hosts_leave_more_memory_free() {
+    let engines = [engine("d0", backends::Stage::Decode)];
+    let mut placed = Vec::new();
+    for hosts in [1, 70, 1_000] {
+        let limits = engine_memory::Limits {
+            claim: engine_memory::Claim::New { hosts },
+            prefill_within: None,
+            ..LIMITS
+        };
+        let room = room_with_runs_until_full(&engines, limits);
+        placed.push(room.runs_on("d0"));
+        let moved = engine_memory::Limits {
+            claim: engine_memory::Claim::Moved,
+            ..limits
+        };
+        let small = need(1_500, 500);
+        assert!(
+            room.place(&engines, small, moved, "z", "m", ms(0)).is_ok(),
+            "a run that moves finds room that is kept from new ones"
+        );
+    }
+    assert!(
+        placed[0] > placed[1] && placed[1] == placed[2],
+        "{placed:?}"
+    );
+}
+
+/// Places small runs on one engine until it refuses them.
+fn room_with_runs_until_full(
+    engines: &[sync::Arc<backends::Backend>],
+    limits: engine_memory::Limits,
+) -> engine_room::Room {
+    let mut room = engine_room::Room::default();
+    let small = need(3_000, 1_000);
+    for number in 0.. {
+        let Ok(placement) = room.place(engines, small, limits, "z", "a", ms(0)) else {
+            break;
+        };
+        room.add_run(("h".into(), number), run_on(&placement, small, ms(0)));
+    }
+    room
+}
