router: memory of a body held as long as the body; failed moves are bounded; leaving servers crash nothing

Cause: found on reading the diff. The memory counted for a body was given back at the head of a stream, while the body stays for a resend. A move that the engine refused could be asked for again at each event. A server that leaves and cuts what is left was taken for one that crashed on it.

Change: the request holds its memory; a move counts when it starts; leaving servers mark nothing.

--- a/daemon/src/router/bodies.rs
+++ b/daemon/src/router/bodies.rs
@@ -1,5 +1,6 @@
 //! Memory for the bodies of requests.
 
+use std::sync;
 use std::sync::atomic;
 
 /// Part of the process's memory that bodies may take; the rest is for connections, views and answers.
@@ -13,25 +14,25 @@
 
 /// Memory held for one body, until it is dropped.
 #[derive(Debug)]
-pub(crate) struct Held<'a> {
-    bodies: &'a Bodies,
+pub(crate) struct Held {
+    bodies: sync::Arc<Bodies>,
     bytes: usize,
 }
 
 impl Bodies {
     /// Holds memory for a body of up to `bytes`, if there is room in a process with `memory` bytes.
-    pub(crate) fn hold(&self, bytes: usize, memory: usize) -> Option<Held<'_>> {
+    pub(crate) fn hold(self: &sync::Arc<Self>, bytes: usize, memory: usize) -> Option<Held> {
         let most = memory / SHARE;
         let held = self.held.fetch_add(bytes, atomic::Ordering::Relaxed) + bytes;
         let guard = Held {
-            bodies: self,
+            bodies: self.clone(),
             bytes,
         };
         (held <= most).then_some(guard)
     }
 }
 
-impl Drop for Held<'_> {
+impl Drop for Held {
     fn drop(&mut self) {
         self.bodies
             .held
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -65,7 +65,7 @@
     /// Content that crashed backend servers.
     pub(crate) crashes: sync::Mutex<quarantine::Table>,
     /// Memory for bodies of requests.
-    pub(crate) bodies: bodies::Bodies,
+    pub(crate) bodies: sync::Arc<bodies::Bodies>,
     /// Retry budgets.
     pub(crate) budgets: budget::Budgets,
     /// Connections to backend servers.
@@ -105,7 +105,7 @@
             crashes: sync::Mutex::new(quarantine::Table::refusing_after(
                 crash_marks::SERVERS_TO_REFUSE,
             )),
-            bodies: bodies::Bodies::default(),
+            bodies: sync::Arc::default(),
             budgets: budget::Budgets::default(),
             pool: pool::Pool::default(),
             telemetry: telemetry::Telemetry::default(),
--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -40,7 +40,8 @@
         outcome,
         outcome::Outcome::BrokenBeforeAnswer | outcome::Outcome::BrokenMidway
     );
-    if !broke {
+    // What a server that leaves cuts off didn't crash it.
+    if !broke || locks::lock(&cx.servers).is_leaving(&server.id) {
         return;
     }
     let (cx, addr) = (cx.clone(), server.addr);
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -95,7 +95,7 @@
     };
     let until = arrived + time_for(route, &head);
     let longest = longest_body(&parts.headers, &table.limits);
-    let Some(_held) = cx.bodies.hold(longest, cx.settings().memory) else {
+    let Some(memory) = cx.bodies.hold(longest, cx.settings().memory) else {
         event!(Info, "refused", "id" => id, "cause" => "no memory for the body", "bytes" => longest);
         return answer::not_run("no memory for the body", NO_MEMORY);
     };
@@ -132,6 +132,7 @@
         headers: parts.headers,
         head,
         body,
+        memory,
         digest,
     };
     let answer = match (&service.engines, route.kind) {
--- a/daemon/src/router/journey.rs
+++ b/daemon/src/router/journey.rs
@@ -40,7 +40,7 @@
     pub(crate) delivered_at: Option<time::Duration>,
     /// Tokens generated so far.
     pub(crate) made: u32,
-    /// How often the run went on at another engine with its memory.
+    /// How often the run was to go on at another engine with its memory.
     pub(crate) moves: u32,
     /// Whether a server may have run it.
     pub(super) may_have_run: bool,
--- a/daemon/src/router/moving.rs
+++ b/daemon/src/router/moving.rs
@@ -46,7 +46,7 @@
 
 /// Starts to move a run if it should leave its engine and another one has room.
 pub(crate) fn start<D: dialect::Dialect>(
-    journey: &journey::Journey<D>,
+    journey: &mut journey::Journey<D>,
     source: &sync::Arc<backends::Backend>,
     seat: &seats::Seat<D>,
 ) -> Option<Move<D>> {
@@ -66,6 +66,8 @@
         cx.telemetry.count("runs.nowhere_to_move");
         return None;
     };
+    journey.moves += 1;
+    let cx = &journey.cx;
     cx.telemetry.count("runs.moved");
     event!(Info, "move", "id" => id, "from" => source.id, "to" => target.id,
         "reason" => format!("{reason:?}"), "tokens" => journey.made);
@@ -160,7 +162,6 @@
     ) -> Option<Result<engine_path::Opened<D>, send::Unanswered>> {
         // The task neither panics nor is cancelled.
         let copied = self.copying.await.ok()??;
-        journey.moves += 1;
         let (server, seat, connection) = match copied.connection {
             Some(connection) => (self.target, self.seat, Ok(connection)),
             None => {
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -15,6 +15,7 @@
 use walnuthaven_lib::outcome;
 
 use crate::locks;
+use crate::router::bodies;
 use crate::router::context;
 use crate::router::pool;
 
@@ -42,6 +43,9 @@
     pub(crate) head: dialect::CallerHead,
     /// The body.
     pub(crate) body: Bytes,
+    /// The memory that is held for it.
+    #[expect(dead_code, reason = "gives the memory back when it is dropped")]
+    pub(crate) memory: bodies::Held,
     /// Digest of the caller and what it asks for: the same in each attempt.
     pub(crate) digest: u64,
 }
