router: a stopped run that no engine takes isn't run anew

Cause: found on reading the diff. When the engine that had the copy refused the request, the outcome was that of this send, not run, and the request went out again as a whole, also on a route that runs once.

Change: after a run was stopped, a send that fails is a stream broken midway, and the engine that failed it is noted, not the one that stopped it. The test saw two sends of the request before, one now.

--- a/daemon/src/router/moving.rs
+++ b/daemon/src/router/moving.rs
@@ -176,7 +176,17 @@
         event!(Info, "moved", "id" => journey.id(), "server" => server.id,
             "after_event" => journey.delivered,
             "cause" => sent.as_ref().err().map(|failed| failed.cause));
-        Some(sent.map(|sent| engine_path::Opened { sent, server, seat }))
+        Some(match sent {
+            Ok(sent) => Ok(engine_path::Opened { sent, server, seat }),
+            Err(failed) => {
+                journey.note_failure(&server, &failed, journey.cx.now());
+                // The run was stopped midway, also if this send didn't run.
+                Err(send::Unanswered {
+                    outcome: outcome::Outcome::BrokenMidway,
+                    ..failed
+                })
+            }
+        })
     }
 }
 
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -247,7 +247,7 @@
         if moving.as_ref().is_some_and(moving::Move::has_failed) {
             *moving = None;
         }
-        if moving.is_none() && journey.made > 0 {
+        if moving.is_none() && journey.made > 0 && journey.delivered.is_some() {
             *moving = moving::start(journey, server, seat);
         }
     }
--- a/daemon/tests/entry_streams.rs
+++ b/daemon/tests/entry_streams.rs
@@ -255,6 +255,31 @@
     }
 }
 
+#[tokio::test]
+async fn a_stopped_run_that_no_engine_takes_is_not_run_anew() {
+    let site = site().await;
+    make_long(&site);
+    let bytes = caller::request("POST", "/single/x", "r1", LONG_PROMPT, "a prompt");
+    let refuse_at_other = async {
+        let (leaving, other) = let_engine_leave(&site, "r1").await;
+        other.set(server::Manner::Lapses);
+        (leaving, other)
+    };
+    let (answer, (leaving, other)) = tokio::join!(
+        caller::send(site.host.callers, &bytes, WITHIN),
+        refuse_at_other
+    );
+    assert_eq!((answer.status, answer.complete), (200, false), "{answer:?}");
+    assert_eq!(
+        other.seen().len(),
+        1,
+        "the move wasn't tried: {:?}",
+        other.seen()
+    );
+    assert_eq!((leaving.runs_of("r1"), other.runs_of("r1")), (1, 0));
+    assert_eq!(site.reader.seen().len(), 1, "the prompt was read again");
+}
+
 #[tokio::test]
 async fn without_engines_a_request_is_refused_at_once() {
     let site = site().await;
