router: a leaving host closes its door before its last look at what is in flight

A host that is never idle cut what was in flight at the end of its grace.

Ruled out: a longer wait, which only moves the gap.

Change: connections are taken until the host is idle, or 1.5 s before its end; then the door is closed, and the process ends at the next moment without a request in flight. The wait for the log blocks the thread that would read requests. The test sends without pause until refused: it saw requests run and cut before, none now.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -73,6 +73,8 @@
     /// Counters and histograms.
     pub(crate) telemetry: telemetry::Telemetry,
     left_at: sync::RwLock<Option<time::Duration>>,
+    /// Whether connections are taken no more.
+    closed: tokio::sync::watch::Sender<bool>,
     /// Requests that callers wait for.
     pub(crate) in_flight: atomic::AtomicUsize,
     numbers: atomic::AtomicU64,
@@ -110,6 +112,7 @@
             pool: pool::Pool::default(),
             telemetry: telemetry::Telemetry::default(),
             left_at: sync::RwLock::new(None),
+            closed: tokio::sync::watch::Sender::new(false),
             in_flight: atomic::AtomicUsize::new(0),
             numbers: atomic::AtomicU64::new(1),
             clock,
@@ -166,6 +169,17 @@
         *locks::write(&self.left_at) = Some(now);
     }
 
+    /// Takes no more connections of callers.
+    pub(crate) fn close_doors(&self) {
+        self.closed.send_replace(true);
+    }
+
+    /// Waits until no more connections are taken.
+    pub(crate) async fn closed(&self) {
+        // The sender lives as long as this.
+        let _ = self.closed.subscribe().wait_for(|closed| *closed).await;
+    }
+
     /// Returns how long the host has been leaving.
     pub(crate) fn left_for(&self) -> time::Duration {
         let left_at = *locks::read(&self.left_at);
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -78,7 +78,11 @@
         let Ok(slot) = slots.clone().acquire_owned().await else {
             return;
         };
-        let (stream, caller) = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = cx.closed(), if door == Door::Callers => return,
+        };
+        let (stream, caller) = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
                 event!(Warn, "accept-failed", "cause" => error.to_string());
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -3,6 +3,7 @@
 use std::path;
 use std::sync;
 use std::sync::atomic;
+use std::thread;
 use std::time;
 
 use anyhow::Context as _;
@@ -33,6 +34,11 @@
 const KNOWN_LEFT: time::Duration = time::Duration::from_millis(3_200);
 /// The process ends this long before it would be killed.
 const GRACE_MARGIN: time::Duration = time::Duration::from_millis(400);
+/// Time for the last requests: a leaving host that is never idle takes no connections for so long
+/// before it ends.
+const LAST_REQUESTS: time::Duration = time::Duration::from_millis(1_500);
+/// Time for the log's thread to write the last lines.
+const LOG_WRITTEN: time::Duration = time::Duration::from_millis(20);
 /// How often a leaving host looks whether its work has ended.
 const LEAVE_LOOK: time::Duration = time::Duration::from_millis(50);
 
@@ -168,19 +174,31 @@
     event!(Info, "leave", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed));
     tokio::spawn(unregister(cx.clone()));
     let latest = settings.grace.saturating_sub(GRACE_MARGIN);
+    let known = KNOWN_LEFT.max(forward::LEAVING_STREAMS);
+    work_until(cx, started, known, latest.saturating_sub(LAST_REQUESTS)).await;
+    cx.close_doors();
+    work_until(cx, started, time::Duration::ZERO, latest).await;
+    event!(Info, "stop", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed),
+        "took_ms" => cx.now().saturating_sub(started).as_millis() as u64);
+    // Blocks this thread, so that no request is read any more.
+    thread::sleep(LOG_WRITTEN);
+}
+
+/// Works until no request is in flight, for `least` at least and `most` at most since `started`.
+async fn work_until<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    started: time::Duration,
+    least: time::Duration,
+    most: time::Duration,
+) {
     loop {
         tokio::time::sleep(LEAVE_LOOK).await;
         let gone = cx.now().saturating_sub(started);
         let idle = cx.in_flight.load(atomic::Ordering::Relaxed) == 0;
-        let known = gone >= KNOWN_LEFT.max(forward::LEAVING_STREAMS);
-        if gone >= latest || (idle && known) {
-            break;
+        if gone >= most || (idle && gone >= least) {
+            return;
         }
     }
-    event!(Info, "stop", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed),
-        "took_ms" => cx.now().saturating_sub(started).as_millis() as u64);
-    // Lets the thread that writes the log finish.
-    tokio::time::sleep(LEAVE_LOOK).await;
 }
 
 async fn unregister<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>) {
--- a/daemon/tests/entry_leaving.rs
+++ b/daemon/tests/entry_leaving.rs
@@ -99,3 +99,51 @@
         "{metrics:?}"
     );
 }
+
+/// Callers that don't know yet connect until the last moment. A request that was passed on to a server is
+/// answered, however late it came.
+#[tokio::test]
+async fn no_request_is_taken_that_cannot_be_answered() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    let server = server::Server::start("i-a", None).await;
+    server.pace_ms.store(30, atomic::Ordering::Relaxed);
+    server.register(&store, "gate");
+    let mut host = hosts::Host::start(BINARY, "h1", addr);
+    host.wait_ready().await;
+    host.signal(rustix::process::Signal::TERM).unwrap();
+    let callers = host.callers;
+    let mut tasks = Vec::new();
+    for task in 0..6 {
+        tasks.push(tokio::spawn(async move {
+            let start = time::Instant::now();
+            let mut unanswered = Vec::new();
+            for number in 0.. {
+                let id = format!("t{task}-{number}");
+                let bytes = caller::request("POST", "/once/x", &id, "", "pass 7");
+                let answer = caller::send(callers, &bytes, WITHIN).await;
+                if answer.status != 200 || !answer.complete {
+                    unanswered.push(id);
+                }
+                if unanswered.len() > 20 || start.elapsed() > GRACE {
+                    break;
+                }
+            }
+            unanswered
+        }));
+    }
+    for task in tasks {
+        for id in task.await.unwrap() {
+            assert_eq!(server.runs_of(&id), 0, "{id} ran and was cut off");
+        }
+    }
+    let closed = time::Instant::now();
+    let status = loop {
+        if let Some(status) = host.process.try_wait().unwrap() {
+            break status;
+        }
+        assert!(closed.elapsed() < GRACE, "still there: {}", host.log());
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    };
+    assert!(status.success(), "{status}");
+}
