router: one way to call a server, to count sends and to find an object; dead code gone

Four places put the meant server into headers before a call of the router's own; five asked the retry budget and three counted against it by hand; three listed a collection to find one object; both settings readers read their file alike; the head's clock delegated the writing side of a stream, as connections.rs does. Four parts of the platform's border served nothing: removing a signature, reading one object, the time of a switch, an engine's start in its report.

Ruled out: merging the head's clock with the guard in connections.rs: one bounds reading a head, the other writing an answer; they only shared the delegation.

Change: send::call takes the server, Router::may_repeat and count_send, store's find, Source::read; the clock wraps the reading half and tokio joins it with the writing half. Behaviour stays as it is; no test changed.

--- a/daemon/src/ini_source.rs
+++ b/daemon/src/ini_source.rs
@@ -2,6 +2,8 @@
 
 use std::collections;
 use std::fmt;
+use std::fs;
+use std::path;
 use std::str;
 
 use walnuthaven_lib::ids;
@@ -152,6 +154,15 @@
             .map_err(|_| self.fault(section, key, format!("{value:?} is not {wanted}")))
     }
 
+    /// Reads a file whole. Returns its name for faults, and its text.
+    pub(crate) fn read(path: &path::Path) -> Result<(String, String), Fault> {
+        let file = path.display().to_string();
+        match fs::read_to_string(path) {
+            Ok(text) => Ok((file, text)),
+            Err(error) => Err(Fault::of_file(&file, format!("can't be read: {error}"))),
+        }
+    }
+
     pub(crate) fn log_level(&self) -> Result<log::LevelFilter, Fault> {
         let levels = "off, error, warn, info, debug or trace";
         self.parsed("log", "level", levels, Some("info"))
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -14,6 +14,7 @@
 use walnuthaven_lib::ids;
 use walnuthaven_lib::peers;
 use walnuthaven_lib::quarantine;
+use walnuthaven_lib::retry_share;
 use walnuthaven_lib::routing;
 use walnuthaven_lib::server_health;
 use walnuthaven_lib::waiting;
@@ -221,6 +222,22 @@
         }
     }
 
+    /// Returns whether the retry budget of a service has room for a repeat by this host.
+    pub(crate) fn may_repeat(&self, service: &str) -> bool {
+        let terms = self.settings().retry;
+        self.budgets
+            .has_room(service, self.now(), &terms, self.hosts())
+    }
+
+    /// Counts a send against the retry budget of its service.
+    pub(crate) fn count_send(&self, service: &sync::Arc<str>, kind: retry_share::Send) {
+        let terms = self.settings().retry;
+        self.budgets.sent(service, kind, self.now(), &terms);
+        if kind == retry_share::Send::Again {
+            self.telemetry.count("repeats");
+        }
+    }
+
     /// Returns the number of hosts that share budgets, counting this one.
     pub(crate) fn hosts(&self) -> usize {
         locks::lock(&self.peers).count() + 1
--- a/daemon/src/router/head_timer.rs
+++ b/daemon/src/router/head_timer.rs
@@ -13,7 +13,6 @@
 
 use http_body::Body;
 use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
 
 /// Whether a connection's requests are at their heads or past them.
 #[derive(Clone, Debug, Default)]
@@ -74,7 +73,7 @@
     }
 }
 
-/// A stream that fails when a head takes too long.
+/// The reading side of a stream, which fails when a head takes too long.
 #[derive(Debug)]
 pub(crate) struct Timed<S> {
     stream: S,
@@ -118,39 +117,3 @@
         polled
     }
 }
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for Timed<S> {
-    fn poll_write(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
--- a/daemon/src/router/journey.rs
+++ b/daemon/src/router/journey.rs
@@ -137,27 +137,19 @@
         &self,
         engine: &sync::Arc<str>,
     ) -> Option<(seats::Seat<D>, sync::Arc<backends::Backend>)> {
-        let cx = &self.cx;
-        let terms = cx.settings().retry;
-        let service = &self.service.name;
-        if !cx.budgets.has_room(service, cx.now(), &terms, cx.hosts()) {
+        if !self.cx.may_repeat(&self.service.name) {
             return None;
         }
         let tried: Vec<_> = self.tried.iter().chain([engine]).cloned().collect();
-        seats::take_for_move(cx, &self.wish(engine_memory::Claim::Moved, &tried))
+        seats::take_for_move(&self.cx, &self.wish(engine_memory::Claim::Moved, &tried))
     }
 
     /// Decides what follows an outcome.
     pub(crate) fn next(&self, outcome: outcome::Outcome) -> outcome::Next {
-        let cx = &self.cx;
-        let now = cx.now();
-        let terms = cx.settings().retry;
         let left = outcome::Left {
             attempts: self.attempts_left,
-            time: self.until.saturating_sub(now),
-            budget: cx
-                .budgets
-                .has_room(&self.service.name, now, &terms, cx.hosts()),
+            time: self.until.saturating_sub(self.cx.now()),
+            budget: self.cx.may_repeat(&self.service.name),
         };
         outcome::next(self.route.kind, outcome, left)
     }
@@ -190,23 +182,17 @@
 
     /// Counts a send of the request to an engine that runs it.
     pub(super) fn count_attempt(&mut self) {
-        if std::mem::replace(&mut self.sent_once, true) {
-            self.count_repeat();
-        } else {
-            let cx = &self.cx;
-            let terms = cx.settings().retry;
-            let kind = retry_share::Send::First;
-            cx.budgets.sent(&self.service.name, kind, cx.now(), &terms);
-        }
+        let kind = match std::mem::replace(&mut self.sent_once, true) {
+            true => retry_share::Send::Again,
+            false => retry_share::Send::First,
+        };
+        self.cx.count_send(&self.service.name, kind);
         self.attempts_left = self.attempts_left.saturating_sub(1);
     }
 
     pub(super) fn count_repeat(&self) {
-        let cx = &self.cx;
-        let terms = cx.settings().retry;
         let kind = retry_share::Send::Again;
-        cx.budgets.sent(&self.service.name, kind, cx.now(), &terms);
-        cx.telemetry.count("repeats");
+        self.cx.count_send(&self.service.name, kind);
     }
 
     /// Makes the answer to a request that ended without a stream.
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -119,7 +119,9 @@
         .as_ref()
         .map_or(IDLE, |table| table.limits.header_timeout);
     let phase = head_timer::Phase::default();
-    let timed = head_timer::Timed::new(stream, phase.clone(), head_time);
+    let (reading, writing) = stream.into_split();
+    let timed = head_timer::Timed::new(reading, phase.clone(), head_time);
+    let stream = tokio::io::join(timed, writing);
     let service = service::service_fn(move |req| {
         let cx = cx.clone();
         let phase = phase.clone();
@@ -137,7 +139,7 @@
         .timer(rt::TokioTimer::new())
         .header_read_timeout(idle + IDLE_SLACK)
         .max_buf_size((head * 2).max(MIN_HEAD))
-        .serve_connection(rt::TokioIo::new(timed), service);
+        .serve_connection(rt::TokioIo::new(stream), service);
     if let Err(error) = connection.await
         && error.is_parse()
     {
--- a/daemon/src/router/moving.rs
+++ b/daemon/src/router/moving.rs
@@ -106,9 +106,7 @@
     };
     // Opened first, so that the run isn't stopped for an engine that is gone.
     let connection = send::open(&cx, &target, options).await.ok()?;
-    let mut headers = http::HeaderMap::new();
-    cx.dialect.meant_for(&source.id, &mut headers);
-    let (status, body) = match send::call(source.addr, call, headers, COPY).await {
+    let (status, body) = match send::call(&cx, &source, call, COPY).await {
         Ok(answer) => answer,
         Err(error) => {
             event!(Info, "move-unanswered", "from" => source.id, "cause" => error.to_string());
--- a/daemon/src/router/orders.rs
+++ b/daemon/src/router/orders.rs
@@ -127,11 +127,7 @@
 
     async fn try_lease(&mut self) -> Result<bool, store::Failure> {
         let collection = dialect::Collection::Leases;
-        let (objects, _) = self
-            .client
-            .list(collection, dialect::Freshness::Newest)
-            .await?;
-        let stored = objects.into_iter().find(|object| &*object.name == LEASE);
+        let stored = self.client.find(collection, LEASE).await?;
         let record = stored.as_ref().and_then(|object| {
             // A record that can't be read counts as none and is replaced.
             lease::Record::deserialize(&object.value).ok()
@@ -160,15 +156,7 @@
         let settled = self.cx.now() + pool_balance::SETTLE;
         self.recent
             .insert(engine.id.clone(), (order.stage, settled));
-        let mut headers = http::HeaderMap::new();
-        self.cx.dialect.meant_for(&engine.id, &mut headers);
-        let asked = send::call(
-            engine.addr,
-            self.cx.dialect.report(),
-            headers.clone(),
-            ORDER,
-        )
-        .await;
+        let asked = send::call(&self.cx, &engine, self.cx.dialect.report(), ORDER).await;
         let report = asked
             .ok()
             .and_then(|(_, body)| self.cx.dialect.read_report(&body));
@@ -190,7 +178,7 @@
         let away = self.cx.now() + pool_balance::SETTLE;
         locks::lock(&self.cx.health).avoid(&engine.id, away);
         self.cx.news_due.notify_one();
-        let answer = match send::call(engine.addr, call, headers, ORDER).await {
+        let answer = match send::call(&self.cx, &engine, call, ORDER).await {
             Ok((status, _)) => format!("{:?}", self.cx.dialect.order_answer(status)),
             // The engine may carry it out later; its entry tells, and it isn't repeated before.
             Err(error) => format!("no answer: {error}"),
--- a/daemon/src/router/plain_path.rs
+++ b/daemon/src/router/plain_path.rs
@@ -65,12 +65,10 @@
             };
             sends += u32::from(ended.failed.outcome != outcome::Outcome::NeverWritten);
             may_have_run |= !ended.failed.outcome.is_unrun();
-            let now = cx.now();
-            let terms = cx.settings().retry;
             let left = outcome::Left {
                 attempts: self.route.max_attempts.saturating_sub(sends),
-                time: self.until.saturating_sub(now),
-                budget: cx.budgets.has_room(self.service, now, &terms, cx.hosts()),
+                time: self.until.saturating_sub(cx.now()),
+                budget: cx.may_repeat(self.service),
             };
             let next = outcome::next(self.route.kind, ended.failed.outcome, left);
             event!(Info, "send-failed", "id" => self.id(), "server" => server.id,
@@ -104,19 +102,6 @@
         chosen.cloned()
     }
 
-    fn count_send(&self, again: bool) {
-        let cx = self.cx;
-        let terms = cx.settings().retry;
-        let kind = match again {
-            true => retry_share::Send::Again,
-            false => retry_share::Send::First,
-        };
-        cx.budgets.sent(self.service, kind, cx.now(), &terms);
-        if again {
-            cx.telemetry.count("repeats");
-        }
-    }
-
     /// The answer when no further server can be tried.
     fn give_up(&self, failure: Option<answer::Answer>, may_have_run: bool) -> answer::Answer {
         if let Some(failure) = failure {
@@ -162,7 +147,11 @@
             Ok(connection) => connection,
             Err(failed) => return Err(self.unanswered(server, failed)),
         };
-        self.count_send(again);
+        let kind = match again {
+            true => retry_share::Send::Again,
+            false => retry_share::Send::First,
+        };
+        cx.count_send(self.service, kind);
         let sent = match send::send(cx, self.req, server, connection, &sending, options).await {
             Ok(sent) => sent,
             Err(failed) => return Err(self.unanswered(server, failed)),
--- a/daemon/src/router/prefills.rs
+++ b/daemon/src/router/prefills.rs
@@ -42,13 +42,12 @@
             return;
         }
         let call = self.cx.dialect.free_handle(&self.name);
-        let mut headers = http::HeaderMap::new();
-        self.cx.dialect.meant_for(&self.server.id, &mut headers);
-        let (addr, server) = (self.server.addr, self.server.id.clone());
         self.cx.telemetry.count("prefills.unused");
+        let (cx, server) = (self.cx.clone(), self.server.clone());
         tokio::spawn(async move {
-            if let Err(error) = send::call(addr, call, headers, FREE).await {
-                event!(Info, "handle-not-freed", "server" => server, "cause" => error.to_string());
+            if let Err(error) = send::call(&cx, &server, call, FREE).await {
+                event!(Info, "handle-not-freed", "server" => server.id,
+                    "cause" => error.to_string());
             }
         });
     }
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -129,9 +129,7 @@
         Err(store::Failure::Status(dialect::StoreStatus::Conflict)) => {}
         other => return other,
     }
-    let (objects, _) = client.list(collection, dialect::Freshness::Newest).await?;
-    let old = objects.iter().find(|object| object.name == cx.id.name);
-    let Some(old) = old else {
+    let Some(old) = client.find(collection, &cx.id.name).await? else {
         return client.create(collection, &cx.id.name, &value).await;
     };
     client
@@ -205,9 +203,7 @@
     let mut client = store::Client::new(&cx);
     let collection = dialect::Collection::Hosts;
     let gone = async {
-        let (objects, _) = client.list(collection, dialect::Freshness::Newest).await?;
-        let own = objects.iter().find(|object| object.name == cx.id.name);
-        match own {
+        match client.find(collection, &cx.id.name).await? {
             Some(own) => client.delete(collection, &cx.id.name, own.revision).await,
             None => Ok(()),
         }
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -214,37 +214,31 @@
     Ok((sent.status, sent.headers, body))
 }
 
-/// Makes a call of the router's own and returns the answer's status and body.
+/// Makes a call of the router's own to a server and returns the answer's status and body. Another server
+/// at its address doesn't carry it out.
 ///
 /// # Errors
 ///
 /// Returns an error if there is no whole answer in time.
-pub(crate) async fn call(
-    addr: net::SocketAddr,
+pub(crate) async fn call<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    server: &backends::Backend,
     call: dialect::Call,
-    headers: http::HeaderMap,
     within: time::Duration,
 ) -> io::Result<(http::StatusCode, Bytes)> {
+    let mut headers = http::HeaderMap::new();
+    cx.dialect.meant_for(&server.id, &mut headers);
     let exchange = async {
-        let mut connection = pool::connect(addr, within).await?;
-        exchange(&mut connection, addr, call, headers).await
+        let mut connection = pool::connect(server.addr, within).await?;
+        let response = head(&mut connection, server.addr, call, headers).await?;
+        let status = response.status();
+        Ok((status, body(response).await?))
     };
     tokio::time::timeout(within, exchange)
         .await
         .map_err(|_| io::ErrorKind::TimedOut)?
 }
 
-async fn exchange(
-    connection: &mut pool::Connection,
-    addr: net::SocketAddr,
-    call: dialect::Call,
-    headers: http::HeaderMap,
-) -> io::Result<(http::StatusCode, Bytes)> {
-    let response = head(connection, addr, call, headers).await?;
-    let status = response.status();
-    Ok((status, body(response).await?))
-}
-
 /// Makes a call on an open connection and returns the answer once its head has arrived.
 ///
 /// # Errors
--- a/daemon/src/router/settings.rs
+++ b/daemon/src/router/settings.rs
@@ -1,6 +1,5 @@
 //! Settings of an entry host, from an INI file. The field reference is `docs/CONFIG.md`.
 
-use std::fs;
 use std::net;
 use std::path;
 use std::time;
@@ -73,9 +72,7 @@
 ///
 /// Returns the first fault, naming file, section, key and value.
 pub fn read(path: &path::Path) -> Result<Settings, ini_source::Fault> {
-    let file = path.display().to_string();
-    let text = fs::read_to_string(path)
-        .map_err(|error| ini_source::Fault::of_file(&file, format!("can't be read: {error}")))?;
+    let (file, text) = ini_source::Source::read(path)?;
     parse(&file, &text)
 }
 
--- a/daemon/src/router/store.rs
+++ b/daemon/src/router/store.rs
@@ -79,6 +79,16 @@
         }
     }
 
+    /// Returns an object of a collection as it is now.
+    pub(crate) async fn find(
+        &mut self,
+        collection: dialect::Collection,
+        name: &str,
+    ) -> Result<Option<dialect::Object>, Failure> {
+        let (objects, _) = self.list(collection, dialect::Freshness::Newest).await?;
+        Ok(objects.into_iter().find(|object| &*object.name == name))
+    }
+
     /// Waits for changes of a collection since a revision.
     pub(crate) async fn watch(
         &mut self,
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of a host, from an INI file. The field reference is `docs/CONFIG.md`.
 
 use std::fmt;
-use std::fs;
 use std::net;
 use std::path;
 
@@ -126,9 +125,7 @@
 ///
 /// Returns the first fault, naming file, section and key.
 pub fn read(path: &path::Path) -> Result<Settings, ini_source::Fault> {
-    let file = path.display().to_string();
-    let text = fs::read_to_string(path)
-        .map_err(|error| ini_source::Fault::of_file(&file, format!("can't be read: {error}")))?;
+    let (file, text) = ini_source::Source::read(path)?;
     parse(&file, &text)
 }
 
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -207,8 +207,6 @@
     pub busy: bool,
     /// Orders that it has accepted since its start.
     pub orders: u64,
-    /// When it started, in Unix milliseconds, if it says so.
-    pub born: Option<u64>,
 }
 
 /// An order to an engine.
@@ -251,9 +249,6 @@
     /// Makes the headers with which a server's answer goes to the caller.
     fn caller_headers(&self, server: &http::HeaderMap) -> http::HeaderMap;
 
-    /// Removes the server's signature, for an answer that isn't the server's any more.
-    fn unsign(&self, headers: &mut http::HeaderMap);
-
     /// Reads an engine's answer that names memory which it keeps.
     fn kept_memory(&self, body: &[u8]) -> Option<KeptMemory>;
 
@@ -314,9 +309,6 @@
     /// Reads changes.
     fn changes(&self, body: &[u8]) -> Option<Changes>;
 
-    /// Reads one object.
-    fn object(&self, body: &[u8]) -> Option<Object>;
-
     /// Reads the configuration, or returns `None` for an object of another name.
     ///
     /// # Errors
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -94,8 +94,6 @@
     pub handle_ttl: time::Duration,
     /// Whether engines copy the memory of a run to each other.
     pub moves: bool,
-    /// How long an engine is away while it changes its stage.
-    pub switch: time::Duration,
 }
 
 /// A service.
