router: log what decides whether content that crashes servers is sent

The logs couldn't tell whether a host that sends such content doesn't know its mark, knows it and doesn't look, or never counted the crash. Now answered names the content, suspect-sent is logged where marked content goes to a server and says whether it should be refused by then, crash-check tells what was concluded of each failed send, two counters count both, and the state dump lists the marks. No decision changes.

--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -19,6 +19,7 @@
 use crate::router::connection_pool;
 use crate::router::context;
 use crate::router::events::event;
+use crate::router::send;
 
 /// The number of servers that must have crashed before content is refused. In a burst of unrelated
 /// crashes, a harmless request may lose its first server and the one that it is sent to next, but
@@ -48,10 +49,18 @@
         outcome::Outcome::BrokenBeforeAnswer | outcome::Outcome::BrokenMidway
     );
     // A server that leaves may break off answers without having crashed.
-    if !broke || locks::lock(&cx.servers).is_leaving(&server.id) {
+    let leaving = locks::lock(&cx.servers).is_leaving(&server.id);
+    if !broke || leaving {
+        log_check(
+            digest,
+            &server.id,
+            outcome,
+            if leaving { "leaving" } else { "not broken" },
+        );
         return;
     }
     let (cx, addr) = (cx.clone(), server.addr);
+    let id = server.id.clone();
     // The start time is part of the key: a server that restarts under its id and crashes again counts
     // twice.
     let server_key = ids::Name::from(format!(
@@ -62,21 +71,50 @@
     tokio::spawn(async move {
         tokio::time::sleep(PROBE_DELAY).await;
         if connection_pool::connect(addr, PROBE_TIMEOUT).await.is_ok() {
+            log_check(digest, &id, outcome, "reachable");
             return;
         }
+        log_check(digest, &id, outcome, "crashed");
+        cx.telemetry.count("crash_marks.crashes");
         let unix_time = cx.unix_time();
         let mark = locks::lock(&cx.crash_marks).record_crash(digest, &server_key, unix_time);
-        event!(Warn, "content-crashed-server", "digest" => format!("{digest:016x}"),
+        event!(Warn, "content-crashed-server", "digest" => hex(digest),
             "server" => server_key, "servers" => mark.servers.len());
         cx.news_due.notify_one();
     });
 }
 
+/// Logs what was concluded from a send that brought no answer.
+fn log_check(digest: u64, server: &str, outcome: outcome::Outcome, verdict: &'static str) {
+    event!(Info, "crash-check", "digest" => hex(digest), "server" => server,
+        "outcome" => format!("{outcome:?}"), "verdict" => verdict);
+}
+
+/// Returns a digest as it is written in logs.
+pub(crate) fn hex(digest: u64) -> String {
+    format!("{digest:016x}")
+}
+
+/// Logs and counts a send of content that is marked.
+pub(crate) fn log_send<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+    server: &str,
+) {
+    let marks = locks::lock(&cx.crash_marks);
+    if marks.is_suspect(req.digest, cx.unix_time()) {
+        let refused = marks.check(req.digest, cx.unix_time()).is_err();
+        cx.telemetry.count("crash_marks.suspects_sent");
+        event!(Info, "suspect-sent", "id" => req.head.request_id, "digest" => hex(req.digest),
+            "server" => server, "refused_by_now" => refused);
+    }
+}
+
 /// Lifts the mark of content that got a complete answer, which shows that it doesn't crash servers.
 pub(crate) fn lift_mark<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) {
     let mut marks = locks::lock(&cx.crash_marks);
     if let Some(mark) = marks.lift(digest, cx.unix_time()) {
-        event!(Info, "content-cleared", "digest" => format!("{digest:016x}"),
+        event!(Info, "content-cleared", "digest" => hex(digest),
             "servers" => mark.servers.len());
         cx.news_due.notify_one();
     }
@@ -118,7 +156,7 @@
             lifted: mark.lifted,
         };
         if marks.merge(&incoming, unix_time) {
-            event!(Info, "content-marked-elsewhere", "digest" => format!("{:016x}", mark.digest),
+            event!(Info, "content-marked-elsewhere", "digest" => hex(mark.digest),
                 "servers" => incoming.servers.len(), "lifted" => incoming.lifted);
         }
     }
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -17,6 +17,7 @@
 use crate::locks;
 use crate::router::answer;
 use crate::router::context;
+use crate::router::crash_marks;
 use crate::router::events::event;
 use crate::router::plain_request;
 use crate::router::relay;
@@ -141,7 +142,7 @@
     let unix_time = cx.unix_time();
     if let Err(refusal) = locks::lock(&cx.crash_marks).check(digest, unix_time) {
         event!(Info, "refused", "id" => id, "cause" => "crashes servers",
-            "digest" => format!("{digest:016x}"), "marked" => refusal.message);
+            "digest" => crash_marks::hex(digest), "marked" => refusal.message);
         return answer::not_run("this request crashed several servers", CRASHES_RETRY_AFTER);
     }
     let received = send::CallerRequest {
@@ -178,7 +179,7 @@
         }
     };
     event!(Info, "answered", "id" => id, "route" => route.name, "version" => table.version,
-        "status" => answer.status().as_u16(),
+        "digest" => crash_marks::hex(digest), "status" => answer.status().as_u16(),
         "took_ms" => cx.now().saturating_sub(arrived).as_millis() as u64);
     answer
 }
--- a/daemon/src/router/inspect.rs
+++ b/daemon/src/router/inspect.rs
@@ -8,6 +8,7 @@
 
 use crate::locks;
 use crate::router::context;
+use crate::router::crash_marks;
 use crate::router::events;
 
 /// Version of the dump's JSON layout.
@@ -65,6 +66,16 @@
         .iter()
         .map(|(service, queue)| (service.to_string(), queue.len().into()))
         .collect();
+    let crash_marks: Vec<_> = locks::lock(&cx.crash_marks)
+        .marks()
+        .take(MAX_LISTED)
+        .map(|mark| {
+            json!({
+                "digest": crash_marks::hex(mark.digest), "servers": mark.servers,
+                "lifted": mark.lifted,
+            })
+        })
+        .collect();
     let engine_load = locks::lock(&cx.engine_load);
     let runs: Vec<_> = engine_load
         .runs_of(&cx.work_owner)
@@ -87,6 +98,7 @@
         "avoided": avoided,
         "waiting": waiting,
         "runs": runs,
+        "crash_marks": crash_marks,
         "log_dropped": events::dropped_lines(),
     })
 }
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -19,6 +19,7 @@
 use crate::router::body_memory;
 use crate::router::connection_pool;
 use crate::router::context;
+use crate::router::crash_marks;
 
 /// Longest time to open a connection to a server. The round trip takes about a millisecond, and the
 /// server about another to accept. A lost packet is retransmitted only after a second, so trying
@@ -101,6 +102,7 @@
     params: &dialect::SendParams<'_>,
     options: Options,
 ) -> Result<ServerResponse, SendFailure> {
+    crash_marks::log_send(cx, req, &server.id);
     let timeout = time_left(cx, options.deadline);
     let builder = http::Request::builder().method(req.method.clone());
     let mut message = builder
