quarantine: merge crash marks without comparing clocks

What callers saw: part of the incident is that a mark can be lost between hosts. A host whose clock is ahead lifts a mark; crashes that others observe afterwards have lower times, so that host drops them until its clock's lead has passed. Cause: a mark carried the Unix time of its last change, and the newer of two contradicting marks won. Class: state of several writers ordered by their clocks. Change: a mark is an observed-remove set. A lift clears the crashes that its host knows of, and no others; merging is a union. Crashes of one server within a second are one. The size of a mark is bounded, those of the server with most crashes go first. An update of a known mark no longer drops another one when the table is full. Which marks are announced is decided by numbered changes instead of times, the least announced first: before, messages always held the first eight by digest, so of 40 changed marks 32 were never told (read, not run). Evidence: crash_after_a_lift_counts_whatever_the_clocks_show fails on the code before (its last merge is rejected) and passes now; all tests of lib, cli and standin pass. Hosts of both versions don't exchange marks while a fleet is upgraded.

--- a/daemon/src/admin_api.rs
+++ b/daemon/src/admin_api.rs
@@ -309,9 +309,9 @@
         .map(|mark| {
             json!({
                 "digest": format!("{:016x}", mark.digest),
-                "servers": mark.servers,
+                "servers": mark.servers(),
                 "quarantined": mark.is_quarantined(),
-                "lifted": mark.lifted,
+                "lifted": mark.is_lifted(),
                 "expires_unix_ms": clock::millis(mark.expires),
             })
         })
@@ -325,7 +325,7 @@
         return error_response(400, "bad_request", &message);
     };
     let cx = &admin.cx;
-    let lifted = locks::lock(&cx.quarantine).lift(number, cx.unix_time());
+    let lifted = locks::lock(&cx.quarantine).lift(number);
     if lifted.is_none() {
         let message = format!("content {digest} is not marked");
         return error_response(404, "not_found", &message);
--- a/daemon/src/console.rs
+++ b/daemon/src/console.rs
@@ -308,10 +308,7 @@
             return not_found();
         };
         let cx = self.admin.cx.clone();
-        if locks::lock(&cx.quarantine)
-            .lift(number, cx.unix_time())
-            .is_some()
-        {
+        if locks::lock(&cx.quarantine).lift(number).is_some() {
             admin_api::audit(&self.operator, &format!("lifted quarantine of {digest}"));
             self.admin
                 .runtime
--- a/daemon/src/convert.rs
+++ b/daemon/src/convert.rs
@@ -63,10 +63,23 @@
 pub fn crash_mark_to_wire(mark: &quarantine::CrashMark) -> peer::CrashMark {
     peer::CrashMark {
         digest: mark.digest,
-        servers: mark.servers.iter().map(|name| name.to_string()).collect(),
         expires_unix_ms: clock::millis(mark.expires),
-        lifted: mark.lifted,
-        changed_unix_ms: clock::millis(mark.changed),
+        crashes: mark.crashes.iter().map(crash_to_wire).collect(),
+        cleared: mark.cleared.iter().map(crash_to_wire).collect(),
+    }
+}
+
+fn crash_to_wire(crash: &quarantine::Crash) -> peer::Crash {
+    peer::Crash {
+        server: crash.server.to_string(),
+        at_unix_ms: clock::millis(crash.at),
+    }
+}
+
+fn crash_from_wire(crash: &peer::Crash) -> quarantine::Crash {
+    quarantine::Crash {
+        at: time::Duration::from_millis(crash.at_unix_ms),
+        server: crash.server.as_str().into(),
     }
 }
 
@@ -74,14 +87,9 @@
 pub fn crash_mark_from_wire(mark: &peer::CrashMark) -> quarantine::CrashMark {
     quarantine::CrashMark {
         digest: mark.digest,
-        servers: mark
-            .servers
-            .iter()
-            .map(|name| name.as_str().into())
-            .collect(),
+        crashes: mark.crashes.iter().map(crash_from_wire).collect(),
+        cleared: mark.cleared.iter().map(crash_from_wire).collect(),
         expires: time::Duration::from_millis(mark.expires_unix_ms),
-        changed: time::Duration::from_millis(mark.changed_unix_ms),
-        lifted: mark.lifted,
     }
 }
 
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -16,9 +16,7 @@
 
 /// Number of other hosts that are asked to probe a host that does not answer.
 const INDIRECT_PROBERS: usize = 2;
-/// How long after a change a crash mark is sent with probes.
-const MARK_SEND_TIME: time::Duration = time::Duration::from_secs(20);
-/// Largest number of crash marks in a probe or reply.
+/// Largest number of changed crash marks in a probe or reply.
 const MAX_MARKS: usize = 64;
 /// How long to wait between attempts to find another host.
 const JOIN_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -137,7 +135,7 @@
         from: Some(own),
         updates,
         config_digest: locks::read(&cx.config).digest(),
-        marks: recent_marks(cx),
+        marks: next_marks(cx),
     }
 }
 
@@ -148,7 +146,7 @@
         from: Some(own),
         updates,
         config_digest: locks::read(&cx.config).digest(),
-        marks: recent_marks(cx),
+        marks: next_marks(cx),
     }
 }
 
@@ -176,9 +174,9 @@
     (convert::member_to_wire(members.own()), updates)
 }
 
-fn recent_marks(cx: &host::Host) -> Vec<peer::CrashMark> {
-    let since = cx.unix_time().saturating_sub(MARK_SEND_TIME);
-    let marks = locks::lock(&cx.quarantine).changed_since(since, MAX_MARKS);
+fn next_marks(cx: &host::Host) -> Vec<peer::CrashMark> {
+    let quarantine = locks::lock(&cx.quarantine);
+    let marks = locks::lock(&cx.announced_marks).next(&quarantine, MAX_MARKS, cx.now());
     marks.iter().map(convert::crash_mark_to_wire).collect()
 }
 
--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -12,6 +12,7 @@
 use anyhow::Context as _;
 use tokio::runtime;
 use tokio::sync::watch;
+use walnuthaven_lib::announced_marks;
 use walnuthaven_lib::clock;
 use walnuthaven_lib::clock::Clock as _;
 use walnuthaven_lib::config_versions;
@@ -66,6 +67,8 @@
     pub permits: sync::Mutex<permit::Table>,
     /// Marks of content that crashed backend servers.
     pub quarantine: sync::Mutex<quarantine::Table>,
+    /// Which marks of `quarantine` were announced to other hosts.
+    pub announced_marks: sync::Mutex<announced_marks::Announcements>,
     /// The active configuration documents.
     pub config: sync::RwLock<config_versions::ActiveDocuments>,
     /// Retry budgets by workspace.
@@ -226,6 +229,7 @@
             request_table: sync::Mutex::new(request_table::Table::new(id.clone())),
             permits: sync::Mutex::new(permit::Table::new(clock.now())),
             quarantine: sync::Mutex::default(),
+            announced_marks: sync::Mutex::default(),
             config: sync::RwLock::default(),
             retry_budgets: sync::Mutex::default(),
             answers: sync::Mutex::default(),
--- a/daemon/src/pages.rs
+++ b/daemon/src/pages.rs
@@ -113,11 +113,11 @@
                 @for mark in &dump.quarantine {
                     tr {
                         td { code { (format!("{:016x}", mark.digest)) } }
-                        td { @for server in &mark.servers { (server) " " } }
-                        td { @if mark.lifted { "lifted" } @else if mark.is_quarantined() { "refused" }
+                        td { @for server in mark.servers() { (server) " " } }
+                        td { @if mark.is_lifted() { "lifted" } @else if mark.is_quarantined() { "refused" }
                             @else { "suspect" } }
                         td {
-                            @if !mark.lifted {
+                            @if !mark.is_lifted() {
                                 form method="post" action={ "/quarantine/" (format!("{:016x}", mark.digest)) "/lift" } {
                                     button { "Let it run again" }
                                 }
--- a/daemon/src/retry_state.rs
+++ b/daemon/src/retry_state.rs
@@ -69,7 +69,7 @@
         let mut quarantine = locks::lock(&cx.quarantine);
         if quarantine.is_suspect(job.digest, cx.unix_time()) {
             // A complete answer shows that the content didn't cause the crashes.
-            quarantine.lift(job.digest, cx.unix_time());
+            quarantine.lift(job.digest);
         }
     }
 
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic;
 use std::time;
 
+use walnuthaven_lib::announced_marks;
 use walnuthaven_lib::answer_lengths;
 use walnuthaven_lib::backends;
 use walnuthaven_lib::clock;
@@ -67,6 +68,8 @@
     pub(crate) table_outdated: tokio::sync::Notify,
     /// Digests of requests that were in flight when backend servers crashed.
     pub(crate) crash_marks: sync::Mutex<quarantine::Table>,
+    /// Which of these marks were announced to other hosts.
+    pub(crate) announced_marks: sync::Mutex<announced_marks::Announcements>,
     /// The memory held by request bodies.
     pub(crate) body_memory: sync::Arc<body_memory::BodyMemory>,
     /// This host's shares of the retry budgets, by service.
@@ -111,6 +114,7 @@
             crash_marks: sync::Mutex::new(quarantine::Table::with_crash_threshold(
                 crash_marks::SERVERS_TO_REFUSE,
             )),
+            announced_marks: sync::Mutex::default(),
             body_memory: sync::Arc::default(),
             retry_budgets: retry_budget::RetryBudgets::default(),
             connection_pool: connection_pool::Pool::default(),
--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -30,10 +30,7 @@
 const PROBE_DELAY: time::Duration = time::Duration::from_millis(150);
 /// Longest time for that connection attempt.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
-/// How long a changed mark is included in the news. Each datagram may be lost, so a change is sent in
-/// many of them.
-const ANNOUNCED_FOR: time::Duration = time::Duration::from_secs(5);
-/// Maximum number of marks in one news message.
+/// Maximum number of changed marks in one news message.
 const MAX_MARKS_PER_MESSAGE: usize = 8;
 
 /// Checks in the background whether a server that broke off its answer has crashed, and marks the
@@ -79,7 +76,7 @@
         let unix_time = cx.unix_time();
         let mark = locks::lock(&cx.crash_marks).record_crash(digest, &server_key, unix_time);
         event!(Warn, "content-crashed-server", "digest" => hex(digest),
-            "server" => server_key, "servers" => mark.servers.len());
+            "server" => server_key, "servers" => mark.servers().len());
         cx.news_due.notify_one();
     });
 }
@@ -113,28 +110,51 @@
 /// Lifts the mark of content that got a complete answer, which shows that it doesn't crash servers.
 pub(crate) fn lift_mark<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) {
     let mut marks = locks::lock(&cx.crash_marks);
-    if let Some(mark) = marks.lift(digest, cx.unix_time()) {
+    if let Some(mark) = marks.lift(digest) {
         event!(Info, "content-cleared", "digest" => hex(digest),
-            "servers" => mark.servers.len());
+            "crashes" => mark.cleared.len());
         cx.news_due.notify_one();
     }
 }
 
-/// Returns the recently changed marks, for a news message to the other hosts.
-pub(crate) fn recent_changes<D: dialect::Dialect>(cx: &context::Router<D>) -> Vec<news::CrashMark> {
+/// Returns changed marks for a news message to the other hosts.
+pub(crate) fn next_announced<D: dialect::Dialect>(cx: &context::Router<D>) -> Vec<news::CrashMark> {
     let marks = locks::lock(&cx.crash_marks);
-    let since = cx.unix_time().saturating_sub(ANNOUNCED_FOR);
-    let changed = marks
-        .changed_since(since, MAX_MARKS_PER_MESSAGE)
-        .into_iter();
-    let messages = changed.map(|mark| news::CrashMark {
+    let mut announced = locks::lock(&cx.announced_marks);
+    let announced = announced.next(&marks, MAX_MARKS_PER_MESSAGE, cx.now());
+    announced.iter().map(to_wire).collect()
+}
+
+fn to_wire(mark: &quarantine::CrashMark) -> news::CrashMark {
+    let crashes_to_wire = |crashes: &std::collections::BTreeSet<quarantine::Crash>| {
+        let crashes = crashes.iter().map(|crash| news::Crash {
+            server: crash.server.to_string(),
+            at_unix_ms: clock::millis(crash.at),
+        });
+        crashes.collect()
+    };
+    news::CrashMark {
         digest: mark.digest,
-        servers: mark.servers.iter().map(ToString::to_string).collect(),
         expires_unix_ms: clock::millis(mark.expires),
-        changed_unix_ms: clock::millis(mark.changed),
-        lifted: mark.lifted,
-    });
-    messages.collect()
+        crashes: crashes_to_wire(&mark.crashes),
+        cleared: crashes_to_wire(&mark.cleared),
+    }
+}
+
+fn from_wire(mark: news::CrashMark) -> quarantine::CrashMark {
+    let crashes_from_wire = |crashes: Vec<news::Crash>| {
+        let crashes = crashes.into_iter().map(|crash| quarantine::Crash {
+            at: time::Duration::from_millis(crash.at_unix_ms),
+            server: crash.server.into(),
+        });
+        crashes.collect()
+    };
+    quarantine::CrashMark {
+        digest: mark.digest,
+        crashes: crashes_from_wire(mark.crashes),
+        cleared: crashes_from_wire(mark.cleared),
+        expires: time::Duration::from_millis(mark.expires_unix_ms),
+    }
 }
 
 /// Merges the marks of another host's news message.
@@ -142,22 +162,12 @@
     cx: &context::Router<D>,
     received: Vec<news::CrashMark>,
 ) {
-    if received.is_empty() {
-        return;
-    }
     let unix_time = cx.unix_time();
     let mut marks = locks::lock(&cx.crash_marks);
-    for mark in received {
-        let incoming = quarantine::CrashMark {
-            digest: mark.digest,
-            servers: mark.servers.into_iter().map(ids::Name::from).collect(),
-            expires: time::Duration::from_millis(mark.expires_unix_ms),
-            changed: time::Duration::from_millis(mark.changed_unix_ms),
-            lifted: mark.lifted,
-        };
-        if marks.merge(&incoming, unix_time) {
+    for mark in received.into_iter().map(from_wire) {
+        if marks.merge(&mark, unix_time) {
             event!(Info, "content-marked-elsewhere", "digest" => hex(mark.digest),
-                "servers" => incoming.servers.len(), "lifted" => incoming.lifted);
+                "servers" => mark.servers().len(), "lifted" => mark.is_lifted());
         }
     }
 }
--- a/daemon/src/router/inspect.rs
+++ b/daemon/src/router/inspect.rs
@@ -71,8 +71,8 @@
         .take(MAX_LISTED)
         .map(|mark| {
             json!({
-                "digest": crash_marks::hex(mark.digest), "servers": mark.servers,
-                "lifted": mark.lifted,
+                "digest": crash_marks::hex(mark.digest), "servers": mark.servers(),
+                "lifted": mark.is_lifted(),
             })
         })
         .collect();
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -119,7 +119,7 @@
         runs: runs.take(MAX_WORK_ITEMS).collect(),
         prefills: prefills.take(MAX_WORK_ITEMS).collect(),
         avoided,
-        crash_marks: crash_marks::recent_changes(cx),
+        crash_marks: crash_marks::next_announced(cx),
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,7 @@
 //! every decision can be replayed in a test.
 
 pub mod admission;
+pub mod announced_marks;
 pub mod answer_lengths;
 pub mod auth;
 pub mod backends;
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -1,10 +1,13 @@
 //! Content that crashes backend servers.
 //!
 //! Each host records, as crash marks, which servers crashed while content with a given digest was
-//! in flight there. Marks are passed on to every host and merged by union, so that all hosts reach
-//! the same decision: content that was in flight at the crashes of two servers (or of another
-//! number that the table was created with) is refused until its mark expires or is lifted. An operator or a complete
+//! in flight there. Marks are passed on to every host and merged, so that all hosts reach the same
+//! decision: content that was in flight at the crashes of two servers (or of another number that the
+//! table was created with) is refused until its mark expires or is lifted. An operator or a complete
 //! answer lifts a mark.
+//!
+//! A mark is an observed-remove set of crashes: a lift clears the crashes that its host knows of, and
+//! no others. Merging therefore needs no clock, and its result doesn't depend on the order.
 
 use std::collections;
 use std::time;
@@ -20,32 +23,87 @@
 /// Time after the last crash at which a mark expires.
 const MARK_LIFETIME: time::Duration = time::Duration::from_secs(3_600);
 /// Maximum number of marks kept at one host. Beyond it, a mark that the host makes itself replaces the
-/// one that was unchanged for longest, and new marks from other hosts are ignored.
+/// one that expires first, and new marks from other hosts are ignored.
 const MAX_MARKS: usize = 10_000;
 
+/// Maximum number of crashes, and of cleared ones, that a mark lists. It exceeds every threshold by far.
+const MAX_CRASHES: usize = 12;
+/// Crashes of a server within this time are one. A crashed server can't be reached for longer.
+const SAME_CRASH_WINDOW: time::Duration = time::Duration::from_secs(1);
+
+/// The crash of a server, as one host observed it.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Crash {
+    /// When it was observed, in Unix time by the clock of the host. Only tells the crashes of a server
+    /// apart.
+    pub at: time::Duration,
+    /// The server that crashed.
+    pub server: ids::Name,
+}
+
 /// The crashes that happened while content with one digest was in flight.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashMark {
     /// The digest of the content.
     pub digest: u64,
-    /// The servers that crashed while it was in flight.
-    pub servers: collections::BTreeSet<ids::Name>,
+    /// The crashes that count.
+    pub crashes: collections::BTreeSet<Crash>,
+    /// The crashes that don't count any more, because the mark was lifted after them.
+    pub cleared: collections::BTreeSet<Crash>,
     /// When the mark expires, in Unix time.
     pub expires: time::Duration,
-    /// When the mark changed last, in Unix time.
-    pub changed: time::Duration,
-    /// Whether the mark was lifted, by an operator or by a complete answer.
-    pub lifted: bool,
 }
 
 impl CrashMark {
+    /// Returns the servers whose crashes count.
+    pub fn servers(&self) -> collections::BTreeSet<&ids::Name> {
+        self.crashes.iter().map(|crash| &crash.server).collect()
+    }
+
+    /// Returns whether the mark was lifted after all of its crashes, by an operator or by a complete
+    /// answer.
+    pub fn is_lifted(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
     /// Returns whether [`SERVERS_TO_QUARANTINE`] servers crashed and the mark is not lifted.
     pub fn is_quarantined(&self) -> bool {
         self.crashed_at_least(SERVERS_TO_QUARANTINE)
     }
 
     fn crashed_at_least(&self, servers: usize) -> bool {
-        !self.lifted && self.servers.len() >= servers
+        self.servers().len() >= servers
+    }
+
+    /// Returns whether merging `other` into this mark would change nothing.
+    pub fn includes(&self, other: &Self) -> bool {
+        let mut merged = self.clone();
+        merged.merge(other);
+        merged == *self
+    }
+
+    /// Adds the crashes and lifts of another mark of the same content.
+    fn merge(&mut self, other: &Self) {
+        self.cleared.extend(other.cleared.iter().cloned());
+        self.crashes.extend(other.crashes.iter().cloned());
+        let cleared = &self.cleared;
+        self.crashes.retain(|crash| !cleared.contains(crash));
+        self.expires = self.expires.max(other.expires);
+        limit_size(&mut self.crashes);
+        limit_size(&mut self.cleared);
+    }
+}
+
+/// Removes crashes until at most [`MAX_CRASHES`] are left. Those of the server with most crashes go
+/// first, so that the number of servers shrinks last.
+fn limit_size(crashes: &mut collections::BTreeSet<Crash>) {
+    while crashes.len() > MAX_CRASHES {
+        let count = |server: &ids::Name| crashes.iter().filter(|c| c.server == *server).count();
+        let Some(oldest) = crashes.iter().rev().max_by_key(|c| count(&c.server)) else {
+            return;
+        };
+        let oldest = oldest.clone();
+        crashes.remove(&oldest);
     }
 }
 
@@ -54,6 +112,10 @@
 pub struct Table {
     marks: collections::BTreeMap<u64, CrashMark>,
     crash_threshold: usize,
+    /// The number of the last change of each mark, and the marks by these numbers.
+    change_of: collections::BTreeMap<u64, u64>,
+    changes: collections::BTreeMap<u64, u64>,
+    last_change: u64,
 }
 
 impl Default for Table {
@@ -68,34 +130,65 @@
         Self {
             marks: collections::BTreeMap::new(),
             crash_threshold: servers,
+            change_of: collections::BTreeMap::new(),
+            changes: collections::BTreeMap::new(),
+            last_change: 0,
+        }
+    }
+
+    /// Gives the mark's change the next number.
+    fn record_change(&mut self, digest: u64) {
+        self.last_change += 1;
+        self.changes.insert(self.last_change, digest);
+        if let Some(earlier) = self.change_of.insert(digest, self.last_change) {
+            self.changes.remove(&earlier);
         }
     }
 
-    /// Records that a server crashed with the content in flight. Crashes from before the mark was
-    /// lifted no longer count. Returns the mark.
+    fn remove(&mut self, digest: u64) {
+        self.marks.remove(&digest);
+        if let Some(change) = self.change_of.remove(&digest) {
+            self.changes.remove(&change);
+        }
+    }
+
+    /// Returns the marks whose last change has a higher number than `after`, each with the number of that
+    /// change. Changes are numbered in the order in which they are made here, starting at 1.
+    pub fn changes_after(&self, after: u64) -> impl Iterator<Item = (u64, &CrashMark)> {
+        let newer = self.changes.range(after.saturating_add(1)..);
+        newer.filter_map(|(change, digest)| Some((*change, self.marks.get(digest)?)))
+    }
+
+    /// Records that a server crashed with the content in flight. Returns the mark.
     pub fn record_crash(
         &mut self,
         digest: u64,
         server: &ids::Name,
         unix_now: time::Duration,
     ) -> CrashMark {
-        self.make_room(unix_now);
-        let new_mark = CrashMark {
+        let crash = Crash {
+            at: unix_now,
+            server: server.clone(),
+        };
+        let observed = CrashMark {
             digest,
-            servers: collections::BTreeSet::new(),
+            crashes: collections::BTreeSet::from([crash]),
+            cleared: collections::BTreeSet::new(),
             expires: unix_now + MARK_LIFETIME,
-            changed: unix_now,
-            lifted: false,
         };
-        let mark = self.marks.entry(digest).or_insert(new_mark);
-        if mark.lifted {
-            mark.lifted = false;
-            mark.servers.clear();
+        if !self.marks.contains_key(&digest) {
+            self.make_room(unix_now);
+        }
+        let mark = self.marks.entry(digest).or_insert_with(|| observed.clone());
+        let is_same = |crash: &Crash| {
+            crash.server == *server && crash.at.abs_diff(unix_now) < SAME_CRASH_WINDOW
+        };
+        if !mark.crashes.iter().any(is_same) {
+            mark.merge(&observed);
         }
-        mark.servers.insert(server.clone());
-        mark.expires = unix_now + MARK_LIFETIME;
-        mark.changed = unix_now;
-        mark.clone()
+        let mark = mark.clone();
+        self.record_change(digest);
+        mark
     }
 
     /// Merges a mark from another host. Returns whether this changed anything here.
@@ -108,39 +201,50 @@
                 return false;
             }
             self.marks.insert(mark.digest, mark.clone());
+            self.record_change(mark.digest);
             return true;
         };
-        if known.lifted != mark.lifted {
-            if mark.changed > known.changed {
-                *known = mark.clone();
-                return true;
-            }
+        if known.includes(mark) {
             return false;
         }
-        let before = (known.servers.len(), known.changed);
-        known.servers.extend(mark.servers.iter().cloned());
-        known.expires = known.expires.max(mark.expires);
-        known.changed = known.changed.max(mark.changed);
-        before != (known.servers.len(), known.changed)
+        known.merge(mark);
+        self.record_change(mark.digest);
+        true
     }
 
     /// Lifts a mark: on an operator's request, or because a complete answer shows that the content
     /// doesn't crash servers. Returns the mark, or `None` if there is none to lift.
-    pub fn lift(&mut self, digest: u64, unix_now: time::Duration) -> Option<CrashMark> {
+    pub fn lift(&mut self, digest: u64) -> Option<CrashMark> {
         let mark = self.marks.get_mut(&digest)?;
-        if mark.lifted {
+        if mark.is_lifted() {
             return None;
         }
-        mark.lifted = true;
-        mark.changed = unix_now.max(mark.changed + time::Duration::from_millis(1));
-        Some(mark.clone())
+        let cleared = CrashMark {
+            cleared: std::mem::take(&mut mark.crashes),
+            ..mark.clone()
+        };
+        mark.merge(&cleared);
+        let mark = mark.clone();
+        self.record_change(digest);
+        Some(mark)
     }
 
     /// Returns whether the content was in flight at a crash and its mark is neither lifted nor
     /// expired.
     pub fn is_suspect(&self, digest: u64, unix_now: time::Duration) -> bool {
         let mark = self.marks.get(&digest);
-        mark.is_some_and(|mark| !mark.lifted && mark.expires > unix_now)
+        mark.is_some_and(|mark| !mark.is_lifted() && mark.expires > unix_now)
+    }
+
+    /// Returns whether content may not run. Unlike [`Self::check`], doesn't explain why.
+    pub fn refuses(&self, digest: u64, unix_now: time::Duration) -> bool {
+        let mark = self.marks.get(&digest);
+        mark.is_some_and(|mark| self.is_refused(mark) && mark.expires > unix_now)
+    }
+
+    /// Returns whether a mark lists enough crashes for its content to be refused.
+    pub fn is_refused(&self, mark: &CrashMark) -> bool {
+        mark.crashed_at_least(self.crash_threshold)
     }
 
     /// Checks whether content may run.
@@ -149,14 +253,12 @@
     ///
     /// Refuses quarantined content, naming the servers and the remaining time.
     pub fn check(&self, digest: u64, unix_now: time::Duration) -> Result<(), refusal::Refusal> {
-        let Some(mark) = self.marks.get(&digest) else {
-            return Ok(());
+        let mark = match self.marks.get(&digest) {
+            Some(mark) if self.refuses(digest, unix_now) => mark,
+            _ => return Ok(()),
         };
-        if !mark.crashed_at_least(self.crash_threshold) || mark.expires <= unix_now {
-            return Ok(());
-        }
         let left = mark.expires - unix_now;
-        let servers: Vec<&str> = mark.servers.iter().map(|name| &**name).collect();
+        let servers: Vec<&str> = mark.servers().into_iter().map(|name| &**name).collect();
         let message = format!(
             "content {digest:016x} was in flight when backend servers {} crashed; it is refused for \
              another {} s unless an operator lifts it",
@@ -174,21 +276,30 @@
         self.marks.values()
     }
 
-    /// Returns marks that changed at or after the given Unix time, at most `limit`.
-    pub fn changed_since(&self, since: time::Duration, limit: usize) -> Vec<CrashMark> {
-        let recent = self.marks.values().filter(|mark| mark.changed >= since);
-        recent.take(limit).cloned().collect()
+    /// Returns the mark of content with a digest, expired ones included.
+    pub fn get(&self, digest: u64) -> Option<&CrashMark> {
+        self.marks.get(&digest)
+    }
+
+    /// Removes the marks that have expired and returns their digests.
+    pub fn expire(&mut self, unix_now: time::Duration) -> Vec<u64> {
+        let expired = self.marks.values().filter(|mark| mark.expires <= unix_now);
+        let digests: Vec<u64> = expired.map(|mark| mark.digest).collect();
+        for digest in &digests {
+            self.remove(*digest);
+        }
+        digests
     }
 
-    /// Removes expired marks and, while the table is full, the marks unchanged for longest.
+    /// Removes expired marks and, while the table is full, the ones that expire first.
     fn make_room(&mut self, unix_now: time::Duration) {
-        self.marks.retain(|_, mark| mark.expires > unix_now);
+        self.expire(unix_now);
         while self.marks.len() >= MAX_MARKS {
-            let oldest = self.marks.values().min_by_key(|mark| mark.changed);
+            let oldest = self.marks.values().min_by_key(|mark| mark.expires);
             let Some(digest) = oldest.map(|mark| mark.digest) else {
                 return;
             };
-            self.marks.remove(&digest);
+            self.remove(digest);
         }
     }
 }
--- /dev/null
+++ b/lib/tests/mark_news.rs
@@ -0,0 +1,53 @@
+//! Which crash marks hosts announce to each other.
+
+use std::collections;
+use std::time;
+
+use walnuthaven_lib::announced_marks;
+use walnuthaven_lib::quarantine;
+
+const LIMIT: usize = 8;
+
+fn at(ms: u64) -> time::Duration {
+    time::Duration::from_millis(1_000_000 + ms)
+}
+
+fn table_with_marks(count: u64) -> quarantine::Table {
+    let mut table = quarantine::Table::with_crash_threshold(3);
+    for digest in 1..=count {
+        table.record_crash(digest, &"s1".into(), at(0));
+    }
+    table
+}
+
+/// Returns the digests that a host announces at the given times, in milliseconds.
+fn announced(
+    announcements: &mut announced_marks::Announcements,
+    table: &quarantine::Table,
+    times: impl Iterator<Item = u64>,
+) -> collections::BTreeSet<u64> {
+    let marks = times.flat_map(|ms| announcements.next(table, LIMIT, at(ms)));
+    marks.map(|mark| mark.digest).collect()
+}
+
+// The crash of an engine marks the content of all of its runs, which is more than one message holds.
+#[test]
+fn marks_beyond_the_limit_of_a_message_are_announced_in_the_next_ones() {
+    let table = table_with_marks(40);
+    let mut announcements = announced_marks::Announcements::default();
+    let first = announced(&mut announcements, &table, 0..1);
+    assert_eq!(first.len(), LIMIT);
+    let all = announced(&mut announcements, &table, (10..).step_by(10).take(4));
+    assert_eq!(first.union(&all).count(), 40);
+}
+
+#[test]
+fn a_changed_mark_is_announced_again() {
+    let mut table = table_with_marks(1);
+    let mut announcements = announced_marks::Announcements::default();
+    announced(&mut announcements, &table, (0..20_000).step_by(100));
+    table.record_crash(1, &"s2".into(), at(20_000));
+    let marks = announcements.next(&table, LIMIT, at(20_000));
+    assert_eq!(marks.len(), 1);
+    assert_eq!(marks[0].servers().len(), 2);
+}
--- a/lib/tests/quarantine_marks.rs
+++ b/lib/tests/quarantine_marks.rs
@@ -37,7 +37,7 @@
     local.record_crash(DIGEST, &"s1".into(), at(0));
     let older = local.record_crash(DIGEST, &"s2".into(), at(1));
     assert!(remote.merge(&older, at(1)));
-    let lifted = local.lift(DIGEST, at(1)).expect("no mark to lift");
+    let lifted = local.lift(DIGEST).expect("no mark to lift");
     assert!(remote.merge(&lifted, at(2)));
     assert!(
         !remote.merge(&older, at(3)),
@@ -53,6 +53,21 @@
     assert_eq!(local.check(DIGEST, at(4)), Ok(()));
 }
 
+// The clock of the host that lifts a mark may be ahead of those that observe crashes afterwards.
+#[test]
+fn crash_after_a_lift_counts_whatever_the_clocks_show() {
+    let mut fast = quarantine::Table::default();
+    let mut accurate = quarantine::Table::default();
+    let mark = accurate.record_crash(DIGEST, &"s1".into(), at(0));
+    fast.merge(&mark, at(600));
+    let lifted = fast.lift(DIGEST).expect("no mark to lift");
+    accurate.merge(&lifted, at(1));
+    accurate.record_crash(DIGEST, &"s2".into(), at(2));
+    let crashed = accurate.record_crash(DIGEST, &"s3".into(), at(3));
+    assert!(fast.merge(&crashed, at(603)));
+    assert!(fast.check(DIGEST, at(603)).is_err());
+}
+
 #[test]
 fn merging_gives_the_same_marks_in_any_order() {
     fn order_does_not_matter(crashes: Vec<(u8, u8)>) -> bool {
--- a/standin/tests/crash_marks.rs
+++ b/standin/tests/crash_marks.rs
@@ -106,7 +106,7 @@
     let quarantine = locks::lock(&fleet.host(0).quarantine);
     let marks: Vec<_> = quarantine.marks().filter(|m| m.is_quarantined()).collect();
     assert_eq!(marks.len(), 1, "no other content is quarantined");
-    assert_eq!(marks[0].servers.len(), 2, "exactly two servers crashed");
+    assert_eq!(marks[0].servers().len(), 2, "exactly two servers crashed");
 }
 
 #[tokio::test(flavor = "multi_thread")]
