router: keep crash marks in the store, so that every host knows them from its start

Cause: marks lived only in the memory of hosts and were announced for five seconds after a change, at most the first eight by digest. A host that started, restarted, was paused or cut off during that time never learned of them, and after all hosts were killed nobody knew. Each such host took the content as new. Class: a decision that every host must share rests on state that is told once and kept by nobody who outlives the hosts. Ruled out: one object for all marks (every write conflicts) and one object a host (it must read its own first). Change: one object a mark in the platform's store. The observer of a crash writes it at once under the revision it knows; hosts that were told write it if it is still missing a second later. Each host lists the marks at its start and isn't ready before that (for 3 s at most), watches them, and news repeat all marks in turn, two a second. Two more tests hold with the store down while the marks are made. They weren't run on the code before. Why it works: the store outlives all hosts, loses nothing acknowledged, and hosts start by reading it; while it is away, hosts that know go on refusing and tell the others.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic;
 use std::time;
 
-use walnuthaven_lib::announced_marks;
 use walnuthaven_lib::answer_lengths;
 use walnuthaven_lib::backends;
 use walnuthaven_lib::clock;
@@ -14,7 +13,6 @@
 use walnuthaven_lib::engine_load;
 use walnuthaven_lib::ids;
 use walnuthaven_lib::peers;
-use walnuthaven_lib::quarantine;
 use walnuthaven_lib::retry_share;
 use walnuthaven_lib::routing;
 use walnuthaven_lib::server_health;
@@ -66,10 +64,10 @@
     pub(crate) registered: tokio::sync::Notify,
     /// Signalled when another host has a newer configuration than this one.
     pub(crate) table_outdated: tokio::sync::Notify,
-    /// Digests of requests that were in flight when backend servers crashed.
-    pub(crate) crash_marks: sync::Mutex<quarantine::Table>,
-    /// Which of these marks were announced to other hosts.
-    pub(crate) announced_marks: sync::Mutex<announced_marks::Announcements>,
+    /// Marks of requests that were in flight when backend servers crashed.
+    pub(crate) crash_marks: sync::Mutex<crash_marks::CrashMarks>,
+    /// Signalled when the store may lack a mark.
+    pub(crate) crash_marks_unsaved: tokio::sync::Notify,
     /// The memory held by request bodies.
     pub(crate) body_memory: sync::Arc<body_memory::BodyMemory>,
     /// This host's shares of the retry budgets, by service.
@@ -111,10 +109,8 @@
             news_due: tokio::sync::Notify::new(),
             registered: tokio::sync::Notify::new(),
             table_outdated: tokio::sync::Notify::new(),
-            crash_marks: sync::Mutex::new(quarantine::Table::with_crash_threshold(
-                crash_marks::SERVERS_TO_REFUSE,
-            )),
-            announced_marks: sync::Mutex::default(),
+            crash_marks: sync::Mutex::new(crash_marks::CrashMarks::new(clock.now())),
+            crash_marks_unsaved: tokio::sync::Notify::new(),
             body_memory: sync::Arc::default(),
             retry_budgets: retry_budget::RetryBudgets::default(),
             connection_pool: connection_pool::Pool::default(),
@@ -200,11 +196,16 @@
         leaving_since.map_or(time::Duration::ZERO, |at| self.now().saturating_sub(at))
     }
 
-    /// Returns whether the host is ready for callers: it knows the backend servers and the
-    /// configuration, and isn't leaving.
+    /// Returns whether the host is ready for callers: it knows the backend servers, the configuration
+    /// and the crash marks, and isn't leaving.
     pub(crate) fn takes_callers(&self) -> bool {
         let listed = self.servers_listed.load(atomic::Ordering::Relaxed);
-        listed && !self.is_leaving() && locks::read(&self.table).is_some()
+        listed && !self.is_leaving() && locks::read(&self.table).is_some() && self.knows_marks()
+    }
+
+    /// Returns whether the crash marks are known, so that requests may be sent to servers.
+    pub(crate) fn knows_marks(&self) -> bool {
+        locks::lock(&self.crash_marks).are_known(self.now())
     }
 
     /// Returns how many idle connections this host may keep to each server of a service. The hosts
--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -1,18 +1,23 @@
-//! Detects requests that crash backend servers, and shares them with the other hosts so that all hosts
-//! refuse them.
+//! Marks of requests that crash backend servers, by which all hosts refuse them.
 //!
 //! A crash mark belongs to a content digest (of caller, target and body) and lists the servers that
-//! crashed while they had a request with that digest.
+//! crashed while they had a request with that digest. Every host has to know all marks, and has to know
+//! them again after it restarted. They reach it in two ways: the store holds them for hosts that start and
+//! tells the others of changes ([`crash_mark_store`](super::crash_mark_store)), and news announce
+//! them while the store can't.
 
 use std::sync;
 use std::time;
 
+use walnuthaven_lib::announced_marks;
 use walnuthaven_lib::backends;
 use walnuthaven_lib::clock;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::ids;
 use walnuthaven_lib::outcome;
 use walnuthaven_lib::quarantine;
+use walnuthaven_lib::refusal;
+use walnuthaven_lib::stored_marks;
 use walnuthaven_wire::news;
 
 use crate::locks;
@@ -24,14 +29,52 @@
 /// The number of servers that must have crashed before content is refused. In a burst of unrelated
 /// crashes, a harmless request may lose its first server and the one that it is sent to next, but
 /// hardly a third one.
-pub(crate) const SERVERS_TO_REFUSE: usize = 3;
+const SERVERS_TO_REFUSE: usize = 3;
 /// Time between a broken answer and the connection attempt that tells whether the server crashed. A
 /// crashed server can't be reached for seconds.
 const PROBE_DELAY: time::Duration = time::Duration::from_millis(150);
 /// Longest time for that connection attempt.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Maximum number of changed marks in one news message.
-const MAX_MARKS_PER_MESSAGE: usize = 8;
+const MAX_MARKS_PER_MESSAGE: usize = 4;
+/// How long after its start a host refuses requests because it hasn't read the marks. Afterwards the
+/// store is in trouble, and requests that crash servers are rarer than others.
+const READ_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// The marks that this host knows, and what it has told of them.
+#[derive(Debug)]
+pub(crate) struct CrashMarks {
+    pub(super) table: quarantine::Table,
+    pub(super) stored: stored_marks::StoredMarks,
+    announcements: announced_marks::Announcements,
+    /// Whether the marks were read from the store.
+    pub(super) read: bool,
+    /// When the process started, as time since boot.
+    started_at: time::Duration,
+}
+
+impl CrashMarks {
+    /// Creates an empty table. `started_at` is the time since boot.
+    pub(crate) fn new(started_at: time::Duration) -> Self {
+        Self {
+            table: quarantine::Table::with_crash_threshold(SERVERS_TO_REFUSE),
+            stored: stored_marks::StoredMarks::default(),
+            announcements: announced_marks::Announcements::default(),
+            read: false,
+            started_at,
+        }
+    }
+
+    /// Returns whether the host knows the marks as well as it can.
+    pub(crate) fn are_known(&self, now: time::Duration) -> bool {
+        self.read || now.saturating_sub(self.started_at) >= READ_TIMEOUT
+    }
+
+    /// Returns all marks.
+    pub(crate) fn marks(&self) -> impl Iterator<Item = &quarantine::CrashMark> {
+        self.table.marks()
+    }
+}
 
 /// Checks in the background whether a server that broke off its answer has crashed, and marks the
 /// content if it has.
@@ -72,12 +115,7 @@
             return;
         }
         log_check(digest, &id, outcome, "crashed");
-        cx.telemetry.count("crash_marks.crashes");
-        let unix_time = cx.unix_time();
-        let mark = locks::lock(&cx.crash_marks).record_crash(digest, &server_key, unix_time);
-        event!(Warn, "content-crashed-server", "digest" => hex(digest),
-            "server" => server_key, "servers" => mark.servers().len());
-        cx.news_due.notify_one();
+        record_crash(&cx, digest, &server_key);
     });
 }
 
@@ -87,11 +125,65 @@
         "outcome" => format!("{outcome:?}"), "verdict" => verdict);
 }
 
-/// Returns a digest as it is written in logs.
+/// Returns a digest as it is written in logs and object names.
 pub(crate) fn hex(digest: u64) -> String {
     format!("{digest:016x}")
 }
 
+/// Records that a server crashed with the content in flight.
+pub(crate) fn record_crash<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    digest: u64,
+    server: &ids::Name,
+) {
+    let mark = {
+        let mut marks = locks::lock(&cx.crash_marks);
+        marks.table.record_crash(digest, server, cx.unix_time())
+    };
+    cx.telemetry.count("crash_marks.crashes");
+    event!(Warn, "content-crashed-server", "digest" => hex(digest), "server" => server,
+        "servers" => mark.servers().len());
+    on_change(cx, digest, stored_marks::Origin::Observed);
+}
+
+/// Lifts the mark of content that got a complete answer, which shows that it doesn't crash servers.
+pub(crate) fn lift_mark<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) {
+    let lifted = locks::lock(&cx.crash_marks).table.lift(digest);
+    if let Some(mark) = lifted {
+        event!(Info, "content-cleared", "digest" => hex(digest), "cleared" => mark.cleared.len());
+        on_change(cx, digest, stored_marks::Origin::Observed);
+    }
+}
+
+/// Has a changed mark announced, if this host observed the change, and stored.
+fn on_change<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    digest: u64,
+    origin: stored_marks::Origin,
+) {
+    let now = cx.now();
+    let mut marks = locks::lock(&cx.crash_marks);
+    marks
+        .stored
+        .record_change(digest, origin, rand::random(), now);
+    drop(marks);
+    cx.news_due.notify_one();
+    cx.crash_marks_unsaved.notify_one();
+}
+
+/// Checks whether content may be sent to servers.
+///
+/// # Errors
+///
+/// Refuses content that crashed several servers.
+pub(crate) fn check<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    digest: u64,
+) -> Result<(), refusal::Refusal> {
+    let unix_time = cx.unix_time();
+    locks::lock(&cx.crash_marks).table.check(digest, unix_time)
+}
+
 /// Logs and counts a send of content that is marked.
 pub(crate) fn log_send<D: dialect::Dialect>(
     cx: &context::Router<D>,
@@ -99,29 +191,24 @@
     server: &str,
 ) {
     let marks = locks::lock(&cx.crash_marks);
-    if marks.is_suspect(req.digest, cx.unix_time()) {
-        let refused = marks.check(req.digest, cx.unix_time()).is_err();
+    if marks.table.is_suspect(req.digest, cx.unix_time()) {
+        let refused = marks.table.check(req.digest, cx.unix_time()).is_err();
         cx.telemetry.count("crash_marks.suspects_sent");
         event!(Info, "suspect-sent", "id" => req.head.request_id, "digest" => hex(req.digest),
             "server" => server, "refused_by_now" => refused);
     }
 }
 
-/// Lifts the mark of content that got a complete answer, which shows that it doesn't crash servers.
-pub(crate) fn lift_mark<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) {
-    let mut marks = locks::lock(&cx.crash_marks);
-    if let Some(mark) = marks.lift(digest) {
-        event!(Info, "content-cleared", "digest" => hex(digest),
-            "crashes" => mark.cleared.len());
-        cx.news_due.notify_one();
-    }
-}
-
-/// Returns changed marks for a news message to the other hosts.
+/// Returns marks for a news message to the other hosts.
 pub(crate) fn next_announced<D: dialect::Dialect>(cx: &context::Router<D>) -> Vec<news::CrashMark> {
-    let marks = locks::lock(&cx.crash_marks);
-    let mut announced = locks::lock(&cx.announced_marks);
-    let announced = announced.next(&marks, MAX_MARKS_PER_MESSAGE, cx.now());
+    let now = cx.now();
+    let mut marks = locks::lock(&cx.crash_marks);
+    let CrashMarks {
+        table,
+        announcements,
+        ..
+    } = &mut *marks;
+    let announced = announcements.next(table, MAX_MARKS_PER_MESSAGE, now);
     announced.iter().map(to_wire).collect()
 }
 
@@ -162,12 +249,25 @@
     cx: &context::Router<D>,
     received: Vec<news::CrashMark>,
 ) {
-    let unix_time = cx.unix_time();
-    let mut marks = locks::lock(&cx.crash_marks);
     for mark in received.into_iter().map(from_wire) {
-        if marks.merge(&mark, unix_time) {
-            event!(Info, "content-marked-elsewhere", "digest" => hex(mark.digest),
-                "servers" => mark.servers().len(), "lifted" => mark.is_lifted());
-        }
+        merge(cx, &mark, "news");
+    }
+}
+
+/// Merges a mark from another host or the store. `source` names where it came from.
+pub(super) fn merge<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    mark: &quarantine::CrashMark,
+    source: &'static str,
+) {
+    let unix_time = cx.unix_time();
+    let merged = locks::lock(&cx.crash_marks)
+        .table
+        .merge_shared(mark, unix_time);
+    if !merged {
+        return;
     }
+    event!(Info, "content-marked-elsewhere", "digest" => hex(mark.digest), "source" => source,
+        "servers" => mark.servers().len(), "cleared" => mark.cleared.len());
+    on_change(cx, mark.digest, stored_marks::Origin::Announced);
 }
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -14,7 +14,6 @@
 use walnuthaven_lib::routing;
 use xxhash_rust::xxh3;
 
-use crate::locks;
 use crate::router::answer;
 use crate::router::context;
 use crate::router::crash_marks;
@@ -24,7 +23,7 @@
 use crate::router::send;
 use crate::router::stream_request;
 
-/// Retry-After while the host has no configuration, or one without the route's service.
+/// Retry-After while the host has no configuration or crash marks, or a configuration without the route's service.
 const NOT_READY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 /// Retry-After of requests for streams that a leaving host refuses. It is short because callers
 /// send them to another host.
@@ -87,6 +86,10 @@
         event!(Info, "refused", "id" => id, "cause" => "no configuration yet");
         return answer::not_run("no configuration yet", NOT_READY_RETRY_AFTER);
     };
+    if !cx.knows_marks() {
+        event!(Info, "refused", "id" => id, "cause" => "crash marks not read yet");
+        return answer::not_run("crash marks not read yet", NOT_READY_RETRY_AFTER);
+    }
     let host = parts.headers.get(http::header::HOST);
     let host = host
         .and_then(|host| host.to_str().ok())
@@ -139,8 +142,7 @@
         );
     };
     let digest = digest(caller, &parts.uri, &body);
-    let unix_time = cx.unix_time();
-    if let Err(refusal) = locks::lock(&cx.crash_marks).check(digest, unix_time) {
+    if let Err(refusal) = crash_marks::check(cx, digest) {
         event!(Info, "refused", "id" => id, "cause" => "crashes servers",
             "digest" => crash_marks::hex(digest), "marked" => refusal.message);
         return answer::not_run("this request crashed several servers", CRASHES_RETRY_AFTER);
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -30,7 +30,7 @@
 /// sender has probably lost its own network links.
 const MAX_AVOIDED_DIVISOR: usize = 3;
 /// Size in bytes of the receive buffer.
-const MAX_DATAGRAM: usize = 4_096;
+const MAX_DATAGRAM: usize = 8_192;
 
 /// Starts the tasks that send and receive news.
 ///
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -13,6 +13,7 @@
 
 use crate::locks;
 use crate::router::context;
+use crate::router::crash_mark_store;
 use crate::router::events;
 use crate::router::events::event;
 use crate::router::forward;
@@ -83,6 +84,7 @@
         .await
         .with_context(|| format!("cannot bind the news address {}", settings.news_addr))?;
     store_sync::spawn(&cx);
+    crash_mark_store::spawn(&cx);
     stage_orders::spawn(&cx);
     tokio::spawn(register(cx.clone()));
     tokio::spawn(upkeep(cx.clone()));
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -1,8 +1,7 @@
-//! Keeps this host's views of the store's collections up to date: configuration, backend servers
-//! and other hosts.
+//! Keeps this host's views of the store's collections up to date: configuration, backend servers,
+//! crash marks and other hosts.
 //!
-//! The configuration and the backend servers are listed once and then watched; the hosts are listed
-//! from time to time. While the store doesn't answer, each view stays as it was.
+//! The hosts are listed from time to time; the other collections are listed once and then watched. While the store doesn't answer, each view stays as it was.
 
 use std::sync;
 use std::sync::atomic;
@@ -16,6 +15,7 @@
 
 use crate::locks;
 use crate::router::context;
+use crate::router::crash_mark_store;
 use crate::router::events::event;
 use crate::router::store;
 
@@ -34,6 +34,9 @@
 const SERVERS_WATCH_PAUSE: time::Duration = time::Duration::from_millis(600);
 /// Pause before each watch call for the configuration.
 const CONFIGURATION_WATCH_PAUSE: time::Duration = time::Duration::from_millis(40);
+/// Pause before each watch call for crash marks. The crash of an engine changes many of them at once, and
+/// the other hosts must know of the third crash within three seconds.
+const MARKS_WATCH_PAUSE: time::Duration = time::Duration::from_millis(300);
 
 /// How long another host may have a newer configuration before this host lists the configuration
 /// again. A working watch delivers even a large configuration within half a second.
@@ -56,6 +59,7 @@
         dialect::Collection::Configuration,
         dialect::Collection::Backends,
         dialect::Collection::Hosts,
+        dialect::Collection::CrashMarks,
     ];
     for collection in collections {
         tokio::spawn(follow(cx.clone(), collection));
@@ -161,6 +165,7 @@
 fn watch_pause(collection: dialect::Collection) -> time::Duration {
     match collection {
         dialect::Collection::Configuration => CONFIGURATION_WATCH_PAUSE,
+        dialect::Collection::CrashMarks => MARKS_WATCH_PAUSE,
         _ => SERVERS_WATCH_PAUSE,
     }
 }
@@ -172,6 +177,7 @@
         dialect::Collection::Backends => "backend servers",
         dialect::Collection::Hosts => "hosts",
         dialect::Collection::Leases => "leases",
+        dialect::Collection::CrashMarks => "crash marks",
     }
 }
 
@@ -231,6 +237,7 @@
             let listed = objects.iter().filter_map(|object| read_host(cx, object));
             locks::lock(&cx.peers).replace_entries(listed.collect());
         }
+        dialect::Collection::CrashMarks => crash_mark_store::apply_list(cx, &objects),
         dialect::Collection::Leases => {}
     }
     event!(Info, "view-listed", "view" => view_name(collection), "revision" => revision,
@@ -263,6 +270,7 @@
                 on_server_change(cx, change);
             }
         }
+        dialect::Collection::CrashMarks => crash_mark_store::apply_change(cx, change),
         // Hosts are listed, not watched. A removed configuration stays in force.
         dialect::Collection::Configuration
         | dialect::Collection::Hosts
--- a/daemon/tests/crashing_requests.rs
+++ b/daemon/tests/crashing_requests.rs
@@ -1,6 +1,7 @@
 //! Requests that crash the servers that run them.
 
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use walnuthaven_platform_standin::caller;
@@ -15,6 +16,8 @@
 const ANNOUNCE_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// A change is announced for 5 s. A host that starts after that has heard none of it.
 const SILENCE_TIME: time::Duration = time::Duration::from_millis(5_500);
+/// Time for hosts to write marks after the store came back.
+const STORE_TIME: time::Duration = time::Duration::from_secs(4);
 
 async fn send(host: &hosts::Host, id: &str, body: &str) -> caller::Answer {
     send_to(host, "/once/x", id, body).await
@@ -111,3 +114,44 @@
     host.wait_ready().await;
     assert_refused(&host, &servers, "p4").await;
 }
+
+// A store that doesn't answer must neither hide marks from running hosts nor lose those made meanwhile.
+#[tokio::test]
+async fn content_is_refused_while_the_store_is_down_and_by_hosts_that_start_afterwards() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    let servers = start_servers(&store, &["i-a", "i-b", "i-c", "i-d"]).await;
+    let host = start_host("h1", addr).await;
+    let other = start_host("h2", addr).await;
+    tokio::time::sleep(ANNOUNCE_TIME).await;
+    store.refuses.store(true, atomic::Ordering::Relaxed);
+    crash_three_servers(&host).await;
+    tokio::time::sleep(SILENCE_TIME).await;
+    assert_refused(&host, &servers, "p4").await;
+    assert_refused(&other, &servers, "p5").await;
+    store.refuses.store(false, atomic::Ordering::Relaxed);
+    tokio::time::sleep(STORE_TIME).await;
+    drop(host);
+    drop(other);
+    let newcomer = start_host("h3", addr).await;
+    assert_refused(&newcomer, &servers, "p6").await;
+}
+
+// Of two hosts that know a mark, the one that made it may end before it could write it to the store.
+#[tokio::test]
+async fn mark_of_a_host_that_was_killed_is_stored_by_another() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    let servers = start_servers(&store, &["i-a", "i-b", "i-c", "i-d"]).await;
+    let host = start_host("h1", addr).await;
+    let other = start_host("h2", addr).await;
+    tokio::time::sleep(ANNOUNCE_TIME).await;
+    store.refuses.store(true, atomic::Ordering::Relaxed);
+    crash_three_servers(&host).await;
+    drop(host);
+    store.refuses.store(false, atomic::Ordering::Relaxed);
+    tokio::time::sleep(STORE_TIME).await;
+    drop(other);
+    let newcomer = start_host("h3", addr).await;
+    assert_refused(&newcomer, &servers, "p4").await;
+}
--- a/lib/src/announced_marks.rs
+++ b/lib/src/announced_marks.rs
@@ -1,6 +1,8 @@
 //! Which crash marks a host includes in its messages to other hosts.
 //!
-//! A changed mark is included in many messages, since each may be lost.
+//! A changed mark is included in several messages, since each may be lost. Afterwards all marks are
+//! repeated in turn, a few per second, because a host may have missed the change: it was paused, cut off,
+//! or not started yet.
 
 use std::collections;
 use std::time;
@@ -9,18 +11,30 @@
 
 /// How long a changed mark is included in messages.
 const ANNOUNCED_FOR: time::Duration = time::Duration::from_secs(5);
+/// Shortest time between two messages with the same changed mark.
+const MIN_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// Time between two repetitions. With 60 bytes a mark and 95 receivers they take 12 kB/s.
+const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// How long a mark isn't repeated after it was sent.
+const MIN_AGE: time::Duration = time::Duration::from_secs(1);
 
 /// The marks that were announced, by digest. Times are times since boot.
 #[derive(Debug, Default)]
 pub struct Announcements {
     /// Number of the newest change in the table that was seen.
     last_change: u64,
-    /// Marks that changed: until when they are announced, and in how many messages they have been.
-    changed: collections::BTreeMap<u64, (time::Duration, u32)>,
+    /// Marks that changed, and until when they are announced.
+    changed: collections::BTreeMap<u64, time::Duration>,
+    /// When each mark was last included in a message.
+    sent_at: collections::BTreeMap<u64, time::Duration>,
+    repeated_at: time::Duration,
+    /// Whether the last repetition was for marks whose content is refused.
+    prefer_refused: bool,
 }
 
 impl Announcements {
-    /// Chooses the marks for a message: at most `limit` changed ones, those sent least often first.
+    /// Chooses the marks for a message: at most `limit` changed ones, those not sent for longest first. If
+    /// there is room and a repetition is due, adds one more.
     pub fn next(
         &mut self,
         table: &quarantine::Table,
@@ -29,27 +43,49 @@
     ) -> Vec<quarantine::CrashMark> {
         for (change, mark) in table.changes_after(self.last_change) {
             self.last_change = change;
-            self.changed.insert(mark.digest, (now + ANNOUNCED_FOR, 0));
+            self.changed.insert(mark.digest, now + ANNOUNCED_FOR);
+            self.sent_at.remove(&mark.digest);
         }
         self.changed
-            .retain(|digest, (until, _)| now < *until && table.get(*digest).is_some());
-        let mut least_sent: Vec<_> = self
+            .retain(|digest, until| now < *until && table.get(*digest).is_some());
+        let mut due: Vec<_> = self
             .changed
-            .iter()
-            .map(|(digest, (_, sent))| (*sent, *digest))
-            .collect();
-        least_sent.sort_unstable();
-        let digests: Vec<u64> = least_sent
-            .into_iter()
-            .take(limit)
-            .map(|(_, digest)| digest)
+            .keys()
+            .map(|digest| (self.last_sent(*digest), *digest))
+            .filter(|(sent_at, _)| now.saturating_sub(*sent_at) >= MIN_INTERVAL)
             .collect();
+        due.sort_unstable();
+        due.truncate(limit);
+        let mut digests: Vec<u64> = due.into_iter().map(|(_, digest)| digest).collect();
         for digest in &digests {
-            if let Some((_, sent)) = self.changed.get_mut(digest) {
-                *sent += 1;
-            }
+            self.sent_at.insert(*digest, now);
+        }
+        if digests.len() < limit && now.saturating_sub(self.repeated_at) >= REPEAT_INTERVAL {
+            self.repeated_at = now;
+            let repeated = self.next_repeated(table, now);
+            self.sent_at.extend(repeated.map(|digest| (digest, now)));
+            digests.extend(repeated);
         }
         let marks = digests.iter().filter_map(|digest| table.get(*digest));
         marks.cloned().collect()
     }
+
+    /// Chooses the mark to repeat: the one that wasn't sent for longest, every other time of those whose
+    /// content is refused.
+    fn next_repeated(&mut self, table: &quarantine::Table, now: time::Duration) -> Option<u64> {
+        self.sent_at
+            .retain(|digest, _| table.get(*digest).is_some());
+        self.prefer_refused = !self.prefer_refused;
+        let candidates = table.marks().filter_map(|mark| {
+            let sent_at = self.last_sent(mark.digest);
+            let is_due = now.saturating_sub(sent_at) >= MIN_AGE;
+            let rank = self.prefer_refused && !table.is_refused(mark);
+            is_due.then_some((rank, sent_at, mark.digest))
+        });
+        candidates.min().map(|(.., digest)| digest)
+    }
+
+    fn last_sent(&self, digest: u64) -> time::Duration {
+        self.sent_at.get(&digest).copied().unwrap_or_default()
+    }
 }
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -119,6 +119,8 @@
     Hosts,
     /// Leases of the router's own hosts.
     Leases,
+    /// Marks of requests that crashed backend servers.
+    CrashMarks,
 }
 
 /// How current the result of a list call must be.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod routing;
 pub mod run_moves;
 pub mod server_health;
+pub mod stored_marks;
 pub mod transfer;
 pub mod validate;
 pub mod wait_queue;
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -27,7 +27,7 @@
 const MAX_MARKS: usize = 10_000;
 
 /// Maximum number of crashes, and of cleared ones, that a mark lists. It exceeds every threshold by far.
-const MAX_CRASHES: usize = 12;
+const MAX_CRASHES: usize = 6;
 /// Crashes of a server within this time are one. A crashed server can't be reached for longer.
 const SAME_CRASH_WINDOW: time::Duration = time::Duration::from_secs(1);
 
@@ -152,8 +152,8 @@
         }
     }
 
-    /// Returns the marks whose last change has a higher number than `after`, each with the number of that
-    /// change. Changes are numbered in the order in which they are made here, starting at 1.
+    /// Returns the marks with a change to announce whose number is higher than `after`, each with the number
+    /// of its last one. Changes are numbered in the order in which they are made here, starting at 1.
     pub fn changes_after(&self, after: u64) -> impl Iterator<Item = (u64, &CrashMark)> {
         let newer = self.changes.range(after.saturating_add(1)..);
         newer.filter_map(|(change, digest)| Some((*change, self.marks.get(digest)?)))
@@ -191,8 +191,19 @@
         mark
     }
 
-    /// Merges a mark from another host. Returns whether this changed anything here.
+    /// Merges a mark from another host, to be announced by this one as well. Returns whether this changed
+    /// anything here.
     pub fn merge(&mut self, mark: &CrashMark, unix_now: time::Duration) -> bool {
+        let changed = self.merge_shared(mark, unix_now);
+        if changed {
+            self.record_change(mark.digest);
+        }
+        changed
+    }
+
+    /// Merges a mark that the other hosts get from the same source, so that this one needn't announce it.
+    /// Returns whether this changed anything here.
+    pub fn merge_shared(&mut self, mark: &CrashMark, unix_now: time::Duration) -> bool {
         if mark.expires <= unix_now {
             return false;
         }
@@ -201,14 +212,12 @@
                 return false;
             }
             self.marks.insert(mark.digest, mark.clone());
-            self.record_change(mark.digest);
             return true;
         };
         if known.includes(mark) {
             return false;
         }
         known.merge(mark);
-        self.record_change(mark.digest);
         true
     }
 
--- a/lib/tests/mark_news.rs
+++ b/lib/tests/mark_news.rs
@@ -51,3 +51,41 @@
     assert_eq!(marks.len(), 1);
     assert_eq!(marks[0].servers().len(), 2);
 }
+
+// A host that is cut off for longer than a change is announced must learn of it afterwards.
+#[test]
+fn all_marks_are_repeated_after_they_were_announced() {
+    let table = table_with_marks(10);
+    let mut announcements = announced_marks::Announcements::default();
+    announced(&mut announcements, &table, (0..6_000).step_by(100));
+    let repeated = announced(&mut announcements, &table, (6_000..12_000).step_by(100));
+    assert_eq!(repeated.len(), 10);
+}
+
+// Few marks refuse content. They must not wait for a turn among all others.
+#[test]
+fn marks_that_refuse_content_are_repeated_within_a_second() {
+    let mut table = table_with_marks(200);
+    for server in ["s2", "s3"] {
+        table.record_crash(150, &server.into(), at(0));
+    }
+    let mut announcements = announced_marks::Announcements::default();
+    announced(&mut announcements, &table, (0..6_000).step_by(100));
+    for second in 6..10 {
+        let times = (second * 1_000..(second + 1) * 1_000 + 500).step_by(100);
+        assert!(announced(&mut announcements, &table, times).contains(&150));
+    }
+}
+
+// A steady flow of messages must not grow with the number of marks.
+#[test]
+fn repetitions_are_few() {
+    let table = table_with_marks(1_000);
+    let mut announcements = announced_marks::Announcements::default();
+    announced(&mut announcements, &table, (0..6_000).step_by(100));
+    let sent: usize = (6_000..16_000)
+        .step_by(2)
+        .map(|ms| announcements.next(&table, LIMIT, at(ms)).len())
+        .sum();
+    assert!(sent <= 20, "{sent} marks were sent in 10 s");
+}
