router: check the mark of content before each send, not only at its arrival

Cause: the mark was checked once, when the request arrived. Class: a check that is separated from the act that it guards. Change: send() checks right before a request leaves, which covers first sends, retries, prefills, decoding, moved and resumed runs. It yields an outcome of its own that is never sent again and charged to no server; the caller gets 503 with the Retry-After of marked content if nothing ran, else 502. A request that waits for an engine is refused when its content is marked.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -66,6 +66,8 @@
     pub(crate) table_outdated: tokio::sync::Notify,
     /// Marks of requests that were in flight when backend servers crashed.
     pub(crate) crash_marks: sync::Mutex<crash_marks::CrashMarks>,
+    /// Wakes waiting requests after a mark has changed.
+    pub(crate) crash_marks_changed: tokio::sync::Notify,
     /// Signalled when the store may lack a mark.
     pub(crate) crash_marks_unsaved: tokio::sync::Notify,
     /// The memory held by request bodies.
@@ -110,6 +112,7 @@
             registered: tokio::sync::Notify::new(),
             table_outdated: tokio::sync::Notify::new(),
             crash_marks: sync::Mutex::new(crash_marks::CrashMarks::new(clock.now())),
+            crash_marks_changed: tokio::sync::Notify::new(),
             crash_marks_unsaved: tokio::sync::Notify::new(),
             body_memory: sync::Arc::default(),
             retry_budgets: retry_budget::RetryBudgets::default(),
--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -21,6 +21,7 @@
 use walnuthaven_wire::news;
 
 use crate::locks;
+use crate::router::answer;
 use crate::router::connection_pool;
 use crate::router::context;
 use crate::router::events::event;
@@ -37,6 +38,10 @@
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Maximum number of changed marks in one news message.
 const MAX_MARKS_PER_MESSAGE: usize = 4;
+/// Retry-After of requests that crashed servers. They are refused until an operator acts.
+const CRASHES_RETRY_AFTER: time::Duration = time::Duration::from_secs(60);
+/// What a refused caller is told.
+const REFUSAL: &str = "this request crashed several servers";
 /// How long after its start a host refuses requests because it hasn't read the marks. Afterwards the
 /// store is in trouble, and requests that crash servers are rarer than others.
 const READ_TIMEOUT: time::Duration = time::Duration::from_secs(3);
@@ -155,7 +160,7 @@
     }
 }
 
-/// Has a changed mark announced, if this host observed the change, and stored.
+/// Has a changed mark stored, announced if this host observed the change, and waiting requests checked.
 fn on_change<D: dialect::Dialect>(
     cx: &context::Router<D>,
     digest: u64,
@@ -167,8 +172,11 @@
         .stored
         .record_change(digest, origin, rand::random(), now);
     drop(marks);
-    cx.news_due.notify_one();
+    if origin == stored_marks::Origin::Observed {
+        cx.news_due.notify_one();
+    }
     cx.crash_marks_unsaved.notify_one();
+    cx.crash_marks_changed.notify_waiters();
 }
 
 /// Checks whether content may be sent to servers.
@@ -184,19 +192,50 @@
     locks::lock(&cx.crash_marks).table.check(digest, unix_time)
 }
 
-/// Logs and counts a send of content that is marked.
-pub(crate) fn log_send<D: dialect::Dialect>(
+/// Checks content right before a send: it may have crashed servers since its request arrived.
+///
+/// # Errors
+///
+/// Refuses content that crashed several servers.
+pub(crate) fn check_send<D: dialect::Dialect>(
     cx: &context::Router<D>,
     req: &send::CallerRequest,
     server: &str,
-) {
-    let marks = locks::lock(&cx.crash_marks);
-    if marks.table.is_suspect(req.digest, cx.unix_time()) {
-        let refused = marks.table.check(req.digest, cx.unix_time()).is_err();
+) -> Result<(), send::SendFailure> {
+    let (refused, suspect) = {
+        let unix_time = cx.unix_time();
+        let marks = locks::lock(&cx.crash_marks);
+        let refused = marks.table.refuses(req.digest, unix_time);
+        (refused, marks.table.is_suspect(req.digest, unix_time))
+    };
+    if refused {
+        cx.telemetry.count("crash_marks.sends_refused");
+        let outcome = outcome::Outcome::Quarantined;
+        let cause = REFUSAL;
+        return Err(send::SendFailure { outcome, cause });
+    }
+    if suspect {
         cx.telemetry.count("crash_marks.suspects_sent");
         event!(Info, "suspect-sent", "id" => req.head.request_id, "digest" => hex(req.digest),
-            "server" => server, "refused_by_now" => refused);
+            "server" => server);
     }
+    Ok(())
+}
+
+/// Waits until content may not be sent to servers any more.
+pub(crate) async fn wait_until_refused<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) {
+    loop {
+        let changed = cx.crash_marks_changed.notified();
+        if check(cx, digest).is_err() {
+            return;
+        }
+        changed.await;
+    }
+}
+
+/// Makes the answer to a request that crashed several servers and wasn't sent to any.
+pub(crate) fn refusal_answer() -> answer::Answer {
+    answer::not_run(REFUSAL, CRASHES_RETRY_AFTER)
 }
 
 /// Returns marks for a news message to the other hosts.
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -13,6 +13,7 @@
 use crate::locks;
 use crate::router::answer;
 use crate::router::connection_pool;
+use crate::router::crash_marks;
 use crate::router::engine_reservation;
 use crate::router::events::event;
 use crate::router::prefills;
@@ -50,10 +51,16 @@
         let mut kv_cache: Option<prefills::KvHandle<D>> = None;
         loop {
             kv_cache = kv_cache.filter(|handle| handle.is_fresh());
-            let (reservation, placement) = self
-                .reserve(kv_cache.is_some())
-                .await
-                .map_err(stream_request::OpenFailure::NoCapacity)?;
+            let (reservation, placement) = tokio::select! {
+                reserved = self.reserve(kv_cache.is_some()) => {
+                    reserved.map_err(stream_request::OpenFailure::NoCapacity)?
+                }
+                () = crash_marks::wait_until_refused(&self.cx, self.received.digest) => {
+                    event!(Info, "refused", "id" => self.id(), "cause" => "crashes servers",
+                        "digest" => crash_marks::hex(self.received.digest));
+                    return Err(stream_request::OpenFailure::Quarantined);
+                }
+            };
             let server = placement.decode;
             // Connects to the decode server first, so that no prompt is prefilled for a server that
             // can't be reached.
@@ -344,6 +351,11 @@
         failure: send::SendFailure,
         was_prefill: bool,
     ) -> Result<(), stream_request::OpenFailure> {
+        if failure.outcome == outcome::Outcome::Quarantined {
+            event!(Info, "refused", "id" => self.id(), "cause" => "crashes servers",
+                "digest" => crash_marks::hex(self.received.digest));
+            return Err(stream_request::OpenFailure::Quarantined);
+        }
         let now = self.cx.now();
         self.record_failure(server, &failure, now);
         // A prefill doesn't run the request, however it ended.
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -32,8 +32,6 @@
 pub(crate) const ACCEPT_STREAMS_FOR: time::Duration = time::Duration::from_millis(2_500);
 /// Retry-After when there is no memory for the body: about the time that a request takes.
 const NO_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
-/// Retry-After of requests that crashed servers. They are refused until an operator acts.
-const CRASHES_RETRY_AFTER: time::Duration = time::Duration::from_secs(60);
 /// Time limit for the answer if neither the caller nor the route limits it.
 const DEFAULT_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 
@@ -145,7 +143,7 @@
     if let Err(refusal) = crash_marks::check(cx, digest) {
         event!(Info, "refused", "id" => id, "cause" => "crashes servers",
             "digest" => crash_marks::hex(digest), "marked" => refusal.message);
-        return answer::not_run("this request crashed several servers", CRASHES_RETRY_AFTER);
+        return crash_marks::refusal_answer();
     }
     let received = send::CallerRequest {
         method: parts.method,
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -66,6 +66,9 @@
                 Err(failed_send) => failed_send,
             };
             sends += u32::from(failed_send.failure.outcome != outcome::Outcome::NeverWritten);
+            if failed_send.failure.outcome == outcome::Outcome::Quarantined && !may_have_run {
+                return crash_marks::refusal_answer();
+            }
             may_have_run |= !failed_send.failure.outcome.is_not_run();
             let allowance = outcome::Allowance {
                 attempts: self.route.max_attempts.saturating_sub(sends),
@@ -233,7 +236,9 @@
         let now = self.cx.now();
         let mut health = locks::lock(&self.cx.health);
         match failure.outcome {
-            outcome::Outcome::NeverWritten | outcome::Outcome::RefusedUnrun => {}
+            outcome::Outcome::NeverWritten
+            | outcome::Outcome::RefusedUnrun
+            | outcome::Outcome::Quarantined => {}
             outcome::Outcome::Silent if self.deadline <= now => health.record_failure(&server.id),
             outcome::Outcome::Silent => health.record_unreachable(&server.id, now),
             _ => health.record_failure(&server.id),
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -93,7 +93,8 @@
     pub(crate) repeatable: bool,
 }
 
-/// Sends a request on a connection and waits for the head of the answer.
+/// Sends a request on a connection and waits for the head of the answer. Sends nothing if the content
+/// crashed several servers.
 pub(crate) async fn send<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     req: &CallerRequest,
@@ -102,7 +103,7 @@
     params: &dialect::SendParams<'_>,
     options: Options,
 ) -> Result<ServerResponse, SendFailure> {
-    crash_marks::log_send(cx, req, &server.id);
+    crash_marks::check_send(cx, req, &server.id)?;
     let timeout = time_left(cx, options.deadline);
     let builder = http::Request::builder().method(req.method.clone());
     let mut message = builder
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -67,6 +67,8 @@
     NoAnswer(outcome::Next, &'static str),
     /// No engine had capacity in time.
     NoCapacity(engine_reservation::NoCapacity),
+    /// The content crashes servers.
+    Quarantined,
 }
 
 impl<D: dialect::Dialect> StreamRequest<D> {
@@ -184,7 +186,7 @@
     ) {
         let mut health = locks::lock(&self.cx.health);
         match failure.outcome {
-            outcome::Outcome::NeverWritten => {}
+            outcome::Outcome::NeverWritten | outcome::Outcome::Quarantined => {}
             outcome::Outcome::RefusedUnrun => health.record_refusal(&server.id, now),
             outcome::Outcome::Silent | outcome::Outcome::BrokenBeforeAnswer => {
                 health.record_unreachable(&server.id, now);
@@ -222,6 +224,11 @@
     pub(crate) fn failure_answer(&self, failure: OpenFailure) -> answer::Answer {
         match failure {
             OpenFailure::Answer(answer) => *answer,
+            OpenFailure::Quarantined if !self.may_have_run => crash_marks::refusal_answer(),
+            OpenFailure::Quarantined => {
+                let cause = "the rest of the answer crashes servers";
+                answer::from_router(http::StatusCode::BAD_GATEWAY, cause)
+            }
             OpenFailure::NoCapacity(no_capacity) if !self.may_have_run => {
                 answer::not_run(no_capacity.cause, no_capacity.retry_after)
             }
--- a/daemon/tests/crashing_requests.rs
+++ b/daemon/tests/crashing_requests.rs
@@ -4,10 +4,12 @@
 use std::sync::atomic;
 use std::time;
 
+use serde_json::json;
 use walnuthaven_platform_standin::caller;
 use walnuthaven_platform_standin::hosts;
 use walnuthaven_platform_standin::server;
 use walnuthaven_platform_standin::store;
+use xxhash_rust::xxh3;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
 /// Longest time to wait for an answer.
@@ -16,6 +18,8 @@
 const ANNOUNCE_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// A change is announced for 5 s. A host that starts after that has heard none of it.
 const SILENCE_TIME: time::Duration = time::Duration::from_millis(5_500);
+/// Number of requests that an engine of the tests runs at once.
+const ENGINE_SLOTS: usize = 8;
 /// Time for hosts to write marks after the store came back.
 const STORE_TIME: time::Duration = time::Duration::from_secs(4);
 
@@ -69,6 +73,30 @@
     assert!(answer.header("retry-after").is_some(), "{answer:?}");
 }
 
+/// Writes a mark to the store that says that three servers crashed with this content.
+fn put_mark(store: &store::Store, target: &str, body: &str) {
+    let mut hasher = xxh3::Xxh3::new();
+    for part in ["127.0.0.1", target, "\0", body] {
+        hasher.update(part.as_bytes());
+    }
+    let name = format!("{:016x}", hasher.digest());
+    let crash = |server: &str| json!({"server": server, "at_unix_ms": 1_000});
+    let mark = json!({
+        "crashes": [crash("i-1@1"), crash("i-2@1"), crash("i-3@1")], "cleared": [],
+        "expires_unix_ms": 4_000_000_000_000_u64,
+    });
+    store.put("walnuthaven-crash-marks", &name, mark);
+}
+
+/// Waits until a server has received a request.
+async fn wait_for_run(server: &server::Server, id: &str) {
+    let start = time::Instant::now();
+    while server.runs_of(id) == 0 {
+        assert!(start.elapsed() < TIMEOUT, "{id} didn't reach {}", server.id);
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+}
+
 #[tokio::test]
 async fn content_that_crashed_three_servers_is_refused_by_all_hosts() {
     let (store, addr) = store::Store::start().await;
@@ -155,3 +183,61 @@
     let newcomer = start_host("h3", addr).await;
     assert_refused(&newcomer, &servers, "p4").await;
 }
+
+// The mark of a request may become known between its first send and the next one.
+#[tokio::test]
+async fn content_marked_during_its_first_send_is_not_sent_again() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    let silent = server::Server::start("i-a", None).await;
+    silent.set_fault(server::Fault::NeverAnswer);
+    silent.register(&store, "gate");
+    let host = start_host("h1", addr).await;
+    let other = server::Server::start("i-b", None).await;
+    let request = send_to(&host, "/plain/x", "r1", "pass 7");
+    let mark = async {
+        wait_for_run(&silent, "r1").await;
+        put_mark(&store, "/plain/x", "pass 7");
+        other.register(&store, "gate");
+    };
+    let (answer, ()) = tokio::join!(request, mark);
+    assert_eq!(other.runs_of("r1"), 0, "{answer:?}\n{}", host.log());
+    assert_eq!(answer.status, 502, "it may have run: {answer:?}");
+}
+
+// A request may wait for an engine for seconds, in which its content is marked.
+#[tokio::test]
+async fn content_marked_while_it_waits_for_an_engine_is_refused() {
+    let (store, addr) = store::Store::start().await;
+    let mut configuration = hosts::configuration(3);
+    configuration["routes"][3]["timeout_ms"] = json!(20_000);
+    store.put("config", "main", configuration);
+    let engine = server::Server::start("i-d", Some("decode")).await;
+    engine
+        .events_per_stream
+        .store(1_000, atomic::Ordering::Relaxed);
+    engine.register(&store, "scribe");
+    let host = start_host("h1", addr).await;
+    let prompt = "X-Model: m\r\nX-Token-Count: 500,700\r\nX-Length-Hint: 350\r\n";
+    let stream = |id: String, body: &'static str| {
+        let bytes = caller::request("POST", "/single/x", &id, prompt, body);
+        let host_addr = host.callers_addr;
+        tokio::spawn(async move { caller::send(host_addr, &bytes, TIMEOUT).await })
+    };
+    for i in 0..ENGINE_SLOTS {
+        stream(format!("s{i}"), "harmless");
+        wait_for_run(&engine, &format!("s{i}")).await;
+    }
+    let waiting = stream("w1".into(), "waits");
+    let start = time::Instant::now();
+    while !host.log().contains(r#""event":"waits","id":"w1""#) {
+        assert!(start.elapsed() < TIMEOUT, "w1 doesn't wait: {}", host.log());
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+    put_mark(&store, "/single/x", "waits");
+    let answer = waiting.await.unwrap();
+    assert_eq!(engine.runs_of("w1"), 0, "{answer:?}\n{}", host.log());
+    // A request that found no engine is told to come back within seconds.
+    let told = (answer.status, answer.header("retry-after"));
+    assert_eq!(told, (503, Some("60.000")), "{answer:?}\n{}", host.log());
+}
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -11,6 +11,8 @@
     NeverWritten,
     /// The server stated that it didn't run the request.
     RefusedUnrun,
+    /// It wasn't sent, because its content crashes servers.
+    Quarantined,
     /// The server answered with a failure of its own.
     ServerFailed,
     /// Before the answer, the connection broke or something other than this request's answer arrived.
@@ -24,7 +26,10 @@
 impl Outcome {
     /// Returns whether it is certain that the server hasn't run the request.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::NeverWritten | Self::RefusedUnrun)
+        matches!(
+            self,
+            Self::NeverWritten | Self::RefusedUnrun | Self::Quarantined
+        )
     }
 }
 
@@ -59,12 +64,15 @@
 /// Decides what the router does after a send with this outcome. A request is retried only if it hasn't run or
 /// its kind allows running it again.
 pub fn next(kind: routing::Kind, outcome: Outcome, allowance: Allowance) -> Next {
-    let allowed = outcome.is_not_run() || kind.may_run_again();
+    let allowed = match outcome {
+        Outcome::Quarantined => false,
+        outcome => outcome.is_not_run() || kind.may_run_again(),
+    };
     if allowed && allowance.attempts > 0 && allowance.budget && allowance.time > MIN_TIME_TO_RETRY {
         return Next::SendAgain;
     }
     match outcome {
-        Outcome::NeverWritten | Outcome::RefusedUnrun => Next::RefuseUnrun,
+        Outcome::NeverWritten | Outcome::RefusedUnrun | Outcome::Quarantined => Next::RefuseUnrun,
         Outcome::Silent => Next::TimedOut,
         Outcome::ServerFailed | Outcome::BrokenBeforeAnswer | Outcome::BrokenMidway => Next::Fail,
     }
--- a/lib/tests/send_outcomes.rs
+++ b/lib/tests/send_outcomes.rs
@@ -85,3 +85,17 @@
         }
     }
 }
+
+// Content that crashes servers must not be sent to another one, whatever its route allows.
+#[test]
+fn quarantined_content_is_never_sent_again() {
+    for kind in [
+        routing::Kind::Once,
+        routing::Kind::Repeatable,
+        STREAM,
+        RESUMABLE,
+    ] {
+        let next = outcome::next(kind, outcome::Outcome::Quarantined, AMPLE_ALLOWANCE);
+        assert_eq!(next, outcome::Next::RefuseUnrun, "{kind:?}");
+    }
+}
