router: recognise crashes after silence and after the caller has left

Cause: a crash was looked for only in record_failure, so not when the caller's request was dropped with the attempt, not after silence, and not at a server that was leaving or whose entry was gone by then. Class: an observation that is tied to the lifetime of the one who asked. Change: an attempt is a value that lives from the send to the end of the answer; dropping it without an answer has the server checked by a task of its own, whatever ended it. The check is a pure decision (departures::judge) over a probe, and over how the server left the view: with notice, or without. An idle connection that is still open replaces the probe's connection. Silence is probed again a second later, and the entry is watched for 6 s. A host that leaves finishes its probes and writes its marks first.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -9,6 +9,7 @@
 use walnuthaven_lib::backends;
 use walnuthaven_lib::clock;
 use walnuthaven_lib::clock::Clock as _;
+use walnuthaven_lib::departures;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::engine_load;
 use walnuthaven_lib::ids;
@@ -21,6 +22,7 @@
 use crate::locks;
 use crate::router::body_memory;
 use crate::router::connection_pool;
+use crate::router::crash_checks;
 use crate::router::crash_marks;
 use crate::router::retry_budget;
 use crate::router::settings;
@@ -64,6 +66,10 @@
     pub(crate) registered: tokio::sync::Notify,
     /// Signalled when another host has a newer configuration than this one.
     pub(crate) table_outdated: tokio::sync::Notify,
+    /// How backend servers left the view.
+    pub(crate) departures: sync::Mutex<departures::Departures>,
+    /// Takes the requests that servers didn't answer, to check whether they crashed.
+    pub(crate) crash_checks: crash_checks::Sender,
     /// Marks of requests that were in flight when backend servers crashed.
     pub(crate) crash_marks: sync::Mutex<crash_marks::CrashMarks>,
     /// Wakes waiting requests after a mark has changed.
@@ -89,7 +95,14 @@
 }
 
 impl<D: dialect::Dialect> Router<D> {
-    pub(crate) fn new(dialect: D, settings: settings::Settings, clock: clock::BootClock) -> Self {
+    /// Creates the state of a host that has just started. `crash_checks` is read by the task that checks
+    /// servers.
+    pub(crate) fn new(
+        dialect: D,
+        settings: settings::Settings,
+        clock: clock::BootClock,
+        crash_checks: crash_checks::Sender,
+    ) -> Self {
         let id = ids::HostId {
             name: settings.name.clone(),
             incarnation: clock::millis(clock.unix_time()),
@@ -111,6 +124,8 @@
             news_due: tokio::sync::Notify::new(),
             registered: tokio::sync::Notify::new(),
             table_outdated: tokio::sync::Notify::new(),
+            departures: sync::Mutex::default(),
+            crash_checks,
             crash_marks: sync::Mutex::new(crash_marks::CrashMarks::new(clock.now())),
             crash_marks_changed: tokio::sync::Notify::new(),
             crash_marks_unsaved: tokio::sync::Notify::new(),
--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -6,11 +6,9 @@
 //! tells the others of changes ([`crash_mark_store`](super::crash_mark_store)), and news announce
 //! them while the store can't.
 
-use std::sync;
 use std::time;
 
 use walnuthaven_lib::announced_marks;
-use walnuthaven_lib::backends;
 use walnuthaven_lib::clock;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::ids;
@@ -22,7 +20,6 @@
 
 use crate::locks;
 use crate::router::answer;
-use crate::router::connection_pool;
 use crate::router::context;
 use crate::router::events::event;
 use crate::router::send;
@@ -31,11 +28,6 @@
 /// crashes, a harmless request may lose its first server and the one that it is sent to next, but
 /// hardly a third one.
 const SERVERS_TO_REFUSE: usize = 3;
-/// Time between a broken answer and the connection attempt that tells whether the server crashed. A
-/// crashed server can't be reached for seconds.
-const PROBE_DELAY: time::Duration = time::Duration::from_millis(150);
-/// Longest time for that connection attempt.
-const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Maximum number of changed marks in one news message.
 const MAX_MARKS_PER_MESSAGE: usize = 4;
 /// Retry-After of requests that crashed servers. They are refused until an operator acts.
@@ -81,55 +73,6 @@
     }
 }
 
-/// Checks in the background whether a server that broke off its answer has crashed, and marks the
-/// content if it has.
-pub(crate) fn check_for_crash<D: dialect::Dialect>(
-    cx: &sync::Arc<context::Router<D>>,
-    server: &backends::Backend,
-    digest: u64,
-    outcome: outcome::Outcome,
-) {
-    let broke = matches!(
-        outcome,
-        outcome::Outcome::BrokenBeforeAnswer | outcome::Outcome::BrokenMidway
-    );
-    // A server that leaves may break off answers without having crashed.
-    let leaving = locks::lock(&cx.servers).is_leaving(&server.id);
-    if !broke || leaving {
-        log_check(
-            digest,
-            &server.id,
-            outcome,
-            if leaving { "leaving" } else { "not broken" },
-        );
-        return;
-    }
-    let (cx, addr) = (cx.clone(), server.addr);
-    let id = server.id.clone();
-    // The start time is part of the key: a server that restarts under its id and crashes again counts
-    // twice.
-    let server_key = ids::Name::from(format!(
-        "{}@{}",
-        server.id,
-        server.started_unix_ms.unwrap_or(0)
-    ));
-    tokio::spawn(async move {
-        tokio::time::sleep(PROBE_DELAY).await;
-        if connection_pool::connect(addr, PROBE_TIMEOUT).await.is_ok() {
-            log_check(digest, &id, outcome, "reachable");
-            return;
-        }
-        log_check(digest, &id, outcome, "crashed");
-        record_crash(&cx, digest, &server_key);
-    });
-}
-
-/// Logs what was concluded from a send that brought no answer.
-fn log_check(digest: u64, server: &str, outcome: outcome::Outcome, verdict: &'static str) {
-    event!(Info, "crash-check", "digest" => hex(digest), "server" => server,
-        "outcome" => format!("{outcome:?}"), "verdict" => verdict);
-}
-
 /// Returns a digest as it is written in logs and object names.
 pub(crate) fn hex(digest: u64) -> String {
     format!("{digest:016x}")
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -10,6 +10,7 @@
 mod body_memory;
 mod connection_pool;
 mod context;
+mod crash_checks;
 mod crash_mark_store;
 mod crash_marks;
 mod engine_reservation;
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -231,7 +231,7 @@
         }
     }
 
-    /// Records a send that brought no answer in the server's health, and as a possible crash.
+    /// Records a send that brought no answer in the server's health.
     fn record_failure(&self, server: &backends::Backend, failure: send::SendFailure) -> FailedSend {
         let now = self.cx.now();
         let mut health = locks::lock(&self.cx.health);
@@ -243,8 +243,6 @@
             outcome::Outcome::Silent => health.record_unreachable(&server.id, now),
             _ => health.record_failure(&server.id),
         }
-        drop(health);
-        crash_marks::check_for_crash(self.cx, server, self.received.digest, failure.outcome);
         FailedSend {
             failure,
             answer: None,
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -200,6 +200,7 @@
         reservation,
     } = opened;
     let mut body = response.body;
+    let mut attempt = response.attempt;
     let mut run_move: Option<run_move::RunMove<D>> = None;
     let end = relay_events(
         request,
@@ -209,6 +210,13 @@
         tx,
     )
     .await;
+    match &end {
+        StreamEnd::Complete => attempt.set_answered(),
+        StreamEnd::Broken(failure) if failure.outcome == outcome::Outcome::BrokenMidway => {
+            attempt.set_broken();
+        }
+        StreamEnd::Broken(_) | StreamEnd::CallerLeft => {}
+    }
     match (end, run_move) {
         (StreamEnd::CallerLeft, _) => ServerStreamEnd::Ended(StreamEnd::CallerLeft),
         (end, Some(run_move)) => ServerStreamEnd::Moving(reservation, run_move, end),
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -13,6 +13,7 @@
 
 use crate::locks;
 use crate::router::context;
+use crate::router::crash_checks;
 use crate::router::crash_mark_store;
 use crate::router::events;
 use crate::router::events::event;
@@ -68,7 +69,9 @@
     // Handlers are installed first: until then a signal kills the process.
     let hangup = unix::signal(unix::SignalKind::hangup())?;
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-    let cx = sync::Arc::new(context::Router::new(dialect, settings, clock::BootClock));
+    let (crash_checks_tx, crash_checks_rx) = tokio::sync::mpsc::unbounded_channel();
+    let cx = context::Router::new(dialect, settings, clock::BootClock, crash_checks_tx);
+    let cx = sync::Arc::new(cx);
     let settings = cx.settings();
     let endpoints = [
         (settings.callers_addr, listen::Endpoint::Callers),
@@ -84,6 +87,7 @@
         .await
         .with_context(|| format!("cannot bind the news address {}", settings.news_addr))?;
     store_sync::spawn(&cx);
+    crash_checks::spawn(&cx, crash_checks_rx);
     crash_mark_store::spawn(&cx);
     stage_orders::spawn(&cx);
     tokio::spawn(register(cx.clone()));
@@ -198,7 +202,7 @@
     thread::sleep(LOG_WRITE_TIME);
 }
 
-/// Waits while the other tasks serve requests, until none is in flight. Returns no earlier than
+/// Waits while the other tasks serve requests, until none is in flight and no crash mark is left to write. Returns no earlier than
 /// `min_time` and no later than about `max_time` after `started`.
 async fn serve_until_idle<D: dialect::Dialect>(
     cx: &context::Router<D>,
@@ -209,7 +213,8 @@
     loop {
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
         let elapsed = cx.now().saturating_sub(started);
-        let idle = cx.in_flight.load(atomic::Ordering::Relaxed) == 0;
+        let marks_saved = !locks::lock(&cx.crash_marks).stored.has_unsaved();
+        let idle = marks_saved && cx.in_flight.load(atomic::Ordering::Relaxed) == 0;
         if elapsed >= max_time || (idle && elapsed >= min_time) {
             return;
         }
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -19,6 +19,7 @@
 use crate::router::body_memory;
 use crate::router::connection_pool;
 use crate::router::context;
+use crate::router::crash_checks;
 use crate::router::crash_marks;
 
 /// Longest time to open a connection to a server. The round trip takes about a millisecond, and the
@@ -67,6 +68,8 @@
     pub(crate) body: body::Incoming,
     /// The connection, which is in use until the body has ended.
     pub(crate) connection: connection_pool::Connection,
+    /// Has the server checked for a crash unless the body ends as it should.
+    pub(crate) attempt: crash_checks::Attempt,
     server: sync::Arc<backends::Backend>,
 }
 
@@ -111,13 +114,20 @@
         .body(Full::new(req.body.clone()))
         .map_err(|_| failure(outcome::Outcome::NeverWritten, "request can't be built"))?;
     *message.headers_mut() = cx.dialect.server_headers(&req.headers, params);
+    let mut attempt = crash_checks::Attempt::new(&cx.crash_checks, server, req.digest);
     let answer = tokio::time::timeout(timeout, connection.tx.try_send_request(message)).await;
     let response = match answer {
         Err(_) => return Err(failure(outcome::Outcome::Silent, "no answer in time")),
         Ok(Err(mut error)) => {
             return Err(match error.take_message() {
-                Some(_) => failure(outcome::Outcome::NeverWritten, "connection had closed"),
-                None => connection_failure(error.error()),
+                Some(_) => {
+                    attempt.set_answered();
+                    failure(outcome::Outcome::NeverWritten, "connection had closed")
+                }
+                None => {
+                    attempt.set_broken();
+                    connection_failure(error.error())
+                }
             });
         }
         Ok(Ok(response)) => response,
@@ -141,6 +151,7 @@
         head,
         body,
         connection,
+        attempt,
         server: server.clone(),
     })
 }
@@ -204,16 +215,19 @@
     response: ServerResponse,
     deadline: time::Duration,
 ) -> Result<(http::StatusCode, http::HeaderMap, Bytes), SendFailure> {
+    let mut attempt = response.attempt;
     let reading = Limited::new(response.body, MAX_BUFFERED_BODY).collect();
     let body = match tokio::time::timeout(time_left(cx, deadline), reading).await {
         Err(_) => {
             return Err(failure(outcome::Outcome::Silent, "answer stopped midway"));
         }
         Ok(Err(_)) => {
+            attempt.set_broken();
             return Err(failure(outcome::Outcome::BrokenMidway, "answer broke off"));
         }
         Ok(Ok(body)) => body.to_bytes(),
     };
+    attempt.set_answered();
     tokio::spawn(connection_pool::return_connection(
         cx.clone(),
         response.server,
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -340,6 +340,7 @@
         backends::Change::Restarted(server) => ("restarted", server),
         backends::Change::Vanished(server) => ("vanished", server),
     };
+    locks::lock(&cx.departures).record(&change, cx.now());
     event!(Info, "server", "server" => server.id, "change" => change_name, "service" => server.service,
         "address" => server.addr, "stage" => server.stage.map(|stage| format!("{stage:?}")),
         "born" => server.started_unix_ms);
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -176,8 +176,8 @@
         outcome::next(self.route.kind, outcome, allowance)
     }
 
-    /// Records a failed send: in the server's health, as a possible crash of the server, and so
-    /// that this request isn't sent to the server again.
+    /// Records a failed send: in the server's health, and so that this request isn't sent to the server
+    /// again.
     pub(crate) fn record_failure(
         &mut self,
         server: &sync::Arc<backends::Backend>,
@@ -196,7 +196,6 @@
             }
         }
         drop(health);
-        crash_marks::check_for_crash(&self.cx, server, self.received.digest, failure.outcome);
         self.cx.news_due.notify_one();
         if !self.failed_servers.contains(&server.id) {
             self.failed_servers.push(server.id.clone());
--- a/daemon/tests/crashing_requests.rs
+++ b/daemon/tests/crashing_requests.rs
@@ -241,3 +241,43 @@
     let told = (answer.status, answer.header("retry-after"));
     assert_eq!(told, (503, Some("60.000")), "{answer:?}\n{}", host.log());
 }
+
+// A crash counts although its caller has left before it.
+#[tokio::test]
+async fn crashes_after_the_caller_left_are_counted() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    let servers = start_servers(&store, &["i-a", "i-b", "i-c", "i-d"]).await;
+    for server in &servers {
+        server.delay_ms.store(300, atomic::Ordering::Relaxed);
+    }
+    let host = start_host("h1", addr).await;
+    for id in ["p1", "p2", "p3"] {
+        let bytes = caller::request("POST", "/once/x", id, "", "poison");
+        let caller_leaves_after = time::Duration::from_millis(100);
+        let answer = caller::send(host.callers_addr, &bytes, caller_leaves_after).await;
+        assert_eq!(answer.status, 0, "{id} was answered: {answer:?}");
+        tokio::time::sleep(ANNOUNCE_TIME).await;
+    }
+    assert_refused(&host, &servers, "p4").await;
+}
+
+// A server that loses power closes no connection. Its crash shows in that none can be opened.
+#[tokio::test]
+async fn crashes_of_servers_that_fall_silent_are_counted() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    let servers = start_servers(&store, &["i-a", "i-b", "i-c", "i-d"]).await;
+    for server in &servers {
+        server.set_fault(server::Fault::FallSilentOnPoison);
+    }
+    let host = start_host("h1", addr).await;
+    for id in ["p1", "p2", "p3"] {
+        let deadline = "X-Request-Deadline: 400\r\n";
+        let bytes = caller::request("POST", "/once/x", id, deadline, "poison");
+        let answer = caller::send(host.callers_addr, &bytes, TIMEOUT).await;
+        assert_eq!(answer.status, 504, "{id} may have run: {answer:?}");
+        tokio::time::sleep(ANNOUNCE_TIME).await;
+    }
+    assert_refused(&host, &servers, "p4").await;
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod config;
 pub mod config_versions;
+pub mod departures;
 pub mod dialect;
 pub mod engine_load;
 pub mod engine_memory;
