router: clear crashes only after a success

What callers saw: a mark that had two crashes was gone after a third server answered 404 or 400 without running the request, and three more servers crashed before the content was refused. Cause: any complete answer below 500 lifted a mark, whatever its status.

--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -225,7 +225,10 @@
                 Some(answer),
             )),
             false => {
-                crash_marks::lift_mark(cx, self.received.digest);
+                // Only a success shows that the server has run the request.
+                if status.is_success() {
+                    crash_marks::lift_mark(cx, self.received.digest);
+                }
                 Ok(answer)
             }
         }
--- a/daemon/tests/crashing_requests.rs
+++ b/daemon/tests/crashing_requests.rs
@@ -281,3 +281,37 @@
     }
     assert_refused(&host, &servers, "p4").await;
 }
+
+// A server may answer 404 or 400 without running the request, which says nothing about crashes.
+#[tokio::test]
+async fn error_answer_does_not_clear_crashes() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    let host = hosts::Host::start(BINARY, "h1", addr);
+    let mut servers = Vec::new();
+    let steps = [
+        ("i-a", server::Fault::CrashOnPoison, 502),
+        ("i-b", server::Fault::CrashOnPoison, 502),
+        ("i-c", server::Fault::Status404, 404),
+        ("i-d", server::Fault::CrashOnPoison, 502),
+    ];
+    for (id, fault, status) in steps {
+        let server = server::Server::start(id, None).await;
+        server.set_fault(fault);
+        server.register(&store, "gate");
+        host.wait_ready().await;
+        // The host notices new servers within 600 ms.
+        tokio::time::sleep(ANNOUNCE_TIME).await;
+        let answer = send(&host, &format!("p-{id}"), "poison").await;
+        assert_eq!(answer.status, status, "{answer:?}\n{}", host.log());
+        tokio::time::sleep(ANNOUNCE_TIME).await;
+        // A server that crashed doesn't come back, and the one that answers takes no part in the rest.
+        store.remove("servers", id);
+        servers.push(server);
+    }
+    let last = server::Server::start("i-e", None).await;
+    last.register(&store, "gate");
+    servers.push(last);
+    tokio::time::sleep(ANNOUNCE_TIME).await;
+    assert_refused(&host, &servers, "p5").await;
+}
