peers: hear a host again that started with an earlier clock

What callers saw: none shown. Cause: start times of processes are compared across a step of the clock. Change: news of a host that is silent are accepted whatever their start time; of a host that is heard, older start times are ignored as before. Evidence: a_silent_host_that_starts_with_an_earlier_clock_is_heard_again failed before and passes now.

--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -91,7 +91,7 @@
     }
 
     /// Records news from a host. Returns whether they are newer than what was known; older ones change
-    /// nothing.
+    /// nothing. A silent host may have started again with an earlier clock, so its news are always newer.
     pub fn record_news(
         &mut self,
         entry: PeerEntry,
@@ -100,6 +100,7 @@
     ) -> bool {
         let is_newer = match self.known.get(&entry.name) {
             None => true,
+            Some(peer) if peer.status.is_none() => true,
             Some(peer) if peer.entry.incarnation == entry.incarnation => peer
                 .status
                 .as_ref()
--- a/lib/tests/peer_news.rs
+++ b/lib/tests/peer_news.rs
@@ -48,6 +48,18 @@
     assert_eq!(peers.config_version(), 4);
 }
 
+// The clock of a host may be set back between two starts of its process.
+#[test]
+fn a_silent_host_that_starts_with_an_earlier_clock_is_heard_again() {
+    let mut peers = peers::Peers::default();
+    peers.replace_entries(vec![entry(5_000)]);
+    assert!(peers.record_news(entry(5_000), status(7), at(0)));
+    peers.expire(peers::SILENCE_TIMEOUT + at(1));
+    assert!(peers.record_news(entry(3_000), status(1), at(4_000)));
+    assert!(peers.record_news(entry(3_000), status(2), at(4_500)));
+    assert_eq!(peers.caller_addrs().count(), 1);
+}
+
 #[test]
 fn a_silent_host_is_not_offered_but_counts_while_listed() {
     let mut peers = peers::Peers::default();
