router: don't let steps of the system time expire crash marks

Change: a host's Unix time is what it was at its start plus the time since, which no step moves. Open: a host that starts while its clock is off by more than an hour still misjudges which marks have expired.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -91,7 +91,7 @@
     /// The number of requests whose callers wait for an answer.
     pub(crate) in_flight: atomic::AtomicUsize,
     next_number: atomic::AtomicU64,
-    clock: clock::BootClock,
+    clock: clock::SteadyClock<clock::BootClock>,
 }
 
 impl<D: dialect::Dialect> Router<D> {
@@ -137,7 +137,7 @@
             accepting_stopped: tokio::sync::watch::Sender::new(false),
             in_flight: atomic::AtomicUsize::new(0),
             next_number: atomic::AtomicU64::new(1),
-            clock,
+            clock: clock::SteadyClock::new(clock),
         }
     }
 
@@ -146,7 +146,8 @@
         self.clock.now()
     }
 
-    /// Returns the time since the Unix epoch.
+    /// Returns the time since the Unix epoch. Steps of the system time after the start don't move it, so
+    /// that crash marks don't expire by them.
     pub(crate) fn unix_time(&self) -> time::Duration {
         self.clock.unix_time()
     }
--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -32,6 +32,35 @@
     }
 }
 
+/// A clock whose Unix time doesn't follow later steps of the system time.
+#[derive(Clone, Copy, Debug)]
+pub struct SteadyClock<C> {
+    clock: C,
+    /// The Unix time at boot, as the system time showed it when this clock was created.
+    unix_at_boot: time::Duration,
+}
+
+impl<C: Clock> SteadyClock<C> {
+    /// Creates a clock that shows the present Unix time of `clock`.
+    pub fn new(clock: C) -> Self {
+        let unix_at_boot = clock.unix_time().saturating_sub(clock.now());
+        Self {
+            clock,
+            unix_at_boot,
+        }
+    }
+}
+
+impl<C: Clock> Clock for SteadyClock<C> {
+    fn now(&self) -> time::Duration {
+        self.clock.now()
+    }
+
+    fn unix_time(&self) -> time::Duration {
+        self.unix_at_boot + self.clock.now()
+    }
+}
+
 /// Converts a duration to whole milliseconds, or `u64::MAX` if they don't fit.
 pub fn millis(d: time::Duration) -> u64 {
     u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
