gossip: announce changed marks to each host at once

The limit on how often a changed mark is announced counted messages of one host to all others. Hosts of the product's own path send a message to each host in turn, so of a crash that was announced to all only the first host heard at once. The spacing is now given by the sender: none there, 200 ms for the news.

--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -176,7 +176,12 @@
 
 fn next_marks(cx: &host::Host) -> Vec<peer::CrashMark> {
     let quarantine = locks::lock(&cx.quarantine);
-    let marks = locks::lock(&cx.announced_marks).next(&quarantine, MAX_MARKS, cx.now());
+    let marks = locks::lock(&cx.announced_marks).next(
+        &quarantine,
+        MAX_MARKS,
+        time::Duration::ZERO,
+        cx.now(),
+    );
     marks.iter().map(convert::crash_mark_to_wire).collect()
 }
 
--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -30,6 +30,9 @@
 const SERVERS_TO_REFUSE: usize = 3;
 /// Maximum number of changed marks in one news message.
 const MAX_MARKS_PER_MESSAGE: usize = 4;
+/// Shortest time between two news messages with the same changed mark. Messages may follow each other within
+/// milliseconds, and those of a short loss shouldn't be all.
+const ANNOUNCEMENT_SPACING: time::Duration = time::Duration::from_millis(200);
 /// Retry-After of requests that crashed servers. They are refused until an operator acts.
 const CRASHES_RETRY_AFTER: time::Duration = time::Duration::from_secs(60);
 /// What a refused caller is told.
@@ -190,7 +193,7 @@
         announcements,
         ..
     } = &mut *marks;
-    let announced = announcements.next(table, MAX_MARKS_PER_MESSAGE, now);
+    let announced = announcements.next(table, MAX_MARKS_PER_MESSAGE, ANNOUNCEMENT_SPACING, now);
     announced.iter().map(to_wire).collect()
 }
 
--- a/lib/src/announced_marks.rs
+++ b/lib/src/announced_marks.rs
@@ -11,8 +11,6 @@
 
 /// How long a changed mark is included in messages.
 const ANNOUNCED_FOR: time::Duration = time::Duration::from_secs(5);
-/// Shortest time between two messages with the same changed mark.
-const MIN_INTERVAL: time::Duration = time::Duration::from_millis(200);
 /// Time between two repetitions. With 60 bytes a mark and 95 receivers they take 12 kB/s.
 const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// How long a mark isn't repeated after it was sent.
@@ -34,11 +32,13 @@
 
 impl Announcements {
     /// Chooses the marks for a message: at most `limit` changed ones, those not sent for longest first. If
-    /// there is room and a repetition is due, adds one more.
+    /// there is room and a repetition is due, adds one more. `spacing` is the shortest time between two
+    /// messages with the same changed mark; it is zero if each message goes to one host only.
     pub fn next(
         &mut self,
         table: &quarantine::Table,
         limit: usize,
+        spacing: time::Duration,
         now: time::Duration,
     ) -> Vec<quarantine::CrashMark> {
         for (change, mark) in table.changes_after(self.last_change) {
@@ -52,7 +52,7 @@
             .changed
             .keys()
             .map(|digest| (self.last_sent(*digest), *digest))
-            .filter(|(sent_at, _)| now.saturating_sub(*sent_at) >= MIN_INTERVAL)
+            .filter(|(sent_at, _)| now.saturating_sub(*sent_at) >= spacing)
             .collect();
         due.sort_unstable();
         due.truncate(limit);
--- a/lib/tests/mark_news.rs
+++ b/lib/tests/mark_news.rs
@@ -7,6 +7,7 @@
 use walnuthaven_lib::quarantine;
 
 const LIMIT: usize = 8;
+const SPACING: time::Duration = time::Duration::from_millis(200);
 
 fn at(ms: u64) -> time::Duration {
     time::Duration::from_millis(1_000_000 + ms)
@@ -26,7 +27,7 @@
     table: &quarantine::Table,
     times: impl Iterator<Item = u64>,
 ) -> collections::BTreeSet<u64> {
-    let marks = times.flat_map(|ms| announcements.next(table, LIMIT, at(ms)));
+    let marks = times.flat_map(|ms| announcements.next(table, LIMIT, SPACING, at(ms)));
     marks.map(|mark| mark.digest).collect()
 }
 
@@ -47,7 +48,7 @@
     let mut announcements = announced_marks::Announcements::default();
     announced(&mut announcements, &table, (0..20_000).step_by(100));
     table.record_crash(1, &"s2".into(), at(20_000));
-    let marks = announcements.next(&table, LIMIT, at(20_000));
+    let marks = announcements.next(&table, LIMIT, SPACING, at(20_000));
     assert_eq!(marks.len(), 1);
     assert_eq!(marks[0].servers().len(), 2);
 }
@@ -85,7 +86,18 @@
     announced(&mut announcements, &table, (0..6_000).step_by(100));
     let sent: usize = (6_000..16_000)
         .step_by(2)
-        .map(|ms| announcements.next(&table, LIMIT, at(ms)).len())
+        .map(|ms| announcements.next(&table, LIMIT, SPACING, at(ms)).len())
         .sum();
     assert!(sent <= 20, "{sent} marks were sent in 10 s");
 }
+
+// A message to each host in turn must carry a change to all of them.
+#[test]
+fn without_spacing_each_message_has_the_changes() {
+    let table = table_with_marks(3);
+    let mut announcements = announced_marks::Announcements::default();
+    for _ in 0..5 {
+        let marks = announcements.next(&table, LIMIT, time::Duration::ZERO, at(0));
+        assert_eq!(marks.len(), 3);
+    }
+}
--- a/standin/tests/crash_marks.rs
+++ b/standin/tests/crash_marks.rs
@@ -118,3 +118,38 @@
 async fn content_that_crashes_decode_engines_is_quarantined() {
     assert_quarantined_after_two_crashes(engine_state::CRASH_DECODE_MARKER).await;
 }
+
+/// A change of a mark is announced for 5 s. A host that joins after that has heard none of it.
+const ANNOUNCED_FOR: std::time::Duration = std::time::Duration::from_millis(5_500);
+
+// A host that joins a fleet must learn of content that crashed servers before.
+#[tokio::test(flavor = "multi_thread")]
+async fn host_that_joins_later_learns_quarantined_content() {
+    const DIGEST: u64 = 0xabc;
+    let world = world::World::start(&[world::User::Coop]).await.unwrap();
+    let mut fleet = local_fleet::Fleet::start(&world, 2, "current")
+        .await
+        .unwrap();
+    {
+        let cx = fleet.host(0);
+        let mut quarantine = locks::lock(&cx.quarantine);
+        for server in ["s1", "s2"] {
+            quarantine.record_crash(DIGEST, &server.into(), cx.unix_time());
+        }
+    }
+    let refuses = |cx: &walnuthaven_daemon::host::Host| {
+        locks::lock(&cx.quarantine).refuses(DIGEST, cx.unix_time())
+    };
+    local_fleet::wait_until("the other host refuses the content", || {
+        refuses(fleet.host(1))
+    })
+    .await
+    .unwrap();
+    tokio::time::sleep(ANNOUNCED_FOR).await;
+    fleet.add(&world, "host-2", "current").await.unwrap();
+    local_fleet::wait_until("the new host refuses the content", || {
+        refuses(fleet.host(2))
+    })
+    .await
+    .unwrap();
+}
