soak: requests that crash servers, while hosts are killed, paused, cut off and added

The soak sends four contents that crash servers again and again to random hosts, replaces crashed servers, and disturbs hosts and the store in series and overlapping. Its check is the users' bound: more than three sends of a content by hosts in touch, later than 3 s after its third crash.

--- a/daemon/tests/fault_soak.rs
+++ b/daemon/tests/fault_soak.rs
@@ -1,7 +1,10 @@
 //! A short soak test with fixed seeds, and a test of its checker: each guarantee to callers is
 //! broken on purpose and the checker must notice.
 
+use std::time;
+
 use walnuthaven_platform_standin::caller;
+use walnuthaven_platform_standin::crash_soak;
 use walnuthaven_platform_standin::history;
 use walnuthaven_platform_standin::soak;
 
@@ -34,6 +37,50 @@
     }
 }
 
+/// Faults of the soak with crashing requests. With 20 s of seed 3, content crashed up to 11 servers before marks
+/// were kept in the store.
+const CRASH_SOAK: soak::Options = soak::Options {
+    seed: 3,
+    seconds: 12,
+    hosts: 4,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_content_is_not_sent_on_under_faults() {
+    let report = crash_soak::run(BINARY, CRASH_SOAK).await;
+    let broken = report["broken"].as_array().unwrap();
+    assert!(broken.is_empty(), "seed {}: {report}", CRASH_SOAK.seed);
+    let crashes = report["crashes"].as_array().unwrap();
+    assert!(
+        crashes.iter().any(|count| count.as_u64() >= Some(3)),
+        "no content crashed three servers: {report}"
+    );
+}
+
+#[test]
+fn checker_finds_content_that_is_sent_on() {
+    let start = time::Instant::now();
+    let runs_at = |seconds: &[u64]| -> Vec<_> {
+        let at = |s: &u64| (0, start + time::Duration::from_secs(*s));
+        seconds.iter().map(at).collect()
+    };
+    let check = |seconds: &[u64], in_touch: bool| {
+        crash_soak::sends_after_refusal_was_due(&runs_at(seconds), |_, _| in_touch)
+    };
+    let late = check(&[0, 1, 2, 6, 7, 8, 9], true);
+    assert_eq!(
+        late,
+        Some(vec![(0, 4_000), (0, 5_000), (0, 6_000), (0, 7_000)])
+    );
+    assert_eq!(
+        check(&[0, 1, 2, 6, 7, 8], true),
+        None,
+        "three are tolerated"
+    );
+    assert_eq!(check(&[0, 1, 2, 2, 3, 4, 5, 6], true), None, "sent in time");
+    assert_eq!(check(&[0, 1, 2, 6, 7, 8, 9], false), None, "not in touch");
+}
+
 /// Returns a request and its complete answer.
 fn request(id: &str, repeatable: bool, status: u16, body: &str) -> history::SentRequest {
     history::SentRequest {
