api: hide requests of other workspaces

What callers saw: with any key, the state of another workspace's request by its id, its answer, and a confirmation that had it dropped; sending a request with such an id told that it exists. Cause: find_request checked the key, but not that the request is of the key's workspace. Change: the table tells a workspace of its own ids only, so another's looks like an unknown one, with the same code, text and outcome. A request sent with such an id is refused like one with an id that wasn't minted. A job of another workspace takes the path of an unknown one, also while the platform doesn't answer. Looked at: the dump and the console want an operator's token; calls between hosts want the fleet's key. Open: an id that was fenced before its first use belongs to no workspace, so any key sees that it was given up; permits at backup hosts are looked up by id alone once the home is gone.

--- a/daemon/src/api.rs
+++ b/daemon/src/api.rs
@@ -401,13 +401,13 @@
     })
 }
 
-/// Returns the state of a request whose home host is this one.
+/// Returns the state of a request of the caller's workspace whose home host is this one.
 fn find_request(
     cx: &host::Host,
     headers: &http::HeaderMap,
     id: &str,
 ) -> Result<(ids::RequestId, request_table::State), refusal::Refusal> {
-    caller_workspace(cx, headers)?;
+    let workspace = caller_workspace(cx, headers)?;
     let id = parse_id(id)?;
     if id.home != cx.id {
         let message = format!("the home of {id} is host {}; ask there", id.home.name);
@@ -416,17 +416,15 @@
             message,
         ));
     }
-    let state = locks::lock(&cx.request_table).state(id.number).cloned();
-    match state {
-        Some(state) => Ok((id, state)),
-        None => {
-            let message = format!("request {id} is not known");
-            Err(refusal::Refusal::with_unknown_outcome(
-                refusal::Code::NotFound,
-                message,
-            ))
-        }
-    }
+    let state = locks::lock(&cx.request_table)
+        .state_in(id.number, &workspace.document.workspace)
+        .cloned();
+    let unknown = || {
+        let message = format!("request {id} is not known");
+        refusal::Refusal::with_unknown_outcome(refusal::Code::NotFound, message)
+    };
+    let state = state.ok_or_else(unknown)?;
+    Ok((id, state))
 }
 
 async fn request_state(
--- a/daemon/src/jobs_api.rs
+++ b/daemon/src/jobs_api.rs
@@ -137,14 +137,14 @@
     id: &str,
 ) -> Result<job_journal::Entry, refusal::Refusal> {
     let workspace = api::caller_workspace(cx, headers)?;
-    let entry = match cx.jobs.store().get(id) {
-        Some(entry) => entry,
-        None => find_elsewhere(cx, id).await?,
-    };
-    if entry.job.workspace != workspace.document.workspace {
-        return Err(unknown_job(id));
+    let is_own = |entry: &job_journal::Entry| entry.job.workspace == workspace.document.workspace;
+    // A job of another workspace takes the path of one that doesn't exist, also while the platform doesn't
+    // answer.
+    if let Some(entry) = cx.jobs.store().get(id).filter(is_own) {
+        return Ok(entry);
     }
-    Ok(entry)
+    let entry = find_elsewhere(cx, id).await?;
+    Some(entry).filter(is_own).ok_or_else(|| unknown_job(id))
 }
 
 /// Finds a job in a journal of another host, which it reads from the platform.
--- a/lib/src/request_table.rs
+++ b/lib/src/request_table.rs
@@ -135,8 +135,7 @@
     ) -> Arrival {
         self.remove_expired(now);
         if id.home != self.home || id.number > self.last_minted || id.number == 0 {
-            let message = format!("request id {id} was not minted by this host");
-            return Arrival::Final(not_run(refusal::Code::BadRequest, message));
+            return Arrival::Final(not_minted(id));
         }
         if let Some(entry) = self.entries.get(&id.number) {
             return entry.arrival(id, workspace, content, resumes);
@@ -173,6 +172,13 @@
         self.entries.get(&number).map(|entry| &entry.state)
     }
 
+    /// Returns the state of the id with this number as callers of a workspace may see it: an id of another
+    /// workspace looks like one without an entry.
+    pub fn state_in(&self, number: u64, workspace: &ids::Name) -> Option<&State> {
+        let entry = self.entries.get(&number)?;
+        entry.is_visible_to(workspace).then_some(&entry.state)
+    }
+
     /// Makes sure that an id that has not been used yet never runs. Returns false if the id has
     /// been used or has another home.
     pub fn fence(&mut self, id: &ids::RequestId, now: time::Duration) -> bool {
@@ -236,6 +242,12 @@
 }
 
 impl Entry {
+    /// Returns whether callers of a workspace may learn of this entry. An id that was fenced before its first
+    /// use belongs to none.
+    fn is_visible_to(&self, workspace: &ids::Name) -> bool {
+        self.workspace == *workspace || self.workspace.is_empty()
+    }
+
     /// Decides what to do with another request with the id of this entry.
     fn arrival(
         &self,
@@ -244,9 +256,8 @@
         content: u64,
         resumes: bool,
     ) -> Arrival {
-        if self.workspace != *workspace && !self.workspace.is_empty() {
-            let message = format!("request id {id} belongs to another workspace");
-            return Arrival::Final(not_run(refusal::Code::BadRequest, message));
+        if !self.is_visible_to(workspace) {
+            return Arrival::Final(not_minted(id));
         }
         if self.content != content && self.content != 0 {
             let message = format!("request id {id} was used for other content");
@@ -262,6 +273,12 @@
     }
 }
 
+/// Refuses an id that doesn't exist here, or that callers of the workspace must not know of.
+fn not_minted(id: &ids::RequestId) -> refusal::Refusal {
+    let message = format!("request id {id} was not minted by this host");
+    not_run(refusal::Code::BadRequest, message)
+}
+
 /// Refuses a request that did not run.
 fn not_run(code: refusal::Code, message: String) -> refusal::Refusal {
     refusal::Refusal::not_run(code, message)
