router: continue a moved run on its old engine when the new one refuses it

The failed move was recorded at the engine that the run had left as well, so a repeatable stream had no engine left. Ruled out: a cut by the change of the configuration; the stream ended with the refusal of the move. Change: the source keeps a stopped run's memory, so the run goes on there with the same handle if the target doesn't take it, unless the source leaves. Each failed send is recorded once, at the server that failed. Evidence: run_that_its_new_engine_refuses_continues_on_the_one_it_left, for both kinds of route, failed before (200, incomplete) and passes now without a second prefill. Open: placements still go to an engine that changes its stage until it refuses them.

--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -160,20 +160,24 @@
 
     /// Continues a stopped run on a server with the run's KV cache. It is the same run, so it
     /// doesn't count as one of the route's attempts.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it isn't continued, and the KV cache if it can still be used.
     pub(crate) async fn resume_moved_run(
         &mut self,
         server: &sync::Arc<backends::Backend>,
         connection: connection_pool::Connection,
         kv_cache: prefills::KvHandle<D>,
-    ) -> Result<send::ServerResponse, send::SendFailure> {
+    ) -> Result<send::ServerResponse, (send::SendFailure, Option<prefills::KvHandle<D>>)> {
         self.count_retry();
         match self.decode(server, connection, Some(kv_cache)).await {
             Ok(DecodeResult::Stream(response)) => Ok(response),
-            Ok(DecodeResult::Failed(failure, _)) => Err(failure),
+            Ok(DecodeResult::Failed(failure, kv_cache)) => Err((failure, kv_cache)),
             Err(_) => {
                 let outcome = outcome::Outcome::ServerFailed;
                 let cause = "server failed";
-                Err(send::SendFailure { outcome, cause })
+                Err((send::SendFailure { outcome, cause }, None))
             }
         }
     }
@@ -246,6 +250,7 @@
             created_at: cx.now(),
             ttl: self.engines.handle_ttl,
             fetched: false,
+            of_run: false,
         })
     }
 
@@ -324,7 +329,8 @@
 
     /// Makes the result for a server that states that it didn't run the request. Status 421 means
     /// that another server, or an engine of another stage, is at the address; the KV cache can
-    /// still be used. Otherwise the engine couldn't fetch the KV cache.
+    /// still be used, like that of a stopped run in any case. Otherwise the engine couldn't fetch the KV
+    /// cache.
     fn refused_result(
         &self,
         status: http::StatusCode,
@@ -335,11 +341,14 @@
             let cause = "another server or stage";
             return DecodeResult::Failed(send::SendFailure { outcome, cause }, handle);
         }
+        let cause = "engine refused";
+        if handle.as_ref().is_some_and(|handle| handle.of_run) {
+            return DecodeResult::Failed(send::SendFailure { outcome, cause }, handle);
+        }
         if let Some(handle) = &handle {
             let now = self.cx.now();
             locks::lock(&self.cx.health).record_expired_prefill(&handle.server.id, now);
         }
-        let cause = "engine refused";
         DecodeResult::Failed(send::SendFailure { outcome, cause }, None)
     }
 
--- a/daemon/src/router/prefills.rs
+++ b/daemon/src/router/prefills.rs
@@ -34,6 +34,8 @@
     pub(crate) ttl: time::Duration,
     /// Whether another engine has fetched the cache.
     pub(crate) fetched: bool,
+    /// Whether it is the cache of a stopped run, with which its own engine can go on.
+    pub(crate) of_run: bool,
 }
 
 impl<D: dialect::Dialect> KvHandle<D> {
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -46,6 +46,8 @@
     Complete,
     CallerLeft,
     Broken(send::SendFailure),
+    /// The run was stopped to be moved, and no engine continued it. The failed sends are recorded.
+    MoveFailed(send::SendFailure),
 }
 
 /// How the stream of one server ended, and whether its run was being moved then.
@@ -101,7 +103,7 @@
                         opened = moved;
                         continue;
                     }
-                    Some(Err(failure)) => StreamEnd::Broken(failure),
+                    Some(Err(failure)) => StreamEnd::MoveFailed(failure),
                     None => end_unless_stopped,
                 }
             }
@@ -113,9 +115,12 @@
                 return record_end(&request, "complete", "");
             }
             StreamEnd::CallerLeft => return record_end(&request, "caller left", ""),
-            StreamEnd::Broken(failure) => failure,
+            StreamEnd::Broken(failure) => {
+                request.record_failure(&server, &failure, cx.now());
+                failure
+            }
+            StreamEnd::MoveFailed(failure) => failure,
         };
-        request.record_failure(&server, &failure, cx.now());
         let next = request.decide_next(failure.outcome);
         event!(Info, "stream-broke", "id" => request.received.head.request_id,
             "server" => server.id,
@@ -215,7 +220,7 @@
         StreamEnd::Broken(failure) if failure.outcome == outcome::Outcome::BrokenMidway => {
             attempt.set_broken();
         }
-        StreamEnd::Broken(_) | StreamEnd::CallerLeft => {}
+        StreamEnd::Broken(_) | StreamEnd::MoveFailed(_) | StreamEnd::CallerLeft => {}
     }
     match (end, run_move) {
         (StreamEnd::CallerLeft, _) => ServerStreamEnd::Ended(StreamEnd::CallerLeft),
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -129,6 +129,7 @@
         name: kept_memory.handle,
         ttl,
         fetched: false,
+        of_run: true,
     };
     Some(StoppedRun {
         kv_cache,
@@ -156,8 +157,9 @@
     }
 
     /// Continues the run on an engine after its stream has ended: on the target if the KV cache was
-    /// copied there, otherwise again on the source. `source_reservation` is the run's reservation
-    /// on the source. Returns `None` if the run wasn't stopped.
+    /// copied there, otherwise, or if the target doesn't take it, again on the source.
+    /// `source_reservation` is the run's reservation on the source. Returns `None` if the run wasn't
+    /// stopped. Records each failed send.
     pub(crate) async fn finish(
         self,
         request: &mut stream_request::StreamRequest<D>,
@@ -165,50 +167,69 @@
     ) -> Option<Result<engine_stream::OpenStream<D>, send::SendFailure>> {
         // The task neither panics nor is cancelled.
         let stopped_run = self.copy_task.await.ok()??;
-        let (server, reservation, connection) = match stopped_run.connection {
-            Some(connection) => (self.target, self.reservation, Ok(connection)),
-            None => {
-                let connection = reconnect(&request.cx, &self.source).await;
-                (self.source, source_reservation, connection)
-            }
-        };
-        let result = match connection {
-            Ok(connection) => {
-                request
-                    .resume_moved_run(&server, connection, stopped_run.kv_cache)
-                    .await
-            }
-            Err(failure) => Err(failure),
-        };
-        event!(Info, "moved", "id" => request.id(), "server" => server.id,
-            "after_event" => request.last_event,
-            "cause" => result.as_ref().err().map(|failure| failure.cause));
-        Some(match result {
-            Ok(response) => Ok(engine_stream::OpenStream {
-                response,
-                server,
-                reservation,
-            }),
-            Err(failure) => {
-                request.record_failure(&server, &failure, request.cx.now());
-                // The run was stopped midway, even if this send wasn't executed.
-                Err(send::SendFailure {
-                    outcome: outcome::Outcome::BrokenMidway,
-                    ..failure
-                })
-            }
-        })
+        let mut kv_cache = Some(stopped_run.kv_cache);
+        let target = stopped_run
+            .connection
+            .map(|connection| (self.target, self.reservation, Some(connection)));
+        let source = (self.source, source_reservation, None);
+        let mut cause = "run not continued";
+        for (server, reservation, connection) in target.into_iter().chain([source]) {
+            let Some(cache) = kv_cache.take() else {
+                break;
+            };
+            let (failure, cache) = match continue_on(request, &server, connection, cache).await {
+                Ok(response) => {
+                    event!(Info, "moved", "id" => request.id(), "server" => server.id,
+                            "after_event" => request.last_event);
+                    return Some(Ok(engine_stream::OpenStream {
+                        response,
+                        server,
+                        reservation,
+                    }));
+                }
+                Err(failed) => failed,
+            };
+            event!(Info, "not-moved", "id" => request.id(), "server" => server.id,
+                "after_event" => request.last_event, "cause" => failure.cause);
+            request.record_failure(&server, &failure, request.cx.now());
+            cause = failure.cause;
+            kv_cache = cache.filter(|_| failure.outcome.is_not_run());
+        }
+        // The run was stopped midway, even if the last send wasn't executed.
+        let outcome = outcome::Outcome::BrokenMidway;
+        Some(Err(send::SendFailure { outcome, cause }))
     }
 }
 
-/// Opens a connection to the engine that stopped a run and couldn't copy its KV cache. Fails if
-/// that engine is leaving, as leaving engines get no requests.
+/// Continues a stopped run on an engine, on a connection to it if there is one already.
+///
+/// # Errors
+///
+/// Returns why it isn't continued, and the KV cache if it can still be used.
+async fn continue_on<D: dialect::Dialect>(
+    request: &mut stream_request::StreamRequest<D>,
+    server: &sync::Arc<backends::Backend>,
+    connection: Option<connection_pool::Connection>,
+    kv_cache: prefills::KvHandle<D>,
+) -> Result<send::ServerResponse, (send::SendFailure, Option<prefills::KvHandle<D>>)> {
+    let connection = match connection {
+        Some(connection) => connection,
+        None => match reconnect(&request.cx, server).await {
+            Ok(connection) => connection,
+            Err(failure) => return Err((failure, Some(kv_cache))),
+        },
+    };
+    request.resume_moved_run(server, connection, kv_cache).await
+}
+
+/// Opens a connection to the engine that stopped a run and still has its KV cache. Fails if that engine is
+/// leaving, as leaving engines get no requests.
 async fn reconnect<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     source: &backends::Backend,
 ) -> Result<connection_pool::Connection, send::SendFailure> {
     if locks::lock(&cx.servers).is_leaving(&source.id) {
-        let outcome = outcome::Outcome::BrokenMidway;
+        let outcome = outcome::Outcome::NeverWritten;
         let cause = "run stopped on a leaving engine";
         return Err(send::SendFailure { outcome, cause });
     }
--- a/daemon/tests/engine_streams.rs
+++ b/daemon/tests/engine_streams.rs
@@ -335,6 +335,75 @@
     );
 }
 
+/// Has an engine run out of memory, whose newest run is therefore moved to another engine, which refuses it.
+/// Returns the answer to that run's request, and the setup.
+async fn move_run_to_refusing_engine(path: &str) -> (caller::Answer, Setup) {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    let prefill_engine = server::Server::start("i-p", Some("prefill")).await;
+    let source = server::Server::start("i-d1", Some("decode")).await;
+    let target = server::Server::start("i-d2", Some("decode")).await;
+    source
+        .events_per_stream
+        .store(400, atomic::Ordering::Relaxed);
+    target.set_fault(server::Fault::ExpirePrefill);
+    for server in [&prefill_engine, &source] {
+        server.register(&store, "scribe");
+    }
+    let host = hosts::Host::start(BINARY, "h1", addr);
+    host.wait_ready().await;
+    // Both fit as predicted, but not with as many tokens as they generate.
+    let prompt = "X-Model: m\r\nX-Token-Count: 40000,60000\r\nX-Length-Hint: 350\r\n";
+    let mut answers = Vec::new();
+    for id in ["r1", "r2"] {
+        let bytes = caller::request("POST", path, id, prompt, id);
+        let host_addr = host.callers_addr;
+        answers.push(tokio::spawn(async move {
+            caller::send(host_addr, &bytes, TIMEOUT).await
+        }));
+        let start = time::Instant::now();
+        while source.runs_of(id) == 0 {
+            assert!(start.elapsed() < TIMEOUT, "{id} never ran: {}", host.log());
+            tokio::time::sleep(time::Duration::from_millis(2)).await;
+        }
+        // The newest run is moved, so the second one has to be clearly newer.
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+    target.register(&store, "scribe");
+    let mut last = caller::Answer::default();
+    for answer in answers {
+        last = answer.await.unwrap();
+    }
+    assert!(!target.received().is_empty(), "no move: {}", host.log());
+    let setup = Setup {
+        store,
+        host,
+        prefill_engine,
+        decode_engines: vec![source, target],
+    };
+    (last, setup)
+}
+
+// An engine may refuse a run that is moved to it, for instance while it changes its stage. The engine that the run
+// left still has its memory.
+#[tokio::test]
+async fn run_that_its_new_engine_refuses_continues_on_the_one_it_left() {
+    for path in ["/single/x", "/brief/x"] {
+        let (answer, setup) = move_run_to_refusing_engine(path).await;
+        let log = setup.host.log();
+        assert_eq!((answer.status, answer.complete), (200, true), "{log}");
+        assert_eq!(answer.body, complete_stream(400), "{path}");
+        let continued = setup.decode_engines[0].received();
+        let continued = continued.iter().filter(|request| {
+            let source = request.headers.get("x-kv-source");
+            request.ran && source.is_some_and(|source| source.ends_with("/m-r2"))
+        });
+        assert!(continued.count() >= 1, "{path}: {log}");
+        let prefills = setup.prefill_engine.received().len();
+        assert_eq!(prefills, 2, "a prompt was prefilled again: {log}");
+    }
+}
+
 #[tokio::test]
 async fn request_without_usable_engines_is_refused_at_once() {
     let setup = start_setup().await;
