plain: bound a forwarded call by the service's time limit

What callers saw: a call of a plain service that takes longer than 12 s, within its timeout_ms of up to 600 s, got outcome_unknown if the caller was connected to another host than the call's home, although it went on and succeeded. Cause: a fixed limit of 12 s on the call between the two hosts. Change: that call is bounded by the service's timeout_ms and 3 s for what the home does beside it. Evidence: slow_call_is_answered_through_another_host_than_its_home (13 s of 30) failed before and passes now.

--- a/daemon/src/peer_client.rs
+++ b/daemon/src/peer_client.rs
@@ -20,8 +20,6 @@
 pub const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
-/// Timeout of a call to a plain service that the home host makes for this host.
-const PLAIN_CALL_TIMEOUT: time::Duration = time::Duration::from_secs(12);
 /// Interval of HTTP/2 keep-alive pings. A connection is closed if a ping is unanswered this long.
 const KEEP_ALIVE: time::Duration = time::Duration::from_secs(1);
 const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
@@ -125,8 +123,9 @@
         &self,
         addr: &str,
         call: peer::CallRequest,
+        timeout: time::Duration,
     ) -> Result<peer::CallReply, tonic::Status> {
-        let call = with_timeout(call, PLAIN_CALL_TIMEOUT);
+        let call = with_timeout(call, timeout);
         Ok(self.stub(addr)?.call(call).await?.into_inner())
     }
 
--- a/daemon/src/plain.rs
+++ b/daemon/src/plain.rs
@@ -27,6 +27,9 @@
 
 const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Time that the home host may need for a call beside the service's time limit: for the permit of the backup
+/// host, and to try servers that can't be reached.
+const HOME_TIME: time::Duration = time::Duration::from_secs(3);
 /// Maximum number of servers that one call is sent to.
 const MAX_SERVERS_TRIED: usize = 4;
 /// How long the reply of a call with a request id is kept for the caller to fetch it again.
@@ -209,7 +212,8 @@
         body: call.body.to_vec(),
         content_type: call.content_type,
     };
-    let reply = match cx.peers.call(&home.peer_addr, message).await {
+    let timeout = time::Duration::from_millis(call.service.timeout_ms) + HOME_TIME;
+    let reply = match cx.peers.call(&home.peer_addr, message, timeout).await {
         Ok(reply) => reply,
         Err(status) => {
             log::debug!("can't forward call {id} to {}: {status}", home.id);
--- a/standin/src/plain_server.rs
+++ b/standin/src/plain_server.rs
@@ -39,6 +39,7 @@
     repeatable: bool,
     recorder: sync::Arc<recorder::Recorder>,
     faults: sync::Mutex<Faults>,
+    call_duration: sync::Mutex<time::Duration>,
     /// When the server announced that it leaves, if it did.
     leaving_since: sync::Mutex<Option<std::time::Instant>>,
 }
@@ -63,6 +64,7 @@
             repeatable,
             recorder,
             faults: sync::Mutex::default(),
+            call_duration: sync::Mutex::new(CALL_DURATION),
             leaving_since: sync::Mutex::default(),
         });
         let router = axum::Router::new()
@@ -82,6 +84,11 @@
         *lock(&self.shared.faults) = faults;
     }
 
+    /// Sets how long a call runs from now on.
+    pub fn set_call_duration(&self, duration: time::Duration) {
+        *lock(&self.shared.call_duration) = duration;
+    }
+
     /// Makes the health check fail, which announces that the server leaves.
     pub fn start_leaving(&self) {
         *lock(&self.shared.leaving_since) = Some(std::time::Instant::now());
@@ -126,7 +133,8 @@
             repeatable: shared.repeatable,
         });
     }
-    tokio::time::sleep(CALL_DURATION).await;
+    let duration = *lock(&shared.call_duration);
+    tokio::time::sleep(duration).await;
     if rand::random::<f64>() < faults.lose_replies {
         // The connection stays open without a response until the client's timeout.
         std::future::pending::<()>().await;
--- a/standin/tests/plain_at_most_once.rs
+++ b/standin/tests/plain_at_most_once.rs
@@ -132,3 +132,32 @@
         .filter(|record| matches!(&record.event, history::Event::WorkAfterLeave { .. }));
     assert_eq!(calls_after_leaving.count(), 0);
 }
+
+// The service's time limit holds whether or not the caller is connected to the call's home.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_call_is_answered_through_another_host_than_its_home() {
+    const DURATION: std::time::Duration = std::time::Duration::from_secs(13);
+    let world = world::World::start(&[world::User::Coop]).await.unwrap();
+    let mut stored = world.platform.value("config", "hammam").unwrap();
+    for service in stored["document"]["services"].as_array_mut().unwrap() {
+        if service["name"] == "turnstile" {
+            service["timeout_ms"] = serde_json::json!(30_000);
+        }
+    }
+    world
+        .platform
+        .put_unconditionally("config", "hammam", stored);
+    let fleet = local_fleet::Fleet::start(&world, 2, "current")
+        .await
+        .unwrap();
+    let hosts = fleet.api_addresses();
+    let client = client::Client::new(world::User::Coop, "jabal", hosts.clone()).unwrap();
+    let (home, id) = client.host_and_id(None).await.unwrap();
+    for server in &world.services {
+        server.set_call_duration(DURATION);
+    }
+    let other = hosts.iter().find(|host| **host != home).unwrap();
+    let body = client.plain(other, &id, "turnstile").await.unwrap();
+    assert_eq!(body, format!("ok /check {id}"));
+    assert_eq!(count_runs(&world, &id), 1);
+}
