jobs: give jobs submitted after a takeover ids of their own

Evidence: jobs_submitted_after_a_takeover_have_ids_of_their_own failed before (host-0...~2~1 twice) and passes now.

--- a/daemon/src/journal_store.rs
+++ b/daemon/src/journal_store.rs
@@ -47,6 +47,9 @@
     stored: collections::BTreeMap<String, job_journal::Entry>,
     /// The version of the stored object, zero if it doesn't exist yet.
     version: u64,
+    /// Whether it was taken over. Its name is part of its jobs' ids, whose numbers its first owner chose, so it
+    /// gets no more jobs.
+    adopted: bool,
     /// Whether the journal has changes that are still to be written.
     dirty: bool,
     /// Where to send the outcome of the next write.
@@ -109,6 +112,7 @@
                 journal: job_journal::Journal::new(self.owner.clone()),
                 stored: collections::BTreeMap::new(),
                 version: 0,
+                adopted: false,
                 dirty: true,
                 waiters: Vec::new(),
                 unwritten: Vec::new(),
@@ -175,6 +179,7 @@
             stored: journal.entries.clone(),
             journal,
             version,
+            adopted: true,
             dirty: false,
             waiters: Vec::new(),
             unwritten: Vec::new(),
@@ -187,14 +192,16 @@
         locks::lock(&self.open).contains_key(name)
     }
 
-    /// Returns the name of a journal that has space for an entry, or of a new one.
+    /// Returns the name of a journal of this host's own that has space for an entry, or of a new one.
     fn journal_that_fits(
         &self,
         open: &mut collections::BTreeMap<String, OpenJournal>,
         entry: &job_journal::Entry,
     ) -> String {
         let size = entry.size();
-        let found = open.iter().find(|(_, open)| open.journal.fits(size));
+        let found = open
+            .iter()
+            .find(|(_, open)| !open.adopted && open.journal.fits(size));
         if let Some((name, _)) = found {
             return name.clone();
         }
--- a/standin/tests/submitted_jobs.rs
+++ b/standin/tests/submitted_jobs.rs
@@ -155,3 +155,40 @@
         assert_eq!(text, tokens::answer(prompt, 200));
     }
 }
+
+// A host that takes over a journal must not give its ids to other jobs.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_submitted_after_a_takeover_have_ids_of_their_own() {
+    let (_world, mut fleet, client) = setup().await;
+    let hosts = fleet.api_addresses();
+    let mut jobs = Vec::new();
+    for number in 0..3 {
+        let prompt = format!("early {number}");
+        let id = client.submit(&hosts[0], &job(&prompt, 8)).await.unwrap();
+        jobs.push((id, prompt));
+    }
+    fleet.crash(0);
+    for (id, _) in &jobs {
+        wait_for_state(&client, &hosts[1..], id, "done").await;
+    }
+    let adopted = |index: usize| {
+        let store = fleet.host(index).jobs.store();
+        jobs.iter().all(|(id, _)| store.get(id).is_some())
+    };
+    local_fleet::wait_until("a host owns the journal", || adopted(1) || adopted(2))
+        .await
+        .unwrap();
+    for host in &hosts[1..] {
+        for number in 0..3 {
+            let prompt = format!("late {number} at {host}");
+            let id = client.submit(host, &job(&prompt, 8)).await.unwrap();
+            assert!(!jobs.iter().any(|(known, _)| *known == id), "{id} twice");
+            jobs.push((id, prompt));
+        }
+    }
+    for (id, prompt) in &jobs {
+        wait_for_state(&client, &hosts[1..], id, "done").await;
+        let text = client.job_answer(&hosts[1], id).await.unwrap();
+        assert_eq!(text, tokens::answer(prompt, 8), "{id}");
+    }
+}
