generate: register an id and its answer as one step

Cause: the id was registered under one lock and its answer stored under another; between them the id is found without an answer. The plain calls had the same gap (read, not seen). Change: both are done under the table's lock. A request that can't run ends its answer with the refusal, so those attached to it get the refusal too.

--- a/daemon/src/generate.rs
+++ b/daemon/src/generate.rs
@@ -148,12 +148,23 @@
     let content = prefix::digest(&request.prompt) ^ u64::from(request.max_tokens);
     let workspace = &request.workspace.document.workspace;
     let resumes = request.offset.is_some();
-    let arrival =
-        locks::lock(&cx.request_table).register(&id, workspace, content, resumes, cx.now());
+    let (arrival, new_answer) = {
+        // A request that comes next must find the answer of an id that it finds registered.
+        let mut table = locks::lock(&cx.request_table);
+        let arrival = table.register(&id, workspace, content, resumes, cx.now());
+        let new_answer = sync::Arc::new(answer::Answer::default());
+        if arrival == request_table::Arrival::Run {
+            locks::lock(&cx.answers).insert(id.number, new_answer.clone());
+        }
+        (arrival, new_answer)
+    };
     let answer = match arrival {
         request_table::Arrival::Final(refusal) => return Err(refusal),
         request_table::Arrival::Attach => find_answer(cx, &id)?,
-        request_table::Arrival::Run => start(cx, &request, &id)?,
+        request_table::Arrival::Run => {
+            start(cx, &request, &id, &new_answer)?;
+            new_answer
+        }
     };
     Ok(AcceptedRequest {
         reader: answer.read(request.offset.unwrap_or(0)),
@@ -180,26 +191,29 @@
 }
 
 /// Starts to run a request in the background.
+///
+/// # Errors
+///
+/// Refuses a request that can't run now, and ends its answer with the refusal.
 fn start(
     cx: &sync::Arc<host::Host>,
     request: &Request,
     id: &ids::RequestId,
-) -> Result<sync::Arc<answer::Answer>, refusal::Refusal> {
+    answer: &sync::Arc<answer::Answer>,
+) -> Result<(), refusal::Refusal> {
     let prepared = prepare(cx, request, id);
     let job = match prepared {
         Ok(job) => job,
         Err(refusal) => {
             let state = request_table::State::Refused(refusal.clone());
             locks::lock(&cx.request_table).set_state(id.number, state, cx.now());
+            answer.finish(answer::End::Refused(refusal.clone()), cx.now());
             return Err(refusal);
         }
     };
-    let answer = sync::Arc::new(answer::Answer::default());
-    locks::lock(&cx.answers).insert(id.number, answer.clone());
-    let cx = cx.clone();
-    let job_answer = answer.clone();
-    tokio::spawn(async move { run(&cx, &job, &job_answer).await });
-    Ok(answer)
+    let (cx, answer) = (cx.clone(), answer.clone());
+    tokio::spawn(async move { run(&cx, &job, &answer).await });
+    Ok(())
 }
 
 /// Checks whether this host can run a request now, and returns the job for it.
--- a/daemon/src/plain.rs
+++ b/daemon/src/plain.rs
@@ -245,14 +245,17 @@
 ) -> Result<Reply, refusal::Refusal> {
     let content = prefix::digest(&call.path) ^ body_digest(&call.body);
     let workspace = call.workspace.document.workspace.clone();
-    let arrival = locks::lock(&cx.request_table).register(id, &workspace, content, false, cx.now());
-    let mut outcome = match arrival {
-        request_table::Arrival::Final(refusal) => return Err(refusal),
-        request_table::Arrival::Attach => {
-            let known = locks::lock(&cx.plain.replies).get(&id.number).cloned();
-            known.ok_or_else(refusal::Refusal::already_answered)?
+    let mut outcome = {
+        // A call that comes next must find the reply of an id that it finds registered.
+        let mut table = locks::lock(&cx.request_table);
+        match table.register(id, &workspace, content, false, cx.now()) {
+            request_table::Arrival::Final(refusal) => return Err(refusal),
+            request_table::Arrival::Attach => {
+                let known = locks::lock(&cx.plain.replies).get(&id.number).cloned();
+                known.ok_or_else(refusal::Refusal::already_answered)?
+            }
+            request_table::Arrival::Run => spawn_call(cx, call, id, workspace),
         }
-        request_table::Arrival::Run => spawn_call(cx, call, id, workspace),
     };
     let ended = outcome.wait_for(Option::is_some).await;
     match ended {
--- a/standin/tests/duplicate_requests.rs
+++ b/standin/tests/duplicate_requests.rs
@@ -1,7 +1,13 @@
 //! Requests sent more than once with the same id: to two hosts at once, after the answer, and after
 //! the home host has crashed. None may run twice.
 
+use std::sync;
+
+use walnuthaven_daemon::generate;
+use walnuthaven_daemon::locks;
 use walnuthaven_lib::history;
+use walnuthaven_lib::queue;
+use walnuthaven_lib::refusal;
 use walnuthaven_standin::client;
 use walnuthaven_standin::load;
 use walnuthaven_standin::local_fleet;
@@ -261,3 +267,45 @@
     assert_eq!(body["error"]["code"], "id_required");
     assert_eq!(body["error"]["ran"], "not_run");
 }
+
+// Whoever comes second must find the answer of the first, however little later it comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn simultaneous_requests_with_one_id_share_an_answer() {
+    const IDS: u64 = 300;
+    let world = world::World::start(&[world::User::Studio]).await.unwrap();
+    let fleet = local_fleet::Fleet::start(&world, 1, "current")
+        .await
+        .unwrap();
+    let cx = fleet.host(0).clone();
+    let workspace = locks::read(&cx.config).get("cadena").cloned().unwrap();
+    let service = workspace.document.service("subtitles").cloned().unwrap();
+    let request = generate::Request {
+        workspace,
+        service,
+        prompt: "a reel".into(),
+        max_tokens: 1,
+        class: queue::Class::Normal,
+        repeatable: true,
+        id: None,
+        offset: None,
+        arrived: cx.now(),
+    };
+    for id in generate::mint(&cx, IDS) {
+        let barrier = sync::Arc::new(sync::Barrier::new(2));
+        let accept = || {
+            let (cx, id, request) = (cx.clone(), id.clone(), request.clone());
+            let barrier = barrier.clone();
+            tokio::task::spawn_blocking(move || {
+                barrier.wait();
+                generate::accept_at_home(&cx, request, id).map(drop)
+            })
+        };
+        let (one, other) = tokio::join!(accept(), accept());
+        for accepted in [one.unwrap(), other.unwrap()] {
+            // The second may come after the answer was delivered, but not find it missing.
+            if let Err(refusal) = accepted {
+                assert_eq!(refusal.code, refusal::Code::AlreadyAnswered, "{refusal:?}");
+            }
+        }
+    }
+}
