--- a/standin/src/daemon_fleet.rs
+++ b/standin/src/daemon_fleet.rs
@@ -53,7 +53,15 @@
     /// Returns an error that names the build command if the daemon is not built.
     pub fn new(platform_url: &str, scheduler: &str, label: &str) -> anyhow::Result<Self> {
         let current_exe = std::env::current_exe().context("finding the path of this executable")?;
-        let binary = current_exe.with_file_name("walnuthavend");
+        // Tests lie in a folder below the one with the programs.
+        let folder = current_exe
+            .parent()
+            .context("this executable has no folder")?;
+        let folder = match folder.ends_with("deps") {
+            true => folder.parent().unwrap_or(folder),
+            false => folder,
+        };
+        let binary = folder.join("walnuthavend");
         anyhow::ensure!(
             binary.exists(),
             "the daemon {} is missing; build it with `cargo build --release --bin walnuthavend`",
