quarantine: record crashes in whole milliseconds

What callers saw: nothing yet. Cause: a host records a crash with nanoseconds; the store and the news have milliseconds. Its own crash comes back as a second one, and a lift by another host clears only that one. Change: a crash is recorded in whole milliseconds. Evidence: recorded_crash_is_unchanged_by_a_round_trip_in_milliseconds failed before and passes now.

--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::clock;
 use crate::ids;
 use crate::refusal;
 
@@ -166,6 +167,8 @@
         server: &ids::Name,
         unix_now: time::Duration,
     ) -> CrashMark {
+        // Messages and the store have whole milliseconds.
+        let unix_now = time::Duration::from_millis(clock::millis(unix_now));
         let crash = Crash {
             at: unix_now,
             server: server.clone(),
--- a/lib/tests/quarantine_marks.rs
+++ b/lib/tests/quarantine_marks.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use walnuthaven_lib::clock;
 use walnuthaven_lib::quarantine;
 use walnuthaven_lib::refusal;
 
@@ -68,6 +69,22 @@
     assert!(fast.check(DIGEST, at(603)).is_err());
 }
 
+// Messages and the store have times in whole milliseconds. A crash that comes back from there must be the same one.
+#[test]
+fn recorded_crash_is_unchanged_by_a_round_trip_in_milliseconds() {
+    let mut table = quarantine::Table::default();
+    let now = at(1) + time::Duration::from_nanos(1_234_567);
+    let mut mark = table.record_crash(DIGEST, &"s1".into(), now);
+    let in_millis = |time: time::Duration| time::Duration::from_millis(clock::millis(time));
+    mark.expires = in_millis(mark.expires);
+    let crashes = mark.crashes.into_iter().map(|crash| quarantine::Crash {
+        at: in_millis(crash.at),
+        ..crash
+    });
+    mark.crashes = crashes.collect();
+    assert!(!table.merge(&mark, now), "the crash counts twice");
+}
+
 #[test]
 fn merging_gives_the_same_marks_in_any_order() {
     fn order_does_not_matter(crashes: Vec<(u8, u8)>) -> bool {
