router: wait for the crash marks from the first configuration on

A host refused requests until it had read the marks, but for at most 3 s after its start. If the store comes back later than that, the configuration and the marks arrive within the same second, and requests between the two weren't held back. The 3 s now count from the first configuration; without one the host refuses everything anyway. Read in the code; no test shows the gap, which is under a second. crashing_requests and store_changes pass.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -41,6 +41,8 @@
     /// `id` as text: the owner under which `engine_load` records this host's runs and prefills.
     pub(crate) work_owner: sync::Arc<str>,
     settings: sync::RwLock<sync::Arc<settings::Settings>>,
+    /// When the first configuration was put in force, as time since boot.
+    configured_at: sync::OnceLock<time::Duration>,
     /// The configuration in force; `None` until one has been read.
     table: sync::RwLock<Option<sync::Arc<routing::Table>>>,
     /// Backend servers, as the store lists them.
@@ -112,6 +114,7 @@
             work_owner: id.to_string().into(),
             id,
             settings: sync::RwLock::new(sync::Arc::new(settings)),
+            configured_at: sync::OnceLock::new(),
             table: sync::RwLock::new(None),
             servers: sync::Mutex::default(),
             servers_listed: atomic::AtomicBool::new(false),
@@ -126,7 +129,7 @@
             table_outdated: tokio::sync::Notify::new(),
             departures: sync::Mutex::default(),
             crash_checks,
-            crash_marks: sync::Mutex::new(crash_marks::CrashMarks::new(clock.now())),
+            crash_marks: sync::Mutex::default(),
             crash_marks_changed: tokio::sync::Notify::new(),
             crash_marks_unsaved: tokio::sync::Notify::new(),
             body_memory: sync::Arc::default(),
@@ -176,6 +179,7 @@
             return false;
         }
         *current = Some(sync::Arc::new(table));
+        self.configured_at.get_or_init(|| self.now());
         true
     }
 
@@ -224,7 +228,9 @@
 
     /// Returns whether the crash marks are known, so that requests may be sent to servers.
     pub(crate) fn knows_marks(&self) -> bool {
-        locks::lock(&self.crash_marks).are_known(self.now())
+        let configured_at = self.configured_at.get().copied().unwrap_or_default();
+        let configured_for = self.now().saturating_sub(configured_at);
+        locks::lock(&self.crash_marks).are_known(configured_for)
     }
 
     /// Returns how many idle connections this host may keep to each server of a service. The hosts
--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -37,8 +37,8 @@
 const CRASHES_RETRY_AFTER: time::Duration = time::Duration::from_secs(60);
 /// What a refused caller is told.
 const REFUSAL: &str = "this request crashed several servers";
-/// How long after its start a host refuses requests because it hasn't read the marks. Afterwards the
-/// store is in trouble, and requests that crash servers are rarer than others.
+/// How long a host that has a configuration refuses requests because it hasn't read the marks. Afterwards
+/// the store is in trouble, and requests that crash servers are rarer than others.
 const READ_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 /// The marks that this host knows, and what it has told of them.
@@ -49,25 +49,24 @@
     announcements: announced_marks::Announcements,
     /// Whether the marks were read from the store.
     pub(super) read: bool,
-    /// When the process started, as time since boot.
-    started_at: time::Duration,
 }
 
-impl CrashMarks {
-    /// Creates an empty table. `started_at` is the time since boot.
-    pub(crate) fn new(started_at: time::Duration) -> Self {
+impl Default for CrashMarks {
+    fn default() -> Self {
         Self {
             table: quarantine::Table::with_crash_threshold(SERVERS_TO_REFUSE),
             stored: stored_marks::StoredMarks::default(),
             announcements: announced_marks::Announcements::default(),
             read: false,
-            started_at,
         }
     }
+}
 
-    /// Returns whether the host knows the marks as well as it can.
-    pub(crate) fn are_known(&self, now: time::Duration) -> bool {
-        self.read || now.saturating_sub(self.started_at) >= READ_TIMEOUT
+impl CrashMarks {
+    /// Returns whether the host knows the marks as well as it can. It has had a configuration for
+    /// `configured_for`.
+    pub(crate) fn are_known(&self, configured_for: time::Duration) -> bool {
+        self.read || configured_for >= READ_TIMEOUT
     }
 
     /// Returns all marks.
