router: keep the steps between the tables of crash marks in one place

Behaviour as before: listing, the next write and the next announcement are methods of CrashMarks, which owns the table and what was told of it.

--- a/daemon/src/router/crash_mark_store.rs
+++ b/daemon/src/router/crash_mark_store.rs
@@ -93,17 +93,7 @@
     for (mark, _) in &listed {
         crash_marks::merge(cx, mark, "store");
     }
-    let now = cx.now();
-    let mut marks = locks::lock(&cx.crash_marks);
-    let crash_marks::CrashMarks {
-        table,
-        stored,
-        read,
-        ..
-    } = &mut *marks;
-    stored.replace_all(listed, table, rand::random(), now);
-    *read = true;
-    drop(marks);
+    locks::lock(&cx.crash_marks).record_list(listed, cx.now());
     cx.crash_marks_unsaved.notify_one();
 }
 
@@ -146,18 +136,7 @@
     let mut client = store::Client::new(&cx);
     let mut pause = FIRST_PAUSE;
     loop {
-        let next = {
-            let now = cx.now();
-            let mut marks = locks::lock(&cx.crash_marks);
-            let crash_marks::CrashMarks {
-                table,
-                stored,
-                read,
-                ..
-            } = &mut *marks;
-            // Until the marks were read, it isn't known which ones the store lacks.
-            read.then(|| stored.next_write(table, now)).flatten()
-        };
+        let next = locks::lock(&cx.crash_marks).next_write(cx.now());
         let Some(write) = next else {
             // After a time-out, marks of other hosts may have become due.
             let unsaved = cx.crash_marks_unsaved.notified();
@@ -186,11 +165,10 @@
     result: &Result<(), store::Failure>,
 ) {
     let mut marks = locks::lock(&cx.crash_marks);
-    let crash_marks::CrashMarks { table, stored, .. } = &mut *marks;
     match result {
-        Ok(()) => stored.record_written(mark, table),
+        Ok(()) => marks.record_written(mark),
         Err(store::Failure::Status(dialect::StoreStatus::Missing)) => {
-            stored.record_removed(mark.digest);
+            marks.stored.record_removed(mark.digest);
         }
         // The watch brings the version of another host, or this host's own if the answer was lost.
         Err(_) => {}
--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -48,7 +48,7 @@
     pub(super) stored: stored_marks::StoredMarks,
     announcements: announced_marks::Announcements,
     /// Whether the marks were read from the store.
-    pub(super) read: bool,
+    read: bool,
 }
 
 impl Default for CrashMarks {
@@ -69,6 +69,41 @@
         self.read || configured_for >= READ_TIMEOUT
     }
 
+    /// Records a complete list of the store's marks with their revisions. From then on the marks are known.
+    pub(super) fn record_list(
+        &mut self,
+        listed: Vec<(quarantine::CrashMark, u64)>,
+        now: time::Duration,
+    ) {
+        self.stored
+            .replace_all(listed, &self.table, rand::random(), now);
+        self.read = true;
+    }
+
+    /// Returns the next mark that the store lacks; none until the marks were read, as that isn't known
+    /// before.
+    pub(super) fn next_write(&mut self, now: time::Duration) -> Option<stored_marks::Write> {
+        match self.read {
+            true => self.stored.next_write(&self.table, now),
+            false => None,
+        }
+    }
+
+    /// Records that a mark was written to the store.
+    pub(super) fn record_written(&mut self, mark: &quarantine::CrashMark) {
+        self.stored.record_written(mark, &self.table);
+    }
+
+    /// Returns marks for a news message.
+    fn next_announced(&mut self, now: time::Duration) -> Vec<quarantine::CrashMark> {
+        self.announcements.next(
+            &self.table,
+            MAX_MARKS_PER_MESSAGE,
+            ANNOUNCEMENT_SPACING,
+            now,
+        )
+    }
+
     /// Returns all marks.
     pub(crate) fn marks(&self) -> impl Iterator<Item = &quarantine::CrashMark> {
         self.table.marks()
@@ -185,14 +220,7 @@
 
 /// Returns marks for a news message to the other hosts.
 pub(crate) fn next_announced<D: dialect::Dialect>(cx: &context::Router<D>) -> Vec<news::CrashMark> {
-    let now = cx.now();
-    let mut marks = locks::lock(&cx.crash_marks);
-    let CrashMarks {
-        table,
-        announcements,
-        ..
-    } = &mut *marks;
-    let announced = announcements.next(table, MAX_MARKS_PER_MESSAGE, ANNOUNCEMENT_SPACING, now);
+    let announced = locks::lock(&cx.crash_marks).next_announced(cx.now());
     announced.iter().map(to_wire).collect()
 }
 
