--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -23,7 +23,8 @@
 use crate::router::send;
 use crate::router::stream_request;
 
-/// Retry-After while the host has no configuration or crash marks, or a configuration without the route's service.
+/// Retry-After while the host has no configuration or crash marks, or a configuration without the
+/// route's service.
 const NOT_READY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 /// Retry-After of requests for streams that a leaving host refuses. It is short because callers
 /// send them to another host.
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -202,8 +202,8 @@
     thread::sleep(LOG_WRITE_TIME);
 }
 
-/// Waits while the other tasks serve requests, until none is in flight and no crash mark is left to write. Returns no earlier than
-/// `min_time` and no later than about `max_time` after `started`.
+/// Waits while the other tasks serve requests, until none is in flight and no crash mark is left to
+/// write. Returns no earlier than `min_time` and no later than about `max_time` after `started`.
 async fn serve_until_idle<D: dialect::Dialect>(
     cx: &context::Router<D>,
     started: time::Duration,
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -1,7 +1,8 @@
 //! Keeps this host's views of the store's collections up to date: configuration, backend servers,
 //! crash marks and other hosts.
 //!
-//! The hosts are listed from time to time; the other collections are listed once and then watched. While the store doesn't answer, each view stays as it was.
+//! The hosts are listed from time to time; the other collections are listed once and then watched.
+//! While the store doesn't answer, each view stays as it was.
 
 use std::sync;
 use std::sync::atomic;
