--- a/daemon/tests/engine_streams.rs
+++ b/daemon/tests/engine_streams.rs
@@ -5,80 +5,19 @@
 use std::time;
 
 use walnuthaven_platform_standin::caller;
+use walnuthaven_platform_standin::engine_setup;
 use walnuthaven_platform_standin::hosts;
 use walnuthaven_platform_standin::server;
 use walnuthaven_platform_standin::store;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
-/// Longest time to wait for an answer or an expected state.
-const TIMEOUT: time::Duration = time::Duration::from_secs(6);
-/// Headers of a request with a short answer.
-const PROMPT: &str = "X-Model: m\r\nX-Token-Count: 500,700\r\nX-Length-Hint: 350\r\n";
-
-/// An entry host with one prefill engine and two decode engines of the service `scribe`.
-struct Setup {
-    store: sync::Arc<store::Store>,
-    host: hosts::Host,
-    prefill_engine: sync::Arc<server::Server>,
-    decode_engines: Vec<sync::Arc<server::Server>>,
-}
-
-async fn start_setup() -> Setup {
-    let (store, addr) = store::Store::start().await;
-    hosts::configure(&store, 3);
-    let prefill_engine = server::Server::start("i-p", Some("prefill")).await;
-    let mut decode_engines = Vec::new();
-    for id in ["i-d1", "i-d2"] {
-        decode_engines.push(server::Server::start(id, Some("decode")).await);
-    }
-    for server in decode_engines.iter().chain([&prefill_engine]) {
-        server.register(&store, "scribe");
-    }
-    let host = hosts::Host::start(BINARY, "h1", addr);
-    host.wait_ready().await;
-    Setup {
-        store,
-        host,
-        prefill_engine,
-        decode_engines,
-    }
-}
-
-impl Setup {
-    /// Sets the fault of both decode engines.
-    fn set_fault(&self, fault: server::Fault) {
-        self.decode_engines
-            .iter()
-            .for_each(|engine| engine.set_fault(fault));
-    }
-
-    /// Returns how often a request ran, on both decode engines together.
-    fn runs_of(&self, id: &str) -> usize {
-        self.decode_engines
-            .iter()
-            .map(|engine| engine.runs_of(id))
-            .sum()
-    }
-
-    async fn send(&self, path: &str, id: &str) -> caller::Answer {
-        let bytes = caller::request("POST", path, id, PROMPT, "a prompt");
-        caller::send(self.host.callers_addr, &bytes, TIMEOUT).await
-    }
-}
-
-/// Returns the body of a complete stream of `last` events.
-fn complete_stream(last: u64) -> String {
-    (1..=last)
-        .map(|id| format!("id: {id}\ndata: event {id}\n\n"))
-        .collect()
-}
 
 #[tokio::test]
 async fn prefill_and_decode_run_on_different_engines() {
-    let setup = start_setup().await;
+    let setup = engine_setup::EngineSetup::start(BINARY).await;
     let answer = setup.send("/single/x", "r1").await;
     assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
-    assert_eq!(answer.body, complete_stream(5));
+    assert_eq!(answer.body, engine_setup::complete_stream(5));
     assert_eq!(setup.prefill_engine.received().len(), 1);
     let received: Vec<_> = setup
         .decode_engines
@@ -93,7 +32,7 @@
 
 #[tokio::test]
 async fn broken_resumable_stream_continues_after_last_complete_event() {
-    let setup = start_setup().await;
+    let setup = engine_setup::EngineSetup::start(BINARY).await;
     setup.decode_engines[0]
         .events_per_stream
         .store(40, atomic::Ordering::Relaxed);
@@ -123,19 +62,19 @@
     let answer = setup.send("/brief/x", "r1").await;
     heal.await.unwrap();
     assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
-    assert_eq!(answer.body, complete_stream(40));
+    assert_eq!(answer.body, engine_setup::complete_stream(40));
     assert_eq!(setup.runs_of("r1"), 2);
 }
 
 #[tokio::test]
 async fn broken_unresumable_stream_is_visibly_incomplete() {
-    let setup = start_setup().await;
+    let setup = engine_setup::EngineSetup::start(BINARY).await;
     setup.set_fault(server::Fault::TruncateStream);
     let answer = setup.send("/single/x", "r1").await;
     assert_eq!((answer.status, answer.complete), (200, false), "{answer:?}");
     assert_eq!(
         answer.body,
-        complete_stream(2),
+        engine_setup::complete_stream(2),
         "only complete events are forwarded"
     );
     assert_eq!(setup.runs_of("r1"), 1);
@@ -143,13 +82,13 @@
 
 #[tokio::test]
 async fn caller_disconnect_frees_the_engine() {
-    let setup = start_setup().await;
+    let setup = engine_setup::EngineSetup::start(BINARY).await;
     for engine in &setup.decode_engines {
         engine
             .events_per_stream
             .store(10_000, atomic::Ordering::Relaxed);
     }
-    let bytes = caller::request("POST", "/single/x", "r1", PROMPT, "a prompt");
+    let bytes = caller::request("POST", "/single/x", "r1", engine_setup::PROMPT, "a prompt");
     let short_timeout = time::Duration::from_millis(400);
     let answer = caller::send(setup.host.callers_addr, &bytes, short_timeout).await;
     assert!(answer.body.starts_with("id: 1\n"), "{answer:?}");
@@ -160,7 +99,7 @@
         .any(|engine| engine.active_runs.load(atomic::Ordering::Relaxed) > 0)
     {
         assert!(
-            start.elapsed() < TIMEOUT,
+            start.elapsed() < engine_setup::TIMEOUT,
             "an engine still works on the request"
         );
         tokio::time::sleep(time::Duration::from_millis(10)).await;
@@ -170,11 +109,11 @@
 
 #[tokio::test]
 async fn lost_prefill_result_is_freed_and_decode_engine_prefills_prompt() {
-    let setup = start_setup().await;
+    let setup = engine_setup::EngineSetup::start(BINARY).await;
     setup.set_fault(server::Fault::ExpirePrefill);
     let answer = setup.send("/single/x", "r1").await;
     assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
-    assert_eq!(answer.body, complete_stream(5));
+    assert_eq!(answer.body, engine_setup::complete_stream(5));
     assert_eq!(setup.runs_of("r1"), 1);
     assert_eq!(setup.prefill_engine.received().len(), 1);
     let start = time::Instant::now();
@@ -185,7 +124,7 @@
         == 0
     {
         assert!(
-            start.elapsed() < TIMEOUT,
+            start.elapsed() < engine_setup::TIMEOUT,
             "the result of the prefill wasn't freed"
         );
         tokio::time::sleep(time::Duration::from_millis(10)).await;
@@ -194,7 +133,7 @@
 
 #[tokio::test]
 async fn unreachable_decode_engine_wastes_no_prefill() {
-    let setup = start_setup().await;
+    let setup = engine_setup::EngineSetup::start(BINARY).await;
     let entry = setup.decode_engines[0].entry("scribe", "ready");
     for id in ["i-x1", "i-x2", "i-x3"] {
         let mut gone = entry.clone();
@@ -216,27 +155,19 @@
 /// Waits until a decode engine runs request `id` and marks that engine as draining. Returns it and
 /// the other decode engine.
 async fn drain_running_engine(
-    setup: &Setup,
+    setup: &engine_setup::EngineSetup,
     id: &str,
 ) -> (sync::Arc<server::Server>, sync::Arc<server::Server>) {
-    let start = time::Instant::now();
-    let running = loop {
-        let running = setup.decode_engines.iter().position(|e| e.runs_of(id) > 0);
-        if let Some(running) = running {
-            break running;
-        }
-        assert!(start.elapsed() < TIMEOUT, "the request never ran");
-        tokio::time::sleep(time::Duration::from_millis(2)).await;
-    };
-    let leaving = setup.decode_engines[running].clone();
+    let leaving = setup.wait_for_run(id).await;
     let entry = leaving.entry("scribe", "draining");
     setup.store.put("servers", &leaving.id, entry);
-    (leaving, setup.decode_engines[1 - running].clone())
+    let other = setup.decode_engines.iter().find(|e| e.id != leaving.id);
+    (leaving, other.unwrap().clone())
 }
 
 /// Makes the decode engines' streams long: 70 events, 30 ms apart. They take longer than the host
 /// needs to learn that an engine is draining.
-fn make_streams_long(setup: &Setup) {
+fn make_streams_long(setup: &engine_setup::EngineSetup) {
     for engine in &setup.decode_engines {
         engine
             .events_per_stream
@@ -250,17 +181,17 @@
 
 #[tokio::test]
 async fn run_moves_to_another_engine_when_its_engine_drains() {
-    let setup = start_setup().await;
+    let setup = engine_setup::EngineSetup::start(BINARY).await;
     make_streams_long(&setup);
     let bytes = caller::request("POST", "/single/x", "r1", LONG_PROMPT, "a prompt");
     let (answer, (leaving, other)) = tokio::join!(
-        caller::send(setup.host.callers_addr, &bytes, TIMEOUT),
+        caller::send(setup.host.callers_addr, &bytes, engine_setup::TIMEOUT),
         drain_running_engine(&setup, "r1")
     );
     assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
     assert_eq!(
         answer.body,
-        complete_stream(70),
+        engine_setup::complete_stream(70),
         "each event once and in order"
     );
     let received = other.received();
@@ -283,7 +214,7 @@
 
 #[tokio::test]
 async fn run_that_cannot_be_copied_restarts_only_if_repeatable() {
-    let setup = start_setup().await;
+    let setup = engine_setup::EngineSetup::start(BINARY).await;
     make_streams_long(&setup);
     for engine in &setup.decode_engines {
         engine.refuses_copies.store(true, atomic::Ordering::Relaxed);
@@ -291,7 +222,7 @@
     for (path, id, complete, runs) in [("/single/x", "r1", false, 1), ("/brief/x", "r2", true, 2)] {
         let bytes = caller::request("POST", path, id, LONG_PROMPT, "a prompt");
         let (answer, (leaving, _)) = tokio::join!(
-            caller::send(setup.host.callers_addr, &bytes, TIMEOUT),
+            caller::send(setup.host.callers_addr, &bytes, engine_setup::TIMEOUT),
             drain_running_engine(&setup, id)
         );
         assert_eq!(
@@ -299,7 +230,10 @@
             (200, complete),
             "{answer:?}"
         );
-        assert!(complete_stream(70).starts_with(&answer.body), "{answer:?}");
+        assert!(
+            engine_setup::complete_stream(70).starts_with(&answer.body),
+            "{answer:?}"
+        );
         assert_eq!(setup.runs_of(id), runs, "{path}");
         leaving.register(&setup.store, "scribe");
         tokio::time::sleep(time::Duration::from_millis(600)).await;
@@ -308,7 +242,7 @@
 
 #[tokio::test]
 async fn stopped_unrepeatable_run_refused_elsewhere_is_not_restarted() {
-    let setup = start_setup().await;
+    let setup = engine_setup::EngineSetup::start(BINARY).await;
     make_streams_long(&setup);
     let bytes = caller::request("POST", "/single/x", "r1", LONG_PROMPT, "a prompt");
     let drain_and_refuse = async {
@@ -317,7 +251,7 @@
         (leaving, other)
     };
     let (answer, (leaving, other)) = tokio::join!(
-        caller::send(setup.host.callers_addr, &bytes, TIMEOUT),
+        caller::send(setup.host.callers_addr, &bytes, engine_setup::TIMEOUT),
         drain_and_refuse
     );
     assert_eq!((answer.status, answer.complete), (200, false), "{answer:?}");
@@ -337,7 +271,7 @@
 
 /// Has an engine run out of memory, whose newest run is therefore moved to another engine, which refuses it.
 /// Returns the answer to that run's request, and the setup.
-async fn move_run_to_refusing_engine(path: &str) -> (caller::Answer, Setup) {
+async fn move_run_to_refusing_engine(path: &str) -> (caller::Answer, engine_setup::EngineSetup) {
     let (store, addr) = store::Store::start().await;
     hosts::configure(&store, 3);
     let prefill_engine = server::Server::start("i-p", Some("prefill")).await;
@@ -359,11 +293,15 @@
         let bytes = caller::request("POST", path, id, prompt, id);
         let host_addr = host.callers_addr;
         answers.push(tokio::spawn(async move {
-            caller::send(host_addr, &bytes, TIMEOUT).await
+            caller::send(host_addr, &bytes, engine_setup::TIMEOUT).await
         }));
         let start = time::Instant::now();
         while source.runs_of(id) == 0 {
-            assert!(start.elapsed() < TIMEOUT, "{id} never ran: {}", host.log());
+            assert!(
+                start.elapsed() < engine_setup::TIMEOUT,
+                "{id} never ran: {}",
+                host.log()
+            );
             tokio::time::sleep(time::Duration::from_millis(2)).await;
         }
         // The newest run is moved, so the second one has to be clearly newer.
@@ -375,7 +313,7 @@
         last = answer.await.unwrap();
     }
     assert!(!target.received().is_empty(), "no move: {}", host.log());
-    let setup = Setup {
+    let setup = engine_setup::EngineSetup {
         store,
         host,
         prefill_engine,
@@ -392,7 +330,7 @@
         let (answer, setup) = move_run_to_refusing_engine(path).await;
         let log = setup.host.log();
         assert_eq!((answer.status, answer.complete), (200, true), "{log}");
-        assert_eq!(answer.body, complete_stream(400), "{path}");
+        assert_eq!(answer.body, engine_setup::complete_stream(400), "{path}");
         let continued = setup.decode_engines[0].received();
         let continued = continued.iter().filter(|request| {
             let source = request.headers.get("x-kv-source");
@@ -406,7 +344,7 @@
 
 #[tokio::test]
 async fn request_without_usable_engines_is_refused_at_once() {
-    let setup = start_setup().await;
+    let setup = engine_setup::EngineSetup::start(BINARY).await;
     for id in ["i-d1", "i-d2", "i-p"] {
         let server = setup
             .decode_engines
