server_health: keep silent engines usable if there are no others

What callers saw: beside a stream whose engine was silent for more than 1.2 s, new requests of a service with few engines were refused at once ("no engine is usable"), at all hosts, although the engine was sound.

Cause: a silence was recorded like a connection that can't be opened, and told to the other hosts, which took it for their own observation. An avoided engine got nothing, however many others there were. Plain services weren't affected: their choice falls back to avoided servers.

Silence, and what another host reports, now only make an engine the last choice: it is placed on while no other decode engine is left. What a host itself couldn't reach, or was refused by, stays excluded, so nothing is sent to an engine that is known to be gone. The silence ends with the first byte that arrives.

--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -241,19 +241,7 @@
     now: time::Duration,
     is_first: bool,
 ) -> Result<(Reservation<D>, engine_load::Placement), engine_load::Full> {
-    let usable = cx.group_engines(&request.service.name);
-    let health = locks::lock(&cx.health);
-    let untried = usable
-        .into_iter()
-        .filter(|server| !request.tried.contains(&server.id));
-    let avoided_for_prefill = |server: &backends::Backend| {
-        let is_prefill = server.stage == Some(backends::Stage::Prefill);
-        is_prefill && health.is_avoided_for_prefill(&server.id, now)
-    };
-    let engines: Vec<_> = untried
-        .filter(|server| !health.is_avoided(&server.id, now) && !avoided_for_prefill(server))
-        .collect();
-    drop(health);
+    let engines = usable_engines(cx, request, now);
     let limits = engine_memory::Limits {
         memory_tokens: request.engines.memory_tokens,
         run_kind: request.run_kind,
@@ -300,6 +288,32 @@
     Ok((reservation, placement))
 }
 
+/// Returns the engines on which a request may be placed. Decode engines that are only avoided, but may be sound, are
+/// among them if no other decode engine is left.
+fn usable_engines<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    request: &ReservationRequest<'_>,
+    now: time::Duration,
+) -> Vec<sync::Arc<backends::Backend>> {
+    let mut engines = cx.group_engines(&request.service.name);
+    let is_prefill = |engine: &backends::Backend| engine.stage == Some(backends::Stage::Prefill);
+    let health = locks::lock(&cx.health);
+    engines.retain(|engine| {
+        let avoided_for_prefill =
+            is_prefill(engine) && health.is_avoided_for_prefill(&engine.id, now);
+        !request.tried.contains(&engine.id)
+            && !health.is_unusable(&engine.id, now)
+            && !avoided_for_prefill
+    });
+    let is_avoided = |engine: &backends::Backend| health.is_avoided(&engine.id, now);
+    let all_avoided = engines
+        .iter()
+        .filter(|engine| !is_prefill(engine))
+        .all(|engine| is_avoided(engine));
+    engines.retain(|engine| !is_avoided(engine) || (all_avoided && !is_prefill(engine)));
+    engines
+}
+
 /// Checks, when a request arrives, that it can probably start within `max_wait`. `ahead` is the
 /// number of requests before it in this host's queue, and `full` why it can't start now.
 ///
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -244,7 +244,7 @@
             | outcome::Outcome::RefusedUnrun
             | outcome::Outcome::Quarantined => {}
             outcome::Outcome::Silent if self.deadline <= now => health.record_failure(&server.id),
-            outcome::Outcome::Silent => health.record_unreachable(&server.id, now),
+            outcome::Outcome::Silent => health.record_silence(&server.id, now),
             _ => health.record_failure(&server.id),
         }
         FailedSend {
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -188,9 +188,8 @@
         match failure.outcome {
             outcome::Outcome::NeverWritten | outcome::Outcome::Quarantined => {}
             outcome::Outcome::RefusedUnrun => health.record_refusal(&server.id, now),
-            outcome::Outcome::Silent | outcome::Outcome::BrokenBeforeAnswer => {
-                health.record_unreachable(&server.id, now);
-            }
+            outcome::Outcome::Silent => health.record_silence(&server.id, now),
+            outcome::Outcome::BrokenBeforeAnswer => health.record_unreachable(&server.id, now),
             outcome::Outcome::ServerFailed | outcome::Outcome::BrokenMidway => {
                 health.record_failure(&server.id);
             }
--- a/lib/src/server_health.rs
+++ b/lib/src/server_health.rs
@@ -56,6 +56,8 @@
     expired_prefills: u32,
     /// When this host's own avoidance of the server ends.
     avoid_until: time::Duration,
+    /// When the avoidance of the server because it was silent ends.
+    silent_until: time::Duration,
     /// When the avoidance of the engine for prefills ends.
     avoid_prefill_until: time::Duration,
     /// When the avoidance of the server that another host reported ends.
@@ -76,6 +78,7 @@
             refusals: 0,
             expired_prefills: 0,
             avoid_until: time::Duration::ZERO,
+            silent_until: time::Duration::ZERO,
             avoid_prefill_until: time::Duration::ZERO,
             peer_avoid_until: time::Duration::ZERO,
             responded_at: time::Duration::ZERO,
@@ -84,6 +87,20 @@
     }
 }
 
+impl ServerRecord {
+    /// Counts that the server was unreachable or silent once more in a row. Returns how long to avoid it.
+    fn next_unreachable_backoff(&mut self) -> time::Duration {
+        let wait = backoff(
+            UNREACHABLE_BACKOFF,
+            self.unreachable,
+            MAX_UNREACHABLE_BACKOFF,
+        );
+        self.unreachable += 1;
+        self.failure_rate += AVERAGE_WEIGHT * (1.0 - self.failure_rate);
+        wait
+    }
+}
+
 /// What one host has observed of all servers, by server id.
 #[derive(Debug, Default)]
 pub struct Health {
@@ -132,6 +149,7 @@
         record.unreachable = 0;
         record.refusals = 0;
         record.avoid_until = time::Duration::ZERO;
+        record.silent_until = time::Duration::ZERO;
     }
 
     /// Records that an engine refused a request that was placed there, and avoids it for a while: its state
@@ -153,7 +171,8 @@
     /// itself, or if the server has answered this host recently.
     pub fn record_peer_avoidance(&mut self, id: &str, until: time::Duration, now: time::Duration) {
         let record = self.record_of(id);
-        if record.avoid_until <= now && record.responded_at + OWN_ANSWER_VALID_FOR < now {
+        let avoided = now < record.avoid_until.max(record.silent_until);
+        if !avoided && record.responded_at + OWN_ANSWER_VALID_FOR < now {
             record.peer_avoid_until = until;
         }
     }
@@ -187,11 +206,12 @@
         &self,
         now: time::Duration,
     ) -> impl Iterator<Item = (&sync::Arc<str>, time::Duration)> {
-        let avoided = self
+        let own = self
             .records
             .iter()
-            .filter(move |(_, record)| now < record.avoid_until);
-        avoided.map(move |(id, record)| (id, record.avoid_until - now))
+            .map(|(id, record)| (id, record.avoid_until.max(record.silent_until)));
+        own.filter(move |(_, until)| now < *until)
+            .map(move |(id, until)| (id, until - now))
     }
 
     /// Records that a server could be reached but failed the request: its answer stopped, broke off or
@@ -201,17 +221,19 @@
         record.failure_rate += AVERAGE_WEIGHT * (1.0 - record.failure_rate);
     }
 
-    /// Records that a server couldn't be reached or stopped answering, and avoids it for a while.
+    /// Records that a server couldn't be reached, and avoids it for a while.
     pub fn record_unreachable(&mut self, id: &str, now: time::Duration) {
         let record = self.record_of(id);
-        let wait = backoff(
-            UNREACHABLE_BACKOFF,
-            record.unreachable,
-            MAX_UNREACHABLE_BACKOFF,
-        );
-        record.unreachable += 1;
-        record.avoid_until = record.avoid_until.max(now + wait);
-        record.failure_rate += AVERAGE_WEIGHT * (1.0 - record.failure_rate);
+        let until = now + record.next_unreachable_backoff();
+        record.avoid_until = record.avoid_until.max(until);
+    }
+
+    /// Records that a server has sent nothing for longer than usual, and avoids it for a while if there
+    /// are others. It may be sound.
+    pub fn record_silence(&mut self, id: &str, now: time::Duration) {
+        let record = self.record_of(id);
+        let until = now + record.next_unreachable_backoff();
+        record.silent_until = record.silent_until.max(until);
     }
 
     /// Records that a server sent the answer to a different request on a connection. Its connections
@@ -227,10 +249,22 @@
             .is_none_or(|record| record.no_reuse_until <= now)
     }
 
-    /// Returns whether the server should get no requests for now.
+    /// Returns whether the server should get no requests for now if there are others.
     pub fn is_avoided(&self, id: &str, now: time::Duration) -> bool {
+        let until = |record: &ServerRecord| {
+            let own = record.avoid_until.max(record.silent_until);
+            own.max(record.peer_avoid_until)
+        };
+        self.records
+            .get(id)
+            .is_some_and(|record| now < until(record))
+    }
+
+    /// Returns whether this host itself couldn't reach the server or was refused by it, so that it should get no
+    /// requests for now even if there are no others.
+    pub fn is_unusable(&self, id: &str, now: time::Duration) -> bool {
         let record = self.records.get(id);
-        record.is_some_and(|record| now < record.avoid_until.max(record.peer_avoid_until))
+        record.is_some_and(|record| now < record.avoid_until)
     }
 
     /// Forgets all observations of a server.
--- a/lib/tests/server_choice.rs
+++ b/lib/tests/server_choice.rs
@@ -102,3 +102,18 @@
     assert!(!health.may_reuse_connections("c", at(9_999)));
     assert!(health.may_reuse_connections("c", at(10_000)));
 }
+
+#[test]
+fn a_silent_server_is_avoided_but_not_unusable() {
+    let mut health = server_health::Health::default();
+    health.record_silence("a", at(0));
+    assert!(health.is_avoided("a", at(499)));
+    assert!(!health.is_unusable("a", at(0)));
+    assert_eq!(health.avoided(at(0)).count(), 1, "other hosts are told");
+    health.record_peer_avoidance("b", at(500), at(1_100));
+    assert!(!health.is_unusable("b", at(1_100)));
+    health.record_unreachable("a", at(100));
+    assert!(health.is_unusable("a", at(100)));
+    health.record_response("a", at(200));
+    assert!(!health.is_avoided("a", at(200)));
+}
