run_move: wait for the answer of an engine that stops a run while it is silent

What callers saw: a stream that may run once was cut off (LOST) when its engine was leaving, or ran out of memory, and fell silent for more than a second after the call that stops the run had been sent.

Cause: the call was given up after a second, and the engine carried it out afterwards: it closed the stream and kept a KV cache that nobody asked for any more. Logged as move-unanswered, then stream-broke "stream broke off".

The call now may take as long as the request, since the stream goes on until the engine has read it. The second is counted from the end of the stream: from then on the engine isn't silent, and an answer that was lost must not hold up the stream's continuation. The connection to the new engine may be closed by then, so it is opened again.

--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -19,8 +19,8 @@
 use crate::router::send;
 use crate::router::stream_request;
 
-/// Longest time for an engine to stop a run and copy its KV cache: a copy of a gigabyte takes some
-/// milliseconds and queues behind other copies.
+/// Longest time for an engine that has stopped a run to have its KV cache copied: a copy of a gigabyte takes
+/// some milliseconds and queues behind other copies.
 const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// Maximum number of moves of one request. Each move pauses the caller's stream.
 pub(crate) const MAX_MOVES: u32 = 3;
@@ -79,8 +79,10 @@
     let copy_task = {
         let (cx, source, target) = (cx.clone(), source.clone(), target.clone());
         let ttl = request.engines.handle_ttl;
+        // An engine that is silent meanwhile may still stop the run.
+        let deadline = request.deadline;
         async move {
-            let stopped_run = stop_and_copy(cx, source, target, call, ttl).await;
+            let stopped_run = stop_and_copy(cx, source, target, call, ttl, deadline).await;
             stopped_tx.send_replace(Some(stopped_run.is_some()));
             stopped_run
         }
@@ -102,15 +104,17 @@
     target: sync::Arc<backends::Backend>,
     call: dialect::Call,
     ttl: time::Duration,
+    deadline: time::Duration,
 ) -> Option<StoppedRun<D>> {
     let options = send::Options {
-        deadline: cx.now() + COPY_TIMEOUT,
+        deadline,
         repeatable: false,
     };
     // Connects to the target first, so that the run isn't stopped for an engine that can't be
     // reached.
     let connection = send::get_connection(&cx, &target, options).await.ok()?;
-    let (status, body) = match send::call(&cx, &source, call, COPY_TIMEOUT).await {
+    let timeout = deadline.saturating_sub(cx.now());
+    let (status, body) = match send::call(&cx, &source, call, timeout).await {
         Ok(answer) => answer,
         Err(error) => {
             event!(Info, "move-unanswered", "from" => source.id, "cause" => error.to_string());
@@ -165,8 +169,14 @@
         request: &mut stream_request::StreamRequest<D>,
         source_reservation: engine_reservation::Reservation<D>,
     ) -> Option<Result<engine_stream::OpenStream<D>, send::SendFailure>> {
-        // The task neither panics nor is cancelled.
-        let stopped_run = self.copy_task.await.ok()??;
+        // The engine has ended the stream, so its answer isn't held up by a silence any more. The task neither panics nor
+        // is cancelled.
+        let copied = tokio::time::timeout(COPY_TIMEOUT, self.copy_task).await;
+        let Ok(copied) = copied else {
+            event!(Info, "move-unanswered", "from" => self.source.id, "cause" => "no answer in time");
+            return None;
+        };
+        let stopped_run = copied.ok()??;
         let mut kv_cache = Some(stopped_run.kv_cache);
         let target = stopped_run
             .connection
@@ -212,30 +222,36 @@
     connection: Option<connection_pool::Connection>,
     kv_cache: prefills::KvHandle<D>,
 ) -> Result<send::ServerResponse, (send::SendFailure, Option<prefills::KvHandle<D>>)> {
-    let connection = match connection {
-        Some(connection) => connection,
-        None => match reconnect(&request.cx, server).await {
-            Ok(connection) => connection,
-            Err(failure) => return Err((failure, Some(kv_cache))),
-        },
-    };
-    request.resume_moved_run(server, connection, kv_cache).await
+    let mut kv_cache = kv_cache;
+    if let Some(connection) = connection {
+        match request.resume_moved_run(server, connection, kv_cache).await {
+            // The engine may have closed the connection while the run was copied.
+            Err((failure, Some(unused))) if failure.outcome == outcome::Outcome::NeverWritten => {
+                kv_cache = unused;
+            }
+            resumed => return resumed,
+        }
+    }
+    match reconnect(&request.cx, server).await {
+        Ok(connection) => request.resume_moved_run(server, connection, kv_cache).await,
+        Err(failure) => Err((failure, Some(kv_cache))),
+    }
 }
 
-/// Opens a connection to the engine that stopped a run and still has its KV cache. Fails if that engine is
-/// leaving, as leaving engines get no requests.
+/// Opens a connection to the engine that is to continue a stopped run. Fails if that engine is leaving, as leaving
+/// engines get no requests.
 async fn reconnect<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
-    source: &backends::Backend,
+    server: &backends::Backend,
 ) -> Result<connection_pool::Connection, send::SendFailure> {
-    if locks::lock(&cx.servers).is_leaving(&source.id) {
+    if locks::lock(&cx.servers).is_leaving(&server.id) {
         let outcome = outcome::Outcome::NeverWritten;
-        let cause = "run stopped on a leaving engine";
+        let cause = "engine leaves";
         return Err(send::SendFailure { outcome, cause });
     }
     let options = send::Options {
         deadline: cx.now() + COPY_TIMEOUT,
         repeatable: false,
     };
-    send::get_connection(cx, source, options).await
+    send::get_connection(cx, server, options).await
 }
