relay: leave a silent engine only for one that goes on with its stream

What callers saw: LOST. A resumable stream ended without its last events although nothing was wrong with its engine, or with any other. Beside a change of the configuration that is a whole request with neither an answer nor a refusal.

The class: a time without news of a server was taken as an outcome, and given as a reason to end what depended on it. Ruled out by the tests' logs: the change of the configuration itself, which none of them has.

A silence now only starts the search: capacity is reserved, the connection opened and the prompt prefilled elsewhere while the silent stream is read on, and all that is dropped when an event comes. None of it runs the request. Then the request is sent to the other engine, and the silent stream is kept for 300 ms more at most, for the case that the other one refuses. Only the time limits of the caller and the route end a stream that is silent.

Preparing is a module of its own for that; opening, reopening and replacing share it.

--- /dev/null
+++ b/daemon/src/router/engine_prepare.rs
@@ -0,0 +1,269 @@
+//! Prepares a server for a request to model engines: reserves capacity, connects, and has the prompt
+//! prefilled. None of this runs the request.
+
+use std::sync;
+use std::time;
+
+use walnuthaven_lib::backends;
+use walnuthaven_lib::dialect;
+use walnuthaven_lib::engine_load;
+use walnuthaven_lib::engine_memory;
+use walnuthaven_lib::outcome;
+
+use crate::locks;
+use crate::router::connection_pool;
+use crate::router::crash_marks;
+use crate::router::engine_reservation;
+use crate::router::events::event;
+use crate::router::prefills;
+use crate::router::send;
+use crate::router::stream_request;
+
+/// A prefill counts as failed after twice its predicted time plus this much.
+const PREFILL_SLACK: time::Duration = time::Duration::from_millis(600);
+/// Maximum number of failed connection attempts of a request; it is refused after one more.
+const MAX_CONNECT_FAILURES: u32 = 4;
+/// Time over which streams that broke or fell silent together are opened again on other servers. It is short
+/// compared to a prefill.
+pub(super) const REOPEN_JITTER: time::Duration = time::Duration::from_millis(40);
+/// How often a request whose server is silent looks for another one.
+const ALTERNATIVE_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// A server that can start to generate the answer at once.
+#[derive(Debug)]
+pub(crate) struct PreparedServer<D: dialect::Dialect> {
+    pub(crate) server: sync::Arc<backends::Backend>,
+    /// The capacity reserved on the server.
+    pub(super) reservation: engine_reservation::Reservation<D>,
+    pub(super) connection: connection_pool::Connection,
+    /// The prefilled KV cache, unless the server prefills the prompt itself.
+    pub(super) kv_cache: Option<prefills::KvHandle<D>>,
+}
+
+impl<D: dialect::Dialect> stream_request::StreamRequest<D> {
+    /// Reserves capacity on a server, connects to it and has the prompt prefilled, unless `kv_cache` holds the
+    /// result already. Tries further servers as far as the request's attempts, time and retry budget allow.
+    pub(super) async fn prepare(
+        &mut self,
+        mut kv_cache: Option<prefills::KvHandle<D>>,
+    ) -> Result<PreparedServer<D>, stream_request::OpenFailure> {
+        loop {
+            kv_cache = kv_cache.filter(|handle| handle.is_fresh());
+            let (reservation, placement) = tokio::select! {
+                reserved = self.reserve(kv_cache.is_some()) => {
+                    reserved.map_err(stream_request::OpenFailure::NoCapacity)?
+                }
+                () = crash_marks::wait_until_refused(&self.cx, self.received.digest) => {
+                    crash_marks::log_refusal(self.id(), self.received.digest);
+                    return Err(stream_request::OpenFailure::Quarantined);
+                }
+            };
+            let server = placement.decode;
+            // Connects to the decode server first, so that no prompt is prefilled for a server that
+            // can't be reached.
+            let connection = match self.connect(&server, self.route.kind.may_run_again()).await {
+                Ok(connection) => connection,
+                Err(failure) => {
+                    self.record_unreachable(&server, failure)?;
+                    continue;
+                }
+            };
+            if let (None, Some(prefill_server)) = (&kv_cache, &placement.prefill) {
+                let prefill_connection = match self.connect(prefill_server, true).await {
+                    Ok(connection) => connection,
+                    Err(failure) => {
+                        self.record_unreachable(prefill_server, failure)?;
+                        continue;
+                    }
+                };
+                match self.prefill(prefill_server, prefill_connection).await {
+                    Ok(handle) => kv_cache = Some(handle),
+                    Err(failure) => {
+                        self.handle_failure(prefill_server, failure, true)?;
+                        continue;
+                    }
+                }
+            }
+            return Ok(PreparedServer {
+                server,
+                reservation,
+                connection,
+                kv_cache,
+            });
+        }
+    }
+
+    /// Prepares another server once `server` has been silent until `silent_at`, a time since boot. Never ends while the
+    /// request may not be sent again or no other server can take it, so `server` is left only for one that can.
+    pub(crate) async fn prepare_alternative(
+        &mut self,
+        server: &sync::Arc<backends::Backend>,
+        silent_at: time::Duration,
+    ) -> PreparedServer<D> {
+        tokio::time::sleep(silent_at.saturating_sub(self.cx.now())).await;
+        if self.silent_server.as_ref() != Some(&server.id) {
+            let now = self.cx.now();
+            locks::lock(&self.cx.health).record_silence(&server.id, now);
+            self.silent_server = Some(server.id.clone());
+            self.cx.news_due.notify_one();
+            event!(Info, "server-silent", "id" => self.id(), "server" => server.id,
+                "delivered" => self.last_event);
+        }
+        loop {
+            tokio::time::sleep(REOPEN_JITTER.mul_f64(rand::random::<f64>())).await;
+            if self.decide_next(outcome::Outcome::Silent) == outcome::Next::SendAgain {
+                match self.prepare(None).await {
+                    Ok(prepared) => return prepared,
+                    Err(failure) => event!(Info, "not-replaced", "id" => self.id(),
+                        "server" => server.id, "cause" => failure.cause()),
+                }
+            }
+            tokio::time::sleep(ALTERNATIVE_INTERVAL).await;
+        }
+    }
+
+    /// Records that a silent server was left for another one.
+    pub(crate) fn leave_silent_server(&mut self, server: &sync::Arc<backends::Backend>) {
+        self.silent_server = None;
+        if !self.failed_servers.contains(&server.id) {
+            self.failed_servers.push(server.id.clone());
+        }
+    }
+
+    /// Records that a server that may have been silent sends again.
+    pub(crate) fn end_silence(&mut self, server: &sync::Arc<backends::Backend>) {
+        if self.silent_server.as_ref() != Some(&server.id) {
+            return;
+        }
+        self.silent_server = None;
+        let now = self.cx.now();
+        locks::lock(&self.cx.health).record_response(&server.id, now);
+        self.cx.news_due.notify_one();
+        self.cx.engine_load_changed.notify_waiters();
+        event!(Info, "server-sends-again", "id" => self.id(), "server" => server.id);
+    }
+
+    /// Returns a connection to a server. `repeatable` states whether the request may be sent again if
+    /// it is unknown whether the server ran it.
+    async fn connect(
+        &self,
+        server: &backends::Backend,
+        repeatable: bool,
+    ) -> Result<connection_pool::Connection, send::SendFailure> {
+        let options = send::Options {
+            deadline: self.deadline,
+            repeatable,
+        };
+        send::get_connection(&self.cx, server, options).await
+    }
+
+    /// Counts a server that couldn't be reached. Nothing was sent, so another server may be tried,
+    /// unless too many couldn't be reached.
+    fn record_unreachable(
+        &mut self,
+        server: &sync::Arc<backends::Backend>,
+        failure: send::SendFailure,
+    ) -> Result<(), stream_request::OpenFailure> {
+        self.connect_failures += 1;
+        event!(Info, "server-unreachable", "id" => self.id(), "server" => server.id,
+            "cause" => failure.cause);
+        self.cx.news_due.notify_one();
+        if self.connect_failures > MAX_CONNECT_FAILURES {
+            return Err(stream_request::OpenFailure::NoAnswer(
+                outcome::Next::RefuseUnrun,
+                failure.cause,
+            ));
+        }
+        Ok(())
+    }
+
+    /// Waits for capacity on engines. With `prefilled`, the prompt has been prefilled already.
+    async fn reserve(
+        &self,
+        prefilled: bool,
+    ) -> Result<
+        (engine_reservation::Reservation<D>, engine_load::Placement),
+        engine_reservation::NoCapacity,
+    > {
+        let hosts = self.cx.host_count();
+        let run_kind = engine_memory::RunKind::New { hosts };
+        let tried = self.tried_servers(None);
+        let request = engine_reservation::ReservationRequest {
+            prefilled,
+            ..self.reservation_request(run_kind, &tried)
+        };
+        engine_reservation::reserve(&self.cx, &request).await
+    }
+
+    /// Has an engine prefill the prompt. Returns a handle to the resulting KV cache.
+    async fn prefill(
+        &mut self,
+        server: &sync::Arc<backends::Backend>,
+        connection: connection_pool::Connection,
+    ) -> Result<prefills::KvHandle<D>, send::SendFailure> {
+        let cx = self.cx.clone();
+        let started = cx.now();
+        let need = self.need();
+        let key = (cx.work_owner.clone(), cx.next_number());
+        let (backlog_time, own_time) = {
+            let mut load = locks::lock(&cx.engine_load);
+            let backlog_time = load.prefill_backlog(&server.id, started);
+            let prefill = engine_load::Prefill {
+                engine: server.id.clone(),
+                tokens: need.prompt,
+                sent_at: started,
+            };
+            load.add_prefill(key.clone(), prefill, started);
+            (backlog_time, load.prefill_time_on(&server.id, need.prompt))
+        };
+        cx.news_due.notify_one();
+        let mut running = prefills::RunningPrefill {
+            cx: &cx,
+            key,
+            completed: false,
+        };
+        let prefill_deadline = started + (backlog_time + own_time) * 2 + PREFILL_SLACK;
+        if std::mem::replace(&mut self.prefilled_before, true) {
+            self.count_retry();
+        }
+        let options = send::Options {
+            deadline: prefill_deadline.min(self.deadline),
+            repeatable: true,
+        };
+        let params = dialect::SendParams {
+            deadline: self.deadline.saturating_sub(started),
+            instance: &server.id,
+            work: dialect::Work::Prefill,
+            resume_after: self.last_event,
+        };
+        let response =
+            send::send(&cx, &self.received, server, connection, &params, options).await?;
+        let not_run = response.head.not_run;
+        let (status, _, body) = send::read_to_end(&cx, response, options.deadline).await?;
+        let handle = cx
+            .dialect
+            .kept_memory(&body)
+            .filter(|_| status.is_success());
+        let Some(handle) = handle else {
+            let outcome = match not_run {
+                true => outcome::Outcome::RefusedUnrun,
+                false => outcome::Outcome::ServerFailed,
+            };
+            let cause = "prefill refused";
+            return Err(send::SendFailure { outcome, cause });
+        };
+        let took = cx.now().saturating_sub(started);
+        cx.telemetry.time("prefill", took);
+        locks::lock(&cx.health).record_response(&server.id, cx.now());
+        running.completed = true;
+        Ok(prefills::KvHandle {
+            cx: cx.clone(),
+            server: server.clone(),
+            name: handle.handle,
+            created_at: cx.now(),
+            ttl: self.engines.handle_ttl,
+            fetched: false,
+            of_run: false,
+        })
+    }
+}
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -194,7 +194,7 @@
     if cx.leaving_for() > ACCEPT_STREAMS_FOR {
         return answer::not_run("this host leaves", LEAVING_RETRY_AFTER);
     }
-    match request.open().await {
+    match request.open(None).await {
         Ok(opened) => relay::answer(request, opened, guard),
         Err(failure) => request.failure_answer(failure),
     }
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::body;
 use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::event_stream;
@@ -17,6 +16,7 @@
 use crate::router::connection_pool;
 use crate::router::context;
 use crate::router::crash_marks;
+use crate::router::engine_prepare;
 use crate::router::engine_reservation;
 use crate::router::engine_stream;
 use crate::router::events::event;
@@ -27,16 +27,14 @@
 /// Maximum number of events that are buffered for a slow caller. While the buffer is full, the
 /// server's stream isn't read.
 const MAX_BUFFERED_EVENTS: usize = 32;
-/// If another server may continue a stream, its server counts as silent after this many times the
-/// route's longest pause between events.
+/// A stream's server counts as silent after this many times the route's longest pause between events.
 const SILENCE_FACTOR: u32 = 4;
+/// Longest time for which a silent stream is kept after its request was sent to another server.
+const MAX_OVERLAP: time::Duration = time::Duration::from_millis(300);
 
 /// Time for the last events and the end of the stream to arrive after the run was stopped.
 const STREAM_END_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
-/// Time over which streams that broke together are opened again. It is short compared to a prefill.
-const REOPEN_JITTER: time::Duration = time::Duration::from_millis(40);
-
 /// Sends the events of a stream to its caller.
 type EventSender = tokio::sync::mpsc::Sender<Result<Bytes, answer::Broken>>;
 
@@ -48,6 +46,8 @@
     Broken(send::SendFailure),
     /// The run was stopped to be moved, and no engine continued it. The failed sends are recorded.
     MoveFailed(send::SendFailure),
+    /// The server was silent and was left for another one, which failed. The failed sends are recorded.
+    NotContinued(&'static str),
 }
 
 /// How the stream of one server ended, and whether its run was being moved then.
@@ -62,6 +62,35 @@
         run_move::RunMove<D>,
         StreamEnd,
     ),
+    /// The server was silent, and another one goes on with the stream.
+    Replaced(engine_stream::OpenStream<D>),
+}
+
+/// The stream of one server while it is relayed.
+struct ServerStream<D: dialect::Dialect> {
+    response: send::ServerResponse,
+    server: sync::Arc<backends::Backend>,
+    /// The capacity reserved on the server.
+    reservation: engine_reservation::Reservation<D>,
+    splitter: event_stream::Splitter,
+    run_move: Option<run_move::RunMove<D>>,
+}
+
+/// Why events are no longer relayed from a server.
+enum RelayEnd<D: dialect::Dialect> {
+    Ended(StreamEnd),
+    /// The server is silent, and this one can go on.
+    Silent(engine_prepare::PreparedServer<D>),
+}
+
+/// What became of a silent stream after its request was sent to another server.
+enum Replacement<D: dialect::Dialect> {
+    /// The other server goes on.
+    Opened(engine_stream::OpenStream<D>),
+    /// The other server didn't run the request, and the silent stream is still open.
+    Refused(ServerStream<D>),
+    /// Neither goes on.
+    Failed(&'static str),
 }
 
 /// Makes the answer to a request whose stream was opened, and starts a task that relays the stream.
@@ -107,6 +136,11 @@
                     None => end_unless_stopped,
                 }
             }
+            ServerStreamEnd::Replaced(next) => {
+                opened = next;
+                cx.telemetry.count("streams.continued");
+                continue;
+            }
         };
         let failure = match end {
             StreamEnd::Complete => {
@@ -120,6 +154,7 @@
                 failure
             }
             StreamEnd::MoveFailed(failure) => failure,
+            StreamEnd::NotContinued(cause) => return abort(&request, &tx, cause).await,
         };
         let next = request.decide_next(failure.outcome);
         event!(Info, "stream-broke", "id" => request.received.head.request_id,
@@ -128,7 +163,7 @@
             "next" => format!("{next:?}"));
         let reopened = match next {
             outcome::Next::SendAgain => tokio::select! {
-                reopened = reopen(&mut request) => reopened,
+                reopened = request.reopen() => reopened,
                 () = tx.closed() => return record_end(&request, "caller left", ""),
             },
             _ => return abort(&request, &tx, failure.cause).await,
@@ -141,16 +176,6 @@
     }
 }
 
-/// Opens the rest of a stream on another server. All streams of a server that crashes break within
-/// the same millisecond, at many hosts. A random pause lets each host hear which servers the others
-/// chose.
-async fn reopen<D: dialect::Dialect>(
-    request: &mut stream_request::StreamRequest<D>,
-) -> Result<engine_stream::OpenStream<D>, stream_request::OpenFailure> {
-    tokio::time::sleep(REOPEN_JITTER.mul_f64(rand::random::<f64>())).await;
-    request.open().await
-}
-
 /// Records the length of a complete answer to predict those of later ones. Resumed streams are
 /// skipped, as they contain only the rest of the answer.
 fn record_length<D: dialect::Dialect>(request: &stream_request::StreamRequest<D>) {
@@ -193,45 +218,54 @@
         "took_ms" => took.as_millis() as u64);
 }
 
-/// Relays the stream of one server to its end.
+/// Relays the stream of one server to its end, or until another server replaces a silent one.
 async fn relay_from_server<D: dialect::Dialect>(
     request: &mut stream_request::StreamRequest<D>,
     opened: engine_stream::OpenStream<D>,
     tx: &EventSender,
 ) -> ServerStreamEnd<D> {
-    let engine_stream::OpenStream {
-        response,
-        server,
-        reservation,
-    } = opened;
-    let mut body = response.body;
-    let mut attempt = response.attempt;
-    let mut run_move: Option<run_move::RunMove<D>> = None;
-    let end = relay_events(
-        request,
-        &mut body,
-        (&server, &reservation),
-        &mut run_move,
-        tx,
-    )
-    .await;
+    let mut stream = ServerStream {
+        response: opened.response,
+        server: opened.server,
+        reservation: opened.reservation,
+        splitter: event_stream::Splitter::default(),
+        run_move: None,
+    };
+    let end = loop {
+        let other = match relay_events(request, &mut stream, tx).await {
+            RelayEnd::Ended(end) => break end,
+            RelayEnd::Silent(other) => other,
+        };
+        let replacement = tokio::select! {
+            replacement = replace(request, stream, other) => replacement,
+            () = tx.closed() => return ServerStreamEnd::Ended(StreamEnd::CallerLeft),
+        };
+        stream = match replacement {
+            Replacement::Opened(opened) => return ServerStreamEnd::Replaced(opened),
+            Replacement::Refused(stream) => stream,
+            Replacement::Failed(cause) => {
+                return ServerStreamEnd::Ended(StreamEnd::NotContinued(cause));
+            }
+        };
+    };
+    let mut attempt = stream.response.attempt;
     match &end {
         StreamEnd::Complete => attempt.set_answered(),
         StreamEnd::Broken(failure) if failure.outcome == outcome::Outcome::BrokenMidway => {
             attempt.set_broken();
         }
-        StreamEnd::Broken(_) | StreamEnd::MoveFailed(_) | StreamEnd::CallerLeft => {}
+        _ => {}
     }
-    match (end, run_move) {
+    match (end, stream.run_move) {
         (StreamEnd::CallerLeft, _) => ServerStreamEnd::Ended(StreamEnd::CallerLeft),
-        (end, Some(run_move)) => ServerStreamEnd::Moving(reservation, run_move, end),
+        (end, Some(run_move)) => ServerStreamEnd::Moving(stream.reservation, run_move, end),
         (end, None) => {
             if matches!(end, StreamEnd::Complete) {
                 tokio::spawn(connection_pool::return_connection(
                     request.cx.clone(),
-                    server,
-                    response.head.keep_alive,
-                    response.connection,
+                    stream.server,
+                    stream.response.head.keep_alive,
+                    stream.response.connection,
                 ));
             }
             ServerStreamEnd::Ended(end)
@@ -239,56 +273,117 @@
     }
 }
 
-/// Relays events until the server's stream ends. Starts to move the run if it should leave its
-/// engine.
+/// Has another server go on with a silent stream. The stream is kept until the other server sends, so that it can go on
+/// itself if the other server refuses, but not so long that both servers work on the request.
+async fn replace<D: dialect::Dialect>(
+    request: &mut stream_request::StreamRequest<D>,
+    silent: ServerStream<D>,
+    other: engine_prepare::PreparedServer<D>,
+) -> Replacement<D> {
+    let server = silent.server.clone();
+    event!(Info, "server-replaced", "id" => request.id(), "server" => server.id,
+        "cause" => "server fell silent", "by" => other.server.id,
+        "delivered" => request.last_event);
+    let ran_before = std::mem::take(&mut request.may_have_run);
+    let mut held = Some(silent);
+    let started = {
+        let starting = request.start_on(other);
+        tokio::pin!(starting);
+        tokio::select! {
+            started = &mut starting => started,
+            () = tokio::time::sleep(MAX_OVERLAP) => {
+                held = None;
+                starting.await
+            }
+        }
+    };
+    let other_ran = std::mem::replace(&mut request.may_have_run, ran_before);
+    request.may_have_run |= other_ran;
+    if let Ok(engine_stream::DecodeResult::Failed(_)) | Err(_) = &started
+        && !other_ran
+        && let Some(stream) = held.take()
+    {
+        return Replacement::Refused(stream);
+    }
+    drop(held);
+    request.leave_silent_server(&server);
+    let opened = match started {
+        Ok(engine_stream::DecodeResult::Stream(opened)) => Ok(opened),
+        Ok(engine_stream::DecodeResult::Failed(_)) => request.open(None).await,
+        Ok(engine_stream::DecodeResult::Replaced(next)) => request.open(Some(next)).await,
+        Err(failure) => Err(failure),
+    };
+    match opened {
+        Ok(opened) => Replacement::Opened(opened),
+        Err(failure) => Replacement::Failed(failure.cause()),
+    }
+}
+
+/// Relays events until the server's stream ends, or until the server is silent and another one can go on. Starts to
+/// move the run if it should leave its engine.
 async fn relay_events<D: dialect::Dialect>(
     request: &mut stream_request::StreamRequest<D>,
-    body: &mut body::Incoming,
-    (server, reservation): (
-        &sync::Arc<backends::Backend>,
-        &engine_reservation::Reservation<D>,
-    ),
-    run_move: &mut Option<run_move::RunMove<D>>,
+    stream: &mut ServerStream<D>,
     tx: &EventSender,
-) -> StreamEnd {
-    let mut splitter = event_stream::Splitter::default();
-    let broken = |outcome, cause| StreamEnd::Broken(send::SendFailure { outcome, cause });
+) -> RelayEnd<D> {
+    let broken =
+        |outcome, cause| RelayEnd::Ended(StreamEnd::Broken(send::SendFailure { outcome, cause }));
     let midway = outcome::Outcome::BrokenMidway;
+    let max_pause = request
+        .max_pause()
+        .filter(|_| request.route.kind.may_run_again());
     loop {
+        let now = request.cx.now();
+        let time_left = request.deadline.saturating_sub(now);
+        let silent_at = max_pause.map_or(request.deadline, |pause| now + pause * SILENCE_FACTOR);
         let frame = tokio::select! {
-            frame = body.frame() => frame,
-            () = tx.closed() => return StreamEnd::CallerLeft,
-            () = wait_for_silence(request, run_move.as_ref()) => {
-                return broken(outcome::Outcome::Silent, "server fell silent");
+            frame = stream.response.body.frame() => frame,
+            () = tx.closed() => return RelayEnd::Ended(StreamEnd::CallerLeft),
+            () = tokio::time::sleep(time_left) => {
+                return broken(outcome::Outcome::Silent, "time limit reached");
+            }
+            () = wait_for_stop(stream.run_move.as_ref()) => {
+                return broken(outcome::Outcome::Silent, "run was stopped");
+            }
+            other = request.prepare_alternative(&stream.server, silent_at), if max_pause.is_some() => {
+                return RelayEnd::Silent(other);
             }
         };
+        request.end_silence(&stream.server);
         let data = match frame {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             Some(Err(_)) => return broken(midway, "stream broke off"),
-            None if splitter.remainder().is_empty() => return StreamEnd::Complete,
+            None if stream.splitter.remainder().is_empty() => {
+                return RelayEnd::Ended(StreamEnd::Complete);
+            }
             None => return broken(midway, "stream ended within an event"),
         };
-        splitter.push(&data);
-        while let Some(event) = splitter.next_event() {
+        stream.splitter.push(&data);
+        while let Some(event) = stream.splitter.next_event() {
             match check_event_id(request, &event) {
                 EventOrder::Next => {}
                 EventOrder::Duplicate => continue,
                 EventOrder::Gap => return broken(midway, "events are missing"),
             }
             if tx.send(Ok(event.bytes)).await.is_err() {
-                return StreamEnd::CallerLeft;
+                return RelayEnd::Ended(StreamEnd::CallerLeft);
             }
-            record_pause(request, &server.id);
-            reservation.record_progress(request.tokens_generated);
+            record_pause(request, &stream.server.id);
+            stream.reservation.record_progress(request.tokens_generated);
         }
-        if splitter.exceeds_max_event() {
+        if stream.splitter.exceeds_max_event() {
             return broken(midway, "event too large");
         }
-        if run_move.as_ref().is_some_and(run_move::RunMove::has_failed) {
-            *run_move = None;
+        if stream
+            .run_move
+            .as_ref()
+            .is_some_and(run_move::RunMove::has_failed)
+        {
+            stream.run_move = None;
         }
-        if run_move.is_none() && request.tokens_generated > 0 && request.last_event.is_some() {
-            *run_move = run_move::start(request, server, reservation);
+        if stream.run_move.is_none() && request.tokens_generated > 0 && request.last_event.is_some()
+        {
+            stream.run_move = run_move::start(request, &stream.server, &stream.reservation);
         }
     }
 }
@@ -317,35 +412,13 @@
     }
 }
 
-/// Waits until the server counts as silent, or until `STREAM_END_TIMEOUT` after its run was stopped
-/// for a move.
-async fn wait_for_silence<D: dialect::Dialect>(
-    request: &stream_request::StreamRequest<D>,
-    run_move: Option<&run_move::RunMove<D>>,
-) {
-    let now = request.cx.now();
-    let silent = tokio::time::sleep(silent_at(request, now).saturating_sub(now));
-    let Some(run_move) = run_move else {
-        return silent.await;
-    };
-    tokio::select! {
-        () = silent => {}
-        () = run_move.run_stopped() => tokio::time::sleep(STREAM_END_TIMEOUT).await,
-    }
-}
-
-/// Returns when the server counts as silent, as time since boot, if nothing arrives from `now` on.
-fn silent_at<D: dialect::Dialect>(
-    request: &stream_request::StreamRequest<D>,
-    now: time::Duration,
-) -> time::Duration {
-    match request
-        .max_pause()
-        .filter(|_| request.route.kind.may_run_again())
-    {
-        Some(max_pause) => (now + max_pause * SILENCE_FACTOR).min(request.deadline),
-        None => request.deadline,
+/// Waits until `STREAM_END_TIMEOUT` after the run was stopped for a move; forever if it isn't.
+async fn wait_for_stop<D: dialect::Dialect>(run_move: Option<&run_move::RunMove<D>>) {
+    match run_move {
+        Some(run_move) => run_move.run_stopped().await,
+        None => std::future::pending().await,
     }
+    tokio::time::sleep(STREAM_END_TIMEOUT).await;
 }
 
 /// How an event's id relates to that of the last event.
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -54,6 +54,8 @@
     pub(super) sent_before: bool,
     /// Whether a prefill was sent. Further prefills are retries.
     pub(super) prefilled_before: bool,
+    /// The server of the request's stream or send while it is silent. It gets no further send of the request.
+    pub(super) silent_server: Option<sync::Arc<str>>,
     /// Ids of the servers on which it failed.
     pub(super) failed_servers: Vec<sync::Arc<str>>,
 }
@@ -71,6 +73,18 @@
     Quarantined,
 }
 
+impl OpenFailure {
+    /// Returns the cause for the log.
+    pub(crate) fn cause(&self) -> &'static str {
+        match self {
+            Self::Answer(_) => "server failed",
+            Self::NoAnswer(_, cause) => cause,
+            Self::NoCapacity(no_capacity) => no_capacity.cause,
+            Self::Quarantined => "crashes servers",
+        }
+    }
+}
+
 impl<D: dialect::Dialect> StreamRequest<D> {
     pub(crate) fn new(
         cx: &sync::Arc<context::Router<D>>,
@@ -93,6 +107,7 @@
             connect_failures: 0,
             sent_before: false,
             prefilled_before: false,
+            silent_server: None,
             failed_servers: Vec::new(),
             received,
             route,
@@ -154,18 +169,20 @@
         if !self.cx.may_retry(&self.service.name) {
             return None;
         }
-        let tried: Vec<_> = self
-            .failed_servers
-            .iter()
-            .chain([engine])
-            .cloned()
-            .collect();
+        let tried = self.tried_servers(Some(engine));
         engine_reservation::reserve_for_move(
             &self.cx,
             &self.reservation_request(engine_memory::RunKind::Moved, &tried),
         )
     }
 
+    /// Returns the ids of the servers that the request isn't sent to any more, and `other`.
+    pub(super) fn tried_servers(&self, other: Option<&sync::Arc<str>>) -> Vec<sync::Arc<str>> {
+        let failed = self.failed_servers.iter();
+        let tried = failed.chain(&self.silent_server).chain(other);
+        tried.cloned().collect()
+    }
+
     /// Decides what follows a send with this outcome.
     pub(crate) fn decide_next(&self, outcome: outcome::Outcome) -> outcome::Next {
         let allowance = outcome::Allowance {
