--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -189,7 +189,7 @@
         let run_kind = engine_memory::RunKind::New { hosts };
         let tried = self.tried_servers(None);
         let request = engine_reservation::ReservationRequest {
-            prefilled,
+            prefilled: prefilled || self.prefills_on_decode,
             ..self.reservation_request(run_kind, &tried)
         };
         engine_reservation::reserve(&self.cx, &request).await
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -54,6 +54,8 @@
     pub(super) sent_before: bool,
     /// Whether a prefill was sent. Further prefills are retries.
     pub(super) prefilled_before: bool,
+    /// Whether the engine that generates the answer is to prefill the prompt, too.
+    pub(super) prefills_on_decode: bool,
     /// The server of the request's stream or send while it is silent. It gets no further send of the request.
     pub(super) silent_server: Option<sync::Arc<str>>,
     /// Ids of the servers on which it failed.
@@ -107,6 +109,7 @@
             connect_failures: 0,
             sent_before: false,
             prefilled_before: false,
+            prefills_on_decode: false,
             silent_server: None,
             failed_servers: Vec::new(),
             received,
