plain_request: wait for a silent server while others are tried

What callers saw: a request to a plain service that may be repeated failed with 502 or 504 after twice its target latency, long before its time limit, although its server was only silent for 1.5 s and nothing else was wrong.

Cause: a server that hadn't begun to answer by then had its request taken away before another server had it. The request failed if there was no other one, if that refused, broke off or was silent too, or if no attempt or retry budget was left. Requests that may run once weren't affected: they have no limit but the caller's and the route's.

Silence now only starts the search for another server, which is repeated every 200 ms while only silent servers have the request. The first complete answer is taken, also a late one, and the other sends are dropped. Sends that go on count as attempts. Refusals, broken connections and an empty choice don't end the wait; a relayed error answer does, as does a crash mark of the content. A request is stated as not run only once no send is left that may have run it. The silence is recorded once, and the crash check of a silent server starts with it as before, not with the end of the send, which would delay the marks of content that crashes servers.

--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -1,9 +1,11 @@
-//! Sends a request to a server of a plain service and returns the buffered answer, or retries on
-//! another server after a failure.
+//! Sends a request to a server of a plain service and returns the buffered answer. Tries another server
+//! after a failure, and while a server is silent.
 
 use std::sync;
 use std::time;
 
+use futures_util::StreamExt as _;
+use futures_util::stream;
 use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::outcome;
@@ -13,14 +15,17 @@
 use crate::locks;
 use crate::router::answer;
 use crate::router::context;
+use crate::router::crash_checks;
 use crate::router::crash_marks;
 use crate::router::events::event;
 use crate::router::send;
 use crate::router::stream_request;
 
-/// A request that may be repeated is sent to another server if its server hasn't answered within
-/// this many times the route's target latency.
+/// A request that may be repeated is sent to another server too if its server hasn't begun to answer
+/// within this many times the route's target latency.
 const SILENCE_FACTOR: u32 = 2;
+/// How often a request that only silent servers have looks for another one.
+const SEARCH_INTERVAL: time::Duration = time::Duration::from_millis(200);
 /// Shortest Retry-After while no server is usable: about the time in which one restarts.
 const NO_SERVER_RETRY_AFTER: time::Duration = time::Duration::from_millis(300);
 /// Shortest Retry-After after servers refused the request.
@@ -43,78 +48,110 @@
     answer: Option<answer::Answer>,
 }
 
+/// What became of the sends of a request that have ended.
+#[derive(Default)]
+struct Progress {
+    /// The servers that were tried, also those whose sends haven't ended; the newest last.
+    tried: Vec<sync::Arc<str>>,
+    /// Number of ended sends that may have reached a server.
+    ended_sends: u32,
+    /// Whether a server may have run the request.
+    may_have_run: bool,
+    /// The newest error response of a server.
+    error_answer: Option<answer::Answer>,
+}
+
+impl Progress {
+    /// Records a send that failed.
+    fn record(&mut self, failed_send: FailedSend) {
+        let outcome = failed_send.failure.outcome;
+        self.ended_sends += u32::from(outcome != outcome::Outcome::NeverWritten);
+        self.may_have_run |= !outcome.is_not_run();
+        self.error_answer = failed_send.answer.or(self.error_answer.take());
+    }
+}
+
 impl<D: dialect::Dialect> PlainRequest<'_, D> {
     /// Returns the request's id for the log, `-` if it has none.
     fn id(&self) -> &str {
         self.received.head.request_id.as_deref().unwrap_or("-")
     }
 
-    /// Sends the request, to further servers if necessary, and returns the answer for the caller.
+    /// Sends the request, to further servers if necessary, and returns the answer for the caller. A silent
+    /// server may still answer, so its send goes on while another server is tried.
     pub(crate) async fn answer(&self) -> answer::Answer {
-        let cx = self.cx;
-        let mut tried: Vec<sync::Arc<str>> = Vec::new();
-        let mut may_have_run = false;
-        let mut sends = 0;
-        let mut last_error_answer = None;
+        let silence = &tokio::sync::Notify::new();
+        let mut progress = Progress::default();
+        let mut in_flight = stream::FuturesUnordered::new();
+        // Whether all sends in flight are to silent servers.
+        let mut all_silent = false;
+        let mut next_server = self.choose_server(&progress.tried);
+        if next_server.is_none() {
+            return self.give_up(progress);
+        }
         loop {
-            let Some(server) = self.choose_server(&tried) else {
-                return self.give_up(last_error_answer, may_have_run);
-            };
-            tried.push(server.id.clone());
-            let failed_send = match self.send(&server, sends > 0).await {
-                Ok(answer) => return answer,
-                Err(failed_send) => failed_send,
-            };
-            sends += u32::from(failed_send.failure.outcome != outcome::Outcome::NeverWritten);
-            if failed_send.failure.outcome == outcome::Outcome::Quarantined && !may_have_run {
-                crash_marks::log_refusal(self.id(), self.received.digest);
-                return crash_marks::refusal_answer();
+            if let Some(server) = next_server.take() {
+                let is_retry = progress.ended_sends > 0 || !in_flight.is_empty();
+                progress.tried.push(server.id.clone());
+                all_silent = false;
+                in_flight.push(async move {
+                    let result = self.send(&server, is_retry, silence).await;
+                    (server, result)
+                });
             }
-            may_have_run |= !failed_send.failure.outcome.is_not_run();
-            let allowance = outcome::Allowance {
-                attempts: self.route.max_attempts.saturating_sub(sends),
-                time: self.deadline.saturating_sub(cx.now()),
-                budget: cx.may_retry(self.service),
-            };
-            let next = outcome::next(self.route.kind, failed_send.failure.outcome, allowance);
-            event!(Info, "send-failed", "id" => self.id(), "server" => server.id,
-                "cause" => failed_send.failure.cause,
-                "outcome" => format!("{:?}", failed_send.failure.outcome),
-                "attempts_left" => allowance.attempts, "budget" => allowance.budget,
-                "next" => format!("{next:?}"));
-            match next {
-                outcome::Next::SendAgain => {
-                    last_error_answer = failed_send.answer.or(last_error_answer)
-                }
-                outcome::Next::RefuseUnrun => {
-                    let answer = failed_send.answer.or(last_error_answer);
-                    return self.give_up(answer, may_have_run);
-                }
-                outcome::Next::Fail => {
-                    let router_answer = || {
-                        answer::from_router(
-                            http::StatusCode::BAD_GATEWAY,
-                            failed_send.failure.cause,
-                        )
-                    };
-                    return failed_send
-                        .answer
-                        .or(last_error_answer)
-                        .unwrap_or_else(router_answer);
-                }
-                outcome::Next::TimedOut => {
-                    let router_answer = || {
-                        answer::from_router(
-                            http::StatusCode::GATEWAY_TIMEOUT,
-                            failed_send.failure.cause,
-                        )
+            tokio::select! {
+                biased;
+                Some((server, result)) = in_flight.next() => {
+                    let failed_send = match result {
+                        Ok(answer) => return answer,
+                        Err(failed_send) => failed_send,
                     };
-                    return last_error_answer.unwrap_or_else(router_answer);
+                    let failure = failed_send.failure.clone();
+                    let is_answered = failed_send.answer.is_some();
+                    progress.record(failed_send);
+                    all_silent |= progress.tried.last() == Some(&server.id);
+                    let allowance = self.allowance(&progress, in_flight.len());
+                    let next = outcome::next(self.route.kind, failure.outcome, allowance);
+                    event!(Info, "send-failed", "id" => self.id(), "server" => server.id,
+                        "cause" => failure.cause, "outcome" => format!("{:?}", failure.outcome),
+                        "attempts_left" => allowance.attempts, "budget" => allowance.budget,
+                        "in_flight" => in_flight.len(), "next" => format!("{next:?}"));
+                    if failure.outcome == outcome::Outcome::Quarantined {
+                        // The silent servers may have run the request, or crashed by it.
+                        progress.may_have_run |= !in_flight.is_empty();
+                        return self.refuse_quarantined(progress);
+                    }
+                    if all_silent && next == outcome::Next::SendAgain {
+                        next_server = self.choose_server(&progress.tried);
+                    }
+                    let is_last = in_flight.is_empty() || (all_silent && is_answered);
+                    if next_server.is_none() && is_last {
+                        return self.final_answer(next, failure.cause, progress);
+                    }
+                    continue;
                 }
+                () = silence.notified() => {}
+                () = tokio::time::sleep(SEARCH_INTERVAL), if all_silent => {}
+            }
+            all_silent = true;
+            let allowance = self.allowance(&progress, in_flight.len());
+            let next = outcome::next(self.route.kind, outcome::Outcome::Silent, allowance);
+            if next == outcome::Next::SendAgain {
+                next_server = self.choose_server(&progress.tried);
             }
         }
     }
 
+    /// Returns what the request may still use. `in_flight` is the number of its sends that haven't ended.
+    fn allowance(&self, progress: &Progress, in_flight: usize) -> outcome::Allowance {
+        let used_attempts = progress.ended_sends + in_flight as u32;
+        outcome::Allowance {
+            attempts: self.route.max_attempts.saturating_sub(used_attempts),
+            time: self.deadline.saturating_sub(self.cx.now()),
+            budget: self.cx.may_retry(self.service),
+        }
+    }
+
     /// Chooses a usable server that isn't in `tried`.
     fn choose_server(&self, tried: &[sync::Arc<str>]) -> Option<sync::Arc<backends::Backend>> {
         let now = self.cx.now();
@@ -125,13 +162,37 @@
         chosen.cloned()
     }
 
-    /// Makes the answer if no further server can be tried. `error_answer` is a server's error
-    /// response, if there was one.
-    fn give_up(&self, error_answer: Option<answer::Answer>, may_have_run: bool) -> answer::Answer {
-        if let Some(error_answer) = error_answer {
+    /// Makes the answer to a request that may not be sent any more, because its content crashes servers.
+    fn refuse_quarantined(&self, progress: Progress) -> answer::Answer {
+        if progress.may_have_run {
+            return self.give_up(progress);
+        }
+        crash_marks::log_refusal(self.id(), self.received.digest);
+        crash_marks::refusal_answer()
+    }
+
+    /// Makes the answer after the last send failed with `cause`, if `next` would follow it.
+    fn final_answer(
+        &self,
+        next: outcome::Next,
+        cause: &'static str,
+        progress: Progress,
+    ) -> answer::Answer {
+        let status = match next {
+            outcome::Next::SendAgain | outcome::Next::RefuseUnrun => return self.give_up(progress),
+            outcome::Next::Fail => http::StatusCode::BAD_GATEWAY,
+            outcome::Next::TimedOut => http::StatusCode::GATEWAY_TIMEOUT,
+        };
+        let router_answer = || answer::from_router(status, cause);
+        progress.error_answer.unwrap_or_else(router_answer)
+    }
+
+    /// Makes the answer if no further server can be tried.
+    fn give_up(&self, progress: Progress) -> answer::Answer {
+        if let Some(error_answer) = progress.error_answer {
             return error_answer;
         }
-        if may_have_run {
+        if progress.may_have_run {
             return answer::from_router(http::StatusCode::BAD_GATEWAY, "no other server is usable");
         }
         let now = self.cx.now();
@@ -147,21 +208,22 @@
     }
 
     /// Sends the request to one server and records the result in the server's health. `is_retry`
-    /// states whether the request was sent to a server before.
+    /// states whether the request was sent to a server before. `silence` is notified when the server counts as
+    /// silent; the send goes on then.
     async fn send(
         &self,
         server: &sync::Arc<backends::Backend>,
         is_retry: bool,
+        silence: &tokio::sync::Notify,
     ) -> Result<answer::Answer, FailedSend> {
         let cx = self.cx;
         let started = cx.now();
         let repeatable = self.route.kind.may_run_again();
-        let head_deadline = match repeatable {
-            true => self
-                .deadline
-                .min(started + self.route.target_latency * SILENCE_FACTOR),
+        let silent_at = match repeatable {
+            true => started + self.route.target_latency * SILENCE_FACTOR,
             false => self.deadline,
         };
+        let silent_at = silent_at.min(self.deadline);
         locks::lock(&cx.health).record_sent(&server.id);
         let _guard = OutstandingGuard { cx, server };
         let params = dialect::SendParams {
@@ -170,28 +232,41 @@
             work: dialect::Work::Whole,
             resume_after: None,
         };
-        let options = send::Options {
-            deadline: head_deadline,
+        let options = |deadline| send::Options {
+            deadline,
             repeatable,
         };
-        let connection = match send::get_connection(cx, server, options).await {
+        let connection = match send::get_connection(cx, server, options(silent_at)).await {
             Ok(connection) => connection,
-            Err(failure) => return Err(self.record_failure(server, failure)),
+            Err(failure) => return Err(self.record_failure(server, failure, false)),
         };
         let kind = match is_retry {
             true => retry_share::SendKind::Retry,
             false => retry_share::SendKind::First,
         };
         cx.count_send(self.service, kind);
-        let response =
-            match send::send(cx, self.received, server, connection, &params, options).await {
-                Ok(response) => response,
-                Err(failure) => return Err(self.record_failure(server, failure)),
-            };
+        let options = options(self.deadline);
+        let sending = send::send(cx, self.received, server, connection, &params, options);
+        tokio::pin!(sending);
+        let mut is_silent = false;
+        let sent = tokio::select! {
+            biased;
+            sent = &mut sending => sent,
+            () = tokio::time::sleep(silent_at.saturating_sub(cx.now())), if silent_at < self.deadline => {
+                is_silent = true;
+                self.record_silence(server);
+                silence.notify_one();
+                sending.await
+            }
+        };
+        let response = match sent {
+            Ok(response) => response,
+            Err(failure) => return Err(self.record_failure(server, failure, is_silent)),
+        };
         let head = response.head.clone();
         let (status, headers, body) = match send::read_to_end(cx, response, self.deadline).await {
             Ok(parts) => parts,
-            Err(failure) => return Err(self.record_failure(server, failure)),
+            Err(failure) => return Err(self.record_failure(server, failure, is_silent)),
         };
         let took = cx.now().saturating_sub(started);
         let failed = status.is_server_error() || head.not_run;
@@ -235,17 +310,33 @@
         }
     }
 
-    /// Records a send that brought no answer in the server's health.
-    fn record_failure(&self, server: &backends::Backend, failure: send::SendFailure) -> FailedSend {
-        let now = self.cx.now();
-        let mut health = locks::lock(&self.cx.health);
+    /// Records that a server hasn't begun to answer in the usual time. It may have crashed without breaking
+    /// the connection, which is found out at once, not only when the send ends.
+    fn record_silence(&self, server: &sync::Arc<backends::Backend>) {
+        let cx = self.cx;
+        locks::lock(&cx.health).record_silence(&server.id, cx.now());
+        drop(crash_checks::Attempt::new(
+            &cx.crash_checks,
+            server,
+            self.received.digest,
+        ));
+        event!(Info, "server-silent", "id" => self.id(), "server" => server.id);
+    }
+
+    /// Records a send that brought no answer in the server's health. `was_silent` states whether its silence
+    /// was recorded.
+    fn record_failure(
+        &self,
+        server: &backends::Backend,
+        failure: send::SendFailure,
+        was_silent: bool,
+    ) -> FailedSend {
         match failure.outcome {
             outcome::Outcome::NeverWritten
             | outcome::Outcome::RefusedUnrun
             | outcome::Outcome::Quarantined => {}
-            outcome::Outcome::Silent if self.deadline <= now => health.record_failure(&server.id),
-            outcome::Outcome::Silent => health.record_silence(&server.id, now),
-            _ => health.record_failure(&server.id),
+            outcome::Outcome::Silent if was_silent => {}
+            _ => locks::lock(&self.cx.health).record_failure(&server.id),
         }
         FailedSend {
             failure,
--- a/daemon/tests/silent_servers.rs
+++ b/daemon/tests/silent_servers.rs
@@ -251,6 +251,46 @@
     }
 }
 
+#[tokio::test]
+async fn silent_servers_take_no_more_sends_than_attempts() {
+    let setup = start_setup_with_both().await;
+    let third = server::Server::start("i-c", None).await;
+    third.register(&setup.store, "gate");
+    for server in [&setup.a, &setup.b, &third] {
+        server.set_fault(server::Fault::NeverAnswer);
+    }
+    // All servers count as silent long before the time limit.
+    let mut configuration = hosts::configuration(4);
+    for route in configuration["routes"].as_array_mut().unwrap() {
+        route["target_latency_ms"] = 200.into();
+    }
+    setup.store.put("config", "main", configuration);
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    let sent = setup.send("/plain/x", "r1").await;
+    assert_eq!(sent.answer.status, 504, "{}", setup.host.log());
+    let runs = setup.runs_of("r1") + third.runs_of("r1");
+    assert_eq!(runs, 2, "{}", setup.host.log());
+}
+
+#[tokio::test]
+async fn crash_of_a_silent_server_is_found_while_its_request_waits() {
+    let setup = start_setup().await;
+    setup.a.set_fault(server::Fault::FallSilentOnPoison);
+    let bytes = caller::request("POST", "/plain/x", "r1", "", "poison");
+    let crash_found = async {
+        let start = time::Instant::now();
+        while !setup.host.log().contains("content-crashed-server") {
+            assert!(start.elapsed() < TIMEOUT, "{}", setup.host.log());
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+        start.elapsed()
+    };
+    let sending = caller::send(setup.host.callers_addr, &bytes, TIMEOUT);
+    let (answer, found_after) = tokio::join!(sending, crash_found);
+    assert!(answer.status >= 500, "{answer:?}");
+    assert!(found_after < LONG_SILENCE, "{found_after:?}");
+}
+
 #[tokio::test]
 async fn all_sends_end_when_the_caller_leaves() {
     let setup = start_setup_with_both().await;
