run_move: wait for the answer about a stopped run until the deadline

A stream that may run once was cut off if its engine fell silent after it had stopped the run for a move: the wait for the answer to the call ended one second after the end of the stream, and the move was given up with `move-unanswered` although the run had been stopped and nothing else can continue it.

Where the request's kind may not run again and the stream broke off, the wait now lasts until the request's deadline, which bounds the call itself, too. The caller's leaving ends it as before. Streams that may be repeated, and those that ended like complete ones, keep the limit of one second.

--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -123,8 +123,9 @@
         let end = match relay_from_server(&mut request, opened, &tx).await {
             ServerStreamEnd::Ended(end) => end,
             ServerStreamEnd::Moving(reservation, run_move, end_unless_stopped) => {
+                let has_end = matches!(end_unless_stopped, StreamEnd::Complete);
                 let finished = tokio::select! {
-                    finished = run_move.finish(&mut request, reservation) => finished,
+                    finished = run_move.finish(&mut request, reservation, has_end) => finished,
                     () = tx.closed() => return record_end(&request, "caller left", ""),
                 };
                 match finished {
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -19,8 +19,8 @@
 use crate::router::send;
 use crate::router::stream_request;
 
-/// Longest time for an engine that has stopped a run to have its KV cache copied: a copy of a gigabyte takes
-/// some milliseconds and queues behind other copies.
+/// Longest time for an engine that has stopped a run to have its KV cache copied, unless the stream depends on it: a
+/// copy of a gigabyte takes some milliseconds and queues behind other copies.
 const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// Maximum number of moves of one request. Each move pauses the caller's stream.
 pub(crate) const MAX_MOVES: u32 = 3;
@@ -162,16 +162,20 @@
 
     /// Continues the run on an engine after its stream has ended: on the target if the KV cache was
     /// copied there, otherwise, or if the target doesn't take it, again on the source.
-    /// `source_reservation` is the run's reservation on the source. Returns `None` if the run wasn't
-    /// stopped. Records each failed send.
+    /// `source_reservation` is the run's reservation on the source. `has_end` states whether the stream ended like a
+    /// complete one. Returns `None` if the run wasn't stopped. Records each failed send.
     pub(crate) async fn finish(
         self,
         request: &mut stream_request::StreamRequest<D>,
         source_reservation: engine_reservation::Reservation<D>,
+        has_end: bool,
     ) -> Option<Result<engine_stream::OpenStream<D>, send::SendFailure>> {
-        // The engine has ended the stream, so its answer isn't held up by a silence any more. The task neither panics nor
-        // is cancelled.
-        let copied = tokio::time::timeout(COPY_TIMEOUT, self.copy_task).await;
+        // A stream that may run once can only go on with the answer. The task neither panics nor is cancelled.
+        let max_wait = match has_end || request.route.kind.may_run_again() {
+            true => COPY_TIMEOUT,
+            false => request.deadline.saturating_sub(request.cx.now()),
+        };
+        let copied = tokio::time::timeout(max_wait, self.copy_task).await;
         let Ok(copied) = copied else {
             event!(Info, "move-unanswered", "from" => self.source.id, "cause" => "no answer in time");
             return None;
--- a/daemon/tests/silent_engines.rs
+++ b/daemon/tests/silent_engines.rs
@@ -188,3 +188,40 @@
     assert_eq!((answer.status, answer.complete), (200, true), "{log}");
     assert_eq!(answer.body, engine_setup::complete_stream(70));
 }
+
+#[tokio::test]
+async fn run_is_moved_although_its_engine_is_silent_after_it_stopped_the_run() {
+    let setup = start_setup(&["i-d1", "i-d2"]).await;
+    for engine in &setup.decode_engines {
+        engine.delay_ms.store(30, atomic::Ordering::Relaxed);
+        engine
+            .copy_delay_ms
+            .store(SILENCE.as_millis() as u64, atomic::Ordering::Relaxed);
+    }
+    allow_more(&setup).await;
+    let prompt = "X-Model: m\r\nX-Token-Count: 500,9000\r\nX-Length-Hint: 4900\r\n";
+    let bytes = caller::request("POST", "/single/x", "r1", prompt, "a prompt");
+    let drain = async {
+        let engine = setup.wait_for_run("r1").await;
+        let entry = engine.entry("scribe", "draining");
+        setup.store.put("servers", &engine.id, entry);
+    };
+    let (answer, ()) = tokio::join!(
+        caller::send(setup.host.callers_addr, &bytes, engine_setup::TIMEOUT),
+        drain
+    );
+    let log = setup.host.log();
+    assert_eq!((answer.status, answer.complete), (200, true), "{log}");
+    assert_eq!(answer.body, engine_setup::complete_stream(50));
+}
+
+/// Puts a configuration in force that allows each request three attempts and eight seconds.
+async fn allow_more(setup: &engine_setup::EngineSetup) {
+    let mut configuration = walnuthaven_platform_standin::hosts::configuration(4);
+    for route in configuration["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = 8_000.into();
+        route["max_attempts"] = 3.into();
+    }
+    setup.store.put("config", "main", configuration);
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+}
