engine_prepare: return to a silent engine if no other engine is left

A request whose engine sent no head for two seconds was moved to another engine. If that one refused, the request failed with "no engine is usable": the silent engine, which may be sound, had been excluded like one that failed, and so it was after a silent stream was left.

Engines that were left only for their silence are now kept apart from those that failed. They are chosen only if no other engine is usable. Each send still takes one of the request's attempts and counts against the retry budget, so the number of returns is bounded.

--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -122,11 +122,12 @@
         }
     }
 
-    /// Records that a silent server was left for another one.
+    /// Records that a silent server was left for another one. It gets the request again only if no other server is
+    /// left.
     pub(crate) fn leave_silent_server(&mut self, server: &sync::Arc<backends::Backend>) {
         self.silent_server = None;
-        if !self.failed_servers.contains(&server.id) {
-            self.failed_servers.push(server.id.clone());
+        if !self.left_servers.contains(&server.id) {
+            self.left_servers.push(server.id.clone());
         }
     }
 
--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -107,6 +107,8 @@
     pub(crate) deadline: time::Duration,
     /// Ids of the servers that it must not be sent to again.
     pub(crate) tried: &'a [sync::Arc<str>],
+    /// Ids of the servers that it is sent to only if no other is usable.
+    pub(crate) left: &'a [sync::Arc<str>],
 }
 
 /// Returns the tokens for which a request needs memory, from the predicted length of its answer.
@@ -305,7 +307,9 @@
             && !health.is_unusable(&engine.id, now)
             && !avoided_for_prefill
     });
-    let is_avoided = |engine: &backends::Backend| health.is_avoided(&engine.id, now);
+    let is_avoided = |engine: &backends::Backend| {
+        health.is_avoided(&engine.id, now) || request.left.contains(&engine.id)
+    };
     let all_avoided = engines
         .iter()
         .filter(|engine| !is_prefill(engine))
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -109,9 +109,8 @@
             answered = &mut sending => answered,
             other = self.prepare_alternative(&server, silent_at) => {
                 let cause = "server fell silent before its answer";
-                let outcome = outcome::Outcome::Silent;
                 self.may_have_run = true;
-                self.record_failure(&server, &send::SendFailure { outcome, cause }, self.cx.now());
+                self.leave_silent_server(&server);
                 event!(Info, "server-replaced", "id" => self.id(), "server" => server.id,
                     "cause" => cause, "by" => other.server.id);
                 return Ok(DecodeResult::Replaced(other));
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -58,6 +58,8 @@
     pub(super) prefills_on_decode: bool,
     /// The server of the request's stream or send while it is silent. It gets no further send of the request.
     pub(super) silent_server: Option<sync::Arc<str>>,
+    /// Ids of the servers that were left because they were silent. They get the request again only if no other is left.
+    pub(super) left_servers: Vec<sync::Arc<str>>,
     /// Ids of the servers on which it failed.
     pub(super) failed_servers: Vec<sync::Arc<str>>,
 }
@@ -111,6 +113,7 @@
             prefilled_before: false,
             prefills_on_decode: false,
             silent_server: None,
+            left_servers: Vec::new(),
             failed_servers: Vec::new(),
             received,
             route,
@@ -157,6 +160,7 @@
             first_event_by: self.arrived + self.route.target_latency,
             deadline: self.deadline,
             tried,
+            left: &self.left_servers,
         }
     }
 
--- a/daemon/tests/silent_engines.rs
+++ b/daemon/tests/silent_engines.rs
@@ -225,3 +225,21 @@
     setup.store.put("config", "main", configuration);
     tokio::time::sleep(time::Duration::from_millis(500)).await;
 }
+
+#[tokio::test]
+async fn request_returns_to_a_silent_engine_if_the_other_refuses() {
+    let setup = start_setup(&["i-d1"]).await;
+    allow_more(&setup).await;
+    let refuse_elsewhere = async {
+        tokio::time::sleep(time::Duration::from_millis(500)).await;
+        let refusing = server::Server::start("i-d2", Some("decode")).await;
+        refusing.set_fault(server::Fault::Shed);
+        refusing.register(&setup.store, "scribe");
+    };
+    setup.decode_engines[0].pause(time::Duration::from_millis(3_000));
+    let (answer, ()) = tokio::join!(setup.send("/brief/x", "r1"), refuse_elsewhere);
+    let log = setup.host.log();
+    assert!(log.contains("engine refused"), "{log}");
+    assert_eq!((answer.status, answer.complete), (200, true), "{log}");
+    assert_eq!(answer.body, engine_setup::complete_stream(50));
+}
