engine_prepare: leave a silent engine only for one that answers a call

A silent stream was cut off if the engine that was to replace its own was silent as well and refused later: the silent stream is kept for 300 ms after the request is sent to the other engine, and had gone on by the time the refusal arrived. Keeping it longer isn't possible, as both engines may then work on the request.

Before an engine replaces a silent one, it now has to show that it isn't silent itself: by events of other runs in the last 300 ms, or by its answer to the call for its report, which runs nothing. Until then the silent stream stays open, and the search goes on as before, at most about twice a second. Once the request has been sent to the other engine, the silent stream isn't resumed unless that engine refuses, as before.

Not covered: an engine that falls silent between the check and the send.

--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -26,6 +26,9 @@
 /// Time over which streams that broke or fell silent together are opened again on other servers. It is short
 /// compared to a prefill.
 pub(super) const REOPEN_JITTER: time::Duration = time::Duration::from_millis(40);
+/// Time for a server to answer a call that checks whether it is silent, and maximum age of events of its other runs that
+/// show the same. The answer takes a few milliseconds.
+const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// How often a request whose server is silent looks for another one.
 const ALTERNATIVE_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
@@ -59,6 +62,12 @@
                 }
             };
             let server = placement.decode;
+            // A silent server is left only for one that isn't silent itself.
+            if self.silent_server.is_some() && !self.answers_calls(&server).await {
+                let next = outcome::Next::RefuseUnrun;
+                let cause = "the other server is silent, too";
+                return Err(stream_request::OpenFailure::NoAnswer(next, cause));
+            }
             // Connects to the decode server first, so that no prompt is prefilled for a server that
             // can't be reached.
             let connection = match self.connect(&server, self.route.kind.may_run_again()).await {
@@ -144,6 +153,24 @@
         event!(Info, "server-sends-again", "id" => self.id(), "server" => server.id);
     }
 
+    /// Returns whether a server sends anything: events of other runs, or the answer to a call that runs nothing. Records
+    /// its silence otherwise.
+    async fn answers_calls(&self, server: &sync::Arc<backends::Backend>) -> bool {
+        let cx = &self.cx;
+        let since = cx.now().saturating_sub(CHECK_TIMEOUT);
+        if locks::lock(&cx.engine_load).has_progress_since(&server.id, since) {
+            return true;
+        }
+        cx.telemetry.count("server.connections");
+        let result = send::call(cx, server, cx.dialect.report(), CHECK_TIMEOUT).await;
+        let answered = result.is_ok();
+        if !answered {
+            locks::lock(&cx.health).record_silence(&server.id, cx.now());
+            cx.news_due.notify_one();
+        }
+        answered
+    }
+
     /// Returns a connection to a server. `repeatable` states whether the request may be sent again if
     /// it is unknown whether the server ran it.
     async fn connect(
--- a/daemon/tests/silent_engines.rs
+++ b/daemon/tests/silent_engines.rs
@@ -243,3 +243,46 @@
     assert_eq!((answer.status, answer.complete), (200, true), "{log}");
     assert_eq!(answer.body, engine_setup::complete_stream(50));
 }
+
+/// Sends a request, and pauses the engine that runs it and the other one. The latter refuses requests.
+async fn pause_midway_beside_refusals(
+    setup: &engine_setup::EngineSetup,
+    own: time::Duration,
+    other: time::Duration,
+) -> caller::Answer {
+    let pause_both = async {
+        let engine = setup.wait_for_run("r1").await;
+        let refusing = setup.decode_engines.iter().find(|e| e.id != engine.id);
+        let refusing = refusing.unwrap();
+        refusing.set_fault(server::Fault::Shed);
+        tokio::time::sleep(time::Duration::from_millis(300)).await;
+        engine.pause(own);
+        refusing.pause(other);
+    };
+    tokio::join!(setup.send("/brief/x", "r1"), pause_both).0
+}
+
+#[tokio::test]
+async fn stream_survives_silence_while_the_other_engine_refuses_late() {
+    let setup = start_setup(&["i-d1", "i-d2"]).await;
+    allow_more(&setup).await;
+    let own = time::Duration::from_millis(1_800);
+    let other = time::Duration::from_millis(2_200);
+    let answer = pause_midway_beside_refusals(&setup, own, other).await;
+    let log = setup.host.log();
+    assert_eq!((answer.status, answer.complete), (200, true), "{log}");
+    assert_eq!(answer.body, engine_setup::complete_stream(50));
+}
+
+#[tokio::test]
+async fn stream_that_goes_on_is_kept_while_the_other_engine_has_not_answered() {
+    let setup = start_setup(&["i-d1", "i-d2"]).await;
+    allow_more(&setup).await;
+    let own = time::Duration::from_millis(1_350);
+    let other = time::Duration::from_millis(2_200);
+    let answer = pause_midway_beside_refusals(&setup, own, other).await;
+    let log = setup.host.log();
+    assert_eq!((answer.status, answer.complete), (200, true), "{log}");
+    assert_eq!(answer.body, engine_setup::complete_stream(50));
+    assert_eq!(setup.runs_of("r1"), 1, "{log}");
+}
--- a/lib/src/engine_load.rs
+++ b/lib/src/engine_load.rs
@@ -311,6 +311,12 @@
         !self.runs.is_empty()
     }
 
+    /// Returns whether a run on an engine has generated tokens later than `since`.
+    pub fn has_progress_since(&self, engine: &str, since: time::Duration) -> bool {
+        let mut runs = self.runs.on_engine(engine);
+        runs.any(|(_, run)| run.generated > 0 && since < run.as_of)
+    }
+
     /// Returns the run with this key.
     pub fn run(&self, key: &Key) -> Option<&Run> {
         self.runs.get(key)
--- a/lib/tests/run_moves.rs
+++ b/lib/tests/run_moves.rs
@@ -88,3 +88,17 @@
     assert_eq!(reason(1), Some(run_moves::Reason::EngineLeaves));
     assert_eq!(reason(2), None, "it ends before the engine leaves");
 }
+
+#[test]
+fn only_later_tokens_of_a_run_show_that_an_engine_goes_on() {
+    let mut load = load_with(&[70, 0], 500, 700);
+    assert!(!load.has_progress_since("d1", time::Duration::ZERO));
+    load.record_progress(&key(1), 140, STEP * 70);
+    assert!(load.has_progress_since("d1", STEP * 69));
+    assert!(!load.has_progress_since("d1", STEP * 70));
+    assert!(!load.has_progress_since("d2", time::Duration::ZERO));
+    load.remove_run(&key(1));
+    // A run that hasn't begun shows nothing, whenever it was placed.
+    load.record_progress(&key(2), 0, STEP * 140);
+    assert!(!load.has_progress_since("d1", time::Duration::ZERO));
+}
