run_move: wait for the engine that continues a moved stream

A moved stream that may be resumed was cut off if its new engine sent no head within two seconds, whether or not any other engine could take it. Streams that are opened had the same limit replaced by a search for another engine; the move had kept it.

Both now share the wait: until the request's deadline, given up only for another engine that is prepared. If that one fails, the stream ends with the cause of its failure and isn't opened once more.

--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -43,6 +43,21 @@
     Replaced(engine_prepare::PreparedServer<D>),
 }
 
+/// The result of asking a server to continue a stopped run.
+#[derive(Debug)]
+pub(crate) enum Resumed<D: dialect::Dialect> {
+    Stream(send::ServerResponse),
+    /// The server was silent, and the request is to be sent to this other one instead.
+    Replaced(engine_prepare::PreparedServer<D>),
+}
+
+/// How the wait for a server's answer ended.
+enum Awaited<D: dialect::Dialect> {
+    Answer(DecodeAnswer<D>),
+    /// The server was silent, and the request is to be sent to this other one instead.
+    Replaced(engine_prepare::PreparedServer<D>),
+}
+
 /// The response of a server that was asked to generate the answer.
 enum DecodeResponse<D: dialect::Dialect> {
     Stream(send::ServerResponse),
@@ -103,20 +118,10 @@
         } = prepared;
         self.count_attempt();
         let sending = self.send_decode(&server, connection, kv_cache);
-        tokio::pin!(sending);
-        let silent_at = self.cx.now() + STREAM_HEAD_SILENCE;
-        let answered = tokio::select! {
-            answered = &mut sending => answered,
-            other = self.prepare_alternative(&server, silent_at) => {
-                let cause = "server fell silent before its answer";
-                self.may_have_run = true;
-                self.leave_silent_server(&server);
-                event!(Info, "server-replaced", "id" => self.id(), "server" => server.id,
-                    "cause" => cause, "by" => other.server.id);
-                return Ok(DecodeResult::Replaced(other));
-            }
+        let answered = match self.wait_for_answer(&server, sending).await {
+            Awaited::Answer(answered) => answered,
+            Awaited::Replaced(other) => return Ok(DecodeResult::Replaced(other)),
         };
-        self.end_silence(&server);
         match self.read_decode_answer(&server, answered).await? {
             DecodeResponse::Stream(response) => Ok(DecodeResult::Stream(OpenStream {
                 response,
@@ -130,6 +135,27 @@
         }
     }
 
+    /// Waits for a server's answer. If the server is silent, another one replaces it as soon as that is prepared.
+    async fn wait_for_answer(
+        &mut self,
+        server: &sync::Arc<backends::Backend>,
+        sending: impl Future<Output = DecodeAnswer<D>>,
+    ) -> Awaited<D> {
+        let silent_at = self.cx.now() + STREAM_HEAD_SILENCE;
+        let answered = tokio::select! {
+            answered = sending => answered,
+            other = self.prepare_alternative(server, silent_at) => {
+                self.may_have_run = true;
+                self.leave_silent_server(server);
+                event!(Info, "server-replaced", "id" => self.id(), "server" => server.id,
+                    "cause" => "server fell silent before its answer", "by" => other.server.id);
+                return Awaited::Replaced(other);
+            }
+        };
+        self.end_silence(server);
+        Awaited::Answer(answered)
+    }
+
     /// Continues a stopped run on a server with the run's KV cache. It is the same run, so it
     /// doesn't count as one of the route's attempts.
     ///
@@ -141,19 +167,15 @@
         server: &sync::Arc<backends::Backend>,
         connection: connection_pool::Connection,
         kv_cache: prefills::KvHandle<D>,
-    ) -> Result<send::ServerResponse, (send::SendFailure, Option<prefills::KvHandle<D>>)> {
+    ) -> Result<Resumed<D>, (send::SendFailure, Option<prefills::KvHandle<D>>)> {
         self.count_retry();
         let sending = self.send_decode(server, connection, Some(kv_cache));
-        let response = match tokio::time::timeout(self.head_timeout(), sending).await {
-            Ok(answered) => self.read_decode_answer(server, answered).await,
-            Err(_) => {
-                let outcome = outcome::Outcome::Silent;
-                let cause = "no answer in time";
-                return Err((send::SendFailure { outcome, cause }, None));
-            }
+        let answered = match self.wait_for_answer(server, sending).await {
+            Awaited::Answer(answered) => answered,
+            Awaited::Replaced(other) => return Ok(Resumed::Replaced(other)),
         };
-        match response {
-            Ok(DecodeResponse::Stream(response)) => Ok(response),
+        match self.read_decode_answer(server, answered).await {
+            Ok(DecodeResponse::Stream(response)) => Ok(Resumed::Stream(response)),
             Ok(DecodeResponse::Failed(failure, kv_cache)) => Err((failure, kv_cache)),
             Err(_) => {
                 let outcome = outcome::Outcome::ServerFailed;
@@ -163,16 +185,6 @@
         }
     }
 
-    /// Returns how long to wait for the head of a stream: until the time limit if the request may not be sent to
-    /// another server.
-    fn head_timeout(&self) -> time::Duration {
-        let left = self.deadline.saturating_sub(self.cx.now());
-        match self.decide_next(outcome::Outcome::Silent) {
-            outcome::Next::SendAgain => left.min(STREAM_HEAD_SILENCE),
-            _ => left,
-        }
-    }
-
     /// Asks a server to generate the answer, from `kv_cache` or else from the prompt, and waits for the head of its
     /// response until the request's time limit.
     fn send_decode(
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -133,7 +133,12 @@
                         opened = moved;
                         continue;
                     }
-                    Some(Err(failure)) => StreamEnd::MoveFailed(failure),
+                    Some(Err(run_move::MoveFailure::Send(failure))) => {
+                        StreamEnd::MoveFailed(failure)
+                    }
+                    Some(Err(run_move::MoveFailure::NotContinued(cause))) => {
+                        StreamEnd::NotContinued(cause)
+                    }
                     None => end_unless_stopped,
                 }
             }
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -47,6 +47,15 @@
     connection: Option<connection_pool::Connection>,
 }
 
+/// Why a run that was stopped isn't continued.
+#[derive(Debug)]
+pub(crate) enum MoveFailure {
+    /// No engine continued it with its KV cache.
+    Send(send::SendFailure),
+    /// The engine that was to continue it was silent and was left for another one, which failed. Holds the cause.
+    NotContinued(&'static str),
+}
+
 /// Starts to move a run if it should leave its engine and another engine has capacity.
 pub(crate) fn start<D: dialect::Dialect>(
     request: &mut stream_request::StreamRequest<D>,
@@ -169,7 +178,7 @@
         request: &mut stream_request::StreamRequest<D>,
         source_reservation: engine_reservation::Reservation<D>,
         has_end: bool,
-    ) -> Option<Result<engine_stream::OpenStream<D>, send::SendFailure>> {
+    ) -> Option<Result<engine_stream::OpenStream<D>, MoveFailure>> {
         // A stream that may run once can only go on with the answer. The task neither panics nor is cancelled.
         let max_wait = match has_end || request.route.kind.may_run_again() {
             true => COPY_TIMEOUT,
@@ -192,7 +201,7 @@
                 break;
             };
             let (failure, cache) = match continue_on(request, &server, connection, cache).await {
-                Ok(response) => {
+                Ok(engine_stream::Resumed::Stream(response)) => {
                     event!(Info, "moved", "id" => request.id(), "server" => server.id,
                             "after_event" => request.last_event);
                     return Some(Ok(engine_stream::OpenStream {
@@ -201,6 +210,12 @@
                         reservation,
                     }));
                 }
+                Ok(engine_stream::Resumed::Replaced(other)) => {
+                    let opened = request.open(Some(other)).await;
+                    return Some(
+                        opened.map_err(|failure| MoveFailure::NotContinued(failure.cause())),
+                    );
+                }
                 Err(failed) => failed,
             };
             event!(Info, "not-moved", "id" => request.id(), "server" => server.id,
@@ -211,7 +226,7 @@
         }
         // The run was stopped midway, even if the last send wasn't executed.
         let outcome = outcome::Outcome::BrokenMidway;
-        Some(Err(send::SendFailure { outcome, cause }))
+        Some(Err(MoveFailure::Send(send::SendFailure { outcome, cause })))
     }
 }
 
@@ -225,7 +240,7 @@
     server: &sync::Arc<backends::Backend>,
     connection: Option<connection_pool::Connection>,
     kv_cache: prefills::KvHandle<D>,
-) -> Result<send::ServerResponse, (send::SendFailure, Option<prefills::KvHandle<D>>)> {
+) -> Result<engine_stream::Resumed<D>, (send::SendFailure, Option<prefills::KvHandle<D>>)> {
     let mut kv_cache = kv_cache;
     if let Some(connection) = connection {
         match request.resume_moved_run(server, connection, kv_cache).await {
--- a/daemon/tests/silent_engines.rs
+++ b/daemon/tests/silent_engines.rs
@@ -286,3 +286,28 @@
     assert_eq!(answer.body, engine_setup::complete_stream(50));
     assert_eq!(setup.runs_of("r1"), 1, "{log}");
 }
+
+#[tokio::test]
+async fn moved_stream_survives_a_late_answer_of_its_new_engine() {
+    let setup = start_setup(&["i-d1", "i-d2"]).await;
+    for engine in &setup.decode_engines {
+        engine.delay_ms.store(30, atomic::Ordering::Relaxed);
+    }
+    allow_more(&setup).await;
+    let prompt = "X-Model: m\r\nX-Token-Count: 500,9000\r\nX-Length-Hint: 4900\r\n";
+    let bytes = caller::request("POST", "/brief/x", "r1", prompt, "a prompt");
+    let drain_and_pause = async {
+        let engine = setup.wait_for_run("r1").await;
+        let other = setup.decode_engines.iter().find(|e| e.id != engine.id);
+        other.unwrap().pause(time::Duration::from_millis(2_600));
+        let entry = engine.entry("scribe", "draining");
+        setup.store.put("servers", &engine.id, entry);
+    };
+    let (answer, ()) = tokio::join!(
+        caller::send(setup.host.callers_addr, &bytes, engine_setup::TIMEOUT),
+        drain_and_pause
+    );
+    let log = setup.host.log();
+    assert_eq!((answer.status, answer.complete), (200, true), "{log}");
+    assert_eq!(answer.body, engine_setup::complete_stream(50));
+}
