relay: end an engine's silence only when it sends something

An engine that never answered was recorded as answering: the end of its silence was also recorded when the wait for it ended with a failure, so it was no longer avoided, here and at the other hosts.

Only the head of an answer, or a part of its body, ends a silence now. For the request itself, a failed send ends the state without a record.

--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -152,7 +152,9 @@
                 return Awaited::Replaced(other);
             }
         };
-        self.end_silence(server);
+        if answered.response.is_ok() {
+            self.end_silence(server);
+        }
         Awaited::Answer(answered)
     }
 
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -264,7 +264,10 @@
     }
     match (end, stream.run_move) {
         (StreamEnd::CallerLeft, _) => ServerStreamEnd::Ended(StreamEnd::CallerLeft),
-        (end, Some(run_move)) => ServerStreamEnd::Moving(stream.reservation, run_move, end),
+        (end, Some(run_move)) => {
+            request.silent_server = None;
+            ServerStreamEnd::Moving(stream.reservation, run_move, end)
+        }
         (end, None) => {
             if matches!(end, StreamEnd::Complete) {
                 tokio::spawn(connection_pool::return_connection(
@@ -355,9 +358,11 @@
                 return RelayEnd::Silent(other);
             }
         };
-        request.end_silence(&stream.server);
         let data = match frame {
-            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            Some(Ok(frame)) => {
+                request.end_silence(&stream.server);
+                frame.into_data().unwrap_or_default()
+            }
             Some(Err(_)) => return broken(midway, "stream broke off"),
             None if stream.splitter.remainder().is_empty() => {
                 return RelayEnd::Ended(StreamEnd::Complete);
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -220,6 +220,7 @@
         }
         drop(health);
         self.cx.news_due.notify_one();
+        self.silent_server.take_if(|silent| *silent == server.id);
         if !self.failed_servers.contains(&server.id) {
             self.failed_servers.push(server.id.clone());
         }
--- a/daemon/tests/silent_engines.rs
+++ b/daemon/tests/silent_engines.rs
@@ -311,3 +311,16 @@
     assert_eq!((answer.status, answer.complete), (200, true), "{log}");
     assert_eq!(answer.body, engine_setup::complete_stream(50));
 }
+
+#[tokio::test]
+async fn engine_that_never_answers_is_not_recorded_as_answering() {
+    let setup = start_setup(&["i-d1"]).await;
+    setup.decode_engines[0].pause(engine_setup::TIMEOUT * 2);
+    let headers = format!("{}X-Request-Deadline: 2600\r\n", engine_setup::PROMPT);
+    let bytes = caller::request("POST", "/brief/x", "r1", &headers, "a prompt");
+    let answer = caller::send(setup.host.callers_addr, &bytes, engine_setup::TIMEOUT).await;
+    let log = setup.host.log();
+    assert_eq!(answer.status, 504, "{log}");
+    assert!(log.contains("\"event\":\"server-silent\""), "{log}");
+    assert!(!log.contains("server-sends-again"), "{log}");
+}
