server_health: count a silence once that several streams notice

Each stream on an engine that fell silent counted one silence, so an engine with three streams was avoided for two seconds, not half a second, after it was silent once.

A silence that is noticed while the server is avoided for one already is the same silence and isn't counted.

--- a/lib/src/server_health.rs
+++ b/lib/src/server_health.rs
@@ -229,11 +229,14 @@
     }
 
     /// Records that a server has sent nothing for longer than usual, and avoids it for a while if there
-    /// are others. It may be sound.
+    /// are others. It may be sound. Ignored while it is avoided for that already.
     pub fn record_silence(&mut self, id: &str, now: time::Duration) {
         let record = self.record_of(id);
+        if now < record.silent_until {
+            return;
+        }
         let until = now + record.next_unreachable_backoff();
-        record.silent_until = record.silent_until.max(until);
+        record.silent_until = until;
     }
 
     /// Records that a server sent the answer to a different request on a connection. Its connections
--- a/lib/tests/server_choice.rs
+++ b/lib/tests/server_choice.rs
@@ -117,3 +117,12 @@
     health.record_response("a", at(200));
     assert!(!health.is_avoided("a", at(200)));
 }
+
+#[test]
+fn a_silence_that_several_streams_notice_counts_once() {
+    let mut health = server_health::Health::default();
+    for _ in 0..3 {
+        health.record_silence("a", at(0));
+    }
+    assert!(!health.is_avoided("a", at(500)));
+}
