engine_prepare: don't avoid an engine if only one of its runs is silent

A single stream without events had its engine avoided by all hosts, although the engine went on with its other runs.

The silence is recorded only if no run on the engine, of any host, has made progress since the stream's last event or since the send. The search for another engine for this stream starts all the same. The log line says which it was.

That the engine isn't avoided has no test: the stand-in can't silence a single run.

--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -102,21 +102,29 @@
         }
     }
 
-    /// Prepares another server once `server` has been silent until `silent_at`, a time since boot. Never ends while the
-    /// request may not be sent again or no other server can take it, so `server` is left only for one that can.
+    /// Prepares another server once `server` has been silent for `max_silence` since `since`, a time since boot. Never
+    /// ends while the request may not be sent again or no other server can take it, so `server` is left only for one
+    /// that can.
     pub(crate) async fn prepare_alternative(
         &mut self,
         server: &sync::Arc<backends::Backend>,
-        silent_at: time::Duration,
+        since: time::Duration,
+        max_silence: time::Duration,
     ) -> PreparedServer<D> {
+        let silent_at = since + max_silence;
         tokio::time::sleep(silent_at.saturating_sub(self.cx.now())).await;
         if self.silent_server.as_ref() != Some(&server.id) {
-            let now = self.cx.now();
-            locks::lock(&self.cx.health).record_silence(&server.id, now);
+            // The server isn't silent if only this run is.
+            let others_go_on =
+                locks::lock(&self.cx.engine_load).has_progress_since(&server.id, since);
+            if !others_go_on {
+                let now = self.cx.now();
+                locks::lock(&self.cx.health).record_silence(&server.id, now);
+                self.cx.news_due.notify_one();
+            }
             self.silent_server = Some(server.id.clone());
-            self.cx.news_due.notify_one();
             event!(Info, "server-silent", "id" => self.id(), "server" => server.id,
-                "delivered" => self.last_event);
+                "delivered" => self.last_event, "others_go_on" => others_go_on);
         }
         loop {
             tokio::time::sleep(REOPEN_JITTER.mul_f64(rand::random::<f64>())).await;
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -141,10 +141,10 @@
         server: &sync::Arc<backends::Backend>,
         sending: impl Future<Output = DecodeAnswer<D>>,
     ) -> Awaited<D> {
-        let silent_at = self.cx.now() + STREAM_HEAD_SILENCE;
+        let sent_at = self.cx.now();
         let answered = tokio::select! {
             answered = sending => answered,
-            other = self.prepare_alternative(server, silent_at) => {
+            other = self.prepare_alternative(server, sent_at, STREAM_HEAD_SILENCE) => {
                 self.may_have_run = true;
                 self.leave_silent_server(server);
                 event!(Info, "server-replaced", "id" => self.id(), "server" => server.id,
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -344,7 +344,7 @@
     loop {
         let now = request.cx.now();
         let time_left = request.deadline.saturating_sub(now);
-        let silent_at = max_pause.map_or(request.deadline, |pause| now + pause * SILENCE_FACTOR);
+        let max_silence = max_pause.map_or(time_left, |pause| pause * SILENCE_FACTOR);
         let frame = tokio::select! {
             frame = stream.response.body.frame() => frame,
             () = tx.closed() => return RelayEnd::Ended(StreamEnd::CallerLeft),
@@ -354,7 +354,7 @@
             () = wait_for_stop(stream.run_move.as_ref()) => {
                 return broken(outcome::Outcome::Silent, "run was stopped");
             }
-            other = request.prepare_alternative(&stream.server, silent_at), if max_pause.is_some() => {
+            other = request.prepare_alternative(&stream.server, now, max_silence), if max_pause.is_some() => {
                 return RelayEnd::Silent(other);
             }
         };
