send: treat a connection that times out as silence

A request was refused if its only engine accepted no connections for half a second: one connection that wasn't accepted within 150 ms made the engine count as unreachable, which excludes it even if it is the last one.

A time-out now counts as a silence; the engine is avoided if there are others. Only a connection that is refused or reset shows that the server can't be reached. The number of attempts to connect is limited as before.

--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -188,11 +188,21 @@
     let opened = connection_pool::connect(server.addr, timeout).await;
     cx.telemetry.count("server.connections");
     opened.map_err(|error| {
-        locks::lock(&cx.health).record_unreachable(&server.id, cx.now());
+        let now = cx.now();
+        let mut health = locks::lock(&cx.health);
         let cause = match error.kind() {
-            io::ErrorKind::TimedOut => "connection timed out",
-            io::ErrorKind::ConnectionRefused => "connection refused",
-            _ => "connection failed",
+            // A sound server may accept no connections for a moment.
+            io::ErrorKind::TimedOut => {
+                health.record_silence(&server.id, now);
+                "connection timed out"
+            }
+            kind => {
+                health.record_unreachable(&server.id, now);
+                match kind {
+                    io::ErrorKind::ConnectionRefused => "connection refused",
+                    _ => "connection failed",
+                }
+            }
         };
         failure(outcome::Outcome::NeverWritten, cause)
     })
--- a/daemon/tests/silent_engines.rs
+++ b/daemon/tests/silent_engines.rs
@@ -324,3 +324,43 @@
     assert!(log.contains("\"event\":\"server-silent\""), "{log}");
     assert!(!log.contains("server-sends-again"), "{log}");
 }
+
+#[tokio::test]
+async fn request_waits_for_the_only_engine_while_that_accepts_no_connections() {
+    let setup = start_setup(&["i-d1"]).await;
+    let engine = setup.decode_engines[0].clone();
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let addr = listener.local_addr().unwrap();
+    // Fills the queue of connections that the engine hasn't accepted, so that further ones wait.
+    let mut waiting = Vec::new();
+    for _ in 0..4 {
+        let opening = tokio::net::TcpStream::connect(addr);
+        let opened = tokio::time::timeout(time::Duration::from_millis(100), opening).await;
+        waiting.extend(opened.ok().and_then(Result::ok));
+    }
+    let mut entry = engine.entry("scribe", "ready");
+    entry["address"] = addr.to_string().into();
+    setup.store.put("servers", &engine.id, entry);
+    tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+    let accept = async {
+        tokio::time::sleep(time::Duration::from_millis(500)).await;
+        drop(waiting);
+        loop {
+            let (mut near, _) = listener.accept().await.unwrap();
+            let engine_addr = engine.addr;
+            tokio::spawn(async move {
+                let mut far = tokio::net::TcpStream::connect(engine_addr).await.unwrap();
+                // Ends when either side closes.
+                let _ = tokio::io::copy_bidirectional(&mut near, &mut far).await;
+            });
+        }
+    };
+    let answer = tokio::select! {
+        answer = setup.send("/single/x", "r1") => answer,
+        () = accept => unreachable!(),
+    };
+    let log = setup.host.log();
+    assert_eq!((answer.status, answer.complete), (200, true), "{log}");
+}
