engine_stream: let the decode engine read the prompt without retry budget

A request whose prefill engine was silent failed if the retry budget was spent, although it hadn't been sent to an engine that generates the answer: that send is its first and needs no budget.

If another prefill isn't allowed, the decode engine reads the prompt, as on the last attempt; and the first send to it passes without budget. A second prefill, and any send after the first, still need it.

The stand-in's settings can replace the section `retry` for the test, prefill_may_be_late_if_no_retry_is_allowed (new).

--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -316,8 +316,10 @@
             false => failure.outcome,
         };
         self.may_have_run |= !outcome.is_not_run();
-        if was_prefill && failure.outcome == outcome::Outcome::Silent && self.attempts_left == 1 {
-            // The last attempt is left to the engine that generates the answer.
+        let is_last_send =
+            self.attempts_left == 1 || !(self.sent_before || self.cx.may_retry(&self.service.name));
+        if was_prefill && failure.outcome == outcome::Outcome::Silent && is_last_send {
+            // The last send is left to the engine that generates the answer.
             self.prefills_on_decode = true;
         } else if was_prefill && failure.outcome != outcome::Outcome::NeverWritten {
             self.attempts_left = self.attempts_left.saturating_sub(1);
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -192,10 +192,12 @@
 
     /// Decides what follows a send with this outcome.
     pub(crate) fn decide_next(&self, outcome: outcome::Outcome) -> outcome::Next {
+        // The first send to an engine that generates the answer isn't a retry. A further prefill is.
+        let is_first_send = self.prefills_on_decode && !self.sent_before;
         let allowance = outcome::Allowance {
             attempts: self.attempts_left,
             time: self.deadline.saturating_sub(self.cx.now()),
-            budget: self.cx.may_retry(&self.service.name),
+            budget: is_first_send || self.cx.may_retry(&self.service.name),
         };
         outcome::next(self.route.kind, outcome, allowance)
     }
--- a/daemon/tests/silent_engines.rs
+++ b/daemon/tests/silent_engines.rs
@@ -364,3 +364,13 @@
     let log = setup.host.log();
     assert_eq!((answer.status, answer.complete), (200, true), "{log}");
 }
+
+#[tokio::test]
+async fn prefill_may_be_late_if_no_retry_is_allowed() {
+    let settings = "[retry]\nratio = 0\nslack = 0\n";
+    let setup = engine_setup::EngineSetup::start_with_settings(BINARY, &["i-d1"], settings).await;
+    setup.prefill_engine.pause(SILENCE);
+    let answer = setup.send("/single/x", "r1").await;
+    let log = setup.host.log();
+    assert_eq!((answer.status, answer.complete), (200, true), "{log}");
+}
