server_health: end a peer's avoidance when the peer no longer reports it

A server that another host had avoided stayed avoided here for up to two seconds after that host had withdrawn it, for example because a silent engine went on: messages only added avoidances.

Each message holds all servers that its host avoids, so a server that is missing in a later one, and that no other host lists, is no longer avoided for it. The same holds for the reports of a host that is gone. Lists that are ignored because they name too many servers end nothing. A host that avoids more servers than fit into a message may end some too early.

avoidance_by_a_peer_ends_when_no_peer_reports_it_any_more failed with a method that only adds the listed servers, and passes.

--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -193,7 +193,7 @@
         (prefill.number, known_prefill)
     });
     locks::lock(&cx.engine_load).replace_host(&name, runs.collect(), prefills.collect(), now);
-    apply_avoided(cx, &message.avoided, now);
+    apply_avoided(cx, &name, &message.avoided, now);
     crash_marks::merge_received(cx, message.crash_marks);
     cx.engine_load_changed.notify_waiters();
     if message.config_version > cx.table().map_or(0, |table| table.version) {
@@ -201,20 +201,24 @@
     }
 }
 
-/// Avoids the servers that another host avoids, for at most as long as that host does.
+/// Avoids the servers that another host avoids, for at most as long as that host does and reports it.
 fn apply_avoided<D: dialect::Dialect>(
     cx: &context::Router<D>,
+    host: &str,
     avoided: &[news::Avoided],
     now: time::Duration,
 ) {
     if avoided.len() * MAX_AVOIDED_DIVISOR > locks::lock(&cx.servers).count() {
         return;
     }
-    let mut health = locks::lock(&cx.health);
-    for entry in avoided {
-        let until = now + time::Duration::from_millis(entry.for_ms.into());
-        health.record_peer_avoidance(&entry.server, until, now);
-    }
+    let avoided: Vec<_> = avoided
+        .iter()
+        .map(|entry| {
+            let until = now + time::Duration::from_millis(entry.for_ms.into());
+            (entry.server.as_str().into(), until)
+        })
+        .collect();
+    locks::lock(&cx.health).replace_peer_avoidances(host, &avoided, now);
 }
 
 /// Forgets hosts whose news have stopped, with their runs and prefills: engines cancel the requests
@@ -224,6 +228,7 @@
     for name in silent {
         event!(Warn, "dependency-lost", "dependency" => "host", "host" => name);
         locks::lock(&cx.engine_load).forget_host(&name);
+        locks::lock(&cx.health).replace_peer_avoidances(&name, &[], cx.now());
         cx.engine_load_changed.notify_waiters();
     }
 }
--- a/lib/src/server_health.rs
+++ b/lib/src/server_health.rs
@@ -105,6 +105,8 @@
 #[derive(Debug, Default)]
 pub struct Health {
     records: collections::HashMap<sync::Arc<str>, ServerRecord>,
+    /// The servers that each other host avoids by its last report. Hosts that avoid none are left out.
+    peer_reports: collections::HashMap<sync::Arc<str>, Vec<sync::Arc<str>>>,
 }
 
 impl Health {
@@ -177,6 +179,30 @@
         }
     }
 
+    /// Records all servers that another host avoids, each with the time at which that ends, in place of that host's
+    /// last report. A server that no host reports any more is no longer avoided for it.
+    pub fn replace_peer_avoidances(
+        &mut self,
+        host: &str,
+        avoided: &[(sync::Arc<str>, time::Duration)],
+        now: time::Duration,
+    ) {
+        let last_report = self.peer_reports.remove(host).unwrap_or_default();
+        if !avoided.is_empty() {
+            let servers = avoided.iter().map(|(id, _)| id.clone()).collect();
+            self.peer_reports.insert(host.into(), servers);
+        }
+        for id in last_report {
+            let is_reported = self.peer_reports.values().any(|ids| ids.contains(&id));
+            if !is_reported && let Some(record) = self.records.get_mut(&id) {
+                record.peer_avoid_until = time::Duration::ZERO;
+            }
+        }
+        for (id, until) in avoided {
+            self.record_peer_avoidance(id, *until, now);
+        }
+    }
+
     /// Records that the result of a prefill on an engine was gone when it was to be fetched.
     pub fn record_expired_prefill(&mut self, id: &str, now: time::Duration) {
         let record = self.record_of(id);
--- a/lib/tests/server_choice.rs
+++ b/lib/tests/server_choice.rs
@@ -126,3 +126,17 @@
     }
     assert!(!health.is_avoided("a", at(500)));
 }
+
+#[test]
+fn avoidance_by_a_peer_ends_when_no_peer_reports_it_any_more() {
+    let mut health = server_health::Health::default();
+    let avoided = [("a".into(), at(5_000))];
+    health.replace_peer_avoidances("h1", &avoided, at(2_000));
+    health.replace_peer_avoidances("h2", &avoided, at(2_000));
+    assert!(health.is_avoided("a", at(2_000)));
+    health.replace_peer_avoidances("h1", &[], at(2_100));
+    assert!(health.is_avoided("a", at(2_100)));
+    health.replace_peer_avoidances("h2", &[("b".into(), at(5_000))], at(2_200));
+    assert!(!health.is_avoided("a", at(2_200)));
+    assert!(health.is_avoided("b", at(2_200)));
+}
