listen: log when the host closes a caller's connection

A connection that the host closed because of a limit on callers, or because an answer broke off, left no line in the log.

The new line `connection-closed` names the caller and the cause. At most one is logged for a connection, and none if the caller closed it or it was idle.

caller_limits.rs checks it for a head that isn't received in time and for one that is too large.

--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -1,6 +1,7 @@
 //! Listening sockets: requests of callers, address lookup and readiness checks, and metrics.
 
 use std::convert;
+use std::error;
 use std::io;
 use std::net;
 use std::sync;
@@ -145,11 +146,40 @@
         .header_read_timeout(idle_timeout + IDLE_MARGIN)
         .max_buf_size((max_head_bytes * 2).max(MIN_HEAD_BUFFER))
         .serve_connection(rt::TokioIo::new(stream), service);
-    if let Err(error) = connection.await
-        && error.is_parse()
-    {
+    if let Err(error) = connection.await {
+        log_closing(caller, &error);
+    }
+}
+
+/// Logs that the host closed a caller's connection, unless the caller had closed it or it was idle.
+fn log_closing(caller: net::IpAddr, error: &hyper::Error) {
+    if error.is_parse() {
         event!(Info, "bad-request", "cause" => error.to_string());
     }
+    let Some(cause) = closing_cause(error) else {
+        return;
+    };
+    event!(Info, "connection-closed", "caller" => caller, "cause" => cause,
+        "error" => error.to_string());
+}
+
+/// Returns why the host closed a connection; `None` if the caller had closed it or it was idle.
+fn closing_cause(error: &hyper::Error) -> Option<&'static str> {
+    let source = error::Error::source(error).and_then(|source| source.downcast_ref::<io::Error>());
+    match source.map(io::Error::kind) {
+        _ if error.is_parse_too_large() => Some("head too large"),
+        _ if error.is_parse() => Some("malformed head"),
+        _ if error.is_user() => Some("answer broke off"),
+        _ if error.is_timeout() || error.is_incomplete_message() => None,
+        Some(io::ErrorKind::TimedOut) => Some("head not received in time"),
+        Some(
+            io::ErrorKind::BrokenPipe
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::NotConnected
+            | io::ErrorKind::UnexpectedEof,
+        ) => None,
+        _ => Some("other"),
+    }
 }
 
 /// Answers an address lookup or a readiness check.
--- a/daemon/tests/caller_limits.rs
+++ b/daemon/tests/caller_limits.rs
@@ -26,6 +26,20 @@
     (host, server)
 }
 
+/// Waits until the host has logged that it closed a connection for `cause`.
+async fn wait_for_closing(host: &hosts::Host, cause: &str) {
+    let start = time::Instant::now();
+    let logged = |line: &str| line.contains("\"connection-closed\"") && line.contains(cause);
+    while !host.log().lines().any(logged) {
+        assert!(
+            start.elapsed() < TIMEOUT,
+            "no line for {cause}: {}",
+            host.log()
+        );
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
+
 #[tokio::test]
 async fn connection_with_incomplete_head_is_closed() {
     let (host, _server) = start_host("").await;
@@ -41,6 +55,18 @@
     let read = tokio::time::timeout(TIMEOUT, stream.read_to_end(&mut buf)).await;
     assert!(read.is_ok(), "the connection is still open");
     assert!(start.elapsed() >= HEAD_TIMEOUT, "{:?}", start.elapsed());
+    wait_for_closing(&host, "head not received in time").await;
+}
+
+#[tokio::test]
+async fn too_large_head_is_rejected() {
+    let (host, server) = start_host("").await;
+    let headers = format!("X-Own: {}\r\n", "x".repeat(100_000));
+    let bytes = caller::request("POST", "/once/x", "r1", &headers, "pass 7");
+    let answer = caller::send(host.callers_addr, &bytes, TIMEOUT).await;
+    assert_eq!(answer.status, 431, "{answer:?}");
+    assert_eq!(server.runs_of("r1"), 0);
+    wait_for_closing(&host, "head too large").await;
 }
 
 #[tokio::test]
