listen: apply changed time limits to connections that are open already

What callers saw: beside a change of the configuration, a request on a kept connection got neither an answer nor a refusal. After the idle timeout had been raised, callers used connections that had been idle for longer than the former one, and the host had closed them. After the limit on the time of a head had been raised, a head that took longer than the former one had its connection closed.

Cause: both limits were read when a connection was accepted and kept for as long as it was open. The class: what a request may take was decided by the version under which its connection came, not by the one under which it came itself. Ruled out by tests that pass on the unchanged logic: routes, services, attempts, time limits and the size of bodies, all of which are read once for each request.

The idle time and the time of a head now are both measured by the connection's reading side, which looks the limit up when the time begins, and again before it closes the connection. If the limit was changed in between, the longer one applies, as the caller may not know of the change yet. The HTTP library's timer, which can't be changed on an open connection, is off. The library doesn't read again after an answer if it is waiting for bytes already; the end of an answer therefore wakes the reading side.

idle_connection_survives_up_to_a_raised_limit, lowered_idle_limit_applies_from_the_next_idle_time_on and head_may_take_as_long_as_a_raised_limit failed each time before, and pass.

--- /dev/null
+++ b/daemon/src/router/connection_timer.rs
@@ -0,0 +1,199 @@
+//! Limits how long a caller's connection may be idle, and how long the caller may take to send the head
+//! of a request.
+//!
+//! The HTTP library's own limit covers both times together, and is the same for as long as a connection
+//! is open. These limits are looked up for each request, so that a change of the configuration applies
+//! to connections that are open already.
+
+use std::future::Future as _;
+use std::io;
+use std::pin;
+use std::sync;
+use std::sync::atomic;
+use std::task;
+use std::time;
+
+use futures_util::task as futures_task;
+use http_body::Body;
+use tokio::io::AsyncRead;
+
+/// Whether the current request's head has been read on a connection. Shared by the connection's
+/// reading side and its responses.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct HeadState(sync::Arc<SharedHeadState>);
+
+#[derive(Debug, Default)]
+struct SharedHeadState {
+    is_head_read: atomic::AtomicBool,
+    /// Wakes the reading side once the response was sent, so that it measures the idle time.
+    reader: futures_task::AtomicWaker,
+}
+
+impl HeadState {
+    /// Records that the head of a request was read, which stops the timer.
+    pub(crate) fn set_head_read(&self) {
+        self.0.is_head_read.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Records that the response was sent: the next bytes belong to the head of another request.
+    fn set_answered(&self) {
+        self.0.is_head_read.store(false, atomic::Ordering::Relaxed);
+        self.0.reader.wake();
+    }
+
+    fn is_head_read(&self) -> bool {
+        self.0.is_head_read.load(atomic::Ordering::Relaxed)
+    }
+}
+
+/// A response body that resets the connection's [`HeadState`] when it is dropped, as the response
+/// has been sent by then.
+#[derive(Debug)]
+pub(crate) struct TrackedBody<B> {
+    body: B,
+    head_state: HeadState,
+}
+
+impl<B> TrackedBody<B> {
+    pub(crate) fn new(body: B, head_state: HeadState) -> Self {
+        Self { body, head_state }
+    }
+}
+
+impl<B> Drop for TrackedBody<B> {
+    fn drop(&mut self) {
+        self.head_state.set_answered();
+    }
+}
+
+impl<B: Body + Unpin> Body for TrackedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<http_body::Frame<B::Data>, B::Error>>> {
+        pin::Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Limits on the time that a caller may take.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TimeLimits {
+    /// Longest time until the first byte of a request.
+    pub(crate) idle: time::Duration,
+    /// Longest time from the first byte of a request's head to its end.
+    pub(crate) head: time::Duration,
+}
+
+/// A time in which the caller has sent nothing.
+#[derive(Debug)]
+struct Wait {
+    since: tokio::time::Instant,
+    limit: time::Duration,
+}
+
+/// The reading side of a connection. Reads fail once the connection has been idle for too long, or the
+/// head of a request has taken too long.
+#[derive(Debug)]
+pub(crate) struct TimedReader<S, F> {
+    stream: S,
+    head_state: HeadState,
+    /// Returns the limits in force.
+    limits: F,
+    /// Whether a part of the next request's head was read.
+    head_begun: bool,
+    /// The idle time, or the time of the head if it has begun. `None` while a request is answered.
+    wait: Option<Wait>,
+    timer: Option<pin::Pin<Box<tokio::time::Sleep>>>,
+}
+
+impl<S, F: Fn() -> TimeLimits> TimedReader<S, F> {
+    pub(crate) fn new(stream: S, head_state: HeadState, limits: F) -> Self {
+        Self {
+            stream,
+            head_state,
+            limits,
+            head_begun: false,
+            wait: None,
+            timer: None,
+        }
+    }
+
+    /// Returns the limit in force for what the caller is to send next.
+    fn limit(&self) -> time::Duration {
+        let limits = (self.limits)();
+        match self.head_begun {
+            true => limits.head,
+            false => limits.idle,
+        }
+    }
+
+    /// Waits until the limit is exceeded. A limit that was lowered in the meantime applies from the next
+    /// wait on, as the caller may not know of it yet.
+    fn poll_limit(&mut self, cx: &mut task::Context<'_>) -> task::Poll<()> {
+        let limit = self.limit();
+        let is_new = self.wait.is_none();
+        let wait = self.wait.get_or_insert_with(|| Wait {
+            since: tokio::time::Instant::now(),
+            limit,
+        });
+        let deadline = wait.since + wait.limit;
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(deadline)));
+        if is_new {
+            timer.as_mut().reset(deadline);
+        }
+        while timer.as_mut().poll(cx).is_ready() {
+            if limit <= wait.limit {
+                return task::Poll::Ready(());
+            }
+            wait.limit = limit;
+            timer.as_mut().reset(wait.since + limit);
+        }
+        task::Poll::Pending
+    }
+}
+
+impl<S, F> AsyncRead for TimedReader<S, F>
+where
+    S: AsyncRead + Unpin,
+    F: Fn() -> TimeLimits + Unpin,
+{
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut tokio::io::ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
+        if self.head_state.is_head_read() {
+            self.head_begun = false;
+            self.wait = None;
+            self.head_state.0.reader.register(cx.waker());
+            return polled;
+        }
+        if polled.is_ready() && buf.filled().len() > before && !self.head_begun {
+            self.head_begun = true;
+            self.wait = None;
+        }
+        if self.poll_limit(cx).is_ready() {
+            let late = match self.head_begun {
+                true => "the head of a request took too long",
+                false => "the connection was idle for too long",
+            };
+            return task::Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, late)));
+        }
+        polled
+    }
+}
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -16,11 +16,11 @@
 
 use crate::locks;
 use crate::router::answer;
+use crate::router::connection_timer;
 use crate::router::context;
 use crate::router::events;
 use crate::router::events::event;
 use crate::router::forward;
-use crate::router::head_timer;
 use crate::router::inspect;
 
 /// Connections that the kernel queues until they are accepted.
@@ -114,19 +114,15 @@
         // The connection is closed already.
         return;
     }
-    let table = cx.table();
-    let idle_timeout = table
-        .as_ref()
-        .map_or(DEFAULT_TIMEOUT, |table| table.limits.idle_timeout);
-    let max_head_bytes = table
-        .as_ref()
+    let max_head_bytes = cx
+        .table()
         .map_or(MIN_HEAD_BUFFER * 2, |table| table.limits.header_bytes);
-    let max_head_time = table
-        .as_ref()
-        .map_or(DEFAULT_TIMEOUT, |table| table.limits.header_timeout);
-    let head_state = head_timer::HeadState::default();
+    let head_state = connection_timer::HeadState::default();
     let (reader, writer) = stream.into_split();
-    let timed_reader = head_timer::TimedReader::new(reader, head_state.clone(), max_head_time);
+    let limits_cx = cx.clone();
+    let timed_reader = connection_timer::TimedReader::new(reader, head_state.clone(), move || {
+        time_limits(&limits_cx)
+    });
     let stream = tokio::io::join(timed_reader, writer);
     let service = service::service_fn(move |req| {
         let cx = cx.clone();
@@ -138,12 +134,13 @@
                 Endpoint::Discovery => answer_discovery(&cx, &req),
                 Endpoint::Metrics => answer_metrics(&cx, &req),
             };
-            answer.map(|answer| answer.map(|body| head_timer::TrackedBody::new(body, head_state)))
+            answer.map(|answer| {
+                answer.map(|body| connection_timer::TrackedBody::new(body, head_state))
+            })
         }
     });
     let connection = http1::Builder::new()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(idle_timeout + IDLE_MARGIN)
+        .header_read_timeout(None::<time::Duration>)
         .max_buf_size((max_head_bytes * 2).max(MIN_HEAD_BUFFER))
         .serve_connection(rt::TokioIo::new(stream), service);
     if let Err(error) = connection.await {
@@ -151,6 +148,17 @@
     }
 }
 
+/// Returns the limits in force on the time that a caller may take.
+fn time_limits<D: dialect::Dialect>(cx: &context::Router<D>) -> connection_timer::TimeLimits {
+    let table = cx.table();
+    let limits = table.as_ref().map(|table| &table.limits);
+    let idle_timeout = limits.map_or(DEFAULT_TIMEOUT, |limits| limits.idle_timeout);
+    connection_timer::TimeLimits {
+        idle: idle_timeout + IDLE_MARGIN,
+        head: limits.map_or(DEFAULT_TIMEOUT, |limits| limits.header_timeout),
+    }
+}
+
 /// Logs that the host closed a caller's connection, unless the caller had closed it or it was idle.
 fn log_closing(caller: net::IpAddr, error: &hyper::Error) {
     if error.is_parse() {
@@ -170,7 +178,7 @@
         _ if error.is_parse_too_large() => Some("head too large"),
         _ if error.is_parse() => Some("malformed head"),
         _ if error.is_user() => Some("answer broke off"),
-        _ if error.is_timeout() || error.is_incomplete_message() => None,
+        _ if error.is_incomplete_message() => None,
         Some(io::ErrorKind::TimedOut) => Some("head not received in time"),
         Some(
             io::ErrorKind::BrokenPipe
