forward: check the size of a head against the limit in force

What callers saw: after the limit on the size of heads had been raised, a request with a larger head on a kept connection was refused with 431, and callers don't send it again.

Cause: the size of the HTTP library's buffer stood for the limit. It is set when a connection is accepted, by the version in force then. It isn't exact either: with a limit of 16 KiB a head of 40 kB was accepted.

The buffer now has one size for all versions, and the size of each head is checked against the limit in force, with the factor of two that the buffer gave. Reads are limited to 16 KiB, as the library otherwise lets its buffer for bodies grow to the largest size. Heads of more than 256 KiB are refused whatever the configuration allows.

--- a/daemon/src/router/connection_timer.rs
+++ b/daemon/src/router/connection_timer.rs
@@ -86,6 +86,10 @@
     }
 }
 
+/// Maximum number of bytes in one read. The HTTP library doubles its buffer whenever a read fills it, up to
+/// the size of the largest head.
+const MAX_READ: usize = 16_384;
+
 /// Limits on the time that a caller may take.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TimeLimits {
@@ -176,7 +180,7 @@
         buf: &mut tokio::io::ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let polled = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
+        let polled = poll_read_part(&mut self.stream, cx, buf);
         if self.head_state.is_head_read() {
             self.head_begun = false;
             self.wait = None;
@@ -201,3 +205,19 @@
         polled
     }
 }
+
+/// Reads at most `MAX_READ` bytes.
+fn poll_read_part<S: AsyncRead + Unpin>(
+    stream: &mut S,
+    cx: &mut task::Context<'_>,
+    buf: &mut tokio::io::ReadBuf<'_>,
+) -> task::Poll<io::Result<()>> {
+    if buf.remaining() <= MAX_READ {
+        return pin::Pin::new(stream).poll_read(cx, buf);
+    }
+    let mut part = tokio::io::ReadBuf::new(buf.initialize_unfilled_to(MAX_READ));
+    let polled = pin::Pin::new(stream).poll_read(cx, &mut part);
+    let read = part.filled().len();
+    buf.advance(read);
+    polled
+}
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -33,6 +33,9 @@
 pub(crate) const ACCEPT_STREAMS_FOR: time::Duration = time::Duration::from_millis(2_500);
 /// Retry-After when there is no memory for the body: about the time that a request takes.
 const NO_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
+/// A head may exceed the limit in force by this factor, as a caller may know of a raised limit earlier than
+/// the host.
+const HEAD_TOLERANCE: usize = 2;
 /// Time limit for the answer if neither the caller nor the route limits it.
 const DEFAULT_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 
@@ -89,6 +92,15 @@
         event!(Info, "refused", "id" => id, "cause" => "crash marks not read yet");
         return answer::not_run("crash marks not read yet", NOT_READY_RETRY_AFTER);
     }
+    let head_bytes = head_bytes(&parts);
+    if head_bytes > table.limits.header_bytes.saturating_mul(HEAD_TOLERANCE) {
+        event!(Info, "head-too-large", "id" => id, "bytes" => head_bytes,
+            "limit" => table.limits.header_bytes);
+        return answer::from_router(
+            http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "the head is too large",
+        );
+    }
     let host = parts.headers.get(http::header::HOST);
     let host = host
         .and_then(|host| host.to_str().ok())
@@ -200,6 +212,17 @@
     }
 }
 
+/// Returns the size of a request's head in bytes, as it is usually written.
+fn head_bytes(parts: &http::request::Parts) -> usize {
+    let target = parts.uri.path_and_query();
+    let target_bytes = target.map_or(1, |target| target.as_str().len());
+    let line_bytes = parts.method.as_str().len() + target_bytes + "  HTTP/1.1\r\n".len();
+    let headers = parts.headers.iter();
+    let header_bytes =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    line_bytes + header_bytes.sum::<usize>() + "\r\n".len()
+}
+
 /// Returns the maximum size in bytes of a request's body, according to its headers and the limits.
 fn max_body_bytes(headers: &http::HeaderMap, limits: &routing::CallerLimits) -> usize {
     let length = headers.get(http::header::CONTENT_LENGTH);
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -30,8 +30,8 @@
 const IDLE_MARGIN: time::Duration = time::Duration::from_secs(2);
 /// Idle timeout, and limit on the time of a request's head, until the configuration is known.
 const DEFAULT_TIMEOUT: time::Duration = time::Duration::from_secs(15);
-/// Smallest buffer in bytes for a request's head that the HTTP library accepts.
-const MIN_HEAD_BUFFER: usize = 8_192;
+/// Largest head of a request in bytes that a connection can receive, whatever the configuration allows.
+const MAX_HEAD_BYTES: usize = 262_144;
 /// File descriptors kept free for files and connections to servers.
 const RESERVED_FILES: usize = 600;
 /// Pause after a connection could not be accepted.
@@ -114,9 +114,6 @@
         // The connection is closed already.
         return;
     }
-    let max_head_bytes = cx
-        .table()
-        .map_or(MIN_HEAD_BUFFER * 2, |table| table.limits.header_bytes);
     let head_state = connection_timer::HeadState::default();
     let (reader, writer) = stream.into_split();
     let limits_cx = cx.clone();
@@ -141,7 +138,7 @@
     });
     let connection = http1::Builder::new()
         .header_read_timeout(None::<time::Duration>)
-        .max_buf_size((max_head_bytes * 2).max(MIN_HEAD_BUFFER))
+        .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(rt::TokioIo::new(stream), service);
     if let Err(error) = connection.await {
         log_closing(caller, &error);
--- a/daemon/tests/caller_limits.rs
+++ b/daemon/tests/caller_limits.rs
@@ -66,6 +66,17 @@
     let answer = caller::send(host.callers_addr, &bytes, TIMEOUT).await;
     assert_eq!(answer.status, 431, "{answer:?}");
     assert_eq!(server.runs_of("r1"), 0);
+    assert!(
+        host.log()
+            .contains("\"event\":\"head-too-large\",\"id\":\"r1\""),
+        "{}",
+        host.log()
+    );
+    let headers = format!("X-Own: {}\r\n", "x".repeat(1_000_000));
+    let bytes = caller::request("POST", "/once/x", "r2", &headers, "pass 7");
+    let answer = caller::send(host.callers_addr, &bytes, TIMEOUT).await;
+    assert!([0, 431].contains(&answer.status), "{answer:?}");
+    assert_eq!(server.runs_of("r2"), 0);
     wait_for_closing(&host, "head too large").await;
 }
 
