daemon: test a waiting request across a change, and idle time after a refusal

Both pass: a request that waits for an engine is served although its route moved and its service was removed meanwhile, and a connection on which a request was refused before its body was read stays open for the idle timeout, not for the time of a head. They guard the two places where a limit of another kind or version could apply.

--- a/daemon/tests/caller_limits.rs
+++ b/daemon/tests/caller_limits.rs
@@ -129,3 +129,23 @@
     assert_eq!(got, (200, true), "{answer:?}: {}", host.log());
     assert_eq!(server.runs_of("r1"), 1);
 }
+
+#[tokio::test]
+async fn connection_survives_idle_time_after_a_refusal() {
+    let (host, server) = start_host("").await;
+    let mut stream = tokio::net::TcpStream::connect(host.callers_addr)
+        .await
+        .unwrap();
+    let bytes = caller::request("POST", "/none/x", "r1", "", "pass 7");
+    stream.write_all(bytes.as_bytes()).await.unwrap();
+    let answer = caller::read(&mut stream, TIMEOUT).await;
+    assert_eq!((answer.status, answer.complete), (404, true), "{answer:?}");
+    tokio::time::sleep(HEAD_TIMEOUT + time::Duration::from_millis(500)).await;
+    let bytes = caller::request("POST", "/once/x", "r2", "", "pass 7");
+    // A connection that the host has closed shows below as a missing answer.
+    let _ = stream.write_all(bytes.as_bytes()).await;
+    let answer = caller::read(&mut stream, TIMEOUT).await;
+    let got = (answer.status, answer.complete);
+    assert_eq!(got, (200, true), "{answer:?}: {}", host.log());
+    assert_eq!(server.runs_of("r2"), 1);
+}
--- a/daemon/tests/configuration_changes.rs
+++ b/daemon/tests/configuration_changes.rs
@@ -254,6 +254,38 @@
     .await;
 }
 
+#[tokio::test]
+async fn waiting_request_survives_removal_of_its_service() {
+    let mut configuration = base(10);
+    configuration["services"][1]["engine"]["slots"] = 1.into();
+    let setup = Setup::start(configuration).await;
+    let mut running = Vec::new();
+    for id in ["r1", "r2"] {
+        let mut stream = setup.connect().await;
+        let bytes = request("single", id);
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        setup.wait_for_run(id).await;
+        running.push((stream, id));
+    }
+    let mut stream = setup.connect().await;
+    let bytes = request("single", "r3");
+    stream.write_all(bytes.as_bytes()).await.unwrap();
+    setup
+        .wait_for_log("\"event\":\"waits\",\"id\":\"r3\"")
+        .await;
+    running.push((stream, "r3"));
+    let mut configuration = base(11);
+    set_in_routes(&mut configuration, "service", "spare");
+    configuration["services"] = json!([{"name": "spare", "health_path": "/health"}]);
+    setup.put_in_force(configuration).await;
+    for (mut stream, id) in running {
+        let answer = caller::read(&mut stream, TIMEOUT).await;
+        let got = (answer.status, answer.complete);
+        assert_eq!(got, (200, true), "{id}: {answer:?}: {}", setup.log());
+        assert_eq!(setup.runs_of(id), 1, "{id}: {}", setup.log());
+    }
+}
+
 #[tokio::test]
 async fn unanswered_request_is_answered_by_the_limit_under_which_it_came() {
     let mut configuration = base(10);
