connection_timer: read once more after a limit has passed

Cause: after the host goes on, the runtime may run the timer before it has asked the system what arrived. The read then finds nothing, and the connection was closed.

Once a limit has passed, the connection is read again 10 ms later, and closed only if nothing has arrived by then. A timer that is due later fires after the runtime has asked the system.

--- a/daemon/src/router/connection_timer.rs
+++ b/daemon/src/router/connection_timer.rs
@@ -90,6 +90,10 @@
 /// the size of the largest head.
 const MAX_READ: usize = 16_384;
 
+/// Time from the end of a limit to the last read. If the host itself was late, the runtime may run timers
+/// before it learns of bytes that arrived in time.
+const LAST_READ_DELAY: time::Duration = time::Duration::from_millis(10);
+
 /// Limits on the time that a caller may take.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TimeLimits {
@@ -104,6 +108,8 @@
 struct Wait {
     since: tokio::time::Instant,
     limit: time::Duration,
+    /// Whether the limit has passed, and the connection is read once more.
+    is_over: bool,
 }
 
 /// The reading side of a connection. Reads fail once the connection has been idle for too long, or the
@@ -150,6 +156,7 @@
         let wait = self.wait.get_or_insert_with(|| Wait {
             since: tokio::time::Instant::now(),
             limit,
+            is_over: false,
         });
         let deadline = wait.since + wait.limit;
         let timer = self
@@ -159,11 +166,18 @@
             timer.as_mut().reset(deadline);
         }
         while timer.as_mut().poll(cx).is_ready() {
-            if limit <= wait.limit {
+            if limit > wait.limit {
+                wait.limit = limit;
+                wait.is_over = false;
+                timer.as_mut().reset(wait.since + limit);
+            } else if wait.is_over {
                 return task::Poll::Ready(());
+            } else {
+                wait.is_over = true;
+                timer
+                    .as_mut()
+                    .reset(tokio::time::Instant::now() + LAST_READ_DELAY);
             }
-            wait.limit = limit;
-            timer.as_mut().reset(wait.since + limit);
         }
         task::Poll::Pending
     }
