--- a/daemon/tests/configuration_changes.rs
+++ b/daemon/tests/configuration_changes.rs
@@ -111,6 +111,15 @@
         }
     }
 
+    /// Sends a request on a new connection and waits until it runs. Returns the connection.
+    async fn start_request(&self, route: &str, id: &str) -> tokio::net::TcpStream {
+        let mut stream = self.connect().await;
+        let bytes = request(route, id);
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        self.wait_for_run(id).await;
+        stream
+    }
+
     /// Sends a request on an open connection and asserts that it is answered.
     async fn assert_answered(&self, stream: &mut tokio::net::TcpStream, bytes: &str, what: &str) {
         // A connection that the host has closed shows below as a missing answer.
@@ -140,12 +149,7 @@
     let routes = ["plain", "once", "brief", "single"];
     let mut running = Vec::new();
     for route in routes {
-        let mut stream = setup.connect().await;
-        stream
-            .write_all(request(route, route).as_bytes())
-            .await
-            .unwrap();
-        setup.wait_for_run(route).await;
+        let stream = setup.start_request(route, route).await;
         running.push((stream, route.to_owned()));
     }
     let mut half_sent = Vec::new();
@@ -261,11 +265,7 @@
     let setup = Setup::start(configuration).await;
     let mut running = Vec::new();
     for id in ["r1", "r2"] {
-        let mut stream = setup.connect().await;
-        let bytes = request("single", id);
-        stream.write_all(bytes.as_bytes()).await.unwrap();
-        setup.wait_for_run(id).await;
-        running.push((stream, id));
+        running.push((setup.start_request("single", id).await, id));
     }
     let mut stream = setup.connect().await;
     let bytes = request("single", "r3");
@@ -295,11 +295,7 @@
     let start = time::Instant::now();
     let mut streams = Vec::new();
     for id in ["r1", "r2"] {
-        let mut stream = setup.connect().await;
-        let bytes = request("once", id);
-        stream.write_all(bytes.as_bytes()).await.unwrap();
-        setup.wait_for_run(id).await;
-        streams.push(stream);
+        streams.push(setup.start_request("once", id).await);
     }
     for (version, timeout_ms) in [(11, 400), (12, 60_000)] {
         let mut configuration = base(version);
@@ -478,11 +474,7 @@
         .store(delay_ms, atomic::Ordering::Relaxed);
     let mut streams = Vec::new();
     for route in ["plain", "once", "brief", "single"] {
-        let mut stream = setup.connect().await;
-        let bytes = request(route, route);
-        stream.write_all(bytes.as_bytes()).await.unwrap();
-        setup.wait_for_run(route).await;
-        streams.push(stream);
+        streams.push(setup.start_request(route, route).await);
     }
     let host = &setup.engines.host;
     let settings = std::fs::read_to_string(host.settings_path()).unwrap();
