--- a/daemon/tests/engine_streams.rs
+++ b/daemon/tests/engine_streams.rs
@@ -315,6 +315,7 @@
     assert!(!target.received().is_empty(), "no move: {}", host.log());
     let setup = engine_setup::EngineSetup {
         store,
+        store_addr: addr,
         host,
         prefill_engine,
         decode_engines: vec![source, target],
