backends: read the version of a server's software

A stream went on at an engine of another version than the one that began it.

Cause, in part: nothing knew versions. The version in a server's entry wasn't read, so the view, the choice of engines and the log could not tell two versions apart, and a server that came back under its id and address with other software counted as updated only: its connections, its runs and what was learnt of it were kept.

The view now has the version, another one under the same id is a restart, the log names it, and a reservation can be limited to the engines of one version. No request sets that limit yet, so placements are as before.

the_same_id_with_another_version_is_a_restart got Updated before, and passes.

--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -109,6 +109,8 @@
     pub(crate) tried: &'a [sync::Arc<str>],
     /// Ids of the servers that it is sent to only if no other is usable.
     pub(crate) left: &'a [sync::Arc<str>],
+    /// The only software version whose engines may take it; `None` if any version may.
+    pub(crate) version: Option<&'a sync::Arc<str>>,
 }
 
 /// Returns the tokens for which a request needs memory, from the predicted length of its answer.
@@ -290,7 +292,7 @@
     Ok((reservation, placement))
 }
 
-/// Returns the engines on which a request may be placed. Decode engines that are only avoided, but may be sound, are
+/// Returns the engines on which a request may be placed, all of its version if it has one. Decode engines that are only avoided, but may be sound, are
 /// among them if no other decode engine is left.
 fn usable_engines<D: dialect::Dialect>(
     cx: &context::Router<D>,
@@ -303,7 +305,10 @@
     engines.retain(|engine| {
         let avoided_for_prefill =
             is_prefill(engine) && health.is_avoided_for_prefill(&engine.id, now);
-        !request.tried.contains(&engine.id)
+        request
+            .version
+            .is_none_or(|version| engine.version == *version)
+            && !request.tried.contains(&engine.id)
             && !health.is_unusable(&engine.id, now)
             && !avoided_for_prefill
     });
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -344,7 +344,7 @@
     locks::lock(&cx.departures).record(&change, cx.now());
     event!(Info, "server", "server" => server.id, "change" => change_name, "service" => server.service,
         "address" => server.addr, "stage" => server.stage.map(|stage| format!("{stage:?}")),
-        "born" => server.started_unix_ms);
+        "born" => server.started_unix_ms, "version" => server.version);
     if matches!(
         change,
         backends::Change::Restarted(_) | backends::Change::Vanished(_)
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -161,6 +161,7 @@
             deadline: self.deadline,
             tried,
             left: &self.left_servers,
+            version: None,
         }
     }
 
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -44,6 +44,8 @@
     pub stage: Option<Stage>,
     /// Maximum number of requests that it runs at once.
     pub slots: u32,
+    /// The version of its software; empty if its entry names none.
+    pub version: sync::Arc<str>,
 }
 
 #[derive(Clone, Debug)]
@@ -60,7 +62,7 @@
     Joined(sync::Arc<Backend>),
     /// The server's entry changed, or reappeared.
     Updated(sync::Arc<Backend>),
-    /// The server restarted under the same id, or has another address.
+    /// The server restarted under the same id, or has another address or version.
     Restarted(sync::Arc<Backend>),
     /// The server's entry is gone.
     Vanished(sync::Arc<Backend>),
@@ -108,6 +110,7 @@
         };
         if old.backend.started_unix_ms != backend.started_unix_ms
             || old.backend.addr != backend.addr
+            || old.backend.version != backend.version
         {
             return Some(Change::Restarted(backend));
         }
--- a/lib/tests/backend_registry.rs
+++ b/lib/tests/backend_registry.rs
@@ -19,6 +19,7 @@
         draining: false,
         stage: None,
         slots: 4,
+        version: "v1".into(),
     }
 }
 
@@ -98,3 +99,15 @@
     );
     assert_eq!(registry.put(server("c")), None);
 }
+
+#[test]
+fn the_same_id_with_another_version_is_a_restart() {
+    let mut registry = registry_of(&["a"]);
+    let mut released = server("a");
+    released.version = "v2".into();
+    let change = registry.put(released.clone());
+    let released = sync::Arc::new(released);
+    assert_eq!(change, Some(backends::Change::Restarted(released.clone())));
+    let usable = registry.usable("gate", ms(0));
+    assert_eq!(usable[..], [released]);
+}
--- a/lib/tests/engine_placement.rs
+++ b/lib/tests/engine_placement.rs
@@ -31,6 +31,7 @@
         draining: false,
         stage: Some(stage),
         slots: 64,
+        version: "v1".into(),
     })
 }
 
--- a/lib/tests/server_choice.rs
+++ b/lib/tests/server_choice.rs
@@ -21,6 +21,7 @@
         draining: false,
         stage: None,
         slots: 6,
+        version: "v1".into(),
     };
     ids.into_iter()
         .map(|id| sync::Arc::new(server(id)))
--- a/lib/tests/server_departures.rs
+++ b/lib/tests/server_departures.rs
@@ -21,6 +21,7 @@
         draining,
         stage: None,
         slots: 6,
+        version: "v1".into(),
     })
 }
 
--- a/lib/tests/stage_balance.rs
+++ b/lib/tests/stage_balance.rs
@@ -21,6 +21,7 @@
                 draining: false,
                 stage: Some(stage),
                 slots: 64,
+                version: "v1".into(),
             })
         })
         .collect()
