--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -403,6 +403,7 @@
 ) {
     cx.telemetry.time("engines.wait", waited);
     event!(Info, "placed", "id" => request.id, "decode" => placement.decode.id,
+        "version" => placement.decode.version,
         "prefill" => placement.prefill.as_ref().map(|server| server.id.clone()),
         "prompt" => request.need.prompt, "output" => request.need.output,
         "waited_ms" => waited.as_millis() as u64, "news_age_ms" => news_age_ms(cx));
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -82,7 +82,7 @@
     let cx = &request.cx;
     cx.telemetry.count("runs.moved");
     event!(Info, "move", "id" => id, "from" => source.id, "to" => target.id,
-        "reason" => format!("{reason:?}"), "tokens" => request.tokens_generated);
+        "from_version" => source.version, "to_version" => target.version, "reason" => format!("{reason:?}"), "tokens" => request.tokens_generated);
     let call = cx.dialect.stop_and_copy(&id, target.addr);
     let (stopped_tx, stopped) = tokio::sync::watch::channel(None);
     let copy_task = {
