router: continue a stream only at engines of the version that began it

The version of an entry wasn't read. Class: the identity of what an engine writes was left out of what a stream keeps of its engine.

A stream now has the version of its first event, and capacity for its rest is only reserved at engines of that version, whatever the reason. A version that has none left is refused at once, as a service without engines is. Requests bound to a version wait in a queue of their own, so that those for a full version don't hold up all others. A prefilled prompt is offered to engines of the version that read it; if they have no room it is dropped. Host groups without an engine of the version use those of other groups.

broken_stream_does_not_go_on_at_another_version, run_is_not_moved_to_another_version and silent_engine_is_not_replaced_by_another_version failed each time before and pass. broken_stream_goes_on_at_its_version failed for its own set-up, too, where the engine that was to refuse first used up the route's two attempts; it allows four now, and checks the same.

--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -53,9 +53,14 @@
         loop {
             kv_cache = kv_cache.filter(|handle| handle.is_fresh());
             let (reservation, placement) = tokio::select! {
-                reserved = self.reserve(kv_cache.is_some()) => {
-                    reserved.map_err(stream_request::OpenFailure::NoCapacity)?
-                }
+                reserved = self.reserve(kv_cache.as_ref()) => match reserved {
+                    Ok(reserved) => reserved,
+                    // Without the prefilled cache, engines of other versions may take the request.
+                    Err(_) if self.version.is_none() && kv_cache.take().is_some() => continue,
+                    Err(no_capacity) => {
+                        return Err(stream_request::OpenFailure::NoCapacity(no_capacity));
+                    }
+                },
                 () = crash_marks::wait_until_refused(&self.cx, self.received.digest) => {
                     crash_marks::log_refusal(self.id(), self.received.digest);
                     return Err(stream_request::OpenFailure::Quarantined);
@@ -213,10 +218,11 @@
         Ok(())
     }
 
-    /// Waits for capacity on engines. With `prefilled`, the prompt has been prefilled already.
+    /// Waits for capacity on engines. If the prompt has been prefilled already, `kv_cache` holds the result, which only
+    /// engines of the same software version can use.
     async fn reserve(
         &self,
-        prefilled: bool,
+        kv_cache: Option<&prefills::KvHandle<D>>,
     ) -> Result<
         (engine_reservation::Reservation<D>, engine_load::Placement),
         engine_reservation::NoCapacity,
@@ -225,7 +231,11 @@
         let run_kind = engine_memory::RunKind::New { hosts };
         let tried = self.tried_servers(None);
         let request = engine_reservation::ReservationRequest {
-            prefilled: prefilled || self.prefills_on_decode,
+            prefilled: kv_cache.is_some() || self.prefills_on_decode,
+            version: self
+                .version
+                .as_ref()
+                .or(kv_cache.map(|cache| &cache.server.version)),
             ..self.reservation_request(run_kind, &tried)
         };
         engine_reservation::reserve(&self.cx, &request).await
--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -61,16 +61,21 @@
 /// A request's entry in the wait queue of its service. Dropping it removes the entry.
 struct QueueGuard<'a, D: dialect::Dialect> {
     cx: &'a context::Router<D>,
-    service: &'a sync::Arc<str>,
+    key: &'a context::QueueKey,
     /// The entry's number.
     number: u64,
 }
 
 impl<D: dialect::Dialect> Drop for QueueGuard<'_, D> {
     fn drop(&mut self) {
-        if let Some(queue) = locks::lock(&self.cx.wait_queues).get_mut(self.service) {
+        let mut queues = locks::lock(&self.cx.wait_queues);
+        if let Some(queue) = queues.get_mut(self.key) {
             queue.remove(self.number);
+            if queue.is_empty() {
+                queues.remove(self.key);
+            }
         }
+        drop(queues);
         self.cx.engine_load_changed.notify_waiters();
     }
 }
@@ -148,7 +153,7 @@
 ) -> Result<(Reservation<D>, engine_load::Placement), NoCapacity> {
     let arrived = cx.now();
     let number = cx.next_number();
-    let service = &request.service.name;
+    let key = (request.service.name.clone(), request.version.cloned());
     let prefill_time = locks::lock(&cx.engine_load).prefill_time(request.need.prompt);
     let entry = wait_queue::Entry {
         number,
@@ -160,14 +165,14 @@
     };
     let ahead = {
         let mut queues = locks::lock(&cx.wait_queues);
-        let queue = queues.entry(service.clone()).or_default();
+        let queue = queues.entry(key.clone()).or_default();
         let ahead = queue.count_on_time(arrived);
         queue.push(entry);
         ahead
     };
     let _guard = QueueGuard {
         cx,
-        service,
+        key: &key,
         number,
     };
     let mut checked = false;
@@ -177,7 +182,7 @@
         let is_next = {
             let queues = locks::lock(&cx.wait_queues);
             queues
-                .get(service)
+                .get(&key)
                 .and_then(|queue| queue.next(now))
                 .is_some_and(|next| next == number)
         };
@@ -292,23 +297,20 @@
     Ok((reservation, placement))
 }
 
-/// Returns the engines on which a request may be placed, all of its version if it has one. Decode engines that are only avoided, but may be sound, are
-/// among them if no other decode engine is left.
+/// Returns the engines on which a request may be placed. Decode engines that are only avoided, but may be
+/// sound, are among them if no other decode engine is left.
 fn usable_engines<D: dialect::Dialect>(
     cx: &context::Router<D>,
     request: &ReservationRequest<'_>,
     now: time::Duration,
 ) -> Vec<sync::Arc<backends::Backend>> {
-    let mut engines = cx.group_engines(&request.service.name);
+    let mut engines = cx.group_engines(&request.service.name, request.version);
     let is_prefill = |engine: &backends::Backend| engine.stage == Some(backends::Stage::Prefill);
     let health = locks::lock(&cx.health);
     engines.retain(|engine| {
         let avoided_for_prefill =
             is_prefill(engine) && health.is_avoided_for_prefill(&engine.id, now);
-        request
-            .version
-            .is_none_or(|version| engine.version == *version)
-            && !request.tried.contains(&engine.id)
+        !request.tried.contains(&engine.id)
             && !health.is_unusable(&engine.id, now)
             && !avoided_for_prefill
     });
@@ -366,7 +368,7 @@
     cx: &context::Router<D>,
     request: &ReservationRequest<'_>,
 ) -> time::Duration {
-    let servers = cx.group_engines(&request.service.name);
+    let servers = cx.group_engines(&request.service.name, request.version);
     let load = locks::lock(&cx.engine_load);
     let runs: usize = servers.iter().map(|server| load.runs_on(&server.id)).sum();
     load.typical_token_time() * TYPICAL_OUTPUT / (runs.max(1) as u32)
--- a/daemon/src/router/inspect.rs
+++ b/daemon/src/router/inspect.rs
@@ -64,7 +64,13 @@
         .collect();
     let waiting: serde_json::Map<_, _> = locks::lock(&cx.wait_queues)
         .iter()
-        .map(|(service, queue)| (service.to_string(), queue.len().into()))
+        .map(|((service, version), queue)| {
+            let name = match version {
+                Some(version) => format!("{service} {version}"),
+                None => service.to_string(),
+            };
+            (name, queue.len().into())
+        })
         .collect();
     let crash_marks: Vec<_> = locks::lock(&cx.crash_marks)
         .marks()
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -376,6 +376,9 @@
                 EventOrder::Duplicate => continue,
                 EventOrder::Gap => return broken(midway, "events are missing"),
             }
+            request
+                .version
+                .get_or_insert_with(|| stream.server.version.clone());
             if tx.send(Ok(event.bytes)).await.is_err() {
                 return RelayEnd::Ended(StreamEnd::CallerLeft);
             }
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -40,6 +40,9 @@
     /// Id of the last event that was sent to the caller, or that the caller already had when it
     /// resumed the stream.
     pub(crate) last_event: Option<u64>,
+    /// The software version of the servers that generate the stream, once the caller has an event of it. Only servers of
+    /// this version can continue it.
+    pub(crate) version: Option<sync::Arc<str>>,
     /// When an event was last sent to the caller.
     pub(crate) last_event_at: Option<time::Duration>,
     /// Tokens generated so far by all engines together.
@@ -104,6 +107,7 @@
             arrived,
             attempts_left: route.max_attempts,
             last_event: received.head.resume_after,
+            version: None,
             last_event_at: None,
             tokens_generated: 0,
             moves: 0,
@@ -161,7 +165,7 @@
             deadline: self.deadline,
             tried,
             left: &self.left_servers,
-            version: None,
+            version: self.version.as_ref(),
         }
     }
 
--- a/daemon/tests/mixed_versions.rs
+++ b/daemon/tests/mixed_versions.rs
@@ -62,6 +62,18 @@
     answer.body.matches("id: ").count() as u64
 }
 
+/// Sets a field of all routes, and waits until the host has the change.
+async fn change_routes(setup: &engine_setup::EngineSetup, field: &str, value: u64) {
+    let mut configuration = hosts::configuration(4);
+    for route in configuration["routes"].as_array_mut().unwrap() {
+        route[field] = value.into();
+    }
+    setup.store.put("config", "main", configuration);
+    setup
+        .wait_for_log("\"event\":\"configuration\",\"version\":4")
+        .await;
+}
+
 /// Returns the events of a stream after the first `after`.
 fn rest_of_stream(after: u64, last: u64) -> String {
     let whole = engine_setup::complete_stream(last);
@@ -110,7 +122,8 @@
     let mut setup = start_setup(50).await;
     let newer = add_engine(&mut setup, "i-d2", "v2").await;
     let same = add_engine(&mut setup, "i-d3", "v1").await;
-    // Only the engines of v1 take the stream at first.
+    change_routes(&setup, "max_attempts", 4).await;
+    // Only the first engine takes the stream at first.
     newer.set_fault(server::Fault::Shed);
     same.set_fault(server::Fault::Shed);
     setup.decode_engines[0].set_fault(server::Fault::TruncateStream);
