stream_versions: remember which version began a stream, and announce it

A stream may go on only at the software version that began it, but a host that is asked to go on with a stream knows neither the version nor, often, the host that began it.

This is the table of a host: the versions of streams that any host began, by a digest of the id of the request that brought the first event, until nobody can take them up any more. Streams of this host are announced four times within two seconds, since datagrams get lost. The first version that was recorded counts: it never changes. Nothing uses the table yet.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod run_moves;
 pub mod server_health;
 pub mod stored_marks;
+pub mod stream_versions;
 pub mod transfer;
 pub mod validate;
 pub mod wait_queue;
