served_versions: find out whether a single version of a service has served

If only one software version of a service has served for as long as callers wait, every stream that is taken up began at it, and nobody has to be asked. A host that has just started knows only what is listed now; the rest comes from records in the store, one for each version, which change only when a version appears or disappears.

A host concludes nothing from a view of the servers that is old, as it may be cut off from the store while another version starts; other hosts tell of versions that it lacks. Nothing uses the module yet.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod roles;
 pub mod routing;
 pub mod run_moves;
+pub mod served_versions;
 pub mod server_health;
 pub mod stored_marks;
 pub mod stream_versions;
