news: tell other hosts which version began a stream, and ask them

A caller takes a broken stream up at any host, and names only the request that began it. Hosts tell the others of their group of each stream that they begin, in the news. A host that doesn't know a stream asks all hosts, also those of other groups, and waits for 150 ms at most; requests that ask at the same time share a message. Messages without a host's name hold no state, so a question isn't taken for the news of a host without runs. What is received of streams is used before news that are out of order are dropped, since it never becomes wrong.

The news also name the versions of which a host sees servers, so that one that is cut off from the store doesn't take the version that it sees for the only one.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -16,7 +16,9 @@
 use walnuthaven_lib::peers;
 use walnuthaven_lib::retry_share;
 use walnuthaven_lib::routing;
+use walnuthaven_lib::served_versions;
 use walnuthaven_lib::server_health;
+use walnuthaven_lib::stream_versions;
 use walnuthaven_lib::wait_queue;
 
 use crate::locks;
@@ -83,6 +85,16 @@
     pub(crate) crash_marks_changed: tokio::sync::Notify,
     /// Signalled when the store may lack a mark.
     pub(crate) crash_marks_unsaved: tokio::sync::Notify,
+    /// Which software version began each recent stream.
+    pub(crate) stream_versions: sync::Mutex<stream_versions::StreamVersions>,
+    /// Wakes requests that wait until other hosts tell which version began a stream.
+    pub(crate) stream_versions_changed: tokio::sync::Notify,
+    /// Streams that other hosts are to be asked about.
+    pub(crate) stream_queries: sync::Mutex<Vec<stream_versions::StreamKey>>,
+    /// Signalled when `stream_queries` isn't empty.
+    pub(crate) stream_queries_due: tokio::sync::Notify,
+    /// Which software versions have served.
+    pub(crate) served_versions: sync::Mutex<served_versions::ServedVersions>,
     /// The memory held by request bodies.
     pub(crate) body_memory: sync::Arc<body_memory::BodyMemory>,
     /// This host's shares of the retry budgets, by service.
@@ -137,6 +149,11 @@
             crash_marks: sync::Mutex::default(),
             crash_marks_changed: tokio::sync::Notify::new(),
             crash_marks_unsaved: tokio::sync::Notify::new(),
+            stream_versions: sync::Mutex::default(),
+            stream_versions_changed: tokio::sync::Notify::new(),
+            stream_queries: sync::Mutex::default(),
+            stream_queries_due: tokio::sync::Notify::new(),
+            served_versions: sync::Mutex::default(),
             body_memory: sync::Arc::default(),
             retry_budgets: retry_budget::RetryBudgets::new(clock.now()),
             connection_pool: connection_pool::Pool::default(),
--- a/daemon/src/router/inspect.rs
+++ b/daemon/src/router/inspect.rs
@@ -82,6 +82,13 @@
             })
         })
         .collect();
+    let served_versions: Vec<_> = locks::lock(&cx.served_versions)
+        .all(now)
+        .take(MAX_LISTED)
+        .map(|(of, servers)| {
+            json!({"service": of.service, "version": of.version, "servers": servers})
+        })
+        .collect();
     let engine_load = locks::lock(&cx.engine_load);
     let runs: Vec<_> = engine_load
         .runs_of(&cx.work_owner)
@@ -105,6 +112,8 @@
         "waiting": waiting,
         "runs": runs,
         "crash_marks": crash_marks,
+        "served_versions": served_versions,
+        "stream_versions": locks::lock(&cx.stream_versions).count(),
         "log_dropped": events::dropped_lines(),
     })
 }
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -33,6 +33,7 @@
 mod store;
 mod store_sync;
 mod stream_request;
+mod stream_versions;
 mod telemetry;
 
 pub use run::run;
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -19,6 +19,7 @@
 use crate::router::context;
 use crate::router::crash_marks;
 use crate::router::events::event;
+use crate::router::stream_versions;
 
 /// Shortest time between two messages. Changes within that time are sent together.
 const MIN_INTERVAL: time::Duration = time::Duration::from_millis(2);
@@ -43,6 +44,7 @@
     let socket = tokio::net::UdpSocket::bind(cx.settings().news_addr).await?;
     let socket = sync::Arc::new(socket);
     tokio::spawn(send_loop(cx.clone(), socket.clone()));
+    tokio::spawn(stream_versions::query_loop(cx.clone(), socket.clone()));
     tokio::spawn(receive_loop(cx.clone(), socket));
     Ok(())
 }
@@ -120,6 +122,9 @@
         prefills: prefills.take(MAX_WORK_ITEMS).collect(),
         avoided,
         crash_marks: crash_marks::next_announced(cx),
+        begun_streams: stream_versions::next_announced(cx),
+        stream_query: None,
+        served_versions: stream_versions::served(cx),
     }
 }
 
@@ -139,7 +144,14 @@
             }
         };
         match received {
-            Ok(message) => handle_message(&cx, message),
+            Ok(mut message) => {
+                // Versions of streams never change, so they are as good in a message that is out of order.
+                stream_versions::merge_received(&cx, std::mem::take(&mut message.begun_streams));
+                stream_versions::answer_query(&cx, &socket, message.stream_query.take());
+                if !message.host.is_empty() {
+                    handle_message(&cx, message);
+                }
+            }
             Err(error) => event!(Warn, "news-unreadable", "cause" => error.to_string()),
         }
     }
@@ -195,6 +207,7 @@
     locks::lock(&cx.engine_load).replace_host(&name, runs.collect(), prefills.collect(), now);
     apply_avoided(cx, &name, &message.avoided, now);
     crash_marks::merge_received(cx, message.crash_marks);
+    stream_versions::record_served(cx, message.served_versions);
     cx.engine_load_changed.notify_waiters();
     if message.config_version > cx.table().map_or(0, |table| table.version) {
         cx.table_outdated.notify_one();
--- /dev/null
+++ b/daemon/src/router/stream_versions.rs
@@ -0,0 +1,297 @@
+//! Finds out which software version of its service began a stream.
+//!
+//! A stream may go on only at that version. A host knows it if a single version has served, or if it or another
+//! host of its group began the stream; otherwise it asks all hosts.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use prost::Message as _;
+use walnuthaven_lib::clock;
+use walnuthaven_lib::dialect;
+use walnuthaven_lib::served_versions;
+use walnuthaven_lib::stream_versions;
+use walnuthaven_wire::news;
+use xxhash_rust::xxh3;
+
+use crate::locks;
+use crate::router::context;
+use crate::router::events::event;
+
+/// Maximum number of streams in a message.
+const MAX_STREAMS_PER_MESSAGE: usize = 64;
+/// Longest time to wait for the answer of another host.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(150);
+/// Time after which the other hosts are asked once more. Any datagram may be lost.
+const ASK_AGAIN_AFTER: time::Duration = time::Duration::from_millis(60);
+/// Time to collect streams before other hosts are asked about them in one message.
+const COLLECT_TIME: time::Duration = time::Duration::from_millis(2);
+/// Maximum number of streams that wait to be asked about.
+const MAX_QUERIES: usize = 4_096;
+/// Number of datagrams that are sent before other tasks may run.
+const SENDS_PER_TURN: usize = 64;
+
+/// Returns the version that began a stream of a service, or `None` if that can't be found out. `began_as` is
+/// the id of the request that brought the stream's first event.
+#[expect(dead_code, reason = "streams that are taken up don't ask for it yet")]
+pub(crate) async fn find<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+    service: &sync::Arc<str>,
+    began_as: &str,
+) -> Option<sync::Arc<str>> {
+    let started = cx.now();
+    let stream = key(began_as);
+    let sole = {
+        let in_touch = locks::lock(&cx.peers).is_in_touch();
+        locks::lock(&cx.served_versions).sole(service, in_touch, started)
+    };
+    let known = locks::lock(&cx.stream_versions)
+        .get(stream, started)
+        .cloned();
+    // What was recorded of this stream goes before what is concluded from the servers.
+    let (source, found) = match (known, sole) {
+        (Some(known), sole) if sole.as_ref() != Some(&known.version) => ("memory", Some(known)),
+        (known, Some(sole)) => {
+            log_found(cx, began_as, "sole", Some(&sole), known.as_ref(), started);
+            return Some(sole);
+        }
+        (_, None) => match ask(cx, stream, started).await {
+            Some(found) => ("asked", Some(found)),
+            None => ("unknown", None),
+        },
+    };
+    let version = found.as_ref().map(|record| record.version.clone());
+    log_found(
+        cx,
+        began_as,
+        source,
+        version.as_ref(),
+        found.as_ref(),
+        started,
+    );
+    version
+}
+
+/// Logs and counts what was found of a stream.
+fn log_found<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    began_as: &str,
+    source: &'static str,
+    version: Option<&sync::Arc<str>>,
+    record: Option<&stream_versions::Record>,
+    started: time::Duration,
+) {
+    let now = cx.now();
+    cx.telemetry.count(&format!("stream_versions.{source}"));
+    let age = record.map(|record| clock::millis(now.saturating_sub(record.known_since)));
+    event!(Info, "stream-version", "id" => began_as, "source" => source, "version" => version,
+        "age_ms" => age, "took_ms" => clock::millis(now.saturating_sub(started)));
+}
+
+/// Records that a version began a stream, or goes on with it, and tells the other hosts. Callers may take
+/// the stream up until `expires`, as time since boot.
+#[expect(dead_code, reason = "streams aren't recorded yet")]
+pub(crate) fn record_begun<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+    began_as: &str,
+    version: &sync::Arc<str>,
+    expires: time::Duration,
+) {
+    let now = cx.now();
+    locks::lock(&cx.stream_versions).record_own(key(began_as), version, expires, now);
+    cx.news_due.notify_one();
+}
+
+/// Returns the key of the stream that a request began.
+fn key(began_as: &str) -> stream_versions::StreamKey {
+    stream_versions::StreamKey(xxh3::xxh3_64(began_as.as_bytes()))
+}
+
+/// Asks all other hosts which version began a stream.
+async fn ask<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    stream: stream_versions::StreamKey,
+    started: time::Duration,
+) -> Option<stream_versions::Record> {
+    let ask_again_at = started + ASK_AGAIN_AFTER;
+    let deadline = started + ANSWER_TIMEOUT;
+    let mut asked_again = false;
+    queue_query(cx, stream);
+    loop {
+        let changed = cx.stream_versions_changed.notified();
+        let now = cx.now();
+        let known = locks::lock(&cx.stream_versions).get(stream, now).cloned();
+        if known.is_some() || now >= deadline {
+            return known;
+        }
+        if now >= ask_again_at && !asked_again {
+            asked_again = true;
+            queue_query(cx, stream);
+        }
+        let until = match asked_again {
+            true => deadline,
+            false => ask_again_at,
+        };
+        // After a time-out, the loop looks what is due.
+        let _ = tokio::time::timeout(until.saturating_sub(now), changed).await;
+    }
+}
+
+fn queue_query<D: dialect::Dialect>(cx: &context::Router<D>, stream: stream_versions::StreamKey) {
+    let mut queries = locks::lock(&cx.stream_queries);
+    if queries.len() < MAX_QUERIES && !queries.contains(&stream) {
+        queries.push(stream);
+    }
+    cx.stream_queries_due.notify_one();
+}
+
+/// Asks the other hosts about streams. One message asks for all streams that are due.
+pub(crate) async fn query_loop<D: dialect::Dialect>(
+    cx: sync::Arc<context::Router<D>>,
+    socket: sync::Arc<tokio::net::UdpSocket>,
+) {
+    loop {
+        cx.stream_queries_due.notified().await;
+        tokio::time::sleep(COLLECT_TIME).await;
+        let streams = std::mem::take(&mut *locks::lock(&cx.stream_queries));
+        for streams in streams.chunks(MAX_STREAMS_PER_MESSAGE) {
+            send_query(&cx, &socket, streams).await;
+        }
+    }
+}
+
+async fn send_query<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    socket: &tokio::net::UdpSocket,
+    streams: &[stream_versions::StreamKey],
+) {
+    let query = news::StreamQuery {
+        reply_to: cx.settings().news_addr.to_string(),
+        streams: streams.iter().map(|stream| stream.0).collect(),
+    };
+    let message = news::News {
+        stream_query: Some(query),
+        ..news::News::default()
+    };
+    let message = message.encode_to_vec();
+    let addresses: Vec<_> = locks::lock(&cx.peers).all_news_addrs().collect();
+    for addresses in addresses.chunks(SENDS_PER_TURN) {
+        for addr in addresses {
+            // Some hosts may be unreachable; each of the others may know the answer.
+            let _ = socket.try_send_to(&message, *addr);
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Answers the query of another host with the streams that this host knows.
+pub(crate) fn answer_query<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    socket: &tokio::net::UdpSocket,
+    query: Option<news::StreamQuery>,
+) {
+    let Some(query) = query else {
+        return;
+    };
+    let Ok(reply_to) = query.reply_to.parse::<net::SocketAddr>() else {
+        event!(Warn, "news-unreadable", "cause" => "address");
+        return;
+    };
+    let now = cx.now();
+    let found: Vec<_> = {
+        let known = locks::lock(&cx.stream_versions);
+        let streams = query.streams.into_iter().take(MAX_STREAMS_PER_MESSAGE);
+        let streams = streams.map(stream_versions::StreamKey);
+        let found = streams.filter_map(|stream| Some((stream, known.get(stream, now)?.clone())));
+        found.collect()
+    };
+    if found.is_empty() {
+        return;
+    }
+    let answer = news::News {
+        begun_streams: to_wire(found, now),
+        ..news::News::default()
+    };
+    // The other host asks again if the answer is lost.
+    let _ = socket.try_send_to(&answer.encode_to_vec(), reply_to);
+}
+
+/// Returns the streams of this host that are announced in the next message to the other hosts.
+pub(crate) fn next_announced<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+) -> Vec<news::BegunStreams> {
+    let now = cx.now();
+    let announced = locks::lock(&cx.stream_versions).next_announced(MAX_STREAMS_PER_MESSAGE, now);
+    to_wire(announced, now)
+}
+
+/// Groups streams by version for a message.
+fn to_wire(
+    streams: Vec<(stream_versions::StreamKey, stream_versions::Record)>,
+    now: time::Duration,
+) -> Vec<news::BegunStreams> {
+    let mut by_version: collections::BTreeMap<sync::Arc<str>, news::BegunStreams> =
+        collections::BTreeMap::new();
+    for (stream, record) in streams {
+        let begun = by_version.entry(record.version.clone()).or_default();
+        begun.streams.push(stream.0);
+        let left = record.expires.saturating_sub(now);
+        begun.for_ms.push(clock::millis(left) as u32);
+    }
+    let with_version = by_version
+        .into_iter()
+        .map(|(version, begun)| news::BegunStreams {
+            version: version.to_string(),
+            ..begun
+        });
+    with_version.collect()
+}
+
+/// Remembers the streams that another host told of.
+pub(crate) fn merge_received<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    received: Vec<news::BegunStreams>,
+) {
+    if received.is_empty() {
+        return;
+    }
+    let now = cx.now();
+    let mut known = locks::lock(&cx.stream_versions);
+    for begun in received {
+        for (stream, for_ms) in begun.streams.into_iter().zip(begun.for_ms) {
+            let expires = now + time::Duration::from_millis(for_ms.into());
+            let stream = stream_versions::StreamKey(stream);
+            known.record_received(stream, &begun.version, expires, now);
+        }
+    }
+    drop(known);
+    cx.stream_versions_changed.notify_waiters();
+}
+
+/// Returns the versions of which this host sees servers, for a message to the other hosts.
+pub(crate) fn served<D: dialect::Dialect>(cx: &context::Router<D>) -> Vec<news::ServedVersion> {
+    let listed = locks::lock(&cx.served_versions).next_announced(cx.now());
+    let listed = listed.into_iter().map(|of| news::ServedVersion {
+        service: of.service.to_string(),
+        version: of.version.to_string(),
+    });
+    listed.collect()
+}
+
+/// Records the versions of which another host sees servers.
+pub(crate) fn record_served<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    received: Vec<news::ServedVersion>,
+) {
+    let now = cx.now();
+    let mut served = locks::lock(&cx.served_versions);
+    for version in received {
+        let of = served_versions::ServiceVersion {
+            service: version.service.into(),
+            version: version.version.into(),
+        };
+        served.record_elsewhere(of, now);
+    }
+}
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -160,6 +160,16 @@
         same.map(|peer| peer.entry.news_addr)
     }
 
+    /// Returns the news addresses of all other hosts, also of those in other groups.
+    pub fn all_news_addrs(&self) -> impl Iterator<Item = net::SocketAddr> {
+        self.known.values().map(|peer| peer.entry.news_addr)
+    }
+
+    /// Returns whether this host hears from other hosts, as far as there are any.
+    pub fn is_in_touch(&self) -> bool {
+        self.known.is_empty() || self.alive().next().is_some()
+    }
+
     /// Returns how all hosts, including this one, are split into groups.
     pub fn groups(&self) -> host_groups::Groups {
         host_groups::Groups::of(self.count() + 1)
--- a/lib/tests/peer_news.rs
+++ b/lib/tests/peer_news.rs
@@ -60,6 +60,23 @@
     assert_eq!(peers.caller_addrs().count(), 1);
 }
 
+// Queries go to all hosts: the one that knows the answer may be in any group, or silent only at this host.
+#[test]
+fn all_hosts_are_asked_and_silent_ones_are_not_in_touch() {
+    let mut peers = peers::Peers::default();
+    assert!(peers.is_in_touch());
+    let entries = (0..400).map(|number| peers::PeerEntry {
+        name: format!("h{number}").into(),
+        ..entry(1)
+    });
+    peers.replace_entries(entries.collect());
+    assert!(peers.news_addrs("own").count() < 400);
+    assert_eq!(peers.all_news_addrs().count(), 400);
+    assert!(!peers.is_in_touch());
+    assert!(peers.record_news(entry(1), status(1), at(0)));
+    assert!(peers.is_in_touch());
+}
+
 #[test]
 fn a_silent_host_is_not_offered_but_counts_while_listed() {
     let mut peers = peers::Peers::default();
