served_version_store: keep records of the versions that serve in the store

A host that starts sees which versions are listed, but not which served before, so it couldn't say that a single version has served. After all hosts were killed nobody could.

The store now has an object for each software version of a service with model engines, written when the version appears and when its last server has been gone for some seconds. Hosts list the objects once when they start. There are no regular calls. Objects of versions that have been gone for over an hour are removed beside the next write.

--- a/daemon/src/router/inspect.rs
+++ b/daemon/src/router/inspect.rs
@@ -113,6 +113,7 @@
         "runs": runs,
         "crash_marks": crash_marks,
         "served_versions": served_versions,
+        "served_versions_read": locks::lock(&cx.served_versions).is_read(),
         "stream_versions": locks::lock(&cx.stream_versions).count(),
         "log_dropped": events::dropped_lines(),
     })
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -29,6 +29,7 @@
 mod run;
 mod run_move;
 mod send;
+mod served_version_store;
 mod stage_orders;
 mod store;
 mod store_sync;
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -20,6 +20,7 @@
 use crate::router::forward;
 use crate::router::listen;
 use crate::router::news;
+use crate::router::served_version_store;
 use crate::router::settings;
 use crate::router::stage_orders;
 use crate::router::store;
@@ -89,6 +90,7 @@
     store_sync::spawn(&cx);
     crash_checks::spawn(&cx, crash_checks_rx);
     crash_mark_store::spawn(&cx);
+    served_version_store::spawn(&cx);
     stage_orders::spawn(&cx);
     tokio::spawn(register(cx.clone()));
     tokio::spawn(upkeep(cx.clone()));
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -1,7 +1,8 @@
 //! Keeps this host's views of the store's collections up to date: configuration, backend servers,
 //! crash marks and other hosts.
 //!
-//! The hosts are listed from time to time; the other collections are listed once and then watched.
+//! The hosts are listed from time to time; the other collections are listed once and then watched. Records of
+//! served versions are read elsewhere ([`served_version_store`](super::served_version_store)).
 //! While the store doesn't answer, each view stays as it was.
 
 use std::sync;
@@ -108,6 +109,9 @@
                     for change in &changes.changes {
                         apply_change(&cx, collection, change);
                     }
+                    if collection == dialect::Collection::Backends {
+                        locks::lock(&cx.served_versions).record_answer(cx.now());
+                    }
                     Ok(Some(changes.revision))
                 }
             }
@@ -179,6 +183,7 @@
         dialect::Collection::Hosts => "hosts",
         dialect::Collection::Leases => "leases",
         dialect::Collection::CrashMarks => "crash marks",
+        dialect::Collection::ServedVersions => "served versions",
     }
 }
 
@@ -232,6 +237,7 @@
             changes
                 .into_iter()
                 .for_each(|change| on_server_change(cx, change));
+            locks::lock(&cx.served_versions).record_answer(cx.now());
             cx.servers_listed.store(true, atomic::Ordering::Relaxed);
         }
         dialect::Collection::Hosts => {
@@ -239,7 +245,7 @@
             locks::lock(&cx.peers).replace_entries(listed.collect());
         }
         dialect::Collection::CrashMarks => crash_mark_store::apply_list(cx, &objects),
-        dialect::Collection::Leases => {}
+        dialect::Collection::Leases | dialect::Collection::ServedVersions => {}
     }
     event!(Info, "view-listed", "view" => view_name(collection), "revision" => revision,
         "objects" => objects.len());
@@ -275,7 +281,8 @@
         // Hosts are listed, not watched. A removed configuration stays in force.
         dialect::Collection::Configuration
         | dialect::Collection::Hosts
-        | dialect::Collection::Leases => {}
+        | dialect::Collection::Leases
+        | dialect::Collection::ServedVersions => {}
     }
 }
 
@@ -342,6 +349,7 @@
         backends::Change::Vanished(server) => ("vanished", server),
     };
     locks::lock(&cx.departures).record(&change, cx.now());
+    locks::lock(&cx.served_versions).record(&change, cx.now());
     event!(Info, "server", "server" => server.id, "change" => change_name, "service" => server.service,
         "address" => server.addr, "stage" => server.stage.map(|stage| format!("{stage:?}")),
         "born" => server.started_unix_ms, "version" => server.version);
--- a/daemon/src/router/stream_versions.rs
+++ b/daemon/src/router/stream_versions.rs
@@ -43,51 +43,40 @@
 ) -> Option<sync::Arc<str>> {
     let started = cx.now();
     let stream = key(began_as);
-    let sole = {
-        let in_touch = locks::lock(&cx.peers).is_in_touch();
-        locks::lock(&cx.served_versions).sole(service, in_touch, started)
-    };
+    let sole = sole_version(cx, service);
     let known = locks::lock(&cx.stream_versions)
         .get(stream, started)
         .cloned();
     // What was recorded of this stream goes before what is concluded from the servers.
-    let (source, found) = match (known, sole) {
-        (Some(known), sole) if sole.as_ref() != Some(&known.version) => ("memory", Some(known)),
-        (known, Some(sole)) => {
-            log_found(cx, began_as, "sole", Some(&sole), known.as_ref(), started);
-            return Some(sole);
+    let (source, version, record) = match (known, sole) {
+        (Some(known), sole) if sole.as_ref() != Some(&known.version) => {
+            ("memory", Some(known.version.clone()), Some(known))
         }
+        (known, Some(sole)) => ("sole", Some(sole), known),
         (_, None) => match ask(cx, stream, started).await {
-            Some(found) => ("asked", Some(found)),
-            None => ("unknown", None),
+            Some(found) => ("asked", Some(found.version.clone()), Some(found)),
+            // A host that has just started may have read meanwhile what served before.
+            None => match sole_version(cx, service) {
+                Some(sole) => ("sole", Some(sole), None),
+                None => ("unknown", None, None),
+            },
         },
     };
-    let version = found.as_ref().map(|record| record.version.clone());
-    log_found(
-        cx,
-        began_as,
-        source,
-        version.as_ref(),
-        found.as_ref(),
-        started,
-    );
-    version
-}
-
-/// Logs and counts what was found of a stream.
-fn log_found<D: dialect::Dialect>(
-    cx: &context::Router<D>,
-    began_as: &str,
-    source: &'static str,
-    version: Option<&sync::Arc<str>>,
-    record: Option<&stream_versions::Record>,
-    started: time::Duration,
-) {
-    let now = cx.now();
     cx.telemetry.count(&format!("stream_versions.{source}"));
+    let now = cx.now();
     let age = record.map(|record| clock::millis(now.saturating_sub(record.known_since)));
     event!(Info, "stream-version", "id" => began_as, "source" => source, "version" => version,
         "age_ms" => age, "took_ms" => clock::millis(now.saturating_sub(started)));
+    version
+}
+
+/// Returns the only version of a service that has served recently, if this host knows that.
+fn sole_version<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    service: &str,
+) -> Option<sync::Arc<str>> {
+    let in_touch = locks::lock(&cx.peers).is_in_touch();
+    locks::lock(&cx.served_versions).sole(service, in_touch, cx.now())
 }
 
 /// Records that a version began a stream, or goes on with it, and tells the other hosts. Callers may take
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -121,6 +121,8 @@
     Leases,
     /// Marks of requests that crashed backend servers.
     CrashMarks,
+    /// Which software versions of each service serve, or have served.
+    ServedVersions,
 }
 
 /// How current the result of a list call must be.
--- a/lib/src/served_versions.rs
+++ b/lib/src/served_versions.rs
@@ -17,6 +17,8 @@
 /// How much longer a version counts as served. Clocks of hosts differ, and a server goes on serving for a
 /// moment after its entry is gone.
 const MARGIN: time::Duration = time::Duration::from_secs(8);
+/// The same for times that another host stored: its clock may be slow.
+const STORED_MARGIN: time::Duration = time::Duration::from_secs(30);
 /// How old this host's view of the servers may be if other hosts would tell of versions that it lacks: longer
 /// than a watch call waits for a change.
 const MAX_VIEW_AGE: time::Duration = time::Duration::from_secs(30);
@@ -158,7 +160,7 @@
         for record in stored {
             let left = match record.gone_at {
                 None => RETENTION + MARGIN,
-                Some(gone_at) => (gone_at + RETENTION + MARGIN).saturating_sub(unix_now),
+                Some(gone_at) => (gone_at + RETENTION + STORED_MARGIN).saturating_sub(unix_now),
             };
             // The clock of the host that stored the record may be ahead.
             let left = left.min(RETENTION + MARGIN);
@@ -170,10 +172,15 @@
                 }
                 presence.counts_until = presence.counts_until.max(now + left);
             }
-            if is_listed != record.gone_at.is_none() {
-                self.unsaved
-                    .entry(record.of.clone())
-                    .or_insert(now + GONE_DELAY);
+            match (is_listed, record.gone_at) {
+                (true, None) => {
+                    self.unsaved.remove(&record.of);
+                }
+                (false, Some(_)) => {}
+                _ => {
+                    let due = now + GONE_DELAY;
+                    self.unsaved.entry(record.of.clone()).or_insert(due);
+                }
             }
         }
         self.read = true;
@@ -291,6 +298,17 @@
         writes
     }
 
+    /// Records that the store accepted a write. The version is looked at again if it has changed since.
+    pub fn record_written(&mut self, write: &Write) {
+        let Write::Put(of, gone_at, _) = write else {
+            return;
+        };
+        let is_listed = self.is_listed(of);
+        if is_listed == gone_at.is_none() {
+            self.unsaved.remove(of);
+        }
+    }
+
     /// Returns the write that a version's record in the store needs.
     fn put(
         &self,
