router: continue a stream that a caller takes up at the version that began it

A caller that took a broken stream up got its rest from any version, at the host that began it, at another one, or at one that started later.

Cause: the header that names the attempt which began the stream was passed on unread, and what a host knows of its streams lived and died with it.

The version of a stream is now recorded before its first event goes to the caller, and told to the other hosts. A host that a stream is taken up at finds its version out before anything is reserved: from the one version that has served for long enough, from what it was told, or by asking. A stream that nobody knows, or whose version has no engine left, is refused at once as not run, with a time to come back.

--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -206,7 +206,11 @@
     if cx.leaving_for() > ACCEPT_STREAMS_FOR {
         return answer::not_run("this host leaves", LEAVING_RETRY_AFTER);
     }
-    match request.open(None).await {
+    let opened = match request.find_version().await {
+        Ok(()) => request.open(None).await,
+        Err(failure) => Err(failure),
+    };
+    match opened {
         Ok(opened) => relay::answer(request, opened, guard),
         Err(failure) => request.failure_answer(failure),
     }
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -376,9 +376,7 @@
                 EventOrder::Duplicate => continue,
                 EventOrder::Gap => return broken(midway, "events are missing"),
             }
-            request
-                .version
-                .get_or_insert_with(|| stream.server.version.clone());
+            request.record_version(&stream.server);
             if tx.send(Ok(event.bytes)).await.is_err() {
                 return RelayEnd::Ended(StreamEnd::CallerLeft);
             }
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -16,8 +16,16 @@
 use crate::router::context;
 use crate::router::crash_marks;
 use crate::router::engine_reservation;
+use crate::router::events::event;
 use crate::router::send;
+use crate::router::stream_versions;
 
+/// What is told to the caller if it isn't known which software version began its stream.
+const UNKNOWN_VERSION: &str = "no host knows which version began the stream";
+/// Retry-After in that case. Another host, or this one once it reaches the others, may know it.
+const UNKNOWN_VERSION_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
+/// How long a caller may take its stream up if it states no deadline.
+const DEFAULT_RESUMABLE_FOR: time::Duration = time::Duration::from_secs(60);
 /// Retry-After when servers refused the request although capacity was predicted.
 const REFUSED_RETRY_AFTER: time::Duration = time::Duration::from_millis(400);
 
@@ -43,6 +51,8 @@
     /// The software version of the servers that generate the stream, once the caller has an event of it. Only servers of
     /// this version can continue it.
     pub(crate) version: Option<sync::Arc<str>>,
+    /// Whether `version` has been recorded, so that the stream can be taken up at any host.
+    version_recorded: bool,
     /// When an event was last sent to the caller.
     pub(crate) last_event_at: Option<time::Duration>,
     /// Tokens generated so far by all engines together.
@@ -78,6 +88,8 @@
     NoCapacity(engine_reservation::NoCapacity),
     /// The content crashes servers.
     Quarantined,
+    /// The stream to be continued was begun by servers of a software version that isn't known.
+    UnknownVersion,
 }
 
 impl OpenFailure {
@@ -88,6 +100,7 @@
             Self::NoAnswer(_, cause) => cause,
             Self::NoCapacity(no_capacity) => no_capacity.cause,
             Self::Quarantined => "crashes servers",
+            Self::UnknownVersion => UNKNOWN_VERSION,
         }
     }
 }
@@ -108,6 +121,7 @@
             attempts_left: route.max_attempts,
             last_event: received.head.resume_after,
             version: None,
+            version_recorded: false,
             last_event_at: None,
             tokens_generated: 0,
             moves: 0,
@@ -188,6 +202,47 @@
         )
     }
 
+    /// Finds out which software version began the stream, if the caller takes one up.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no host knows it.
+    pub(crate) async fn find_version(&mut self) -> Result<(), OpenFailure> {
+        if self.last_event.is_none() {
+            return Ok(());
+        }
+        let began_as = self.began_as().to_owned();
+        let found = stream_versions::find(&self.cx, &self.service.name, &began_as).await;
+        if found.is_none() {
+            event!(Info, "refused", "id" => self.id(), "cause" => UNKNOWN_VERSION,
+                "began_as" => began_as);
+        }
+        self.version = Some(found.ok_or(OpenFailure::UnknownVersion)?);
+        Ok(())
+    }
+
+    /// Records which software version the caller has events of. Must be called before the caller gets an event from
+    /// `server`, as it may take the stream up at any host then.
+    pub(crate) fn record_version(&mut self, server: &backends::Backend) {
+        let version = self.version.get_or_insert_with(|| server.version.clone());
+        if !self.route.kind.may_run_again() || std::mem::replace(&mut self.version_recorded, true) {
+            return;
+        }
+        let version = version.clone();
+        let resumable_for = self.received.head.deadline.unwrap_or(DEFAULT_RESUMABLE_FOR);
+        let expires = self.arrived + resumable_for;
+        stream_versions::record_begun(&self.cx, self.began_as(), &version, expires);
+    }
+
+    /// Returns the id of the request that brought the stream's first event.
+    fn began_as(&self) -> &str {
+        let head = &self.received.head;
+        let resumes = head.resumes.as_deref();
+        resumes
+            .filter(|_| head.resume_after.is_some())
+            .unwrap_or(self.id())
+    }
+
     /// Returns the ids of the servers that the request isn't sent to any more, and `other`.
     pub(super) fn tried_servers(&self, other: Option<&sync::Arc<str>>) -> Vec<sync::Arc<str>> {
         let failed = self.failed_servers.iter();
@@ -259,6 +314,9 @@
                 let cause = "the rest of the answer crashes servers";
                 answer::from_router(http::StatusCode::BAD_GATEWAY, cause)
             }
+            OpenFailure::UnknownVersion => {
+                answer::not_run(UNKNOWN_VERSION, UNKNOWN_VERSION_RETRY_AFTER)
+            }
             OpenFailure::NoCapacity(no_capacity) if !self.may_have_run => {
                 answer::not_run(no_capacity.cause, no_capacity.retry_after)
             }
--- a/daemon/src/router/stream_versions.rs
+++ b/daemon/src/router/stream_versions.rs
@@ -35,7 +35,6 @@
 
 /// Returns the version that began a stream of a service, or `None` if that can't be found out. `began_as` is
 /// the id of the request that brought the stream's first event.
-#[expect(dead_code, reason = "streams that are taken up don't ask for it yet")]
 pub(crate) async fn find<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     service: &sync::Arc<str>,
@@ -81,7 +80,6 @@
 
 /// Records that a version began a stream, or goes on with it, and tells the other hosts. Callers may take
 /// the stream up until `expires`, as time since boot.
-#[expect(dead_code, reason = "streams aren't recorded yet")]
 pub(crate) fn record_begun<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     began_as: &str,
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -34,6 +34,8 @@
     pub prompt: Option<Prompt>,
     /// The id of the last event that the caller has, if it wants a stream to be continued.
     pub resume_after: Option<u64>,
+    /// The id of the attempt that brought the first event of the stream to be continued.
+    pub resumes: Option<sync::Arc<str>>,
 }
 
 /// A malformed header of a request.
