engine_placement: place a request on engines of one version

What two versions write doesn't fit together.

Cause: the prefill engine was the earliest and the decode engine the emptiest, each chosen from all versions. Choosing a version first was ruled out, since the version with the earliest prefill may be the one without room.

The earliest prefill engine is now found for each version, and each decode engine is judged with that of its own version. Versions whose prefill engines are late are left out, and a version without any prefills on its decode engine, as a pool without prefill engines did. With one version the choice is the same as before.

The placement is a module of its own, since the load and the choice change for different reasons.

--- a/lib/src/engine_load.rs
+++ b/lib/src/engine_load.rs
@@ -1,31 +1,18 @@
-//! The load of every model engine, from all hosts together, and the placement of new runs.
+//! The load of every model engine, from all hosts together.
 //!
-//! Decode memory is the scarce resource: a run starts with its prompt and grows by one token per step
-//! until it ends, and an engine whose memory runs out preempts runs in the middle of their streams.
 //! All runs of an engine advance by one token per step, so the memory in use at any later step follows
-//! from the prompt, predicted output and progress of each run. A run is placed only on an engine whose
-//! predicted peak stays below the memory that may be filled. It is placed before its prefill,
-//! because an engine keeps the result of a prefill for only half a second.
-//!
-//! Designed for this load: bursts of twice the usual requests for four to five seconds, in which decode memory
-//! is full and every finished run makes room for about one waiting request.
+//! from the prompt, predicted output and progress of each run.
 
 use std::collections;
 use std::sync;
 use std::time;
 
-use crate::backends;
 use crate::engine_memory;
-use crate::rendezvous;
+pub use crate::engine_placement::Full;
+pub use crate::engine_placement::Placement;
 use crate::work_index;
 pub use crate::work_index::Key;
 
-/// Divisor of the random load added to each engine when engines are compared: up to the engine's memory
-/// divided by this, drawn per request and engine. It makes it unlikely that hosts which place at the same
-/// moment, before they hear of each other, choose the same engine, even one that just became empty.
-const JITTER_DIVISOR: u64 = 2;
-/// Prefill completion times in the same interval of this many milliseconds count as equal.
-const PREFILL_TIE_MS: u128 = 20;
 /// Minimum of the remaining output predicted for a run, as a share of its predicted output. Applies to runs that
 /// have nearly reached or passed their prediction.
 const MIN_REMAINING_SHARE: f64 = 0.2;
@@ -122,26 +109,6 @@
     }
 }
 
-/// The engines chosen for a request.
-#[derive(Clone, Debug)]
-pub struct Placement {
-    /// The engine that generates the tokens.
-    pub decode: sync::Arc<backends::Backend>,
-    /// The engine that prefills the prompt. If `None`, the prefill is done, or the decode engine does it.
-    pub prefill: Option<sync::Arc<backends::Backend>>,
-}
-
-/// Why a request can't be placed now.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Full {
-    /// No decode engine is usable.
-    NoEngine,
-    /// Decode memory is full; there will be room after this predicted time.
-    Memory(time::Duration),
-    /// No prefill engine can prefill the prompt in time; the earliest one is busy for this long.
-    Prompts(time::Duration),
-}
-
 /// Runs and prefills on all engines: this host's own and those that other hosts report.
 #[derive(Debug, Default)]
 pub struct EngineLoad {
@@ -332,6 +299,11 @@
         time::Duration::from_secs_f64(self.typical.token_time)
     }
 
+    /// Returns the time of this many decode steps of an engine of average speed.
+    pub(crate) fn time_of_steps(&self, steps: u64) -> time::Duration {
+        time::Duration::from_secs_f64(steps as f64 * self.typical.token_time)
+    }
+
     /// Returns the time that an engine of average speed needs to prefill a prompt.
     pub fn prefill_time(&self, tokens: u32) -> time::Duration {
         prefill_time(self.typical, tokens)
@@ -363,88 +335,17 @@
         self.runs.count_on(engine)
     }
 
-    /// Chooses engines for a request, without adding the request to the load.
-    ///
-    /// The prefill engine is the one that finishes the prompt first; equal ones are decided in favour of
-    /// `zone`. The decode engine is the one with the lowest predicted peak memory, raised for engines that
-    /// are outside the prefill engine's zone or slower than typical. `salt` must differ between requests, so
-    /// that hosts which place at the same moment don't choose the same engine.
-    ///
-    /// # Errors
-    ///
-    /// Returns what is lacking, and for how long.
-    pub fn place(
-        &self,
-        engines: &[sync::Arc<backends::Backend>],
-        need: engine_memory::Need,
-        limits: engine_memory::Limits,
-        zone: &str,
-        salt: &str,
-        now: time::Duration,
-    ) -> Result<Placement, Full> {
-        let has_stage = |stage| move |e: &&sync::Arc<backends::Backend>| e.stage == Some(stage);
-        let time_to_prefill = |e: &backends::Backend| {
-            self.prefill_backlog(&e.id, now) + self.prefill_time_on(&e.id, need.prompt)
-        };
-        let prefills = engines.iter().filter(has_stage(backends::Stage::Prefill));
-        let timed = prefills.map(|e| (time_to_prefill(e), e));
-        let earliest =
-            timed.min_by_key(|(after, e)| (after.as_millis() / PREFILL_TIE_MS, &*e.zone != zone));
-        let mut prefill = None;
-        if let (Some(within), Some((after, earliest))) = (limits.prefill_within, earliest) {
-            if after > within {
-                return Err(Full::Prompts(self.prefill_backlog(&earliest.id, now)));
-            }
-            prefill = Some(earliest);
-        }
-        let decode_zone = prefill.map_or(zone, |p| &*p.zone);
-        let mut decodes = engines
-            .iter()
-            .filter(|e| e.stage != Some(backends::Stage::Prefill));
-        let mut best: Option<(u64, &sync::Arc<backends::Backend>)> = None;
-        let mut has_decode_engine = false;
-        for engine in decodes.by_ref() {
-            has_decode_engine = true;
-            let Some(peak) = self.peak_with(&engine.id, need, limits, now) else {
-                continue;
-            };
-            let zone_penalty =
-                u64::from(&*engine.zone != decode_zone) * u64::from(limits.memory_tokens) / 4;
-            let slowness = self.speed(&engine.id).token_time / self.typical.token_time;
-            let hash = rendezvous::score(&engine.id, salt);
-            let jitter = hash % (u64::from(limits.memory_tokens) / JITTER_DIVISOR);
-            let cost = ((peak + zone_penalty + jitter) as f64 * slowness.max(1.0)) as u64;
-            if best.is_none_or(|(lowest, _)| cost < lowest) {
-                best = Some((cost, engine));
-            }
-        }
-        if !has_decode_engine {
-            return Err(Full::NoEngine);
-        }
-        let Some((_, decode)) = best else {
-            return Err(Full::Memory(
-                self.time_until_room(engines, need, limits, now),
-            ));
-        };
-        Ok(Placement {
-            decode: decode.clone(),
-            prefill: prefill.cloned(),
-        })
+    /// Returns an engine's time per output token as a multiple of the typical one, at least 1.
+    pub(crate) fn slowness(&self, engine: &str) -> f64 {
+        (self.speed(engine).token_time / self.typical.token_time).max(1.0)
     }
 
-    /// Returns the predicted peak memory of an engine with the request added, in tokens, or `None` if
-    /// the engine can't take it.
-    fn peak_with(
+    /// Returns the memory of the runs of an engine, extrapolated to `now`.
+    pub(crate) fn run_memories(
         &self,
         engine: &str,
-        need: engine_memory::Need,
-        limits: engine_memory::Limits,
         now: time::Duration,
-    ) -> Option<u64> {
-        engine_memory::peak_with(self.run_memories(engine, now), need, limits)
-    }
-
-    fn run_memories(&self, engine: &str, now: time::Duration) -> Vec<engine_memory::RunMemory> {
+    ) -> Vec<engine_memory::RunMemory> {
         self.runs_with_memory(engine, now)
             .map(|(_, memory)| memory)
             .collect()
@@ -460,26 +361,6 @@
         let runs = self.runs.on_engine(engine);
         runs.map(move |(key, run)| (key, run.memory_at(token_time, now)))
     }
-
-    /// Returns the predicted time until any engine has room for the request.
-    fn time_until_room(
-        &self,
-        engines: &[sync::Arc<backends::Backend>],
-        need: engine_memory::Need,
-        limits: engine_memory::Limits,
-        now: time::Duration,
-    ) -> time::Duration {
-        let decodes = engines
-            .iter()
-            .filter(|e| e.stage != Some(backends::Stage::Prefill));
-        let waits = decodes.map(|e| {
-            let mut runs = self.run_memories(&e.id, now);
-            runs.sort_unstable_by_key(|run| run.remaining);
-            engine_memory::steps_until_room(&runs, need, limits)
-        });
-        let steps = waits.min().unwrap_or_default();
-        time::Duration::from_secs_f64(steps as f64 * self.typical.token_time)
-    }
 }
 
 fn prefill_time(speed: Speed, tokens: u32) -> time::Duration {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod dialect;
 pub mod engine_load;
 pub mod engine_memory;
+pub mod engine_placement;
 pub mod engines;
 pub mod event_stream;
 pub mod grant;
