engine_placement: keep room where a version runs out

What callers would see: a stream that may go on only at the version that began it is refused when its engine leaves or crashes, because new requests have filled the engines of that version that are left.

No field of an entry says that a version is being replaced, and versions have no order, so the newest can't be told by name.

The view of the servers now knows which versions run out: those with fewer ready decode engines than at their peak of the last 30 s, while another version is at its own. New runs go to such a version only if no other has room, and fill its engines up to 0.47: half of what moved runs may fill, so the runs of an engine that is lost fit on any one that is left. Runs that go on (moved, or continued, a new kind of run) may fill as moved ones did. If all versions lost engines, or only one serves, nothing changes.

The new tests in backend_registry.rs and version_placement.rs need the new functions, so they can't fail on the code before.

--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -104,7 +104,7 @@
     pub(crate) need: engine_memory::Need,
     /// Whether its prompt has been prefilled already.
     pub(crate) prefilled: bool,
-    /// Whether it is a new run or a run that moves from another engine.
+    /// Whether it is a new run, one that moves from another engine or one that goes on after an interruption.
     pub(crate) run_kind: engine_memory::RunKind,
     /// When its first event should reach the caller.
     pub(crate) first_event_by: time::Duration,
@@ -251,6 +251,8 @@
     is_first: bool,
 ) -> Result<(Reservation<D>, engine_load::Placement), engine_load::Full> {
     let engines = usable_engines(cx, request, now);
+    let versions_running_out =
+        locks::lock(&cx.servers).versions_running_out(&request.service.name, now);
     let limits = engine_memory::Limits {
         memory_tokens: request.engines.memory_tokens,
         run_kind: request.run_kind,
@@ -263,6 +265,7 @@
                 .saturating_sub(now + FIRST_EVENT_OVERHEAD);
             left.max(min)
         }),
+        versions_running_out: &versions_running_out,
     };
     let mut load = locks::lock(&cx.engine_load);
     let placement = load.place(
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -9,6 +9,8 @@
 use std::sync;
 use std::time;
 
+use crate::ready_counts;
+
 /// How long a server whose entry vanished without notice remains a last resort. A leaving server goes on
 /// serving for two seconds, so it must stop getting work before that.
 pub const LAST_RESORT_FOR: time::Duration = time::Duration::from_millis(1_200);
@@ -55,6 +57,14 @@
     last_resort_until: Option<time::Duration>,
 }
 
+impl Tracked {
+    fn is_ready_decode_engine(&self) -> bool {
+        self.backend.stage == Some(Stage::Decode)
+            && !self.backend.draining
+            && self.last_resort_until.is_none()
+    }
+}
+
 /// How the view of a server changed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -74,6 +84,9 @@
     tracked: collections::BTreeMap<sync::Arc<str>, Tracked>,
     /// Cache of the servers by service that have an entry and aren't draining. Cleared by each change.
     listed: collections::HashMap<sync::Arc<str>, sync::Arc<[sync::Arc<Backend>]>>,
+    ready_counts: ready_counts::ReadyCounts,
+    /// The latest time that was passed in. Changes without a time of their own count as made then.
+    latest: time::Duration,
     store_unreachable: bool,
     /// When the store answered again after its last outage.
     store_recovered_at: Option<time::Duration>,
@@ -82,6 +95,7 @@
 impl Registry {
     /// Replaces the view by a complete list of entries.
     pub fn replace_all(&mut self, listed: Vec<Backend>, now: time::Duration) -> Vec<Change> {
+        self.latest = self.latest.max(now);
         let ids: collections::BTreeSet<_> = listed.iter().map(|b| b.id.clone()).collect();
         let missing: Vec<_> = self
             .tracked
@@ -105,7 +119,15 @@
             backend: backend.clone(),
             last_resort_until: None,
         };
-        let Some(old) = self.tracked.insert(backend.id.clone(), tracked) else {
+        let is_ready_decode_engine = tracked.is_ready_decode_engine();
+        let old = self.tracked.insert(backend.id.clone(), tracked);
+        if let Some(old) = &old {
+            self.uncount(old);
+        }
+        if is_ready_decode_engine {
+            self.ready_counts.add(&backend.service, &backend.version);
+        }
+        let Some(old) = old else {
             return Some(Change::Joined(backend));
         };
         if old.backend.started_unix_ms != backend.started_unix_ms
@@ -123,6 +145,9 @@
     /// Records that an entry is gone from the store. Returns `None` if that was known.
     pub fn remove(&mut self, id: &str, now: time::Duration) -> Option<Change> {
         self.listed.clear();
+        self.latest = self.latest.max(now);
+        let tracked = self.tracked.get(id)?.clone();
+        self.uncount(&tracked);
         let tracked = self.tracked.get_mut(id)?;
         let backend = tracked.backend.clone();
         if backend.draining {
@@ -140,6 +165,16 @@
         Some(Change::Vanished(backend))
     }
 
+    /// Takes a server out of the ready decode engines if it was among them.
+    fn uncount(&mut self, old: &Tracked) {
+        if old.is_ready_decode_engine() {
+            let Backend {
+                service, version, ..
+            } = &*old.backend;
+            self.ready_counts.remove(service, version, self.latest);
+        }
+    }
+
     /// Records that the store doesn't answer.
     pub fn store_lost(&mut self) {
         self.store_unreachable = true;
@@ -153,8 +188,10 @@
         }
     }
 
-    /// Forgets servers whose time as a last resort is over.
+    /// Forgets servers whose time as a last resort is over. Must be called regularly.
     pub fn expire(&mut self, now: time::Duration) {
+        self.latest = self.latest.max(now);
+        self.ready_counts.expire(now);
         self.tracked
             .retain(|_, t| t.last_resort_until.is_none_or(|until| now < until));
     }
@@ -173,6 +210,7 @@
         service: &str,
         now: time::Duration,
     ) -> sync::Arc<[sync::Arc<Backend>]> {
+        self.latest = self.latest.max(now);
         if let Some(listed) = self.listed.get(service) {
             return listed.clone();
         }
@@ -195,6 +233,12 @@
             .collect()
     }
 
+    /// Returns the versions of a service whose decode engines are running out: fewer are ready than some time ago,
+    /// while another version keeps or gains its own. None is if all have lost some.
+    pub fn versions_running_out(&self, service: &str, now: time::Duration) -> Vec<sync::Arc<str>> {
+        self.ready_counts.running_out(service, now)
+    }
+
     /// Returns all servers, and for each whether its entry has vanished.
     pub fn all(&self) -> impl Iterator<Item = (&sync::Arc<Backend>, bool)> {
         self.tracked
--- a/lib/src/engine_memory.rs
+++ b/lib/src/engine_memory.rs
@@ -3,6 +3,7 @@
 //! Memory is counted in tokens. All runs of an engine advance by one token per step, so the memory in
 //! use at any later step follows from what each run holds now and how much of its output remains.
 
+use std::sync;
 use std::time;
 
 /// Share of an engine's memory up to which new runs may be placed, before the deduction per host.
@@ -17,6 +18,10 @@
 /// or leaves. It is larger because the need of a running request is known better, and because such a run
 /// loses more than a request that has to wait.
 const MOVED_RUN_FILL: f64 = 0.94;
+/// Share of an engine's memory up to which new runs may be placed if its version runs out: half of the share for
+/// moved runs, so that the runs of an engine that leaves or crashes fit on any one that is left. They can go on
+/// only at their version.
+const RUNNING_OUT_FILL: f64 = 0.47;
 
 /// Memory that a request needs on the decode engine.
 #[derive(Clone, Copy, Debug)]
@@ -47,11 +52,14 @@
     },
     /// A run that is moved from another engine.
     Moved,
+    /// A run that goes on after an interruption, and whose prompt and output so far are prefilled again. It can
+    /// go on only at the version that began it, so it may fill as much as a moved run.
+    Continued,
 }
 
 /// Limits that a placement has to keep.
 #[derive(Clone, Copy, Debug)]
-pub struct Limits {
+pub struct Limits<'a> {
     /// Size of one engine's memory in tokens.
     pub memory_tokens: u32,
     /// The kind of run to place.
@@ -60,16 +68,25 @@
     pub slots: u32,
     /// Time within which the prompt must be prefilled, or `None` if that is done already.
     pub prefill_within: Option<time::Duration>,
+    /// Software versions whose engines are running out. New runs are kept away from them.
+    pub versions_running_out: &'a [sync::Arc<str>],
 }
 
-impl Limits {
-    /// Returns the highest peak that may be predicted for an engine after the placement, in tokens.
-    fn max_peak(&self) -> u64 {
+impl Limits<'_> {
+    /// Returns whether the run should rather be placed on an engine of another version than this one.
+    pub(crate) fn is_avoided(&self, version: &str) -> bool {
+        matches!(self.run_kind, RunKind::New { .. })
+            && self.versions_running_out.iter().any(|v| **v == *version)
+    }
+
+    /// Returns the highest peak that may be predicted for an engine of a version after the placement, in tokens.
+    fn max_peak(&self, version: &str) -> u64 {
         let share = match self.run_kind {
+            RunKind::New { .. } if self.is_avoided(version) => RUNNING_OUT_FILL,
             RunKind::New { hosts } => {
                 (NEW_RUN_FILL - NEW_RUN_FILL_PER_HOST * hosts as f64).max(MIN_NEW_RUN_FILL)
             }
-            RunKind::Moved => MOVED_RUN_FILL,
+            RunKind::Moved | RunKind::Continued => MOVED_RUN_FILL,
         };
         (f64::from(self.memory_tokens) * share) as u64
     }
@@ -84,16 +101,21 @@
     pub(crate) remaining: u64,
 }
 
-/// Returns the predicted peak memory with one more run, or `None` if the limits forbid adding it. An
+/// Returns the predicted peak memory of an engine of a version with one more run, or `None` if the limits forbid adding it. An
 /// engine without runs accepts any request, also one that is predicted to exceed its memory.
-pub(crate) fn peak_with(mut runs: Vec<RunMemory>, need: Need, limits: Limits) -> Option<u64> {
+pub(crate) fn peak_with(
+    mut runs: Vec<RunMemory>,
+    need: Need,
+    limits: Limits<'_>,
+    version: &str,
+) -> Option<u64> {
     if runs.len() >= limits.slots as usize {
         return None;
     }
     let was_empty = runs.is_empty();
     runs.push(need.initial_memory());
     let peak = peak_of(&mut runs);
-    (was_empty || peak <= limits.max_peak()).then_some(peak)
+    (was_empty || peak <= limits.max_peak(version)).then_some(peak)
 }
 
 /// Returns the predicted peak of the memory of all runs. It is reached just before one of the runs ends.
@@ -110,7 +132,13 @@
 
 /// Returns the number of decode steps until enough runs have ended for the request to fit. `runs` must
 /// be sorted by remaining output, shortest first.
-pub(crate) fn steps_until_room(runs: &[RunMemory], need: Need, limits: Limits) -> u64 {
+pub(crate) fn steps_until_room(
+    runs: &[RunMemory],
+    need: Need,
+    limits: Limits<'_>,
+    version: &str,
+) -> u64 {
+    let max_peak = limits.max_peak(version);
     for (ended, run) in runs.iter().enumerate() {
         let steps = run.remaining;
         let later = runs[ended + 1..].iter().map(|r| RunMemory {
@@ -119,7 +147,7 @@
         });
         let mut later: Vec<_> = later.collect();
         later.push(need.initial_memory());
-        if later.len() <= limits.slots as usize && peak_of(&mut later) <= limits.max_peak() {
+        if later.len() <= limits.slots as usize && peak_of(&mut later) <= max_peak {
             return steps;
         }
     }
--- a/lib/src/engine_placement.rs
+++ b/lib/src/engine_placement.rs
@@ -60,6 +60,8 @@
     /// engine's zone or slower than typical. `salt` must differ between requests, so that hosts which place at
     /// the same moment don't choose the same engine.
     ///
+    /// Engines of versions that are running out get new runs only if no other engine can take them.
+    ///
     /// # Errors
     ///
     /// Returns what is lacking, and for how long.
@@ -67,7 +69,7 @@
         &self,
         engines: &[sync::Arc<backends::Backend>],
         need: engine_memory::Need,
-        limits: engine_memory::Limits,
+        limits: engine_memory::Limits<'_>,
         zone: &str,
         salt: &str,
         now: time::Duration,
@@ -85,12 +87,12 @@
         let decodes = engines
             .iter()
             .filter(|e| e.stage != Some(backends::Stage::Prefill) && in_time(&e.version));
-        let mut best: Option<(u64, &sync::Arc<backends::Backend>)> = None;
+        let mut best: Option<((bool, u64), &sync::Arc<backends::Backend>)> = None;
         let mut has_decode_engine = false;
         for engine in decodes.clone() {
             has_decode_engine = true;
             let runs = self.run_memories(&engine.id, now);
-            let Some(peak) = engine_memory::peak_with(runs, need, limits) else {
+            let Some(peak) = engine_memory::peak_with(runs, need, limits, &engine.version) else {
                 continue;
             };
             let decode_zone = prefills
@@ -101,6 +103,7 @@
             let hash = rendezvous::score(&engine.id, salt);
             let jitter = hash % (u64::from(limits.memory_tokens) / JITTER_DIVISOR);
             let cost = ((peak + zone_penalty + jitter) as f64 * self.slowness(&engine.id)) as u64;
+            let cost = (limits.is_avoided(&engine.version), cost);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, engine));
             }
@@ -154,13 +157,13 @@
         &self,
         decodes: impl Iterator<Item = &'a sync::Arc<backends::Backend>>,
         need: engine_memory::Need,
-        limits: engine_memory::Limits,
+        limits: engine_memory::Limits<'_>,
         now: time::Duration,
     ) -> time::Duration {
         let waits = decodes.map(|e| {
             let mut runs = self.run_memories(&e.id, now);
             runs.sort_unstable_by_key(|run| run.remaining);
-            engine_memory::steps_until_room(&runs, need, limits)
+            engine_memory::steps_until_room(&runs, need, limits, &e.version)
         });
         let steps = waits.min().unwrap_or_default();
         self.time_of_steps(steps)
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod prefix;
 pub mod quarantine;
 pub mod queue;
+mod ready_counts;
 pub mod refusal;
 pub mod rendezvous;
 pub mod request_table;
--- a/lib/tests/backend_registry.rs
+++ b/lib/tests/backend_registry.rs
@@ -111,3 +111,113 @@
     let usable = registry.usable("gate", ms(0));
     assert_eq!(usable[..], [released]);
 }
+
+/// Returns a decode engine whose id is its version and number.
+fn decode_engine(id: &str) -> backends::Backend {
+    let version = id.split('-').next().unwrap();
+    backends::Backend {
+        stage: Some(backends::Stage::Decode),
+        version: version.into(),
+        ..server(id)
+    }
+}
+
+fn registry_of_decode_engines(ids: &[&str]) -> backends::Registry {
+    let mut registry = backends::Registry::default();
+    registry.replace_all(ids.iter().map(|id| decode_engine(id)).collect(), ms(0));
+    registry
+}
+
+fn drain(registry: &mut backends::Registry, id: &str) {
+    registry.put(backends::Backend {
+        draining: true,
+        ..decode_engine(id)
+    });
+}
+
+fn running_out(registry: &backends::Registry, at: u64) -> Vec<sync::Arc<str>> {
+    registry.versions_running_out("gate", ms(at))
+}
+
+#[test]
+fn a_version_runs_out_while_another_grows() {
+    let mut registry = registry_of_decode_engines(&["v1-1", "v1-2"]);
+    registry.put(decode_engine("v2-1"));
+    assert!(running_out(&registry, 100).is_empty());
+    drain(&mut registry, "v1-1");
+    assert_eq!(running_out(&registry, 100), ["v1".into()]);
+    assert!(registry.versions_running_out("other", ms(100)).is_empty());
+    registry.put(decode_engine("v2-2"));
+    drain(&mut registry, "v1-2");
+    registry.remove("v1-1", ms(200));
+    registry.remove("v1-2", ms(300));
+    assert_eq!(running_out(&registry, 300), ["v1".into()]);
+    registry.remove("v2-1", ms(400));
+    assert!(
+        running_out(&registry, 400).is_empty(),
+        "no version is left that has lost no engine"
+    );
+}
+
+#[test]
+fn the_only_version_never_runs_out() {
+    let mut registry = registry_of_decode_engines(&["v1-1", "v1-2", "v1-3"]);
+    registry.remove("v1-1", ms(100));
+    drain(&mut registry, "v1-2");
+    assert!(running_out(&registry, 100).is_empty());
+}
+
+#[test]
+fn a_version_that_lost_engines_long_ago_does_not_run_out() {
+    let mut registry = registry_of_decode_engines(&["v1-1", "v1-2", "v1-3", "v2-1"]);
+    registry.remove("v1-1", ms(10_000));
+    registry.remove("v1-2", ms(20_000));
+    assert_eq!(running_out(&registry, 39_999), ["v1".into()]);
+    assert_eq!(running_out(&registry, 49_999), ["v1".into()]);
+    assert!(running_out(&registry, 50_000).is_empty());
+    registry.expire(ms(50_000));
+    registry.remove("v1-3", ms(51_000));
+    assert_eq!(running_out(&registry, 51_000), ["v1".into()]);
+}
+
+#[test]
+fn engines_that_change_without_leaving_are_not_lost() {
+    let mut registry = registry_of_decode_engines(&["v1-1", "v1-2", "v2-1"]);
+    for slots in [5, 6] {
+        registry.put(backends::Backend {
+            slots,
+            ..decode_engine("v1-1")
+        });
+    }
+    assert!(running_out(&registry, 100).is_empty());
+    registry.remove("v1-2", ms(100));
+    assert_eq!(running_out(&registry, 200), ["v1".into()]);
+    registry.put(decode_engine("v1-3"));
+    assert!(
+        running_out(&registry, 200).is_empty(),
+        "an engine came back"
+    );
+}
+
+#[test]
+fn an_engine_that_restarts_at_another_version_is_lost_to_its_old_one() {
+    let mut registry = registry_of_decode_engines(&["v1-1", "v1-2", "v2-1"]);
+    registry.put(backends::Backend {
+        version: "v2".into(),
+        ..decode_engine("v1-1")
+    });
+    assert_eq!(running_out(&registry, 100), ["v1".into()]);
+}
+
+/// The entries of all engines expire at once, and come back one after another.
+#[test]
+fn servers_that_come_back_after_an_outage_count_as_before() {
+    let ids = ["v1-1", "v1-2", "v2-1", "v2-2"];
+    let mut registry = registry_of_decode_engines(&ids);
+    registry.replace_all(Vec::new(), ms(1_000));
+    assert!(running_out(&registry, 1_000).is_empty());
+    registry.replace_all(ids.map(decode_engine).into(), ms(2_000));
+    assert!(running_out(&registry, 2_000).is_empty());
+    registry.remove("v1-1", ms(2_100));
+    assert_eq!(running_out(&registry, 2_100), ["v1".into()]);
+}
--- a/lib/tests/engine_placement.rs
+++ b/lib/tests/engine_placement.rs
@@ -10,11 +10,12 @@
 
 const MEMORY: u32 = 106_284;
 const STEP: time::Duration = time::Duration::from_micros(800);
-const LIMITS: engine_memory::Limits = engine_memory::Limits {
+const LIMITS: engine_memory::Limits<'_> = engine_memory::Limits {
     memory_tokens: MEMORY,
     run_kind: engine_memory::RunKind::New { hosts: 6 },
     slots: 64,
     prefill_within: Some(time::Duration::from_millis(700)),
+    versions_running_out: &[],
 };
 
 fn ms(ms: u64) -> time::Duration {
@@ -252,7 +253,7 @@
 /// Places small runs on one engine until one is refused, and returns the resulting load.
 fn load_with_full_engine(
     engines: &[sync::Arc<backends::Backend>],
-    limits: engine_memory::Limits,
+    limits: engine_memory::Limits<'_>,
 ) -> engine_load::EngineLoad {
     let mut load = engine_load::EngineLoad::default();
     let small = need(3_000, 1_000);
--- a/lib/tests/version_placement.rs
+++ b/lib/tests/version_placement.rs
@@ -8,11 +8,12 @@
 use walnuthaven_lib::engine_memory;
 
 const MEMORY: u32 = 100_000;
-const LIMITS: engine_memory::Limits = engine_memory::Limits {
+const LIMITS: engine_memory::Limits<'_> = engine_memory::Limits {
     memory_tokens: MEMORY,
     run_kind: engine_memory::RunKind::New { hosts: 6 },
     slots: 64,
     prefill_within: Some(time::Duration::from_millis(700)),
+    versions_running_out: &[],
 };
 const SMALL: engine_memory::Need = engine_memory::Need {
     prompt: 1_000,
@@ -68,7 +69,7 @@
 fn place(
     load: &engine_load::EngineLoad,
     engines: &[sync::Arc<backends::Backend>],
-    limits: engine_memory::Limits,
+    limits: engine_memory::Limits<'_>,
     salt: u32,
 ) -> Result<engine_load::Placement, engine_load::Full> {
     load.place(engines, SMALL, limits, "z", &salt.to_string(), NOW)
@@ -153,3 +154,84 @@
         "the engine beside its prefill engine was chosen {chosen} times of 100"
     );
 }
+
+/// Places new runs until none has room, and returns how many engines of each version took.
+fn fill_up(
+    load: &mut engine_load::EngineLoad,
+    engines: &[sync::Arc<backends::Backend>],
+    limits: engine_memory::Limits<'_>,
+) -> Vec<sync::Arc<str>> {
+    let mut versions = Vec::new();
+    for number in 0.. {
+        let Ok(placement) = place(load, engines, limits, number) else {
+            break;
+        };
+        let run = engine_load::Run {
+            engine: placement.decode.id.clone(),
+            prompt: SMALL.prompt,
+            output: SMALL.output,
+            generated: 0,
+            as_of: NOW,
+        };
+        load.add_run(("h".into(), u64::from(number)), run);
+        versions.push(placement.decode.version.clone());
+    }
+    versions
+}
+
+#[test]
+fn a_version_that_runs_out_gets_new_runs_last() {
+    let engines = engines(&["v1-p1", "v2-p1", "v1-d1", "v1-d2", "v2-d1"]);
+    let running_out = ["v1".into()];
+    let limits = engine_memory::Limits {
+        versions_running_out: &running_out,
+        ..LIMITS
+    };
+    let mut load = engine_load::EngineLoad::default();
+    let versions = fill_up(&mut load, &engines, limits);
+    let of_v2 = versions.iter().take_while(|v| ***v == *"v2").count();
+    assert!(of_v2 > 30, "{versions:?}");
+    assert!(
+        versions[of_v2..].iter().all(|v| **v == *"v1"),
+        "{versions:?}"
+    );
+}
+
+/// Both engines of a version that runs out have taken all the new runs that they may. One of them leaves, and its runs
+/// go on at the other.
+#[test]
+fn a_version_that_runs_out_keeps_room_for_its_own_runs() {
+    let engines = engines(&["v1-p1", "v1-d1", "v1-d2"]);
+    let running_out = ["v1".into()];
+    let limits = engine_memory::Limits {
+        versions_running_out: &running_out,
+        ..LIMITS
+    };
+    let mut load = engine_load::EngineLoad::default();
+    fill_up(&mut load, &engines, limits);
+    let left = load.runs_on("v1-d1");
+    assert!(left > 15, "{left} runs");
+    load.forget_engine("v1-d1");
+    for (kind, host) in [
+        (engine_memory::RunKind::Moved, "moved"),
+        (engine_memory::RunKind::Continued, "continued"),
+    ] {
+        let limits = engine_memory::Limits {
+            run_kind: kind,
+            ..limits
+        };
+        for number in 0..left {
+            let placement = place(&load, &engines[2..], limits, 0);
+            let placement = placement.unwrap_or_else(|full| panic!("{kind:?} {number}: {full:?}"));
+            let run = engine_load::Run {
+                engine: placement.decode.id.clone(),
+                prompt: SMALL.prompt,
+                output: SMALL.output,
+                generated: 0,
+                as_of: NOW,
+            };
+            load.add_run((host.into(), number as u64), run);
+        }
+        load.forget_host(host);
+    }
+}
