wait_queue: let requests that go on with a stream go first

What callers would see: a stream that broke in a burst waits behind new requests for room, and is given up before it gets any.

Cause: a request that goes on keeps the start time of the request that began, so it is late by the time it is queued, and late ones come after all others. It also yielded to the requests of other hosts, and all of those counted for its predicted wait, after which it was refused at once.

Requests whose run is moved or continued now come first in a host's queue, don't yield, and are predicted to wait only for others like them.

a_request_that_goes_on_with_a_stream_goes_first fails if the order ignores the new field, and passes.

--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -118,6 +118,14 @@
     pub(crate) version: Option<&'a sync::Arc<str>>,
 }
 
+/// Returns whether a request goes on with a stream that has begun.
+fn continues(request: &ReservationRequest<'_>) -> bool {
+    match request.run_kind {
+        engine_memory::RunKind::New { .. } => false,
+        engine_memory::RunKind::Moved | engine_memory::RunKind::Continued => true,
+    }
+}
+
 /// Returns the tokens for which a request needs memory, from the predicted length of its answer.
 /// `generated` tokens were generated before an interruption, and count as part of the prompt.
 pub(crate) fn need_of<D: dialect::Dialect>(
@@ -155,8 +163,10 @@
     let number = cx.next_number();
     let key = (request.service.name.clone(), request.version.cloned());
     let prefill_time = locks::lock(&cx.engine_load).prefill_time(request.need.prompt);
+    let continues = continues(request);
     let entry = wait_queue::Entry {
         number,
+        continues,
         priority: request.priority,
         start_by: request
             .first_event_by
@@ -166,7 +176,7 @@
     let ahead = {
         let mut queues = locks::lock(&cx.wait_queues);
         let queue = queues.entry(key.clone()).or_default();
-        let ahead = queue.count_on_time(arrived);
+        let ahead = queue.count_ahead(continues, arrived);
         queue.push(entry);
         ahead
     };
@@ -186,8 +196,10 @@
                 .and_then(|queue| queue.next(now))
                 .is_some_and(|next| next == number)
         };
-        // A request that is already late yields to requests at other hosts that can still be on time.
-        let yields = entry.start_by < now && locks::lock(&cx.peers).has_on_time_waiting();
+        // A request that is already late yields to requests at other hosts that can still be on time, unless it goes
+        // on with a stream.
+        let yields =
+            !continues && entry.start_by < now && locks::lock(&cx.peers).has_on_time_waiting();
         let is_first = is_next && !yields;
         let full = match is_first || !checked {
             false => None,
@@ -354,7 +366,12 @@
         Some(engine_load::Full::Memory(wait)) => ("engine memory is full", wait),
         Some(engine_load::Full::Prompts(wait)) => ("prompts wait to be read", wait),
     };
-    let ahead_at_all_hosts = ahead + locks::lock(&cx.peers).waiting();
+    let waiting_elsewhere = match continues(request) {
+        // It goes before the new requests of other hosts.
+        true => 0,
+        false => locks::lock(&cx.peers).waiting(),
+    };
+    let ahead_at_all_hosts = ahead + waiting_elsewhere;
     let predicted = wait + time_between_ends(cx, request).mul_f64(ahead_at_all_hosts as f64);
     if predicted <= max_wait {
         event!(Info, "waits", "id" => request.id, "service" => request.service.name,
--- a/lib/src/wait_queue.rs
+++ b/lib/src/wait_queue.rs
@@ -1,7 +1,7 @@
 //! The queue of requests that wait for engine memory: its order, and the limits on waiting.
 //!
-//! Requests whose first event can still meet the target latency come before all that have missed it.
-//! Within both groups requests are ordered by the priority of their route, then by age. A request is
+//! Requests that go on with a stream come first, since they can't be sent elsewhere. Of the others, those whose
+//! first event can still meet the target latency come before all that have missed it. Within each group requests are ordered by the priority of their route, then by age. A request is
 //! refused on arrival if the work before it takes longer than its caller can usefully wait; the
 //! refusal carries a retry time by which room is expected.
 //!
@@ -25,6 +25,8 @@
 pub struct Entry {
     /// The host's number for it; numbers rise in order of arrival.
     pub number: u64,
+    /// Whether it goes on with a stream that has begun. Such requests go first.
+    pub continues: bool,
     /// The priority of its route; 0 goes first.
     pub priority: u8,
     /// Latest time to start it such that its first event still meets the target latency.
@@ -74,15 +76,25 @@
 
     /// Returns the number of the request to be placed next.
     pub fn next(&self, now: time::Duration) -> Option<u64> {
-        let order = |entry: &&Entry| (entry.start_by < now, entry.priority, entry.number);
+        let order = |entry: &&Entry| {
+            let is_late = entry.start_by < now;
+            (!entry.continues, is_late, entry.priority, entry.number)
+        };
         self.entries
             .values()
             .min_by_key(order)
             .map(|entry| entry.number)
     }
 
-    /// Returns how many waiting requests can still meet their target latency. These come before a request
-    /// that arrives now.
+    /// Returns how many waiting requests come before a request that arrives now.
+    pub fn count_ahead(&self, continues: bool, now: time::Duration) -> usize {
+        self.entries
+            .values()
+            .filter(|entry| entry.continues || (!continues && entry.start_by >= now))
+            .count()
+    }
+
+    /// Returns how many waiting requests can still meet their target latency.
     pub fn count_on_time(&self, now: time::Duration) -> usize {
         self.entries
             .values()
--- a/lib/tests/wait_queue.rs
+++ b/lib/tests/wait_queue.rs
@@ -11,6 +11,7 @@
 fn entry(number: u64, arrived: u64) -> wait_queue::Entry {
     wait_queue::Entry {
         number,
+        continues: false,
         priority: 1,
         start_by: ms(arrived + 600),
         give_up_at: ms(arrived + 4_000),
@@ -75,3 +76,24 @@
     assert_eq!((soonest, latest), (ms(1_000), ms(1_500)));
     assert!(wait_queue::retry_after(ms(0), 0.0) > ms(0));
 }
+
+#[test]
+fn a_request_that_goes_on_with_a_stream_goes_first() {
+    let mut queue = wait_queue::Queue::default();
+    queue.push(entry(1, 0));
+    queue.push(wait_queue::Entry {
+        continues: true,
+        priority: 2,
+        start_by: ms(5),
+        ..entry(2, 10)
+    });
+    assert_eq!(queue.next(ms(20)), Some(2));
+    let (before_new, before_continued) = (
+        queue.count_ahead(false, ms(20)),
+        queue.count_ahead(true, ms(20)),
+    );
+    assert_eq!((before_new, before_continued), (2, 1));
+    assert_eq!(queue.count_ahead(false, ms(700)), 1);
+    queue.remove(2);
+    assert_eq!(queue.next(ms(20)), Some(1));
+}
