engine_placement: don't crowd decode engines without prefill engines

What callers would see: late first events at the start of a release, if a decode engine of the new version starts before any prefill engine of it.

Cause: a version without prefill engines prefills on its decode engine, which platforms do at half the speed and between the tokens of other runs. No limit of time is checked there, and an engine that just started is the emptiest, or the only one of a version that isn't running out, so it would get most new runs.

New runs now go to a version without prefill engines only if no version that has some can take them. Where no version has any, and for runs that go on, nothing changes.

new_runs_do_not_crowd_a_decode_engine_that_has_no_prefill_engine fails without the rule, and passes. How late first events would have been was not measured.

--- a/lib/src/engine_placement.rs
+++ b/lib/src/engine_placement.rs
@@ -60,7 +60,8 @@
     /// engine's zone or slower than typical. `salt` must differ between requests, so that hosts which place at
     /// the same moment don't choose the same engine.
     ///
-    /// Engines of versions that are running out get new runs only if no other engine can take them.
+    /// Engines of versions that are running out get new runs only if no other engine can take them, and engines of
+    /// versions without prefill engines after those, unless no version has any.
     ///
     /// # Errors
     ///
@@ -87,7 +88,7 @@
         let decodes = engines
             .iter()
             .filter(|e| e.stage != Some(backends::Stage::Prefill) && in_time(&e.version));
-        let mut best: Option<((bool, u64), &sync::Arc<backends::Backend>)> = None;
+        let mut best: Option<((u8, u64), &sync::Arc<backends::Backend>)> = None;
         let mut has_decode_engine = false;
         for engine in decodes.clone() {
             has_decode_engine = true;
@@ -103,7 +104,7 @@
             let hash = rendezvous::score(&engine.id, salt);
             let jitter = hash % (u64::from(limits.memory_tokens) / JITTER_DIVISOR);
             let cost = ((peak + zone_penalty + jitter) as f64 * self.slowness(&engine.id)) as u64;
-            let cost = (limits.is_avoided(&engine.version), cost);
+            let cost = (reluctance(&engine.version, &prefills, limits), cost);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, engine));
             }
@@ -169,3 +170,18 @@
         self.time_of_steps(steps)
     }
 }
+
+/// Ranks a version for a run: engines of one with a higher rank are chosen only if none with a lower one can take
+/// the run. `prefills` has the versions with prefill engines.
+fn reluctance(
+    version: &str,
+    prefills: &EarliestPrefills<'_>,
+    limits: engine_memory::Limits<'_>,
+) -> u8 {
+    let is_new = matches!(limits.run_kind, engine_memory::RunKind::New { .. });
+    // A decode engine prefills slowly, and holds up its other runs meanwhile.
+    if is_new && !prefills.is_empty() && !prefills.contains_key(version) {
+        return 2;
+    }
+    u8::from(limits.is_avoided(version))
+}
--- a/lib/tests/version_placement.rs
+++ b/lib/tests/version_placement.rs
@@ -235,3 +235,26 @@
         load.forget_host(host);
     }
 }
+
+/// A release starts a decode engine before any prefill engine of the new version.
+#[test]
+fn new_runs_do_not_crowd_a_decode_engine_that_has_no_prefill_engine() {
+    let mut engines = engines(&["v1-p1", "v1-d1", "v1-d2", "v2-d1"]);
+    let running_out = ["v1".into()];
+    let limits = engine_memory::Limits {
+        versions_running_out: &running_out,
+        ..LIMITS
+    };
+    for limits in [LIMITS, limits] {
+        let mut load = engine_load::EngineLoad::default();
+        let versions = fill_up(&mut load, &engines, limits);
+        let of_v1 = versions.iter().take_while(|v| ***v == *"v1").count();
+        assert!(of_v1 > 30, "{versions:?}");
+        assert!(of_v1 < versions.len(), "{versions:?}");
+    }
+    // No version has prefill engines.
+    engines.remove(0);
+    let mut load = engine_load::EngineLoad::default();
+    let versions = fill_up(&mut load, &engines, limits);
+    assert!(versions[..20].iter().all(|v| **v == *"v2"), "{versions:?}");
+}
