engine_reservation: place a stream that goes on as such, and refuse it once its version is gone

What callers saw: a stream that was taken up again waited for up to 4 s for an engine of a version that had left meanwhile, and was refused then. Its request counted as a new run, so it got the smaller part of an engine whose version runs out.

Cause: only the first check of a request refuses at once where no engine is left. For a request of any version that is right, since another engine may come; none of another version can take this one.

taken_up_stream_is_not_held_once_its_version_is_gone failed without the check (503 after 4 s) and passes.

--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -227,8 +227,12 @@
         (engine_reservation::Reservation<D>, engine_load::Placement),
         engine_reservation::NoCapacity,
     > {
-        let hosts = self.cx.host_count();
-        let run_kind = engine_memory::RunKind::New { hosts };
+        let run_kind = match self.version {
+            Some(_) => engine_memory::RunKind::Continued,
+            None => engine_memory::RunKind::New {
+                hosts: self.cx.host_count(),
+            },
+        };
         let tried = self.tried_servers(None);
         let request = engine_reservation::ReservationRequest {
             prefilled: kv_cache.is_some() || self.prefills_on_decode,
--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -222,6 +222,11 @@
             checked = true;
             cx.telemetry.count("engines.waits");
         }
+        if request.version.is_some() && full == Some(engine_load::Full::NoEngine) {
+            // No engine of another version can take the request.
+            let cause = "no engine of the version is left";
+            return Err(no_capacity(cx, request, cause, NO_ENGINE_WAIT));
+        }
         if now >= entry.give_up_at {
             let cause = "engines stayed full";
             return Err(no_capacity(cx, request, cause, NO_ENGINE_WAIT));
--- a/daemon/tests/mixed_versions.rs
+++ b/daemon/tests/mixed_versions.rs
@@ -306,3 +306,31 @@
     assert_eq!(answer.status, 503, "{}", setup.host.log());
     assert_eq!(engine.runs_of("again"), 0);
 }
+
+#[tokio::test]
+async fn taken_up_stream_is_not_held_once_its_version_is_gone() {
+    let mut setup = start_setup(50).await;
+    let got = begin_and_break(&setup, "r1").await;
+    add_engine(&mut setup, "i-d2", "v2").await;
+    change_routes(&setup, "timeout_ms", 14_000).await;
+    // A run at v1 that fills its memory, so that the stream has to wait.
+    let engine = setup.decode_engines[0].clone();
+    make_streams_long(&engine, 300);
+    let prompt = "X-Model: m\r\nX-Token-Count: 97000,2000\r\nX-Length-Hint: 2000\r\n\
+                  Resumes: r1\r\nLast-Event-Id: 1\r\n";
+    let bytes = caller::request("POST", "/brief/x", "large", prompt, "a prompt");
+    let addr = setup.host.callers_addr;
+    tokio::spawn(async move { caller::send(addr, &bytes, engine_setup::TIMEOUT).await });
+    setup.wait_for_run("large").await;
+    let remove = async {
+        setup.wait_for_log("\"event\":\"waits\"").await;
+        let entry = engine.entry("scribe", "draining");
+        setup.store.put("servers", &engine.id, entry);
+        setup.wait_for_log("\"change\":\"draining\"").await;
+        time::Instant::now()
+    };
+    let (answer, gone) = tokio::join!(resume(&setup.host, "again", "r1", got), remove);
+    let log = setup.host.log();
+    assert_eq!(answer.status, 503, "{log}");
+    assert!(gone.elapsed() < time::Duration::from_millis(900), "{log}");
+}
