news: tell other hosts also which versions are gone, and since when

A host that starts reads in the store when a version disappeared, by its own clock. If that is ahead by minutes, the version doesn't count any more, and the other one is taken for the only one though streams of both may be taken up.

Hosts that saw a version now tell for how long it still counts, which needs no common clock. They don't pass on what they were told, as a version would then never end.

Not covered: all hosts killed at once, and one of them starting with a clock that is ahead.

--- a/daemon/src/router/stream_versions.rs
+++ b/daemon/src/router/stream_versions.rs
@@ -257,17 +257,20 @@
     cx.stream_versions_changed.notify_waiters();
 }
 
-/// Returns the versions of which this host sees servers, for a message to the other hosts.
+/// Returns the versions of which this host has seen servers, for a message to the other hosts.
 pub(crate) fn served<D: dialect::Dialect>(cx: &context::Router<D>) -> Vec<news::ServedVersion> {
-    let listed = locks::lock(&cx.served_versions).next_announced(cx.now());
-    let listed = listed.into_iter().map(|of| news::ServedVersion {
-        service: of.service.to_string(),
-        version: of.version.to_string(),
-    });
-    listed.collect()
+    let seen = locks::lock(&cx.served_versions).next_announced(cx.now());
+    let seen = seen
+        .into_iter()
+        .map(|(of, counts_for)| news::ServedVersion {
+            service: of.service.to_string(),
+            version: of.version.to_string(),
+            for_ms: clock::millis(counts_for) as u32,
+        });
+    seen.collect()
 }
 
-/// Records the versions of which another host sees servers.
+/// Records the versions of which another host has seen servers.
 pub(crate) fn record_served<D: dialect::Dialect>(
     cx: &context::Router<D>,
     received: Vec<news::ServedVersion>,
@@ -275,10 +278,11 @@
     let now = cx.now();
     let mut served = locks::lock(&cx.served_versions);
     for version in received {
+        let counts_for = time::Duration::from_millis(version.for_ms.into());
         let of = served_versions::ServiceVersion {
             service: version.service.into(),
             version: version.version.into(),
         };
-        served.record_elsewhere(of, now);
+        served.record_elsewhere(of, counts_for, now);
     }
 }
--- a/daemon/tests/version_records.rs
+++ b/daemon/tests/version_records.rs
@@ -262,3 +262,45 @@
     assert!(store.object_names(RECORDS).is_empty());
     assert_eq!(dump(&all_hosts[0]).await["served_versions"], json!([]));
 }
+
+// A host that lost its connection to the store can't see the version that another host sees.
+#[tokio::test]
+async fn version_that_only_another_host_sees_counts() {
+    let (_store, addr, _engine) = start_store().await;
+    let all_hosts = start_hosts(&["h1"], addr).await;
+    let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let own_addr = socket.local_addr().unwrap().to_string();
+    let told = news::News {
+        host: "h2".to_owned(),
+        incarnation: 1,
+        sequence: 1,
+        callers: own_addr.clone(),
+        news: own_addr,
+        served_versions: vec![news::ServedVersion {
+            service: "scribe".to_owned(),
+            version: "v2".to_owned(),
+            for_ms: 60_000,
+        }],
+        ..news::News::default()
+    };
+    let host_addr = news_addr(&all_hosts[0]);
+    socket
+        .send_to(&told.encode_to_vec(), host_addr)
+        .await
+        .unwrap();
+    // The host sends its own versions to the one that it has just heard of.
+    let answer = receive(&socket).await;
+    assert_eq!(answer.host, "h1");
+    let expected = json!([
+        {"service": "scribe", "version": "v1", "servers": 1},
+        {"service": "scribe", "version": "v2", "servers": 0},
+    ]);
+    let state = dump(&all_hosts[0]).await;
+    assert_eq!(state["served_versions"], expected);
+    let mut versions = answer.served_versions;
+    while versions.is_empty() {
+        versions = receive(&socket).await.served_versions;
+    }
+    let names: Vec<_> = versions.iter().map(|of| &*of.version).collect();
+    assert_eq!(names, ["v1"]);
+}
--- a/lib/src/served_versions.rs
+++ b/lib/src/served_versions.rs
@@ -143,10 +143,16 @@
         self.confirmed_at = now;
     }
 
-    /// Records a version that another host has listed.
-    pub fn record_elsewhere(&mut self, version: ServiceVersion, now: time::Duration) {
+    /// Records that a version counts for some more time at another host.
+    pub fn record_elsewhere(
+        &mut self,
+        version: ServiceVersion,
+        counts_for: time::Duration,
+        now: time::Duration,
+    ) {
+        let until = now + counts_for.min(RETENTION + MARGIN);
         let presence = self.by_version.entry(version).or_default();
-        presence.counts_until = presence.counts_until.max(now + RETENTION + MARGIN);
+        presence.counts_until = presence.counts_until.max(until);
     }
 
     /// Records a complete list of the store's records, made at the Unix time `unix_now`. From then on
@@ -217,9 +223,11 @@
         presence.is_some_and(|presence| !presence.servers.is_empty())
     }
 
-    /// Returns the versions that are listed, for a message to other hosts; none if they were included in one
-    /// a moment ago, or if this host's view is old.
-    pub fn next_announced(&mut self, now: time::Duration) -> Vec<ServiceVersion> {
+    /// Returns the versions that this host has seen, and for how long they count, for a message to other hosts;
+    /// none if they were included in one a moment ago, or if this host's view is old. A host that starts
+    /// learns from it what has disappeared, even if its clock is wrong. What others told isn't passed on, as it
+    /// would never end.
+    pub fn next_announced(&mut self, now: time::Duration) -> Vec<(ServiceVersion, time::Duration)> {
         let is_due = self
             .announced_at
             .is_none_or(|at| now.saturating_sub(at) >= ANNOUNCEMENT_SPACING);
@@ -227,11 +235,15 @@
             return Vec::new();
         }
         self.announced_at = Some(now);
-        let listed = self
-            .by_version
-            .iter()
-            .filter(|(_, presence)| !presence.servers.is_empty());
-        listed.map(|(of, _)| of.clone()).collect()
+        let seen = self.by_version.iter().filter_map(|(of, presence)| {
+            let last_seen = match presence.servers.is_empty() {
+                true => presence.gone_at?,
+                false => now,
+            };
+            let left = (last_seen + RETENTION + MARGIN).saturating_sub(now);
+            (!left.is_zero()).then(|| (of.clone(), left))
+        });
+        seen.collect()
     }
 
     /// Returns all versions that count, and the number of listed servers of each.
