peers: a host that was paused is not in touch until it hears news again

After a pause, the other hosts count as alive until the next upkeep, and the view of the servers is as old as the pause. A request that waited in the socket could then be answered from that view. Only news received within 1.2 s count now; until then a host asks the others which version began a stream.

--- a/daemon/src/router/stream_versions.rs
+++ b/daemon/src/router/stream_versions.rs
@@ -74,8 +74,9 @@
     cx: &context::Router<D>,
     service: &str,
 ) -> Option<sync::Arc<str>> {
-    let in_touch = locks::lock(&cx.peers).is_in_touch();
-    locks::lock(&cx.served_versions).sole(service, in_touch, cx.now())
+    let now = cx.now();
+    let in_touch = locks::lock(&cx.peers).is_in_touch(now);
+    locks::lock(&cx.served_versions).sole(service, in_touch, now)
 }
 
 /// Records that a version began a stream, or goes on with it, and tells the other hosts. Callers may take
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -16,6 +16,10 @@
 /// not of four.
 pub const SILENCE_TIMEOUT: time::Duration = time::Duration::from_millis(2_200);
 
+/// How recent the last news of any other host must be for this host to be in touch. Tolerates the loss of one
+/// message if there is a single other host.
+const IN_TOUCH_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
+
 /// A host's entry in the store. News messages carry the same information.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PeerEntry {
@@ -165,9 +169,11 @@
         self.known.values().map(|peer| peer.entry.news_addr)
     }
 
-    /// Returns whether this host hears from other hosts, as far as there are any.
-    pub fn is_in_touch(&self) -> bool {
-        self.known.is_empty() || self.alive().next().is_some()
+    /// Returns whether this host hears from other hosts at present, as far as there are any. A host that was
+    /// paused isn't in touch until it has received news again.
+    pub fn is_in_touch(&self, now: time::Duration) -> bool {
+        let mut statuses = self.known.values().filter_map(|peer| peer.status.as_ref());
+        self.known.is_empty() || statuses.any(|(_, at)| now.saturating_sub(*at) <= IN_TOUCH_TIMEOUT)
     }
 
     /// Returns how all hosts, including this one, are split into groups.
--- a/lib/tests/peer_news.rs
+++ b/lib/tests/peer_news.rs
@@ -64,7 +64,7 @@
 #[test]
 fn all_hosts_are_asked_and_silent_ones_are_not_in_touch() {
     let mut peers = peers::Peers::default();
-    assert!(peers.is_in_touch());
+    assert!(peers.is_in_touch(at(0)));
     let entries = (0..400).map(|number| peers::PeerEntry {
         name: format!("h{number}").into(),
         ..entry(1)
@@ -72,9 +72,19 @@
     peers.replace_entries(entries.collect());
     assert!(peers.news_addrs("own").count() < 400);
     assert_eq!(peers.all_news_addrs().count(), 400);
-    assert!(!peers.is_in_touch());
+    assert!(!peers.is_in_touch(at(0)));
     assert!(peers.record_news(entry(1), status(1), at(0)));
-    assert!(peers.is_in_touch());
+    assert!(peers.is_in_touch(at(1_100)));
+}
+
+// What a host knew before it was paused may be outdated, though no host has been found silent yet.
+#[test]
+fn a_host_that_was_paused_is_in_touch_after_the_next_news() {
+    let mut peers = peers::Peers::default();
+    assert!(peers.record_news(entry(1), status(1), at(0)));
+    assert!(!peers.is_in_touch(at(10_000)));
+    assert!(peers.record_news(entry(1), status(2), at(10_000)));
+    assert!(peers.is_in_touch(at(10_000)));
 }
 
 #[test]
