stream_versions: announce streams that no host has heard of before repetitions

After a burst, a message had no room for all streams, and repetitions of the newest took the place of those that weren't announced at all.

Streams that weren't announced go first now, and the next message follows at once while there are any.

--- a/daemon/src/router/stream_versions.rs
+++ b/daemon/src/router/stream_versions.rs
@@ -211,7 +211,12 @@
     cx: &context::Router<D>,
 ) -> Vec<news::BegunStreams> {
     let now = cx.now();
-    let announced = locks::lock(&cx.stream_versions).next_announced(MAX_STREAMS_PER_MESSAGE, now);
+    let mut streams = locks::lock(&cx.stream_versions);
+    let announced = streams.next_announced(MAX_STREAMS_PER_MESSAGE, now);
+    if streams.has_unannounced() {
+        cx.news_due.notify_one();
+    }
+    drop(streams);
     to_wire(announced, now)
 }
 
--- a/lib/src/stream_versions.rs
+++ b/lib/src/stream_versions.rs
@@ -164,27 +164,29 @@
         self.records.get(&key).filter(|record| now < record.expires)
     }
 
-    /// Returns at most `limit` streams of this host that are due to be announced, newest first.
+    /// Returns at most `limit` streams of this host that are due to be announced: first those that weren't yet,
+    /// each time the newest first.
     pub fn next_announced(
         &mut self,
         limit: usize,
         now: time::Duration,
     ) -> Vec<(StreamKey, Record)> {
-        let records = &self.records;
         let mut chosen = Vec::new();
-        for announcement in self.announced.iter_mut().rev() {
-            if chosen.len() == limit {
-                break;
-            }
-            if now < announcement.due {
-                continue;
-            }
-            let pause = REPEAT_AFTER.get(announcement.sent).copied();
-            announcement.sent += 1;
-            announcement.due = now + pause.unwrap_or_default();
-            let record = records.get(&announcement.key);
-            if let Some(record) = record.filter(|record| now < record.expires) {
-                chosen.push((announcement.key, record.clone()));
+        for repeated in [false, true] {
+            for announcement in self.announced.iter_mut().rev() {
+                if chosen.len() == limit {
+                    break;
+                }
+                if now < announcement.due || repeated != (announcement.sent > 0) {
+                    continue;
+                }
+                let pause = REPEAT_AFTER.get(announcement.sent).copied();
+                announcement.sent += 1;
+                announcement.due = now + pause.unwrap_or_default();
+                let record = self.records.get(&announcement.key);
+                if let Some(record) = record.filter(|record| now < record.expires) {
+                    chosen.push((announcement.key, record.clone()));
+                }
             }
         }
         self.announced
@@ -192,6 +194,13 @@
         chosen
     }
 
+    /// Returns whether a stream of this host wasn't announced yet.
+    pub fn has_unannounced(&self) -> bool {
+        self.announced
+            .iter()
+            .any(|announcement| announcement.sent == 0)
+    }
+
     /// Returns the number of streams that are remembered.
     pub fn count(&self) -> usize {
         self.records.len()
--- a/lib/tests/stream_versions.rs
+++ b/lib/tests/stream_versions.rs
@@ -76,23 +76,22 @@
 fn newest_streams_are_announced_first_and_the_others_next() {
     let mut table = stream_versions::StreamVersions::default();
     for number in 0..100 {
-        table.record_own(
-            stream_versions::StreamKey(number),
-            "v1",
-            at(14_000),
-            at(number),
-        );
+        let key = stream_versions::StreamKey(number);
+        table.record_own(key, "v1", at(14_000), at(number));
     }
-    let keys = |announced: Vec<(stream_versions::StreamKey, stream_versions::Record)>| {
-        announced
-            .into_iter()
-            .map(|(key, _)| key.0)
-            .collect::<Vec<_>>()
+    let mut announced = |ms| {
+        let announced = table.next_announced(64, at(ms)).into_iter();
+        let keys: Vec<_> = announced.map(|(key, _)| key.0).collect();
+        (keys, table.has_unannounced())
     };
-    let first = keys(table.next_announced(64, at(100)));
+    let (first, more) = announced(100);
     assert_eq!((first.len(), first[0], first[63]), (64, 99, 36));
-    let second = keys(table.next_announced(64, at(102)));
-    assert_eq!((second.len(), second[0], second[35]), (36, 35, 0));
+    assert!(more);
+    // Repetitions are due by now, but must not hold up the streams that no host has heard of.
+    let (second, more) = announced(300);
+    assert_eq!(second[..36], (0..36).rev().collect::<Vec<_>>());
+    assert_eq!((second.len(), second[36]), (64, 99));
+    assert!(!more);
 }
 
 #[test]
