engine_placement: spread new runs while few engines stay

What callers would see: in a fleet of many hosts, runs that are preempted or wait at the first engine of a new version.

Cause: new runs prefer versions that aren't running out. At the start of a release that is one engine, and until hosts hear of each other's runs each of them sends its next run there, where memory holds about eight.

If more than eight hosts place runs for each of the preferred engines, only as large a share of the requests as fits prefers them. The rest go on as if these had no room. Engines of versions that run out still keep theirs, and up to eight hosts for each engine nothing changes.

--- a/lib/src/engine_placement.rs
+++ b/lib/src/engine_placement.rs
@@ -27,6 +27,12 @@
 /// Prefill completion times in the same interval of this many milliseconds count as equal.
 const PREFILL_TIE_MS: u128 = 20;
 
+/// Number of ranks of versions; see `reluctance`.
+const RANKS: usize = 3;
+/// Most hosts that prefer the same engine to those of higher ranks. An engine's memory holds about this many runs, so
+/// more hosts that choose it at the same moment, before they hear of each other, would overfill it.
+const HOSTS_PER_ENGINE: u64 = 8;
+
 /// The engines chosen for a request.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -51,6 +57,24 @@
 type EarliestPrefills<'a> =
     collections::BTreeMap<&'a str, (time::Duration, &'a sync::Arc<backends::Backend>)>;
 
+/// The decode engines of one rank that have room for a run.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rank<'a> {
+    /// Number of engines.
+    engines: u64,
+    /// The engine with the lowest cost, and that cost.
+    best: Option<(u64, &'a sync::Arc<backends::Backend>)>,
+}
+
+impl<'a> Rank<'a> {
+    fn add(&mut self, cost: u64, engine: &'a sync::Arc<backends::Backend>) {
+        self.engines += 1;
+        if self.best.is_none_or(|(lowest, _)| cost < lowest) {
+            self.best = Some((cost, engine));
+        }
+    }
+}
+
 impl engine_load::EngineLoad {
     /// Chooses engines of the same version for a request, without adding the request to the load.
     ///
@@ -61,7 +85,8 @@
     /// the same moment don't choose the same engine.
     ///
     /// Engines of versions that are running out get new runs only if no other engine can take them, and engines of
-    /// versions without prefill engines after those, unless no version has any.
+    /// versions without prefill engines after those, unless no version has any. While the preferred engines are few for
+    /// the hosts, only some of the requests prefer them.
     ///
     /// # Errors
     ///
@@ -88,7 +113,7 @@
         let decodes = engines
             .iter()
             .filter(|e| e.stage != Some(backends::Stage::Prefill) && in_time(&e.version));
-        let mut best: Option<((u8, u64), &sync::Arc<backends::Backend>)> = None;
+        let mut ranks = [Rank::default(); RANKS];
         let mut has_decode_engine = false;
         for engine in decodes.clone() {
             has_decode_engine = true;
@@ -104,12 +129,9 @@
             let hash = rendezvous::score(&engine.id, salt);
             let jitter = hash % (u64::from(limits.memory_tokens) / JITTER_DIVISOR);
             let cost = ((peak + zone_penalty + jitter) as f64 * self.slowness(&engine.id)) as u64;
-            let cost = (reluctance(&engine.version, &prefills, limits), cost);
-            if best.is_none_or(|(lowest, _)| cost < lowest) {
-                best = Some((cost, engine));
-            }
+            ranks[reluctance(&engine.version, &prefills, limits)].add(cost, engine);
         }
-        if let Some((_, decode)) = best {
+        if let Some(decode) = choose_rank(&ranks, limits.run_kind, salt) {
             let prefill = prefills.get(&*decode.version);
             return Ok(Placement {
                 decode: decode.clone(),
@@ -177,11 +199,30 @@
     version: &str,
     prefills: &EarliestPrefills<'_>,
     limits: engine_memory::Limits<'_>,
-) -> u8 {
+) -> usize {
     let is_new = matches!(limits.run_kind, engine_memory::RunKind::New { .. });
     // A decode engine prefills slowly, and holds up its other runs meanwhile.
     if is_new && !prefills.is_empty() && !prefills.contains_key(version) {
         return 2;
     }
-    u8::from(limits.is_avoided(version))
+    usize::from(limits.is_avoided(version))
+}
+
+/// Returns the engine with the lowest cost of the lowest rank that has any. If its engines are few for the hosts that
+/// place new runs, some requests, drawn by `salt`, pass on to the next rank.
+fn choose_rank<'a>(
+    ranks: &[Rank<'a>; RANKS],
+    run_kind: engine_memory::RunKind,
+    salt: &str,
+) -> Option<&'a sync::Arc<backends::Backend>> {
+    let hosts = match run_kind {
+        engine_memory::RunKind::New { hosts } => hosts.max(1),
+        engine_memory::RunKind::Moved | engine_memory::RunKind::Continued => 1,
+    };
+    let draw = rendezvous::score("rank", salt) % hosts as u64;
+    let has_room = || ranks.iter().filter(|rank| rank.best.is_some());
+    has_room()
+        .find(|rank| draw < rank.engines * HOSTS_PER_ENGINE)
+        .or_else(|| has_room().next())
+        .and_then(|rank| rank.best.map(|(_, engine)| engine))
 }
--- a/lib/tests/version_placement.rs
+++ b/lib/tests/version_placement.rs
@@ -258,3 +258,32 @@
     let versions = fill_up(&mut load, &engines, limits);
     assert!(versions[..20].iter().all(|v| **v == *"v2"), "{versions:?}");
 }
+
+/// A release starts the first engine of the new version, and all hosts place a run before they hear of each other.
+#[test]
+fn many_hosts_do_not_overfill_the_first_engine_of_a_version() {
+    let old: Vec<_> = (0..20).map(|i| format!("v1-d{i}")).collect();
+    let mut ids = vec!["v1-p1", "v2-p1", "v2-d1"];
+    ids.extend(old.iter().map(|id| &**id));
+    let engines = engines(&ids);
+    let running_out = ["v1".into()];
+    let load = engine_load::EngineLoad::default();
+    let chosen = |hosts: usize| {
+        let limits = engine_memory::Limits {
+            run_kind: engine_memory::RunKind::New { hosts },
+            versions_running_out: &running_out,
+            ..LIMITS
+        };
+        let placed = (0..hosts).map(|host| place(&load, &engines, limits, host as u32).unwrap());
+        placed
+            .filter(|placement| &*placement.decode.id == "v2-d1")
+            .count()
+    };
+    assert_eq!(
+        chosen(8),
+        8,
+        "a few hosts all prefer the version that stays"
+    );
+    let of_many = chosen(96);
+    assert!((1..=20).contains(&of_many), "{of_many} of 96 hosts");
+}
