--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -33,8 +33,8 @@
 /// Up to one in this many of the connections that a server accepts may be idle.
 const IDLE_DIVISOR: usize = 2;
 
-/// Names a queue of requests that wait for capacity: the service, and the only software version whose engines can take
-/// them, if there is one.
+/// Names a queue of requests that wait for capacity: the service, and the only software version
+/// whose engines can take them, if there is one.
 pub(crate) type QueueKey = (sync::Arc<str>, Option<sync::Arc<str>>);
 
 /// The state of one entry host, shared by all its tasks.
@@ -61,8 +61,8 @@
     pub(crate) health: sync::Mutex<server_health::Health>,
     /// Runs and prefills on model engines, sent by any host.
     pub(crate) engine_load: sync::Mutex<engine_load::EngineLoad>,
-    /// Queued requests, which wait for capacity on an engine, by service, and by software version for those that
-    /// only engines of one version can take.
+    /// Queued requests, which wait for capacity on an engine, by service, and by software version
+    /// for those that only engines of one version can take.
     pub(crate) wait_queues: sync::Mutex<collections::HashMap<QueueKey, wait_queue::Queue>>,
     /// Observed lengths of answers, by service. They predict how much memory a request needs.
     pub(crate) answer_lengths:
@@ -268,8 +268,8 @@
         share.clamp(1, connection_pool::MAX_IDLE_CONNECTIONS)
     }
 
-    /// Returns the usable engines of a service, of one software version if it is set, that are assigned to this
-    /// host's group, or all such engines if none is assigned to the group.
+    /// Returns the usable engines of a service, of one software version if it is set, that are
+    /// assigned to this host's group, or all such engines if none is assigned to the group.
     pub(crate) fn group_engines(
         &self,
         service: &str,
--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -26,8 +26,8 @@
 /// Time over which streams that broke or fell silent together are opened again on other servers. It is short
 /// compared to a prefill.
 pub(super) const REOPEN_JITTER: time::Duration = time::Duration::from_millis(40);
-/// Time for a server to answer a call that checks whether it is silent, and maximum age of events of its other runs that
-/// show the same. The answer takes a few milliseconds.
+/// Time for a server to answer a call that checks whether it is silent, and maximum age of events
+/// of its other runs that show the same. The answer takes a few milliseconds.
 const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// How often a request whose server is silent looks for another one.
 const ALTERNATIVE_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -44,8 +44,9 @@
 }
 
 impl<D: dialect::Dialect> stream_request::StreamRequest<D> {
-    /// Reserves capacity on a server, connects to it and has the prompt prefilled, unless `kv_cache` holds the
-    /// result already. Tries further servers as far as the request's attempts, time and retry budget allow.
+    /// Reserves capacity on a server, connects to it and has the prompt prefilled, unless
+    /// `kv_cache` holds the result already. Tries further servers as far as the request's attempts,
+    /// time and retry budget allow.
     pub(super) async fn prepare(
         &mut self,
         mut kv_cache: Option<prefills::KvHandle<D>>,
@@ -107,9 +108,9 @@
         }
     }
 
-    /// Prepares another server once `server` has been silent for `max_silence` since `since`, a time since boot. Never
-    /// ends while the request may not be sent again or no other server can take it, so `server` is left only for one
-    /// that can.
+    /// Prepares another server once `server` has been silent for `max_silence` since `since`, a
+    /// time since boot. Never ends while the request may not be sent again or no other server can
+    /// take it, so `server` is left only for one that can.
     pub(crate) async fn prepare_alternative(
         &mut self,
         server: &sync::Arc<backends::Backend>,
@@ -144,8 +145,8 @@
         }
     }
 
-    /// Records that a silent server was left for another one. It gets the request again only if no other server is
-    /// left.
+    /// Records that a silent server was left for another one. It gets the request again only if no
+    /// other server is left.
     pub(crate) fn leave_silent_server(&mut self, server: &sync::Arc<backends::Backend>) {
         self.silent_server = None;
         if !self.left_servers.contains(&server.id) {
@@ -166,8 +167,8 @@
         event!(Info, "server-sends-again", "id" => self.id(), "server" => server.id);
     }
 
-    /// Returns whether a server sends anything: events of other runs, or the answer to a call that runs nothing. Records
-    /// its silence otherwise.
+    /// Returns whether a server sends anything: events of other runs, or the answer to a call that
+    /// runs nothing. Records its silence otherwise.
     async fn answers_calls(&self, server: &sync::Arc<backends::Backend>) -> bool {
         let cx = &self.cx;
         let since = cx.now().saturating_sub(CHECK_TIMEOUT);
@@ -218,8 +219,8 @@
         Ok(())
     }
 
-    /// Waits for capacity on engines. If the prompt has been prefilled already, `kv_cache` holds the result, which only
-    /// engines of the same software version can use.
+    /// Waits for capacity on engines. If the prompt has been prefilled already, `kv_cache` holds
+    /// the result, which only engines of the same software version can use.
     async fn reserve(
         &self,
         kv_cache: Option<&prefills::KvHandle<D>>,
--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -196,8 +196,8 @@
                 .and_then(|queue| queue.next(now))
                 .is_some_and(|next| next == number)
         };
-        // A request that is already late yields to requests at other hosts that can still be on time, unless it goes
-        // on with a stream.
+        // A request that is already late yields to requests at other hosts that can still be on
+        // time, unless it goes on with a stream.
         let yields =
             !continues && entry.start_by < now && locks::lock(&cx.peers).has_on_time_waiting();
         let is_first = is_next && !yields;
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -36,8 +36,8 @@
 #[derive(Debug)]
 pub(crate) enum DecodeResult<D: dialect::Dialect> {
     Stream(OpenStream<D>),
-    /// No stream was opened, and the request may be sent to another server. Holds the prefilled KV cache if it can
-    /// still be used.
+    /// No stream was opened, and the request may be sent to another server. Holds the prefilled KV
+    /// cache if it can still be used.
     Failed(Option<prefills::KvHandle<D>>),
     /// The server was silent, and the request is to be sent to this other one instead.
     Replaced(engine_prepare::PreparedServer<D>),
@@ -65,7 +65,8 @@
     Failed(send::SendFailure, Option<prefills::KvHandle<D>>),
 }
 
-/// How the send of a request to the server that generates the answer ended, and the KV cache that was offered.
+/// How the send of a request to the server that generates the answer ended, and the KV cache that
+/// was offered.
 struct DecodeAnswer<D: dialect::Dialect> {
     response: Result<send::ServerResponse, send::SendFailure>,
     kv_cache: Option<prefills::KvHandle<D>>,
@@ -100,8 +101,8 @@
         self.open(None).await
     }
 
-    /// Has a server start to generate the answer. If the server is silent, another one replaces it as soon as that is
-    /// prepared.
+    /// Has a server start to generate the answer. If the server is silent, another one replaces it
+    /// as soon as that is prepared.
     ///
     /// # Errors
     ///
@@ -135,7 +136,8 @@
         }
     }
 
-    /// Waits for a server's answer. If the server is silent, another one replaces it as soon as that is prepared.
+    /// Waits for a server's answer. If the server is silent, another one replaces it as soon as
+    /// that is prepared.
     async fn wait_for_answer(
         &mut self,
         server: &sync::Arc<backends::Backend>,
@@ -187,8 +189,8 @@
         }
     }
 
-    /// Asks a server to generate the answer, from `kv_cache` or else from the prompt, and waits for the head of its
-    /// response until the request's time limit.
+    /// Asks a server to generate the answer, from `kv_cache` or else from the prompt, and waits for
+    /// the head of its response until the request's time limit.
     fn send_decode(
         &self,
         server: &sync::Arc<backends::Backend>,
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -208,8 +208,8 @@
     }
 
     /// Sends the request to one server and records the result in the server's health. `is_retry`
-    /// states whether the request was sent to a server before. `silence` is notified when the server counts as
-    /// silent; the send goes on then.
+    /// states whether the request was sent to a server before. `silence` is notified when the
+    /// server counts as silent; the send goes on then.
     async fn send(
         &self,
         server: &sync::Arc<backends::Backend>,
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -282,8 +282,9 @@
     }
 }
 
-/// Has another server go on with a silent stream. The stream is kept until the other server sends, so that it can go on
-/// itself if the other server refuses, but not so long that both servers work on the request.
+/// Has another server go on with a silent stream. The stream is kept until the other server sends,
+/// so that it can go on itself if the other server refuses, but not so long that both servers work
+/// on the request.
 async fn replace<D: dialect::Dialect>(
     request: &mut stream_request::StreamRequest<D>,
     silent: ServerStream<D>,
@@ -328,8 +329,8 @@
     }
 }
 
-/// Relays events until the server's stream ends, or until the server is silent and another one can go on. Starts to
-/// move the run if it should leave its engine.
+/// Relays events until the server's stream ends, or until the server is silent and another one can
+/// go on. Starts to move the run if it should leave its engine.
 async fn relay_events<D: dialect::Dialect>(
     request: &mut stream_request::StreamRequest<D>,
     stream: &mut ServerStream<D>,
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -19,8 +19,8 @@
 use crate::router::send;
 use crate::router::stream_request;
 
-/// Longest time for an engine that has stopped a run to have its KV cache copied, unless the stream depends on it: a
-/// copy of a gigabyte takes some milliseconds and queues behind other copies.
+/// Longest time for an engine that has stopped a run to have its KV cache copied, unless the stream
+/// depends on it: a copy of a gigabyte takes some milliseconds and queues behind other copies.
 const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// Maximum number of moves of one request. Each move pauses the caller's stream.
 pub(crate) const MAX_MOVES: u32 = 3;
@@ -52,7 +52,8 @@
 pub(crate) enum MoveFailure {
     /// No engine continued it with its KV cache.
     Send(send::SendFailure),
-    /// The engine that was to continue it was silent and was left for another one, which failed. Holds the cause.
+    /// The engine that was to continue it was silent and was left for another one, which failed.
+    /// Holds the cause.
     NotContinued(&'static str),
 }
 
@@ -171,15 +172,17 @@
 
     /// Continues the run on an engine after its stream has ended: on the target if the KV cache was
     /// copied there, otherwise, or if the target doesn't take it, again on the source.
-    /// `source_reservation` is the run's reservation on the source. `has_end` states whether the stream ended like a
-    /// complete one. Returns `None` if the run wasn't stopped. Records each failed send.
+    /// `source_reservation` is the run's reservation on the source. `has_end` states whether the
+    /// stream ended like a complete one. Returns `None` if the run wasn't stopped. Records each
+    /// failed send.
     pub(crate) async fn finish(
         self,
         request: &mut stream_request::StreamRequest<D>,
         source_reservation: engine_reservation::Reservation<D>,
         has_end: bool,
     ) -> Option<Result<engine_stream::OpenStream<D>, MoveFailure>> {
-        // A stream that may run once can only go on with the answer. The task neither panics nor is cancelled.
+        // A stream that may run once can only go on with the answer. The task neither panics nor is
+        // cancelled.
         let max_wait = match has_end || request.route.kind.may_run_again() {
             true => COPY_TIMEOUT,
             false => request.deadline.saturating_sub(request.cx.now()),
@@ -257,8 +260,8 @@
     }
 }
 
-/// Opens a connection to the engine that is to continue a stopped run. Fails if that engine is leaving, as leaving
-/// engines get no requests.
+/// Opens a connection to the engine that is to continue a stopped run. Fails if that engine is
+/// leaving, as leaving engines get no requests.
 async fn reconnect<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     server: &backends::Backend,
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -48,8 +48,8 @@
     /// Id of the last event that was sent to the caller, or that the caller already had when it
     /// resumed the stream.
     pub(crate) last_event: Option<u64>,
-    /// The software version of the servers that generate the stream, once the caller has an event of it. Only servers of
-    /// this version can continue it.
+    /// The software version of the servers that generate the stream, once the caller has an event
+    /// of it. Only servers of this version can continue it.
     pub(crate) version: Option<sync::Arc<str>>,
     /// Whether `version` has been recorded, so that the stream can be taken up at any host.
     version_recorded: bool,
@@ -71,7 +71,8 @@
     pub(super) prefills_on_decode: bool,
     /// The server of the request's stream or send while it is silent. It gets no further send of the request.
     pub(super) silent_server: Option<sync::Arc<str>>,
-    /// Ids of the servers that were left because they were silent. They get the request again only if no other is left.
+    /// Ids of the servers that were left because they were silent. They get the request again only
+    /// if no other is left.
     pub(super) left_servers: Vec<sync::Arc<str>>,
     /// Ids of the servers on which it failed.
     pub(super) failed_servers: Vec<sync::Arc<str>>,
@@ -221,8 +222,8 @@
         Ok(())
     }
 
-    /// Records which software version the caller has events of. Must be called before the caller gets an event from
-    /// `server`, as it may take the stream up at any host then.
+    /// Records which software version the caller has events of. Must be called before the caller
+    /// gets an event from `server`, as it may take the stream up at any host then.
     pub(crate) fn record_version(&mut self, server: &backends::Backend) {
         let version = self.version.get_or_insert_with(|| server.version.clone());
         if !self.route.kind.may_run_again() || std::mem::replace(&mut self.version_recorded, true) {
--- a/daemon/src/router/stream_versions.rs
+++ b/daemon/src/router/stream_versions.rs
@@ -1,7 +1,7 @@
 //! Finds out which software version of its service began a stream.
 //!
-//! A stream may go on only at that version. A host knows it if a single version has served, or if it or another
-//! host of its group began the stream; otherwise it asks all hosts.
+//! A stream may go on only at that version. A host knows it if a single version has served, or if
+//! it or another host of its group began the stream; otherwise it asks all hosts.
 
 use std::collections;
 use std::net;
--- a/daemon/tests/engine_streams.rs
+++ b/daemon/tests/engine_streams.rs
@@ -323,8 +323,8 @@
     (last, setup)
 }
 
-// An engine may refuse a run that is moved to it, for instance while it changes its stage. The engine that the run
-// left still has its memory.
+// An engine may refuse a run that is moved to it, for instance while it changes its stage. The
+// engine that the run left still has its memory.
 #[tokio::test]
 async fn run_that_its_new_engine_refuses_continues_on_the_one_it_left() {
     for path in ["/single/x", "/brief/x"] {
--- a/daemon/tests/mixed_versions.rs
+++ b/daemon/tests/mixed_versions.rs
@@ -1,5 +1,5 @@
-//! Model engines of several software versions beside each other: a stream goes on only at the version that began
-//! it.
+//! Model engines of several software versions beside each other: a stream goes on only at the
+//! version that began it.
 
 use std::sync;
 use std::sync::atomic;
@@ -52,7 +52,8 @@
     caller::send(host.callers_addr, &bytes, engine_setup::TIMEOUT).await
 }
 
-/// Begins a stream at the only engine, which then breaks it off. Returns the number of events that the caller got.
+/// Begins a stream at the only engine, which then breaks it off. Returns the number of events that
+/// the caller got.
 async fn begin_and_break(setup: &engine_setup::EngineSetup, id: &str) -> u64 {
     let engine = &setup.decode_engines[0];
     engine.set_fault(server::Fault::TruncateStream);
--- a/daemon/tests/version_records.rs
+++ b/daemon/tests/version_records.rs
@@ -40,8 +40,8 @@
     news::News::decode(&buf[..length]).unwrap()
 }
 
-// A host that never heard of a stream asks the others. Its question must not count as its news: it carries no runs,
-// so that all engines would seem to be free.
+// A host that never heard of a stream asks the others. Its question must not count as its news: it
+// carries no runs, so that all engines would seem to be free.
 #[tokio::test]
 async fn host_answers_for_streams_that_it_heard_of_and_no_others() {
     let (store, addr) = store::Store::start().await;
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -233,8 +233,8 @@
             .collect()
     }
 
-    /// Returns the versions of a service whose decode engines are running out: fewer are ready than some time ago,
-    /// while another version keeps or gains its own. None is if all have lost some.
+    /// Returns the versions of a service whose decode engines are running out: fewer are ready than
+    /// some time ago, while another version keeps or gains its own. None is if all have lost some.
     pub fn versions_running_out(&self, service: &str, now: time::Duration) -> Vec<sync::Arc<str>> {
         self.ready_counts.running_out(service, now)
     }
--- a/lib/src/engine_load.rs
+++ b/lib/src/engine_load.rs
@@ -13,8 +13,8 @@
 use crate::work_index;
 pub use crate::work_index::Key;
 
-/// Minimum of the remaining output predicted for a run, as a share of its predicted output. Applies to runs that
-/// have nearly reached or passed their prediction.
+/// Minimum of the remaining output predicted for a run, as a share of its predicted output. Applies
+/// to runs that have nearly reached or passed their prediction.
 const MIN_REMAINING_SHARE: f64 = 0.2;
 /// Weight of a new sample in the moving averages of one engine's speed.
 const SPEED_WEIGHT: f64 = 0.2;
--- a/lib/src/engine_memory.rs
+++ b/lib/src/engine_memory.rs
@@ -18,9 +18,9 @@
 /// or leaves. It is larger because the need of a running request is known better, and because such a run
 /// loses more than a request that has to wait.
 const MOVED_RUN_FILL: f64 = 0.94;
-/// Share of an engine's memory up to which new runs may be placed if its version runs out: half of the share for
-/// moved runs, so that the runs of an engine that leaves or crashes fit on any one that is left. They can go on
-/// only at their version.
+/// Share of an engine's memory up to which new runs may be placed if its version runs out: half of
+/// the share for moved runs, so that the runs of an engine that leaves or crashes fit on any one
+/// that is left. They can go on only at their version.
 const RUNNING_OUT_FILL: f64 = 0.47;
 
 /// Memory that a request needs on the decode engine.
@@ -52,8 +52,9 @@
     },
     /// A run that is moved from another engine.
     Moved,
-    /// A run that goes on after an interruption, and whose prompt and output so far are prefilled again. It can
-    /// go on only at the version that began it, so it may fill as much as a moved run.
+    /// A run that goes on after an interruption, and whose prompt and output so far are prefilled
+    /// again. It can go on only at the version that began it, so it may fill as much as a moved
+    /// run.
     Continued,
 }
 
@@ -79,7 +80,8 @@
             && self.versions_running_out.iter().any(|v| **v == *version)
     }
 
-    /// Returns the highest peak that may be predicted for an engine of a version after the placement, in tokens.
+    /// Returns the highest peak that may be predicted for an engine of a version after the
+    /// placement, in tokens.
     fn max_peak(&self, version: &str) -> u64 {
         let share = match self.run_kind {
             RunKind::New { .. } if self.is_avoided(version) => RUNNING_OUT_FILL,
@@ -101,8 +103,9 @@
     pub(crate) remaining: u64,
 }
 
-/// Returns the predicted peak memory of an engine of a version with one more run, or `None` if the limits forbid adding it. An
-/// engine without runs accepts any request, also one that is predicted to exceed its memory.
+/// Returns the predicted peak memory of an engine of a version with one more run, or `None` if the
+/// limits forbid adding it. An engine without runs accepts any request, also one that is predicted
+/// to exceed its memory.
 pub(crate) fn peak_with(
     mut runs: Vec<RunMemory>,
     need: Need,
--- a/lib/src/engine_placement.rs
+++ b/lib/src/engine_placement.rs
@@ -5,11 +5,11 @@
 //! is placed only on an engine whose predicted peak stays below the memory that may be filled. It is placed
 //! before its prefill, because an engine keeps the result of a prefill for only half a second.
 //!
-//! Engines of different software versions can't read each other's KV caches, so the engines of a placement have
-//! the same version.
+//! Engines of different software versions can't read each other's KV caches, so the engines of a
+//! placement have the same version.
 //!
-//! Designed for this load: bursts of twice the usual requests for four to five seconds, in which decode memory
-//! is full and every finished run makes room for about one waiting request.
+//! Designed for this load: bursts of twice the usual requests for four to five seconds, in which
+//! decode memory is full and every finished run makes room for about one waiting request.
 
 use std::collections;
 use std::sync;
@@ -29,8 +29,9 @@
 
 /// Number of ranks of versions; see `reluctance`.
 const RANKS: usize = 3;
-/// Most hosts that prefer the same engine to those of higher ranks. An engine's memory holds about this many runs, so
-/// more hosts that choose it at the same moment, before they hear of each other, would overfill it.
+/// Most hosts that prefer the same engine to those of higher ranks. An engine's memory holds about
+/// this many runs, so more hosts that choose it at the same moment, before they hear of each other,
+/// would overfill it.
 const HOSTS_PER_ENGINE: u64 = 8;
 
 /// The engines chosen for a request.
@@ -78,15 +79,16 @@
 impl engine_load::EngineLoad {
     /// Chooses engines of the same version for a request, without adding the request to the load.
     ///
-    /// The prefill engine is the one of its version that finishes the prompt first; equal ones are decided in
-    /// favour of `zone`. A version without prefill engines has the decode engine prefill the prompt. The decode
-    /// engine is the one with the lowest predicted peak memory, raised for engines that are outside the prefill
-    /// engine's zone or slower than typical. `salt` must differ between requests, so that hosts which place at
-    /// the same moment don't choose the same engine.
+    /// The prefill engine is the one of its version that finishes the prompt first; equal ones are
+    /// decided in favour of `zone`. A version without prefill engines has the decode engine prefill
+    /// the prompt. The decode engine is the one with the lowest predicted peak memory, raised for
+    /// engines that are outside the prefill engine's zone or slower than typical. `salt` must
+    /// differ between requests, so that hosts which place at the same moment don't choose the same
+    /// engine.
     ///
-    /// Engines of versions that are running out get new runs only if no other engine can take them, and engines of
-    /// versions without prefill engines after those, unless no version has any. While the preferred engines are few for
-    /// the hosts, only some of the requests prefer them.
+    /// Engines of versions that are running out get new runs only if no other engine can take them,
+    /// and engines of versions without prefill engines after those, unless no version has any.
+    /// While the preferred engines are few for the hosts, only some of the requests prefer them.
     ///
     /// # Errors
     ///
@@ -193,8 +195,8 @@
     }
 }
 
-/// Ranks a version for a run: engines of one with a higher rank are chosen only if none with a lower one can take
-/// the run. `prefills` has the versions with prefill engines.
+/// Ranks a version for a run: engines of one with a higher rank are chosen only if none with a
+/// lower one can take the run. `prefills` has the versions with prefill engines.
 fn reluctance(
     version: &str,
     prefills: &EarliestPrefills<'_>,
@@ -208,8 +210,8 @@
     usize::from(limits.is_avoided(version))
 }
 
-/// Returns the engine with the lowest cost of the lowest rank that has any. If its engines are few for the hosts that
-/// place new runs, some requests, drawn by `salt`, pass on to the next rank.
+/// Returns the engine with the lowest cost of the lowest rank that has any. If its engines are few
+/// for the hosts that place new runs, some requests, drawn by `salt`, pass on to the next rank.
 fn choose_rank<'a>(
     ranks: &[Rank<'a>; RANKS],
     run_kind: engine_memory::RunKind,
--- a/lib/src/ready_counts.rs
+++ b/lib/src/ready_counts.rs
@@ -1,14 +1,15 @@
 //! The number of ready decode engines of each software version, and its recent peak.
 //!
-//! A stream that began at a version can go on only there, so its engines must keep room while their number falls.
-//! Versions have no order: the one that runs out is known by its number of engines alone.
+//! A stream that began at a version can go on only there, so its engines must keep room while their
+//! number falls. Versions have no order: the one that runs out is known by its number of engines
+//! alone.
 
 use std::collections;
 use std::sync;
 use std::time;
 
-/// How long a version that lost engines counts as running out. It is longer than the pauses between the steps of a
-/// release and than a crashed engine needs to come back.
+/// How long a version that lost engines counts as running out. It is longer than the pauses between
+/// the steps of a release and than a crashed engine needs to come back.
 const PEAK_WINDOW: time::Duration = time::Duration::from_secs(30);
 
 /// The ready decode engines of one version of a service.
@@ -69,8 +70,8 @@
         });
     }
 
-    /// Returns the versions of a service that run out: those with fewer engines than at their recent peak, while
-    /// another one has as many as at its own.
+    /// Returns the versions of a service that run out: those with fewer engines than at their
+    /// recent peak, while another one has as many as at its own.
     pub(crate) fn running_out(&self, service: &str, now: time::Duration) -> Vec<sync::Arc<str>> {
         let Some(versions) = self.counts.get(service).filter(|v| v.len() > 1) else {
             return Vec::new();
--- a/lib/src/served_versions.rs
+++ b/lib/src/served_versions.rs
@@ -223,10 +223,10 @@
         presence.is_some_and(|presence| !presence.servers.is_empty())
     }
 
-    /// Returns the versions that this host has seen, and for how long they count, for a message to other hosts;
-    /// none if they were included in one a moment ago, or if this host's view is old. A host that starts
-    /// learns from it what has disappeared, even if its clock is wrong. What others told isn't passed on, as it
-    /// would never end.
+    /// Returns the versions that this host has seen, and for how long they count, for a message to
+    /// other hosts; none if they were included in one a moment ago, or if this host's view is old.
+    /// A host that starts learns from it what has disappeared, even if its clock is wrong. What
+    /// others told isn't passed on, as it would never end.
     pub fn next_announced(&mut self, now: time::Duration) -> Vec<(ServiceVersion, time::Duration)> {
         let is_due = self
             .announced_at
--- a/lib/src/server_health.rs
+++ b/lib/src/server_health.rs
@@ -179,8 +179,9 @@
         }
     }
 
-    /// Records all servers that another host avoids, each with the time at which that ends, in place of that host's
-    /// last report. A server that no host reports any more is no longer avoided for it.
+    /// Records all servers that another host avoids, each with the time at which that ends, in
+    /// place of that host's last report. A server that no host reports any more is no longer
+    /// avoided for it.
     pub fn replace_peer_avoidances(
         &mut self,
         host: &str,
@@ -289,8 +290,8 @@
             .is_some_and(|record| now < until(record))
     }
 
-    /// Returns whether this host itself couldn't reach the server or was refused by it, so that it should get no
-    /// requests for now even if there are no others.
+    /// Returns whether this host itself couldn't reach the server or was refused by it, so that it
+    /// should get no requests for now even if there are no others.
     pub fn is_unusable(&self, id: &str, now: time::Duration) -> bool {
         let record = self.records.get(id);
         record.is_some_and(|record| now < record.avoid_until)
--- a/lib/src/stream_versions.rs
+++ b/lib/src/stream_versions.rs
@@ -1,8 +1,8 @@
 //! Which software version of its service began a stream.
 //!
-//! What two versions generate doesn't fit together, so a stream that breaks may only go on at the version that
-//! began it. Hosts tell each other of the streams that they begin, since a caller may take a stream up at
-//! any host, also after the host that began it has ended.
+//! What two versions generate doesn't fit together, so a stream that breaks may only go on at the
+//! version that began it. Hosts tell each other of the streams that they begin, since a caller may
+//! take a stream up at any host, also after the host that began it has ended.
 
 use std::collections;
 use std::sync;
@@ -164,8 +164,8 @@
         self.records.get(&key).filter(|record| now < record.expires)
     }
 
-    /// Returns at most `limit` streams of this host that are due to be announced: first those that weren't yet,
-    /// each time the newest first.
+    /// Returns at most `limit` streams of this host that are due to be announced: first those that
+    /// weren't yet, each time the newest first.
     pub fn next_announced(
         &mut self,
         limit: usize,
--- a/lib/src/wait_queue.rs
+++ b/lib/src/wait_queue.rs
@@ -1,12 +1,13 @@
 //! The queue of requests that wait for engine memory: its order, and the limits on waiting.
 //!
-//! Requests that go on with a stream come first, since they can't be sent elsewhere. Of the others, those whose
-//! first event can still meet the target latency come before all that have missed it. Within each group requests are ordered by the priority of their route, then by age. A request is
+//! Requests that go on with a stream come first, since they can't be sent elsewhere. Of the others,
+//! those whose first event can still meet the target latency come before all that have missed it.
+//! Within each group requests are ordered by the priority of their route, then by age. A request is
 //! refused on arrival if the work before it takes longer than its caller can usefully wait; the
 //! refusal carries a retry time by which room is expected.
 //!
-//! Designed for this load: a burst that lasts several seconds and needs more than the engines' memory. Serving in
-//! order of arrival would make every request of the burst late.
+//! Designed for this load: a burst that lasts several seconds and needs more than the engines'
+//! memory. Serving in order of arrival would make every request of the burst late.
 
 use std::collections;
 use std::time;
--- a/lib/tests/version_placement.rs
+++ b/lib/tests/version_placement.rs
@@ -197,8 +197,8 @@
     );
 }
 
-/// Both engines of a version that runs out have taken all the new runs that they may. One of them leaves, and its runs
-/// go on at the other.
+/// Both engines of a version that runs out have taken all the new runs that they may. One of them
+/// leaves, and its runs go on at the other.
 #[test]
 fn a_version_that_runs_out_keeps_room_for_its_own_runs() {
     let engines = engines(&["v1-p1", "v1-d1", "v1-d2"]);
@@ -259,7 +259,8 @@
     assert!(versions[..20].iter().all(|v| **v == *"v2"), "{versions:?}");
 }
 
-/// A release starts the first engine of the new version, and all hosts place a run before they hear of each other.
+/// A release starts the first engine of the new version, and all hosts place a run before they hear
+/// of each other.
 #[test]
 fn many_hosts_do_not_overfill_the_first_engine_of_a_version() {
     let old: Vec<_> = (0..20).map(|i| format!("v1-d{i}")).collect();
