--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -57,7 +57,10 @@
                 reserved = self.reserve(kv_cache.as_ref()) => match reserved {
                     Ok(reserved) => reserved,
                     // Without the prefilled cache, engines of other versions may take the request.
-                    Err(_) if self.version.is_none() && kv_cache.take().is_some() => continue,
+                    Err(_) if self.version.is_none() && kv_cache.is_some() => {
+                        kv_cache = None;
+                        continue;
+                    }
                     Err(no_capacity) => {
                         return Err(stream_request::OpenFailure::NoCapacity(no_capacity));
                     }
