platform: soak streams at engines of several versions

Single tests show each change of an engine alone.

Events name the version of the engine that made them. Callers take broken streams up at random hosts, under a new id, with the id of the attempt that brought the first event. Broken: more than two streams with events of two versions; an event missing, doubled or out of order; of 12 or more streams taken up at hosts in touch while two engines of their version are ready, a share that goes on under half of that of new streams that begin; a refusal of one after a second.

--- a/daemon/tests/fault_soak.rs
+++ b/daemon/tests/fault_soak.rs
@@ -7,6 +7,8 @@
 use walnuthaven_platform_standin::crash_soak;
 use walnuthaven_platform_standin::history;
 use walnuthaven_platform_standin::soak;
+use walnuthaven_platform_standin::stream_tries;
+use walnuthaven_platform_standin::version_soak;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
 /// How long faults are injected.
@@ -81,6 +83,102 @@
     assert_eq!(check(&[0, 1, 2, 6, 7, 8, 9], false), None, "not in touch");
 }
 
+/// Faults of the soak with engines of several software versions.
+const VERSION_SOAK: soak::Options = soak::Options {
+    seed: 1,
+    seconds: 12,
+    hosts: 4,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_keep_their_version_under_faults() {
+    let report = version_soak::run(BINARY, VERSION_SOAK).await;
+    let broken = report["broken"].as_array().unwrap();
+    assert!(broken.is_empty(), "seed {}: {report}", VERSION_SOAK.seed);
+    let versions = report["versions"].as_array().unwrap();
+    assert!(versions.len() >= 2, "only one version served: {report}");
+    assert!(
+        report["taken_up"].as_u64() > Some(0),
+        "no stream was taken up: {report}"
+    );
+}
+
+/// Returns a try at a host in touch that brought the events of a version with these numbers, and the end of the
+/// stream if that is event 4.
+fn try_with(version: &str, numbers: std::ops::RangeInclusive<u64>) -> stream_tries::Try {
+    let complete = *numbers.end() == 4;
+    stream_tries::Try {
+        id: "r".to_owned(),
+        host: 0,
+        in_touch: true,
+        version_serves: true,
+        ready: (1, 1),
+        cut: false,
+        status: 200,
+        took: time::Duration::from_millis(50),
+        events: numbers.map(|number| (number, version.to_owned())).collect(),
+        complete,
+    }
+}
+
+fn refused_after(ms: u64) -> stream_tries::Try {
+    stream_tries::Try {
+        status: 503,
+        took: time::Duration::from_millis(ms),
+        events: Vec::new(),
+        complete: true,
+        ..try_with("v1", 1..=1)
+    }
+}
+
+/// Returns how many broken guarantees of streams with 4 events the checker finds if `count` streams had
+/// these tries.
+fn count_broken_streams(count: usize, tries: &[stream_tries::Try]) -> usize {
+    let stream = stream_tries::Stream {
+        tries: tries.to_vec(),
+    };
+    let (_, broken) = stream_tries::check(&vec![stream; count], 4);
+    broken.len()
+}
+
+#[test]
+fn checker_finds_streams_of_several_versions() {
+    let tries = [try_with("v1", 1..=2), try_with("v2", 3..=4)];
+    assert_eq!(count_broken_streams(2, &tries), 0, "two are tolerated");
+    assert_eq!(count_broken_streams(3, &tries), 1, "over several tries");
+    let mut within_answer = try_with("v1", 1..=4);
+    within_answer.events[3].1 = "v2".to_owned();
+    assert_eq!(count_broken_streams(3, &[within_answer]), 1, "in an answer");
+}
+
+#[test]
+fn checker_finds_events_out_of_order() {
+    let count = |first: std::ops::RangeInclusive<u64>, second| {
+        count_broken_streams(1, &[try_with("v1", first), try_with("v1", second)])
+    };
+    assert_eq!(count(1..=2, 3..=4), 0);
+    assert_eq!(count(1..=2, 4..=4), 1, "missing");
+    assert_eq!(count(1..=2, 2..=4), 1, "doubled");
+    assert_eq!(count(2..=3, 4..=4), 1, "the first one is missing");
+    let mut ends_early = try_with("v1", 1..=3);
+    ends_early.complete = true;
+    assert_eq!(count_broken_streams(1, &[ends_early]), 1, "ends early");
+    let of_no_engine = stream_tries::parse_events("id: 1\ndata: event 2 of v1\n\nid: 2\nda");
+    assert_eq!(of_no_engine[0].0, 0);
+    assert_eq!(of_no_engine.len(), 1, "the second event isn't whole");
+}
+
+#[test]
+fn checker_finds_streams_that_are_not_taken_up() {
+    let refused = [try_with("v1", 1..=2), refused_after(20)];
+    assert_eq!(count_broken_streams(11, &refused), 0, "too few to tell");
+    assert_eq!(count_broken_streams(12, &refused), 1);
+    let at_second_try = [&refused[..], &[try_with("v1", 3..=4)]].concat();
+    assert_eq!(count_broken_streams(12, &at_second_try), 0, "half go on");
+    let late = [try_with("v1", 1..=2), refused_after(1_001)];
+    assert_eq!(count_broken_streams(1, &late), 1, "refused late");
+}
+
 /// Returns a request and its complete answer.
 fn request(id: &str, repeatable: bool, status: u16, body: &str) -> history::SentRequest {
     history::SentRequest {
