soak: pause servers beside planned work and look for lost requests

The soaks so far kill, cut off and break things; none holds that a request is answered while servers are only silent. Every request that a host has read must end with a complete answer or be refused without having run, unless its deadline or its route's time limit was reached or its host was shutting down.

The mode is random in time, so a seed repeats the planned work and not each pause of a request. A run of 15 s with seed 11 is part of the daemon's tests, with a test that the check finds each kind of lost request.

--- a/daemon/tests/fault_soak.rs
+++ b/daemon/tests/fault_soak.rs
@@ -6,6 +6,8 @@
 use walnuthaven_platform_standin::caller;
 use walnuthaven_platform_standin::crash_soak;
 use walnuthaven_platform_standin::history;
+use walnuthaven_platform_standin::request_outcome;
+use walnuthaven_platform_standin::silent_soak;
 use walnuthaven_platform_standin::soak;
 use walnuthaven_platform_standin::stream_tries;
 use walnuthaven_platform_standin::version_soak;
@@ -59,6 +61,79 @@
     );
 }
 
+const SILENT_SOAK: soak::Options = soak::Options {
+    seed: 11,
+    seconds: 15,
+    hosts: 4,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_lost_while_servers_are_silent() {
+    let report = silent_soak::run(BINARY, SILENT_SOAK).await;
+    let broken = report["broken"].as_array().unwrap();
+    assert!(
+        broken.is_empty(),
+        "seed {}: {broken:?}\n{}",
+        SILENT_SOAK.seed,
+        report["traces"]
+    );
+    assert!(report["silences"].as_u64() > Some(0), "{report}");
+    assert!(
+        report["ends"]["complete"].as_u64() > Some(0),
+        "nothing was served: {report}"
+    );
+}
+
+/// Returns the outcome of a request that may run once, which ran and was answered with this status.
+fn outcome(status: u16, body: &str, complete: bool) -> request_outcome::Outcome {
+    let mut request = request("a", false, status, body);
+    request.answer.complete = complete;
+    request_outcome::Outcome {
+        request,
+        runs: 1,
+        reached_server: true,
+        took: time::Duration::from_secs(1),
+        time_limit: time::Duration::from_secs(4),
+        sent_after_signal: time::Duration::ZERO,
+        ended_after_signal: time::Duration::ZERO,
+    }
+}
+
+#[test]
+fn checker_finds_lost_requests() {
+    let lost = |status, body, complete, change: fn(&mut request_outcome::Outcome)| {
+        let mut outcome = outcome(status, body, complete);
+        change(&mut outcome);
+        outcome.fault().is_some()
+    };
+    assert!(!lost(200, "body of a from s", true, |_| {}));
+    assert!(lost(200, "id: 1\n", false, |_| {}), "cut off");
+    assert!(lost(502, "", true, |_| {}), "failed");
+    assert!(lost(0, "", false, |_| {}), "closed");
+    assert!(lost(503, "busy", true, |_| {}), "refused but ran");
+    assert!(!lost(503, "busy", true, |o| o.runs = 0));
+    let no_server = "no server is usable";
+    assert!(lost(503, no_server, true, |o| o.runs = 0));
+    assert!(!lost(0, "", false, |o| o.took = o.time_limit), "timed out");
+    let unread = |o: &mut request_outcome::Outcome| {
+        (o.runs, o.reached_server) = (0, false);
+        o.took = time::Duration::from_millis(199);
+    };
+    assert!(!lost(0, "", false, unread), "not read");
+    assert!(lost(0, "", false, |o| {
+        (o.runs, o.reached_server) = (0, false);
+        o.took = time::Duration::from_millis(200);
+    }));
+    assert!(lost(0, "", false, |o| o.sent_after_signal =
+        time::Duration::from_secs(3)));
+    assert!(!lost(0, "", false, |o| o.sent_after_signal =
+        time::Duration::from_millis(3_001)));
+    assert!(!lost(0, "", false, |o| o.ended_after_signal =
+        time::Duration::from_millis(6_700)));
+    assert!(lost(0, "", false, |o| o.ended_after_signal =
+        time::Duration::from_millis(6_600)));
+}
+
 #[test]
 fn checker_finds_content_that_is_sent_on() {
     let start = time::Instant::now();
