--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -24,7 +24,7 @@
 const UNKNOWN_VERSION: &str = "no host knows which version began the stream";
 /// Retry-After in that case. Another host, or this one once it reaches the others, may know it.
 const UNKNOWN_VERSION_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
-/// How long a caller may take its stream up if it states no deadline.
+/// How long a caller may resume its stream if it states no deadline.
 const DEFAULT_RESUMABLE_FOR: time::Duration = time::Duration::from_secs(60);
 /// Retry-After when servers refused the request although capacity was predicted.
 const REFUSED_RETRY_AFTER: time::Duration = time::Duration::from_millis(400);
@@ -51,7 +51,7 @@
     /// The software version of the servers that generate the stream, once the caller has an event
     /// of it. Only servers of this version can continue it.
     pub(crate) version: Option<sync::Arc<str>>,
-    /// Whether `version` has been recorded, so that the stream can be taken up at any host.
+    /// Whether `version` has been recorded, so that the stream can be resumed at any host.
     version_recorded: bool,
     /// When an event was last sent to the caller.
     pub(crate) last_event_at: Option<time::Duration>,
@@ -203,7 +203,7 @@
         )
     }
 
-    /// Finds out which software version began the stream, if the caller takes one up.
+    /// Finds out which software version began the stream, if the caller resumes one.
     ///
     /// # Errors
     ///
@@ -223,7 +223,7 @@
     }
 
     /// Records which software version the caller has events of. Must be called before the caller
-    /// gets an event from `server`, as it may take the stream up at any host then.
+    /// gets an event from `server`, as it may resume the stream at any host then.
     pub(crate) fn record_version(&mut self, server: &backends::Backend) {
         let version = self.version.get_or_insert_with(|| server.version.clone());
         if !self.route.kind.may_run_again() || std::mem::replace(&mut self.version_recorded, true) {
--- a/daemon/tests/fault_soak.rs
+++ b/daemon/tests/fault_soak.rs
@@ -173,8 +173,8 @@
     let versions = report["versions"].as_array().unwrap();
     assert!(versions.len() >= 2, "only one version served: {report}");
     assert!(
-        report["taken_up"].as_u64() > Some(0),
-        "no stream was taken up: {report}"
+        report["resumed"].as_u64() > Some(0),
+        "no stream was resumed: {report}"
     );
 }
 
@@ -244,7 +244,7 @@
 }
 
 #[test]
-fn checker_finds_streams_that_are_not_taken_up() {
+fn checker_finds_streams_that_are_not_resumed() {
     let refused = [try_with("v1", 1..=2), refused_after(20)];
     assert_eq!(count_broken_streams(11, &refused), 0, "too few to tell");
     assert_eq!(count_broken_streams(12, &refused), 1);
--- a/daemon/tests/mixed_versions.rs
+++ b/daemon/tests/mixed_versions.rs
@@ -38,7 +38,7 @@
     engine
 }
 
-/// Formats a request that takes up a stream after event `last`.
+/// Formats a request that resumes a stream after event `last`.
 fn resuming(id: &str, began_as: &str, last: u64) -> String {
     let headers = format!(
         "{}Resumes: {began_as}\r\nLast-Event-Id: {last}\r\n",
@@ -220,7 +220,7 @@
 }
 
 #[tokio::test]
-async fn taken_up_stream_goes_on_at_the_version_that_began_it() {
+async fn resumed_stream_goes_on_at_the_version_that_began_it() {
     let mut setup = start_setup(50).await;
     let got = begin_and_break(&setup, "r1").await;
     let newer = add_engine(&mut setup, "i-d2", "v2").await;
@@ -236,7 +236,7 @@
 }
 
 #[tokio::test]
-async fn taken_up_stream_whose_version_is_gone_is_refused_at_once() {
+async fn resumed_stream_whose_version_is_gone_is_refused_at_once() {
     let mut setup = start_setup(50).await;
     let got = begin_and_break(&setup, "r1").await;
     let newer = add_engine(&mut setup, "i-d2", "v2").await;
@@ -261,7 +261,7 @@
 }
 
 #[tokio::test]
-async fn stream_is_taken_up_at_hosts_that_did_not_begin_it() {
+async fn stream_is_resumed_at_hosts_that_did_not_begin_it() {
     let mut setup = start_setup(50).await;
     let beside = hosts::Host::start(BINARY, "h2", setup.store_addr);
     beside.wait_ready().await;
@@ -296,7 +296,7 @@
 }
 
 #[tokio::test]
-async fn stream_is_not_taken_up_at_a_server_that_came_back_at_another_version() {
+async fn stream_is_not_resumed_at_a_server_that_came_back_at_another_version() {
     let setup = start_setup(50).await;
     let got = begin_and_break(&setup, "r1").await;
     let engine = &setup.decode_engines[0];
@@ -309,7 +309,7 @@
 }
 
 #[tokio::test]
-async fn taken_up_stream_is_not_held_once_its_version_is_gone() {
+async fn resumed_stream_is_not_held_once_its_version_is_gone() {
     let mut setup = start_setup(50).await;
     let got = begin_and_break(&setup, "r1").await;
     add_engine(&mut setup, "i-d2", "v2").await;
--- a/lib/src/served_versions.rs
+++ b/lib/src/served_versions.rs
@@ -1,6 +1,6 @@
 //! Which software versions of each service have served recently.
 //!
-//! If a single version has served for as long as any caller waits, each stream that may be taken up began at
+//! If a single version has served for as long as any caller waits, each stream that may be resumed began at
 //! that version. A version serves while a server of it is listed, draining or not.
 //!
 //! A host that has just started knows what is listed, but not what was listed before. It reads that from
@@ -12,7 +12,7 @@
 
 use crate::backends;
 
-/// How long streams may be taken up after they began: longer than any caller waits.
+/// How long streams may be resumed after they began: longer than any caller waits.
 pub const RETENTION: time::Duration = time::Duration::from_secs(60);
 /// How much longer a version counts as served. Clocks of hosts differ, and a server goes on serving for a
 /// moment after its entry is gone.
@@ -94,7 +94,7 @@
 
 impl ServedVersions {
     /// Records a change of the view of the servers. Servers that aren't model engines are ignored: their
-    /// streams aren't taken up.
+    /// streams aren't resumed.
     pub fn record(&mut self, change: &backends::Change, now: time::Duration) {
         let (server, listed) = match change {
             backends::Change::Joined(server)
--- a/lib/src/stream_versions.rs
+++ b/lib/src/stream_versions.rs
@@ -2,7 +2,7 @@
 //!
 //! What two versions generate doesn't fit together, so a stream that breaks may only go on at the
 //! version that began it. Hosts tell each other of the streams that they begin, since a caller may
-//! take a stream up at any host, also after the host that began it has ended.
+//! resume a stream at any host, also after the host that began it has ended.
 
 use std::collections;
 use std::sync;
@@ -32,7 +32,7 @@
     pub version: sync::Arc<str>,
     /// When this host first knew of it.
     pub known_since: time::Duration,
-    /// Until when callers may take the stream up.
+    /// Until when callers may resume the stream.
     pub expires: time::Duration,
 }
 
--- a/lib/tests/served_versions.rs
+++ b/lib/tests/served_versions.rs
@@ -8,7 +8,7 @@
 use walnuthaven_lib::backends;
 use walnuthaven_lib::served_versions;
 
-/// Longer than streams may be taken up, with the margin.
+/// Longer than streams may be resumed, with the margin.
 const PAST: u64 = 70_000;
 
 fn at(ms: u64) -> time::Duration {
@@ -93,7 +93,7 @@
     assert_eq!(sole(&mut view, PAST).as_deref(), Some("v1"));
 }
 
-// Streams that began at the version that is gone may still be taken up.
+// Streams that began at the version that is gone may still be resumed.
 #[test]
 fn version_that_is_gone_counts_for_the_retention_time() {
     let mut view = served_versions::ServedVersions::default();
--- a/lib/tests/stream_versions.rs
+++ b/lib/tests/stream_versions.rs
@@ -30,9 +30,9 @@
     assert_eq!(table.count(), 1);
 }
 
-// A stream that was taken up may break again, near the end of its first record.
+// A stream that was resumed may break again, near the end of its first record.
 #[test]
-fn stream_that_is_taken_up_again_is_kept_and_announced_again() {
+fn stream_that_is_resumed_again_is_kept_and_announced_again() {
     let mut table = stream_versions::StreamVersions::default();
     table.record_own(KEY, "v1", at(14_000), at(0));
     while !table.next_announced(64, at(10_000)).is_empty() {}
