crash_checks: log which process a check is about

Cause: the log of a check named the server's id only, which several processes may have had, so the hypotheses of the incident with restarted servers couldn't be told apart. Change: the start time and the address of the process that the request was sent to. No logic changes.

--- a/daemon/src/router/crash_checks.rs
+++ b/daemon/src/router/crash_checks.rs
@@ -130,7 +130,7 @@
         verdict = judge(cx, server, attempt, result, probed_at);
     }
     event!(Info, "crash-check", "digest" => crash_marks::hex(suspicion.digest), "server" => server.id,
-        "broke" => attempt.broke, "probe" => format!("{result:?}"), "verdict" => format!("{verdict:?}"),
+        "born" => server.started_unix_ms, "address" => server.addr, "broke" => attempt.broke, "probe" => format!("{result:?}"), "verdict" => format!("{verdict:?}"),
         "took_ms" => cx.now().saturating_sub(attempt.ended_at).as_millis() as u64);
     if verdict == departures::Verdict::Crashed {
         // The start time is part of the name: a server that restarts under its id and crashes again
