daemon: show that crashes of servers that start again aren't counted

The stand-in's servers can start again at their address, under the same or another id, with a later start time.

--- /dev/null
+++ b/daemon/tests/restarted_servers.rs
@@ -0,0 +1,161 @@
+//! Requests that crash servers which start again at their addresses.
+
+use std::sync;
+use std::time;
+
+use walnuthaven_platform_standin::caller;
+use walnuthaven_platform_standin::crash_soak;
+use walnuthaven_platform_standin::hosts;
+use walnuthaven_platform_standin::server;
+use walnuthaven_platform_standin::store;
+use walnuthaven_platform_standin::supervisor;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
+/// Longest time to wait for an answer.
+const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// How long callers repeat the content: long enough for many waves of crashes.
+const REPEAT_TIME: time::Duration = time::Duration::from_secs(12);
+/// A supervisor's time to start a process again.
+const PROMPT_RESTART: time::Duration = time::Duration::from_millis(5);
+/// Time that a machine takes to start a server again.
+const SLOW_RESTART: time::Duration = time::Duration::from_millis(3_400);
+
+/// A store, two hosts, and supervised servers of the service `gate`.
+struct Setup {
+    hosts: Vec<hosts::Host>,
+    supervisor: sync::Arc<supervisor::Supervisor>,
+    _store: sync::Arc<store::Store>,
+}
+
+impl Setup {
+    async fn new(servers: usize, fault: server::Fault, policy: supervisor::RestartPolicy) -> Self {
+        let (store, addr) = store::Store::start().await;
+        hosts::configure(&store, 3);
+        let supervisor = supervisor::Supervisor::new(store.clone(), "gate");
+        for number in 0..servers {
+            let server = server::Server::start(&format!("i-{number}"), None).await;
+            server.set_fault(fault);
+            supervisor.supervise(server, policy);
+        }
+        let hosts = ["h1", "h2"].map(|name| hosts::Host::start(BINARY, name, addr));
+        for host in &hosts {
+            host.wait_ready().await;
+        }
+        Self {
+            hosts: hosts.into(),
+            supervisor,
+            _store: store,
+        }
+    }
+
+    async fn send(&self, host: usize, path: &str, id: &str, body: &str) -> caller::Answer {
+        let bytes = caller::request("POST", path, id, "", body);
+        caller::send(self.hosts[host].callers_addr, &bytes, TIMEOUT).await
+    }
+
+    /// Sends the same crashing content to the hosts in turn, until it is refused for good or `REPEAT_TIME` has
+    /// passed.
+    async fn repeat_poison(&self, path: &str, pause: time::Duration) {
+        let start = time::Instant::now();
+        let mut number = 0;
+        while start.elapsed() < REPEAT_TIME {
+            let host = number % self.hosts.len();
+            self.send(host, path, &format!("p{number}"), "poison").await;
+            number += 1;
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Asserts that the content crashed three servers, and that no more than the tolerated number of its runs
+    /// came after the hosts had time to notice.
+    fn assert_refused_in_time(&self) {
+        let runs = self.supervisor.runs("p");
+        assert!(runs.len() >= 3, "{} crashes", runs.len());
+        let runs: Vec<_> = runs.into_iter().map(|at| (0, at)).collect();
+        let late = crash_soak::sends_after_refusal_was_due(&runs, |_, _| true);
+        assert_eq!(late, None, "{} crashes\n{}", runs.len(), self.log());
+    }
+
+    /// Returns what the hosts logged of crashes.
+    fn log(&self) -> String {
+        let logs = self.hosts.iter().map(|host| host.log());
+        let lines = logs.flat_map(|log| log.lines().map(str::to_owned).collect::<Vec<_>>());
+        let of_crashes = lines.filter(|line| line.contains("crash"));
+        of_crashes.collect::<Vec<_>>().join("\n")
+    }
+}
+
+// All servers crash, start again under new ids some seconds later, and crash again.
+#[tokio::test]
+async fn content_that_crashes_a_whole_service_is_refused_when_it_is_back() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: false,
+        delay: SLOW_RESTART,
+    };
+    let setup = Setup::new(3, server::Fault::CrashOnPoison, policy).await;
+    let pause = time::Duration::from_millis(60);
+    setup.repeat_poison("/plain/x", pause).await;
+    setup.assert_refused_in_time();
+}
+
+// A crash must count although another process listens at the address before anyone looks.
+#[tokio::test]
+async fn crashes_of_servers_that_restart_at_once_under_new_ids_are_counted() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: false,
+        delay: PROMPT_RESTART,
+    };
+    let setup = Setup::new(3, server::Fault::CrashOnPoison, policy).await;
+    let pause = time::Duration::from_millis(150);
+    setup.repeat_poison("/plain/x", pause).await;
+    setup.assert_refused_in_time();
+}
+
+#[tokio::test]
+async fn crashes_of_servers_that_restart_at_once_under_their_ids_are_counted() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: true,
+        delay: PROMPT_RESTART,
+    };
+    let setup = Setup::new(2, server::Fault::CrashOnPoison, policy).await;
+    let pause = time::Duration::from_millis(150);
+    setup.repeat_poison("/once/x", pause).await;
+    setup.assert_refused_in_time();
+}
+
+// The second crash of a server under its id is that of another process than the first.
+#[tokio::test]
+async fn each_crash_of_a_server_that_restarts_under_its_id_is_counted() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: true,
+        delay: time::Duration::from_millis(400),
+    };
+    let setup = Setup::new(1, server::Fault::CrashOnPoison, policy).await;
+    let pause = time::Duration::from_millis(1_000);
+    setup.repeat_poison("/once/x", pause).await;
+    setup.assert_refused_in_time();
+}
+
+// Connections that a crash left open say nothing: the process behind them is gone.
+#[tokio::test]
+async fn crash_counts_although_other_connections_stay_open() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: false,
+        delay: SLOW_RESTART,
+    };
+    let fault = server::Fault::CloseOneConnectionOnPoison;
+    let setup = Setup::new(3, fault, policy).await;
+    let start = time::Instant::now();
+    let mut number = 0;
+    while start.elapsed() < REPEAT_TIME {
+        // Concurrent requests leave idle connections to the servers.
+        let harmless: Vec<String> = (0..30).map(|i| format!("n{number}-{i}")).collect();
+        let sends = harmless.iter().enumerate();
+        let sends = sends.map(|(i, id)| setup.send(i % 2, "/plain/x", id, id));
+        futures_util::future::join_all(sends).await;
+        let id = format!("p{number}");
+        setup.send(number % 2, "/plain/x", &id, "poison").await;
+        number += 1;
+    }
+    setup.assert_refused_in_time();
+}
