departures, crash_checks: judge the process that a request was sent to

Cause: whether a server crashed was answered by things that aren't the process that the request was sent to. A pooled connection that is still open, or a process that accepts connections at the address, counted as that server running; how a server left was kept by its id, so after a restart the end of the first process stood for the second one, whose crashes counted as planned ends. Class: state and evidence about a process kept under a name that the next process has too. Change: departures are kept by process (id, start time, address, software version); a process that is listed with the id or at the address of another shows that the other has ended. A probe that is accepted proves nothing; the entries decide, and the check looks at them at each change instead of every 500 ms. Open connections aren't asked. The late probe needs no rule of its own any more. A broken attempt at a server that lives is watched for 6 s instead of being dismissed; it costs one probe, as before.

--- a/daemon/src/router/connection_pool.rs
+++ b/daemon/src/router/connection_pool.rs
@@ -107,13 +107,6 @@
         }
     }
 
-    /// Returns whether an idle connection to a server is still open, which shows that the server runs.
-    pub(crate) fn has_open(&self, server: &str) -> bool {
-        let idle = locks::lock(&self.idle);
-        let list = idle.get(server);
-        list.is_some_and(|list| list.iter().any(|entry| !entry.connection.tx.is_closed()))
-    }
-
     /// Closes all idle connections to a server.
     pub(crate) fn close_all(&self, server: &str) {
         locks::lock(&self.idle).remove(server);
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -75,8 +75,10 @@
     pub(crate) registered: tokio::sync::Notify,
     /// Signalled when another host has a newer configuration than this one.
     pub(crate) table_outdated: tokio::sync::Notify,
-    /// How backend servers left the view.
+    /// How processes of backend servers left the view.
     pub(crate) departures: sync::Mutex<departures::Departures>,
+    /// Wakes crash checks after `departures` has changed.
+    pub(crate) departures_changed: tokio::sync::Notify,
     /// Takes the requests that servers didn't answer, to check whether they crashed.
     pub(crate) crash_checks: crash_checks::Sender,
     /// Marks of requests that were in flight when backend servers crashed.
@@ -145,6 +147,7 @@
             registered: tokio::sync::Notify::new(),
             table_outdated: tokio::sync::Notify::new(),
             departures: sync::Mutex::default(),
+            departures_changed: tokio::sync::Notify::new(),
             crash_checks,
             crash_marks: sync::Mutex::default(),
             crash_marks_changed: tokio::sync::Notify::new(),
--- a/daemon/src/router/crash_checks.rs
+++ b/daemon/src/router/crash_checks.rs
@@ -23,22 +23,21 @@
 const SECOND_PROBE_DELAY: time::Duration = time::Duration::from_secs(1);
 /// Longest time for a probe's connection attempt.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
-/// How long the entry of a server that may have crashed is watched. Entries lapse after three heartbeats
-/// of about a second.
+/// How long the entries of the store are watched for the end of a process that may have crashed. Entries
+/// lapse after three heartbeats of about a second.
 const ENTRY_WATCH_TIME: time::Duration = time::Duration::from_secs(6);
-/// How often such an entry is looked at.
-const ENTRY_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
 /// Sends failed attempts to the task that checks them.
 pub(crate) type Sender = tokio::sync::mpsc::UnboundedSender<Suspicion>;
 /// Receives them.
 pub(crate) type Receiver = tokio::sync::mpsc::UnboundedReceiver<Suspicion>;
 
-/// A server that may have crashed with content in flight.
+/// A server process that may have crashed with content in flight.
 #[derive(Debug)]
 pub(crate) struct Suspicion {
     server: sync::Arc<backends::Backend>,
     digest: u64,
+    sent_at: time::Duration,
     attempt_broke: bool,
 }
 
@@ -50,15 +49,23 @@
     checks: Option<Sender>,
     server: sync::Arc<backends::Backend>,
     digest: u64,
+    sent_at: time::Duration,
     broke: bool,
 }
 
 impl Attempt {
-    pub(crate) fn new(checks: &Sender, server: &sync::Arc<backends::Backend>, digest: u64) -> Self {
+    /// Records a request that is sent now. `sent_at` is the time since boot.
+    pub(crate) fn new(
+        checks: &Sender,
+        server: &sync::Arc<backends::Backend>,
+        digest: u64,
+        sent_at: time::Duration,
+    ) -> Self {
         Self {
             checks: Some(checks.clone()),
             server: server.clone(),
             digest,
+            sent_at,
             broke: false,
         }
     }
@@ -82,6 +89,7 @@
         let suspicion = Suspicion {
             server: self.server.clone(),
             digest: self.digest,
+            sent_at: self.sent_at,
             attempt_broke: self.broke,
         };
         // Fails only while the process ends.
@@ -102,67 +110,66 @@
     });
 }
 
-/// Checks one server, and marks the content if the server crashed.
+/// Checks one server process, and marks the content if it crashed.
 async fn check<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     suspicion: Suspicion,
     guard: context::InFlightGuard<D>,
 ) {
     let server = &suspicion.server;
+    let process = server.process();
     let attempt = departures::FailedAttempt {
+        sent_at: suspicion.sent_at,
         ended_at: cx.now(),
         broke: suspicion.attempt_broke,
     };
     tokio::time::sleep(PROBE_DELAY).await;
-    let mut probed_at = cx.now();
     let mut result = probe(cx, server).await;
-    let mut verdict = judge(cx, server, attempt, result, probed_at);
+    let mut verdict = judge(cx, &process, attempt, result);
     if verdict == departures::Verdict::Unknown {
         drop(guard);
-        tokio::time::sleep(SECOND_PROBE_DELAY).await;
-        probed_at = cx.now();
-        result = probe(cx, server).await;
-        verdict = judge(cx, server, attempt, result, probed_at);
+        if !attempt.broke {
+            tokio::time::sleep(SECOND_PROBE_DELAY).await;
+            result = probe(cx, server).await;
+        }
     }
     let watch_until = cx.now() + ENTRY_WATCH_TIME;
     while verdict == departures::Verdict::Unknown && cx.now() < watch_until {
-        tokio::time::sleep(ENTRY_CHECK_INTERVAL).await;
-        verdict = judge(cx, server, attempt, result, probed_at);
+        let changed = cx.departures_changed.notified();
+        verdict = judge(cx, &process, attempt, result);
+        if verdict == departures::Verdict::Unknown {
+            let left = watch_until.saturating_sub(cx.now());
+            let _ = tokio::time::timeout(left, changed).await;
+        }
     }
     event!(Info, "crash-check", "digest" => crash_marks::hex(suspicion.digest), "server" => server.id,
-        "born" => server.started_unix_ms, "address" => server.addr, "broke" => attempt.broke, "probe" => format!("{result:?}"), "verdict" => format!("{verdict:?}"),
+        "born" => server.started_unix_ms, "address" => server.addr, "broke" => attempt.broke,
+        "probe" => format!("{result:?}"), "verdict" => format!("{verdict:?}"),
         "took_ms" => cx.now().saturating_sub(attempt.ended_at).as_millis() as u64);
     if verdict == departures::Verdict::Crashed {
-        // The start time is part of the name: a server that restarts under its id and crashes again
-        // counts twice.
-        let born = server.started_unix_ms.unwrap_or(0);
-        let name = ids::Name::from(format!("{}@{born}", server.id));
+        let name = ids::Name::from(process.to_string());
         crash_marks::record_crash(cx, suspicion.digest, &name);
     }
 }
 
 fn judge<D: dialect::Dialect>(
     cx: &context::Router<D>,
-    server: &backends::Backend,
+    process: &backends::Process,
     attempt: departures::FailedAttempt,
     probe: departures::Probe,
-    probed_at: time::Duration,
 ) -> departures::Verdict {
-    let departure = locks::lock(&cx.departures).get(&server.id);
-    departures::judge(attempt, probe, probed_at, departure)
+    let departure = locks::lock(&cx.departures).get(process);
+    departures::judge(attempt, probe, departure)
 }
 
-/// Tries to reach a server. An idle connection that is still open shows as well that it runs.
+/// Tries to reach a server on a new connection: one that is open already may have lost its process unnoticed.
 async fn probe<D: dialect::Dialect>(
     cx: &context::Router<D>,
     server: &backends::Backend,
 ) -> departures::Probe {
-    if cx.connection_pool.has_open(&server.id) {
-        return departures::Probe::Reachable;
-    }
     cx.telemetry.count("server.connections");
     match connection_pool::connect(server.addr, PROBE_TIMEOUT).await {
-        Ok(_) => departures::Probe::Reachable,
+        Ok(_) => departures::Probe::Accepted,
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
             departures::Probe::Refused
         }
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -53,7 +53,7 @@
 
 /// How the wait for a server's answer ended.
 enum Awaited<D: dialect::Dialect> {
-    Answer(DecodeAnswer<D>),
+    Answer(Box<DecodeAnswer<D>>),
     /// The server was silent, and the request is to be sent to this other one instead.
     Replaced(engine_prepare::PreparedServer<D>),
 }
@@ -120,7 +120,7 @@
         self.count_attempt();
         let sending = self.send_decode(&server, connection, kv_cache);
         let answered = match self.wait_for_answer(&server, sending).await {
-            Awaited::Answer(answered) => answered,
+            Awaited::Answer(answered) => *answered,
             Awaited::Replaced(other) => return Ok(DecodeResult::Replaced(other)),
         };
         match self.read_decode_answer(&server, answered).await? {
@@ -157,7 +157,7 @@
         if answered.response.is_ok() {
             self.end_silence(server);
         }
-        Awaited::Answer(answered)
+        Awaited::Answer(Box::new(answered))
     }
 
     /// Continues a stopped run on a server with the run's KV cache. It is the same run, so it
@@ -175,7 +175,7 @@
         self.count_retry();
         let sending = self.send_decode(server, connection, Some(kv_cache));
         let answered = match self.wait_for_answer(server, sending).await {
-            Awaited::Answer(answered) => answered,
+            Awaited::Answer(answered) => *answered,
             Awaited::Replaced(other) => return Ok(Resumed::Replaced(other)),
         };
         match self.read_decode_answer(server, answered).await {
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -254,7 +254,7 @@
             sent = &mut sending => sent,
             () = tokio::time::sleep(silent_at.saturating_sub(cx.now())), if silent_at < self.deadline => {
                 is_silent = true;
-                self.record_silence(server);
+                self.record_silence(server, started);
                 silence.notify_one();
                 sending.await
             }
@@ -312,13 +312,14 @@
 
     /// Records that a server hasn't begun to answer in the usual time. It may have crashed without breaking
     /// the connection, which is found out at once, not only when the send ends.
-    fn record_silence(&self, server: &sync::Arc<backends::Backend>) {
+    fn record_silence(&self, server: &sync::Arc<backends::Backend>, sent_at: time::Duration) {
         let cx = self.cx;
         locks::lock(&cx.health).record_silence(&server.id, cx.now());
         drop(crash_checks::Attempt::new(
             &cx.crash_checks,
             server,
             self.received.digest,
+            sent_at,
         ));
         event!(Info, "server-silent", "id" => self.id(), "server" => server.id);
     }
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -114,7 +114,7 @@
         .body(Full::new(req.body.clone()))
         .map_err(|_| failure(outcome::Outcome::NeverWritten, "request can't be built"))?;
     *message.headers_mut() = cx.dialect.server_headers(&req.headers, params);
-    let mut attempt = crash_checks::Attempt::new(&cx.crash_checks, server, req.digest);
+    let mut attempt = crash_checks::Attempt::new(&cx.crash_checks, server, req.digest, cx.now());
     let answer = tokio::time::timeout(timeout, connection.tx.try_send_request(message)).await;
     let response = match answer {
         Err(_) => return Err(failure(outcome::Outcome::Silent, "no answer in time")),
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -349,6 +349,7 @@
         backends::Change::Vanished(server) => ("vanished", server),
     };
     locks::lock(&cx.departures).record(&change, cx.now());
+    cx.departures_changed.notify_waiters();
     locks::lock(&cx.served_versions).record(&change, cx.now());
     event!(Info, "server", "server" => server.id, "change" => change_name, "service" => server.service,
         "address" => server.addr, "stage" => server.stage.map(|stage| format!("{stage:?}")),
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -5,6 +5,7 @@
 //! without notice remains a last resort for a short time, used only if its service has no other server.
 
 use std::collections;
+use std::fmt;
 use std::net;
 use std::sync;
 use std::time;
@@ -50,6 +51,46 @@
     pub version: sync::Arc<str>,
 }
 
+/// A server process, from its start to its end. The one that takes its place may have its id, its address, or
+/// both, but not the same start time.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Process {
+    /// The server's id.
+    pub id: sync::Arc<str>,
+    /// When it started, in Unix milliseconds, if its entry says so.
+    pub started_unix_ms: Option<u64>,
+    /// The address it listens on.
+    pub addr: net::SocketAddr,
+    /// The version of its software.
+    pub version: sync::Arc<str>,
+}
+
+impl Process {
+    /// Returns whether the process is known to have started before another one.
+    pub fn started_before(&self, other: &Self) -> bool {
+        let started = self.started_unix_ms.zip(other.started_unix_ms);
+        started.is_some_and(|(own, other)| own < other)
+    }
+}
+
+impl fmt::Display for Process {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.id, self.started_unix_ms.unwrap_or(0))
+    }
+}
+
+impl Backend {
+    /// Returns the process that the entry describes.
+    pub fn process(&self) -> Process {
+        Process {
+            id: self.id.clone(),
+            started_unix_ms: self.started_unix_ms,
+            addr: self.addr,
+            version: self.version.clone(),
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Tracked {
     backend: sync::Arc<Backend>,
@@ -130,10 +171,7 @@
         let Some(old) = old else {
             return Some(Change::Joined(backend));
         };
-        if old.backend.started_unix_ms != backend.started_unix_ms
-            || old.backend.addr != backend.addr
-            || old.backend.version != backend.version
-        {
+        if old.backend.process() != backend.process() {
             return Some(Change::Restarted(backend));
         }
         if old.last_resort_until.is_none() && old.backend == backend {
--- a/lib/src/departures.rs
+++ b/lib/src/departures.rs
@@ -1,8 +1,10 @@
-//! How servers left the view: with notice, as a server does that shuts down, or without.
+//! How server processes left the view: with notice, as one does that shuts down, or without.
 //!
-//! Tells a crash from a planned end when a request's answer breaks off.
+//! Tells a crash from a planned end when a request's answer breaks off. Processes that follow each other may
+//! have the same id, the same address, or both, so what one of them did says nothing about another one.
 
 use std::collections;
+use std::net;
 use std::sync;
 use std::time;
 
@@ -11,112 +13,152 @@
 /// How long a departure is remembered.
 const REMEMBERED_FOR: time::Duration = time::Duration::from_secs(30);
 
-/// A server's departure from the view.
+/// How a process left the view.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// It announced its end by draining.
+    Drained,
+    /// Its entry vanished without notice.
+    Vanished,
+    /// Another process has its id or its address, so that it had ended before.
+    Replaced,
+}
+
+/// A process's departure from the view.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Departure {
-    /// When the server began to drain, or its entry vanished, as time since boot.
+    /// When this host learned of it, as time since boot.
     pub at: time::Duration,
-    /// Whether the server announced it by draining.
-    pub announced: bool,
+    /// How the process left.
+    pub way: Way,
 }
 
-/// The recent departures, by the id of the server.
+/// The recent departures, by process.
 #[derive(Debug, Default)]
 pub struct Departures {
-    by_id: collections::BTreeMap<sync::Arc<str>, Departure>,
+    departed: collections::BTreeMap<backends::Process, Departure>,
+    /// The newest process that was listed with each id.
+    by_id: collections::BTreeMap<sync::Arc<str>, backends::Process>,
+    /// The newest process that was listed at each address.
+    by_addr: collections::BTreeMap<net::SocketAddr, backends::Process>,
 }
 
 impl Departures {
     /// Records a change of the view.
     pub fn record(&mut self, change: &backends::Change, now: time::Duration) {
-        self.by_id
+        self.departed
             .retain(|_, departure| now.saturating_sub(departure.at) < REMEMBERED_FOR);
-        let (server, departure) = match change {
-            backends::Change::Updated(server) | backends::Change::Joined(server) => {
-                (server, server.draining.then_some(true))
-            }
-            // The process that had the id before has ended.
-            backends::Change::Restarted(server) => (server, Some(false)),
-            backends::Change::Vanished(server) => (server, Some(server.draining)),
-        };
-        match departure {
-            None => {
-                self.by_id.remove(&server.id);
+        match change {
+            backends::Change::Joined(server)
+            | backends::Change::Updated(server)
+            | backends::Change::Restarted(server) => self.record_listed(server, now),
+            backends::Change::Vanished(server) => {
+                let process = server.process();
+                if self.by_id.get(&process.id) == Some(&process) {
+                    self.by_id.remove(&process.id);
+                }
+                if self.by_addr.get(&process.addr) == Some(&process) {
+                    self.by_addr.remove(&process.addr);
+                }
+                let way = match server.draining {
+                    true => Way::Drained,
+                    false => Way::Vanished,
+                };
+                self.record_departed(process, way, now);
             }
-            Some(announced) => {
-                let departure = Departure { at: now, announced };
-                self.by_id.entry(server.id.clone()).or_insert(departure);
+        }
+    }
+
+    /// Records that a process is listed, which shows that the one before it has ended.
+    fn record_listed(&mut self, server: &backends::Backend, now: time::Duration) {
+        let process = server.process();
+        let of_id = self.by_id.get(&process.id).cloned();
+        let at_addr = self.by_addr.get(&process.addr).cloned();
+        let others = of_id.into_iter().chain(at_addr);
+        let others: Vec<_> = others.filter(|other| *other != process).collect();
+        // A store that lags, or was restored, may list a process that has ended.
+        if others.iter().any(|other| process.started_before(other)) {
+            self.record_departed(process, Way::Replaced, now);
+            return;
+        }
+        for other in others {
+            self.record_departed(other, Way::Replaced, now);
+        }
+        self.by_id.insert(process.id.clone(), process.clone());
+        self.by_addr.insert(process.addr, process.clone());
+        match server.draining {
+            true => self.record_departed(process, Way::Drained, now),
+            false => {
+                self.departed.remove(&process);
             }
         }
     }
 
-    /// Returns how a server left the view, or `None` if it hasn't.
-    pub fn get(&self, id: &str) -> Option<Departure> {
-        self.by_id.get(id).copied()
+    /// Records a departure unless the process had left before.
+    fn record_departed(&mut self, process: backends::Process, way: Way, now: time::Duration) {
+        let departure = Departure { at: now, way };
+        self.departed.entry(process).or_insert(departure);
+    }
+
+    /// Returns how a process left the view, or `None` if it hasn't.
+    pub fn get(&self, process: &backends::Process) -> Option<Departure> {
+        self.departed.get(process).copied()
     }
 }
 
 /// The end of a request to a server that brought no complete answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FailedAttempt {
+    /// When the request was sent, as time since boot.
+    pub sent_at: time::Duration,
     /// When the attempt ended, as time since boot.
     pub ended_at: time::Duration,
     /// Whether the server broke the connection. Otherwise it was silent, or the caller left.
     pub broke: bool,
 }
 
-/// What an attempt to connect to the server shows after a failed attempt.
+/// What an attempt to connect to the server's address shows after a failed attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Probe {
-    /// The server accepts connections, or answers on open ones.
-    Reachable,
+    /// A process accepts connections: the server, or the one that was started in its place.
+    Accepted,
     /// The connection was refused: no process listens.
     Refused,
     /// No connection could be opened.
     Unreachable,
 }
 
-/// Whether a server crashed during a failed attempt.
+/// Whether a server process crashed during a failed attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
     /// It crashed.
     Crashed,
-    /// It runs, or ended as planned.
+    /// It ended as planned.
     NotCrashed,
-    /// Only its entry in the store can tell: it crashed if the entry vanishes without notice.
+    /// Only the entries in the store can tell: it crashed if its own vanishes without notice, or if another
+    /// process takes its place.
     Unknown,
 }
 
 /// How long a server goes on serving after it announced its end, or its entry was removed instead.
 const SERVES_AFTER_NOTICE: time::Duration = backends::LAST_RESORT_FOR;
-/// A server that is reachable this long after the attempt may have restarted since.
-const MAX_PROBE_DELAY: time::Duration = time::Duration::from_secs(1);
 
-/// Judges whether a server crashed, from a probe at `probed_at` (time since boot) and from how the server
-/// left the view, if it did.
-pub fn judge(
-    attempt: FailedAttempt,
-    probe: Probe,
-    probed_at: time::Duration,
-    departure: Option<Departure>,
-) -> Verdict {
-    let late = probed_at.saturating_sub(attempt.ended_at) > MAX_PROBE_DELAY;
-    // A server that broke nothing may crash after the caller has left.
-    if probe == Probe::Reachable && attempt.broke && !late {
-        return Verdict::NotCrashed;
-    }
+/// Judges whether a server process crashed, from a probe and from how the process left the view, if it did.
+pub fn judge(attempt: FailedAttempt, probe: Probe, departure: Option<Departure>) -> Verdict {
     if let Some(departure) = departure {
         let after_notice = attempt.ended_at > departure.at + SERVES_AFTER_NOTICE;
-        if after_notice && (departure.announced || attempt.broke) {
-            return Verdict::NotCrashed;
-        }
-        if !departure.announced {
-            return Verdict::Crashed;
+        match departure.way {
+            Way::Drained if after_notice => return Verdict::NotCrashed,
+            Way::Vanished if after_notice && attempt.broke => return Verdict::NotCrashed,
+            Way::Vanished => return Verdict::Crashed,
+            Way::Replaced if attempt.sent_at <= departure.at => return Verdict::Crashed,
+            // The request was sent to the process that took the place of this one.
+            Way::Drained | Way::Replaced => {}
         }
     }
     match probe {
         Probe::Refused => Verdict::Crashed,
         Probe::Unreachable if attempt.broke => Verdict::Crashed,
-        _ => Verdict::Unknown,
+        Probe::Accepted | Probe::Unreachable => Verdict::Unknown,
     }
 }
