crash_marks: don't send content on while servers that may have crashed by it are checked

Callers saw: other callers' requests lost with server after server, as content was sent on while the checks of its crashes were still under way. Cause: only concluded crashes counted. Evidence: content_is_not_sent_on_while_its_crashes_are_checked, red before (all ten requests sent, 502 instead of 503). Change: checks of attempts that the server broke off count with the marks until they are concluded; from three on the content is refused with a Retry-After of 1 s. A success clears them (content_is_sent_on_after_it_was_answered). After: three servers crash, the eleventh request is told to come back in 1 s, other content is served. Counted at each host for itself.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -80,7 +80,7 @@
     /// Wakes crash checks after `departures` has changed.
     pub(crate) departures_changed: tokio::sync::Notify,
     /// Takes the requests that servers didn't answer, to check whether they crashed.
-    pub(crate) crash_checks: crash_checks::Sender,
+    pub(crate) crash_checks: crash_checks::Checks,
     /// Marks of requests that were in flight when backend servers crashed.
     pub(crate) crash_marks: sync::Mutex<crash_marks::CrashMarks>,
     /// Wakes waiting requests after a mark has changed.
@@ -116,13 +116,13 @@
 }
 
 impl<D: dialect::Dialect> Router<D> {
-    /// Creates the state of a host that has just started. `crash_checks` is read by the task that checks
-    /// servers.
+    /// Creates the state of a host that has just started. `crash_checks` takes failed attempts for the task
+    /// that checks servers.
     pub(crate) fn new(
         dialect: D,
         settings: settings::Settings,
         clock: clock::BootClock,
-        crash_checks: crash_checks::Sender,
+        crash_checks: crash_checks::Checks,
     ) -> Self {
         let id = ids::HostId {
             name: settings.name.clone(),
--- a/daemon/src/router/crash_checks.rs
+++ b/daemon/src/router/crash_checks.rs
@@ -1,5 +1,6 @@
 //! Finds out whether a server crashed when a request to it brought no complete answer.
 
+use std::collections;
 use std::io;
 use std::sync;
 use std::time;
@@ -27,18 +28,75 @@
 /// lapse after three heartbeats of about a second.
 const ENTRY_WATCH_TIME: time::Duration = time::Duration::from_secs(6);
 
-/// Sends failed attempts to the task that checks them.
-pub(crate) type Sender = tokio::sync::mpsc::UnboundedSender<Suspicion>;
-/// Receives them.
+/// Number of checks of each digest that aren't concluded, of attempts that the server broke off.
+type OpenChecks = sync::Arc<sync::Mutex<collections::HashMap<u64, usize>>>;
+
+/// Takes failed attempts, to check whether their servers crashed.
+#[derive(Clone, Debug)]
+pub(crate) struct Checks {
+    tx: tokio::sync::mpsc::UnboundedSender<Suspicion>,
+    open: OpenChecks,
+}
+
+/// Receives the failed attempts.
 pub(crate) type Receiver = tokio::sync::mpsc::UnboundedReceiver<Suspicion>;
 
+impl Checks {
+    pub(crate) fn new() -> (Self, Receiver) {
+        let (tx, rx) = tokio::sync::mpsc::unbounded_channel();
+        let open = OpenChecks::default();
+        (Self { tx, open }, rx)
+    }
+
+    /// Returns how many servers may have crashed by content, as far as that isn't known yet.
+    pub(crate) fn open_count(&self, digest: u64) -> usize {
+        locks::lock(&self.open).get(&digest).copied().unwrap_or(0)
+    }
+
+    /// Stops counting the open checks of content that got a complete answer.
+    pub(crate) fn clear_open(&self, digest: u64) {
+        locks::lock(&self.open).remove(&digest);
+    }
+}
+
+/// Counts a check as open until it is dropped.
+#[derive(Debug)]
+struct OpenCheck {
+    open: OpenChecks,
+    digest: u64,
+}
+
+impl OpenCheck {
+    fn new(open: &OpenChecks, digest: u64) -> Self {
+        *locks::lock(open).entry(digest).or_default() += 1;
+        Self {
+            open: open.clone(),
+            digest,
+        }
+    }
+}
+
+impl Drop for OpenCheck {
+    fn drop(&mut self) {
+        let mut open = locks::lock(&self.open);
+        // Gone if the content got an answer meanwhile.
+        if let Some(count) = open.get_mut(&self.digest) {
+            *count -= 1;
+            if *count == 0 {
+                open.remove(&self.digest);
+            }
+        }
+    }
+}
+
 /// A server process that may have crashed with content in flight.
 #[derive(Debug)]
 pub(crate) struct Suspicion {
     server: sync::Arc<backends::Backend>,
     digest: u64,
     sent_at: time::Duration,
-    attempt_broke: bool,
+    /// Set if the server broke the connection.
+    open_check: Option<OpenCheck>,
 }
 
 /// A request that was sent to a server. Unless it is answered, dropping it has the server checked for a
@@ -46,7 +104,7 @@
 #[derive(Debug)]
 pub(crate) struct Attempt {
     /// Where to report the attempt; `None` once the request was answered.
-    checks: Option<Sender>,
+    checks: Option<Checks>,
     server: sync::Arc<backends::Backend>,
     digest: u64,
     sent_at: time::Duration,
@@ -56,7 +114,7 @@
 impl Attempt {
     /// Records a request that is sent now. `sent_at` is the time since boot.
     pub(crate) fn new(
-        checks: &Sender,
+        checks: &Checks,
         server: &sync::Arc<backends::Backend>,
         digest: u64,
         sent_at: time::Duration,
@@ -86,14 +144,17 @@
         let Some(checks) = self.checks.take() else {
             return;
         };
+        let open_check = self
+            .broke
+            .then(|| OpenCheck::new(&checks.open, self.digest));
         let suspicion = Suspicion {
             server: self.server.clone(),
             digest: self.digest,
             sent_at: self.sent_at,
-            attempt_broke: self.broke,
+            open_check,
         };
         // Fails only while the process ends.
-        let _ = checks.send(suspicion);
+        let _ = checks.tx.send(suspicion);
     }
 }
 
@@ -121,7 +182,7 @@
     let attempt = departures::FailedAttempt {
         sent_at: suspicion.sent_at,
         ended_at: cx.now(),
-        broke: suspicion.attempt_broke,
+        broke: suspicion.open_check.is_some(),
     };
     tokio::time::sleep(PROBE_DELAY).await;
     let mut result = probe(cx, server).await;
@@ -150,6 +211,8 @@
         let name = ids::Name::from(process.to_string());
         crash_marks::record_crash(cx, suspicion.digest, &name);
     }
+    // From here on the mark counts instead.
+    drop(suspicion.open_check);
 }
 
 fn judge<D: dialect::Dialect>(
--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -14,7 +14,6 @@
 use walnuthaven_lib::ids;
 use walnuthaven_lib::outcome;
 use walnuthaven_lib::quarantine;
-use walnuthaven_lib::refusal;
 use walnuthaven_lib::stored_marks;
 use walnuthaven_wire::news;
 
@@ -37,6 +36,10 @@
 const CRASHES_RETRY_AFTER: time::Duration = time::Duration::from_secs(60);
 /// What a refused caller is told.
 const REFUSAL: &str = "this request crashed several servers";
+/// Retry-After of requests that may have crashed servers. Most checks have ended by then.
+const CHECKS_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// What a caller is told whose request may have crashed servers.
+const CHECKS_REFUSAL: &str = "this request may have crashed several servers";
 /// How long a host that has a configuration refuses requests because it hasn't read the marks. Afterwards
 /// the store is in trouble, and requests that crash servers are rarer than others.
 const READ_TIMEOUT: time::Duration = time::Duration::from_secs(3);
@@ -133,6 +136,7 @@
 
 /// Lifts the mark of content that got a complete answer, which shows that it doesn't crash servers.
 pub(crate) fn lift_mark<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) {
+    cx.crash_checks.clear_open(digest);
     let lifted = locks::lock(&cx.crash_marks).table.lift(digest);
     if let Some(mark) = lifted {
         event!(Info, "content-cleared", "digest" => hex(digest), "cleared" => mark.cleared.len());
@@ -159,68 +163,107 @@
     cx.crash_marks_changed.notify_waiters();
 }
 
-/// Checks whether content may be sent to servers.
-///
-/// # Errors
-///
-/// Refuses content that crashed several servers.
-pub(crate) fn check<D: dialect::Dialect>(
-    cx: &context::Router<D>,
-    digest: u64,
-) -> Result<(), refusal::Refusal> {
+/// Whether content may be sent to servers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Standing {
+    /// It may.
+    Allowed,
+    /// Not until the checks of its failed attempts have ended: it may have crashed several servers.
+    Suspected,
+    /// It crashed several servers.
+    Refused,
+}
+
+fn standing<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) -> Standing {
     let unix_time = cx.unix_time();
-    locks::lock(&cx.crash_marks).table.check(digest, unix_time)
+    let marks = locks::lock(&cx.crash_marks);
+    let suspected = cx.crash_checks.open_count(digest);
+    if marks.table.refuses(digest, unix_time) {
+        Standing::Refused
+    } else if marks.table.refuses_with(digest, suspected, unix_time) {
+        Standing::Suspected
+    } else {
+        Standing::Allowed
+    }
+}
+
+/// Returns whether content may not be sent to servers.
+pub(crate) fn refuses<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) -> bool {
+    standing(cx, digest) != Standing::Allowed
 }
 
 /// Checks content right before a send: it may have crashed servers since its request arrived.
 ///
 /// # Errors
 ///
-/// Refuses content that crashed several servers.
+/// Refuses content that crashed several servers, or may have.
 pub(crate) fn check_send<D: dialect::Dialect>(
     cx: &context::Router<D>,
     req: &send::CallerRequest,
     server: &str,
 ) -> Result<(), send::SendFailure> {
-    let (refused, suspect) = {
-        let unix_time = cx.unix_time();
-        let marks = locks::lock(&cx.crash_marks);
-        let refused = marks.table.refuses(req.digest, unix_time);
-        (refused, marks.table.is_suspect(req.digest, unix_time))
+    let cause = match standing(cx, req.digest) {
+        Standing::Allowed => {
+            log_suspect(cx, req, server);
+            return Ok(());
+        }
+        Standing::Suspected => CHECKS_REFUSAL,
+        Standing::Refused => REFUSAL,
     };
-    if refused {
-        cx.telemetry.count("crash_marks.sends_refused");
-        let outcome = outcome::Outcome::Quarantined;
-        let cause = REFUSAL;
-        return Err(send::SendFailure { outcome, cause });
-    }
-    if suspect {
+    cx.telemetry.count("crash_marks.sends_refused");
+    let outcome = outcome::Outcome::Quarantined;
+    Err(send::SendFailure { outcome, cause })
+}
+
+/// Logs that marked content is sent to a server.
+fn log_suspect<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+    server: &str,
+) {
+    let is_suspect = locks::lock(&cx.crash_marks)
+        .table
+        .is_suspect(req.digest, cx.unix_time());
+    if is_suspect {
         cx.telemetry.count("crash_marks.suspects_sent");
         event!(Info, "suspect-sent", "id" => req.head.request_id, "digest" => hex(req.digest),
             "server" => server);
     }
-    Ok(())
 }
 
 /// Waits until content may not be sent to servers any more.
 pub(crate) async fn wait_until_refused<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) {
     loop {
         let changed = cx.crash_marks_changed.notified();
-        if check(cx, digest).is_err() {
+        if refuses(cx, digest) {
             return;
         }
         changed.await;
     }
 }
 
-/// Logs that a request is refused, or not continued, because its content crashed several servers.
-pub(crate) fn log_refusal(id: &str, digest: u64) {
-    event!(Info, "refused", "id" => id, "cause" => "crashes servers", "digest" => hex(digest));
+/// Logs that a request is refused, or not continued, because its content crashed several servers or may have.
+pub(crate) fn log_refusal<D: dialect::Dialect>(cx: &context::Router<D>, id: &str, digest: u64) {
+    let marked = locks::lock(&cx.crash_marks)
+        .table
+        .check(digest, cx.unix_time());
+    event!(Info, "refused", "id" => id, "cause" => "crashes servers", "digest" => hex(digest),
+        "marked" => marked.err().map(|refusal| refusal.message),
+        "open_checks" => cx.crash_checks.open_count(digest));
 }
 
-/// Makes the answer to a request that crashed several servers and wasn't sent to any.
-pub(crate) fn refusal_answer() -> answer::Answer {
-    answer::not_run(REFUSAL, CRASHES_RETRY_AFTER)
+/// Makes the answer to a request that wasn't sent to any server, because its content crashed several or may have.
+pub(crate) fn refusal_answer<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    digest: u64,
+) -> answer::Answer {
+    match standing(cx, digest) {
+        Standing::Refused => answer::not_run(REFUSAL, CRASHES_RETRY_AFTER),
+        // The checks may have ended since the request was refused.
+        Standing::Suspected | Standing::Allowed => {
+            answer::not_run(CHECKS_REFUSAL, CHECKS_RETRY_AFTER)
+        }
+    }
 }
 
 /// Returns marks for a news message to the other hosts.
--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -66,7 +66,7 @@
                     }
                 },
                 () = crash_marks::wait_until_refused(&self.cx, self.received.digest) => {
-                    crash_marks::log_refusal(self.id(), self.received.digest);
+                    crash_marks::log_refusal(&self.cx, self.id(), self.received.digest);
                     return Err(stream_request::OpenFailure::Quarantined);
                 }
             };
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -307,7 +307,7 @@
         was_prefill: bool,
     ) -> Result<(), stream_request::OpenFailure> {
         if failure.outcome == outcome::Outcome::Quarantined {
-            crash_marks::log_refusal(self.id(), self.received.digest);
+            crash_marks::log_refusal(&self.cx, self.id(), self.received.digest);
             return Err(stream_request::OpenFailure::Quarantined);
         }
         let now = self.cx.now();
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -153,10 +153,9 @@
         );
     };
     let digest = digest(caller, &parts.uri, &body);
-    if let Err(refusal) = crash_marks::check(cx, digest) {
-        event!(Info, "refused", "id" => id, "cause" => "crashes servers",
-            "digest" => crash_marks::hex(digest), "marked" => refusal.message);
-        return crash_marks::refusal_answer();
+    if crash_marks::refuses(cx, digest) {
+        crash_marks::log_refusal(cx, id.as_deref().unwrap_or("-"), digest);
+        return crash_marks::refusal_answer(cx, digest);
     }
     let received = send::CallerRequest {
         method: parts.method,
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -167,8 +167,8 @@
         if progress.may_have_run {
             return self.give_up(progress);
         }
-        crash_marks::log_refusal(self.id(), self.received.digest);
-        crash_marks::refusal_answer()
+        crash_marks::log_refusal(self.cx, self.id(), self.received.digest);
+        crash_marks::refusal_answer(self.cx, self.received.digest)
     }
 
     /// Makes the answer after the last send failed with `cause`, if `next` would follow it.
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -70,8 +70,8 @@
     // Handlers are installed first: until then a signal kills the process.
     let hangup = unix::signal(unix::SignalKind::hangup())?;
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-    let (crash_checks_tx, crash_checks_rx) = tokio::sync::mpsc::unbounded_channel();
-    let cx = context::Router::new(dialect, settings, clock::BootClock, crash_checks_tx);
+    let (crash_checks, crash_checks_rx) = crash_checks::Checks::new();
+    let cx = context::Router::new(dialect, settings, clock::BootClock, crash_checks);
     let cx = sync::Arc::new(cx);
     let settings = cx.settings();
     let endpoints = [
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -310,7 +310,9 @@
     pub(crate) fn failure_answer(&self, failure: OpenFailure) -> answer::Answer {
         match failure {
             OpenFailure::Answer(answer) => *answer,
-            OpenFailure::Quarantined if !self.may_have_run => crash_marks::refusal_answer(),
+            OpenFailure::Quarantined if !self.may_have_run => {
+                crash_marks::refusal_answer(&self.cx, self.received.digest)
+            }
             OpenFailure::Quarantined => {
                 let cause = "the rest of the answer crashes servers";
                 answer::from_router(http::StatusCode::BAD_GATEWAY, cause)
--- a/daemon/tests/restarted_servers.rs
+++ b/daemon/tests/restarted_servers.rs
@@ -1,6 +1,7 @@
 //! Requests that crash servers which start again at their addresses.
 
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use walnuthaven_platform_standin::caller;
@@ -20,11 +21,14 @@
 /// Time that a machine takes to start a server again.
 const SLOW_RESTART: time::Duration = time::Duration::from_millis(3_400);
 
+/// Longer than a host takes to probe a server.
+const PROBE_TIME: time::Duration = time::Duration::from_millis(250);
+
 /// A store, two hosts, and supervised servers of the service `gate`.
 struct Setup {
     hosts: Vec<hosts::Host>,
     supervisor: sync::Arc<supervisor::Supervisor>,
-    _store: sync::Arc<store::Store>,
+    store: sync::Arc<store::Store>,
 }
 
 impl Setup {
@@ -44,7 +48,7 @@
         Self {
             hosts: hosts.into(),
             supervisor,
-            _store: store,
+            store,
         }
     }
 
@@ -159,3 +163,50 @@
     }
     setup.assert_refused_in_time();
 }
+
+// Until it is known whether servers crashed, the content must not be sent to ever more of them.
+#[tokio::test]
+async fn content_is_not_sent_on_while_its_crashes_are_checked() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: true,
+        delay: PROMPT_RESTART,
+    };
+    let setup = Setup::new(2, server::Fault::CrashOnPoison, policy).await;
+    // The entries of the servers tell nothing.
+    setup.store.silent.store(true, atomic::Ordering::Relaxed);
+    for number in 0..10 {
+        setup
+            .send(0, "/once/x", &format!("p{number}"), "poison")
+            .await;
+        tokio::time::sleep(PROBE_TIME).await;
+    }
+    let answer = setup.send(0, "/once/x", "q", "poison").await;
+    let told = (answer.status, answer.header("retry-after"));
+    assert_eq!(told, (503, Some("1.000")), "{answer:?}\n{}", setup.log());
+    let harmless = setup.send(0, "/once/x", "n", "pass").await;
+    assert_eq!(harmless.status, 200, "{harmless:?}");
+    let crashes = setup.supervisor.crashes();
+    assert_eq!(crashes, 3, "crashes\n{}", setup.log());
+}
+
+// A success shows that the content isn't what broke the attempts before.
+#[tokio::test]
+async fn content_is_sent_on_after_it_was_answered() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: true,
+        delay: PROMPT_RESTART,
+    };
+    let setup = Setup::new(1, server::Fault::CloseUnanswered, policy).await;
+    let server = setup.supervisor.servers()[0].clone();
+    for round in 0..3 {
+        server.set_fault(server::Fault::CloseUnanswered);
+        for number in 0..2 {
+            let id = format!("b{round}-{number}");
+            let answer = setup.send(0, "/once/x", &id, "pass").await;
+            assert_eq!(answer.status, 502, "{answer:?}");
+        }
+        server.set_fault(server::Fault::None);
+        let answer = setup.send(0, "/once/x", &format!("n{round}"), "pass").await;
+        assert_eq!(answer.status, 200, "{answer:?}\n{}", setup.log());
+    }
+}
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -255,6 +255,14 @@
         mark.is_some_and(|mark| self.is_refused(mark) && mark.expires > unix_now)
     }
 
+    /// Returns whether content may not run once `suspected` more servers turn out to have crashed by it.
+    pub fn refuses_with(&self, digest: u64, suspected: usize, unix_now: time::Duration) -> bool {
+        let mark = self.marks.get(&digest);
+        let unexpired = mark.filter(|mark| mark.expires > unix_now);
+        let crashed = unexpired.map_or(0, |mark| mark.servers().len());
+        crashed + suspected >= self.crash_threshold
+    }
+
     /// Returns whether a mark lists enough crashes for its content to be refused.
     pub fn is_refused(&self, mark: &CrashMark) -> bool {
         mark.crashed_at_least(self.crash_threshold)
