--- a/daemon/tests/fault_soak.rs
+++ b/daemon/tests/fault_soak.rs
@@ -268,6 +268,7 @@
 fn request(id: &str, repeatable: bool, status: u16, body: &str) -> history::SentRequest {
     history::SentRequest {
         id: id.to_owned(),
+        sent_at: time::Instant::now(),
         repeatable,
         stream: body.starts_with("id:"),
         answer: caller::Answer {
