send, relay: bound what servers send without end

Cause: four places trusted the server to end. Answers to the router's own calls were read whole, whatever their size; plain answers were bounded each (4 MiB) but not together; a stream counted as alive for any byte, and passed on events that weren't the answer's; interim responses were read for as long as they came, which kept the host's only thread busy (no answer within 6 s, where the limit is 3 s). Change: at most 256 KiB of an answer to a call and 512 KiB until the head of any answer; answers that are being read share a third of the process's memory; a stream makes progress only by events with new ids, is left after 1 MiB without any, and events without an id of a stream that another server may continue are held until the next one with an id. Found by the same tests, and in this commit because both change Attempt::set_broken: streams of one content that broke together at one server counted as several crashes (open_checks 3 in the log), so a caller's own repeats were refused. Attempts that overlap at a process now count once (concurrent_attempts_at_a_server_count_as_one_crash), and an attempt that the router itself cut doesn't count as broken off.

--- a/daemon/src/router/body_memory.rs
+++ b/daemon/src/router/body_memory.rs
@@ -1,19 +1,19 @@
-//! Limits the memory that request bodies take, over all requests in flight.
+//! Limits the memory that bodies take, over all requests in flight: those of requests, and those of answers.
 
 use std::sync;
 use std::sync::atomic;
 
-/// Request bodies may take the process's memory divided by this. The rest is for connections, the
-/// host's copies of stored objects, and answers.
+/// Bodies of requests may take the process's memory divided by this, and those of answers as much. The rest is
+/// for connections and the host's copies of stored objects.
 const MEMORY_DIVISOR: usize = 3;
 
-/// Counts the bytes reserved for request bodies.
+/// Counts the bytes reserved for bodies.
 #[derive(Debug, Default)]
 pub(crate) struct BodyMemory {
     reserved: atomic::AtomicUsize,
 }
 
-/// Memory reserved for one request body. Dropping it releases the memory.
+/// Memory reserved for one body or a part of it. Dropping it releases the memory.
 #[derive(Debug)]
 pub(crate) struct Reservation {
     memory: sync::Arc<BodyMemory>,
@@ -21,8 +21,8 @@
 }
 
 impl BodyMemory {
-    /// Reserves memory for a body of up to `bytes` bytes. Returns `None` if request bodies would
-    /// then exceed their part of the `process_memory` bytes.
+    /// Reserves memory for up to `bytes` bytes of a body. Returns `None` if all bodies would then exceed their
+    /// part of the `process_memory` bytes.
     pub(crate) fn reserve(
         self: &sync::Arc<Self>,
         bytes: usize,
--- a/daemon/src/router/connection_pool.rs
+++ b/daemon/src/router/connection_pool.rs
@@ -9,12 +9,15 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body;
+use hyper::client;
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use walnuthaven_lib::backends;
 
 use crate::locks;
 use crate::router::context;
+use crate::router::head_limit;
 
 /// How long a connection may be idle if the server's answer doesn't state a keep-alive time.
 const DEFAULT_IDLE_TIME: time::Duration = time::Duration::from_secs(4);
@@ -38,10 +41,32 @@
     pub(crate) tx: http1::SendRequest<Full<Bytes>>,
     /// Whether a request was sent on the connection before.
     pub(crate) reused: bool,
+    head_limit: head_limit::HeadLimit,
     /// Drives the connection's reads and writes.
     task: tokio::task::JoinHandle<()>,
 }
 
+impl Connection {
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks or brings something else, with the request if nothing of it was
+    /// sent.
+    pub(crate) async fn send(
+        &mut self,
+        message: http::Request<Full<Bytes>>,
+    ) -> Result<
+        http::Response<body::Incoming>,
+        client::conn::TrySendError<http::Request<Full<Bytes>>>,
+    > {
+        self.head_limit.start();
+        let response = self.tx.try_send_request(message).await;
+        self.head_limit.lift();
+        response
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -159,6 +184,7 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket2::SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
+    let (stream, head_limit) = head_limit::LimitedStream::new(stream);
     let io = rt::TokioIo::new(stream);
     let (tx, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
@@ -168,6 +194,7 @@
     Ok(Connection {
         tx,
         reused: false,
+        head_limit,
         task,
     })
 }
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -100,6 +100,8 @@
     pub(crate) stream_queries_due: tokio::sync::Notify,
     /// Which software versions have served.
     pub(crate) served_versions: sync::Mutex<served_versions::ServedVersions>,
+    /// The memory held by answers that are being read.
+    pub(crate) answer_memory: sync::Arc<body_memory::BodyMemory>,
     /// The memory held by request bodies.
     pub(crate) body_memory: sync::Arc<body_memory::BodyMemory>,
     /// This host's shares of the retry budgets, by service.
@@ -161,6 +163,7 @@
             stream_queries: sync::Mutex::default(),
             stream_queries_due: tokio::sync::Notify::new(),
             served_versions: sync::Mutex::default(),
+            answer_memory: sync::Arc::default(),
             body_memory: sync::Arc::default(),
             retry_budgets: retry_budget::RetryBudgets::new(clock.now()),
             connection_pool: connection_pool::Pool::default(),
--- a/daemon/src/router/crash_checks.rs
+++ b/daemon/src/router/crash_checks.rs
@@ -28,8 +28,31 @@
 /// lapse after three heartbeats of about a second.
 const ENTRY_WATCH_TIME: time::Duration = time::Duration::from_secs(6);
 
-/// Number of checks of each digest that aren't concluded, of attempts that the server broke off.
-type OpenChecks = sync::Arc<sync::Mutex<collections::HashMap<u64, usize>>>;
+/// Checks that aren't concluded, by digest, of attempts that the server broke off.
+type OpenChecks = sync::Arc<sync::Mutex<collections::HashMap<u64, Vec<BrokenAttempt>>>>;
+
+/// An attempt that a server broke off. Times are times since boot.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct BrokenAttempt {
+    process: backends::Process,
+    sent_at: time::Duration,
+    ended_at: time::Duration,
+}
+
+/// Returns how many crashes there may have been. Attempts that overlap at a process ended by the same one.
+fn count_crashes(attempts: &[BrokenAttempt]) -> usize {
+    let overlaps = |a: &BrokenAttempt, b: &BrokenAttempt| {
+        a.process == b.process && a.sent_at <= b.ended_at && b.sent_at <= a.ended_at
+    };
+    let is_first = |number: usize, attempt: &BrokenAttempt| {
+        let before = &attempts[..number];
+        !before.iter().any(|earlier| overlaps(earlier, attempt))
+    };
+    let attempts = attempts.iter().enumerate();
+    attempts
+        .filter(|(number, attempt)| is_first(*number, attempt))
+        .count()
+}
 
 /// Takes failed attempts, to check whether their servers crashed.
 #[derive(Clone, Debug)]
@@ -50,7 +73,9 @@
 
     /// Returns how many servers may have crashed by content, as far as that isn't known yet.
     pub(crate) fn open_count(&self, digest: u64) -> usize {
-        locks::lock(&self.open).get(&digest).copied().unwrap_or(0)
+        let open = locks::lock(&self.open);
+        open.get(&digest)
+            .map_or(0, |attempts| count_crashes(attempts))
     }
 
     /// Stops counting the open checks of content that got a complete answer.
@@ -64,14 +89,17 @@
 struct OpenCheck {
     open: OpenChecks,
     digest: u64,
+    attempt: BrokenAttempt,
 }
 
 impl OpenCheck {
-    fn new(open: &OpenChecks, digest: u64) -> Self {
-        *locks::lock(open).entry(digest).or_default() += 1;
+    fn new(open: &OpenChecks, digest: u64, attempt: BrokenAttempt) -> Self {
+        let mut checks = locks::lock(open);
+        checks.entry(digest).or_default().push(attempt.clone());
         Self {
             open: open.clone(),
             digest,
+            attempt,
         }
     }
 }
@@ -80,11 +108,14 @@
     fn drop(&mut self) {
         let mut open = locks::lock(&self.open);
         // Gone if the content got an answer meanwhile.
-        if let Some(count) = open.get_mut(&self.digest) {
-            *count -= 1;
-            if *count == 0 {
-                open.remove(&self.digest);
-            }
+        let Some(attempts) = open.get_mut(&self.digest) else {
+            return;
+        };
+        if let Some(number) = attempts.iter().position(|a| *a == self.attempt) {
+            attempts.remove(number);
+        }
+        if attempts.is_empty() {
+            open.remove(&self.digest);
         }
     }
 }
@@ -103,11 +134,17 @@
 /// crash, whatever ended the attempt: a failure, a time limit, or a caller that left.
 #[derive(Debug)]
 pub(crate) struct Attempt {
-    /// Where to report the attempt; `None` once the request was answered.
-    checks: Option<Checks>,
+    /// What to report; `None` once the request was answered. Boxed, as it is part of larger values.
+    unanswered: Option<Box<Unanswered>>,
+}
+
+#[derive(Debug)]
+struct Unanswered {
+    checks: Checks,
+    attempt: BrokenAttempt,
     server: sync::Arc<backends::Backend>,
     digest: u64,
-    sent_at: time::Duration,
+    /// Whether the server broke the connection.
     broke: bool,
 }
 
@@ -119,39 +156,54 @@
         digest: u64,
         sent_at: time::Duration,
     ) -> Self {
-        Self {
-            checks: Some(checks.clone()),
+        let attempt = BrokenAttempt {
+            process: server.process(),
+            sent_at,
+            ended_at: sent_at,
+        };
+        let unanswered = Unanswered {
+            checks: checks.clone(),
+            attempt,
             server: server.clone(),
             digest,
-            sent_at,
             broke: false,
+        };
+        Self {
+            unanswered: Some(Box::new(unanswered)),
         }
     }
 
     /// Records that the server answered, or that nothing was sent to it.
     pub(crate) fn set_answered(&mut self) {
-        self.checks = None;
+        self.unanswered = None;
     }
 
-    /// Records that the server broke the connection.
-    pub(crate) fn set_broken(&mut self) {
-        self.broke = true;
+    /// Records that the server broke the connection. `now` is the time since boot.
+    pub(crate) fn set_broken(&mut self, now: time::Duration) {
+        if let Some(unanswered) = &mut self.unanswered {
+            unanswered.broke = true;
+            unanswered.attempt.ended_at = now;
+        }
     }
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        let Some(checks) = self.checks.take() else {
+        let Some(unanswered) = self.unanswered.take() else {
             return;
         };
-        let open_check = self
-            .broke
-            .then(|| OpenCheck::new(&checks.open, self.digest));
+        let Unanswered {
+            checks,
+            attempt,
+            server,
+            digest,
+            broke,
+        } = *unanswered;
         let suspicion = Suspicion {
-            server: self.server.clone(),
-            digest: self.digest,
-            sent_at: self.sent_at,
-            open_check,
+            server,
+            digest,
+            sent_at: attempt.sent_at,
+            open_check: broke.then(|| OpenCheck::new(&checks.open, digest, attempt)),
         };
         // Fails only while the process ends.
         let _ = checks.tx.send(suspicion);
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -4,8 +4,6 @@
 use std::sync;
 use std::time;
 
-use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::event_stream;
@@ -22,6 +20,7 @@
 use crate::router::events::event;
 use crate::router::run_move;
 use crate::router::send;
+use crate::router::stream_events;
 use crate::router::stream_request;
 
 /// Maximum number of events that are buffered for a slow caller. While the buffer is full, the
@@ -35,9 +34,6 @@
 /// Time for the last events and the end of the stream to arrive after the run was stopped.
 const STREAM_END_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
-/// Sends the events of a stream to its caller.
-type EventSender = tokio::sync::mpsc::Sender<Result<Bytes, answer::Broken>>;
-
 /// How the stream of one server ended.
 #[derive(Debug)]
 enum StreamEnd {
@@ -115,7 +111,7 @@
 async fn relay<D: dialect::Dialect>(
     mut request: stream_request::StreamRequest<D>,
     mut opened: engine_stream::OpenStream<D>,
-    tx: EventSender,
+    tx: stream_events::EventSender,
 ) {
     let cx = request.cx.clone();
     loop {
@@ -198,7 +194,7 @@
 /// Ends the stream to the caller with an error.
 async fn abort<D: dialect::Dialect>(
     request: &stream_request::StreamRequest<D>,
-    tx: &EventSender,
+    tx: &stream_events::EventSender,
     cause: &'static str,
 ) {
     // Fails only if the caller has disconnected already.
@@ -228,7 +224,7 @@
 async fn relay_from_server<D: dialect::Dialect>(
     request: &mut stream_request::StreamRequest<D>,
     opened: engine_stream::OpenStream<D>,
-    tx: &EventSender,
+    tx: &stream_events::EventSender,
 ) -> ServerStreamEnd<D> {
     let mut stream = ServerStream {
         response: opened.response,
@@ -257,8 +253,13 @@
     let mut attempt = stream.response.attempt;
     match &end {
         StreamEnd::Complete => attempt.set_answered(),
-        StreamEnd::Broken(failure) if failure.outcome == outcome::Outcome::BrokenMidway => {
-            attempt.set_broken();
+        StreamEnd::Broken(failure)
+            if matches!(
+                failure.cause,
+                stream_events::BROKE_OFF | stream_events::BROKE_WITHIN_EVENT
+            ) =>
+        {
+            attempt.set_broken(request.cx.now());
         }
         _ => {}
     }
@@ -334,7 +335,7 @@
 async fn relay_events<D: dialect::Dialect>(
     request: &mut stream_request::StreamRequest<D>,
     stream: &mut ServerStream<D>,
-    tx: &EventSender,
+    tx: &stream_events::EventSender,
 ) -> RelayEnd<D> {
     let broken =
         |outcome, cause| RelayEnd::Ended(StreamEnd::Broken(send::SendFailure { outcome, cause }));
@@ -342,12 +343,18 @@
     let max_pause = request
         .max_pause()
         .filter(|_| request.route.kind.may_run_again());
+    // Bytes that continued the stream by nothing.
+    let mut useless_bytes = 0;
+    // Events without an id of a stream that another server may continue. They are part of the answer if
+    // the stream goes on or ends as it should.
+    let mut held = Vec::new();
+    let mut progressed_at = request.cx.now();
     loop {
-        let now = request.cx.now();
-        let time_left = request.deadline.saturating_sub(now);
+        let time_left = request.deadline.saturating_sub(request.cx.now());
         let max_silence = max_pause.map_or(time_left, |pause| pause * SILENCE_FACTOR);
-        let frame = tokio::select! {
-            frame = stream.response.body.frame() => frame,
+        let body = &mut stream.response.body;
+        let event = tokio::select! {
+            event = stream_events::next_event(body, &mut stream.splitter) => event,
             () = tx.closed() => return RelayEnd::Ended(StreamEnd::CallerLeft),
             () = tokio::time::sleep(time_left) => {
                 return broken(outcome::Outcome::Silent, "time limit reached");
@@ -355,38 +362,52 @@
             () = wait_for_stop(stream.run_move.as_ref()) => {
                 return broken(outcome::Outcome::Silent, "run was stopped");
             }
-            other = request.prepare_alternative(&stream.server, now, max_silence), if max_pause.is_some() => {
+            other = request.prepare_alternative(&stream.server, progressed_at, max_silence), if max_pause.is_some() => {
                 return RelayEnd::Silent(other);
             }
         };
-        let data = match frame {
-            Some(Ok(frame)) => {
+        let mut next = match event {
+            Ok(event) => event,
+            Err(stream_events::EventsEnd::Complete) => {
+                let sent = stream_events::send_events(tx, held).await;
+                return RelayEnd::Ended(if sent {
+                    StreamEnd::Complete
+                } else {
+                    StreamEnd::CallerLeft
+                });
+            }
+            Err(stream_events::EventsEnd::Broken(cause)) => return broken(midway, cause),
+        };
+        while let Some(event) = next.take() {
+            next = stream.splitter.next_event();
+            let order = stream_events::check_event_id(request, &event);
+            if order == stream_events::EventOrder::Next && event.id.is_some() {
+                useless_bytes = 0;
+                progressed_at = request.cx.now();
                 request.end_silence(&stream.server);
-                frame.into_data().unwrap_or_default()
+            } else {
+                useless_bytes += event.bytes.len();
             }
-            Some(Err(_)) => return broken(midway, "stream broke off"),
-            None if stream.splitter.remainder().is_empty() => {
-                return RelayEnd::Ended(StreamEnd::Complete);
+            if useless_bytes > event_stream::MAX_EVENT_BYTES {
+                return broken(midway, "bytes that are no answer");
             }
-            None => return broken(midway, "stream ended within an event"),
-        };
-        stream.splitter.push(&data);
-        while let Some(event) = stream.splitter.next_event() {
-            match check_event_id(request, &event) {
-                EventOrder::Next => {}
-                EventOrder::Duplicate => continue,
-                EventOrder::Gap => return broken(midway, "events are missing"),
+            match order {
+                stream_events::EventOrder::Next => {}
+                stream_events::EventOrder::Duplicate => continue,
+                stream_events::EventOrder::Gap => return broken(midway, "events are missing"),
+            }
+            let is_part = event.id.is_some() || max_pause.is_none();
+            held.push(event.bytes);
+            if !is_part {
+                continue;
             }
             request.record_version(&stream.server);
-            if tx.send(Ok(event.bytes)).await.is_err() {
+            if !stream_events::send_events(tx, std::mem::take(&mut held)).await {
                 return RelayEnd::Ended(StreamEnd::CallerLeft);
             }
             record_pause(request, &stream.server.id);
             stream.reservation.record_progress(request.tokens_generated);
         }
-        if stream.splitter.exceeds_max_event() {
-            return broken(midway, "event too large");
-        }
         if stream
             .run_move
             .as_ref()
@@ -433,35 +454,3 @@
     }
     tokio::time::sleep(STREAM_END_TIMEOUT).await;
 }
-
-/// How an event's id relates to that of the last event.
-enum EventOrder {
-    Next,
-    /// The caller has the event already.
-    Duplicate,
-    /// At least one event before it is missing.
-    Gap,
-}
-
-/// Checks an event's id against the last one. Unless the event is a duplicate or follows a gap,
-/// records it as delivered and counts its tokens.
-fn check_event_id<D: dialect::Dialect>(
-    request: &mut stream_request::StreamRequest<D>,
-    event: &event_stream::Event,
-) -> EventOrder {
-    if let (Some(id), Some(last)) = (event.id, request.last_event) {
-        if id <= last {
-            return EventOrder::Duplicate;
-        }
-        if id > last + 1 {
-            return EventOrder::Gap;
-        }
-    }
-    if event.id.is_some() {
-        request.last_event = event.id;
-    }
-    request.tokens_generated = request
-        .tokens_generated
-        .saturating_add(request.engines.tokens_per_event);
-    EventOrder::Next
-}
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -34,6 +35,8 @@
 const MAX_IDLE_TIME_REPEATABLE: time::Duration = time::Duration::from_secs(60);
 /// Largest body in bytes of a server's answer that is buffered.
 const MAX_BUFFERED_BODY: usize = 4 * 1024 * 1024;
+/// Largest body in bytes of an answer to one of the router's own calls to a server: a short JSON document.
+const MAX_CALL_BODY: usize = 256 * 1024;
 
 /// A caller's request with its complete body.
 #[derive(Debug)]
@@ -83,6 +86,9 @@
     pub(crate) cause: &'static str,
 }
 
+/// The cause of a failure that is the server's connection breaking within the body.
+const BODY_BROKE: &str = "answer broke off";
+
 fn failure(outcome: outcome::Outcome, cause: &'static str) -> SendFailure {
     SendFailure { outcome, cause }
 }
@@ -116,7 +122,7 @@
         .map_err(|_| failure(outcome::Outcome::NeverWritten, "request can't be built"))?;
     *message.headers_mut() = cx.dialect.server_headers(&req.headers, params);
     let mut attempt = crash_checks::Attempt::new(&cx.crash_checks, server, req.digest, cx.now());
-    let answer = tokio::time::timeout(timeout, connection.tx.try_send_request(message)).await;
+    let answer = tokio::time::timeout(timeout, connection.send(message)).await;
     let response = match answer {
         Err(_) => return Err(failure(outcome::Outcome::Silent, "no answer in time")),
         Ok(Err(mut error)) => {
@@ -126,7 +132,10 @@
                     failure(outcome::Outcome::NeverWritten, "connection had closed")
                 }
                 None => {
-                    attempt.set_broken();
+                    // A server that sends other bytes hasn't ended.
+                    if !error.error().is_parse() {
+                        attempt.set_broken(cx.now());
+                    }
                     connection_failure(error.error())
                 }
             });
@@ -228,16 +237,18 @@
     deadline: time::Duration,
 ) -> Result<(http::StatusCode, http::HeaderMap, Bytes), SendFailure> {
     let mut attempt = response.attempt;
-    let reading = Limited::new(response.body, MAX_BUFFERED_BODY).collect();
+    let reading = read_buffered(cx, response.body);
     let body = match tokio::time::timeout(time_left(cx, deadline), reading).await {
         Err(_) => {
             return Err(failure(outcome::Outcome::Silent, "answer stopped midway"));
         }
-        Ok(Err(_)) => {
-            attempt.set_broken();
-            return Err(failure(outcome::Outcome::BrokenMidway, "answer broke off"));
+        Ok(Err(cause)) => {
+            if cause == BODY_BROKE {
+                attempt.set_broken(cx.now());
+            }
+            return Err(failure(outcome::Outcome::BrokenMidway, cause));
         }
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
     };
     attempt.set_answered();
     tokio::spawn(connection_pool::return_connection(
@@ -249,6 +260,32 @@
     Ok((response.status, response.headers, body))
 }
 
+/// Reads a body into memory that is shared with the answers to all other requests.
+///
+/// # Errors
+///
+/// Returns the cause if the body breaks off, is too large, or there is no memory for it.
+async fn read_buffered<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    mut body: body::Incoming,
+) -> Result<Bytes, &'static str> {
+    let memory_bytes = cx.settings().memory_bytes;
+    let mut reservations = Vec::new();
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BODY_BROKE)?.into_data() else {
+            continue;
+        };
+        if buf.len() + data.len() > MAX_BUFFERED_BODY {
+            return Err("answer too large");
+        }
+        let reserved = cx.answer_memory.reserve(data.len(), memory_bytes);
+        reservations.push(reserved.ok_or("no memory for the answer")?);
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
+
 /// Makes one of the router's own calls to a server, on a new connection, and returns the status and
 /// body of the answer. The call names the server, so another server at the same address doesn't
 /// execute it.
@@ -269,7 +306,7 @@
         let response = call_on(&mut connection, server.addr, call, headers).await?;
         let status = response.status();
         server_limits::record_answer(cx, server, status, response.headers());
-        Ok((status, read_body(response).await?))
+        Ok((status, read_body(response, MAX_CALL_BODY).await?))
     };
     tokio::time::timeout(timeout, exchange)
         .await
@@ -300,19 +337,21 @@
         .body(Full::new(call.body))
         .map_err(io::Error::other)?;
     message.headers_mut().extend(headers);
-    connection
-        .tx
-        .send_request(message)
-        .await
-        .map_err(io::Error::other)
+    let sent = connection.send(message).await;
+    sent.map_err(|error| io::Error::other(error.into_error()))
 }
 
 /// Reads the body of an answer to one of the router's own calls.
 ///
 /// # Errors
 ///
-/// Returns an error if the body breaks off.
-pub(crate) async fn read_body(response: http::Response<body::Incoming>) -> io::Result<Bytes> {
-    let body = response.into_body().collect().await;
+/// Returns an error if the body breaks off or exceeds `max_bytes`.
+pub(crate) async fn read_body(
+    response: http::Response<body::Incoming>,
+    max_bytes: usize,
+) -> io::Result<Bytes> {
+    let body = Limited::new(response.into_body(), max_bytes)
+        .collect()
+        .await;
     Ok(body.map_err(io::Error::other)?.to_bytes())
 }
--- a/daemon/src/router/store.rs
+++ b/daemon/src/router/store.rs
@@ -11,6 +11,8 @@
 use crate::router::context;
 use crate::router::send;
 
+/// Largest answer of the store in bytes: several times that of a page of a list.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Longest time to the head of the answer, for calls that the store answers at once. It usually
 /// answers in milliseconds; a slow store takes up to sixty times as long.
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
@@ -160,7 +162,9 @@
             let response = send::call_on(&mut connection, addr, call, headers);
             let response = tokio::time::timeout(timeout, response).await??;
             let status = response.status();
-            let body = tokio::time::timeout(BODY_TIMEOUT, send::read_body(response)).await??;
+            let body =
+                tokio::time::timeout(BODY_TIMEOUT, send::read_body(response, MAX_BODY_BYTES))
+                    .await??;
             Ok::<_, std::io::Error>((status, body, connection))
         };
         self.cx.telemetry.count("store.calls");
--- /dev/null
+++ b/daemon/src/router/stream_events.rs
@@ -0,0 +1,90 @@
+//! Reads the events of a server's stream, and relates them to those that the caller has.
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use walnuthaven_lib::dialect;
+use walnuthaven_lib::event_stream;
+
+use crate::router::answer;
+use crate::router::stream_request;
+
+/// Sends the events of a stream to its caller.
+pub(super) type EventSender = tokio::sync::mpsc::Sender<Result<Bytes, answer::Broken>>;
+
+/// The cause of a stream's end if the server's connection broke.
+pub(super) const BROKE_OFF: &str = "stream broke off";
+/// The cause if it ended in order, but in the middle of an event.
+pub(super) const BROKE_WITHIN_EVENT: &str = "stream ended within an event";
+
+/// Passes events on to the caller. Returns whether it is still there.
+pub(super) async fn send_events(tx: &EventSender, events: Vec<Bytes>) -> bool {
+    for event in events {
+        if tx.send(Ok(event)).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
+/// Why no event follows on a server's stream.
+pub(super) enum EventsEnd {
+    Complete,
+    /// The stream broke, by this cause.
+    Broken(&'static str),
+}
+
+/// Reads the next complete event. Dropping the future loses nothing that was read.
+pub(super) async fn next_event(
+    body: &mut hyper::body::Incoming,
+    splitter: &mut event_stream::Splitter,
+) -> Result<Option<event_stream::Event>, EventsEnd> {
+    loop {
+        if let Some(event) = splitter.next_event() {
+            return Ok(Some(event));
+        }
+        if splitter.exceeds_max_event() {
+            return Err(EventsEnd::Broken("event too large"));
+        }
+        match body.frame().await {
+            Some(Ok(frame)) => splitter.push(&frame.into_data().unwrap_or_default()),
+            Some(Err(_)) => return Err(EventsEnd::Broken(BROKE_OFF)),
+            None if splitter.remainder().is_empty() => return Err(EventsEnd::Complete),
+            None => return Err(EventsEnd::Broken(BROKE_WITHIN_EVENT)),
+        }
+    }
+}
+
+/// How an event's id relates to that of the last event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum EventOrder {
+    Next,
+    /// The caller has the event already.
+    Duplicate,
+    /// At least one event before it is missing.
+    Gap,
+}
+
+/// Checks an event's id against the last one. Unless the event is a duplicate or follows a gap,
+/// records it as delivered and counts its tokens.
+pub(super) fn check_event_id<D: dialect::Dialect>(
+    request: &mut stream_request::StreamRequest<D>,
+    event: &event_stream::Event,
+) -> EventOrder {
+    if let (Some(id), Some(last)) = (event.id, request.last_event) {
+        if id <= last {
+            return EventOrder::Duplicate;
+        }
+        if id > last + 1 {
+            return EventOrder::Gap;
+        }
+    }
+    if event.id.is_some() {
+        request.last_event = event.id;
+    }
+    if event.id.is_some() || !request.route.kind.may_run_again() {
+        request.tokens_generated = request
+            .tokens_generated
+            .saturating_add(request.engines.tokens_per_event);
+    }
+    EventOrder::Next
+}
--- a/daemon/tests/endless_answers.rs
+++ b/daemon/tests/endless_answers.rs
@@ -147,10 +147,7 @@
                 "{endless:?}: {answer:?}\n{}",
                 setup.host.log()
             );
-            assert!(
-                answer.body.ends_with(&engine_setup::complete_stream(5)),
-                "{answer:?}"
-            );
+            assert_eq!(answer.body, engine_setup::complete_stream(5), "{answer:?}");
         }
     }
 }
--- a/daemon/tests/restarted_servers.rs
+++ b/daemon/tests/restarted_servers.rs
@@ -210,3 +210,23 @@
         assert_eq!(answer.status, 200, "{answer:?}\n{}", setup.log());
     }
 }
+
+// A server that ends takes all of its requests with it, which is one crash.
+#[tokio::test]
+async fn concurrent_attempts_at_a_server_count_as_one_crash() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: true,
+        delay: PROMPT_RESTART,
+    };
+    let setup = Setup::new(1, server::Fault::CloseUnanswered, policy).await;
+    setup.supervisor.servers()[0]
+        .delay_ms
+        .store(100, atomic::Ordering::Relaxed);
+    let ids: Vec<String> = (0..5).map(|number| format!("b{number}")).collect();
+    let sends = ids.iter().map(|id| setup.send(0, "/once/x", id, "pass"));
+    for answer in futures_util::future::join_all(sends).await {
+        assert_eq!(answer.status, 502, "{answer:?}");
+    }
+    let answer = setup.send(0, "/once/x", "again", "pass").await;
+    assert_eq!(answer.status, 502, "{answer:?}\n{}", setup.log());
+}
