plain_request: tell a full server from one at its limit

Callers would have seen: a request that a full server refused, with no attempt left, was told to come back in up to 60 s as if the other servers were at their limits. Cause: any server that wasn't tried counted as limited once the request was given up. Evidence: refusal_of_a_full_server_is_not_taken_for_a_limit, red before with a Retry-After of 59.6 s. Change: only if there are such servers and the limits of all of them leave no room. After: green, with the other tests of limits and plain requests.

--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -208,10 +208,10 @@
         let mut untried = self.usable_servers();
         let none_usable = untried.is_empty();
         untried.retain(|server| !progress.tried.contains(&server.id));
-        let (cause, retry_after) = match (none_usable, untried.is_empty()) {
+        let (cause, retry_after) = match (none_usable, self.all_limited(&untried)) {
             (true, _) => ("no server is usable", NO_SERVER_RETRY_AFTER),
-            (false, true) => ("servers refused the request", REFUSED_RETRY_AFTER),
-            (false, false) => (
+            (false, false) => ("servers refused the request", REFUSED_RETRY_AFTER),
+            (false, true) => (
                 "servers are at their limits",
                 self.limits_retry_after(&untried),
             ),
@@ -220,6 +220,14 @@
         answer::not_run(cause, retry_after.mul_f64(1.0 + rand::random::<f64>()))
     }
 
+    /// Returns whether there are servers, and all of them are at their limits.
+    fn all_limited(&self, servers: &[sync::Arc<backends::Backend>]) -> bool {
+        let mut below = servers.to_vec();
+        let priority = self.route.priority;
+        server_limits::remove_limited(self.cx, &mut below, self.service, priority)
+            && below.is_empty()
+    }
+
     /// Returns when a caller should return whose request these servers can't take yet.
     fn limits_retry_after(&self, servers: &[sync::Arc<backends::Backend>]) -> time::Duration {
         let priority = self.route.priority;
--- a/daemon/tests/server_limits.rs
+++ b/daemon/tests/server_limits.rs
@@ -298,6 +298,23 @@
     assert_kept(&setup.servers[0], 8.0, start, &setup);
 }
 
+// A server that is full says nothing of a limit, whether or not another one could take the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_a_full_server_is_not_taken_for_a_limit() {
+    let setup = Setup::new(2).await;
+    let mut document = hosts::configuration(4);
+    document["routes"][0]["max_attempts"] = serde_json::json!(1);
+    setup.store.put("config", "main", document);
+    for server in &setup.servers {
+        server.set_fault(server::Fault::Shed);
+    }
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let told = setup.load(time::Duration::from_secs(1), |_| 0).await;
+    assert!(!told.retry_after.is_empty(), "{told:?}");
+    let longest = told.retry_after.iter().copied().fold(0.0, f64::max);
+    assert!(longest < 1.0, "{longest} s\n{}", setup.hosts[0].log());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn limits_of_engines_are_kept() {
     let setup = engine_setup::EngineSetup::start(BINARY).await;
