server_limits: look for outdated limits only if there are any

Cause: each round of upkeep copied the identities of all servers, also while no limit is known: at 10,000 servers that is work for nothing at every host. Read, not measured. Behaviour stays.

--- a/daemon/src/router/server_limits.rs
+++ b/daemon/src/router/server_limits.rs
@@ -16,8 +16,8 @@
 
 /// Maximum number of limits in a news message, and of services whose requests it tells.
 const MAX_PER_MESSAGE: usize = 16;
-/// While limits hold, news are sent for this part of the requests of callers at most, times the number of hosts,
-/// so that the cost of messages doesn't grow with the square of the hosts.
+/// Shortest time between two news that tell of requests while limits hold, for each host: the cost of messages
+/// mustn't grow with the square of the hosts.
 const NEWS_SPACING_PER_HOST: time::Duration = time::Duration::from_millis(5);
 /// Maximum number of unreadable values that are remembered, so that each is logged once.
 const MAX_UNREADABLE: usize = 1_000;
@@ -166,6 +166,12 @@
 
 /// Forgets the limits of servers that aren't listed any more.
 pub(crate) fn expire<D: dialect::Dialect>(cx: &context::Router<D>) {
+    {
+        let limits = locks::lock(&cx.server_limits);
+        if limits.known.statements().next().is_none() && limits.unreadable.is_empty() {
+            return;
+        }
+    }
     let listed: collections::BTreeSet<_> = {
         let servers = locks::lock(&cx.servers);
         servers.all().map(|(server, _)| server.process()).collect()
