server_limits: ask a server that hasn't answered for 5 s more often

Cause: a limit of 0 ends only by an answer without it, which 0.2 requests a second from all hosts bring at random times: three hosts with unlucky phases may ask none for 15 s. Change: 1 request a second once no host has had an answer for 5 s, which the news tell.

--- a/lib/src/server_limits.rs
+++ b/lib/src/server_limits.rs
@@ -14,6 +14,10 @@
 /// Lowest rate at which a limited server gets requests, by all hosts together. It shows whether the limit still
 /// holds.
 const MIN_PER_SECOND: f64 = 0.2;
+/// Rate at which a limited server that hasn't answered for `QUIET_TIME` gets requests at least.
+const MIN_PER_SECOND_IF_QUIET: f64 = 1.0;
+/// Time without an answer to any host after which it is asked more often whether its limit still holds.
+const QUIET_TIME: time::Duration = time::Duration::from_secs(5);
 /// A limit ends if an answer without it comes at least this long after the last one that named it: answers may
 /// overtake each other.
 const END_AFTER: time::Duration = time::Duration::from_secs(1);
@@ -112,6 +116,15 @@
         })
     }
 
+    /// Returns the lowest rate at which the process gets requests.
+    fn min_per_second(&self, now: time::Duration) -> f64 {
+        let answered_at = self.named_at.max(self.omitted_at).unwrap_or_default();
+        match now.saturating_sub(answered_at) > QUIET_TIME {
+            true => MIN_PER_SECOND_IF_QUIET,
+            false => MIN_PER_SECOND,
+        }
+    }
+
     /// Takes over what another statement of the same process says that is newer.
     fn merge(&mut self, other: &Self) {
         if other.named_at > self.named_at {
@@ -285,7 +298,8 @@
         if !limit.statement.holds() {
             return None;
         }
-        let total = limit.statement.per_second.max(MIN_PER_SECOND);
+        let statement = &limit.statement;
+        let total = statement.per_second.max(statement.min_per_second(ask.now));
         let unknown = Demand::default();
         let demand = self.demand.get(ask.service).unwrap_or(&unknown);
         let own = demand.own_total(ask.now).max(f64::MIN_POSITIVE);
--- a/lib/tests/server_limits.rs
+++ b/lib/tests/server_limits.rs
@@ -106,9 +106,13 @@
         let service: sync::Arc<str> = SERVICE.into();
         let count = self.hosts.len();
         let names: Vec<sync::Arc<str>> = (0..count).map(|n| format!("h{n}").into()).collect();
-        // News under way: when they arrive, from whom, and the requests that they tell.
-        let mut news: collections::VecDeque<(time::Duration, usize, f64)> =
-            collections::VecDeque::new();
+        // News under way: when they arrive, from whom, and the requests and answers that they tell of.
+        let mut news: collections::VecDeque<(
+            time::Duration,
+            usize,
+            f64,
+            server_limits::Statement,
+        )> = collections::VecDeque::new();
         let mut told_at = vec![time::Duration::ZERO; count];
         let mut sent = Vec::new();
         let mut now = at(0).saturating_sub(WARM_UP);
@@ -120,13 +124,14 @@
                 }
             }
             while news.front().is_some_and(|(due, ..)| *due <= now) {
-                let Some((_, from, demand)) = news.pop_front() else {
+                let Some((_, from, demand, statement)) = news.pop_front() else {
                     break;
                 };
                 for (to, host) in self.hosts.iter_mut().enumerate() {
                     let cut_off = self.cut_off.contains(&from) || self.cut_off.contains(&to);
                     if to != from && !cut_off {
                         host.replace_demand(&names[from], vec![(service.clone(), demand)]);
+                        host.merge(&limited, &statement);
                     }
                 }
             }
@@ -161,7 +166,9 @@
                 if now >= at(0) && now.saturating_sub(told_at[number]) >= spacing {
                     told_at[number] = now;
                     let demand: f64 = host.own_demand(now).map(|(_, demand)| demand).sum();
-                    news.push_back((now + NEWS_DELAY, number, demand));
+                    let statement = host.statements().map(|(_, statement)| *statement).next();
+                    let statement = statement.unwrap_or_default();
+                    news.push_back((now + NEWS_DELAY, number, demand, statement));
                 }
             }
         }
@@ -269,6 +276,43 @@
     assert!(limits.any_holds());
 }
 
+// The requests that show whether a limit of zero still holds must come from some host before long.
+#[test]
+fn server_without_answers_is_asked_again_within_seconds() {
+    let limited = process("i-a", 1);
+    let service: sync::Arc<str> = SERVICE.into();
+    for seed in 0..50 {
+        let mut random = Random(seed << 32);
+        let mut hosts: Vec<_> = (0..3)
+            .map(|_| server_limits::ServerLimits::default())
+            .collect();
+        for host in &mut hosts {
+            named(host, &limited, Some(0.0), 0);
+        }
+        let mut asked_at = None;
+        // Each host has 20 requests a second.
+        for ms in (0..10_000).step_by(50) {
+            for host in &mut hosts {
+                host.record_request(&service, 1, at(ms));
+                let ask = server_limits::Ask {
+                    service: SERVICE,
+                    priority: 1,
+                    hosts: 3,
+                    servers: 1,
+                    now: at(ms),
+                };
+                if host.wait(&limited, ask, random.next()).is_zero() {
+                    asked_at = asked_at.or(Some(ms));
+                }
+            }
+        }
+        assert!(
+            asked_at.is_some_and(|ms| ms <= 8_100),
+            "seed {seed}: {asked_at:?}"
+        );
+    }
+}
+
 // A host that hasn't heard of the end goes on telling of the limit.
 #[test]
 fn limit_that_ended_is_not_revived_by_older_news() {
