--- a/daemon/src/convert.rs
+++ b/daemon/src/convert.rs
@@ -87,6 +87,7 @@
 pub fn crash_mark_from_wire(mark: &peer::CrashMark) -> quarantine::CrashMark {
     quarantine::CrashMark {
         digest: mark.digest,
+        part: None,
         crashes: mark.crashes.iter().map(crash_from_wire).collect(),
         cleared: mark.cleared.iter().map(crash_from_wire).collect(),
         expires: time::Duration::from_millis(mark.expires_unix_ms),
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use walnuthaven_lib::answer_lengths;
+use walnuthaven_lib::answered_parts;
 use walnuthaven_lib::backends;
 use walnuthaven_lib::clock;
 use walnuthaven_lib::clock::Clock as _;
@@ -30,6 +31,7 @@
 use crate::router::server_limits;
 use crate::router::settings;
 use crate::router::telemetry;
+use crate::router::trials;
 
 /// Up to one in this many of the connections that a server accepts may be idle.
 const IDLE_DIVISOR: usize = 2;
@@ -88,6 +90,10 @@
     pub(crate) crash_marks: sync::Mutex<crash_marks::CrashMarks>,
     /// Wakes waiting requests after a mark has changed.
     pub(crate) crash_marks_changed: tokio::sync::Notify,
+    /// Which parts of prompts engines have answered.
+    pub(crate) answered_parts: sync::Mutex<answered_parts::AnsweredParts>,
+    /// The suspected parts of prompts that are on trial.
+    pub(crate) trials: trials::Trials,
     /// Signalled when the store may lack a mark.
     pub(crate) crash_marks_unsaved: tokio::sync::Notify,
     /// Which software version began each recent stream.
@@ -157,6 +163,8 @@
             crash_checks,
             crash_marks: sync::Mutex::default(),
             crash_marks_changed: tokio::sync::Notify::new(),
+            answered_parts: sync::Mutex::default(),
+            trials: trials::Trials::default(),
             crash_marks_unsaved: tokio::sync::Notify::new(),
             stream_versions: sync::Mutex::default(),
             stream_versions_changed: tokio::sync::Notify::new(),
--- a/daemon/src/router/crash_checks.rs
+++ b/daemon/src/router/crash_checks.rs
@@ -15,6 +15,8 @@
 use crate::router::context;
 use crate::router::crash_marks;
 use crate::router::events::event;
+use crate::router::part_marks;
+use crate::router::trials;
 
 /// Time between the end of an attempt and the probe that tells whether the server crashed. A crashed
 /// server can't be reached for seconds.
@@ -59,6 +61,8 @@
 pub(crate) struct Checks {
     tx: tokio::sync::mpsc::UnboundedSender<Suspicion>,
     open: OpenChecks,
+    /// Wakes requests that wait for the end of a check.
+    ended: sync::Arc<tokio::sync::Notify>,
 }
 
 /// Receives the failed attempts.
@@ -68,7 +72,8 @@
     pub(crate) fn new() -> (Self, Receiver) {
         let (tx, rx) = tokio::sync::mpsc::unbounded_channel();
         let open = OpenChecks::default();
-        (Self { tx, open }, rx)
+        let ended = sync::Arc::default();
+        (Self { tx, open, ended }, rx)
     }
 
     /// Returns how many servers may have crashed by content, as far as that isn't known yet.
@@ -78,6 +83,17 @@
             .map_or(0, |attempts| count_crashes(attempts))
     }
 
+    /// Waits until content has no open check.
+    pub(crate) async fn wait_until_ended(&self, digest: u64) {
+        loop {
+            let ended = self.ended.notified();
+            if self.open_count(digest) == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
     /// Stops counting the open checks of content that got a complete answer.
     pub(crate) fn clear_open(&self, digest: u64) {
         locks::lock(&self.open).remove(&digest);
@@ -88,16 +104,18 @@
 #[derive(Debug)]
 struct OpenCheck {
     open: OpenChecks,
+    ended: sync::Arc<tokio::sync::Notify>,
     digest: u64,
     attempt: BrokenAttempt,
 }
 
 impl OpenCheck {
-    fn new(open: &OpenChecks, digest: u64, attempt: BrokenAttempt) -> Self {
-        let mut checks = locks::lock(open);
-        checks.entry(digest).or_default().push(attempt.clone());
+    fn new(checks: &Checks, digest: u64, attempt: BrokenAttempt) -> Self {
+        let mut open = locks::lock(&checks.open);
+        open.entry(digest).or_default().push(attempt.clone());
         Self {
-            open: open.clone(),
+            open: checks.open.clone(),
+            ended: checks.ended.clone(),
             digest,
             attempt,
         }
@@ -117,15 +135,32 @@
         if attempts.is_empty() {
             open.remove(&self.digest);
         }
+        drop(open);
+        self.ended.notify_waiters();
     }
 }
 
-/// A server process that may have crashed with content in flight.
+/// What a server that crashes may have crashed by.
+#[derive(Clone, Debug)]
+pub(crate) struct Subject {
+    /// The digest of the request's content.
+    pub(crate) digest: u64,
+    /// The shared parts of its prompt; empty if the server doesn't write the answer.
+    pub(crate) parts: sync::Arc<[part_marks::PromptPart]>,
+    /// Set if some of the parts were suspected before. They are on trial until the check has ended.
+    pub(crate) trial: Option<sync::Arc<trials::Permit>>,
+}
+
+/// A server process that may have crashed with a request in flight.
 #[derive(Debug)]
 pub(crate) struct Suspicion {
     server: sync::Arc<backends::Backend>,
-    digest: u64,
-    sent_at: time::Duration,
+    subject: Subject,
+    /// When the server began to write the answer, if it did.
+    began: Option<time::Duration>,
+    attempt: BrokenAttempt,
+    /// Whether the answer ended like a complete one, but with its connection.
+    may_be_complete: bool,
     /// Set if the server broke the connection.
     open_check: Option<OpenCheck>,
 }
@@ -143,7 +178,9 @@
     checks: Checks,
     attempt: BrokenAttempt,
     server: sync::Arc<backends::Backend>,
-    digest: u64,
+    subject: Subject,
+    began: Option<time::Duration>,
+    may_be_complete: bool,
     /// Whether the server broke the connection.
     broke: bool,
 }
@@ -153,7 +190,7 @@
     pub(crate) fn new(
         checks: &Checks,
         server: &sync::Arc<backends::Backend>,
-        digest: u64,
+        subject: Subject,
         sent_at: time::Duration,
     ) -> Self {
         let attempt = BrokenAttempt {
@@ -165,7 +202,9 @@
             checks: checks.clone(),
             attempt,
             server: server.clone(),
-            digest,
+            subject,
+            began: None,
+            may_be_complete: false,
             broke: false,
         };
         Self {
@@ -178,6 +217,27 @@
         self.unanswered = None;
     }
 
+    /// Records that the server began to write the answer. `now` is the time since boot.
+    pub(crate) fn set_began(&mut self, now: time::Duration) {
+        if let Some(unanswered) = &mut self.unanswered {
+            unanswered.began.get_or_insert(now);
+        }
+    }
+
+    /// Returns when the server began to write the answer, as time since boot.
+    pub(crate) fn began(&self) -> Option<time::Duration> {
+        self.unanswered.as_ref()?.began
+    }
+
+    /// Records that the answer ended like a complete one, but with its connection, as it would if the server crashed
+    /// just then. `now` is the time since boot.
+    pub(crate) fn set_ended_with_connection(&mut self, now: time::Duration) {
+        if let Some(unanswered) = &mut self.unanswered {
+            unanswered.may_be_complete = true;
+            unanswered.attempt.ended_at = now;
+        }
+    }
+
     /// Records that the server broke the connection. `now` is the time since boot.
     pub(crate) fn set_broken(&mut self, now: time::Duration) {
         if let Some(unanswered) = &mut self.unanswered {
@@ -196,14 +256,18 @@
             checks,
             attempt,
             server,
-            digest,
+            subject,
+            began,
+            may_be_complete,
             broke,
         } = *unanswered;
         let suspicion = Suspicion {
             server,
-            digest,
-            sent_at: attempt.sent_at,
-            open_check: broke.then(|| OpenCheck::new(&checks.open, digest, attempt)),
+            began,
+            may_be_complete,
+            open_check: broke.then(|| OpenCheck::new(&checks, subject.digest, attempt.clone())),
+            subject,
+            attempt,
         };
         // Fails only while the process ends.
         let _ = checks.tx.send(suspicion);
@@ -226,20 +290,28 @@
 /// Checks one server process, and marks the content if it crashed.
 async fn check<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
-    suspicion: Suspicion,
+    mut suspicion: Suspicion,
     guard: context::InFlightGuard<D>,
 ) {
     let server = &suspicion.server;
     let process = server.process();
+    let on_trial = suspicion.subject.trial.is_some();
     let attempt = departures::FailedAttempt {
-        sent_at: suspicion.sent_at,
+        sent_at: suspicion.attempt.sent_at,
         ended_at: cx.now(),
         broke: suspicion.open_check.is_some(),
     };
     tokio::time::sleep(PROBE_DELAY).await;
     let mut result = probe(cx, server).await;
     let mut verdict = judge(cx, &process, attempt, result);
-    if verdict == departures::Verdict::Unknown {
+    if suspicion.may_be_complete {
+        if verdict == departures::Verdict::Unknown {
+            record_answer(cx, &suspicion.subject, suspicion.began);
+            return;
+        }
+    } else if verdict == departures::Verdict::Unknown {
+        // The server probably lives, so the next prompt may be tried.
+        suspicion.subject.trial = None;
         drop(guard);
         if !attempt.broke {
             tokio::time::sleep(SECOND_PROBE_DELAY).await;
@@ -255,18 +327,48 @@
             let _ = tokio::time::timeout(left, changed).await;
         }
     }
-    event!(Info, "crash-check", "digest" => crash_marks::hex(suspicion.digest), "server" => server.id,
+    event!(Info, "crash-check", "digest" => crash_marks::hex(suspicion.subject.digest), "server" => server.id,
         "born" => server.started_unix_ms, "address" => server.addr, "broke" => attempt.broke,
         "probe" => format!("{result:?}"), "verdict" => format!("{verdict:?}"),
         "took_ms" => cx.now().saturating_sub(attempt.ended_at).as_millis() as u64);
     if verdict == departures::Verdict::Crashed {
         let name = ids::Name::from(process.to_string());
-        crash_marks::record_crash(cx, suspicion.digest, &name);
+        crash_marks::record_crash(cx, suspicion.subject.digest, &name);
+        record_part_crashes(cx, &suspicion, &name, on_trial);
     }
     // From here on the mark counts instead.
     drop(suspicion.open_check);
 }
 
+/// Records that the parts of a prompt may have crashed a server, unless it had begun the answer long before.
+fn record_part_crashes<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    suspicion: &Suspicion,
+    server: &ids::Name,
+    on_trial: bool,
+) {
+    let Suspicion {
+        subject, attempt, ..
+    } = suspicion;
+    let ended = attempt.ended_at;
+    let wrote_for = suspicion.began.map(|began| ended.saturating_sub(began));
+    if wrote_for.is_none_or(|wrote_for| wrote_for < part_marks::BEGIN_TIME) {
+        part_marks::record_crash(cx, &subject.parts, server, ended, on_trial);
+    }
+}
+
+/// Records that a server could write a complete answer, of which it sent the first event at `began`.
+pub(crate) fn record_answer<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    subject: &Subject,
+    began: Option<time::Duration>,
+) {
+    crash_marks::lift_mark(cx, subject.digest);
+    if let Some(began) = began {
+        part_marks::record_answer(cx, &subject.parts, began);
+    }
+}
+
 fn judge<D: dialect::Dialect>(
     cx: &context::Router<D>,
     process: &backends::Process,
--- a/daemon/src/router/crash_mark_store.rs
+++ b/daemon/src/router/crash_mark_store.rs
@@ -36,6 +36,18 @@
     cleared: Vec<StoredCrash>,
     /// When the mark expires, in Unix milliseconds.
     expires_unix_ms: u64,
+    /// Set if the mark is of a part of prompts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    part: Option<StoredEvidence>,
+}
+
+/// What is known of a part of prompts, as the store holds it.
+#[derive(Debug, Deserialize, Serialize)]
+struct StoredEvidence {
+    /// Number of answers to prompts with the part.
+    answers: u64,
+    /// The crashed servers that had a prompt with the part on trial.
+    trials: Vec<String>,
 }
 
 /// A crash as the store holds it.
@@ -58,6 +70,10 @@
             crashes: store(&mark.crashes),
             cleared: store(&mark.cleared),
             expires_unix_ms: clock::millis(mark.expires),
+            part: mark.part.as_ref().map(|part| StoredEvidence {
+                answers: part.answers,
+                trials: part.trials.iter().map(ToString::to_string).collect(),
+            }),
         }
     }
 
@@ -71,6 +87,10 @@
         };
         quarantine::CrashMark {
             digest,
+            part: self.part.map(|part| quarantine::PartEvidence {
+                answers: part.answers,
+                trials: part.trials.into_iter().map(Into::into).collect(),
+            }),
             crashes: read(self.crashes),
             cleared: read(self.cleared),
             expires: time::Duration::from_millis(self.expires_unix_ms),
--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -21,6 +21,7 @@
 use crate::router::answer;
 use crate::router::context;
 use crate::router::events::event;
+use crate::router::part_marks;
 use crate::router::send;
 
 /// The number of servers that must have crashed before content is refused. In a burst of unrelated
@@ -38,6 +39,8 @@
 const REFUSAL: &str = "this request crashed several servers";
 /// Retry-After of requests that may have crashed servers. Most checks have ended by then.
 const CHECKS_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// The cause of a send that a part of the prompt prevents.
+const PART_REFUSAL: &str = "a part of the prompt may crash servers";
 /// What a caller is told whose request may have crashed servers.
 const CHECKS_REFUSAL: &str = "this request may have crashed several servers";
 /// How long a host that has a configuration refuses requests because it hasn't read the marks. Afterwards
@@ -145,7 +148,7 @@
 }
 
 /// Has a changed mark stored, announced if this host observed the change, and waiting requests checked.
-fn on_change<D: dialect::Dialect>(
+pub(super) fn on_change<D: dialect::Dialect>(
     cx: &context::Router<D>,
     digest: u64,
     origin: stored_marks::Origin,
@@ -187,26 +190,37 @@
     }
 }
 
-/// Returns whether content may not be sent to servers.
-pub(crate) fn refuses<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) -> bool {
-    standing(cx, digest) != Standing::Allowed
+/// Returns whether a request may not be sent to servers, for its content or a part of its prompt.
+pub(crate) fn refuses<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+) -> bool {
+    standing(cx, req.digest) != Standing::Allowed || part_marks::refuses(cx, req)
 }
 
-/// Checks content right before a send: it may have crashed servers since its request arrived.
+/// Checks a request right before a send: it may have crashed servers since it arrived. `work` is what the server is
+/// asked to do.
 ///
 /// # Errors
 ///
-/// Refuses content that crashed several servers, or may have.
+/// Refuses content that crashed several servers, or may have, and prompts with such a part.
 pub(crate) fn check_send<D: dialect::Dialect>(
     cx: &context::Router<D>,
     req: &send::CallerRequest,
+    work: dialect::Work<'_>,
     server: &str,
 ) -> Result<(), send::SendFailure> {
+    let may_send_prompt = || match work {
+        // A server that only prefills the prompt doesn't begin to write an answer.
+        dialect::Work::Prefill => !part_marks::refuses(cx, req),
+        dialect::Work::Whole | dialect::Work::Decode { .. } => part_marks::may_send(cx, req),
+    };
     let cause = match standing(cx, req.digest) {
-        Standing::Allowed => {
+        Standing::Allowed if may_send_prompt() => {
             log_suspect(cx, req, server);
             return Ok(());
         }
+        Standing::Allowed => PART_REFUSAL,
         Standing::Suspected => CHECKS_REFUSAL,
         Standing::Refused => REFUSAL,
     };
@@ -231,38 +245,47 @@
     }
 }
 
-/// Waits until content may not be sent to servers any more.
-pub(crate) async fn wait_until_refused<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) {
+/// Waits until a request may not be sent to servers any more.
+pub(crate) async fn wait_until_refused<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+) {
     loop {
         let changed = cx.crash_marks_changed.notified();
-        if refuses(cx, digest) {
+        if refuses(cx, req) {
             return;
         }
         changed.await;
     }
 }
 
-/// Logs that a request is refused, or not continued, because its content crashed several servers or may have.
-pub(crate) fn log_refusal<D: dialect::Dialect>(cx: &context::Router<D>, id: &str, digest: u64) {
+/// Logs that a request is refused, or not continued, because its content or a part of its prompt crashed several
+/// servers or may have.
+pub(crate) fn log_refusal<D: dialect::Dialect>(cx: &context::Router<D>, req: &send::CallerRequest) {
+    let digest = req.digest;
+    if standing(cx, digest) == Standing::Allowed && part_marks::log_refusal(cx, req) {
+        return;
+    }
     let marked = locks::lock(&cx.crash_marks)
         .table
         .check(digest, cx.unix_time());
-    event!(Info, "refused", "id" => id, "cause" => "crashes servers", "digest" => hex(digest),
+    event!(Info, "refused", "id" => req.head.request_id, "cause" => "crashes servers", "digest" => hex(digest),
         "marked" => marked.err().map(|refusal| refusal.message),
         "open_checks" => cx.crash_checks.open_count(digest));
 }
 
-/// Makes the answer to a request that wasn't sent to any server, because its content crashed several or may have.
+/// Makes the answer to a request that wasn't sent to any server, because its content or a part of its prompt crashed
+/// several or may have.
 pub(crate) fn refusal_answer<D: dialect::Dialect>(
     cx: &context::Router<D>,
-    digest: u64,
+    req: &send::CallerRequest,
 ) -> answer::Answer {
-    match standing(cx, digest) {
+    match standing(cx, req.digest) {
         Standing::Refused => answer::not_run(REFUSAL, CRASHES_RETRY_AFTER),
+        Standing::Suspected => answer::not_run(CHECKS_REFUSAL, CHECKS_RETRY_AFTER),
         // The checks may have ended since the request was refused.
-        Standing::Suspected | Standing::Allowed => {
-            answer::not_run(CHECKS_REFUSAL, CHECKS_RETRY_AFTER)
-        }
+        Standing::Allowed => part_marks::refusal_answer(cx, req)
+            .unwrap_or_else(|| answer::not_run(CHECKS_REFUSAL, CHECKS_RETRY_AFTER)),
     }
 }
 
@@ -282,6 +305,10 @@
     };
     news::CrashMark {
         digest: mark.digest,
+        part: mark.part.as_ref().map(|part| news::PartEvidence {
+            answers: part.answers,
+            trials: part.trials.iter().map(ToString::to_string).collect(),
+        }),
         expires_unix_ms: clock::millis(mark.expires),
         crashes: crashes_to_wire(&mark.crashes),
         cleared: crashes_to_wire(&mark.cleared),
@@ -298,6 +325,10 @@
     };
     quarantine::CrashMark {
         digest: mark.digest,
+        part: mark.part.map(|part| quarantine::PartEvidence {
+            answers: part.answers,
+            trials: part.trials.into_iter().map(Into::into).collect(),
+        }),
         crashes: crashes_from_wire(mark.crashes),
         cleared: crashes_from_wire(mark.cleared),
         expires: time::Duration::from_millis(mark.expires_unix_ms),
@@ -328,6 +359,7 @@
         return;
     }
     event!(Info, "content-marked-elsewhere", "digest" => hex(mark.digest), "source" => source,
+        "is_part" => mark.part.is_some(),
         "servers" => mark.servers().len(), "cleared" => mark.cleared.len());
     on_change(cx, mark.digest, stored_marks::Origin::Announced);
 }
--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -15,6 +15,7 @@
 use crate::router::crash_marks;
 use crate::router::engine_reservation;
 use crate::router::events::event;
+use crate::router::part_marks;
 use crate::router::prefills;
 use crate::router::send;
 use crate::router::stream_request;
@@ -47,27 +48,47 @@
     /// Reserves capacity on a server, connects to it and has the prompt prefilled, unless
     /// `kv_cache` holds the result already. Tries further servers as far as the request's attempts,
     /// time and retry budget allow.
+    ///
+    /// Gives up whatever was prepared once the request may not be sent any more, because its content or a part of its
+    /// prompt crashes servers.
     pub(super) async fn prepare(
+        &mut self,
+        kv_cache: Option<prefills::KvHandle<D>>,
+    ) -> Result<PreparedServer<D>, stream_request::OpenFailure> {
+        let (cx, received) = (self.cx.clone(), self.received.clone());
+        tokio::select! {
+            prepared = self.try_prepare(kv_cache) => prepared,
+            () = crash_marks::wait_until_refused(&cx, &received) => {
+                crash_marks::log_refusal(&cx, &received);
+                Err(stream_request::OpenFailure::Quarantined)
+            }
+        }
+    }
+
+    async fn try_prepare(
         &mut self,
         mut kv_cache: Option<prefills::KvHandle<D>>,
     ) -> Result<PreparedServer<D>, stream_request::OpenFailure> {
         loop {
+            if part_marks::wait_for_turn(&self.cx, &self.received)
+                .await
+                .is_err()
+            {
+                crash_marks::log_refusal(&self.cx, &self.received);
+                return Err(stream_request::OpenFailure::Quarantined);
+            }
+            // A prompt on trial isn't worth a prefill on another engine.
+            self.prefills_on_decode |= self.received.trial.get().is_some();
             kv_cache = kv_cache.filter(|handle| handle.is_fresh());
-            let (reservation, placement) = tokio::select! {
-                reserved = self.reserve(kv_cache.as_ref()) => match reserved {
-                    Ok(reserved) => reserved,
-                    // Without the prefilled cache, engines of other versions may take the request.
-                    Err(_) if self.version.is_none() && kv_cache.is_some() => {
-                        kv_cache = None;
-                        continue;
-                    }
-                    Err(no_capacity) => {
-                        return Err(stream_request::OpenFailure::NoCapacity(no_capacity));
-                    }
-                },
-                () = crash_marks::wait_until_refused(&self.cx, self.received.digest) => {
-                    crash_marks::log_refusal(&self.cx, self.id(), self.received.digest);
-                    return Err(stream_request::OpenFailure::Quarantined);
+            let (reservation, placement) = match self.reserve(kv_cache.as_ref()).await {
+                Ok(reserved) => reserved,
+                // Without the prefilled cache, engines of other versions may take the request.
+                Err(_) if self.version.is_none() && kv_cache.is_some() => {
+                    kv_cache = None;
+                    continue;
+                }
+                Err(no_capacity) => {
+                    return Err(stream_request::OpenFailure::NoCapacity(no_capacity));
                 }
             };
             let server = placement.decode;
--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -115,6 +115,8 @@
     pub(crate) tried: &'a [sync::Arc<str>],
     /// Ids of the servers that it is sent to only if no other is usable.
     pub(crate) left: &'a [sync::Arc<str>],
+    /// Whether a part of its prompt may crash the engine, so that one with few runs is chosen.
+    pub(crate) on_trial: bool,
     /// The only software version whose engines may take it; `None` if any version may.
     pub(crate) version: Option<&'a sync::Arc<str>>,
 }
@@ -348,6 +350,12 @@
         .filter(|engine| !is_prefill(engine))
         .all(|engine| is_avoided(engine));
     engines.retain(|engine| !is_avoided(engine) || (all_avoided && !is_prefill(engine)));
+    if request.on_trial {
+        let load = locks::lock(&cx.engine_load);
+        let decode = engines.iter().filter(|engine| !is_prefill(engine));
+        let fewest = decode.map(|engine| load.runs_on(&engine.id)).min();
+        engines.retain(|engine| is_prefill(engine) || Some(load.runs_on(&engine.id)) == fewest);
+    }
     engines
 }
 
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -15,6 +15,7 @@
 use crate::router::engine_prepare;
 use crate::router::engine_reservation;
 use crate::router::events::event;
+use crate::router::part_marks;
 use crate::router::prefills;
 use crate::router::send;
 use crate::router::stream_request;
@@ -22,6 +23,10 @@
 /// A server counts as silent if the head of its stream hasn't arrived after this time.
 const STREAM_HEAD_SILENCE: time::Duration = time::Duration::from_millis(2_000);
 
+/// How long a stream that broke isn't continued while it is found out whether its server crashed, if its prompt may be
+/// the cause.
+const MAX_CHECK_TIME: time::Duration = time::Duration::from_millis(300);
+
 /// A server's stream whose head has arrived, with what is needed to relay it.
 #[derive(Debug)]
 pub(crate) struct OpenStream<D: dialect::Dialect> {
@@ -98,6 +103,12 @@
     /// others chose.
     pub(crate) async fn reopen(&mut self) -> Result<OpenStream<D>, stream_request::OpenFailure> {
         tokio::time::sleep(engine_prepare::REOPEN_JITTER.mul_f64(rand::random::<f64>())).await;
+        let on_trial = self.received.trial.get().is_some();
+        if on_trial || part_marks::has_unanswered(&self.cx, &self.received) {
+            // The prompt may have crashed the server, and would crash the next one.
+            let ended = self.cx.crash_checks.wait_until_ended(self.received.digest);
+            let _ = tokio::time::timeout(MAX_CHECK_TIME, ended).await;
+        }
         self.open(None).await
     }
 
@@ -144,8 +155,18 @@
         sending: impl Future<Output = DecodeAnswer<D>>,
     ) -> Awaited<D> {
         let sent_at = self.cx.now();
+        let (cx, received) = (self.cx.clone(), self.received.clone());
         let answered = tokio::select! {
             answered = sending => answered,
+            () = part_marks::wait_until_refused(&cx, &received) => {
+                self.may_have_run = true;
+                let outcome = outcome::Outcome::Quarantined;
+                let cause = "a part of the prompt crashes servers";
+                DecodeAnswer {
+                    response: Err(send::SendFailure { outcome, cause }),
+                    kv_cache: None,
+                }
+            }
             other = self.prepare_alternative(server, sent_at, STREAM_HEAD_SILENCE) => {
                 self.may_have_run = true;
                 self.leave_silent_server(server);
@@ -307,7 +328,7 @@
         was_prefill: bool,
     ) -> Result<(), stream_request::OpenFailure> {
         if failure.outcome == outcome::Outcome::Quarantined {
-            crash_marks::log_refusal(&self.cx, self.id(), self.received.digest);
+            crash_marks::log_refusal(&self.cx, &self.received);
             return Err(stream_request::OpenFailure::Quarantined);
         }
         let now = self.cx.now();
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -18,6 +18,7 @@
 use crate::router::context;
 use crate::router::crash_marks;
 use crate::router::events::event;
+use crate::router::part_marks;
 use crate::router::plain_request;
 use crate::router::relay;
 use crate::router::send;
@@ -154,10 +155,10 @@
         );
     };
     let digest = digest(caller, &parts.uri, &body);
-    if crash_marks::refuses(cx, digest) {
-        crash_marks::log_refusal(cx, id.as_deref().unwrap_or("-"), digest);
-        return crash_marks::refusal_answer(cx, digest);
-    }
+    let shared_parts = match service.engines {
+        Some(_) => part_marks::shared_parts(&service.name, &head.prompt_parts),
+        None => sync::Arc::default(),
+    };
     let received = send::CallerRequest {
         method: parts.method,
         target: parts.uri,
@@ -166,7 +167,13 @@
         body,
         memory,
         digest,
+        parts: shared_parts,
+        trial: sync::OnceLock::new(),
     };
+    if crash_marks::refuses(cx, &received) {
+        crash_marks::log_refusal(cx, &received);
+        return crash_marks::refusal_answer(cx, &received);
+    }
     server_limits::record_request(cx, &service.name, route.priority);
     let answer = match (&service.engines, route.kind) {
         (Some(engines), routing::Kind::Stream { .. }) => {
--- a/daemon/src/router/inspect.rs
+++ b/daemon/src/router/inspect.rs
@@ -78,7 +78,7 @@
         .map(|mark| {
             json!({
                 "digest": crash_marks::hex(mark.digest), "servers": mark.servers(),
-                "lifted": mark.is_lifted(),
+                "lifted": mark.is_lifted(), "part": mark.part,
             })
         })
         .collect();
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -23,6 +23,7 @@
 mod inspect;
 mod listen;
 mod news;
+mod part_marks;
 mod plain_request;
 mod prefills;
 mod relay;
@@ -39,6 +40,7 @@
 mod stream_request;
 mod stream_versions;
 mod telemetry;
+mod trials;
 
 pub use run::run;
 pub use run::start_logging;
--- /dev/null
+++ b/daemon/src/router/part_marks.rs
@@ -0,0 +1,299 @@
+//! Marks of parts of prompts, and the prompts that are refused or tried by them.
+//!
+//! A part crashes engines of one service, whoever sends it and whatever else the prompt holds. Its mark is
+//! kept and passed on like that of content, see [`crash_marks`]. `lib` decides by all marks together
+//! which parts are to blame ([`part_blame`]).
+
+use std::sync;
+use std::time;
+
+use walnuthaven_lib::dialect;
+use walnuthaven_lib::ids;
+use walnuthaven_lib::part_blame;
+use walnuthaven_lib::stored_marks;
+use walnuthaven_lib::trial_turns;
+use xxhash_rust::xxh3;
+
+use crate::locks;
+use crate::router::answer;
+use crate::router::context;
+use crate::router::crash_marks;
+use crate::router::events::event;
+use crate::router::send;
+
+/// A stream that an engine has written for this long shows that its prompt doesn't crash engines: they crash as
+/// they begin to write.
+pub(crate) const BEGIN_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// How long a prompt waits for the result of a trial if its suspected parts were answered before, so that they are
+/// probably harmless.
+const MAX_WAIT: time::Duration = time::Duration::from_millis(800);
+/// Bounds of the Retry-After of prompts with a part that crashes engines. They are refused until an operator acts or
+/// the part is tried again.
+const REFUSED_RETRY_AFTER: std::ops::Range<time::Duration> =
+    time::Duration::from_secs(45)..time::Duration::from_secs(90);
+/// Bounds of the Retry-After of prompts with a suspected part. Most trials have ended by then.
+const SUSPECTED_RETRY_AFTER: std::ops::Range<time::Duration> =
+    time::Duration::from_millis(500)..time::Duration::from_millis(1_500);
+/// What the caller is told of a part that crashes engines.
+const REFUSAL: &str = "a part of this prompt crashed several servers";
+/// What the caller is told of a suspected part.
+const TRIAL_REFUSAL: &str = "a part of this prompt may have crashed several servers";
+
+/// A part of a prompt that other prompts may share.
+#[derive(Clone, Debug)]
+pub(crate) struct PromptPart {
+    /// The digest of the service and the part's id.
+    pub(crate) digest: u64,
+    /// The id.
+    pub(crate) id: sync::Arc<str>,
+}
+
+/// Returns the parts of a prompt that other prompts to the same service may share: all but the last one.
+pub(crate) fn shared_parts(service: &str, ids: &[sync::Arc<str>]) -> sync::Arc<[PromptPart]> {
+    let shared = &ids[..ids.len().saturating_sub(1)];
+    let parts = shared.iter().map(|id| {
+        let mut hasher = xxh3::Xxh3::new();
+        for text in ["prompt part", service, id] {
+            hasher.update(text.as_bytes());
+            hasher.update(&[0]);
+        }
+        PromptPart {
+            digest: hasher.digest(),
+            id: id.clone(),
+        }
+    });
+    parts.collect()
+}
+
+/// Judges the prompt of a request.
+fn judge<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+) -> part_blame::Verdict {
+    if req.parts.is_empty() {
+        return part_blame::Verdict::Clear;
+    }
+    let digests: Vec<u64> = req.parts.iter().map(|part| part.digest).collect();
+    let unix_time = cx.unix_time();
+    locks::lock(&cx.crash_marks)
+        .table
+        .judge_parts(&digests, unix_time)
+}
+
+/// Returns whether the prompt holds a part that crashes engines.
+pub(crate) fn refuses<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+) -> bool {
+    matches!(judge(cx, req), part_blame::Verdict::Refused(_))
+}
+
+/// Waits until the prompt is known to hold a part that crashes engines.
+pub(crate) async fn wait_until_refused<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+) {
+    loop {
+        let changed = cx.crash_marks_changed.notified();
+        if refuses(cx, req) {
+            return;
+        }
+        changed.await;
+    }
+}
+
+/// Returns whether no engine is known to have answered a prompt with one of the parts.
+pub(crate) fn has_unanswered<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+) -> bool {
+    let answered = locks::lock(&cx.answered_parts);
+    req.parts
+        .iter()
+        .any(|part| answered.count(part.digest) == 0)
+}
+
+/// Records that a server process crashed just after it began to answer a prompt with these parts. The attempt ended at
+/// `ended`, a time since boot. `on_trial` states whether a part was suspected when it was sent.
+pub(crate) fn record_crash<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    parts: &[PromptPart],
+    server: &ids::Name,
+    ended: time::Duration,
+    on_trial: bool,
+) {
+    for part in parts {
+        let (answers, harmless) = {
+            let answered = locks::lock(&cx.answered_parts);
+            let harmless = answered.has_since(part.digest, ended);
+            (answered.count(part.digest), harmless)
+        };
+        if harmless {
+            continue;
+        }
+        let unix_time = cx.unix_time();
+        let (mark, charge) = {
+            let mut marks = locks::lock(&cx.crash_marks);
+            let table = &mut marks.table;
+            let mark = table.record_part_crash(part.digest, server, answers, on_trial, unix_time);
+            let charge = table.blame(unix_time).charge(part.digest).cloned();
+            (mark, charge)
+        };
+        cx.telemetry.count("part_marks.crashes");
+        let unexplained = charge.map_or(0, |charge| charge.unexplained);
+        event!(Warn, "part-crashed-server", "part" => part.id,
+            "digest" => crash_marks::hex(part.digest), "server" => server,
+            "servers" => mark.servers().len(), "unexplained" => unexplained,
+            "answers" => answers, "on_trial" => on_trial);
+        crash_marks::on_change(cx, part.digest, stored_marks::Origin::Observed);
+    }
+}
+
+/// Records that an engine could answer a prompt with these parts, of which it sent the first event at `began`, a time
+/// since boot.
+pub(crate) fn record_answer<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    parts: &[PromptPart],
+    began: time::Duration,
+) {
+    for part in parts {
+        locks::lock(&cx.answered_parts).record(part.digest, began, cx.now());
+        let lifted = locks::lock(&cx.crash_marks).table.lift(part.digest);
+        if let Some(mark) = lifted {
+            event!(Info, "part-cleared", "part" => part.id,
+                "digest" => crash_marks::hex(part.digest), "cleared" => mark.cleared.len());
+            crash_marks::on_change(cx, part.digest, stored_marks::Origin::Observed);
+        }
+    }
+}
+
+/// Waits until the prompt may be sent, and starts a trial if some of its parts are suspected.
+///
+/// # Errors
+///
+/// Returns an error if it may not be sent: at once if a part crashes engines or no answer to a prompt with it is
+/// known, else if no trial has cleared it in time.
+pub(crate) async fn wait_for_turn<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+) -> Result<(), ()> {
+    let give_up_at = cx.now() + MAX_WAIT;
+    loop {
+        let changed = cx.crash_marks_changed.notified();
+        let ended = cx.trials.ended();
+        let trial = match judge(cx, req) {
+            part_blame::Verdict::Clear => return Ok(()),
+            part_blame::Verdict::Refused(_) => return Err(()),
+            part_blame::Verdict::Trial(trial) => trial,
+        };
+        if start_trial(cx, req, &trial) {
+            return Ok(());
+        }
+        let left = give_up_at.saturating_sub(cx.now());
+        if !trial.answered || left.is_zero() {
+            return Err(());
+        }
+        tokio::select! {
+            () = changed => {}
+            () = ended => {}
+            () = tokio::time::sleep(left) => {}
+        }
+    }
+}
+
+/// Checks the prompt right before it is sent to an engine that answers it, and starts a trial if some of its parts
+/// are suspected. Returns whether it may be sent.
+pub(crate) fn may_send<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+) -> bool {
+    match judge(cx, req) {
+        part_blame::Verdict::Clear => true,
+        part_blame::Verdict::Refused(_) => false,
+        part_blame::Verdict::Trial(trial) => start_trial(cx, req, &trial),
+    }
+}
+
+/// Has the request be the one with the suspected parts that is sent, if it is this host's turn and no other one is.
+/// Returns whether it is.
+fn start_trial<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+    trial: &part_blame::Trial,
+) -> bool {
+    if req.trial.get().is_some() {
+        return true;
+    }
+    let Some(key) = trial.parts.iter().min() else {
+        return true;
+    };
+    let waited = cx.unix_time().saturating_sub(trial.due);
+    let is_turn = {
+        let peers = locks::lock(&cx.peers);
+        let others = peers.accepting_in_group(&cx.id.name);
+        trial_turns::is_turn(*key, &cx.id.name, others, waited)
+    };
+    if !is_turn {
+        return false;
+    }
+    let Some(permit) = cx.trials.start(trial.parts.clone()) else {
+        return false;
+    };
+    cx.telemetry.count("part_marks.trials");
+    event!(Info, "trial-started", "id" => req.head.request_id, "parts" => names(req, &trial.parts));
+    req.trial.set(sync::Arc::new(permit)).is_ok()
+}
+
+/// Returns the ids of some of the request's parts, for the log.
+fn names(req: &send::CallerRequest, digests: &[u64]) -> String {
+    let parts = req
+        .parts
+        .iter()
+        .filter(|part| digests.contains(&part.digest));
+    let ids: Vec<&str> = parts.map(|part| &*part.id).collect();
+    ids.join(",")
+}
+
+/// Logs that a request is refused, or not continued, because of a part of its prompt. Returns whether it is one.
+pub(crate) fn log_refusal<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+) -> bool {
+    let (cause, parts) = match judge(cx, req) {
+        part_blame::Verdict::Clear => return false,
+        part_blame::Verdict::Refused(part) => ("part crashes servers", vec![part]),
+        part_blame::Verdict::Trial(trial) => ("part is suspected", trial.parts),
+    };
+    let evidence: Vec<String> = {
+        let mut marks = locks::lock(&cx.crash_marks);
+        let blame = marks.table.blame(cx.unix_time());
+        let charges = parts.iter().filter_map(|part| blame.charge(*part));
+        charges
+            .map(|charge| {
+                format!(
+                    "{} crashes, {} on trial, answered before: {}",
+                    charge.unexplained, charge.trials, charge.answered
+                )
+            })
+            .collect()
+    };
+    cx.telemetry.count("part_marks.refusals");
+    event!(Info, "refused", "id" => req.head.request_id, "cause" => cause,
+        "parts" => names(req, &parts), "evidence" => evidence.join("; "));
+    true
+}
+
+/// Makes the answer to a request that wasn't sent to any server because of a part of its prompt.
+pub(crate) fn refusal_answer<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+) -> Option<answer::Answer> {
+    let (cause, bounds) = match judge(cx, req) {
+        part_blame::Verdict::Clear => return None,
+        part_blame::Verdict::Refused(_) => (REFUSAL, REFUSED_RETRY_AFTER),
+        part_blame::Verdict::Trial(_) => (TRIAL_REFUSAL, SUSPECTED_RETRY_AFTER),
+    };
+    // Callers that were refused together don't return together.
+    let spread = (bounds.end - bounds.start).mul_f64(rand::random::<f64>());
+    Some(answer::not_run(cause, bounds.start + spread))
+}
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -177,8 +177,8 @@
         if progress.may_have_run {
             return self.give_up(progress);
         }
-        crash_marks::log_refusal(self.cx, self.id(), self.received.digest);
-        crash_marks::refusal_answer(self.cx, self.received.digest)
+        crash_marks::log_refusal(self.cx, self.received);
+        crash_marks::refusal_answer(self.cx, self.received)
     }
 
     /// Makes the answer after the last send failed with `cause`, if `next` would follow it.
@@ -331,7 +331,8 @@
             false => {
                 // Only a success shows that the server has run the request.
                 if status.is_success() {
-                    crash_marks::lift_mark(cx, self.received.digest);
+                    let subject = self.received.subject(dialect::Work::Whole);
+                    crash_checks::record_answer(cx, &subject, Some(started));
                 }
                 Ok(answer)
             }
@@ -346,7 +347,7 @@
         drop(crash_checks::Attempt::new(
             &cx.crash_checks,
             server,
-            self.received.digest,
+            self.received.subject(dialect::Work::Whole),
             sent_at,
         ));
         event!(Info, "server-silent", "id" => self.id(), "server" => server.id);
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -13,11 +13,12 @@
 use crate::router::answer;
 use crate::router::connection_pool;
 use crate::router::context;
-use crate::router::crash_marks;
+use crate::router::crash_checks;
 use crate::router::engine_prepare;
 use crate::router::engine_reservation;
 use crate::router::engine_stream;
 use crate::router::events::event;
+use crate::router::part_marks;
 use crate::router::run_move;
 use crate::router::send;
 use crate::router::stream_events;
@@ -70,6 +71,8 @@
     reservation: engine_reservation::Reservation<D>,
     splitter: event_stream::Splitter,
     run_move: Option<run_move::RunMove<D>>,
+    /// Whether it was recorded that the prompt doesn't crash servers.
+    is_proven: bool,
 }
 
 /// Why events are no longer relayed from a server.
@@ -147,7 +150,6 @@
         let failure = match end {
             StreamEnd::Complete => {
                 record_length(&request);
-                crash_marks::lift_mark(&cx, request.received.digest);
                 return record_end(&request, "complete", "");
             }
             StreamEnd::CallerLeft => return record_end(&request, "caller left", ""),
@@ -232,6 +234,7 @@
         reservation: opened.reservation,
         splitter: event_stream::Splitter::default(),
         run_move: None,
+        is_proven: false,
     };
     let end = loop {
         let other = match relay_events(request, &mut stream, tx).await {
@@ -252,7 +255,12 @@
     };
     let mut attempt = stream.response.attempt;
     match &end {
-        StreamEnd::Complete => attempt.set_answered(),
+        StreamEnd::Complete if stream.response.has_explicit_end => {
+            let subject = request.received.subject(dialect::Work::Whole);
+            crash_checks::record_answer(&request.cx, &subject, attempt.began());
+            attempt.set_answered();
+        }
+        StreamEnd::Complete => attempt.set_ended_with_connection(request.cx.now()),
         StreamEnd::Broken(failure)
             if matches!(
                 failure.cause,
@@ -407,6 +415,7 @@
             }
             record_pause(request, &stream.server.id);
             stream.reservation.record_progress(request.tokens_generated);
+            record_writing(request, stream);
         }
         if stream
             .run_move
@@ -422,6 +431,22 @@
     }
 }
 
+/// Records that the server has begun to write, and once it has written for some time, that the prompt doesn't crash
+/// servers.
+fn record_writing<D: dialect::Dialect>(
+    request: &stream_request::StreamRequest<D>,
+    stream: &mut ServerStream<D>,
+) {
+    let now = request.cx.now();
+    let attempt = &mut stream.response.attempt;
+    attempt.set_began(now);
+    let began = attempt.began().unwrap_or(now);
+    if !stream.is_proven && now.saturating_sub(began) >= part_marks::BEGIN_TIME {
+        stream.is_proven = true;
+        part_marks::record_answer(&request.cx, &request.received.parts, began);
+    }
+}
+
 /// Records and logs the pause before the event that was just relayed, if it was longer than the
 /// route's longest pause.
 fn record_pause<D: dialect::Dialect>(
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -22,7 +22,9 @@
 use crate::router::context;
 use crate::router::crash_checks;
 use crate::router::crash_marks;
+use crate::router::part_marks;
 use crate::router::server_limits;
+use crate::router::trials;
 
 /// Longest time to open a connection to a server. The round trip takes about a millisecond, and the
 /// server about another to accept. A lost packet is retransmitted only after a second, so trying
@@ -57,6 +59,25 @@
     /// Digest of the caller, target and body. It is the same when the caller sends the request
     /// again.
     pub(crate) digest: u64,
+    /// The parts of its prompt that other prompts may share; empty unless it goes to model engines.
+    pub(crate) parts: sync::Arc<[part_marks::PromptPart]>,
+    /// Set once it is sent although some of the parts are suspected.
+    pub(crate) trial: sync::OnceLock<sync::Arc<trials::Permit>>,
+}
+
+impl CallerRequest {
+    /// Returns what a server that is asked for this work may crash by.
+    pub(crate) fn subject(&self, work: dialect::Work<'_>) -> crash_checks::Subject {
+        let writes_answer = !matches!(work, dialect::Work::Prefill);
+        crash_checks::Subject {
+            digest: self.digest,
+            parts: match writes_answer {
+                true => self.parts.clone(),
+                false => sync::Arc::default(),
+            },
+            trial: self.trial.get().filter(|_| writes_answer).cloned(),
+        }
+    }
 }
 
 /// A server's answer whose head has arrived.
@@ -72,6 +93,8 @@
     pub(crate) body: body::Incoming,
     /// The connection, which is in use until the body has ended.
     pub(crate) connection: connection_pool::Connection,
+    /// Whether the body says itself where it ends, by its length or in chunks. Otherwise it ends with its connection.
+    pub(crate) has_explicit_end: bool,
     /// Has the server checked for a crash unless the body ends as it should.
     pub(crate) attempt: crash_checks::Attempt,
     server: sync::Arc<backends::Backend>,
@@ -113,7 +136,7 @@
     params: &dialect::SendParams<'_>,
     options: Options,
 ) -> Result<ServerResponse, SendFailure> {
-    crash_marks::check_send(cx, req, &server.id)?;
+    crash_marks::check_send(cx, req, params.work, &server.id)?;
     let timeout = time_left(cx, options.deadline);
     let builder = http::Request::builder().method(req.method.clone());
     let mut message = builder
@@ -121,7 +144,8 @@
         .body(Full::new(req.body.clone()))
         .map_err(|_| failure(outcome::Outcome::NeverWritten, "request can't be built"))?;
     *message.headers_mut() = cx.dialect.server_headers(&req.headers, params);
-    let mut attempt = crash_checks::Attempt::new(&cx.crash_checks, server, req.digest, cx.now());
+    let subject = req.subject(params.work);
+    let mut attempt = crash_checks::Attempt::new(&cx.crash_checks, server, subject, cx.now());
     let answer = tokio::time::timeout(timeout, connection.send(message)).await;
     let response = match answer {
         Err(_) => return Err(failure(outcome::Outcome::Silent, "no answer in time")),
@@ -156,7 +180,12 @@
         ));
     }
     server_limits::record_answer(cx, server, parts.status, &parts.headers);
+    let framing = [
+        http::header::CONTENT_LENGTH,
+        http::header::TRANSFER_ENCODING,
+    ];
     Ok(ServerResponse {
+        has_explicit_end: framing.iter().any(|name| parts.headers.contains_key(name)),
         status: parts.status,
         headers: parts.headers,
         head,
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -180,6 +180,7 @@
             deadline: self.deadline,
             tried,
             left: &self.left_servers,
+            on_trial: self.received.trial.get().is_some(),
             version: self.version.as_ref(),
         }
     }
@@ -311,7 +312,7 @@
         match failure {
             OpenFailure::Answer(answer) => *answer,
             OpenFailure::Quarantined if !self.may_have_run => {
-                crash_marks::refusal_answer(&self.cx, self.received.digest)
+                crash_marks::refusal_answer(&self.cx, &self.received)
             }
             OpenFailure::Quarantined => {
                 let cause = "the rest of the answer crashes servers";
--- a/lib/src/announced_marks.rs
+++ b/lib/src/announced_marks.rs
@@ -31,7 +31,8 @@
 }
 
 impl Announcements {
-    /// Chooses the marks for a message: at most `limit` changed ones, those not sent for longest first. If
+    /// Chooses the marks for a message: at most `limit` changed ones, first those of suspected parts, which concern most
+    /// requests, and then those not sent for longest. If
     /// there is room and a repetition is due, adds one more. `spacing` is the shortest time between two
     /// messages with the same changed mark; it is zero if each message goes to one host only.
     pub fn next(
@@ -51,12 +52,18 @@
         let mut due: Vec<_> = self
             .changed
             .keys()
-            .map(|digest| (self.last_sent(*digest), *digest))
-            .filter(|(sent_at, _)| now.saturating_sub(*sent_at) >= spacing)
+            .map(|digest| {
+                (
+                    !is_suspected_part(table, *digest),
+                    self.last_sent(*digest),
+                    *digest,
+                )
+            })
+            .filter(|(_, sent_at, _)| now.saturating_sub(*sent_at) >= spacing)
             .collect();
         due.sort_unstable();
         due.truncate(limit);
-        let mut digests: Vec<u64> = due.into_iter().map(|(_, digest)| digest).collect();
+        let mut digests: Vec<u64> = due.into_iter().map(|(.., digest)| digest).collect();
         for digest in &digests {
             self.sent_at.insert(*digest, now);
         }
@@ -89,3 +96,9 @@
         self.sent_at.get(&digest).copied().unwrap_or_default()
     }
 }
+
+/// Returns whether a mark is of a part with several crashes.
+fn is_suspected_part(table: &quarantine::Table, digest: u64) -> bool {
+    let mark = table.get(digest);
+    mark.is_some_and(|mark| mark.part.is_some() && mark.crashes.len() > 1)
+}
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -32,6 +32,8 @@
     pub deadline: Option<time::Duration>,
     /// Set for requests to model engines.
     pub prompt: Option<Prompt>,
+    /// Ids of the parts of the prompt, in their order. The last one belongs to the request or its session.
+    pub prompt_parts: Vec<sync::Arc<str>>,
     /// The id of the last event that the caller has, if it wants a stream to be continued.
     pub resume_after: Option<u64>,
     /// The id of the attempt that brought the first event of the stream to be continued.
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -190,6 +190,17 @@
         addrs.into_iter()
     }
 
+    /// Returns the names of the other hosts in the group of this host, named `own`, that callers may connect to.
+    pub fn accepting_in_group(&self, own: &str) -> impl Iterator<Item = &str> {
+        let groups = self.groups();
+        let group = groups.group(own);
+        let accepting = self.known.iter().filter(move |(name, peer)| {
+            let status = peer.status.as_ref();
+            status.is_some_and(|(status, _)| status.takes_callers) && groups.group(name) == group
+        });
+        accepting.map(|(name, _)| &**name)
+    }
+
     /// Returns the entries of all other hosts, each with the age of its last news, or `None` if it is silent.
     pub fn all(
         &self,
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -6,6 +6,9 @@
 //! table was created with) is refused until its mark expires or is lifted. An operator or a complete
 //! answer lifts a mark.
 //!
+//! A mark is of content, or of a part of prompts. Which parts are to blame follows from all of their marks
+//! together, see `part_blame`.
+//!
 //! A mark is an observed-remove set of crashes: a lift clears the crashes that its host knows of, and
 //! no others. Merging therefore needs no clock, and its result doesn't depend on the order.
 
@@ -17,18 +20,21 @@
 
 use crate::clock;
 use crate::ids;
+use crate::part_blame;
 use crate::refusal;
 
 /// Number of different servers that must have crashed before content is quarantined.
 pub const SERVERS_TO_QUARANTINE: usize = 2;
 /// Time after the last crash at which a mark expires.
 const MARK_LIFETIME: time::Duration = time::Duration::from_secs(3_600);
-/// Maximum number of marks kept at one host. Beyond it, a mark that the host makes itself replaces the
-/// one that expires first, and new marks from other hosts are ignored.
+/// Maximum number of marks kept at one host. Beyond it, a mark that the host makes itself, or one of several
+/// crashes, replaces the one that expires first, and other marks from other hosts are ignored.
 const MAX_MARKS: usize = 10_000;
 
-/// Maximum number of crashes, and of cleared ones, that a mark lists: twice the highest threshold.
+/// Maximum number of crashes, and of cleared ones, that the mark of content lists: twice the highest threshold.
 const MAX_CRASHES: usize = 6;
+/// The same maximum for the mark of a part. With it, four marks fit into a news message.
+const MAX_PART_CRASHES: usize = 12;
 /// Crashes of a server within this time are one, seen by several requests. A server that crashed stays
 /// unreachable for longer than that, so it can't have crashed twice.
 const SAME_CRASH_WINDOW: time::Duration = time::Duration::from_secs(1);
@@ -43,11 +49,31 @@
     pub server: ids::Name,
 }
 
-/// The crashes that happened while content with one digest was in flight.
+/// What is known of a part of prompts besides the crashes.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartEvidence {
+    /// Number of answers to prompts with the part, as far as any one host knows, rounded down to a power of two.
+    pub answers: u64,
+    /// The crashed servers that had a prompt with the part on trial.
+    pub trials: collections::BTreeSet<ids::Name>,
+}
+
+impl PartEvidence {
+    fn merge(&mut self, other: &Self) {
+        self.answers = self.answers.max(other.answers);
+        self.trials.extend(other.trials.iter().cloned());
+    }
+}
+
+/// The crashes that happened while content with one digest, or prompts with one part, were in flight.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashMark {
-    /// The digest of the content.
+    /// The digest of the content, or of the part's id.
     pub digest: u64,
+    /// Set if the mark is of a part. Its crashes are those of processes, which crash once: their times are zero, so
+    /// that all hosts record the same.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<PartEvidence>,
     /// The crashes that count.
     pub crashes: collections::BTreeSet<Crash>,
     /// The crashes that don't count any more, because the mark was lifted after them.
@@ -73,6 +99,11 @@
         self.crashed_at_least(SERVERS_TO_QUARANTINE)
     }
 
+    /// Returns when a server crashed last, in Unix time.
+    pub fn last_crash(&self) -> time::Duration {
+        self.expires.saturating_sub(MARK_LIFETIME)
+    }
+
     fn crashed_at_least(&self, servers: usize) -> bool {
         self.servers().len() >= servers
     }
@@ -91,15 +122,27 @@
         let cleared = &self.cleared;
         self.crashes.retain(|crash| !cleared.contains(crash));
         self.expires = self.expires.max(other.expires);
-        limit_size(&mut self.crashes);
-        limit_size(&mut self.cleared);
+        let max_crashes = match self.part {
+            Some(_) => MAX_PART_CRASHES,
+            None => MAX_CRASHES,
+        };
+        limit_size(&mut self.crashes, max_crashes);
+        limit_size(&mut self.cleared, max_crashes);
+        if let Some(other) = &other.part {
+            let evidence = self.part.get_or_insert_default();
+            evidence.merge(other);
+            let crashes = &self.crashes;
+            evidence
+                .trials
+                .retain(|server| crashes.iter().any(|crash| crash.server == *server));
+        }
     }
 }
 
-/// Removes crashes until at most [`MAX_CRASHES`] are left. Those of the server with most crashes go
+/// Removes crashes until at most `max_crashes` are left. Those of the server with most crashes go
 /// first, so that the number of servers shrinks last.
-fn limit_size(crashes: &mut collections::BTreeSet<Crash>) {
-    while crashes.len() > MAX_CRASHES {
+fn limit_size(crashes: &mut collections::BTreeSet<Crash>, max_crashes: usize) {
+    while crashes.len() > max_crashes {
         let count = |server: &ids::Name| crashes.iter().filter(|c| c.server == *server).count();
         let Some(oldest) = crashes.iter().rev().max_by_key(|c| count(&c.server)) else {
             return;
@@ -118,6 +161,8 @@
     change_of: collections::BTreeMap<u64, u64>,
     changes: collections::BTreeMap<u64, u64>,
     last_change: u64,
+    /// Which parts are to blame, by the marks; `None` if a mark of a part has changed since that was found out.
+    blame: Option<part_blame::Blame>,
 }
 
 impl Default for Table {
@@ -135,11 +180,13 @@
             change_of: collections::BTreeMap::new(),
             changes: collections::BTreeMap::new(),
             last_change: 0,
+            blame: None,
         }
     }
 
     /// Gives the mark's change the next number.
     fn record_change(&mut self, digest: u64) {
+        self.blame = None;
         self.last_change += 1;
         self.changes.insert(self.last_change, digest);
         if let Some(earlier) = self.change_of.insert(digest, self.last_change) {
@@ -149,6 +196,7 @@
 
     fn remove(&mut self, digest: u64) {
         self.marks.remove(&digest);
+        self.blame = None;
         if let Some(change) = self.change_of.remove(&digest) {
             self.changes.remove(&change);
         }
@@ -170,26 +218,73 @@
     ) -> CrashMark {
         // Messages and the store have whole milliseconds.
         let unix_now = time::Duration::from_millis(clock::millis(unix_now));
-        let crash = Crash {
-            at: unix_now,
-            server: server.clone(),
+        let is_same = |crash: &Crash| {
+            crash.server == *server && crash.at.abs_diff(unix_now) < SAME_CRASH_WINDOW
         };
+        let known = self.marks.get(&digest);
+        let is_known = known.is_some_and(|mark| mark.crashes.iter().any(is_same));
         let observed = CrashMark {
             digest,
-            crashes: collections::BTreeSet::from([crash]),
+            part: None,
+            crashes: collections::BTreeSet::from([Crash {
+                at: unix_now,
+                server: server.clone(),
+            }]),
             cleared: collections::BTreeSet::new(),
             expires: unix_now + MARK_LIFETIME,
         };
+        match known {
+            Some(known) if is_known => {
+                let mark = known.clone();
+                self.record_change(digest);
+                mark
+            }
+            _ => self.record_observed(observed, unix_now),
+        }
+    }
+
+    /// Records that a server process crashed just after it began an answer to a prompt with the part, and that this
+    /// host knows of a number of answers to such prompts. `on_trial` states whether the part was suspected when the
+    /// prompt was sent. Returns the mark.
+    pub fn record_part_crash(
+        &mut self,
+        digest: u64,
+        server: &ids::Name,
+        answers: u64,
+        on_trial: bool,
+        unix_now: time::Duration,
+    ) -> CrashMark {
+        let unix_now = time::Duration::from_millis(clock::millis(unix_now));
+        let is_same = |crash: &Crash| crash.server == *server;
+        if let Some(known) = self.marks.get(&digest)
+            && known.crashes.iter().chain(&known.cleared).any(is_same)
+            && !on_trial
+        {
+            return known.clone();
+        }
+        let observed = CrashMark {
+            digest,
+            part: Some(PartEvidence {
+                answers: answers.checked_ilog2().map_or(0, |log| 1 << log),
+                trials: on_trial.then(|| server.clone()).into_iter().collect(),
+            }),
+            crashes: collections::BTreeSet::from([Crash {
+                at: time::Duration::ZERO,
+                server: server.clone(),
+            }]),
+            cleared: collections::BTreeSet::new(),
+            expires: unix_now + MARK_LIFETIME,
+        };
+        self.record_observed(observed, unix_now)
+    }
+
+    fn record_observed(&mut self, observed: CrashMark, unix_now: time::Duration) -> CrashMark {
+        let digest = observed.digest;
         if !self.marks.contains_key(&digest) {
             self.make_room(unix_now);
         }
         let mark = self.marks.entry(digest).or_insert_with(|| observed.clone());
-        let is_same = |crash: &Crash| {
-            crash.server == *server && crash.at.abs_diff(unix_now) < SAME_CRASH_WINDOW
-        };
-        if !mark.crashes.iter().any(is_same) {
-            mark.merge(&observed);
-        }
+        mark.merge(&observed);
         let mark = mark.clone();
         self.record_change(digest);
         mark
@@ -213,8 +308,12 @@
         }
         let Some(known) = self.marks.get_mut(&mark.digest) else {
             if self.marks.len() >= MAX_MARKS {
-                return false;
+                if mark.servers().len() < 2 {
+                    return false;
+                }
+                self.make_room(unix_now);
             }
+            self.blame = None;
             self.marks.insert(mark.digest, mark.clone());
             return true;
         };
@@ -222,6 +321,7 @@
             return false;
         }
         known.merge(mark);
+        self.blame = None;
         true
     }
 
@@ -292,6 +392,19 @@
         ))
     }
 
+    /// Judges a prompt by the marks of its parts.
+    pub fn judge_parts(&mut self, parts: &[u64], unix_now: time::Duration) -> part_blame::Verdict {
+        self.blame(unix_now).judge(parts, unix_now)
+    }
+
+    /// Returns what is held against parts.
+    pub fn blame(&mut self, unix_now: time::Duration) -> &part_blame::Blame {
+        let marks = self.marks.values();
+        let unexpired = marks.filter(|mark| mark.expires > unix_now);
+        self.blame
+            .get_or_insert_with(|| part_blame::Blame::new(unexpired))
+    }
+
     /// Returns all marks.
     pub fn marks(&self) -> impl Iterator<Item = &CrashMark> {
         self.marks.values()
--- a/lib/src/stored_marks.rs
+++ b/lib/src/stored_marks.rs
@@ -3,6 +3,9 @@
 //! The store is what hosts that start later learn marks from. The host that observed a crash writes it at
 //! once. Hosts that heard of it from another host write it if the store still lacks it some time later:
 //! the observer may have ended before it could.
+//!
+//! A crash marks all parts of all prompts in flight. Marks of parts are written only once they list several
+//! crashes: a single one decides nothing.
 
 use std::collections;
 use std::time;
@@ -91,7 +94,7 @@
         }
         let unsaved: Vec<u64> = table
             .marks()
-            .filter(|mark| !self.is_stored(mark))
+            .filter(|mark| self.needs_write(mark))
             .map(|mark| mark.digest)
             .collect();
         for digest in unsaved {
@@ -102,14 +105,10 @@
     /// Returns the next mark to write, those with most crashes first, and schedules another attempt in case
     /// that this one fails.
     pub fn next_write(&mut self, table: &quarantine::Table, now: time::Duration) -> Option<Write> {
-        let stored = &self.stored;
-        let lacks = |mark: &quarantine::CrashMark| {
-            stored
-                .get(&mark.digest)
-                .is_none_or(|(_, stored)| !stored.includes(mark))
-        };
-        self.unsaved
-            .retain(|digest, _| table.get(*digest).is_some_and(lacks));
+        let mut unsaved = std::mem::take(&mut self.unsaved);
+        let needs_write = |digest| table.get(digest).is_some_and(|mark| self.needs_write(mark));
+        unsaved.retain(|digest, _| needs_write(*digest));
+        self.unsaved = unsaved;
         let due = self.unsaved.iter().filter(|(_, due)| **due <= now);
         let marks = due.filter_map(|(digest, _)| table.get(*digest));
         let mark = marks.max_by_key(|mark| mark.servers().len())?.clone();
@@ -134,8 +133,10 @@
             .collect()
     }
 
-    fn is_stored(&self, mark: &quarantine::CrashMark) -> bool {
-        let stored = self.stored.get(&mark.digest);
-        stored.is_some_and(|(_, stored)| stored.includes(mark))
+    fn needs_write(&self, mark: &quarantine::CrashMark) -> bool {
+        match self.stored.get(&mark.digest) {
+            Some((_, stored)) => !stored.includes(mark),
+            None => mark.part.is_none() || mark.crashes.len() > 1,
+        }
     }
 }
