relay, run_move: don't take the end of an unframed stream for its completion

Callers got an empty or truncated answer as a whole one.

Cause: without a length or chunks a stream ends with its connection. Two such ends were taken for the answer's: one before the first event, and the end of a run that was stopped by a call whose answer didn't come.

Change: an unframed stream without any event has broken off. After an unanswered move the end of an unframed stream counts as broken, so that it is continued where the route allows it, and else is visibly incomplete; a refused move leaves the end as it is. A crash right at the end of an unframed stream can't be told from its completion; a check of its server decides whether it counts for or against the prompt.

--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -52,12 +52,13 @@
 enum ServerStreamEnd<D: dialect::Dialect> {
     Ended(StreamEnd),
     /// The stream ended while its run was being moved to another engine. Holds the run's
-    /// reservation, the move, and how the stream ended, which applies if the run wasn't stopped for
-    /// the move.
+    /// reservation, the move, how the stream ended, which applies if the run wasn't stopped for
+    /// the move, and whether that was an end that only a complete stream has.
     Moving(
         engine_reservation::Reservation<D>,
         run_move::RunMove<D>,
         StreamEnd,
+        bool,
     ),
     /// The server was silent, and another one goes on with the stream.
     Replaced(engine_stream::OpenStream<D>),
@@ -121,8 +122,7 @@
         let server = opened.server.clone();
         let end = match relay_from_server(&mut request, opened, &tx).await {
             ServerStreamEnd::Ended(end) => end,
-            ServerStreamEnd::Moving(reservation, run_move, end_unless_stopped) => {
-                let has_end = matches!(end_unless_stopped, StreamEnd::Complete);
+            ServerStreamEnd::Moving(reservation, run_move, end_unless_stopped, has_end) => {
                 let finished = tokio::select! {
                     finished = run_move.finish(&mut request, reservation, has_end) => finished,
                     () = tx.closed() => return record_end(&request, "caller left", ""),
@@ -138,6 +138,14 @@
                     Some(Err(run_move::MoveFailure::NotContinued(cause))) => {
                         StreamEnd::NotContinued(cause)
                     }
+                    Some(Err(run_move::MoveFailure::Unanswered)) => match end_unless_stopped {
+                        // It may be that of a stopped run.
+                        StreamEnd::Complete if !has_end => StreamEnd::Broken(send::SendFailure {
+                            outcome: outcome::Outcome::BrokenMidway,
+                            cause: stream_events::BROKE_OFF,
+                        }),
+                        end => end,
+                    },
                     None => end_unless_stopped,
                 }
             }
@@ -253,9 +261,10 @@
             }
         };
     };
+    let has_explicit_end = stream.response.has_explicit_end;
     let mut attempt = stream.response.attempt;
     match &end {
-        StreamEnd::Complete if stream.response.has_explicit_end => {
+        StreamEnd::Complete if has_explicit_end => {
             let subject = request.received.subject(dialect::Work::Whole);
             crash_checks::record_answer(&request.cx, &subject, attempt.began());
             attempt.set_answered();
@@ -275,7 +284,8 @@
         (StreamEnd::CallerLeft, _) => ServerStreamEnd::Ended(StreamEnd::CallerLeft),
         (end, Some(run_move)) => {
             request.silent_server = None;
-            ServerStreamEnd::Moving(stream.reservation, run_move, end)
+            let has_end = has_explicit_end && matches!(end, StreamEnd::Complete);
+            ServerStreamEnd::Moving(stream.reservation, run_move, end, has_end)
         }
         (end, None) => {
             if matches!(end, StreamEnd::Complete) {
@@ -376,6 +386,14 @@
         };
         let mut next = match event {
             Ok(event) => event,
+            // Without an explicit end, a stream that broke before its first event looks like an empty one.
+            Err(stream_events::EventsEnd::Complete)
+                if !stream.response.has_explicit_end
+                    && stream.response.attempt.began().is_none()
+                    && held.is_empty() =>
+            {
+                return broken(midway, stream_events::BROKE_OFF);
+            }
             Err(stream_events::EventsEnd::Complete) => {
                 let sent = stream_events::send_events(tx, held).await;
                 return RelayEnd::Ended(if sent {
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -36,7 +36,7 @@
     /// Whether the run was stopped; `None` until that is known.
     stopped: tokio::sync::watch::Receiver<Option<bool>>,
     /// Stops the run and copies its KV cache; yields `None` if the run wasn't stopped.
-    copy_task: tokio::task::JoinHandle<Option<StoppedRun<D>>>,
+    copy_task: tokio::task::JoinHandle<Result<StoppedRun<D>, NotStopped>>,
 }
 
 /// A run that was stopped so that another engine can continue it.
@@ -56,6 +56,17 @@
     /// The engine that was to continue it was silent and was left for another one, which failed.
     /// Holds the cause.
     NotContinued(&'static str),
+    /// It isn't known whether the run was stopped.
+    Unanswered,
+}
+
+/// Why a run wasn't stopped.
+#[derive(Debug)]
+enum NotStopped {
+    /// It goes on.
+    Refused,
+    /// The call that stops it wasn't answered.
+    Unanswered,
 }
 
 /// Starts to move a run if it should leave its engine and another engine has capacity.
@@ -94,7 +105,7 @@
         let deadline = request.deadline;
         async move {
             let stopped_run = stop_and_copy(cx, source, target, call, ttl, deadline).await;
-            stopped_tx.send_replace(Some(stopped_run.is_some()));
+            stopped_tx.send_replace(Some(stopped_run.is_ok()));
             stopped_run
         }
     };
@@ -107,8 +118,11 @@
     })
 }
 
-/// Asks an engine to stop a run and copy its KV cache. Returns `None` if the run wasn't stopped, or
-/// if that is unknown.
+/// Asks an engine to stop a run and copy its KV cache.
+///
+/// # Errors
+///
+/// Returns an error if the run wasn't stopped, or if that is unknown.
 async fn stop_and_copy<D: dialect::Dialect>(
     cx: sync::Arc<context::Router<D>>,
     source: sync::Arc<backends::Backend>,
@@ -116,26 +130,27 @@
     call: dialect::Call,
     ttl: time::Duration,
     deadline: time::Duration,
-) -> Option<StoppedRun<D>> {
+) -> Result<StoppedRun<D>, NotStopped> {
     let options = send::Options {
         deadline,
         repeatable: false,
     };
     // Connects to the target first, so that the run isn't stopped for an engine that can't be
     // reached.
-    let connection = send::get_connection(&cx, &target, options).await.ok()?;
+    let connection = send::get_connection(&cx, &target, options).await;
+    let connection = connection.map_err(|_| NotStopped::Refused)?;
     let timeout = deadline.saturating_sub(cx.now());
     let (status, body) = match send::call(&cx, &source, call, timeout).await {
         Ok(answer) => answer,
         Err(error) => {
             event!(Info, "move-unanswered", "from" => source.id, "cause" => error.to_string());
-            return None;
+            return Err(NotStopped::Unanswered);
         }
     };
     let kept_memory = cx.dialect.kept_memory(&body);
     let Some(kept_memory) = kept_memory else {
         event!(Info, "move-refused", "from" => source.id, "status" => status.as_u16());
-        return None;
+        return Err(NotStopped::Refused);
     };
     let kv_cache = prefills::KvHandle {
         created_at: cx.now(),
@@ -146,7 +161,7 @@
         fetched: false,
         of_run: true,
     };
-    Some(StoppedRun {
+    Ok(StoppedRun {
         kv_cache,
         connection: status.is_success().then_some(connection),
     })
@@ -174,7 +189,7 @@
     /// Continues the run on an engine after its stream has ended: on the target if the KV cache was
     /// copied there, otherwise, or if the target doesn't take it, again on the source.
     /// `source_reservation` is the run's reservation on the source. `has_end` states whether the
-    /// stream ended like a complete one. Returns `None` if the run wasn't stopped. Records each
+    /// stream ended as only a complete one does. Returns `None` if the run wasn't stopped. Records each
     /// failed send.
     pub(crate) async fn finish(
         self,
@@ -191,9 +206,13 @@
         let copied = tokio::time::timeout(max_wait, self.copy_task).await;
         let Ok(copied) = copied else {
             event!(Info, "move-unanswered", "from" => self.source.id, "cause" => "no answer in time");
-            return None;
+            return Some(Err(MoveFailure::Unanswered));
+        };
+        let stopped_run = match copied.ok()? {
+            Ok(stopped_run) => stopped_run,
+            Err(NotStopped::Refused) => return None,
+            Err(NotStopped::Unanswered) => return Some(Err(MoveFailure::Unanswered)),
         };
-        let stopped_run = copied.ok()??;
         let mut kv_cache = Some(stopped_run.kv_cache);
         let target = stopped_run
             .connection
