backends: stop using a process once another one is listed at its address

Callers whose engines or plain servers had crashed were refused (503 "another server or stage", "servers refused the request") although the servers were back: for up to 3.6 s the store lists the ended process as well, at the address at which its successor already serves under a new id. Requests sent to the entry of the ended one are answered 421, and two of those use up a route's attempts.

Change: a process ended if another one joined at its address: one that started later, or if start times aren't known, that was listed later. A changed entry shows that it lives. The new test in restarted_servers.rs failed before at its first request (503), and passes; server lists of 10,000 are scanned once a change.

--- a/daemon/tests/restarted_servers.rs
+++ b/daemon/tests/restarted_servers.rs
@@ -230,3 +230,44 @@
     let answer = setup.send(0, "/once/x", "again", "pass").await;
     assert_eq!(answer.status, 502, "{answer:?}\n{}", setup.log());
 }
+
+// The entry of an ended process lapses seconds after another one listens at its address.
+#[tokio::test]
+async fn requests_go_to_the_processes_that_took_the_place_of_ended_ones() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: false,
+        delay: time::Duration::from_secs(1),
+    };
+    let setup = Setup::new(3, server::Fault::None, policy).await;
+    for server in setup.supervisor.servers() {
+        server.crash();
+    }
+    // The servers are back, and the hosts have seen their entries.
+    tokio::time::sleep(policy.delay + time::Duration::from_millis(700)).await;
+    let last = supervisor::LAPSE_TIME - time::Duration::from_millis(300);
+    let start = time::Instant::now();
+    let mut number = 0;
+    while start.elapsed() < last - policy.delay - time::Duration::from_millis(700) {
+        let (host, id) = (number % setup.hosts.len(), format!("n{number}"));
+        let answer = setup.send(host, "/once/x", &id, &id).await;
+        assert_eq!(
+            answer.status,
+            200,
+            "{id}: {answer:?}\n{}",
+            setup.hosts[host].log()
+        );
+        number += 1;
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    let misdirected = setup
+        .supervisor
+        .servers()
+        .iter()
+        .flat_map(|s| s.received())
+        .filter(|r| !r.ran)
+        .count();
+    assert_eq!(
+        misdirected, 0,
+        "of {number} requests went to ended processes"
+    );
+}
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -96,6 +96,10 @@
     backend: sync::Arc<Backend>,
     /// Set if the entry vanished without notice: until when the server is a last resort.
     last_resort_until: Option<time::Duration>,
+    /// The number of the change by which this process was listed first.
+    joined_by: u64,
+    /// Whether a later process is listed at the address, so that this one has ended. Its entry lapses later.
+    replaced: bool,
 }
 
 impl Tracked {
@@ -103,6 +107,15 @@
         self.backend.stage == Some(Stage::Decode)
             && !self.backend.draining
             && self.last_resort_until.is_none()
+            && !self.replaced
+    }
+
+    /// Returns whether the process ended before `other`, another one at its address, was started.
+    fn ended_before(&self, other: &Self) -> bool {
+        match (self.backend.started_unix_ms, other.backend.started_unix_ms) {
+            (Some(started), Some(other_started)) => started < other_started,
+            _ => self.joined_by < other.joined_by,
+        }
     }
 }
 
@@ -126,6 +139,8 @@
     /// Cache of the servers by service that have an entry and aren't draining. Cleared by each change.
     listed: collections::HashMap<sync::Arc<str>, sync::Arc<[sync::Arc<Backend>]>>,
     ready_counts: ready_counts::ReadyCounts,
+    /// Number of changes of the view. All entries of a complete list change it at once.
+    changes: u64,
     /// The latest time that was passed in. Changes without a time of their own count as made then.
     latest: time::Duration,
     store_unreachable: bool,
@@ -137,6 +152,7 @@
     /// Replaces the view by a complete list of entries.
     pub fn replace_all(&mut self, listed: Vec<Backend>, now: time::Duration) -> Vec<Change> {
         self.latest = self.latest.max(now);
+        self.changes += 1;
         let ids: collections::BTreeSet<_> = listed.iter().map(|b| b.id.clone()).collect();
         let missing: Vec<_> = self
             .tracked
@@ -148,17 +164,34 @@
             .iter()
             .filter_map(|id| self.remove(id, now))
             .collect();
-        changes.extend(listed.into_iter().filter_map(|backend| self.put(backend)));
+        changes.extend(
+            listed
+                .into_iter()
+                .filter_map(|backend| self.put_listed(backend)),
+        );
+        self.find_replaced(&changes);
         changes
     }
 
     /// Adds or updates one entry. Returns `None` if nothing changed.
     pub fn put(&mut self, backend: Backend) -> Option<Change> {
+        self.changes += 1;
+        let change = self.put_listed(backend);
+        self.find_replaced(change.as_slice());
+        change
+    }
+
+    fn put_listed(&mut self, backend: Backend) -> Option<Change> {
         self.listed.clear();
         let backend = sync::Arc::new(backend);
+        let known = self.tracked.get(&backend.id);
+        let known = known.filter(|known| known.backend.process() == backend.process());
         let tracked = Tracked {
             backend: backend.clone(),
             last_resort_until: None,
+            joined_by: known.map_or(self.changes, |known| known.joined_by),
+            // A process that changes its entry lives.
+            replaced: known.is_some_and(|known| known.replaced && known.backend == backend),
         };
         let is_ready_decode_engine = tracked.is_ready_decode_engine();
         let old = self.tracked.insert(backend.id.clone(), tracked);
@@ -180,6 +213,39 @@
         Some(Change::Updated(backend))
     }
 
+    /// Finds out which processes ended before another one that is listed at their address: those that started
+    /// earlier, or if start times aren't known, that were listed earlier. Only addresses of processes that joined by
+    /// `changes` are looked at.
+    fn find_replaced(&mut self, changes: &[Change]) {
+        let joined = changes.iter().filter_map(|change| match change {
+            Change::Joined(backend) | Change::Restarted(backend) => Some(backend.addr),
+            Change::Updated(_) | Change::Vanished(_) => None,
+        });
+        let mut by_addr: collections::HashMap<_, Vec<&Tracked>> =
+            joined.map(|addr| (addr, Vec::new())).collect();
+        if by_addr.is_empty() {
+            return;
+        }
+        for tracked in self.tracked.values().filter(|t| !t.replaced) {
+            if let Some(at_addr) = by_addr.get_mut(&tracked.backend.addr) {
+                at_addr.push(tracked);
+            }
+        }
+        let mut replaced = Vec::new();
+        for at_addr in by_addr.values() {
+            let ended = at_addr
+                .iter()
+                .filter(|t| at_addr.iter().any(|other| t.ended_before(other)));
+            replaced.extend(ended.map(|t| (*t).clone()));
+        }
+        for tracked in replaced {
+            self.uncount(&tracked);
+            if let Some(tracked) = self.tracked.get_mut(&tracked.backend.id) {
+                tracked.replaced = true;
+            }
+        }
+    }
+
     /// Records that an entry is gone from the store. Returns `None` if that was known.
     pub fn remove(&mut self, id: &str, now: time::Duration) -> Option<Change> {
         self.listed.clear();
@@ -188,7 +254,7 @@
         self.uncount(&tracked);
         let tracked = self.tracked.get_mut(id)?;
         let backend = tracked.backend.clone();
-        if backend.draining {
+        if backend.draining || tracked.replaced {
             self.tracked.remove(id);
             return Some(Change::Vanished(backend));
         }
@@ -249,7 +315,7 @@
     }
 
     /// Returns the servers of a service that may get new work: those with an entry, or if there are none,
-    /// those that are a last resort. Draining servers are left out.
+    /// those that are a last resort. Servers that are draining, or whose address another one has, are left out.
     pub fn usable(
         &mut self,
         service: &str,
@@ -262,7 +328,7 @@
         let of_service = || {
             self.tracked
                 .values()
-                .filter(|t| &*t.backend.service == service && !t.backend.draining)
+                .filter(|t| &*t.backend.service == service && !t.backend.draining && !t.replaced)
         };
         let listed: sync::Arc<[_]> = of_service()
             .filter(|t| t.last_resort_until.is_none())
--- a/lib/tests/backend_registry.rs
+++ b/lib/tests/backend_registry.rs
@@ -221,3 +221,54 @@
     registry.remove("v1-1", ms(2_100));
     assert_eq!(running_out(&registry, 2_100), ["v1".into()]);
 }
+
+/// Returns the entry of a process that started at `born` at the address that all servers here have.
+fn process(id: &str, born: Option<u64>) -> backends::Backend {
+    backends::Backend {
+        started_unix_ms: born,
+        ..server(id)
+    }
+}
+
+#[test]
+fn process_whose_address_a_later_one_has_gets_no_requests() {
+    for born in [(Some(1), Some(2)), (None, None)] {
+        let mut registry = backends::Registry::default();
+        registry.put(process("a", born.0));
+        registry.put(process("b", born.1));
+        assert_eq!(usable(&mut registry, ms(0)), ["b".into()], "{born:?}");
+        // The whole list is read again before the entry lapses.
+        let listed = vec![process("a", born.0), process("b", born.1)];
+        registry.replace_all(listed, ms(10));
+        assert_eq!(usable(&mut registry, ms(10)), ["b".into()], "{born:?}");
+        registry.remove("a", ms(20));
+        registry.remove("b", ms(20));
+        assert_eq!(usable(&mut registry, ms(20)), ["b".into()], "last resort");
+    }
+}
+
+#[test]
+fn start_times_tell_which_process_of_a_list_has_ended() {
+    let mut registry = backends::Registry::default();
+    let listed = vec![process("a", Some(2)), process("b", Some(1))];
+    registry.replace_all(listed, ms(0));
+    assert_eq!(usable(&mut registry, ms(0)), ["a".into()]);
+}
+
+#[test]
+fn without_start_times_both_processes_of_a_list_may_live() {
+    let mut registry = backends::Registry::default();
+    registry.replace_all(vec![process("a", None), process("b", None)], ms(0));
+    assert_eq!(usable(&mut registry, ms(0)), ["a".into(), "b".into()]);
+}
+
+#[test]
+fn process_that_changes_its_entry_gets_requests_again() {
+    let mut registry = backends::Registry::default();
+    registry.put(process("a", None));
+    registry.put(process("b", None));
+    let mut changed = process("a", None);
+    changed.slots = 8;
+    registry.put(changed);
+    assert_eq!(usable(&mut registry, ms(0)), ["a".into(), "b".into()]);
+}
