stream_events: check the server of an unframed stream that ended between two events

Change: before the end is passed on, a connection to the server is tried; if nothing listens there, the stream broke off and is continued where the route allows it. Ruled out: waiting for the probe of the crash check, 150 ms for each such stream. What remains: a server that listens again within a millisecond.

--- a/daemon/src/router/crash_checks.rs
+++ b/daemon/src/router/crash_checks.rs
@@ -379,6 +379,14 @@
     departures::judge(attempt, probe, departure)
 }
 
+/// Returns whether no process listens at a server's address now.
+pub(crate) async fn has_ended<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    server: &backends::Backend,
+) -> bool {
+    probe(cx, server).await == departures::Probe::Refused
+}
+
 /// Tries to reach a server on a new connection: one that is open already may have lost its process unnoticed.
 async fn probe<D: dialect::Dialect>(
     cx: &context::Router<D>,
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -386,11 +386,9 @@
         };
         let mut next = match event {
             Ok(event) => event,
-            // Without an explicit end, a stream that broke before its first event looks like an empty one.
             Err(stream_events::EventsEnd::Complete)
-                if !stream.response.has_explicit_end
-                    && stream.response.attempt.began().is_none()
-                    && held.is_empty() =>
+                if !stream_events::is_whole(request, &stream.response, &stream.server, &held)
+                    .await =>
             {
                 return broken(midway, stream_events::BROKE_OFF);
             }
--- a/daemon/src/router/stream_events.rs
+++ b/daemon/src/router/stream_events.rs
@@ -2,10 +2,13 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
+use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::event_stream;
 
 use crate::router::answer;
+use crate::router::crash_checks;
+use crate::router::send;
 use crate::router::stream_request;
 
 /// Sends the events of a stream to its caller.
@@ -54,6 +57,22 @@
     }
 }
 
+/// Returns whether a stream that ended between two events is complete. Without an explicit end, one that broke there
+/// looks the same, which shows in that it has no event or its server has ended. `held` are the events that weren't
+/// relayed yet.
+pub(super) async fn is_whole<D: dialect::Dialect>(
+    request: &stream_request::StreamRequest<D>,
+    response: &send::ServerResponse,
+    server: &backends::Backend,
+    held: &[Bytes],
+) -> bool {
+    if response.has_explicit_end {
+        return true;
+    }
+    let has_events = response.attempt.began().is_some() || !held.is_empty();
+    has_events && !crash_checks::has_ended(&request.cx, server).await
+}
+
 /// How an event's id relates to that of the last event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum EventOrder {
--- a/daemon/tests/unframed_streams.rs
+++ b/daemon/tests/unframed_streams.rs
@@ -95,6 +95,22 @@
     }
 }
 
+// An engine that crashes between two events ends its stream like a complete one.
+#[tokio::test]
+async fn stream_of_an_engine_that_crashes_between_events_continues_at_another_engine() {
+    let setup = start().await;
+    set_length(&setup, 40, 10);
+    let crash = async {
+        let running = setup.wait_for_run("r1").await;
+        tokio::time::sleep(time::Duration::from_millis(150)).await;
+        running.crash();
+    };
+    let (answer, ()) = tokio::join!(setup.send("/brief/x", "r1"), crash);
+    let ended = (answer.status, answer.complete);
+    assert_eq!(ended, (200, true), "{answer:?}\n{}", setup.host.log());
+    assert_eq!(answer.body, engine_setup::complete_stream(40));
+}
+
 /// Waits until a decode engine runs the request, and marks that engine as draining.
 async fn drain_running_engine(
     setup: &engine_setup::EngineSetup,
