soak: prompts with parts that crash engines

It checks the users' bounds by what engines received and callers got: sends after the fifth crash by hosts in touch, service of the other prompts, refusals of these, and that answers which look complete are.

--- a/daemon/tests/fault_soak.rs
+++ b/daemon/tests/fault_soak.rs
@@ -6,6 +6,7 @@
 use walnuthaven_platform_standin::caller;
 use walnuthaven_platform_standin::crash_soak;
 use walnuthaven_platform_standin::history;
+use walnuthaven_platform_standin::part_soak;
 use walnuthaven_platform_standin::request_outcome;
 use walnuthaven_platform_standin::silent_soak;
 use walnuthaven_platform_standin::soak;
@@ -71,6 +72,35 @@
     }
 }
 
+/// Soaks with parts of prompts that crash engines. With seed 300, whose streams are unframed, answers that were cut off
+/// passed as complete before the engine of such a stream was checked.
+const PART_SOAKS: [soak::Options; 2] = [
+    soak::Options {
+        seed: 201,
+        seconds: 12,
+        hosts: 4,
+    },
+    soak::Options {
+        seed: 300,
+        seconds: 12,
+        hosts: 4,
+    },
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_parts_are_not_sent_on_under_faults() {
+    for options in PART_SOAKS {
+        let report = part_soak::run(BINARY, options).await;
+        let broken = report["broken"].as_array().unwrap();
+        assert!(broken.is_empty(), "seed {}: {report}", options.seed);
+        let crashes = report["crashes"].as_array().unwrap();
+        assert!(
+            crashes.iter().any(|count| count.as_u64() >= Some(3)),
+            "no part crashed three engines: {report}"
+        );
+    }
+}
+
 const SILENT_SOAK: soak::Options = soak::Options {
     seed: 11,
     seconds: 15,
