trial_turns: at most three hosts try a part

With four, hosts that try a part at once could send more prompts than the three that the users allow after the fifth crash. Found by reading the bound again, not by a run. Tests for whose turn it is are new.

--- a/lib/src/trial_turns.rs
+++ b/lib/src/trial_turns.rs
@@ -11,7 +11,7 @@
 /// Time after which one more host may try a part.
 const TURN: time::Duration = time::Duration::from_secs(2);
 /// Maximum number of hosts that may try a part.
-const MAX_HOSTS: usize = 4;
+const MAX_HOSTS: usize = 3;
 
 /// Returns whether the host `own` may try a part for which a trial has been due for `waited`. `others` are the
 /// other hosts that could.
