part_marks: continue streams that an engine has begun to write whatever is suspected

Found by reading, and shown by a test: while another prompt with a suspected part was on trial, a run that moved from a leaving engine was refused at its new one and lost ("a part of the prompt may crash servers").

A prompt that an engine wrote for some time, or whose run was stopped to be moved by an engine that lives, has shown that its parts don't crash engines as they begin to write. It is continued unless a part is refused. News repeat marks of refused parts before those of refused content: a host whose watch hangs learns of them from news only.

--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -4,6 +4,7 @@
 use std::convert;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use bytes::Bytes;
@@ -169,6 +170,7 @@
         digest,
         parts: shared_parts,
         trial: sync::OnceLock::new(),
+        is_proven: atomic::AtomicBool::new(false),
     };
     if crash_marks::refuses(cx, &received) {
         crash_marks::log_refusal(cx, &received);
--- a/daemon/src/router/part_marks.rs
+++ b/daemon/src/router/part_marks.rs
@@ -5,6 +5,7 @@
 //! which parts are to blame ([`part_blame`]).
 
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use walnuthaven_lib::dialect;
@@ -215,13 +216,13 @@
 }
 
 /// Has the request be the one with the suspected parts that is sent, if it is this host's turn and no other one is.
-/// Returns whether it is.
+/// Returns whether it may be sent.
 fn start_trial<D: dialect::Dialect>(
     cx: &context::Router<D>,
     req: &send::CallerRequest,
     trial: &part_blame::Trial,
 ) -> bool {
-    if req.trial.get().is_some() {
+    if req.trial.get().is_some() || req.is_proven.load(atomic::Ordering::Relaxed) {
         return true;
     }
     let Some(key) = trial.parts.iter().min() else {
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -459,6 +459,7 @@
     let began = attempt.began().unwrap_or(now);
     if !stream.is_proven && now.saturating_sub(began) >= part_marks::BEGIN_TIME {
         stream.is_proven = true;
+        request.received.set_proven();
         part_marks::record_answer(&request.cx, &request.received.parts, began);
     }
 }
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -213,6 +213,8 @@
             Err(NotStopped::Refused) => return None,
             Err(NotStopped::Unanswered) => return Some(Err(MoveFailure::Unanswered)),
         };
+        // The engine that stopped the run lives.
+        request.received.set_proven();
         let mut kv_cache = Some(stopped_run.kv_cache);
         let target = stopped_run
             .connection
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use bytes::Bytes;
@@ -63,9 +64,17 @@
     pub(crate) parts: sync::Arc<[part_marks::PromptPart]>,
     /// Set once it is sent although some of the parts are suspected.
     pub(crate) trial: sync::OnceLock<sync::Arc<trials::Permit>>,
+    /// Whether a server wrote part of the answer without crashing by it, so that a suspected part is no reason not to
+    /// continue it.
+    pub(crate) is_proven: atomic::AtomicBool,
 }
 
 impl CallerRequest {
+    /// Records that a server wrote part of the answer without crashing by it.
+    pub(crate) fn set_proven(&self) {
+        self.is_proven.store(true, atomic::Ordering::Relaxed);
+    }
+
     /// Returns what a server that is asked for this work may crash by.
     pub(crate) fn subject(&self, work: dialect::Work<'_>) -> crash_checks::Subject {
         let writes_answer = !matches!(work, dialect::Work::Prefill);
--- a/lib/src/announced_marks.rs
+++ b/lib/src/announced_marks.rs
@@ -78,7 +78,7 @@
     }
 
     /// Chooses the mark to repeat: the one that wasn't sent for longest, every other time of those whose
-    /// content is refused.
+    /// content is refused, and of these first parts of prompts.
     fn next_repeated(&mut self, table: &quarantine::Table, now: time::Duration) -> Option<u64> {
         self.sent_at
             .retain(|digest, _| table.get(*digest).is_some());
@@ -86,7 +86,11 @@
         let candidates = table.marks().filter_map(|mark| {
             let sent_at = self.last_sent(mark.digest);
             let is_due = now.saturating_sub(sent_at) >= MIN_AGE;
-            let rank = self.prefer_refused && !table.is_refused(mark);
+            let rank = match (self.prefer_refused, table.is_refused(mark)) {
+                (false, _) => 0,
+                (true, true) => u8::from(mark.part.is_none()),
+                (true, false) => 2,
+            };
             is_due.then_some((rank, sent_at, mark.digest))
         });
         candidates.min().map(|(.., digest)| digest)
