part_marks: look at no more than 128 parts of a prompt

A prompt with thousands of parts would displace what is remembered of the answers to all others (8,192 parts). Tests of what is remembered, and of headers that are no lists of parts: empty and malformed entries, other bytes than text; all passed at once, only the limit is new.

--- a/daemon/src/router/part_marks.rs
+++ b/daemon/src/router/part_marks.rs
@@ -25,6 +25,8 @@
 /// A stream that an engine has written for this long shows that its prompt doesn't crash engines: they crash as
 /// they begin to write.
 pub(crate) const BEGIN_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// Maximum number of parts of a prompt that are looked at. One prompt shouldn't displace what is known of all others.
+const MAX_PARTS: usize = 128;
 /// How long a prompt waits for the result of a trial if its suspected parts were answered before, so that they are
 /// probably harmless.
 const MAX_WAIT: time::Duration = time::Duration::from_millis(800);
@@ -49,10 +51,11 @@
     pub(crate) id: sync::Arc<str>,
 }
 
-/// Returns the parts of a prompt that other prompts to the same service may share: all but the last one.
+/// Returns the parts of a prompt that other prompts to the same service may share: all but the last one, and at most
+/// [`MAX_PARTS`].
 pub(crate) fn shared_parts(service: &str, ids: &[sync::Arc<str>]) -> sync::Arc<[PromptPart]> {
     let shared = &ids[..ids.len().saturating_sub(1)];
-    let parts = shared.iter().map(|id| {
+    let parts = shared.iter().take(MAX_PARTS).map(|id| {
         let mut hasher = xxh3::Xxh3::new();
         for text in ["prompt part", service, id] {
             hasher.update(text.as_bytes());
