--- a/daemon/src/router/crash_checks.rs
+++ b/daemon/src/router/crash_checks.rs
@@ -21,6 +21,8 @@
 /// Time between the end of an attempt and the probe that tells whether the server crashed. A crashed
 /// server can't be reached for seconds.
 const PROBE_DELAY: time::Duration = time::Duration::from_millis(150);
+/// Time in which a process that ends closes all of its sockets.
+const END_TIME: time::Duration = time::Duration::from_millis(20);
 /// Time to a second probe if the server didn't break the connection: it may have gone on with the request
 /// after the caller left.
 const SECOND_PROBE_DELAY: time::Duration = time::Duration::from_secs(1);
@@ -379,11 +381,16 @@
     departures::judge(attempt, probe, departure)
 }
 
-/// Returns whether no process listens at a server's address now.
+/// Returns whether a server that just closed a connection has ended. It is tried at once, as another process may soon
+/// listen at its address, and again once all sockets of a process that ends are closed.
 pub(crate) async fn has_ended<D: dialect::Dialect>(
     cx: &context::Router<D>,
     server: &backends::Backend,
 ) -> bool {
+    if probe(cx, server).await == departures::Probe::Refused {
+        return true;
+    }
+    tokio::time::sleep(END_TIME).await;
     probe(cx, server).await == departures::Probe::Refused
 }
 
