--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -249,10 +249,18 @@
 pub(crate) async fn wait_until_refused<D: dialect::Dialect>(
     cx: &context::Router<D>,
     req: &send::CallerRequest,
+) {
+    wait_until(cx, || refuses(cx, req)).await;
+}
+
+/// Waits until the marks are such that a condition holds.
+pub(super) async fn wait_until<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    holds: impl Fn() -> bool,
 ) {
     loop {
         let changed = cx.crash_marks_changed.notified();
-        if refuses(cx, req) {
+        if holds() {
             return;
         }
         changed.await;
--- a/daemon/src/router/part_marks.rs
+++ b/daemon/src/router/part_marks.rs
@@ -30,8 +30,8 @@
 /// How long a prompt waits for the result of a trial if its suspected parts were answered before, so that they are
 /// probably harmless.
 const MAX_WAIT: time::Duration = time::Duration::from_millis(800);
-/// Bounds of the Retry-After of prompts with a part that crashes engines. They are refused until an operator acts or
-/// the part is tried again.
+/// Bounds of the Retry-After of prompts with a part that crashes engines. They are refused until
+/// the part is tried again or its mark expires.
 const REFUSED_RETRY_AFTER: std::ops::Range<time::Duration> =
     time::Duration::from_secs(45)..time::Duration::from_secs(90);
 /// Bounds of the Retry-After of prompts with a suspected part. Most trials have ended by then.
@@ -92,18 +92,12 @@
     matches!(judge(cx, req), part_blame::Verdict::Refused(_))
 }
 
-/// Waits until the prompt is known to hold a part that crashes engines.
+/// Waits until it is known that the prompt holds a part that crashes engines.
 pub(crate) async fn wait_until_refused<D: dialect::Dialect>(
     cx: &context::Router<D>,
     req: &send::CallerRequest,
 ) {
-    loop {
-        let changed = cx.crash_marks_changed.notified();
-        if refuses(cx, req) {
-            return;
-        }
-        changed.await;
-    }
+    crash_marks::wait_until(cx, || refuses(cx, req)).await;
 }
 
 /// Returns whether no engine is known to have answered a prompt with one of the parts.
