--- a/daemon/src/router/part_marks.rs
+++ b/daemon/src/router/part_marks.rs
@@ -154,15 +154,25 @@
     parts: &[PromptPart],
     began: time::Duration,
 ) {
-    for part in parts {
-        locks::lock(&cx.answered_parts).record(part.digest, began, cx.now());
-        let lifted = locks::lock(&cx.crash_marks).table.lift(part.digest);
-        if let Some(mark) = lifted {
-            event!(Info, "part-cleared", "part" => part.id,
-                "digest" => crash_marks::hex(part.digest), "cleared" => mark.cleared.len());
-            crash_marks::on_change(cx, part.digest, stored_marks::Origin::Observed);
+    let now = cx.now();
+    {
+        let mut answered = locks::lock(&cx.answered_parts);
+        for part in parts {
+            answered.record(part.digest, began, now);
         }
     }
+    let lifted: Vec<_> = {
+        let table = &mut locks::lock(&cx.crash_marks).table;
+        let lifted = parts
+            .iter()
+            .filter_map(|part| Some((part, table.lift(part.digest)?)));
+        lifted.collect()
+    };
+    for (part, mark) in lifted {
+        event!(Info, "part-cleared", "part" => part.id,
+            "digest" => crash_marks::hex(part.digest), "cleared" => mark.cleared.len());
+        crash_marks::on_change(cx, part.digest, stored_marks::Origin::Observed);
+    }
 }
 
 /// Waits until the prompt may be sent, and starts a trial if some of its parts are suspected.
--- a/daemon/tests/restarted_servers.rs
+++ b/daemon/tests/restarted_servers.rs
@@ -242,12 +242,12 @@
     for server in setup.supervisor.servers() {
         server.crash();
     }
+    let crashed_at = time::Instant::now();
     // The servers are back, and the hosts have seen their entries.
     tokio::time::sleep(policy.delay + time::Duration::from_millis(700)).await;
-    let last = supervisor::LAPSE_TIME - time::Duration::from_millis(300);
-    let start = time::Instant::now();
+    let before_lapse = supervisor::LAPSE_TIME - time::Duration::from_millis(300);
     let mut number = 0;
-    while start.elapsed() < last - policy.delay - time::Duration::from_millis(700) {
+    while crashed_at.elapsed() < before_lapse {
         let (host, id) = (number % setup.hosts.len(), format!("n{number}"));
         let answer = setup.send(host, "/once/x", &id, &id).await;
         assert_eq!(
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -186,7 +186,7 @@
 
     /// Gives the mark's change the next number.
     fn record_change(&mut self, digest: u64) {
-        self.blame = None;
+        self.discard_blame(digest);
         self.last_change += 1;
         self.changes.insert(self.last_change, digest);
         if let Some(earlier) = self.change_of.insert(digest, self.last_change) {
@@ -194,9 +194,17 @@
         }
     }
 
+    /// Has it found out anew which parts are to blame, if the mark is of a part.
+    fn discard_blame(&mut self, digest: u64) {
+        let mark = self.marks.get(&digest);
+        if mark.is_some_and(|mark| mark.part.is_some()) {
+            self.blame = None;
+        }
+    }
+
     fn remove(&mut self, digest: u64) {
+        self.discard_blame(digest);
         self.marks.remove(&digest);
-        self.blame = None;
         if let Some(change) = self.change_of.remove(&digest) {
             self.changes.remove(&change);
         }
@@ -313,15 +321,15 @@
                 }
                 self.make_room(unix_now);
             }
-            self.blame = None;
             self.marks.insert(mark.digest, mark.clone());
+            self.discard_blame(mark.digest);
             return true;
         };
         if known.includes(mark) {
             return false;
         }
         known.merge(mark);
-        self.blame = None;
+        self.discard_blame(mark.digest);
         true
     }
 
--- a/lib/src/stored_marks.rs
+++ b/lib/src/stored_marks.rs
@@ -94,7 +94,7 @@
         }
         let unsaved: Vec<u64> = table
             .marks()
-            .filter(|mark| self.needs_write(mark))
+            .filter(|mark| needs_write(&self.stored, mark))
             .map(|mark| mark.digest)
             .collect();
         for digest in unsaved {
@@ -105,10 +105,10 @@
     /// Returns the next mark to write, those with most crashes first, and schedules another attempt in case
     /// that this one fails.
     pub fn next_write(&mut self, table: &quarantine::Table, now: time::Duration) -> Option<Write> {
-        let mut unsaved = std::mem::take(&mut self.unsaved);
-        let needs_write = |digest| table.get(digest).is_some_and(|mark| self.needs_write(mark));
-        unsaved.retain(|digest, _| needs_write(*digest));
-        self.unsaved = unsaved;
+        let stored = &self.stored;
+        let needs_write = |mark: &quarantine::CrashMark| needs_write(stored, mark);
+        self.unsaved
+            .retain(|digest, _| table.get(*digest).is_some_and(needs_write));
         let due = self.unsaved.iter().filter(|(_, due)| **due <= now);
         let marks = due.filter_map(|(digest, _)| table.get(*digest));
         let mark = marks.max_by_key(|mark| mark.servers().len())?.clone();
@@ -132,11 +132,15 @@
             .map(|(revision, mark)| (mark.digest, *revision))
             .collect()
     }
+}
 
-    fn needs_write(&self, mark: &quarantine::CrashMark) -> bool {
-        match self.stored.get(&mark.digest) {
-            Some((_, stored)) => !stored.includes(mark),
-            None => mark.part.is_none() || mark.crashes.len() > 1,
-        }
+/// Returns whether a mark is to be written to a store that holds these marks.
+fn needs_write(
+    stored: &collections::BTreeMap<u64, (u64, quarantine::CrashMark)>,
+    mark: &quarantine::CrashMark,
+) -> bool {
+    match stored.get(&mark.digest) {
+        Some((_, stored)) => !stored.includes(mark),
+        None => mark.part.is_none() || mark.crashes.len() > 1,
     }
 }
