forward: log what the content is that may have crashed servers

Cause: a crash is logged with the digest of the content only, so the record of a request that crashed servers under several digests can't tell whether its query or its caller differed. Change: `content-suspected` has caller, path, whether there is a query, and the digest of the body, for requests with an open crash check only. No decision changed.

--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -160,6 +160,9 @@
         Some(_) => part_marks::shared_parts(&service.name, &head.prompt_parts),
         None => sync::Arc::default(),
     };
+    let path = parts.uri.path().to_owned();
+    let has_query = parts.uri.query().is_some();
+    let body_digest = xxh3::xxh3_64(&body);
     let received = send::CallerRequest {
         method: parts.method,
         target: parts.uri,
@@ -201,6 +204,11 @@
             plain.answer().await
         }
     };
+    if cx.crash_checks.open_count(digest) > 0 {
+        event!(Info, "content-suspected", "id" => id, "digest" => crash_marks::hex(digest),
+            "caller" => caller, "path" => path, "has_query" => has_query,
+            "body" => crash_marks::hex(body_digest));
+    }
     event!(Info, "answered", "id" => id, "route" => route.name, "version" => table.version,
         "digest" => crash_marks::hex(digest), "status" => answer.status().as_u16(),
         "took_ms" => cx.now().saturating_sub(arrived).as_millis() as u64);
