daemon: show that content with another query goes on crashing servers

Three servers that end by a request and are back 3.4 s later under new ids; the request comes again with the same path, caller and body, and another query: each time, or every 2 s.

--- a/daemon/tests/restarted_servers.rs
+++ b/daemon/tests/restarted_servers.rs
@@ -70,6 +70,31 @@
         }
     }
 
+    /// Sends poison to one path, each time with the query that `query` returns for the number of the request and the
+    /// time since the first one, until `REPEAT_TIME` has passed.
+    async fn repeat_with_queries(&self, query: impl Fn(usize, time::Duration) -> String) {
+        let start = time::Instant::now();
+        let mut number = 0;
+        while start.elapsed() < REPEAT_TIME {
+            let path = format!("/plain/x?{}", query(number, start.elapsed()));
+            let host = number % self.hosts.len();
+            self.send(host, &path, &format!("p{number}"), "poison")
+                .await;
+            number += 1;
+            tokio::time::sleep(time::Duration::from_millis(60)).await;
+        }
+    }
+
+    /// Waits until the servers that crashed are back, and asserts that a path with sound queries is served.
+    async fn assert_sound_queries_served(&self) {
+        tokio::time::sleep(SLOW_RESTART + time::Duration::from_millis(800)).await;
+        for number in 0..10 {
+            let (path, id) = (format!("/plain/x?q={number}"), format!("s{number}"));
+            let answer = self.send(number % 2, &path, &id, "").await;
+            assert_eq!(answer.status, 200, "{id}: {answer:?}\n{}", self.log());
+        }
+    }
+
     /// Asserts that the content crashed three servers, and that no more than the tolerated number of its runs
     /// came after the hosts had time to notice.
     fn assert_refused_in_time(&self) {
@@ -271,3 +296,68 @@
         "of {number} requests went to ended processes"
     );
 }
+
+// What crashes servers is recognised by caller, path and body. Another query mustn't make it new content.
+#[tokio::test]
+async fn content_that_comes_each_time_with_another_query_is_refused() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: false,
+        delay: SLOW_RESTART,
+    };
+    let setup = Setup::new(3, server::Fault::CrashOnPoison, policy).await;
+    setup
+        .repeat_with_queries(|number, _| format!("page={number}"))
+        .await;
+    setup.assert_refused_in_time();
+}
+
+// The callers repeat a request with its query, and come back with another one when the servers are back.
+#[tokio::test]
+async fn content_that_comes_with_another_query_when_the_servers_are_back_is_refused() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: false,
+        delay: SLOW_RESTART,
+    };
+    let setup = Setup::new(3, server::Fault::CrashOnPoison, policy).await;
+    setup
+        .repeat_with_queries(|_, elapsed| format!("page={}", elapsed.as_millis() / 2_000))
+        .await;
+    setup.assert_refused_in_time();
+}
+
+// One query that crashes servers says nothing of the others.
+#[tokio::test]
+async fn other_queries_are_served_while_one_is_refused() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: false,
+        delay: SLOW_RESTART,
+    };
+    let setup = Setup::new(6, server::Fault::CrashOnPoison, policy).await;
+    for number in 0..12 {
+        let id = format!("p{number}");
+        setup.send(number % 2, "/plain/x?q=poison", &id, "").await;
+        tokio::time::sleep(PROBE_TIME).await;
+    }
+    setup.assert_refused_in_time();
+    setup.assert_sound_queries_served().await;
+}
+
+// Answers to other queries don't show that one is harmless.
+#[tokio::test]
+async fn query_that_crashes_servers_is_refused_between_answered_ones() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: false,
+        delay: SLOW_RESTART,
+    };
+    let setup = Setup::new(6, server::Fault::CrashOnPoison, policy).await;
+    for number in 0..40 {
+        let (host, id) = (number % 2, format!("s{number}"));
+        let path = format!("/plain/x?q={number}");
+        setup.send(host, &path, &id, "").await;
+        let id = format!("p{number}");
+        setup.send(host, "/plain/x?q=poison", &id, "").await;
+        tokio::time::sleep(PROBE_TIME).await;
+    }
+    setup.assert_refused_in_time();
+    setup.assert_sound_queries_served().await;
+}
