--- a/daemon/tests/restarted_servers.rs
+++ b/daemon/tests/restarted_servers.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    async fn send_from(&self, number: u8, host: usize, id: &str, body: &str) -> caller::Answer {
+        let bytes = caller::request("POST", "/plain/x", id, "", body);
+        caller::send_from(number, self.hosts[host].callers_addr, &bytes, TIMEOUT).await
+    }
+
     /// Waits until the servers that crashed are back, and asserts that a path with sound queries is served.
     async fn assert_sound_queries_served(&self) {
         tokio::time::sleep(SLOW_RESTART + time::Duration::from_millis(800)).await;
@@ -361,3 +366,62 @@
     setup.assert_refused_in_time();
     setup.assert_sound_queries_served().await;
 }
+
+// What crashes servers does so whoever sends it, and callers may come from several addresses.
+#[tokio::test]
+async fn content_that_comes_from_other_addresses_is_refused() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: false,
+        delay: SLOW_RESTART,
+    };
+    let setup = Setup::new(3, server::Fault::CrashOnPoison, policy).await;
+    let start = time::Instant::now();
+    let mut number = 0;
+    while start.elapsed() < REPEAT_TIME {
+        let (host, id) = (number % setup.hosts.len(), format!("p{number}"));
+        // An address sends what was refused once more.
+        let address = 2 + (number / 2 % 200) as u8;
+        setup.send_from(address, host, &id, "poison").await;
+        number += 1;
+        tokio::time::sleep(time::Duration::from_millis(60)).await;
+    }
+    setup.assert_refused_in_time();
+}
+
+// Content that many callers ask for is in flight wherever a server ends, and isn't what ended it.
+#[tokio::test]
+async fn content_of_many_callers_is_served_when_servers_are_back_that_ended_otherwise() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: false,
+        delay: SLOW_RESTART,
+    };
+    let setup = Setup::new(3, server::Fault::None, policy).await;
+    for server in setup.supervisor.servers() {
+        server.delay_ms.store(60, atomic::Ordering::Relaxed);
+    }
+    let ids: Vec<String> = (0..24).map(|number| format!("m{number}")).collect();
+    let send_all = || {
+        let sends = ids.iter().enumerate();
+        let sends = sends.map(|(n, id)| setup.send_from(2 + n as u8, n % 2, id, "status"));
+        futures_util::future::join_all(sends)
+    };
+    let crash_all = async {
+        tokio::time::sleep(time::Duration::from_millis(30)).await;
+        setup.supervisor.servers().iter().for_each(|s| s.crash());
+    };
+    for answer in send_all().await {
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    tokio::join!(send_all(), crash_all);
+    tokio::time::sleep(SLOW_RESTART + time::Duration::from_secs(1)).await;
+    let served = send_all().await.into_iter().filter(|a| a.status == 200);
+    let served = served.count();
+    assert!(
+        served * 3 >= ids.len() * 2,
+        "{served} of 24 served\n{}",
+        setup.log()
+    );
+    for answer in send_all().await {
+        assert_eq!(answer.status, 200, "{answer:?}\n{}", setup.log());
+    }
+}
