via_peer: have other hosts serve while this one reaches no server

Callers saw: hosts whose links to all servers were cut served 0 of 163 and 0 of 60 first attempts, the others 293 of 295.

Cause: a host takes what it can't see for what isn't there. Servers behind its own cut links looked like failed ones, and nothing could pass a request on to a host that reaches them. Ruled out: connections that are kept too long (none could be opened, all through the cut).

While a host reaches none of a service's servers, it passes requests on to another host over gRPC, with the caller's address, the time, the attempts and tried servers that are left, and the open crash checks; it is never passed on twice, and what may have run and may not run again isn't passed on at all. Hosts tell in their news which services they don't reach, and whether they serve for others; those of the version before don't, and aren't asked. Calls from other addresses than those of known hosts are refused. Streams are relayed event by event and continued by a third host if the second one breaks off. Checks bring a host back as soon as a connection opens.

Before: 7 of 8 tests of cut_links fail, 0 of 38 served.

--- a/daemon/src/router/answer.rs
+++ b/daemon/src/router/answer.rs
@@ -65,6 +65,10 @@
     }
 }
 
+/// Marks a response to a request that wasn't sent to any server because none was in reach.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Unreached;
+
 /// A response to a caller.
 pub(crate) type Answer = http::Response<ResponseBody>;
 
--- a/daemon/src/router/connection_pool.rs
+++ b/daemon/src/router/connection_pool.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use crate::locks;
 use crate::router::context;
 use crate::router::head_limit;
+use crate::router::links;
 
 /// How long a connection may be idle if the server's answer doesn't state a keep-alive time.
 const DEFAULT_IDLE_TIME: time::Duration = time::Duration::from_secs(4);
@@ -41,6 +43,8 @@
     pub(crate) tx: http1::SendRequest<Full<Bytes>>,
     /// Whether a request was sent on the connection before.
     pub(crate) reused: bool,
+    /// Set while a request is sent or answered on a connection to a server.
+    pub(crate) in_use: Option<links::InUse>,
     head_limit: head_limit::HeadLimit,
     /// Drives the connection's reads and writes.
     task: tokio::task::JoinHandle<()>,
@@ -116,11 +120,12 @@
         server: &backends::Backend,
         max_idle_connections: usize,
         keep_alive: Option<time::Duration>,
-        connection: Connection,
+        mut connection: Connection,
         now: time::Duration,
     ) {
         let max_idle_time = keep_alive.unwrap_or(DEFAULT_IDLE_TIME);
         let usable_until = now + max_idle_time.saturating_sub(IDLE_MARGIN);
+        connection.in_use = None;
         let mut idle = locks::lock(&self.idle);
         let list = idle.entry(server.id.clone()).or_default();
         if list.len() < max_idle_connections {
@@ -167,7 +172,7 @@
     }
 }
 
-/// Opens a connection.
+/// Opens a connection. `heard` is set whenever bytes arrive on it.
 ///
 /// # Errors
 ///
@@ -175,6 +180,7 @@
 pub(crate) async fn connect(
     addr: net::SocketAddr,
     timeout: time::Duration,
+    heard: Option<sync::Arc<atomic::AtomicBool>>,
 ) -> io::Result<Connection> {
     let opening = tokio::time::timeout(timeout, tokio::net::TcpStream::connect(addr));
     let stream = opening.await.map_err(|_| io::ErrorKind::TimedOut)??;
@@ -184,7 +190,7 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket2::SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
-    let (stream, head_limit) = head_limit::LimitedStream::new(stream);
+    let (stream, head_limit) = head_limit::LimitedStream::new(stream, heard);
     let io = rt::TokioIo::new(stream);
     let (tx, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
@@ -194,6 +200,7 @@
     Ok(Connection {
         tx,
         reused: false,
+        in_use: None,
         head_limit,
         task,
     })
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -27,11 +27,13 @@
 use crate::router::connection_pool;
 use crate::router::crash_checks;
 use crate::router::crash_marks;
+use crate::router::links;
 use crate::router::retry_budget;
 use crate::router::server_limits;
 use crate::router::settings;
 use crate::router::telemetry;
 use crate::router::trials;
+use crate::router::via_peer;
 
 /// Up to one in this many of the connections that a server accepts may be idle.
 const IDLE_DIVISOR: usize = 2;
@@ -62,7 +64,11 @@
     pub(crate) peers: sync::Mutex<peers::Peers>,
     /// The limits that backend servers named.
     pub(crate) server_limits: sync::Mutex<server_limits::Limits>,
-    /// Latency, failures and reachability of backend servers, as observed by this host.
+    /// Which servers this host reaches.
+    pub(crate) links: sync::Arc<links::Links>,
+    /// Connections to the hosts that serve requests in place of this one.
+    pub(crate) via_peer: via_peer::Peers,
+    /// Latency and failures of backend servers, as observed by this host.
     pub(crate) health: sync::Mutex<server_health::Health>,
     /// Runs and prefills on model engines, sent by any host.
     pub(crate) engine_load: sync::Mutex<engine_load::EngineLoad>,
@@ -150,6 +156,8 @@
             servers_listed: atomic::AtomicBool::new(false),
             peers: sync::Mutex::default(),
             server_limits: sync::Mutex::default(),
+            links: sync::Arc::default(),
+            via_peer: via_peer::Peers::default(),
             health: sync::Mutex::default(),
             engine_load: sync::Mutex::default(),
             wait_queues: sync::Mutex::default(),
--- a/daemon/src/router/crash_marks.rs
+++ b/daemon/src/router/crash_marks.rs
@@ -177,10 +177,12 @@
     Refused,
 }
 
-fn standing<D: dialect::Dialect>(cx: &context::Router<D>, digest: u64) -> Standing {
+fn standing<D: dialect::Dialect>(cx: &context::Router<D>, req: &send::CallerRequest) -> Standing {
+    let digest = req.digest;
     let unix_time = cx.unix_time();
     let marks = locks::lock(&cx.crash_marks);
-    let suspected = cx.crash_checks.open_count(digest);
+    let elsewhere = req.forwarded.as_ref().map_or(0, |f| f.suspected_crashes);
+    let suspected = cx.crash_checks.open_count(digest) + elsewhere;
     if marks.table.refuses(digest, unix_time) {
         Standing::Refused
     } else if marks.table.refuses_with(digest, suspected, unix_time) {
@@ -195,7 +197,7 @@
     cx: &context::Router<D>,
     req: &send::CallerRequest,
 ) -> bool {
-    standing(cx, req.digest) != Standing::Allowed || part_marks::refuses(cx, req)
+    standing(cx, req) != Standing::Allowed || part_marks::refuses(cx, req)
 }
 
 /// Checks a request right before a send: it may have crashed servers since it arrived. `work` is what the server is
@@ -215,7 +217,7 @@
         dialect::Work::Prefill => !part_marks::refuses(cx, req),
         dialect::Work::Whole | dialect::Work::Decode { .. } => part_marks::may_send(cx, req),
     };
-    let cause = match standing(cx, req.digest) {
+    let cause = match standing(cx, req) {
         Standing::Allowed if may_send_prompt() => {
             log_suspect(cx, req, server);
             return Ok(());
@@ -271,7 +273,7 @@
 /// servers or may have.
 pub(crate) fn log_refusal<D: dialect::Dialect>(cx: &context::Router<D>, req: &send::CallerRequest) {
     let digest = req.digest;
-    if standing(cx, digest) == Standing::Allowed && part_marks::log_refusal(cx, req) {
+    if standing(cx, req) == Standing::Allowed && part_marks::log_refusal(cx, req) {
         return;
     }
     let marked = locks::lock(&cx.crash_marks)
@@ -288,7 +290,7 @@
     cx: &context::Router<D>,
     req: &send::CallerRequest,
 ) -> answer::Answer {
-    match standing(cx, req.digest) {
+    match standing(cx, req) {
         Standing::Refused => answer::not_run(REFUSAL, CRASHES_RETRY_AFTER),
         Standing::Suspected => answer::not_run(CHECKS_REFUSAL, CHECKS_RETRY_AFTER),
         // The checks may have ended since the request was refused.
--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -334,6 +334,7 @@
     let mut engines = cx.group_engines(&request.service.name, request.version);
     server_limits::remove_limited(cx, &mut engines, &request.service.name, request.priority);
     let is_prefill = |engine: &backends::Backend| engine.stage == Some(backends::Stage::Prefill);
+    cx.links.remove_lost(&mut engines);
     let health = locks::lock(&cx.health);
     engines.retain(|engine| {
         let avoided_for_prefill =
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -15,6 +15,7 @@
 use crate::router::engine_prepare;
 use crate::router::engine_reservation;
 use crate::router::events::event;
+use crate::router::links;
 use crate::router::part_marks;
 use crate::router::prefills;
 use crate::router::send;
@@ -154,6 +155,8 @@
     ) -> Awaited<D> {
         let sent_at = self.cx.now();
         let (cx, received) = (self.cx.clone(), self.received.clone());
+        let service = self.service.name.clone();
+        let may_run_again = self.route.kind.may_run_again();
         let answered = tokio::select! {
             answered = sending => answered,
             () = part_marks::wait_until_refused(&cx, &received) => {
@@ -165,6 +168,15 @@
                     kv_cache: None,
                 }
             }
+            () = links::wait_until_unreached(&cx, &service), if may_run_again => {
+                self.may_have_run = true;
+                let outcome = outcome::Outcome::Silent;
+                let cause = "no engine is in reach";
+                DecodeAnswer {
+                    response: Err(send::SendFailure { outcome, cause }),
+                    kv_cache: None,
+                }
+            }
             other = self.prepare_alternative(server, sent_at, STREAM_HEAD_SILENCE) => {
                 self.may_have_run = true;
                 self.leave_silent_server(server);
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -13,13 +13,17 @@
 use hyper::body;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::routing;
+use walnuthaven_wire::forward as wire;
 use xxhash_rust::xxh3;
 
 use crate::router::answer;
+use crate::router::body_memory;
 use crate::router::context;
 use crate::router::crash_marks;
 use crate::router::events::event;
 use crate::router::part_marks;
+use crate::router::peer_service;
+use crate::router::peer_stream;
 use crate::router::plain_request;
 use crate::router::relay;
 use crate::router::send;
@@ -104,11 +108,7 @@
             "the head is too large",
         );
     }
-    let host = parts.headers.get(http::header::HOST);
-    let host = host
-        .and_then(|host| host.to_str().ok())
-        .or_else(|| parts.uri.host());
-    let host = host.unwrap_or_default().to_owned();
+    let host = host_name(&parts);
     let Some(route) = table.find(&host, parts.uri.path()) else {
         event!(Info, "no-route", "id" => id, "host" => host, "path" => parts.uri.path(),
             "version" => table.version);
@@ -145,6 +145,107 @@
             );
         }
     };
+    let request = RoutedRequest {
+        caller,
+        parts,
+        head,
+        body,
+        memory,
+        route: route.clone(),
+        deadline,
+        arrived,
+        forwarded: None,
+    };
+    answer_routed(cx, &table, request, guard).await
+}
+
+/// A request that was read completely and matched a route.
+struct RoutedRequest {
+    caller: net::IpAddr,
+    parts: http::request::Parts,
+    head: dialect::RequestHead,
+    body: Bytes,
+    memory: body_memory::Reservation,
+    route: sync::Arc<routing::Route>,
+    /// When the answer must be complete, as time since boot.
+    deadline: time::Duration,
+    /// When it arrived, as time since boot.
+    arrived: time::Duration,
+    /// Set if another host passed it on.
+    forwarded: Option<send::Forwarded>,
+}
+
+/// Answers a request that another host passed on, because it reaches no server itself.
+///
+/// # Errors
+///
+/// Returns what is malformed in the call, or why the request can't be served here.
+pub(crate) async fn handle_forwarded<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+    call: wire::ServeRequest,
+) -> Result<answer::Answer, &'static str> {
+    let arrived = cx.now();
+    let guard = context::InFlightGuard::new(cx);
+    cx.telemetry.count("requests.forwarded");
+    let table = cx.table().ok_or("no configuration yet")?;
+    let mut req = http::Request::new(());
+    *req.method_mut() = call.method.parse().map_err(|_| "method")?;
+    *req.uri_mut() = call.target.parse().map_err(|_| "target")?;
+    *req.headers_mut() = peer_service::read_headers(call.headers);
+    let (parts, ()) = req.into_parts();
+    let mut head = cx
+        .dialect
+        .request_head(&parts.headers)
+        .map_err(|_| "header")?;
+    if let Some(event) = call.resume_after {
+        head.resume_after = Some(event);
+        head.resumes = Some(call.began_as.into());
+    }
+    let host = host_name(&parts);
+    let route = table.find(&host, parts.uri.path()).ok_or("no route")?;
+    let time_left = time::Duration::from_millis(call.time_left_ms);
+    let memory = cx
+        .body_memory
+        .reserve(call.body.len(), cx.settings().memory_bytes)
+        .ok_or("no memory for the body")?;
+    let request = RoutedRequest {
+        caller: call.caller.parse().map_err(|_| "caller")?,
+        head,
+        body: call.body.into(),
+        memory,
+        deadline: arrived + time_left.min(route.timeout.unwrap_or(DEFAULT_TIMEOUT)),
+        route: route.clone(),
+        parts,
+        arrived,
+        forwarded: Some(send::Forwarded {
+            used_attempts: call.used_attempts,
+            may_have_run: call.may_have_run,
+            tried: call.tried.into_iter().map(Into::into).collect(),
+            suspected_crashes: call.suspected_crashes as usize,
+        }),
+    };
+    Ok(answer_routed(cx, &table, request, guard).await)
+}
+
+/// Has a server answer a request.
+async fn answer_routed<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+    table: &routing::Table,
+    request: RoutedRequest,
+    guard: context::InFlightGuard<D>,
+) -> answer::Answer {
+    let RoutedRequest {
+        caller,
+        parts,
+        head,
+        body,
+        memory,
+        route,
+        deadline,
+        arrived,
+        forwarded,
+    } = request;
+    let id = head.request_id.clone();
     let service = route
         .service(rand::random())
         .and_then(|name| table.service(name));
@@ -161,12 +262,15 @@
         None => &[],
     };
     let prompt_parts = part_marks::prompt_parts(&service.name, prompt_parts);
+    let host = host_name(&parts);
     let content_parts = part_marks::content_parts(&host, &parts.uri, &body);
     let shared_parts = prompt_parts.chain(content_parts).collect();
     let path = parts.uri.path().to_owned();
     let has_query = parts.uri.query().is_some();
     let body_digest = xxh3::xxh3_64(&body);
     let received = send::CallerRequest {
+        caller,
+        forwarded,
         method: parts.method,
         target: parts.uri,
         headers: parts.headers,
@@ -200,7 +304,7 @@
             let plain = plain_request::PlainRequest {
                 cx,
                 received: &received,
-                route,
+                route: &route,
                 service: &service.name,
                 deadline,
             };
@@ -222,19 +326,48 @@
 async fn answer_stream<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     mut request: stream_request::StreamRequest<D>,
-    guard: context::InFlightGuard<D>,
+    mut guard: context::InFlightGuard<D>,
 ) -> answer::Answer {
     if cx.leaving_for() > ACCEPT_STREAMS_FOR {
         return answer::not_run("this host leaves", LEAVING_RETRY_AFTER);
     }
+    if request.reaches_no_engine() {
+        match peer_stream::answer(request, guard).await {
+            Ok(answer) => return answer,
+            Err(unsent) => (request, guard) = *unsent,
+        }
+    }
     let opened = match request.find_version().await {
         Ok(()) => request.open(None).await,
         Err(failure) => Err(failure),
     };
-    match opened {
-        Ok(opened) => relay::answer(request, opened, guard),
-        Err(failure) => request.failure_answer(failure),
+    let failure = match opened {
+        Ok(opened) => return relay::answer(request, opened, guard),
+        Err(failure) => failure,
+    };
+    if !request.reaches_no_engine() {
+        return request.failure_answer(failure);
     }
+    match peer_stream::answer(request, guard).await {
+        Ok(answer) => answer,
+        Err(unsent) => {
+            let (request, _) = *unsent;
+            let mut answer = request.failure_answer(failure);
+            if !request.may_have_run {
+                answer.extensions_mut().insert(answer::Unreached);
+            }
+            answer
+        }
+    }
+}
+
+/// Returns the name of the host that a request is for; empty if it has none.
+fn host_name(parts: &http::request::Parts) -> String {
+    let host = parts.headers.get(http::header::HOST);
+    let host = host
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| parts.uri.host());
+    host.unwrap_or_default().to_owned()
 }
 
 /// Returns the size of a request's head in bytes, as it is usually written.
--- a/daemon/src/router/head_limit.rs
+++ b/daemon/src/router/head_limit.rs
@@ -39,15 +39,21 @@
 pub(super) struct LimitedStream<S> {
     stream: S,
     limit: HeadLimit,
+    /// Set when bytes arrive.
+    heard: Option<sync::Arc<atomic::AtomicBool>>,
 }
 
 impl<S> LimitedStream<S> {
-    /// Returns the connection and its limit, which isn't in force yet.
-    pub(super) fn new(stream: S) -> (Self, HeadLimit) {
+    /// Returns the connection and its limit, which isn't in force yet. `heard` is set whenever bytes arrive.
+    pub(super) fn new(
+        stream: S,
+        heard: Option<sync::Arc<atomic::AtomicBool>>,
+    ) -> (Self, HeadLimit) {
         let limit = HeadLimit(sync::Arc::new(atomic::AtomicUsize::new(UNLIMITED)));
         let limited = Self {
             stream,
             limit: limit.clone(),
+            heard,
         };
         (limited, limit)
     }
@@ -65,8 +71,11 @@
         }
         let filled = buf.filled().len();
         let polled = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = buf.filled().len() - filled;
+        if let Some(heard) = self.heard.as_ref().filter(|_| read > 0) {
+            heard.store(true, atomic::Ordering::Relaxed);
+        }
         if left != UNLIMITED {
-            let read = buf.filled().len() - filled;
             let left = left.saturating_sub(read);
             self.limit.0.store(left, atomic::Ordering::Relaxed);
         }
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -19,6 +19,7 @@
 use crate::router::context;
 use crate::router::crash_marks;
 use crate::router::events::event;
+use crate::router::links;
 use crate::router::server_limits;
 use crate::router::stream_versions;
 
@@ -128,6 +129,9 @@
         served_versions: stream_versions::served(cx),
         server_limits: server_limits::announced(cx),
         demand: server_limits::announced_demand(cx),
+        zone: settings.zone.to_string(),
+        serves_for_others: true,
+        unreached_services: links::unreached_services(cx),
     }
 }
 
@@ -183,6 +187,13 @@
         config_version: message.config_version,
         waiting: message.waiting,
         waiting_on_time: message.waiting_on_time,
+        zone: message.zone.as_str().into(),
+        serves_for_others: message.serves_for_others,
+        unreached_services: message
+            .unreached_services
+            .iter()
+            .map(|service| service.as_str().into())
+            .collect(),
     };
     let is_newer = locks::lock(&cx.peers).record_news(entry, status, now);
     if !is_newer {
--- /dev/null
+++ b/daemon/src/router/peer_service.rs
@@ -0,0 +1,229 @@
+//! Calls from other hosts: serves requests for those that reach no server.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use http_body_util::BodyExt as _;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers;
+use tonic::transport;
+use walnuthaven_lib::dialect;
+use walnuthaven_wire::forward as wire;
+use walnuthaven_wire::forward::forward_server;
+
+use crate::locks;
+use crate::router::answer;
+use crate::router::context;
+use crate::router::events::event;
+use crate::router::forward;
+
+/// Interval of HTTP/2 keep-alive pings while calls are open. A connection is closed if a ping is unanswered this long.
+pub(crate) const KEEP_ALIVE: time::Duration = time::Duration::from_millis(1_000);
+/// Largest message in bytes: a request's body and headers.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
+/// Maximum number of requests that are served for other hosts at a time. Each takes some ten kilobytes.
+const MAX_SERVED: usize = 512;
+/// Number of messages of an answer that are buffered while the other host doesn't read.
+const MESSAGE_BUFFER: usize = 8;
+
+/// Binds an address and starts to handle calls from other hosts.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub(crate) fn spawn<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+    addr: net::SocketAddr,
+) -> std::io::Result<()> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    let listener = socket.listen(MAX_SERVED as u32)?;
+    let incoming = transport::server::TcpIncoming::from(listener).with_nodelay(Some(true));
+    let service = forward_server::ForwardServer::new(Service {
+        cx: cx.clone(),
+        served: sync::Arc::default(),
+    });
+    let service = service
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES);
+    tokio::spawn(async move {
+        let served = transport::Server::builder()
+            .http2_keepalive_interval(Some(KEEP_ALIVE))
+            .http2_keepalive_timeout(Some(KEEP_ALIVE))
+            .add_service(service)
+            .serve_with_incoming(incoming)
+            .await;
+        if let Err(error) = served {
+            event!(Error, "peer-calls-failed", "cause" => error.to_string());
+        }
+    });
+    Ok(())
+}
+
+struct Service<D> {
+    cx: sync::Arc<context::Router<D>>,
+    /// Number of requests that are served for other hosts.
+    served: sync::Arc<atomic::AtomicUsize>,
+}
+
+/// Counts a request as served for another host until it is dropped.
+struct ServedGuard(sync::Arc<atomic::AtomicUsize>);
+
+impl Drop for ServedGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+impl<D: dialect::Dialect> Service<D> {
+    /// Checks that a call comes from the address of a known host.
+    fn check_sender<T>(&self, req: &tonic::Request<T>) -> Result<(), tonic::Status> {
+        let sender = req.remote_addr().map(|addr| addr.ip());
+        let is_known = sender.is_some_and(|addr| locks::lock(&self.cx.peers).has_address(addr));
+        if is_known {
+            return Ok(());
+        }
+        event!(Warn, "stranger-refused", "address" => sender.map(|addr| addr.to_string()));
+        Err(tonic::Status::permission_denied("not a known host"))
+    }
+
+    /// Returns why this host doesn't serve a request for another one, if it doesn't.
+    fn reason_to_decline(&self, call: &wire::ServeRequest) -> Option<&'static str> {
+        let cx = &self.cx;
+        let version = cx.table().map_or(0, |table| table.version);
+        if !cx.takes_callers() {
+            Some("takes no requests")
+        } else if version < call.config_version {
+            Some("older configuration")
+        } else if self.served.load(atomic::Ordering::Relaxed) >= MAX_SERVED {
+            Some("serves too many requests of other hosts")
+        } else {
+            None
+        }
+    }
+}
+
+type Replies = wrappers::ReceiverStream<Result<wire::ServeReply, tonic::Status>>;
+type ReplySender = mpsc::Sender<Result<wire::ServeReply, tonic::Status>>;
+
+#[tonic::async_trait]
+impl<D: dialect::Dialect> forward_server::Forward for Service<D> {
+    type ServeStream = Replies;
+
+    async fn serve(
+        &self,
+        req: tonic::Request<wire::ServeRequest>,
+    ) -> Result<tonic::Response<Replies>, tonic::Status> {
+        self.check_sender(&req)?;
+        let call = req.into_inner();
+        let (tx, rx) = mpsc::channel(MESSAGE_BUFFER);
+        let cx = self.cx.clone();
+        let decline = self.reason_to_decline(&call);
+        self.served.fetch_add(1, atomic::Ordering::Relaxed);
+        let guard = ServedGuard(self.served.clone());
+        tokio::spawn(async move {
+            let _guard = guard;
+            let sent = match decline {
+                Some(cause) => send_declined(&tx, cause).await,
+                // The other host drops the call when its caller has left.
+                None => tokio::select! {
+                    sent = serve(&cx, call, &tx) => sent,
+                    () = tx.closed() => return,
+                },
+            };
+            if sent.is_err() {
+                event!(Info, "forwarded-call-left", "cause" => "the other host dropped the call");
+            }
+        });
+        Ok(tonic::Response::new(wrappers::ReceiverStream::new(rx)))
+    }
+
+    async fn check_server(
+        &self,
+        req: tonic::Request<wire::CheckServerRequest>,
+    ) -> Result<tonic::Response<wire::CheckServerReply>, tonic::Status> {
+        self.check_sender(&req)?;
+        let state = wire::ServerState::Unspecified.into();
+        Ok(tonic::Response::new(wire::CheckServerReply { state }))
+    }
+}
+
+/// The other host has dropped the call.
+type Left = mpsc::error::SendError<Result<wire::ServeReply, tonic::Status>>;
+
+async fn send_reply(tx: &ReplySender, reply: wire::serve_reply::Reply) -> Result<(), Left> {
+    tx.send(Ok(wire::ServeReply { reply: Some(reply) })).await
+}
+
+async fn send_declined(tx: &ReplySender, cause: &str) -> Result<(), Left> {
+    let cause = cause.to_owned();
+    let declined = wire::serve_reply::Reply::Declined(wire::Declined { cause });
+    send_reply(tx, declined).await
+}
+
+/// Serves a request of another host's caller, and sends the answer.
+async fn serve<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+    call: wire::ServeRequest,
+    tx: &ReplySender,
+) -> Result<(), Left> {
+    let answer = match forward::handle_forwarded(cx, call).await {
+        Ok(answer) => answer,
+        Err(cause) => {
+            event!(Warn, "peer-call-unreadable", "cause" => cause);
+            return send_declined(tx, cause).await;
+        }
+    };
+    if answer.extensions().get::<answer::Unreached>().is_some() {
+        return send_declined(tx, "reaches no server").await;
+    }
+    let (parts, mut body) = answer.into_parts();
+    let head = wire::AnswerHead {
+        status: parts.status.as_u16().into(),
+        headers: write_headers(&parts.headers),
+        is_stream: matches!(body, answer::ResponseBody::Events(_)),
+    };
+    send_reply(tx, wire::serve_reply::Reply::Head(head)).await?;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                let data = frame.into_data().unwrap_or_default();
+                send_reply(tx, wire::serve_reply::Reply::Data(data.into())).await?;
+            }
+            Err(broken) => {
+                return tx
+                    .send(Err(tonic::Status::aborted(broken.to_string())))
+                    .await;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Encodes headers.
+pub(crate) fn write_headers(headers: &http::HeaderMap) -> Vec<wire::Header> {
+    let headers = headers.iter().map(|(name, value)| wire::Header {
+        name: name.to_string(),
+        value: value.as_bytes().to_vec(),
+    });
+    headers.collect()
+}
+
+/// Decodes headers, without those that are malformed.
+pub(crate) fn read_headers(headers: Vec<wire::Header>) -> http::HeaderMap {
+    let mut read = http::HeaderMap::new();
+    for header in headers {
+        let name = http::HeaderName::from_bytes(header.name.as_bytes());
+        let value = http::HeaderValue::from_bytes(&header.value);
+        match (name, value) {
+            (Ok(name), Ok(value)) => {
+                read.append(name, value);
+            }
+            _ => event!(Warn, "peer-call-unreadable", "cause" => "header", "header" => header.name),
+        }
+    }
+    read
+}
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -18,10 +18,12 @@
 use crate::router::crash_checks;
 use crate::router::crash_marks;
 use crate::router::events::event;
+use crate::router::links;
 use crate::router::part_marks;
 use crate::router::send;
 use crate::router::server_limits;
 use crate::router::stream_request;
+use crate::router::via_peer;
 
 /// A request that may be repeated is sent to another server too if its server hasn't begun to answer
 /// within this many times the route's target latency.
@@ -53,6 +55,8 @@
 /// What became of the sends of a request that have ended.
 #[derive(Default)]
 struct Progress {
+    /// The servers to which no connection could be opened.
+    unreached: Vec<sync::Arc<str>>,
     /// The servers that were tried, also those whose sends haven't ended; the newest last.
     tried: Vec<sync::Arc<str>>,
     /// Number of ended sends that may have reached a server.
@@ -65,8 +69,11 @@
 
 impl Progress {
     /// Records a send that failed.
-    fn record(&mut self, failed_send: FailedSend) {
+    fn record(&mut self, server: &backends::Backend, failed_send: FailedSend) {
         let outcome = failed_send.failure.outcome;
+        if outcome == outcome::Outcome::NeverWritten {
+            self.unreached.push(server.id.clone());
+        }
         self.ended_sends += u32::from(outcome != outcome::Outcome::NeverWritten);
         self.may_have_run |= !outcome.is_not_run();
         self.error_answer = failed_send.answer.or(self.error_answer.take());
@@ -83,17 +90,31 @@
     /// server may still answer, so its send goes on while another server is tried.
     pub(crate) async fn answer(&self) -> answer::Answer {
         let silence = &tokio::sync::Notify::new();
-        let mut progress = Progress::default();
+        let forwarded = self.received.forwarded.clone().unwrap_or_default();
+        let mut progress = Progress {
+            tried: forwarded.tried,
+            ended_sends: forwarded.used_attempts,
+            may_have_run: forwarded.may_have_run,
+            ..Progress::default()
+        };
         let turn = part_marks::wait_for_turn(self.cx, self.received);
         if turn.await.is_err() {
             return self.refuse_quarantined(progress);
         }
+        if self.cx.links.all_lost(&self.usable_servers())
+            && let Some(answer) = self.pass_on(&mut progress).await
+        {
+            return answer;
+        }
+        let unreached = links::wait_until_unreached(self.cx, self.service);
+        tokio::pin!(unreached);
+        let mut may_pass_on = self.received.forwarded.is_none() && self.route.kind.may_run_again();
         let mut in_flight = stream::FuturesUnordered::new();
         // Whether all sends in flight are to silent servers.
         let mut all_silent = false;
         let mut next_server = self.choose_server(&progress.tried);
         if next_server.is_none() {
-            return self.give_up(progress);
+            return self.give_up(progress).await;
         }
         loop {
             if let Some(server) = next_server.take() {
@@ -114,7 +135,7 @@
                     };
                     let failure = failed_send.failure.clone();
                     let is_answered = failed_send.answer.is_some();
-                    progress.record(failed_send);
+                    progress.record(&server, failed_send);
                     all_silent |= progress.tried.last() == Some(&server.id);
                     let allowance = self.allowance(&progress, in_flight.len());
                     let next = outcome::next(self.route.kind, failure.outcome, allowance);
@@ -137,11 +158,21 @@
                     }
                     let is_last = in_flight.is_empty() || (all_silent && is_answered);
                     if next_server.is_none() && is_last {
-                        return self.final_answer(next, failure.cause, progress);
+                        return self.final_answer(next, failure.cause, progress).await;
                     }
                     continue;
                 }
                 () = silence.notified() => {}
+                () = &mut unreached, if may_pass_on => {
+                    // The sends in flight may have reached their servers.
+                    may_pass_on = false;
+                    progress.ended_sends += in_flight.len() as u32;
+                    progress.may_have_run |= !in_flight.is_empty();
+                    if let Some(answer) = self.pass_on(&mut progress).await {
+                        return answer;
+                    }
+                    progress.ended_sends -= in_flight.len() as u32;
+                }
                 () = tokio::time::sleep(SEARCH_INTERVAL), if all_silent => {}
             }
             all_silent = true;
@@ -173,6 +204,8 @@
         let now = self.cx.now();
         let priority = self.route.priority;
         let mut servers = self.usable_servers();
+        servers.retain(|server| !tried.contains(&server.id));
+        self.cx.links.remove_lost(&mut servers);
         server_limits::remove_limited(self.cx, &mut servers, self.service, priority);
         let zone = self.cx.settings().zone.clone();
         let health = locks::lock(&self.cx.health);
@@ -187,24 +220,65 @@
         usable.to_vec()
     }
 
+    /// Has another host answer the request, if this one reaches none of its servers.
+    async fn pass_on(&self, progress: &mut Progress) -> Option<answer::Answer> {
+        let mut passed = via_peer::PassedRequest {
+            received: self.received,
+            service: self.service,
+            kind: self.route.kind,
+            max_attempts: self.route.max_attempts,
+            deadline: self.deadline,
+            used_attempts: progress.ended_sends,
+            may_have_run: progress.may_have_run,
+            tried: progress.tried.clone(),
+            resume_after: None,
+            began_as: self.id(),
+            asked: Vec::new(),
+        };
+        // What this host didn't reach, another one may.
+        passed
+            .tried
+            .retain(|server| !progress.unreached.contains(server));
+        let answered = passed.answer(self.cx).await;
+        progress.ended_sends = passed.used_attempts;
+        progress.may_have_run = passed.may_have_run;
+        match answered {
+            Ok(answer) => Some(answer),
+            Err(via_peer::Failure::NotSent) => None,
+            Err(via_peer::Failure::Unknown(cause)) => {
+                Some(answer::from_router(http::StatusCode::BAD_GATEWAY, cause))
+            }
+        }
+    }
+
+    /// Returns whether the request couldn't be sent because this host reaches no server.
+    fn is_out_of_reach(&self, progress: &Progress) -> bool {
+        let usable = self.usable_servers();
+        let unreached = |server: &backends::Backend| progress.unreached.contains(&server.id);
+        self.cx.links.all_lost(&usable)
+            || (!usable.is_empty() && usable.iter().all(|server| unreached(server)))
+    }
+
     /// Makes the answer to a request that may not be sent any more, because its content crashes servers.
     fn refuse_quarantined(&self, progress: Progress) -> answer::Answer {
         if progress.may_have_run {
-            return self.give_up(progress);
+            return self.failed_answer(progress);
         }
         crash_marks::log_refusal(self.cx, self.received);
         crash_marks::refusal_answer(self.cx, self.received)
     }
 
     /// Makes the answer after the last send failed with `cause`, if `next` would follow it.
-    fn final_answer(
+    async fn final_answer(
         &self,
         next: outcome::Next,
         cause: &'static str,
         progress: Progress,
     ) -> answer::Answer {
         let status = match next {
-            outcome::Next::SendAgain | outcome::Next::RefuseUnrun => return self.give_up(progress),
+            outcome::Next::SendAgain | outcome::Next::RefuseUnrun => {
+                return self.give_up(progress).await;
+            }
             outcome::Next::Fail => http::StatusCode::BAD_GATEWAY,
             outcome::Next::TimedOut => http::StatusCode::GATEWAY_TIMEOUT,
         };
@@ -212,8 +286,24 @@
         progress.error_answer.unwrap_or_else(router_answer)
     }
 
-    /// Makes the answer if no further server can be tried.
-    fn give_up(&self, progress: Progress) -> answer::Answer {
+    /// Makes the answer if no further server can be tried. If none was in reach, another host may answer.
+    async fn give_up(&self, mut progress: Progress) -> answer::Answer {
+        if !self.is_out_of_reach(&progress) {
+            return self.failed_answer(progress);
+        }
+        if let Some(answer) = self.pass_on(&mut progress).await {
+            return answer;
+        }
+        let may_have_run = progress.may_have_run;
+        let mut answer = self.failed_answer(progress);
+        if !may_have_run {
+            answer.extensions_mut().insert(answer::Unreached);
+        }
+        answer
+    }
+
+    /// Makes the answer to a request that nobody answers.
+    fn failed_answer(&self, progress: Progress) -> answer::Answer {
         if let Some(error_answer) = progress.error_answer {
             return error_answer;
         }
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -18,7 +18,9 @@
 use crate::router::engine_reservation;
 use crate::router::engine_stream;
 use crate::router::events::event;
+use crate::router::links;
 use crate::router::part_marks;
+use crate::router::peer_stream;
 use crate::router::run_move;
 use crate::router::send;
 use crate::router::stream_events;
@@ -100,7 +102,7 @@
     opened: engine_stream::OpenStream<D>,
     guard: context::InFlightGuard<D>,
 ) -> answer::Answer {
-    let (tx, rx) = tokio::sync::mpsc::channel(MAX_BUFFERED_EVENTS);
+    let (tx, rx) = event_channel();
     let mut answer = http::Response::new(answer::ResponseBody::Events(rx));
     *answer.status_mut() = opened.response.status;
     *answer.headers_mut() = request.cx.dialect.caller_headers(&opened.response.headers);
@@ -111,6 +113,14 @@
     answer
 }
 
+/// Makes the channel through which the events of a stream reach the connection of its caller.
+pub(super) fn event_channel() -> (
+    stream_events::EventSender,
+    tokio::sync::mpsc::Receiver<Result<bytes::Bytes, answer::Broken>>,
+) {
+    tokio::sync::mpsc::channel(MAX_BUFFERED_EVENTS)
+}
+
 /// Relays the whole stream of an answer, from as many servers one after the other as it takes.
 async fn relay<D: dialect::Dialect>(
     mut request: stream_request::StreamRequest<D>,
@@ -182,7 +192,7 @@
         };
         opened = match reopened {
             Ok(opened) => opened,
-            Err(_) => return abort(&request, &tx, "no server continues it").await,
+            Err(_) => return peer_stream::resume(request, tx, "no server continues it").await,
         };
         cx.telemetry.count("streams.continued");
     }
@@ -202,7 +212,7 @@
 }
 
 /// Ends the stream to the caller with an error.
-async fn abort<D: dialect::Dialect>(
+pub(super) async fn abort<D: dialect::Dialect>(
     request: &stream_request::StreamRequest<D>,
     tx: &stream_events::EventSender,
     cause: &'static str,
@@ -214,7 +224,7 @@
 
 /// Counts and logs the end of the stream to the caller. `how` is "complete", "caller left" or
 /// "broken".
-fn record_end<D: dialect::Dialect>(
+pub(super) fn record_end<D: dialect::Dialect>(
     request: &stream_request::StreamRequest<D>,
     how: &'static str,
     cause: &'static str,
@@ -361,6 +371,9 @@
     let max_pause = request
         .max_pause()
         .filter(|_| request.route.kind.may_run_again());
+    let (cx, service) = (request.cx.clone(), request.service.name.clone());
+    let unreached = links::wait_until_unreached(&cx, &service);
+    tokio::pin!(unreached);
     // Bytes that continued the stream by nothing.
     let mut useless_bytes = 0;
     // Events without an id of a stream that another server may continue. They are part of the answer if
@@ -383,6 +396,9 @@
             other = request.prepare_alternative(&stream.server, progressed_at, max_silence), if max_pause.is_some() => {
                 return RelayEnd::Silent(other);
             }
+            () = &mut unreached, if max_pause.is_some() => {
+                return broken(outcome::Outcome::Silent, "no engine is in reach");
+            }
         };
         let mut next = match event {
             Ok(event) => event,
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -18,8 +18,10 @@
 use crate::router::events;
 use crate::router::events::event;
 use crate::router::forward;
+use crate::router::links;
 use crate::router::listen;
 use crate::router::news;
+use crate::router::peer_service;
 use crate::router::served_version_store;
 use crate::router::server_limits;
 use crate::router::settings;
@@ -88,6 +90,9 @@
     news::spawn(&cx)
         .await
         .with_context(|| format!("cannot bind the news address {}", settings.news_addr))?;
+    peer_service::spawn(&cx, settings.news_addr)
+        .with_context(|| format!("cannot bind the news address {}", settings.news_addr))?;
+    links::spawn(&cx);
     store_sync::spawn(&cx);
     crash_checks::spawn(&cx, crash_checks_rx);
     crash_mark_store::spawn(&cx);
@@ -112,6 +117,7 @@
         locks::lock(&cx.servers).expire(now);
         cx.connection_pool.prune(now);
         server_limits::expire(&cx);
+        links::expire(&cx);
     }
 }
 
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -23,6 +23,7 @@
 use crate::router::context;
 use crate::router::crash_checks;
 use crate::router::crash_marks;
+use crate::router::links;
 use crate::router::part_marks;
 use crate::router::server_limits;
 use crate::router::trials;
@@ -41,9 +42,26 @@
 /// Largest body in bytes of an answer to one of the router's own calls to a server: a short JSON document.
 const MAX_CALL_BODY: usize = 256 * 1024;
 
+/// What another host that passed a request on had used up of it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Forwarded {
+    /// How many servers may have received it.
+    pub(crate) used_attempts: u32,
+    /// Whether a server may have run it.
+    pub(crate) may_have_run: bool,
+    /// Servers that it mustn't be sent to again.
+    pub(crate) tried: Vec<sync::Arc<str>>,
+    /// How many servers may have crashed by its content, as far as that isn't known yet.
+    pub(crate) suspected_crashes: usize,
+}
+
 /// A caller's request with its complete body.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
+    /// The caller's address.
+    pub(crate) caller: net::IpAddr,
+    /// Set if another host passed it on, which reaches no server itself.
+    pub(crate) forwarded: Option<Forwarded>,
     /// The method.
     pub(crate) method: http::Method,
     /// Path and query as received.
@@ -230,13 +248,16 @@
         false => MAX_IDLE_TIME_UNREPEATABLE,
     };
     let may_reuse = locks::lock(&cx.health).may_reuse_connections(&server.id, now);
-    if may_reuse && let Some(connection) = cx.connection_pool.take(&server.id, now, max_idle_time) {
+    if may_reuse
+        && let Some(mut connection) = cx.connection_pool.take(&server.id, now, max_idle_time)
+    {
+        connection.in_use = Some(cx.links.start_use(&server.id, now));
         return Ok(connection);
     }
     let timeout = CONNECT_TIMEOUT.min(time_left(cx, options.deadline));
-    let opened = connection_pool::connect(server.addr, timeout).await;
+    let opened = links::open(cx, server, timeout).await;
     cx.telemetry.count("server.connections");
-    opened.map_err(|error| {
+    let mut connection = opened.map_err(|error| {
         let now = cx.now();
         let mut health = locks::lock(&cx.health);
         let cause = match error.kind() {
@@ -254,7 +275,9 @@
             }
         };
         failure(outcome::Outcome::NeverWritten, cause)
-    })
+    })?;
+    connection.in_use = Some(cx.links.start_use(&server.id, cx.now()));
+    Ok(connection)
 }
 
 fn time_left<D: dialect::Dialect>(
@@ -340,7 +363,7 @@
     let mut headers = http::HeaderMap::new();
     cx.dialect.set_expected_instance(&server.id, &mut headers);
     let exchange = async {
-        let mut connection = connection_pool::connect(server.addr, timeout).await?;
+        let mut connection = connection_pool::connect(server.addr, timeout, None).await?;
         let response = call_on(&mut connection, server.addr, call, headers).await?;
         let status = response.status();
         server_limits::record_answer(cx, server, status, response.headers());
--- a/daemon/src/router/store.rs
+++ b/daemon/src/router/store.rs
@@ -156,7 +156,7 @@
         let exchange = async {
             let mut connection = match previous {
                 Some(connection) => connection,
-                None => connection_pool::connect(addr, CALL_TIMEOUT).await?,
+                None => connection_pool::connect(addr, CALL_TIMEOUT, None).await?,
             };
             let headers = http::HeaderMap::new();
             let response = send::call_on(&mut connection, addr, call, headers);
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -365,6 +365,7 @@
         locks::lock(&cx.health).forget(&server.id);
     }
     if let backends::Change::Restarted(_) = change {
+        locks::lock(&cx.links.reach).forget(&server.id);
         locks::lock(&cx.health).forget(&server.id);
         locks::lock(&cx.engine_load).forget_engine(&server.id);
     }
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -17,8 +17,10 @@
 use crate::router::crash_marks;
 use crate::router::engine_reservation;
 use crate::router::events::event;
+use crate::router::links;
 use crate::router::send;
 use crate::router::stream_versions;
+use crate::router::via_peer;
 
 /// What is told to the caller if it isn't known which software version began its stream.
 const UNKNOWN_VERSION: &str = "no host knows which version began the stream";
@@ -116,24 +118,25 @@
         arrived: time::Duration,
         deadline: time::Duration,
     ) -> Self {
+        let forwarded = received.forwarded.clone().unwrap_or_default();
         Self {
             cx: cx.clone(),
             arrived,
-            attempts_left: route.max_attempts,
+            attempts_left: route.max_attempts.saturating_sub(forwarded.used_attempts),
             last_event: received.head.resume_after,
             version: None,
             version_recorded: false,
             last_event_at: None,
             tokens_generated: 0,
             moves: 0,
-            may_have_run: false,
+            may_have_run: forwarded.may_have_run,
             connect_failures: 0,
-            sent_before: false,
+            sent_before: forwarded.used_attempts > 0,
             prefilled_before: false,
             prefills_on_decode: false,
             silent_server: None,
             left_servers: Vec::new(),
-            failed_servers: Vec::new(),
+            failed_servers: forwarded.tried,
             received,
             route,
             service,
@@ -236,8 +239,42 @@
         stream_versions::record_begun(&self.cx, self.began_as(), &version, expires);
     }
 
+    /// Returns whether this host reaches none of the engines that could generate the answer.
+    pub(crate) fn reaches_no_engine(&self) -> bool {
+        let engines = links::answering_servers(&self.cx, &self.service.name);
+        self.cx.links.all_lost(&engines)
+    }
+
+    /// Returns the request for other hosts. `received` and `began_as` are this request's.
+    pub(crate) fn passed_on<'a>(
+        &'a self,
+        received: &'a send::CallerRequest,
+        began_as: &'a str,
+    ) -> via_peer::PassedRequest<'a> {
+        via_peer::PassedRequest {
+            received,
+            service: &self.service.name,
+            kind: self.route.kind,
+            max_attempts: self.route.max_attempts,
+            deadline: self.deadline,
+            used_attempts: self.route.max_attempts - self.attempts_left,
+            may_have_run: self.may_have_run,
+            tried: self.failed_servers.clone(),
+            resume_after: self.last_event,
+            began_as,
+            asked: Vec::new(),
+        }
+    }
+
+    /// Records what other hosts have used up of the request.
+    pub(crate) fn record_used(&mut self, used_attempts: u32, may_have_run: bool) {
+        self.attempts_left = self.route.max_attempts.saturating_sub(used_attempts);
+        self.may_have_run |= may_have_run;
+        self.sent_before |= used_attempts > 0;
+    }
+
     /// Returns the id of the request that brought the stream's first event.
-    fn began_as(&self) -> &str {
+    pub(crate) fn began_as(&self) -> &str {
         let head = &self.received.head;
         let resumes = head.resumes.as_deref();
         resumes
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -307,6 +307,11 @@
             .map(|tracked| tracked.backend.process())
     }
 
+    /// Returns the newest process that was listed with an id, as its entry describes it.
+    pub fn find(&self, id: &str) -> Option<sync::Arc<Backend>> {
+        self.tracked.get(id).map(|tracked| tracked.backend.clone())
+    }
+
     /// Returns whether a server is leaving: it is draining, or not in the view any more.
     pub fn is_leaving(&self, id: &str) -> bool {
         self.tracked
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -34,7 +34,7 @@
 }
 
 /// The state that a host reports of itself in its news.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct PeerStatus {
     /// Number of the news message within the host's incarnation; higher is newer.
     pub sequence: u64,
@@ -46,6 +46,12 @@
     pub waiting: u32,
     /// Number of those that can still meet their target latency.
     pub waiting_on_time: u32,
+    /// The host's availability zone.
+    pub zone: sync::Arc<str>,
+    /// Whether the host serves requests in place of hosts that reach no server.
+    pub serves_for_others: bool,
+    /// The services of which the host reaches no server.
+    pub unreached_services: Vec<sync::Arc<str>>,
 }
 
 /// Another host.
@@ -224,6 +230,39 @@
         self.listed
     }
 
+    /// Returns the hosts that can serve a request for a service in place of this one, which has a version of the
+    /// configuration in force: each with its status.
+    pub fn helpers(
+        &self,
+        service: &str,
+        config_version: u64,
+        now: time::Duration,
+    ) -> impl Iterator<Item = (&PeerEntry, &PeerStatus)> {
+        let heard = self.known.values().filter_map(move |peer| {
+            let (status, at) = peer.status.as_ref()?;
+            let is_recent = now.saturating_sub(*at) <= IN_TOUCH_TIMEOUT;
+            is_recent.then_some((&peer.entry, status))
+        });
+        heard.filter(move |(_, status)| {
+            status.serves_for_others
+                && status.takes_callers
+                && status.config_version >= config_version
+                && !status.unreached_services.iter().any(|s| &**s == service)
+        })
+    }
+
+    /// Returns whether a host's last news are recent enough to rely on it.
+    pub fn is_heard(&self, name: &str, now: time::Duration) -> bool {
+        let status = self.known.get(name).and_then(|peer| peer.status.as_ref());
+        status.is_some_and(|(_, at)| now.saturating_sub(*at) <= IN_TOUCH_TIMEOUT)
+    }
+
+    /// Returns whether a host has this IP address.
+    pub fn has_address(&self, addr: net::IpAddr) -> bool {
+        let mut entries = self.known.values().map(|peer| &peer.entry);
+        entries.any(|entry| entry.news_addr.ip() == addr)
+    }
+
     /// Returns the number of other hosts, including silent ones that the store lists.
     pub fn count(&self) -> usize {
         self.known.len()
--- a/lib/tests/peer_news.rs
+++ b/lib/tests/peer_news.rs
@@ -23,7 +23,7 @@
         takes_callers: true,
         config_version: 4,
         waiting: 2,
-        waiting_on_time: 0,
+        ..peers::PeerStatus::default()
     }
 }
 
--- a/wire/gen/src/main.rs
+++ b/wire/gen/src/main.rs
@@ -8,7 +8,10 @@
     let out_dir = std::env::args()
         .nth(1)
         .context("argument OUT_DIR is missing; the committed directory is wire/src/generated")?;
-    let files = protox::compile(["news.proto", "peer.proto"], ["wire/proto"])?;
+    let files = protox::compile(
+        ["forward.proto", "news.proto", "peer.proto"],
+        ["wire/proto"],
+    )?;
     tonic_prost_build::configure()
         .out_dir(&out_dir)
         .compile_fds(files)
