daemon: show that cut links of a host count as crashes

Two hosts have their links to the servers reset for 0.7 s six times while servers work on a content that takes 2 s; no server ends. Both tests, of content and of prompts, fail on today's code: content-crashed-server is logged. The test of the other side passes: crashes are counted while other hosts are cut off.

--- a/daemon/tests/cut_links.rs
+++ b/daemon/tests/cut_links.rs
@@ -232,3 +232,77 @@
         rates.assert_alike(&setup);
     }
 }
+
+impl Setup {
+    /// Sends a content to the hosts behind links again and again, and resets the links while servers work on it.
+    async fn break_off_by_links(&self, path: &str, body: &str) {
+        for round in 0..6 {
+            let sends = (0..self.behind_links).map(|host| async move {
+                let id = format!("b{round}-{host}");
+                let bytes = caller::request("POST", path, &id, engine_setup::PROMPT, body);
+                caller::send(self.hosts[host].callers_addr, &bytes, TIMEOUT).await
+            });
+            let cut = async {
+                tokio::time::sleep(time::Duration::from_millis(300)).await;
+                self.set_links(link::State::Reset);
+                tokio::time::sleep(time::Duration::from_millis(700)).await;
+                self.set_links(link::State::Whole);
+                tokio::time::sleep(time::Duration::from_millis(1_200)).await;
+            };
+            tokio::join!(futures_util::future::join_all(sends), cut);
+        }
+    }
+
+    /// Asserts that no host holds that a server crashed, and that one that was never cut off serves the content.
+    async fn assert_not_blamed(&self, path: &str, body: &str) {
+        for host in &self.hosts {
+            let log = host.log();
+            assert!(!log.contains("-crashed-server"), "{}:\n{log}", host.name);
+        }
+        let bytes = caller::request("POST", path, "last", engine_setup::PROMPT, body);
+        let last = &self.hosts[HOSTS - 1];
+        let answer = caller::send(last.callers_addr, &bytes, 2 * TIMEOUT).await;
+        assert_eq!(answer.status, 200, "{answer:?}\n{}", last.log());
+    }
+}
+
+// A host whose links are cut sees what a crash looks like. Its view must not have content refused everywhere.
+#[tokio::test]
+async fn content_is_not_blamed_for_connections_that_cut_links_reset() {
+    let setup = Setup::plain(2).await;
+    for server in &setup.servers {
+        server.delay_ms.store(2_000, atomic::Ordering::Relaxed);
+    }
+    setup.break_off_by_links("/once/x", "slow").await;
+    setup.assert_not_blamed("/once/x", "slow").await;
+}
+
+#[tokio::test]
+async fn prompts_are_not_blamed_for_streams_that_cut_links_reset() {
+    let setup = Setup::engines(2).await;
+    for server in &setup.servers {
+        server.delay_ms.store(400, atomic::Ordering::Relaxed);
+    }
+    setup.break_off_by_links("/single/x", "slow").await;
+    setup.assert_not_blamed("/single/x", "slow").await;
+}
+
+// Hosts with whole links see a crash, and hosts without mustn't hide it.
+#[tokio::test]
+async fn crashes_are_counted_while_other_hosts_are_cut_off() {
+    let setup = Setup::plain(2).await;
+    setup.set_links(link::State::Hanging);
+    tokio::time::sleep(NOTICE_TIME).await;
+    for server in &setup.servers {
+        server.set_fault(server::Fault::CrashOnPoison);
+    }
+    for number in 0..2 {
+        let id = format!("p{number}");
+        let bytes = caller::request("POST", "/once/x", &id, "", "poison");
+        caller::send(setup.hosts[HOSTS - 1].callers_addr, &bytes, TIMEOUT).await;
+        tokio::time::sleep(time::Duration::from_millis(800)).await;
+    }
+    let log = setup.hosts[HOSTS - 1].log();
+    let crashes = log.matches("\"content-crashed-server\"").count();
+    assert_eq!(crashes, 2, "{log}");
+}
