crash_checks: ask other hosts whether a server that can't be reached lives

Callers saw: content that no server ever crashed by was refused at a host that was never cut off, as "this request crashed several servers".

Cause: a refused probe, or an unreachable server after a broken connection, counted as a crash at once. A host whose own links are cut sees just that, and its marks bind all hosts. Ruled out: the entries of the store, which don't lapse meanwhile.

Change: a failed probe counts only if other hosts, which reach other servers, don't reach the server either. Otherwise the entries decide, as they did for probes that another process accepts. Attempts that are being checked count meanwhile, so nothing is sent on that wasn't before.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -27,6 +27,7 @@
 use crate::router::connection_pool;
 use crate::router::crash_checks;
 use crate::router::crash_marks;
+use crate::router::crash_witness;
 use crate::router::links;
 use crate::router::retry_budget;
 use crate::router::server_limits;
@@ -92,6 +93,8 @@
     pub(crate) departures_changed: tokio::sync::Notify,
     /// Takes the requests that servers didn't answer, to check whether they crashed.
     pub(crate) crash_checks: crash_checks::Checks,
+    /// What other hosts said of servers that this one doesn't reach.
+    pub(crate) witnesses: crash_witness::Witnesses,
     /// Marks of requests that were in flight when backend servers crashed.
     pub(crate) crash_marks: sync::Mutex<crash_marks::CrashMarks>,
     /// Wakes waiting requests after a mark has changed.
@@ -169,6 +172,7 @@
             departures: sync::Mutex::default(),
             departures_changed: tokio::sync::Notify::new(),
             crash_checks,
+            witnesses: crash_witness::Witnesses::default(),
             crash_marks: sync::Mutex::default(),
             crash_marks_changed: tokio::sync::Notify::new(),
             answered_parts: sync::Mutex::default(),
--- a/daemon/src/router/crash_checks.rs
+++ b/daemon/src/router/crash_checks.rs
@@ -14,6 +14,7 @@
 use crate::router::connection_pool;
 use crate::router::context;
 use crate::router::crash_marks;
+use crate::router::crash_witness;
 use crate::router::events::event;
 use crate::router::part_marks;
 use crate::router::trials;
@@ -310,7 +311,7 @@
         broke: suspicion.open_check.is_some(),
     };
     tokio::time::sleep(PROBE_DELAY).await;
-    let mut result = probe(cx, server).await;
+    let mut result = probe_with_witnesses(cx, server).await;
     let mut verdict = judge(cx, &process, attempt, result);
     if suspicion.may_be_complete {
         if verdict == departures::Verdict::Unknown {
@@ -323,7 +324,7 @@
         drop(guard);
         if !attempt.broke {
             tokio::time::sleep(SECOND_PROBE_DELAY).await;
-            result = probe(cx, server).await;
+            result = probe_with_witnesses(cx, server).await;
         }
     }
     let watch_until = cx.now() + ENTRY_WATCH_TIME;
@@ -337,7 +338,7 @@
     }
     event!(Info, "crash-check", "digest" => crash_marks::hex(suspicion.subject.digest), "server" => server.id,
         "born" => server.started_unix_ms, "address" => server.addr, "broke" => attempt.broke,
-        "probe" => format!("{result:?}"), "verdict" => format!("{verdict:?}"),
+        "probe" => format!("{:?}", result.0), "other_hosts" => format!("{:?}", result.1), "verdict" => format!("{verdict:?}"),
         "took_ms" => cx.now().saturating_sub(attempt.ended_at).as_millis() as u64);
     if verdict == departures::Verdict::Crashed {
         let name = ids::Name::from(process.to_string());
@@ -381,10 +382,10 @@
     cx: &context::Router<D>,
     process: &backends::Process,
     attempt: departures::FailedAttempt,
-    probe: departures::Probe,
+    (probe, others): (departures::Probe, departures::OtherHosts),
 ) -> departures::Verdict {
     let departure = locks::lock(&cx.departures).get(process);
-    departures::judge(attempt, probe, departure)
+    departures::judge(attempt, probe, others, departure)
 }
 
 /// Returns whether a server that just closed a connection has ended. It is tried at once, as another process may soon
@@ -400,6 +401,21 @@
     probe(cx, server).await == departures::Probe::Refused
 }
 
+/// Tries to reach a server, and asks other hosts if that fails.
+async fn probe_with_witnesses<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+    server: &sync::Arc<backends::Backend>,
+) -> (departures::Probe, departures::OtherHosts) {
+    let result = probe(cx, server).await;
+    let others = match result {
+        departures::Probe::Accepted => departures::OtherHosts::None,
+        departures::Probe::Refused | departures::Probe::Unreachable => {
+            crash_witness::ask(cx, server).await
+        }
+    };
+    (result, others)
+}
+
 /// Tries to reach a server on a new connection: one that is open already may have lost its process unnoticed.
 async fn probe<D: dialect::Dialect>(
     cx: &context::Router<D>,
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -14,6 +14,7 @@
 mod crash_checks;
 mod crash_mark_store;
 mod crash_marks;
+mod crash_witness;
 mod engine_prepare;
 mod engine_reservation;
 mod engine_stream;
--- a/daemon/src/router/peer_service.rs
+++ b/daemon/src/router/peer_service.rs
@@ -16,6 +16,7 @@
 use crate::locks;
 use crate::router::answer;
 use crate::router::context;
+use crate::router::crash_witness;
 use crate::router::events::event;
 use crate::router::forward;
 
@@ -146,7 +147,7 @@
         req: tonic::Request<wire::CheckServerRequest>,
     ) -> Result<tonic::Response<wire::CheckServerReply>, tonic::Status> {
         self.check_sender(&req)?;
-        let state = wire::ServerState::Unspecified.into();
+        let state = crash_witness::check(&self.cx, req.get_ref()).await.into();
         Ok(tonic::Response::new(wire::CheckServerReply { state }))
     }
 }
--- a/daemon/src/router/via_peer.rs
+++ b/daemon/src/router/via_peer.rs
@@ -38,6 +38,8 @@
 const MIN_TIME: time::Duration = outcome::MIN_TIME_TO_RETRY;
 
 type Client = forward_client::ForwardClient<transport::Channel>;
+/// Names a host and a service.
+type HostAndService = (sync::Arc<str>, sync::Arc<str>);
 
 /// Connections to other hosts, and what is known of them as helpers.
 #[derive(Debug, Default)]
@@ -47,7 +49,7 @@
     /// Number of requests that each host serves for this one.
     outstanding: sync::Mutex<collections::HashMap<sync::Arc<str>, u32>>,
     /// Until when hosts get no further requests for services that they declined.
-    declined: sync::Mutex<collections::HashMap<(sync::Arc<str>, sync::Arc<str>), time::Duration>>,
+    declined: sync::Mutex<collections::HashMap<HostAndService, time::Duration>>,
 }
 
 /// Another host that may serve a request.
--- a/lib/src/departures.rs
+++ b/lib/src/departures.rs
@@ -128,6 +128,19 @@
     Unreachable,
 }
 
+/// What other hosts say of a server that can't be reached from here.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OtherHosts {
+    /// There are none, so that this host's own view counts.
+    None,
+    /// One of them reaches a process at its address.
+    Reach,
+    /// They don't reach it, although they reach other servers.
+    DontReach,
+    /// They can't tell.
+    Unknown,
+}
+
 /// Whether a server process crashed during a failed attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -143,8 +156,14 @@
 /// How long a server goes on serving after it announced its end, or its entry was removed instead.
 const SERVES_AFTER_NOTICE: time::Duration = backends::LAST_RESORT_FOR;
 
-/// Judges whether a server process crashed, from a probe and from how the process left the view, if it did.
-pub fn judge(attempt: FailedAttempt, probe: Probe, departure: Option<Departure>) -> Verdict {
+/// Judges whether a server process crashed, from a probe, from what other hosts say if that fails, and from how the
+/// process left the view, if it did.
+pub fn judge(
+    attempt: FailedAttempt,
+    probe: Probe,
+    others: OtherHosts,
+    departure: Option<Departure>,
+) -> Verdict {
     if let Some(departure) = departure {
         let after_notice = attempt.ended_at > departure.at + SERVES_AFTER_NOTICE;
         match departure.way {
@@ -156,9 +175,14 @@
             Way::Drained | Way::Replaced => {}
         }
     }
+    let confirmed = match others {
+        OtherHosts::None | OtherHosts::DontReach => true,
+        // The host's own links may be cut.
+        OtherHosts::Reach | OtherHosts::Unknown => false,
+    };
     match probe {
-        Probe::Refused => Verdict::Crashed,
-        Probe::Unreachable if attempt.broke => Verdict::Crashed,
-        Probe::Accepted | Probe::Unreachable => Verdict::Unknown,
+        Probe::Refused if confirmed => Verdict::Crashed,
+        Probe::Unreachable if confirmed && attempt.broke => Verdict::Crashed,
+        Probe::Accepted | Probe::Refused | Probe::Unreachable => Verdict::Unknown,
     }
 }
--- a/lib/tests/server_departures.rs
+++ b/lib/tests/server_departures.rs
@@ -35,7 +35,14 @@
     ..BROKEN
 };
 
-use departures::judge;
+/// Judges an attempt at a host that is alone, so that its own view counts.
+fn judge(
+    attempt: departures::FailedAttempt,
+    probe: departures::Probe,
+    departure: Option<departures::Departure>,
+) -> departures::Verdict {
+    departures::judge(attempt, probe, departures::OtherHosts::None, departure)
+}
 
 fn left_at(ms: u64, way: departures::Way) -> Option<departures::Departure> {
     Some(departures::Departure { at: at(ms), way })
@@ -173,3 +180,20 @@
     departures.record(&backends::Change::Restarted(older), at(50));
     assert_eq!(departures.get(&newer.process()), None);
 }
+
+// What a host with cut links sees.
+#[test]
+fn server_that_other_hosts_reach_or_that_they_cannot_tell_of_has_not_crashed_by_a_probe() {
+    let attempt = departures::FailedAttempt {
+        sent_at: at(0),
+        ended_at: at(100),
+        broke: true,
+    };
+    for probe in [departures::Probe::Refused, departures::Probe::Unreachable] {
+        let verdict = |others| departures::judge(attempt, probe, others, None);
+        let (unknown, crashed) = (departures::Verdict::Unknown, departures::Verdict::Crashed);
+        assert_eq!(verdict(departures::OtherHosts::Reach), unknown);
+        assert_eq!(verdict(departures::OtherHosts::Unknown), unknown);
+        assert_eq!(verdict(departures::OtherHosts::DontReach), crashed);
+    }
+}
