server_notices: heed that servers leave, or want no requests for some time

Two new rules of the users: a server that leaves says so in all its answers (Server-Leaving: 1), and one that turns a request away with 503 may say for how long it wants none (Retry-After).

Change: all answers are read, to requests, prefills, streams and calls; a 421 is another server's. Leaving is kept with the process: its entry counts as draining, also when it is written again or comes back; another process under the id or at the address starts clean. A pause is kept with the process too. Both are looked at when a server is chosen and right before a send, as a prefill may lie between. If none may be asked, callers are refused at once with the time that is left. Values that are no time ask for nothing.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -19,6 +19,7 @@
 use walnuthaven_lib::routing;
 use walnuthaven_lib::served_versions;
 use walnuthaven_lib::server_health;
+use walnuthaven_lib::server_pauses;
 use walnuthaven_lib::stream_versions;
 use walnuthaven_lib::wait_queue;
 
@@ -65,6 +66,8 @@
     pub(crate) peers: sync::Mutex<peers::Peers>,
     /// The limits that backend servers named.
     pub(crate) server_limits: sync::Mutex<server_limits::Limits>,
+    /// Servers that asked to get nothing for some time.
+    pub(crate) server_pauses: sync::Mutex<server_pauses::Pauses>,
     /// Which servers this host reaches.
     pub(crate) links: sync::Arc<links::Links>,
     /// Connections to the hosts that serve requests in place of this one.
@@ -159,6 +162,7 @@
             servers_listed: atomic::AtomicBool::new(false),
             peers: sync::Mutex::default(),
             server_limits: sync::Mutex::default(),
+            server_pauses: sync::Mutex::default(),
             links: sync::Arc::default(),
             via_peer: via_peer::Peers::default(),
             health: sync::Mutex::default(),
--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -14,6 +14,7 @@
 use crate::router::context;
 use crate::router::events::event;
 use crate::router::server_limits;
+use crate::router::server_notices;
 
 /// Time from the start of a prefill to the first event, without the prefill itself: transferring
 /// the KV cache and generating the first event take some tens of milliseconds.
@@ -335,6 +336,7 @@
     server_limits::remove_limited(cx, &mut engines, &request.service.name, request.priority);
     let is_prefill = |engine: &backends::Backend| engine.stage == Some(backends::Stage::Prefill);
     cx.links.remove_lost(&mut engines);
+    server_notices::remove_paused(cx, &mut engines);
     let health = locks::lock(&cx.health);
     engines.retain(|engine| {
         let avoided_for_prefill =
@@ -376,6 +378,7 @@
     let (cause, wait) = match full {
         None => return Ok(()),
         Some(engine_load::Full::NoEngine) => {
+            check_pauses(cx, request)?;
             check_limits(cx, request)?;
             return Err(no_capacity(
                 cx,
@@ -404,6 +407,28 @@
     Err(no_capacity(cx, request, cause, predicted))
 }
 
+/// Checks whether engines could take a request if they didn't want none for now.
+///
+/// # Errors
+///
+/// Returns an error if so, with the time after which the first one wants requests again.
+fn check_pauses<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    request: &ReservationRequest<'_>,
+) -> Result<(), NoCapacity> {
+    let mut engines = cx.group_engines(&request.service.name, request.version);
+    engines.retain(|engine| engine.stage != Some(backends::Stage::Prefill));
+    match server_notices::time_until_wanted(cx, &engines) {
+        None => Ok(()),
+        Some(wait) => Err(no_capacity(
+            cx,
+            request,
+            "engines want no requests for now",
+            wait,
+        )),
+    }
+}
+
 /// Checks whether engines could take a request but for the limits that they named.
 ///
 /// # Errors
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -37,6 +37,7 @@
 mod send;
 mod served_version_store;
 mod server_limits;
+mod server_notices;
 mod stage_orders;
 mod store;
 mod store_sync;
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -22,6 +22,7 @@
 use crate::router::part_marks;
 use crate::router::send;
 use crate::router::server_limits;
+use crate::router::server_notices;
 use crate::router::stream_request;
 use crate::router::via_peer;
 
@@ -206,6 +207,7 @@
         let mut servers = self.usable_servers();
         servers.retain(|server| !tried.contains(&server.id));
         self.cx.links.remove_lost(&mut servers);
+        server_notices::remove_paused(self.cx, &mut servers);
         server_limits::remove_limited(self.cx, &mut servers, self.service, priority);
         let zone = self.cx.settings().zone.clone();
         let health = locks::lock(&self.cx.health);
@@ -312,6 +314,11 @@
         }
         let mut untried = self.usable_servers();
         let none_usable = untried.is_empty();
+        if let Some(wait) = server_notices::time_until_wanted(self.cx, &untried) {
+            let cause = "servers want no requests for now";
+            event!(Info, "refused", "id" => self.id(), "service" => self.service, "cause" => cause);
+            return answer::not_run(cause, wait.mul_f64(1.0 + rand::random::<f64>() / 10.0));
+        }
         untried.retain(|server| !progress.tried.contains(&server.id));
         let (cause, retry_after) = match (none_usable, self.all_limited(&untried)) {
             (true, _) => ("no server is usable", NO_SERVER_RETRY_AFTER),
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -115,6 +115,7 @@
         let now = cx.now();
         news::expire_silent_hosts(&cx);
         locks::lock(&cx.servers).expire(now);
+        locks::lock(&cx.server_pauses).expire(now);
         cx.connection_pool.prune(now);
         server_limits::expire(&cx);
         links::expire(&cx);
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -25,7 +25,7 @@
 use crate::router::crash_marks;
 use crate::router::links;
 use crate::router::part_marks;
-use crate::router::server_limits;
+use crate::router::server_notices;
 use crate::router::trials;
 
 /// Longest time to open a connection to a server. The round trip takes about a millisecond, and the
@@ -163,6 +163,13 @@
     params: &dialect::SendParams<'_>,
     options: Options,
 ) -> Result<ServerResponse, SendFailure> {
+    // It may have said so since it was chosen.
+    if server_notices::wants_none(cx, server) {
+        return Err(failure(
+            outcome::Outcome::RefusedUnrun,
+            "server wants no requests",
+        ));
+    }
     crash_marks::check_send(cx, req, params.work, &server.id)?;
     let timeout = time_left(cx, options.deadline);
     let builder = http::Request::builder().method(req.method.clone());
@@ -206,7 +213,7 @@
             "answer to another request",
         ));
     }
-    server_limits::record_answer(cx, server, parts.status, &parts.headers);
+    server_notices::record_answer(cx, server, parts.status, &parts.headers);
     let framing = [
         http::header::CONTENT_LENGTH,
         http::header::TRANSFER_ENCODING,
@@ -366,7 +373,7 @@
         let mut connection = connection_pool::connect(server.addr, timeout, None).await?;
         let response = call_on(&mut connection, server.addr, call, headers).await?;
         let status = response.status();
-        server_limits::record_answer(cx, server, status, response.headers());
+        server_notices::record_answer(cx, server, status, response.headers());
         Ok((status, read_body(response, MAX_CALL_BODY).await?))
     };
     tokio::time::timeout(timeout, exchange)
--- a/daemon/src/router/server_limits.rs
+++ b/daemon/src/router/server_limits.rs
@@ -36,13 +36,8 @@
 pub(crate) fn record_answer<D: dialect::Dialect>(
     cx: &context::Router<D>,
     server: &backends::Backend,
-    status: http::StatusCode,
     headers: &http::HeaderMap,
 ) {
-    // Another server at the address speaks for itself.
-    if status == http::StatusCode::MISDIRECTED_REQUEST {
-        return;
-    }
     let process = server.process();
     let named = match cx.dialect.rate_limit(headers) {
         dialect::RateLimit::None => None,
--- /dev/null
+++ b/daemon/src/router/server_notices.rs
@@ -0,0 +1,85 @@
+//! What servers say of themselves in their answers: that they leave, or want no requests for some time.
+
+use std::sync;
+use std::time;
+
+use walnuthaven_lib::backends;
+use walnuthaven_lib::dialect;
+
+use crate::locks;
+use crate::router::context;
+use crate::router::events::event;
+use crate::router::server_limits;
+use crate::router::store_sync;
+
+/// Records what an answer of a server says of it.
+pub(crate) fn record_answer<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    server: &backends::Backend,
+    status: http::StatusCode,
+    headers: &http::HeaderMap,
+) {
+    // Another server at the address speaks for itself.
+    if status == http::StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    server_limits::record_answer(cx, server, headers);
+    let notice = cx.dialect.server_notice(status, headers);
+    if notice.is_leaving {
+        let change = locks::lock(&cx.servers).record_leaving(&server.process(), cx.now());
+        if let Some(change) = change {
+            event!(Info, "server-leaves", "server" => server.id, "service" => server.service);
+            store_sync::on_server_change(cx, change);
+        }
+    }
+    match notice.pause {
+        dialect::Pause::None => {}
+        dialect::Pause::For(wait) => {
+            cx.telemetry.count("servers.pauses");
+            event!(Info, "server-pauses", "server" => server.id, "service" => server.service,
+                "for_ms" => wait.as_millis() as u64);
+            locks::lock(&cx.server_pauses).record(server.process(), wait, cx.now());
+        }
+        dialect::Pause::Unreadable(value) => {
+            event!(Info, "server-pause-unreadable", "server" => server.id, "value" => value);
+        }
+    }
+}
+
+/// Removes the servers that want no requests for now.
+pub(crate) fn remove_paused<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    servers: &mut Vec<sync::Arc<backends::Backend>>,
+) {
+    let pauses = locks::lock(&cx.server_pauses);
+    if !pauses.is_empty() {
+        let now = cx.now();
+        servers.retain(|server| pauses.time_left(&server.process(), now).is_none());
+    }
+}
+
+/// Returns in what time the first of some servers wants requests again, if there are servers and none does now.
+pub(crate) fn time_until_wanted<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    servers: &[sync::Arc<backends::Backend>],
+) -> Option<time::Duration> {
+    let now = cx.now();
+    let pauses = locks::lock(&cx.server_pauses);
+    let left = servers
+        .iter()
+        .map(|server| pauses.time_left(&server.process(), now));
+    let left: Option<Vec<_>> = left.collect();
+    left?.into_iter().min()
+}
+
+/// Returns whether a server wants no requests: it leaves, or asked for a pause.
+pub(crate) fn wants_none<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    server: &backends::Backend,
+) -> bool {
+    let process = server.process();
+    locks::lock(&cx.servers).has_said_to_leave(&process)
+        || locks::lock(&cx.server_pauses)
+            .time_left(&process, cx.now())
+            .is_some()
+}
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -340,7 +340,10 @@
 }
 
 /// Discards what is outdated after a change of a backend server, and wakes queued requests.
-fn on_server_change<D: dialect::Dialect>(cx: &context::Router<D>, change: backends::Change) {
+pub(crate) fn on_server_change<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    change: backends::Change,
+) {
     let (change_name, server) = match &change {
         backends::Change::Joined(server) => ("joined", server),
         backends::Change::Updated(server) if server.draining => ("draining", server),
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -19,6 +19,9 @@
 /// entries are expected back within this time.
 pub const OUTAGE_GRACE: time::Duration = time::Duration::from_secs(2);
 
+/// How long it is remembered that a process leaves after its entry is gone, which may come back meanwhile.
+const LEAVING_KEPT_FOR: time::Duration = time::Duration::from_secs(600);
+
 /// The stage of inference that a model engine works on.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Stage {
@@ -139,6 +142,8 @@
     /// Cache of the servers by service that have an entry and aren't draining. Cleared by each change.
     listed: collections::HashMap<sync::Arc<str>, sync::Arc<[sync::Arc<Backend>]>>,
     ready_counts: ready_counts::ReadyCounts,
+    /// The processes that said themselves that they leave, and when. Their entries may not say so.
+    leaving: collections::BTreeMap<Process, time::Duration>,
     /// Number of changes of the view. All entries of a complete list change it at once.
     changes: u64,
     /// The latest time that was passed in. Changes without a time of their own count as made then.
@@ -181,8 +186,9 @@
         change
     }
 
-    fn put_listed(&mut self, backend: Backend) -> Option<Change> {
+    fn put_listed(&mut self, mut backend: Backend) -> Option<Change> {
         self.listed.clear();
+        backend.draining |= self.leaving.contains_key(&backend.process());
         let backend = sync::Arc::new(backend);
         let known = self.tracked.get(&backend.id);
         let known = known.filter(|known| known.backend.process() == backend.process());
@@ -246,6 +252,25 @@
         }
     }
 
+    /// Records that a process said that it leaves, whatever its entry says, now or later. Returns `None` if that
+    /// changes nothing.
+    pub fn record_leaving(&mut self, process: &Process, now: time::Duration) -> Option<Change> {
+        if self.leaving.insert(process.clone(), now).is_some() {
+            return None;
+        }
+        let tracked = self.tracked.get(&process.id)?;
+        let backend = Backend::clone(&tracked.backend);
+        if backend.draining || backend.process() != *process {
+            return None;
+        }
+        self.put_listed(backend)
+    }
+
+    /// Returns whether a process said that it leaves.
+    pub fn has_said_to_leave(&self, process: &Process) -> bool {
+        self.leaving.contains_key(process)
+    }
+
     /// Records that an entry is gone from the store. Returns `None` if that was known.
     pub fn remove(&mut self, id: &str, now: time::Duration) -> Option<Change> {
         self.listed.clear();
@@ -296,6 +321,11 @@
     pub fn expire(&mut self, now: time::Duration) {
         self.latest = self.latest.max(now);
         self.ready_counts.expire(now);
+        let tracked = &self.tracked;
+        self.leaving.retain(|process, said_at| {
+            let is_tracked = tracked.contains_key(&process.id);
+            is_tracked || now.saturating_sub(*said_at) < LEAVING_KEPT_FOR
+        });
         self.tracked
             .retain(|_, t| t.last_resort_until.is_none_or(|until| now < until));
     }
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -104,6 +104,26 @@
     Unreadable(String),
 }
 
+/// For how long a server that turned a request away wants no further ones.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Pause {
+    /// It doesn't say.
+    None,
+    /// For so long.
+    For(time::Duration),
+    /// A text that is no time.
+    Unreadable(String),
+}
+
+/// What a server's answer says of the server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerNotice {
+    /// Whether the server leaves and takes no new work.
+    pub is_leaving: bool,
+    /// For how long it wants no requests of this host.
+    pub pause: Pause,
+}
+
 /// Memory that an engine keeps until another one fetches it: the result of a prefill, or the memory of
 /// a stopped run.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -270,6 +290,9 @@
     /// Decodes what the headers of a server's answer say of the requests that it takes.
     fn rate_limit(&self, headers: &http::HeaderMap) -> RateLimit;
 
+    /// Decodes what a server's answer says of the server.
+    fn server_notice(&self, status: http::StatusCode, headers: &http::HeaderMap) -> ServerNotice;
+
     /// Builds the headers of the answer to the caller from those of a server's answer.
     fn caller_headers(&self, server: &http::HeaderMap) -> http::HeaderMap;
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod served_versions;
 pub mod server_health;
 pub mod server_limits;
+pub mod server_pauses;
 pub mod stored_marks;
 pub mod stream_versions;
 pub mod transfer;
--- a/lib/tests/backend_registry.rs
+++ b/lib/tests/backend_registry.rs
@@ -272,3 +272,23 @@
     registry.put(changed);
     assert_eq!(usable(&mut registry, ms(0)), ["a".into(), "b".into()]);
 }
+
+#[test]
+fn a_process_that_says_that_it_leaves_gets_no_requests_whatever_its_entry_says() {
+    let mut registry = registry_of(&["a", "b"]);
+    let process = server("a").process();
+    let change = registry.record_leaving(&process, ms(0));
+    assert!(matches!(change, Some(backends::Change::Updated(s)) if s.draining));
+    assert_eq!(registry.record_leaving(&process, ms(1)), None);
+    registry.put(server("a"));
+    assert_eq!(usable(&mut registry, ms(1)), ["b".into()]);
+    registry.remove("a", ms(2));
+    registry.expire(ms(5_000));
+    registry.replace_all(vec![server("a"), server("b")], ms(5_000));
+    assert_eq!(usable(&mut registry, ms(5_000)), ["b".into()]);
+    let mut next = server("a");
+    next.started_unix_ms = Some(2);
+    next.addr = "127.0.0.1:81".parse().unwrap();
+    registry.put(next);
+    assert_eq!(usable(&mut registry, ms(5_001)), ["a".into(), "b".into()]);
+}
