--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -378,8 +378,7 @@
     let (cause, wait) = match full {
         None => return Ok(()),
         Some(engine_load::Full::NoEngine) => {
-            check_pauses(cx, request)?;
-            check_limits(cx, request)?;
+            check_notices(cx, request)?;
             return Err(no_capacity(
                 cx,
                 request,
@@ -407,38 +406,23 @@
     Err(no_capacity(cx, request, cause, predicted))
 }
 
-/// Checks whether engines could take a request if they didn't want none for now.
+/// Checks whether engines could take a request but for the pauses that they asked for, or the limits that they named.
 ///
 /// # Errors
 ///
-/// Returns an error if so, with the time after which the first one wants requests again.
-fn check_pauses<D: dialect::Dialect>(
-    cx: &context::Router<D>,
-    request: &ReservationRequest<'_>,
-) -> Result<(), NoCapacity> {
-    let mut engines = cx.group_engines(&request.service.name, request.version);
-    engines.retain(|engine| engine.stage != Some(backends::Stage::Prefill));
-    match server_notices::time_until_wanted(cx, &engines) {
-        None => Ok(()),
-        Some(wait) => Err(no_capacity(
-            cx,
-            request,
-            "engines want no requests for now",
-            wait,
-        )),
-    }
-}
-
-/// Checks whether engines could take a request but for the limits that they named.
-///
-/// # Errors
-///
-/// Returns an error if so, with the time in which the limits leave room.
-fn check_limits<D: dialect::Dialect>(
+/// Returns an error if so, with the time after which one wants requests again, or the limits leave room.
+fn check_notices<D: dialect::Dialect>(
     cx: &context::Router<D>,
     request: &ReservationRequest<'_>,
 ) -> Result<(), NoCapacity> {
     let engines = cx.group_engines(&request.service.name, request.version);
+    let decode = engines
+        .iter()
+        .filter(|engine| engine.stage != Some(backends::Stage::Prefill));
+    if let Some(wait) = server_notices::time_until_wanted(cx, decode) {
+        let cause = "engines want no requests for now";
+        return Err(no_capacity(cx, request, cause, wait));
+    }
     let mut below = engines.clone();
     let service = &request.service.name;
     if !server_limits::remove_limited(cx, &mut below, service, request.priority) {
--- a/daemon/src/router/peer_stream.rs
+++ b/daemon/src/router/peer_stream.rs
@@ -76,7 +76,7 @@
     };
     match reopened {
         Some(opened) => relay(request, opened, tx).await,
-        None => relay::abort(&request, &tx, cause).await,
+        None => stream_events::abort(&request, &tx, cause).await,
     }
 }
 
@@ -102,8 +102,8 @@
 ) {
     loop {
         let cause = match relay_part(&mut request, &mut opened, &tx).await {
-            PartEnd::Complete => return relay::record_end(&request, "complete", ""),
-            PartEnd::CallerLeft => return relay::record_end(&request, "caller left", ""),
+            PartEnd::Complete => return stream_events::record_end(&request, "complete", ""),
+            PartEnd::CallerLeft => return stream_events::record_end(&request, "caller left", ""),
             PartEnd::Broken(cause) => cause,
         };
         event!(Info, "peer-stream-broke", "id" => request.id(), "host" => opened.peer,
@@ -111,11 +111,11 @@
         request.may_have_run = true;
         let reopened = tokio::select! {
             reopened = reopen(&mut request) => reopened,
-            () = tx.closed() => return relay::record_end(&request, "caller left", ""),
+            () = tx.closed() => return stream_events::record_end(&request, "caller left", ""),
         };
         match reopened {
             Some(next) => opened = next,
-            None => return relay::abort(&request, &tx, cause).await,
+            None => return stream_events::abort(&request, &tx, cause).await,
         }
     }
 }
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -314,7 +314,7 @@
         }
         let mut untried = self.usable_servers();
         let none_usable = untried.is_empty();
-        if let Some(wait) = server_notices::time_until_wanted(self.cx, &untried) {
+        if let Some(wait) = server_notices::time_until_wanted(self.cx, untried.iter()) {
             let cause = "servers want no requests for now";
             event!(Info, "refused", "id" => self.id(), "service" => self.service, "cause" => cause);
             return answer::not_run(cause, wait.mul_f64(1.0 + rand::random::<f64>() / 10.0));
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -135,7 +135,7 @@
             ServerStreamEnd::Moving(reservation, run_move, end_unless_stopped, has_end) => {
                 let finished = tokio::select! {
                     finished = run_move.finish(&mut request, reservation, has_end) => finished,
-                    () = tx.closed() => return record_end(&request, "caller left", ""),
+                    () = tx.closed() => return stream_events::record_end(&request, "caller left", ""),
                 };
                 match finished {
                     Some(Ok(moved)) => {
@@ -167,16 +167,18 @@
         };
         let failure = match end {
             StreamEnd::Complete => {
-                record_length(&request);
-                return record_end(&request, "complete", "");
+                stream_events::record_length(&request);
+                return stream_events::record_end(&request, "complete", "");
             }
-            StreamEnd::CallerLeft => return record_end(&request, "caller left", ""),
+            StreamEnd::CallerLeft => return stream_events::record_end(&request, "caller left", ""),
             StreamEnd::Broken(failure) => {
                 request.record_failure(&server, &failure, cx.now());
                 failure
             }
             StreamEnd::MoveFailed(failure) => failure,
-            StreamEnd::NotContinued(cause) => return abort(&request, &tx, cause).await,
+            StreamEnd::NotContinued(cause) => {
+                return stream_events::abort(&request, &tx, cause).await;
+            }
         };
         let next = request.decide_next(failure.outcome);
         event!(Info, "stream-broke", "id" => request.received.head.request_id,
@@ -186,9 +188,9 @@
         let reopened = match next {
             outcome::Next::SendAgain => tokio::select! {
                 reopened = request.reopen() => reopened,
-                () = tx.closed() => return record_end(&request, "caller left", ""),
+                () = tx.closed() => return stream_events::record_end(&request, "caller left", ""),
             },
-            _ => return abort(&request, &tx, failure.cause).await,
+            _ => return stream_events::abort(&request, &tx, failure.cause).await,
         };
         opened = match reopened {
             Ok(opened) => opened,
@@ -198,48 +200,6 @@
     }
 }
 
-/// Records the length of a complete answer to predict those of later ones. Resumed streams are
-/// skipped, as they contain only the rest of the answer.
-fn record_length<D: dialect::Dialect>(request: &stream_request::StreamRequest<D>) {
-    let Some(prompt) = &request.received.head.prompt else {
-        return;
-    };
-    if request.received.head.resume_after.is_none() {
-        let mut lengths = locks::lock(&request.cx.answer_lengths);
-        let predictor = lengths.entry(request.service.name.clone()).or_default();
-        predictor.record(request.tokens_generated, prompt.output_hint);
-    }
-}
-
-/// Ends the stream to the caller with an error.
-pub(super) async fn abort<D: dialect::Dialect>(
-    request: &stream_request::StreamRequest<D>,
-    tx: &stream_events::EventSender,
-    cause: &'static str,
-) {
-    // Fails only if the caller has disconnected already.
-    let _ = tx.send(Err(answer::Broken)).await;
-    record_end(request, "broken", cause);
-}
-
-/// Counts and logs the end of the stream to the caller. `how` is "complete", "caller left" or
-/// "broken".
-pub(super) fn record_end<D: dialect::Dialect>(
-    request: &stream_request::StreamRequest<D>,
-    how: &'static str,
-    cause: &'static str,
-) {
-    let took = request.cx.now().saturating_sub(request.arrived);
-    request.cx.telemetry.count(match how {
-        "complete" => "streams.complete",
-        "broken" => "streams.broken",
-        _ => "streams.left",
-    });
-    event!(Info, "stream-ended", "id" => request.received.head.request_id, "how" => how,
-        "cause" => cause, "events" => request.last_event, "tokens" => request.tokens_generated,
-        "took_ms" => took.as_millis() as u64);
-}
-
 /// Relays the stream of one server to its end, or until another server replaces a silent one.
 async fn relay_from_server<D: dialect::Dialect>(
     request: &mut stream_request::StreamRequest<D>,
--- a/daemon/src/router/server_notices.rs
+++ b/daemon/src/router/server_notices.rs
@@ -59,15 +59,13 @@
 }
 
 /// Returns in what time the first of some servers wants requests again, if there are servers and none does now.
-pub(crate) fn time_until_wanted<D: dialect::Dialect>(
+pub(crate) fn time_until_wanted<'a, D: dialect::Dialect>(
     cx: &context::Router<D>,
-    servers: &[sync::Arc<backends::Backend>],
+    servers: impl Iterator<Item = &'a sync::Arc<backends::Backend>>,
 ) -> Option<time::Duration> {
     let now = cx.now();
     let pauses = locks::lock(&cx.server_pauses);
-    let left = servers
-        .iter()
-        .map(|server| pauses.time_left(&server.process(), now));
+    let left = servers.map(|server| pauses.time_left(&server.process(), now));
     let left: Option<Vec<_>> = left.collect();
     left?.into_iter().min()
 }
--- a/daemon/src/router/stream_events.rs
+++ b/daemon/src/router/stream_events.rs
@@ -6,8 +6,10 @@
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::event_stream;
 
+use crate::locks;
 use crate::router::answer;
 use crate::router::crash_checks;
+use crate::router::events::event;
 use crate::router::send;
 use crate::router::stream_request;
 
@@ -107,3 +109,45 @@
     }
     EventOrder::Next
 }
+
+/// Records the length of a complete answer to predict those of later ones. Resumed streams are
+/// skipped, as they contain only the rest of the answer.
+pub(super) fn record_length<D: dialect::Dialect>(request: &stream_request::StreamRequest<D>) {
+    let Some(prompt) = &request.received.head.prompt else {
+        return;
+    };
+    if request.received.head.resume_after.is_none() {
+        let mut lengths = locks::lock(&request.cx.answer_lengths);
+        let predictor = lengths.entry(request.service.name.clone()).or_default();
+        predictor.record(request.tokens_generated, prompt.output_hint);
+    }
+}
+
+/// Ends the stream to the caller with an error.
+pub(super) async fn abort<D: dialect::Dialect>(
+    request: &stream_request::StreamRequest<D>,
+    tx: &EventSender,
+    cause: &'static str,
+) {
+    // Fails only if the caller has disconnected already.
+    let _ = tx.send(Err(answer::Broken)).await;
+    record_end(request, "broken", cause);
+}
+
+/// Counts and logs the end of the stream to the caller. `how` is "complete", "caller left" or
+/// "broken".
+pub(super) fn record_end<D: dialect::Dialect>(
+    request: &stream_request::StreamRequest<D>,
+    how: &'static str,
+    cause: &'static str,
+) {
+    let took = request.cx.now().saturating_sub(request.arrived);
+    request.cx.telemetry.count(match how {
+        "complete" => "streams.complete",
+        "broken" => "streams.broken",
+        _ => "streams.left",
+    });
+    event!(Info, "stream-ended", "id" => request.received.head.request_id, "how" => how,
+        "cause" => cause, "events" => request.last_event, "tokens" => request.tokens_generated,
+        "took_ms" => took.as_millis() as u64);
+}
--- a/daemon/tests/fault_soak.rs
+++ b/daemon/tests/fault_soak.rs
@@ -28,20 +28,37 @@
             seconds: FAULT_SECONDS,
             hosts: HOSTS,
         };
-        let report = soak::run(BINARY, options).await;
-        let broken = report["broken"].as_array().unwrap();
-        assert!(
-            broken.is_empty(),
-            "seed {seed}: {broken:?}\nfaults: {}",
-            report["faults"]
-        );
-        assert!(
-            report["served"].as_u64() > Some(0),
-            "seed {seed}: nothing was served"
-        );
+        let report = soak::run(BINARY, options, soak::Faults::General).await;
+        assert_guarantees_held(&report);
     }
 }
 
+fn assert_guarantees_held(report: &serde_json::Value) {
+    let (seed, broken) = (&report["seed"], report["broken"].as_array().unwrap());
+    assert!(
+        broken.is_empty(),
+        "seed {seed}: {broken:?}\nfaults: {}",
+        report["faults"]
+    );
+    assert!(
+        report["served"].as_u64() > Some(0),
+        "seed {seed}: nothing was served"
+    );
+}
+
+/// Cuts links between hosts and servers beside the other faults. The seed is arbitrary.
+const CUT_LINKS_SOAK: soak::Options = soak::Options {
+    seed: 11,
+    seconds: 12,
+    hosts: 4,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_links_are_cut() {
+    let report = soak::run(BINARY, CUT_LINKS_SOAK, soak::Faults::AndCutLinks).await;
+    assert_guarantees_held(&report);
+}
+
 /// Soaks with crashing requests. With 20 s of seed 3, content crashed up to 11 servers before marks were kept in
 /// the store. With seed 9204, whose servers start again within 5 ms under new ids, it crashed up to 82 before crashes
 /// were judged by process.
