peer_service: give hosts that are short of processor time longer to answer pings

A host under load may answer an HTTP/2 ping late, and the calls that it serves would break off: 1 s was as short as the interval. 4 s now; hosts that are gone are noticed by their news.

--- a/daemon/src/router/peer_service.rs
+++ b/daemon/src/router/peer_service.rs
@@ -20,8 +20,10 @@
 use crate::router::events::event;
 use crate::router::forward;
 
-/// Interval of HTTP/2 keep-alive pings while calls are open. A connection is closed if a ping is unanswered this long.
-pub(crate) const KEEP_ALIVE: time::Duration = time::Duration::from_millis(1_000);
+/// Interval of HTTP/2 keep-alive pings while calls are open.
+pub(crate) const PING_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// A connection is closed if a ping is unanswered this long. A host that is short of processor time answers late.
+pub(crate) const PING_TIMEOUT: time::Duration = time::Duration::from_secs(4);
 /// Largest message in bytes: a request's body and headers.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
 /// Maximum number of requests that are served for other hosts at a time. Each takes some ten kilobytes.
@@ -52,8 +54,8 @@
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
     tokio::spawn(async move {
         let served = transport::Server::builder()
-            .http2_keepalive_interval(Some(KEEP_ALIVE))
-            .http2_keepalive_timeout(Some(KEEP_ALIVE))
+            .http2_keepalive_interval(Some(PING_INTERVAL))
+            .http2_keepalive_timeout(Some(PING_TIMEOUT))
             .add_service(service)
             .serve_with_incoming(incoming)
             .await;
--- a/daemon/src/router/via_peer.rs
+++ b/daemon/src/router/via_peer.rs
@@ -78,8 +78,8 @@
         .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?
         .connect_timeout(CONNECT_TIMEOUT)
         .tcp_nodelay(true)
-        .http2_keep_alive_interval(peer_service::KEEP_ALIVE)
-        .keep_alive_timeout(peer_service::KEEP_ALIVE);
+        .http2_keep_alive_interval(peer_service::PING_INTERVAL)
+        .keep_alive_timeout(peer_service::PING_TIMEOUT);
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, endpoint.connect()).await;
     let channel = connecting
         .map_err(|_| tonic::Status::unavailable("connection timed out"))?
