via_peer: pass requests on when the few servers in reach refuse

A host that reaches one of three servers sends it everything, and refused what that server refused, while other hosts reached the others: 0 of 38 served at such hosts, 39 of 39 at the others (the new test with the condition switched off). A cut from some servers only is the same case for the rest of them.

Change: if at least half of a service's servers are out of reach and all others were tried, or engines have no capacity, other hosts are asked; also if a request couldn't connect to several engines, so that a service that a host seldom uses is served during a cut as well. Once a service is out of reach, servers of all services are checked. After: 12 of 12 of cut_links; silent_engines, plain_requests, engine_streams pass. What became of a request's sends moves to a file of its own, for size.

--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -23,7 +23,7 @@
 /// A prefill counts as failed after twice its predicted time plus this much.
 const PREFILL_SLACK: time::Duration = time::Duration::from_millis(600);
 /// Maximum number of failed connection attempts of a request; it is refused after one more.
-const MAX_CONNECT_FAILURES: u32 = 4;
+pub(super) const MAX_CONNECT_FAILURES: u32 = 4;
 /// Time over which streams that broke or fell silent together are opened again on other servers. It is short
 /// compared to a prefill.
 pub(super) const REOPEN_JITTER: time::Duration = time::Duration::from_millis(40);
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -345,7 +345,7 @@
         Ok(opened) => return relay::answer(request, opened, guard),
         Err(failure) => failure,
     };
-    if !request.reaches_no_engine() {
+    if !request.reaches_few_engines() {
         return request.failure_answer(failure);
     }
     match peer_stream::answer(request, guard).await {
@@ -353,7 +353,7 @@
         Err(unsent) => {
             let (request, _) = *unsent;
             let mut answer = request.failure_answer(failure);
-            if !request.may_have_run {
+            if !request.may_have_run && request.reaches_no_engine() {
                 answer.extensions_mut().insert(answer::Unreached);
             }
             answer
--- a/daemon/src/router/links.rs
+++ b/daemon/src/router/links.rs
@@ -21,9 +21,8 @@
 /// Longest time for the connection attempt of a check. A host may drop the first packet of a connection while
 /// it has many new ones.
 const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(300);
-/// Maximum number of other servers of its service that are checked as soon as one is out of reach: the host's own
-/// links may be cut.
-const MAX_FELLOW_CHECKS: usize = 8;
+/// Maximum number of other servers that are checked as soon as one is out of reach: the host's own links may be cut.
+const MAX_FURTHER_CHECKS: usize = 8;
 
 /// What connections show of the ways to servers.
 #[derive(Debug, Default)]
@@ -61,6 +60,11 @@
         locks::lock(&self.reach).all_lost(servers.iter().map(|server| &server.id))
     }
 
+    /// Returns whether at least half of these servers, of which there must be some, are out of reach.
+    pub(crate) fn mostly_lost(&self, servers: &[sync::Arc<backends::Backend>]) -> bool {
+        locks::lock(&self.reach).mostly_lost(servers.iter().map(|server| &server.id))
+    }
+
     /// Removes the servers that are out of reach; those that write answers only if another of them is left.
     pub(crate) fn remove_lost(&self, servers: &mut Vec<sync::Arc<backends::Backend>>) {
         let reach = locks::lock(&self.reach);
@@ -139,15 +143,19 @@
 fn on_lost<D: dialect::Dialect>(cx: &context::Router<D>, server: &backends::Backend) {
     event!(Info, "server-lost", "server" => server.id, "service" => server.service);
     cx.telemetry.count("servers.lost");
-    let now = cx.now();
-    let fellows: Vec<_> = {
-        let usable = locks::lock(&cx.servers).usable(&server.service, now);
-        let others = usable.iter().filter(|other| other.id != server.id);
-        others.map(|other| other.id.clone()).collect()
+    let service_lost = cx.links.all_lost(&answering_servers(cx, &server.service));
+    let concerned: Vec<_> = {
+        let servers = locks::lock(&cx.servers);
+        let listed = servers.all().filter(|(_, vanished)| !vanished);
+        // Cut links concern servers of all services.
+        let concerned = listed.filter(|(other, _)| service_lost || other.service == server.service);
+        concerned.map(|(other, _)| other.id.clone()).collect()
     };
+    let now = cx.now();
     let mut reach = locks::lock(&cx.links.reach);
-    for fellow in fellows.sample(&mut rand::rng(), MAX_FELLOW_CHECKS) {
-        reach.want_check(fellow, now);
+    let in_reach: Vec<_> = concerned.iter().filter(|id| !reach.is_lost(id)).collect();
+    for id in in_reach.sample(&mut rand::rng(), MAX_FURTHER_CHECKS) {
+        reach.want_check(id, now);
     }
     drop(reach);
     cx.links.changed.notify_waiters();
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -28,6 +28,7 @@
 mod part_marks;
 mod peer_service;
 mod peer_stream;
+mod plain_progress;
 mod plain_request;
 mod prefills;
 mod relay;
--- a/daemon/src/router/peer_stream.rs
+++ b/daemon/src/router/peer_stream.rs
@@ -70,7 +70,7 @@
     tx: stream_events::EventSender,
     cause: &'static str,
 ) {
-    let reopened = match request.reaches_no_engine() {
+    let reopened = match request.reaches_few_engines() {
         true => reopen(&mut request).await,
         false => None,
     };
--- /dev/null
+++ b/daemon/src/router/plain_progress.rs
@@ -0,0 +1,44 @@
+//! What became of the sends of a request to a plain service.
+
+use std::sync;
+
+use walnuthaven_lib::backends;
+use walnuthaven_lib::outcome;
+
+use crate::router::answer;
+use crate::router::send;
+
+/// A send that failed.
+pub(crate) struct FailedSend {
+    pub(crate) failure: send::SendFailure,
+    /// The server's error response, which is relayed to the caller if the request isn't sent again.
+    pub(crate) answer: Option<answer::Answer>,
+}
+
+/// What became of the sends of a request that have ended.
+#[derive(Default)]
+pub(crate) struct Progress {
+    /// The servers to which no connection could be opened.
+    pub(crate) unreached: Vec<sync::Arc<str>>,
+    /// The servers that were tried, also those whose sends haven't ended; the newest last.
+    pub(crate) tried: Vec<sync::Arc<str>>,
+    /// Number of ended sends that may have reached a server.
+    pub(crate) ended_sends: u32,
+    /// Whether a server may have run the request.
+    pub(crate) may_have_run: bool,
+    /// The newest error response of a server.
+    pub(crate) error_answer: Option<answer::Answer>,
+}
+
+impl Progress {
+    /// Records a send that failed.
+    pub(crate) fn record(&mut self, server: &backends::Backend, failed_send: FailedSend) {
+        let outcome = failed_send.failure.outcome;
+        if outcome == outcome::Outcome::NeverWritten {
+            self.unreached.push(server.id.clone());
+        }
+        self.ended_sends += u32::from(outcome != outcome::Outcome::NeverWritten);
+        self.may_have_run |= !outcome.is_not_run();
+        self.error_answer = failed_send.answer.or(self.error_answer.take());
+    }
+}
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -20,6 +20,7 @@
 use crate::router::events::event;
 use crate::router::links;
 use crate::router::part_marks;
+use crate::router::plain_progress;
 use crate::router::send;
 use crate::router::server_limits;
 use crate::router::server_notices;
@@ -46,41 +47,6 @@
     pub(crate) deadline: time::Duration,
 }
 
-/// A send that failed.
-struct FailedSend {
-    failure: send::SendFailure,
-    /// The server's error response, which is relayed to the caller if the request isn't sent again.
-    answer: Option<answer::Answer>,
-}
-
-/// What became of the sends of a request that have ended.
-#[derive(Default)]
-struct Progress {
-    /// The servers to which no connection could be opened.
-    unreached: Vec<sync::Arc<str>>,
-    /// The servers that were tried, also those whose sends haven't ended; the newest last.
-    tried: Vec<sync::Arc<str>>,
-    /// Number of ended sends that may have reached a server.
-    ended_sends: u32,
-    /// Whether a server may have run the request.
-    may_have_run: bool,
-    /// The newest error response of a server.
-    error_answer: Option<answer::Answer>,
-}
-
-impl Progress {
-    /// Records a send that failed.
-    fn record(&mut self, server: &backends::Backend, failed_send: FailedSend) {
-        let outcome = failed_send.failure.outcome;
-        if outcome == outcome::Outcome::NeverWritten {
-            self.unreached.push(server.id.clone());
-        }
-        self.ended_sends += u32::from(outcome != outcome::Outcome::NeverWritten);
-        self.may_have_run |= !outcome.is_not_run();
-        self.error_answer = failed_send.answer.or(self.error_answer.take());
-    }
-}
-
 impl<D: dialect::Dialect> PlainRequest<'_, D> {
     /// Returns the request's id for the log, `-` if it has none.
     fn id(&self) -> &str {
@@ -92,11 +58,11 @@
     pub(crate) async fn answer(&self) -> answer::Answer {
         let silence = &tokio::sync::Notify::new();
         let forwarded = self.received.forwarded.clone().unwrap_or_default();
-        let mut progress = Progress {
+        let mut progress = plain_progress::Progress {
             tried: forwarded.tried,
             ended_sends: forwarded.used_attempts,
             may_have_run: forwarded.may_have_run,
-            ..Progress::default()
+            ..plain_progress::Progress::default()
         };
         let turn = part_marks::wait_for_turn(self.cx, self.received);
         if turn.await.is_err() {
@@ -191,7 +157,11 @@
     }
 
     /// Returns what the request may still use. `in_flight` is the number of its sends that haven't ended.
-    fn allowance(&self, progress: &Progress, in_flight: usize) -> outcome::Allowance {
+    fn allowance(
+        &self,
+        progress: &plain_progress::Progress,
+        in_flight: usize,
+    ) -> outcome::Allowance {
         let used_attempts = progress.ended_sends + in_flight as u32;
         outcome::Allowance {
             attempts: self.route.max_attempts.saturating_sub(used_attempts),
@@ -223,7 +193,7 @@
     }
 
     /// Has another host answer the request, if this one reaches none of its servers.
-    async fn pass_on(&self, progress: &mut Progress) -> Option<answer::Answer> {
+    async fn pass_on(&self, progress: &mut plain_progress::Progress) -> Option<answer::Answer> {
         let mut passed = via_peer::PassedRequest {
             received: self.received,
             service: self.service,
@@ -253,16 +223,22 @@
         }
     }
 
-    /// Returns whether the request couldn't be sent because this host reaches no server.
-    fn is_out_of_reach(&self, progress: &Progress) -> bool {
-        let usable = self.usable_servers();
-        let unreached = |server: &backends::Backend| progress.unreached.contains(&server.id);
-        self.cx.links.all_lost(&usable)
-            || (!usable.is_empty() && usable.iter().all(|server| unreached(server)))
+    /// Returns whether the request couldn't be sent because this host reaches no server, or few that were all tried.
+    fn is_out_of_reach(&self, progress: &plain_progress::Progress) -> bool {
+        let mut usable = self.usable_servers();
+        if usable.is_empty() || self.cx.links.all_lost(&usable) {
+            return !usable.is_empty();
+        }
+        let mostly_lost = self.cx.links.mostly_lost(&usable);
+        self.cx.links.remove_lost(&mut usable);
+        usable.iter().all(|server| {
+            progress.unreached.contains(&server.id)
+                || (mostly_lost && progress.tried.contains(&server.id))
+        })
     }
 
     /// Makes the answer to a request that may not be sent any more, because its content crashes servers.
-    fn refuse_quarantined(&self, progress: Progress) -> answer::Answer {
+    fn refuse_quarantined(&self, progress: plain_progress::Progress) -> answer::Answer {
         if progress.may_have_run {
             return self.failed_answer(progress);
         }
@@ -275,7 +251,7 @@
         &self,
         next: outcome::Next,
         cause: &'static str,
-        progress: Progress,
+        progress: plain_progress::Progress,
     ) -> answer::Answer {
         let status = match next {
             outcome::Next::SendAgain | outcome::Next::RefuseUnrun => {
@@ -289,7 +265,7 @@
     }
 
     /// Makes the answer if no further server can be tried. If none was in reach, another host may answer.
-    async fn give_up(&self, mut progress: Progress) -> answer::Answer {
+    async fn give_up(&self, mut progress: plain_progress::Progress) -> answer::Answer {
         if !self.is_out_of_reach(&progress) {
             return self.failed_answer(progress);
         }
@@ -305,7 +281,7 @@
     }
 
     /// Makes the answer to a request that nobody answers.
-    fn failed_answer(&self, progress: Progress) -> answer::Answer {
+    fn failed_answer(&self, progress: plain_progress::Progress) -> answer::Answer {
         if let Some(error_answer) = progress.error_answer {
             return error_answer;
         }
@@ -355,7 +331,7 @@
         server: &sync::Arc<backends::Backend>,
         is_retry: bool,
         silence: &tokio::sync::Notify,
-    ) -> Result<answer::Answer, FailedSend> {
+    ) -> Result<answer::Answer, plain_progress::FailedSend> {
         let cx = self.cx;
         let started = cx.now();
         let repeatable = self.route.kind.may_run_again();
@@ -412,7 +388,7 @@
         let failed = status.is_server_error() || head.not_run;
         locks::lock(&cx.health).record_answer(&server.id, took, failed, cx.now());
         cx.telemetry.time("plain.answer", took);
-        let failed_send = |outcome, cause, answer| FailedSend {
+        let failed_send = |outcome, cause, answer| plain_progress::FailedSend {
             failure: send::SendFailure { outcome, cause },
             answer,
         };
@@ -472,7 +448,7 @@
         server: &backends::Backend,
         failure: send::SendFailure,
         was_silent: bool,
-    ) -> FailedSend {
+    ) -> plain_progress::FailedSend {
         match failure.outcome {
             outcome::Outcome::NeverWritten
             | outcome::Outcome::RefusedUnrun
@@ -480,7 +456,7 @@
             outcome::Outcome::Silent if was_silent => {}
             _ => locks::lock(&self.cx.health).record_failure(&server.id),
         }
-        FailedSend {
+        plain_progress::FailedSend {
             failure,
             answer: None,
         }
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -15,6 +15,7 @@
 use crate::router::answer;
 use crate::router::context;
 use crate::router::crash_marks;
+use crate::router::engine_prepare;
 use crate::router::engine_reservation;
 use crate::router::events::event;
 use crate::router::links;
@@ -243,6 +244,13 @@
     pub(crate) fn reaches_no_engine(&self) -> bool {
         let engines = links::answering_servers(&self.cx, &self.service.name);
         self.cx.links.all_lost(&engines)
+            || self.connect_failures > engine_prepare::MAX_CONNECT_FAILURES
+    }
+
+    /// Returns whether this host reaches so few of these engines that another host may have capacity.
+    pub(crate) fn reaches_few_engines(&self) -> bool {
+        let engines = links::answering_servers(&self.cx, &self.service.name);
+        self.reaches_no_engine() || self.cx.links.mostly_lost(&engines)
     }
 
     /// Returns the request for other hosts. `received` and `began_as` are this request's.
--- a/daemon/tests/cut_links.rs
+++ b/daemon/tests/cut_links.rs
@@ -306,3 +306,22 @@
     let crashes = log.matches("\"content-crashed-server\"").count();
     assert_eq!(crashes, 2, "{log}");
 }
+
+// One server in reach is not enough for all requests of a host.
+#[tokio::test]
+async fn requests_that_the_only_server_in_reach_refuses_are_served_through_others() {
+    let setup = Setup::plain(2).await;
+    setup
+        .send_for("/once/x", time::Duration::from_millis(500))
+        .await;
+    setup.links[1..]
+        .iter()
+        .for_each(|link| link.set(link::State::Hanging));
+    setup.send_for("/once/x", NOTICE_TIME).await;
+    setup.servers[0].set_fault(server::Fault::Shed);
+    let rates = setup
+        .send_for("/once/x", time::Duration::from_secs(2))
+        .await;
+    rates.assert_alike(&setup);
+    setup.assert_each_ran_once_at_most("/once/x");
+}
--- a/daemon/tests/peer_calls.rs
+++ b/daemon/tests/peer_calls.rs
@@ -59,6 +59,9 @@
     matches!(reply, forward::serve_reply::Reply::Declined(_))
 }
 
+/// Makes a call malformed.
+type Spoil = fn(&mut forward::ServeRequest);
+
 /// Starts a plain server and some hosts.
 async fn start(count: usize) -> (std::sync::Arc<server::Server>, Vec<hosts::Host>) {
     let (store, addr) = store::Store::start().await;
@@ -86,7 +89,7 @@
 #[tokio::test]
 async fn malformed_calls_are_declined_and_harm_nothing() {
     let (server, hosts) = start(2).await;
-    let malformed: [(&str, fn(&mut forward::ServeRequest)); 6] = [
+    let malformed: [(&str, Spoil); 6] = [
         ("method", |call| call.method = "no method".to_owned()),
         ("caller", |call| call.caller = "nobody".to_owned()),
         ("target", |call| call.target = "\u{1}".to_owned()),
--- a/lib/src/reachability.rs
+++ b/lib/src/reachability.rs
@@ -144,12 +144,14 @@
         first.is_some_and(|first| self.is_lost(first) && ids.all(|id| self.is_lost(id)))
     }
 
-    /// Returns whether any server is in reach of which the host has heard.
-    pub fn reaches_any(&self, now: time::Duration) -> bool {
-        let recently = |path: &Path| path.quiet_since + MAX_CHECK_TIME > now;
-        self.paths
-            .values()
-            .any(|path| !path.lost && path.quiet_since > time::Duration::ZERO && recently(path))
+    /// Returns whether there are servers, and at least half of them are out of reach.
+    pub fn mostly_lost<'a>(&self, ids: impl Iterator<Item = &'a sync::Arc<str>>) -> bool {
+        let (mut all, mut lost) = (0, 0);
+        for id in ids {
+            all += 1;
+            lost += usize::from(self.is_lost(id));
+        }
+        all > 0 && lost * 2 >= all
     }
 
     /// Forgets a server's process: another one may have taken its place.
--- a/lib/tests/server_reach.rs
+++ b/lib/tests/server_reach.rs
@@ -74,6 +74,8 @@
     assert!(!reach.all_lost([].into_iter()));
     reach.record_unreached("a", 0.0, ms(0));
     assert!(!reach.all_lost(ids.iter()));
+    assert!(reach.mostly_lost(ids.iter()));
+    assert!(!reach.mostly_lost([].into_iter()));
     reach.record_unreached("b", 0.0, ms(0));
     assert!(reach.all_lost(ids.iter()));
     reach.forget("b");
