run_move: don't start to move runs off engines that want no requests

A move calls the engine that it leaves, once for each run: a pause that it asked for would see as many calls as it has runs.

Tests: streams whose content crashes engines, from ever other addresses, on both kinds of routes; they pass.

--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -18,6 +18,7 @@
 use crate::router::prefills;
 use crate::router::send;
 use crate::router::server_limits;
+use crate::router::server_notices;
 use crate::router::stream_request;
 
 /// Longest time for an engine that has stopped a run to have its KV cache copied, unless the stream
@@ -82,6 +83,9 @@
     let cx = &request.cx;
     let now = cx.now();
     let memory = request.engines.memory_tokens;
+    if server_notices::is_paused(cx, source) {
+        return None;
+    }
     let engine_leaves = locks::lock(&cx.servers).is_leaving(&source.id);
     let reason = {
         let load = locks::lock(&cx.engine_load);
--- a/daemon/src/router/server_notices.rs
+++ b/daemon/src/router/server_notices.rs
@@ -75,9 +75,14 @@
     cx: &context::Router<D>,
     server: &backends::Backend,
 ) -> bool {
-    let process = server.process();
-    locks::lock(&cx.servers).has_said_to_leave(&process)
-        || locks::lock(&cx.server_pauses)
-            .time_left(&process, cx.now())
-            .is_some()
+    locks::lock(&cx.servers).has_said_to_leave(&server.process()) || is_paused(cx, server)
+}
+
+/// Returns whether a server asked for a pause that isn't over.
+pub(crate) fn is_paused<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    server: &backends::Backend,
+) -> bool {
+    let pauses = locks::lock(&cx.server_pauses);
+    pauses.time_left(&server.process(), cx.now()).is_some()
 }
--- a/daemon/tests/restarted_servers.rs
+++ b/daemon/tests/restarted_servers.rs
@@ -6,6 +6,7 @@
 
 use walnuthaven_platform_standin::caller;
 use walnuthaven_platform_standin::crash_soak;
+use walnuthaven_platform_standin::engine_setup;
 use walnuthaven_platform_standin::hosts;
 use walnuthaven_platform_standin::server;
 use walnuthaven_platform_standin::store;
@@ -52,6 +53,29 @@
         }
     }
 
+    /// Like [`Setup::new`], with engines of the service `scribe` that generate tokens, and one that prefills.
+    async fn engines(count: usize, policy: supervisor::RestartPolicy) -> Self {
+        let (store, addr) = store::Store::start().await;
+        hosts::configure(&store, 3);
+        let prefill = server::Server::start("i-p", Some("prefill")).await;
+        prefill.register(&store, "scribe");
+        let supervisor = supervisor::Supervisor::new(store.clone(), "scribe");
+        for number in 0..count {
+            let engine = server::Server::start(&format!("i-{number}"), Some("decode")).await;
+            engine.set_fault(server::Fault::CrashOnPoison);
+            supervisor.supervise(engine, policy);
+        }
+        let hosts = ["h1", "h2"].map(|name| hosts::Host::start(BINARY, name, addr));
+        for host in &hosts {
+            host.wait_ready().await;
+        }
+        Self {
+            hosts: hosts.into(),
+            supervisor,
+            store,
+        }
+    }
+
     async fn send(&self, host: usize, path: &str, id: &str, body: &str) -> caller::Answer {
         let bytes = caller::request("POST", path, id, "", body);
         caller::send(self.hosts[host].callers_addr, &bytes, TIMEOUT).await
@@ -90,6 +114,22 @@
         caller::send_from(number, self.hosts[host].callers_addr, &bytes, TIMEOUT).await
     }
 
+    /// Sends poison to one path from ever other addresses, until `REPEAT_TIME` has passed.
+    async fn repeat_from_addresses(&self, path: &str, pause: time::Duration) {
+        let start = time::Instant::now();
+        let mut number = 0;
+        while start.elapsed() < REPEAT_TIME {
+            let id = format!("p{number}");
+            let bytes = caller::request("POST", path, &id, engine_setup::PROMPT, "poison");
+            let host = self.hosts[number % self.hosts.len()].callers_addr;
+            // An address sends what was refused once more.
+            let address = 2 + (number / 2 % 200) as u8;
+            caller::send_from(address, host, &bytes, TIMEOUT).await;
+            number += 1;
+            tokio::time::sleep(pause).await;
+        }
+    }
+
     /// Waits until the servers that crashed are back, and asserts that a path with sound queries is served.
     async fn assert_sound_queries_served(&self) {
         tokio::time::sleep(SLOW_RESTART + time::Duration::from_millis(800)).await;
@@ -375,19 +415,26 @@
         delay: SLOW_RESTART,
     };
     let setup = Setup::new(3, server::Fault::CrashOnPoison, policy).await;
-    let start = time::Instant::now();
-    let mut number = 0;
-    while start.elapsed() < REPEAT_TIME {
-        let (host, id) = (number % setup.hosts.len(), format!("p{number}"));
-        // An address sends what was refused once more.
-        let address = 2 + (number / 2 % 200) as u8;
-        setup.send_from(address, host, &id, "poison").await;
-        number += 1;
-        tokio::time::sleep(time::Duration::from_millis(60)).await;
-    }
+    let pause = time::Duration::from_millis(60);
+    setup.repeat_from_addresses("/plain/x", pause).await;
     setup.assert_refused_in_time();
 }
 
+// The same for streams, of which engines crash as they begin.
+#[tokio::test]
+async fn prompts_that_come_from_other_addresses_are_refused() {
+    let policy = supervisor::RestartPolicy {
+        keeps_id: false,
+        delay: SLOW_RESTART,
+    };
+    for path in ["/brief/x", "/single/x"] {
+        let setup = Setup::engines(5, policy).await;
+        let pause = time::Duration::from_millis(100);
+        setup.repeat_from_addresses(path, pause).await;
+        setup.assert_refused_in_time();
+    }
+}
+
 // Content that many callers ask for is in flight wherever a server ends, and isn't what ended it.
 #[tokio::test]
 async fn content_of_many_callers_is_served_when_servers_are_back_that_ended_otherwise() {
