via_peer: ask other hosts only if they can help, and don't call a request not run that may have

Found on a read of the diff, and by a test that failed under load.

- A request that may run again was taken off its servers as soon as all of them were out of reach, though no other host could help: it is left there unless one says that it reaches the service.

The check in the test is the same; its set-up has a larger retry budget, since each of its requests is a retry.

--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -19,6 +19,7 @@
 use crate::router::prefills;
 use crate::router::send;
 use crate::router::stream_request;
+use crate::router::via_peer;
 
 /// A prefill counts as failed after twice its predicted time plus this much.
 const PREFILL_SLACK: time::Duration = time::Duration::from_millis(600);
@@ -70,6 +71,11 @@
         mut kv_cache: Option<prefills::KvHandle<D>>,
     ) -> Result<PreparedServer<D>, stream_request::OpenFailure> {
         loop {
+            if via_peer::is_needed(&self.cx, &self.received, &self.service.name) {
+                let next = outcome::Next::RefuseUnrun;
+                let cause = "no engine is in reach";
+                return Err(stream_request::OpenFailure::NoAnswer(next, cause));
+            }
             if part_marks::wait_for_turn(&self.cx, &self.received)
                 .await
                 .is_err()
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -15,11 +15,11 @@
 use crate::router::engine_prepare;
 use crate::router::engine_reservation;
 use crate::router::events::event;
-use crate::router::links;
 use crate::router::part_marks;
 use crate::router::prefills;
 use crate::router::send;
 use crate::router::stream_request;
+use crate::router::via_peer;
 
 /// A server counts as silent if the head of its stream hasn't arrived after this time.
 const STREAM_HEAD_SILENCE: time::Duration = time::Duration::from_millis(2_000);
@@ -168,7 +168,7 @@
                     kv_cache: None,
                 }
             }
-            () = links::wait_until_unreached(&cx, &service), if may_run_again => {
+            () = via_peer::wait_until_needed(&cx, &received, &service), if may_run_again => {
                 self.may_have_run = true;
                 let outcome = outcome::Outcome::Silent;
                 let cause = "no engine is in reach";
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -29,6 +29,7 @@
 use crate::router::send;
 use crate::router::server_limits;
 use crate::router::stream_request;
+use crate::router::via_peer;
 
 /// Retry-After while the host has no configuration or crash marks, or a configuration without the
 /// route's service.
@@ -224,7 +225,13 @@
             suspected_crashes: call.suspected_crashes as usize,
         }),
     };
-    Ok(answer_routed(cx, &table, request, guard).await)
+    let answer = answer_routed(cx, &table, request, guard).await;
+    // That it isn't run here says nothing of the sends before.
+    if call.may_have_run && stream_request::implies_not_run(answer.status()) {
+        let cause = "no other server answered";
+        return Ok(answer::from_router(http::StatusCode::BAD_GATEWAY, cause));
+    }
+    Ok(answer)
 }
 
 /// Has a server answer a request.
@@ -331,7 +338,7 @@
     if cx.leaving_for() > ACCEPT_STREAMS_FOR {
         return answer::not_run("this host leaves", LEAVING_RETRY_AFTER);
     }
-    if request.reaches_no_engine() {
+    if via_peer::is_needed(cx, &request.received, &request.service.name) {
         match peer_stream::answer(request, guard).await {
             Ok(answer) => return answer,
             Err(unsent) => (request, guard) = *unsent,
--- a/daemon/src/router/links.rs
+++ b/daemon/src/router/links.rs
@@ -246,17 +246,3 @@
     servers.retain(|server| server.stage != Some(backends::Stage::Prefill));
     servers
 }
-
-/// Waits until this host reaches no server of a service.
-pub(crate) async fn wait_until_unreached<D: dialect::Dialect>(
-    cx: &context::Router<D>,
-    service: &str,
-) {
-    loop {
-        let changed = cx.links.changed.notified();
-        if cx.links.all_lost(&answering_servers(cx, service)) {
-            return;
-        }
-        changed.await;
-    }
-}
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -18,7 +18,6 @@
 use crate::router::crash_checks;
 use crate::router::crash_marks;
 use crate::router::events::event;
-use crate::router::links;
 use crate::router::part_marks;
 use crate::router::plain_progress;
 use crate::router::send;
@@ -68,14 +67,14 @@
         if turn.await.is_err() {
             return self.refuse_quarantined(progress);
         }
-        if self.cx.links.all_lost(&self.usable_servers())
+        if via_peer::is_needed(self.cx, self.received, self.service)
             && let Some(answer) = self.pass_on(&mut progress).await
         {
             return answer;
         }
-        let unreached = links::wait_until_unreached(self.cx, self.service);
-        tokio::pin!(unreached);
-        let mut may_pass_on = self.received.forwarded.is_none() && self.route.kind.may_run_again();
+        let needs_peer = via_peer::wait_until_needed(self.cx, self.received, self.service);
+        tokio::pin!(needs_peer);
+        let mut may_pass_on = self.route.kind.may_run_again();
         let mut in_flight = stream::FuturesUnordered::new();
         // Whether all sends in flight are to silent servers.
         let mut all_silent = false;
@@ -130,7 +129,7 @@
                     continue;
                 }
                 () = silence.notified() => {}
-                () = &mut unreached, if may_pass_on => {
+                () = &mut needs_peer, if may_pass_on => {
                     // The sends in flight may have reached their servers.
                     may_pass_on = false;
                     progress.ended_sends += in_flight.len() as u32;
@@ -177,6 +176,10 @@
         let mut servers = self.usable_servers();
         servers.retain(|server| !tried.contains(&server.id));
         self.cx.links.remove_lost(&mut servers);
+        if self.received.forwarded.is_some() && self.cx.links.all_lost(&servers) {
+            // A third host may reach one.
+            return None;
+        }
         server_notices::remove_paused(self.cx, &mut servers);
         server_limits::remove_limited(self.cx, &mut servers, self.service, priority);
         let zone = self.cx.settings().zone.clone();
@@ -225,16 +228,16 @@
 
     /// Returns whether the request couldn't be sent because this host reaches no server, or few that were all tried.
     fn is_out_of_reach(&self, progress: &plain_progress::Progress) -> bool {
-        let mut usable = self.usable_servers();
-        if usable.is_empty() || self.cx.links.all_lost(&usable) {
-            return !usable.is_empty();
-        }
-        let mostly_lost = self.cx.links.mostly_lost(&usable);
-        self.cx.links.remove_lost(&mut usable);
-        usable.iter().all(|server| {
-            progress.unreached.contains(&server.id)
-                || (mostly_lost && progress.tried.contains(&server.id))
-        })
+        let usable = self.usable_servers();
+        let reach = locks::lock(&self.cx.links.reach);
+        let (out_of_reach, in_reach): (Vec<_>, Vec<_>) = usable.iter().partition(|server| {
+            progress.unreached.contains(&server.id) || reach.is_lost(&server.id)
+        });
+        let few_in_reach = !usable.is_empty() && out_of_reach.len() >= in_reach.len();
+        few_in_reach
+            && in_reach
+                .iter()
+                .all(|server| progress.tried.contains(&server.id))
     }
 
     /// Makes the answer to a request that may not be sent any more, because its content crashes servers.
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -18,13 +18,13 @@
 use crate::router::engine_reservation;
 use crate::router::engine_stream;
 use crate::router::events::event;
-use crate::router::links;
 use crate::router::part_marks;
 use crate::router::peer_stream;
 use crate::router::run_move;
 use crate::router::send;
 use crate::router::stream_events;
 use crate::router::stream_request;
+use crate::router::via_peer;
 
 /// Maximum number of events that are buffered for a slow caller. While the buffer is full, the
 /// server's stream isn't read.
@@ -331,9 +331,10 @@
     let max_pause = request
         .max_pause()
         .filter(|_| request.route.kind.may_run_again());
-    let (cx, service) = (request.cx.clone(), request.service.name.clone());
-    let unreached = links::wait_until_unreached(&cx, &service);
-    tokio::pin!(unreached);
+    let (cx, received) = (request.cx.clone(), request.received.clone());
+    let service = request.service.name.clone();
+    let needs_peer = via_peer::wait_until_needed(&cx, &received, &service);
+    tokio::pin!(needs_peer);
     // Bytes that continued the stream by nothing.
     let mut useless_bytes = 0;
     // Events without an id of a stream that another server may continue. They are part of the answer if
@@ -356,7 +357,7 @@
             other = request.prepare_alternative(&stream.server, progressed_at, max_silence), if max_pause.is_some() => {
                 return RelayEnd::Silent(other);
             }
-            () = &mut unreached, if max_pause.is_some() => {
+            () = &mut needs_peer, if max_pause.is_some() => {
                 return broken(outcome::Outcome::Silent, "no engine is in reach");
             }
         };
--- a/daemon/src/router/via_peer.rs
+++ b/daemon/src/router/via_peer.rs
@@ -23,6 +23,7 @@
 use crate::router::answer;
 use crate::router::context;
 use crate::router::events::event;
+use crate::router::links;
 use crate::router::peer_service;
 use crate::router::send;
 
@@ -32,6 +33,8 @@
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 /// How long a host that declined a request for a service gets no further ones.
 const DECLINED_FOR: time::Duration = time::Duration::from_secs(1);
+/// How often it is looked up whether another host could serve a request.
+const HELPER_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(300);
 /// How often it is looked up whether the host that serves a request still sends news.
 const NEWS_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
 /// Shortest remaining time of a request that is passed on.
@@ -60,6 +63,58 @@
     pub(crate) addr: net::SocketAddr,
 }
 
+/// Returns whether a request should be passed on: this host reaches no server that could answer it, and another host
+/// says that it does.
+pub(crate) fn is_needed<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+    service: &sync::Arc<str>,
+) -> bool {
+    req.forwarded.is_none()
+        && cx.links.all_lost(&links::answering_servers(cx, service))
+        && !candidates(cx, service).is_empty()
+}
+
+/// Waits until a request should be passed on.
+pub(crate) async fn wait_until_needed<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: &send::CallerRequest,
+    service: &sync::Arc<str>,
+) {
+    loop {
+        let changed = cx.links.changed.notified();
+        if is_needed(cx, req, service) {
+            return;
+        }
+        // A host that could help may become known while no link changes.
+        let _ = tokio::time::timeout(HELPER_CHECK_INTERVAL, changed).await;
+    }
+}
+
+/// Returns the hosts that could serve a request for a service, without those that declined one just now.
+fn candidates<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    service: &sync::Arc<str>,
+) -> Vec<peer_choice::Candidate> {
+    let now = cx.now();
+    let version = cx.table().map_or(0, |table| table.version);
+    let peers = locks::lock(&cx.peers);
+    let mut declined = locks::lock(&cx.via_peer.declined);
+    declined.retain(|_, until| now < *until);
+    let has_declined =
+        |name: &sync::Arc<str>| declined.contains_key(&(name.clone(), service.clone()));
+    let outstanding = locks::lock(&cx.via_peer.outstanding);
+    let helpers = peers.helpers(service, version, now);
+    helpers
+        .filter(|(entry, _)| !has_declined(&entry.name))
+        .map(|(entry, status)| peer_choice::Candidate {
+            name: entry.name.clone(),
+            zone: status.zone.clone(),
+            outstanding: outstanding.get(&entry.name).copied().unwrap_or(0),
+        })
+        .collect()
+}
+
 /// Returns a connection to another host.
 ///
 /// # Errors
@@ -297,25 +352,13 @@
 
     /// Chooses a host that can serve the request.
     fn choose<D: dialect::Dialect>(&self, cx: &context::Router<D>) -> Option<Helper> {
-        let now = cx.now();
-        let version = cx.table().map_or(0, |table| table.version);
-        let peers = locks::lock(&cx.peers);
-        let helpers = peers.helpers(self.service, version, now);
-        let mut declined = locks::lock(&cx.via_peer.declined);
-        declined.retain(|_, until| now < *until);
-        let has_declined =
-            |name: &sync::Arc<str>| declined.contains_key(&(name.clone(), self.service.clone()));
-        let outstanding = locks::lock(&cx.via_peer.outstanding);
-        let candidates: Vec<_> = helpers
-            .filter(|(entry, _)| !self.asked.contains(&entry.name) && !has_declined(&entry.name))
-            .map(|(entry, status)| peer_choice::Candidate {
-                name: entry.name.clone(),
-                zone: status.zone.clone(),
-                outstanding: outstanding.get(&entry.name).copied().unwrap_or(0),
-            })
-            .collect();
+        let mut candidates = candidates(cx, self.service);
+        candidates.retain(|candidate| !self.asked.contains(&candidate.name));
         let chosen = peer_choice::choose(&candidates, &cx.settings().zone, rand::random())?;
-        let entry = peers.all(now).find(|(entry, _)| entry.name == chosen.name);
+        let peers = locks::lock(&cx.peers);
+        let entry = peers
+            .all(cx.now())
+            .find(|(entry, _)| entry.name == chosen.name);
         entry.map(|(entry, _)| Helper {
             name: entry.name.clone(),
             incarnation: entry.incarnation,
--- a/daemon/tests/cut_links.rs
+++ b/daemon/tests/cut_links.rs
@@ -33,7 +33,10 @@
     /// Asserts that hosts behind links serve nearly as much as the others.
     fn assert_alike(&self, setup: &Setup) {
         let (served, all) = self.behind_links;
-        let log = setup.hosts[0].log();
+        let logs = setup.hosts[..setup.behind_links]
+            .iter()
+            .map(|host| host.log());
+        let log = logs.collect::<String>();
         assert!(all > 0 && served * 20 >= all * 19, "{self:?}\n{log}");
         let (served, all) = self.others;
         assert!(served * 20 >= all * 19, "others: {self:?}\n{log}");
@@ -51,6 +54,15 @@
 
 impl Setup {
     async fn start(behind_links: usize, stages: &[Option<&'static str>]) -> Self {
+        Self::start_with(behind_links, stages, "").await
+    }
+
+    /// Starts hosts with additional sections in their settings files.
+    async fn start_with(
+        behind_links: usize,
+        stages: &[Option<&'static str>],
+        settings: &str,
+    ) -> Self {
         let (store, addr) = store::Store::start().await;
         hosts::configure(&store, 3);
         let (mut servers, mut links, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
@@ -65,7 +77,7 @@
         let view = store.start_view(addresses).await;
         let hosts = (0..HOSTS).map(|number| {
             let store = if number < behind_links { view } else { addr };
-            hosts::Host::start(BINARY, &format!("h{number}"), store)
+            hosts::Host::start_with(BINARY, &format!("h{number}"), store, settings)
         });
         let setup = Self {
             hosts: hosts.collect(),
@@ -310,7 +322,9 @@
 // One server in reach is not enough for all requests of a host.
 #[tokio::test]
 async fn requests_that_the_only_server_in_reach_refuses_are_served_through_others() {
-    let setup = Setup::plain(2).await;
+    // Each request is a retry at the other host.
+    let settings = "[retry]\nratio = 1\nslack = 500\nwindow = 10s\n";
+    let setup = Setup::start_with(2, &[None; 3], settings).await;
     setup
         .send_for("/once/x", time::Duration::from_millis(500))
         .await;
--- a/daemon/tests/peer_calls.rs
+++ b/daemon/tests/peer_calls.rs
@@ -125,6 +125,23 @@
     assert_eq!(server.runs_of("c1"), 1);
 }
 
+// That it isn't run here says nothing of the sends before.
+#[tokio::test]
+async fn request_that_may_have_run_elsewhere_is_not_answered_as_not_run() {
+    let (server, hosts) = start(2).await;
+    server.set_fault(server::Fault::Shed);
+    let call = forward::ServeRequest {
+        used_attempts: 1,
+        may_have_run: true,
+        ..call("/plain/x")
+    };
+    let reply = serve(&hosts[0], call).await.unwrap();
+    let forward::serve_reply::Reply::Head(head) = &reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(head.status, 502, "{reply:?}");
+}
+
 /// Two hosts of which the first is cut off from the engines, and the second serves for it.
 struct CutOff {
     hosts: Vec<hosts::Host>,
