server_notices: tell other hosts which servers leave

A host that reaches no server passes on answers that another one got for it, with what they say of their servers, and didn't learn it itself: after the cut it would send to a server that had said through it that it leaves.

Change: news name the listed processes that said that they leave, 16 at most; they count as if the host had heard it itself. Before (with received ones not recorded): other_hosts_learn_that_a_server_leaves fails, as one of 20 requests reaches the leaving server. After: 9 of 9 of server_notices.

--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -21,6 +21,7 @@
 use crate::router::events::event;
 use crate::router::links;
 use crate::router::server_limits;
+use crate::router::server_notices;
 use crate::router::stream_versions;
 
 /// Shortest time between two messages. Changes within that time are sent together.
@@ -132,6 +133,7 @@
         zone: settings.zone.to_string(),
         serves_for_others: true,
         unreached_services: links::unreached_services(cx),
+        leaving_servers: server_notices::announced(cx),
     }
 }
 
@@ -221,6 +223,7 @@
     locks::lock(&cx.engine_load).replace_host(&name, runs.collect(), prefills.collect(), now);
     apply_avoided(cx, &name, &message.avoided, now);
     crash_marks::merge_received(cx, message.crash_marks);
+    server_notices::merge_received(cx, message.leaving_servers);
     server_limits::merge_received(cx, &name, message.server_limits, message.demand);
     stream_versions::record_served(cx, message.served_versions);
     cx.engine_load_changed.notify_waiters();
--- a/daemon/src/router/server_notices.rs
+++ b/daemon/src/router/server_notices.rs
@@ -5,6 +5,7 @@
 
 use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
+use walnuthaven_wire::news;
 
 use crate::locks;
 use crate::router::context;
@@ -12,6 +13,9 @@
 use crate::router::server_limits;
 use crate::router::store_sync;
 
+/// Maximum number of leaving servers in a news message.
+const MAX_PER_MESSAGE: usize = 16;
+
 /// Records what an answer of a server says of it.
 pub(crate) fn record_answer<D: dialect::Dialect>(
     cx: &context::Router<D>,
@@ -26,11 +30,7 @@
     server_limits::record_answer(cx, server, headers);
     let notice = cx.dialect.server_notice(status, headers);
     if notice.is_leaving {
-        let change = locks::lock(&cx.servers).record_leaving(&server.process(), cx.now());
-        if let Some(change) = change {
-            event!(Info, "server-leaves", "server" => server.id, "service" => server.service);
-            store_sync::on_server_change(cx, change);
-        }
+        record_leaving(cx, &server.process(), "answer");
     }
     match notice.pause {
         dialect::Pause::None => {}
@@ -46,6 +46,44 @@
     }
 }
 
+fn record_leaving<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    process: &backends::Process,
+    source: &'static str,
+) {
+    let change = locks::lock(&cx.servers).record_leaving(process, cx.now());
+    if let Some(change) = change {
+        event!(Info, "server-leaves", "server" => process.id, "source" => source);
+        store_sync::on_server_change(cx, change);
+        cx.news_due.notify_one();
+    }
+}
+
+/// Returns the leaving servers for a news message. A host passes on answers that other hosts got for it, and mustn't
+/// send their servers anything either.
+pub(crate) fn announced<D: dialect::Dialect>(cx: &context::Router<D>) -> Vec<news::LeavingServer> {
+    let servers = locks::lock(&cx.servers);
+    let leaving = servers.leaving().map(|process| news::LeavingServer {
+        server: process.id.to_string(),
+        started_unix_ms: process.started_unix_ms,
+    });
+    leaving.take(MAX_PER_MESSAGE).collect()
+}
+
+/// Records the leaving servers of another host's news message.
+pub(crate) fn merge_received<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    received: Vec<news::LeavingServer>,
+) {
+    for leaving in received {
+        let process = locks::lock(&cx.servers).process(&leaving.server);
+        let process = process.filter(|known| known.started_unix_ms == leaving.started_unix_ms);
+        if let Some(process) = process {
+            record_leaving(cx, &process, "news");
+        }
+    }
+}
+
 /// Removes the servers that want no requests for now.
 pub(crate) fn remove_paused<D: dialect::Dialect>(
     cx: &context::Router<D>,
--- a/daemon/tests/server_notices.rs
+++ b/daemon/tests/server_notices.rs
@@ -21,6 +21,7 @@
 
 struct Setup {
     store: sync::Arc<store::Store>,
+    store_addr: std::net::SocketAddr,
     host: hosts::Host,
     servers: Vec<sync::Arc<server::Server>>,
 }
@@ -39,6 +40,7 @@
         host.wait_ready().await;
         Self {
             store,
+            store_addr: addr,
             host,
             servers,
         }
@@ -281,3 +283,21 @@
         .await;
     assert_eq!(served(&answers), answers.len(), "{}", setup.host.log());
 }
+
+// A host that is cut off from the servers passes on answers that another one got, and may use the servers later.
+#[tokio::test]
+async fn other_hosts_learn_that_a_server_leaves() {
+    let setup = Setup::start(&[None; 2]).await;
+    let other = hosts::Host::start(BINARY, "h2", setup.store_addr);
+    other.wait_ready().await;
+    let leaving = assert_left_alone(&setup, "/plain/x", &setup.servers).await;
+    let since = time::Instant::now();
+    for number in 0..20 {
+        let id = format!("o{number}");
+        let bytes = caller::request("POST", "/plain/x", &id, "", &id);
+        let answer = caller::send(other.callers_addr, &bytes, TIMEOUT).await;
+        assert_eq!(answer.status, 200, "{answer:?}\n{}", other.log());
+    }
+    let late = received(leaving, since, time::Instant::now());
+    assert_eq!(late, 0, "late requests\n{}", other.log());
+}
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -266,6 +266,12 @@
         self.put_listed(backend)
     }
 
+    /// Returns the processes that said that they leave and are still listed.
+    pub fn leaving(&self) -> impl Iterator<Item = &Process> {
+        let leaving = self.leaving.keys();
+        leaving.filter(|process| self.tracked.contains_key(&process.id))
+    }
+
     /// Returns whether a process said that it leaves.
     pub fn has_said_to_leave(&self, process: &Process) -> bool {
         self.leaving.contains_key(process)
