reachability: check at most one silent server a second; news: name the zone rarely

Cause: each server that was slow for 0.3 s was checked by each host, though one check shows whether the host's links are cut; and each news message named the zone. Change: a second between such checks at a host, and the zone in one message of 16; a message without it leaves it as it was.

--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -33,6 +33,8 @@
 /// If a message lists more than one in this many of all servers as avoided, that list is ignored: the
 /// sender has probably lost its own network links.
 const MAX_AVOIDED_DIVISOR: usize = 3;
+/// One message in this many has the zone, which never changes: messages are many, and bytes between zones cost.
+const ZONE_INTERVAL: u64 = 16;
 /// Size in bytes of the receive buffer.
 const MAX_DATAGRAM: usize = 8_192;
 
@@ -130,7 +132,10 @@
         served_versions: stream_versions::served(cx),
         server_limits: server_limits::announced(cx),
         demand: server_limits::announced_demand(cx),
-        zone: settings.zone.to_string(),
+        zone: match sequence % ZONE_INTERVAL {
+            1 => settings.zone.to_string(),
+            _ => String::new(),
+        },
         serves_for_others: true,
         unreached_services: links::unreached_services(cx),
         leaving_servers: server_notices::announced(cx),
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -105,10 +105,12 @@
 
     /// Records news from a host. Returns whether they are newer than what was known; older ones change
     /// nothing. A silent host may have started again with an earlier clock, so its news are always newer.
+    ///
+    /// A message without the zone leaves it as it was.
     pub fn record_news(
         &mut self,
         entry: PeerEntry,
-        status: PeerStatus,
+        mut status: PeerStatus,
         now: time::Duration,
     ) -> bool {
         let is_newer = match self.known.get(&entry.name) {
@@ -121,6 +123,12 @@
             Some(peer) => peer.entry.incarnation < entry.incarnation,
         };
         if is_newer {
+            let known = self.known.get(&entry.name);
+            if let Some((old, _)) = known.and_then(|peer| peer.status.as_ref())
+                && status.zone.is_empty()
+            {
+                status.zone = old.zone.clone();
+            }
             let in_store = self
                 .known
                 .get(&entry.name)
--- a/lib/src/reachability.rs
+++ b/lib/src/reachability.rs
@@ -11,6 +11,9 @@
 /// A server in use is checked when it has sent nothing for this long; doubled with each check in a row that
 /// reaches it.
 const QUIET_TIME: time::Duration = time::Duration::from_millis(300);
+/// Shortest time between two checks of servers that only send nothing. If the host's links are cut, one of them shows
+/// it, and each takes a connection that the server may need.
+const QUIET_CHECK_SPACING: time::Duration = time::Duration::from_secs(1);
 /// Time to the next check of a server that is out of reach; doubled with each further failure in a row.
 const RECHECK_TIME: time::Duration = time::Duration::from_millis(400);
 /// Upper bound of either time.
@@ -41,6 +44,8 @@
 #[derive(Debug, Default)]
 pub struct Reachability {
     paths: collections::HashMap<sync::Arc<str>, Path>,
+    /// From when on a server that only sends nothing may be checked.
+    next_quiet_check: time::Duration,
 }
 
 impl Reachability {
@@ -123,8 +128,12 @@
         let mut due = Vec::new();
         for (id, path) in &mut self.paths {
             let is_quiet = path.in_use > 0 && now >= path.quiet_since + QUIET_TIME;
-            let has_reason = path.lost || path.wanted || is_quiet;
+            let is_concerned = path.lost || path.wanted;
+            let has_reason = is_concerned || (is_quiet && now >= self.next_quiet_check);
             if has_reason && !path.checking && now >= path.next_check {
+                if !is_concerned {
+                    self.next_quiet_check = now + QUIET_CHECK_SPACING;
+                }
                 path.checking = true;
                 path.wanted = false;
                 due.push(id.clone());
