pool_balance: split engines by the work of the requests that run

From the hosts' logs: of 1,100 failed sends 764 were prefills without an answer in time and 648 prefills that the engines refused; 471 requests were refused as "prompts wait to be read". Only 11 engines of 140 did prefills. At -11 s, before any request, the holder of the lease had given 38 orders to generate: the balance assumed prompts of 5,200 tokens, answers of 4,900 tokens and 0.75 ms a token. Here answers have 700 tokens at 4.4 ms, so a pool of 11 can prefill 97 of the 148 prompts a second.

Ruled out: links of 10 Mbit/s as the cause of these waits (281 of 11,916 requests took more than half of their target to the first server), engine memory (54 refusals), the store.

Change: the balance takes the work of a typical request, measured from the runs of the group; before the first one, assumed times instead of lengths. Measured, it must be off by a tenth of the throughput before orders are given.

short_answers_need_more_prefill_engines fails before (11 engines).

--- a/daemon/src/router/stage_orders.rs
+++ b/daemon/src/router/stage_orders.rs
@@ -13,6 +13,7 @@
 use walnuthaven_lib::lease;
 use walnuthaven_lib::pool_balance;
 use walnuthaven_lib::rendezvous;
+use walnuthaven_lib::typical_work;
 
 use crate::locks;
 use crate::router::context;
@@ -28,6 +29,8 @@
 const TURN_TIME: time::Duration = time::Duration::from_secs(3);
 /// The number of hosts with a turn of their own. All others share the turn after these.
 const MAX_TURNS: usize = 3;
+/// Weight of a new sample in the moving average of the typical work.
+const WORK_WEIGHT: f64 = 0.2;
 /// The name of the lease, which covers the orders to all engines.
 const LEASE_NAME: &str = "engine-orders";
 
@@ -39,6 +42,7 @@
         lease: lease::Lease::new(cx.id.clone()),
         recent_orders: collections::HashMap::new(),
         wanted_since: None,
+        measured_work: collections::HashMap::new(),
     };
     tokio::spawn(balancer.run());
 }
@@ -53,6 +57,8 @@
     recent_orders: collections::HashMap<sync::Arc<str>, (backends::Stage, time::Duration)>,
     /// Since when some pool has needed an order, if one does.
     wanted_since: Option<time::Duration>,
+    /// The work of a typical request as measured, by service.
+    measured_work: collections::HashMap<sync::Arc<str>, typical_work::TypicalWork>,
 }
 
 impl<D: dialect::Dialect> Balancer<D> {
@@ -71,6 +77,7 @@
     async fn check_balance(&mut self) {
         let now = self.cx.now();
         self.recent_orders.retain(|_, (_, until)| now < *until);
+        self.measure_work();
         if self.wanted_order().is_none() {
             self.wanted_since = None;
             return;
@@ -101,6 +108,23 @@
         TURN_TIME * own_turn.unwrap_or(MAX_TURNS) as u32
     }
 
+    /// Averages the work of the requests that run now, as this host and the hosts of its group tell it.
+    fn measure_work(&mut self) {
+        let Some(table) = self.cx.table() else {
+            return;
+        };
+        for service in table.services().filter(|s| s.engines.is_some()) {
+            let engines = self.cx.group_engines(&service.name, None);
+            let Some(sample) = locks::lock(&self.cx.engine_load).typical_work(&engines) else {
+                continue;
+            };
+            self.measured_work
+                .entry(service.name.clone())
+                .and_modify(|work| *work = work.average_with(sample, WORK_WEIGHT))
+                .or_insert(sample);
+        }
+    }
+
     /// Returns the next order that some pool needs, if any.
     fn wanted_order(&self) -> Option<pool_balance::StageOrder> {
         let table = self.cx.table()?;
@@ -112,13 +136,21 @@
         let recent = recent.collect();
         let groups = locks::lock(&self.cx.peers).groups();
         table.services().find_map(|service| {
-            let memory = service.engines.as_ref()?.memory_tokens;
+            let pool = service.engines.as_ref()?;
+            let memory = pool.memory_tokens;
+            let (work, min_gain) = match self.measured_work.get(&service.name) {
+                Some(measured) => (*measured, pool_balance::MIN_MEASURED_GAIN),
+                None => (
+                    typical_work::TypicalWork::assumed(memory, pool.tokens_per_event),
+                    1.0,
+                ),
+            };
             let usable = locks::lock(&self.cx.servers).usable(&service.name, now);
             // Each group of hosts has its own engines, so each group is balanced on its own.
             (0..groups.count()).find_map(|group| {
                 let of_group = usable.iter().filter(|e| groups.group(&e.id) == group);
                 let engines: Vec<_> = of_group.cloned().collect();
-                pool_balance::next_order(&engines, memory, &recent)
+                pool_balance::next_order(&engines, memory, &work, min_gain, &recent)
             })
         })
     }
@@ -201,6 +233,9 @@
             Err(error) => format!("no answer: {error}"),
         };
         event!(Info, "order", "server" => engine.id, "stage" => format!("{:?}", order.stage),
-            "fence" => held.fence, "orders" => report.orders, "answer" => answer);
+            "fence" => held.fence, "orders" => report.orders, "answer" => answer,
+            "prefill_ms" => order.work.prefill_time.as_millis() as u64,
+            "answer_ms" => order.work.answer_time.as_millis() as u64,
+            "held_tokens" => order.work.held_tokens as u64);
     }
 }
--- a/lib/src/engine_load.rs
+++ b/lib/src/engine_load.rs
@@ -289,6 +289,11 @@
         self.runs.get(key)
     }
 
+    /// Returns the runs on an engine.
+    pub(crate) fn runs_of_engine(&self, engine: &str) -> impl Iterator<Item = &Run> {
+        self.runs.on_engine(engine).map(|(_, run)| run)
+    }
+
     /// Returns the time per output token on an engine.
     pub fn token_time_on(&self, engine: &str) -> time::Duration {
         time::Duration::from_secs_f64(self.speed(engine).token_time)
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod stream_versions;
 pub mod transfer;
 pub mod trial_turns;
+pub mod typical_work;
 pub mod validate;
 pub mod wait_queue;
 pub mod work_index;
--- a/lib/src/pool_balance.rs
+++ b/lib/src/pool_balance.rs
@@ -1,24 +1,17 @@
 //! The balance of a pool of engines between prefill and decode.
 //!
-//! The prefill of a prompt takes about a fortieth of the engine time that generating its answer takes, but
-//! the memory of the answer is in use for that whole time, so most engines generate. Changing an
-//! engine's stage costs it several seconds, so the balance changes by one engine at a time and
-//! doesn't follow short swings.
+//! The prefill of a prompt takes an engine a small part of the time that generating its answer takes, but
+//! the memory of the answer is in use for that whole time, so most engines generate. How many depends
+//! on the lengths of prompts and answers and on the engines' speeds. Changing an engine's stage costs
+//! it several seconds, so the balance changes by one engine at a time and doesn't follow short swings.
 
 use std::collections;
 use std::sync;
 use std::time;
 
 use crate::backends;
+use crate::typical_work;
 
-/// Prompt length of a typical request in tokens: the briefs and summaries of both users.
-const TYPICAL_PROMPT: f64 = 5_200.0;
-/// Answer length of a typical request in tokens.
-const TYPICAL_OUTPUT: f64 = 4_900.0;
-/// Seconds per output token on a full engine.
-const TOKEN_TIME_S: f64 = 0.000_75;
-/// Prompt tokens that an engine prefills per second.
-const PREFILL_TOKENS_PER_S: f64 = 55_000.0;
 /// Share of the time that prefill engines may be busy; above it, requests queue there.
 const MAX_PREFILL_UTILIZATION: f64 = 0.85;
 /// Share of an engine's memory that runs fill.
@@ -30,6 +23,10 @@
 /// The same while requests run. Longer, since crashed engines are back after a few seconds.
 const MIN_IMBALANCE_BUSY: time::Duration = time::Duration::from_secs(7);
 
+/// Lowest factor by which an order must raise the throughput where the work was measured, as hosts
+/// measure it a little differently.
+pub const MIN_MEASURED_GAIN: f64 = 1.1;
+
 /// Returns how long the number of prefill engines must differ from the wanted one before an order is given.
 pub fn min_imbalance_time(requests_running: bool) -> time::Duration {
     match requests_running {
@@ -39,40 +36,56 @@
 }
 
 /// An order to change an engine's stage.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct StageOrder {
     /// The engine that gets the order.
     pub engine: sync::Arc<backends::Backend>,
     /// The stage to change to.
     pub stage: backends::Stage,
+    /// The work that the balance was computed for.
+    pub work: typical_work::TypicalWork,
+}
+
+/// Returns the requests per second that a pool serves, which is the throughput of its slower stage.
+fn served_per_s(
+    prefill_engines: usize,
+    decode_engines: usize,
+    memory_tokens: u32,
+    work: &typical_work::TypicalWork,
+) -> f64 {
+    let prefills_per_engine_s = MAX_PREFILL_UTILIZATION / work.prefill_time.as_secs_f64();
+    let runs_per_engine = f64::from(memory_tokens) * MEMORY_FILL / work.held_tokens;
+    let answers_per_engine_s = runs_per_engine / work.answer_time.as_secs_f64();
+    (prefills_per_engine_s * prefill_engines as f64)
+        .min(answers_per_engine_s * decode_engines as f64)
 }
 
 /// Returns how many of a pool's engines should do prefills, so that the pool serves the most requests
-/// per second. Its throughput is that of the slower stage. `memory_tokens` is the size of one engine's
-/// memory.
-pub fn prefill_engines(engines: usize, memory_tokens: u32) -> usize {
+/// per second. `memory_tokens` is the size of one engine's memory.
+pub fn prefill_engines(
+    engines: usize,
+    memory_tokens: u32,
+    work: &typical_work::TypicalWork,
+) -> usize {
     if engines < 2 {
         return 0;
     }
-    let prefills_per_engine_s = PREFILL_TOKENS_PER_S * MAX_PREFILL_UTILIZATION / TYPICAL_PROMPT;
-    let token_seconds = (TYPICAL_PROMPT + TYPICAL_OUTPUT / 2.0) * TYPICAL_OUTPUT * TOKEN_TIME_S;
-    let answers_per_engine_s = f64::from(memory_tokens) * MEMORY_FILL / token_seconds;
-    let served = |prefill: usize| {
-        let decode = (engines - prefill) as f64;
-        (prefills_per_engine_s * prefill as f64).min(answers_per_engine_s * decode)
-    };
+    let served = |prefill: usize| served_per_s(prefill, engines - prefill, memory_tokens, work);
     let splits = 1..engines;
     splits
         .max_by(|a, b| served(*a).total_cmp(&served(*b)).then(b.cmp(a)))
         .unwrap_or(1)
 }
 
-/// Returns the next order that brings the pool closer to its balance, or `None` if it is balanced.
+/// Returns the next order that brings the pool closer to its balance, or `None` if it is balanced, or if
+/// balance would raise its throughput by less than the factor `min_gain`.
 /// `recent` holds the engines that were given an order within [`SETTLE_TIME`], with the ordered stage; they
 /// count as having that stage already and get no further order.
 pub fn next_order(
     engines: &[sync::Arc<backends::Backend>],
     memory_tokens: u32,
+    work: &typical_work::TypicalWork,
+    min_gain: f64,
     recent: &collections::HashMap<sync::Arc<str>, backends::Stage>,
 ) -> Option<StageOrder> {
     let model_engines: Vec<_> = engines.iter().filter(|e| e.stage.is_some()).collect();
@@ -81,7 +94,12 @@
         .iter()
         .filter(|e| stage_of(e) == Some(backends::Stage::Prefill))
         .count();
-    let wanted = prefill_engines(model_engines.len(), memory_tokens);
+    let count = model_engines.len();
+    let wanted = prefill_engines(count, memory_tokens, work);
+    let served = |prefill: usize| served_per_s(prefill, count - prefill, memory_tokens, work);
+    if served(wanted) < served(prefill) * min_gain {
+        return None;
+    }
     let (from, to) = match prefill.cmp(&wanted) {
         std::cmp::Ordering::Equal => return None,
         std::cmp::Ordering::Less => (backends::Stage::Decode, backends::Stage::Prefill),
@@ -100,5 +118,6 @@
     Some(StageOrder {
         engine: chosen.clone(),
         stage: to,
+        work: *work,
     })
 }
--- /dev/null
+++ b/lib/src/typical_work.rs
@@ -0,0 +1,91 @@
+//! The engine time and memory that a typical request of a service takes.
+
+use std::sync;
+use std::time;
+
+use crate::backends;
+use crate::engine_load;
+
+/// Prefill time of a prompt that is assumed until requests run. Faster engines get longer prompts, so
+/// times vary less between deployments than lengths.
+const ASSUMED_PREFILL_TIME: time::Duration = time::Duration::from_millis(95);
+/// The same for the number of events of an answer.
+const ASSUMED_EVENTS: u32 = 70;
+/// The same for the time between two events. Engines put several tokens into an event so that events
+/// follow each other at about this pace.
+const ASSUMED_EVENT_TIME: time::Duration = time::Duration::from_micros(52_500);
+/// The same for the length of a prompt in tokens.
+const ASSUMED_PROMPT: u32 = 5_200;
+/// An engine's memory is assumed to hold at least this many prompts.
+const MIN_PROMPTS_IN_MEMORY: u32 = 8;
+/// Fewest runs from which an average is taken.
+const MIN_RUNS: u32 = 16;
+
+/// The work of a typical request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TypicalWork {
+    /// Time in which an engine prefills the prompt.
+    pub prefill_time: time::Duration,
+    /// Time in which an engine generates the answer.
+    pub answer_time: time::Duration,
+    /// Tokens in the engine's memory, averaged over `answer_time`.
+    pub held_tokens: f64,
+}
+
+impl TypicalWork {
+    /// Returns what is assumed of a service whose requests aren't known yet. `memory_tokens` is the size of
+    /// an engine's memory.
+    pub fn assumed(memory_tokens: u32, tokens_per_event: u32) -> Self {
+        let prompt = ASSUMED_PROMPT.min(memory_tokens / MIN_PROMPTS_IN_MEMORY);
+        let output = ASSUMED_EVENTS * tokens_per_event;
+        Self {
+            prefill_time: ASSUMED_PREFILL_TIME,
+            answer_time: ASSUMED_EVENT_TIME * ASSUMED_EVENTS,
+            held_tokens: f64::from(prompt) + f64::from(output) / 2.0,
+        }
+    }
+
+    /// Returns the moving average after a new sample, which counts by `weight`, from 0 to 1.
+    pub fn average_with(self, sample: Self, weight: f64) -> Self {
+        let time = |old: time::Duration, new: time::Duration| {
+            old.mul_f64(1.0 - weight) + new.mul_f64(weight)
+        };
+        Self {
+            prefill_time: time(self.prefill_time, sample.prefill_time),
+            answer_time: time(self.answer_time, sample.answer_time),
+            held_tokens: self.held_tokens * (1.0 - weight) + sample.held_tokens * weight,
+        }
+    }
+}
+
+impl engine_load::EngineLoad {
+    /// Returns the work of a typical request, from the runs that these engines have now. `None` if they
+    /// have too few.
+    pub fn typical_work(&self, engines: &[sync::Arc<backends::Backend>]) -> Option<TypicalWork> {
+        let mut count = 0;
+        let mut held = 0.0;
+        // Long runs are more often among those that run now than among those that start, so runs count
+        // by the inverse of their length where requests are averaged.
+        let mut weights = 0.0;
+        let mut prompts = 0.0;
+        for run in engines
+            .iter()
+            .flat_map(|engine| self.runs_of_engine(&engine.id))
+        {
+            let output = f64::from(run.output.max(1));
+            count += 1;
+            held += f64::from(run.prompt) + output / 2.0;
+            weights += 1.0 / output;
+            prompts += f64::from(run.prompt) / output;
+        }
+        if count < MIN_RUNS {
+            return None;
+        }
+        let count = f64::from(count);
+        Some(TypicalWork {
+            prefill_time: self.prefill_time((prompts / weights).round() as u32),
+            answer_time: self.typical_token_time().mul_f64(count / weights),
+            held_tokens: held / count,
+        })
+    }
+}
--- a/lib/tests/stage_balance.rs
+++ b/lib/tests/stage_balance.rs
@@ -2,9 +2,12 @@
 
 use std::collections;
 use std::sync;
+use std::time;
 
 use walnuthaven_lib::backends;
+use walnuthaven_lib::engine_load;
 use walnuthaven_lib::pool_balance;
+use walnuthaven_lib::typical_work;
 
 fn engines(prefill: usize, decode: usize) -> Vec<sync::Arc<backends::Backend>> {
     let stages = std::iter::repeat_n(backends::Stage::Prefill, prefill)
@@ -27,24 +30,37 @@
         .collect()
 }
 
+/// The work assumed for engines that put 70 tokens into an event.
+fn long_answers(memory_tokens: u32) -> typical_work::TypicalWork {
+    typical_work::TypicalWork::assumed(memory_tokens, 70)
+}
+
+fn prefill_engines(engines: usize, memory_tokens: u32) -> usize {
+    pool_balance::prefill_engines(engines, memory_tokens, &long_answers(memory_tokens))
+}
+
 #[test]
 fn more_memory_needs_more_prefill_engines() {
-    assert_eq!(pool_balance::prefill_engines(9, 106_284), 3);
-    assert_eq!(pool_balance::prefill_engines(14, 73_808), 3);
-    assert!(pool_balance::prefill_engines(45, 62_304) < pool_balance::prefill_engines(45, 200_000));
-    assert_eq!(pool_balance::prefill_engines(1, 100_000), 0);
-    assert_eq!(pool_balance::prefill_engines(2, 100_000), 1);
+    assert_eq!(prefill_engines(9, 106_284), 3);
+    assert_eq!(prefill_engines(14, 73_808), 3);
+    assert!(prefill_engines(45, 62_304) < prefill_engines(45, 200_000));
+    assert_eq!(prefill_engines(1, 100_000), 0);
+    assert_eq!(prefill_engines(2, 100_000), 1);
 }
 
 #[test]
 fn no_more_orders_than_the_balance_needs() {
     let engines = engines(4, 5);
     let mut recent = collections::HashMap::new();
-    let order = pool_balance::next_order(&engines, 106_284, &recent).unwrap();
+    let work = long_answers(106_284);
+    let next = |recent: &collections::HashMap<_, _>| {
+        pool_balance::next_order(&engines, 106_284, &work, 1.0, recent)
+    };
+    let order = next(&recent).unwrap();
     assert_eq!(order.stage, backends::Stage::Decode);
     assert_eq!(order.engine.stage, Some(backends::Stage::Prefill));
     recent.insert(order.engine.id.clone(), order.stage);
-    assert_eq!(pool_balance::next_order(&engines, 106_284, &recent), None);
+    assert_eq!(next(&recent), None);
 }
 
 #[test]
@@ -52,3 +68,87 @@
     assert!(pool_balance::min_imbalance_time(true) > std::time::Duration::from_secs(6));
     assert!(pool_balance::min_imbalance_time(false) < std::time::Duration::from_secs(2));
 }
+
+/// The memory of the engines below, in tokens.
+const MEMORY: u32 = 24_069;
+/// Time in which one of them prefills a prompt, in seconds.
+const PREFILL_S: f64 = 0.096;
+
+/// Engines that generate slowly and write short answers: 140 of them with 148 prompts a second.
+/// Eleven engines, as for long answers, could prefill 97 of them.
+#[test]
+fn short_answers_need_more_prefill_engines() {
+    let work = typical_work::TypicalWork::assumed(MEMORY, 11);
+    let prefill = pool_balance::prefill_engines(140, MEMORY, &work) as f64;
+    assert!(
+        prefill * 0.85 / PREFILL_S > 148.0,
+        "{prefill} prefill engines are too few"
+    );
+}
+
+/// The load of `runs` runs, each on one of the decode engines, with a prompt of 3,200 tokens and answers of 300 to
+/// 1,600.
+fn load_with(runs: u64, engines: &[sync::Arc<backends::Backend>]) -> engine_load::EngineLoad {
+    let decode: Vec<_> = engines
+        .iter()
+        .filter(|e| e.stage == Some(backends::Stage::Decode))
+        .collect();
+    let mut load = engine_load::EngineLoad::default();
+    for number in 0..runs {
+        let engine = &decode[number as usize % decode.len()];
+        let run = engine_load::Run {
+            engine: engine.id.clone(),
+            prompt: 3_200,
+            output: 300 + (number as u32 * 97) % 1_300,
+            generated: 0,
+            as_of: time::Duration::ZERO,
+        };
+        load.add_run(("host".into(), number), run);
+    }
+    load
+}
+
+#[test]
+fn measured_work_corrects_a_wrong_balance() {
+    let engines = engines(11, 129);
+    let load = load_with(500, &engines);
+    let work = load.typical_work(&engines).unwrap();
+    assert!((3_600.0..3_750.0).contains(&work.held_tokens), "{work:?}");
+    // 0.8 ms a token are assumed at first.
+    let answer_ms = 600..800;
+    assert!(
+        answer_ms.contains(&work.answer_time.as_millis()),
+        "{work:?}"
+    );
+    let order = pool_balance::next_order(
+        &engines,
+        MEMORY,
+        &work,
+        pool_balance::MIN_MEASURED_GAIN,
+        &collections::HashMap::new(),
+    );
+    assert_eq!(order.unwrap().stage, backends::Stage::Prefill);
+}
+
+#[test]
+fn small_differences_between_measurements_cause_no_order() {
+    let engines = engines(23, 117);
+    let mut work = typical_work::TypicalWork::assumed(MEMORY, 11);
+    for change in [0.95, 1.05] {
+        work.answer_time = work.answer_time.mul_f64(change);
+        let order = pool_balance::next_order(
+            &engines,
+            MEMORY,
+            &work,
+            pool_balance::MIN_MEASURED_GAIN,
+            &collections::HashMap::new(),
+        );
+        assert_eq!(order, None);
+    }
+}
+
+#[test]
+fn few_runs_are_no_measurement() {
+    let engines = engines(3, 6);
+    assert_eq!(load_with(15, &engines).typical_work(&engines), None);
+}
