engine_load: learn the speed of slow engines, and prefill rates without unknown queues

The same mix as before: at 7.9 s the measured work of a prompt was 142 ms where engines take 96, and of an answer 2.2 s where it is 3.4 s, so seventeen engines too many were ordered to prefill, and the decode engines left over were overfilled.

Cause: token times above 5 ms were dropped as pauses, though a third of these engines takes 5.5 ms a token; the average started from 0.8 ms and moved by 2% a sample; and the time that a prompt waited behind prompts of other hosts, of which the news came later, counted as the engine's.

Change: a sample is a pause above six times the typical time, 5 ms at least; the average starts as the mean of its samples; the balance uses the rate that four of five prefills don't exceed.

speed_of_slow_engines_is_learned and unknown_queues_do_not_count_as_slow_engines fail before. Left: that balance still takes answers for shorter than they are.

--- a/lib/src/engine_load.rs
+++ b/lib/src/engine_load.rs
@@ -22,12 +22,22 @@
 const INITIAL_TOKEN_TIME: time::Duration = time::Duration::from_micros(800);
 /// Prefill rate assumed until one was measured, in prompt tokens per millisecond.
 const INITIAL_PREFILL_RATE: f64 = 50.0;
-/// Weight of a new sample in the typical speed, which is assumed for engines without measurements.
+/// Lowest weight of a new sample in the typical speed, which is assumed for engines without measurements. The
+/// first samples weigh more: the average starts as their mean.
 const TYPICAL_SPEED_WEIGHT: f64 = 0.02;
+/// The share of prefills that are slower than the unqueued rate. Queues that this host hasn't heard of only
+/// make a prefill slower, so the faster ones show what engines can do.
+const UNQUEUED_QUANTILE: f64 = 0.8;
+/// Relative step of the estimate of that quantile.
+const QUANTILE_STEP: f64 = 0.02;
 /// Plausible prefill rates in tokens per millisecond; samples outside are artefacts of faults.
 const PREFILL_RATES: std::ops::Range<f64> = 5.0..500.0;
-/// Plausible token times in seconds; longer samples are pauses, not steps.
-const TOKEN_TIMES: std::ops::Range<f64> = 0.000_1..0.005;
+/// Shortest plausible token time in seconds.
+const MIN_TOKEN_TIME: f64 = 0.000_1;
+/// Token times in seconds up to this are always plausible.
+const PLAUSIBLE_TOKEN_TIME: f64 = 0.005;
+/// Multiple of the typical token time above which a sample is a pause, not a step.
+const PAUSE_FACTOR: f64 = 6.0;
 
 /// A request for which a decode engine generates tokens.
 #[derive(Clone, Debug)]
@@ -118,6 +128,10 @@
     speeds: collections::HashMap<sync::Arc<str>, Speed>,
     /// The speed assumed for engines without measurements: an average over all engines.
     typical: Speed,
+    /// Number of samples of token times in `typical`.
+    token_samples: u32,
+    /// Prompt tokens per millisecond of an engine that has no other prompts; `None` until one was measured.
+    unqueued_prefill_rate: Option<f64>,
 }
 
 impl EngineLoad {
@@ -155,11 +169,14 @@
             return;
         }
         let sample = now.saturating_sub(old.as_of).as_secs_f64() / f64::from(tokens);
-        if !TOKEN_TIMES.contains(&sample) {
+        let max_token_time = PLAUSIBLE_TOKEN_TIME.max(self.typical.token_time * PAUSE_FACTOR);
+        if !(MIN_TOKEN_TIME..max_token_time).contains(&sample) {
             return;
         }
+        self.token_samples = self.token_samples.saturating_add(1);
+        let weight = TYPICAL_SPEED_WEIGHT.max(1.0 / f64::from(self.token_samples));
         let typical = &mut self.typical.token_time;
-        *typical += TYPICAL_SPEED_WEIGHT * (sample - *typical);
+        *typical += weight * (sample - *typical);
         let speed = self
             .speeds
             .entry(old.engine.clone())
@@ -197,6 +214,11 @@
         if !PREFILL_RATES.contains(&sample) {
             return;
         }
+        let unqueued = self.unqueued_prefill_rate.get_or_insert(sample);
+        *unqueued *= match sample > *unqueued {
+            true => 1.0 + QUANTILE_STEP * UNQUEUED_QUANTILE,
+            false => 1.0 - QUANTILE_STEP * (1.0 - UNQUEUED_QUANTILE),
+        };
         let typical = &mut self.typical.prefill_rate;
         *typical += TYPICAL_SPEED_WEIGHT * (sample - *typical);
         let speed = self.speeds.entry(engine.clone()).or_insert(self.typical);
@@ -314,6 +336,13 @@
         prefill_time(self.typical, tokens)
     }
 
+    /// Returns the time that an engine without other prompts needs to prefill a prompt of average length
+    /// `tokens`, or `None` until a prefill was measured.
+    pub(crate) fn unqueued_prefill_time(&self, tokens: f64) -> Option<time::Duration> {
+        let rate = self.unqueued_prefill_rate?;
+        Some(time::Duration::from_secs_f64(tokens / rate / 1_000.0))
+    }
+
     /// Returns the time that a particular engine needs to prefill a prompt.
     pub fn prefill_time_on(&self, engine: &str, tokens: u32) -> time::Duration {
         prefill_time(self.speed(engine), tokens)
--- a/lib/src/typical_work.rs
+++ b/lib/src/typical_work.rs
@@ -60,7 +60,7 @@
 
 impl engine_load::EngineLoad {
     /// Returns the work of a typical request, from the runs that these engines have now. `None` if they
-    /// have too few.
+    /// have too few, or no prefill was measured yet.
     pub fn typical_work(&self, engines: &[sync::Arc<backends::Backend>]) -> Option<TypicalWork> {
         let mut count = 0;
         let mut held = 0.0;
@@ -83,7 +83,7 @@
         }
         let count = f64::from(count);
         Some(TypicalWork {
-            prefill_time: self.prefill_time((prompts / weights).round() as u32),
+            prefill_time: self.unqueued_prefill_time(prompts / weights)?,
             answer_time: self.typical_token_time().mul_f64(count / weights),
             held_tokens: held / count,
         })
--- a/lib/tests/stage_balance.rs
+++ b/lib/tests/stage_balance.rs
@@ -108,10 +108,31 @@
     load
 }
 
+/// Records `count` prefills of 3,200 tokens on the first engine, one after the other, of which each fourth takes
+/// `slow_ms` and the others 96 ms.
+fn record_prefills(load: &mut engine_load::EngineLoad, count: u64, slow_ms: u64) {
+    let mut now = time::Duration::ZERO;
+    for number in 0..count {
+        let key = ("host".into(), 10_000 + number);
+        let prefill = engine_load::Prefill {
+            engine: "e0".into(),
+            tokens: 3_200,
+            sent_at: now,
+        };
+        load.add_prefill(key.clone(), prefill, now);
+        now += match number % 4 {
+            0 => time::Duration::from_millis(slow_ms),
+            _ => time::Duration::from_millis(96),
+        };
+        load.remove_prefill(&key, true, now);
+    }
+}
+
 #[test]
 fn measured_work_corrects_a_wrong_balance() {
     let engines = engines(11, 129);
-    let load = load_with(500, &engines);
+    let mut load = load_with(500, &engines);
+    record_prefills(&mut load, 200, 96);
     let work = load.typical_work(&engines).unwrap();
     assert!((3_600.0..3_750.0).contains(&work.held_tokens), "{work:?}");
     // 0.8 ms a token are assumed at first.
@@ -130,6 +151,54 @@
     assert_eq!(order.unwrap().stage, backends::Stage::Prefill);
 }
 
+/// Prompts of other hosts that this one hasn't heard of delay some prefills.
+#[test]
+fn unknown_queues_do_not_count_as_slow_engines() {
+    let engines = engines(11, 129);
+    let mut load = load_with(500, &engines);
+    record_prefills(&mut load, 400, 400);
+    let work = load.typical_work(&engines).unwrap();
+    assert!(
+        (90..106).contains(&work.prefill_time.as_millis()),
+        "{work:?}"
+    );
+}
+
+/// Returns the token time learned for an engine that makes an event of 11 tokens each `event_ms`.
+fn learned_token_time(event_ms: &[u64]) -> time::Duration {
+    let mut load = engine_load::EngineLoad::default();
+    let key: engine_load::Key = ("host".into(), 1);
+    let run = engine_load::Run {
+        engine: "e0".into(),
+        prompt: 3_200,
+        output: 5_000,
+        generated: 0,
+        as_of: time::Duration::ZERO,
+    };
+    load.add_run(key.clone(), run);
+    let mut now = time::Duration::ZERO;
+    for (event, ms) in (1..).zip(event_ms) {
+        now += time::Duration::from_millis(*ms);
+        load.record_progress(&key, event * 11, now);
+    }
+    load.typical_token_time()
+}
+
+#[test]
+fn speed_of_slow_engines_is_learned() {
+    let learned = learned_token_time(&[48; 40]).as_micros();
+    assert!((4_200..4_500).contains(&learned), "{learned} us");
+    // The first samples are near the others, then the engine is slower for a while.
+    let learned = learned_token_time(&[[48; 40], [70; 40], [70; 40], [70; 40], [70; 40]].concat());
+    assert!(learned > time::Duration::from_micros(6_000), "{learned:?}");
+}
+
+#[test]
+fn pauses_are_no_steps() {
+    let learned = learned_token_time(&[[48; 20], [1_500; 20]].concat()).as_micros();
+    assert!((4_200..4_500).contains(&learned), "{learned} us");
+}
+
 #[test]
 fn small_differences_between_measurements_cause_no_order() {
     let engines = engines(23, 117);
