news: tell changes of runs instead of whole states

Gulf Piedmont, grown: 69 hosts with links of 10 Mbit/s, each of which sent its whole state to 68 others whenever a run or prefill began or ended, about ten times a second.

Ruled out: sending less often. The four changes of a request are tens of milliseconds or more apart, so waiting for others to join them saves little, and placements at other hosts would rely on older news.

Change: a message that is sent only because work changed holds the new runs and prefills, the numbers of those that ended, and begun streams. Hosts of the version before, and hosts not heard yet, get the whole state as before.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -86,6 +86,9 @@
     pub(crate) engine_load_changed: tokio::sync::Notify,
     /// Makes the news task send this host's state to the other hosts without delay.
     pub(crate) news_due: tokio::sync::Notify,
+    /// Makes the news task tell the other hosts without delay how this host's runs, prefills and begun streams
+    /// changed.
+    pub(crate) work_changed: tokio::sync::Notify,
     /// Signalled once the host's entry has been written to the store.
     pub(crate) registered: tokio::sync::Notify,
     /// Signalled when another host has a newer configuration than this one.
@@ -171,6 +174,7 @@
             answer_lengths: sync::Mutex::default(),
             engine_load_changed: tokio::sync::Notify::new(),
             news_due: tokio::sync::Notify::new(),
+            work_changed: tokio::sync::Notify::new(),
             registered: tokio::sync::Notify::new(),
             table_outdated: tokio::sync::Notify::new(),
             departures: sync::Mutex::default(),
--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -297,7 +297,7 @@
             load.add_prefill(key.clone(), prefill, started);
             (backlog_time, load.prefill_time_on(&server.id, need.prompt))
         };
-        cx.news_due.notify_one();
+        cx.work_changed.notify_one();
         let mut running = prefills::RunningPrefill {
             cx: &cx,
             key,
--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -56,7 +56,7 @@
     fn drop(&mut self) {
         locks::lock(&self.cx.engine_load).remove_run(&self.key);
         self.cx.engine_load_changed.notify_waiters();
-        self.cx.news_due.notify_one();
+        self.cx.work_changed.notify_one();
     }
 }
 
@@ -317,7 +317,7 @@
     if let Some(prefill) = &placement.prefill {
         server_limits::record_sent(cx, prefill, request.priority);
     }
-    cx.news_due.notify_one();
+    cx.work_changed.notify_one();
     let reservation = Reservation {
         cx: cx.clone(),
         key,
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -1,14 +1,16 @@
 //! News between hosts: each host sends its state to the other hosts of its group, in one UDP
 //! datagram per message.
 //!
-//! Every message holds the whole state that other hosts need, up to the limits below, so the next
-//! message makes up for a lost one.
+//! A host sends its whole state at regular intervals, up to the limits below, and when it changes. As runs and
+//! prefills change several times a second, only the changes of these are told in between; the next whole
+//! state makes up for a lost message.
 
 use std::io;
 use std::sync;
 use std::time;
 
 use prost::Message as _;
+use walnuthaven_lib::announced_work;
 use walnuthaven_lib::clock;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::engine_load;
@@ -54,27 +56,95 @@
     Ok(())
 }
 
-/// Sends news at least every `peers::NEWS_INTERVAL`, and sooner when `news_due` is signalled.
+/// The work of which the other hosts were told.
+#[derive(Debug, Default)]
+struct Announced {
+    runs: announced_work::AnnouncedWork,
+    prefills: announced_work::AnnouncedWork,
+}
+
+/// Sends the whole state at least every `peers::NEWS_INTERVAL`, and sooner when `news_due` is signalled, and
+/// changes of work when `work_changed` is.
 async fn send_loop<D: dialect::Dialect>(
     cx: sync::Arc<context::Router<D>>,
     socket: sync::Arc<tokio::net::UdpSocket>,
 ) {
     let mut sequence = 0;
+    let mut announced = Announced::default();
+    let mut heartbeat_at = cx.now();
     loop {
-        // After a time-out, the regular message is due, which serves as a heartbeat.
-        let _ = tokio::time::timeout(peers::NEWS_INTERVAL, cx.news_due.notified()).await;
+        let until_heartbeat = heartbeat_at.saturating_sub(cx.now());
+        let only_work = tokio::select! {
+            biased;
+            () = cx.news_due.notified() => false,
+            () = tokio::time::sleep(until_heartbeat) => false,
+            () = cx.work_changed.notified() => true,
+        };
         sequence += 1;
-        let message = build_message(&cx, sequence).encode_to_vec();
+        let state = build_message(&cx, sequence);
+        let changes = build_changes(&state, &mut announced);
+        let only_work = only_work && !has_timed_announcements(&state);
+        if !only_work {
+            heartbeat_at = cx.now() + peers::NEWS_INTERVAL;
+        }
+        let (state, changes) = (state.encode_to_vec(), changes.encode_to_vec());
         let addresses: Vec<_> = locks::lock(&cx.peers).news_addrs(&cx.id.name).collect();
-        for addr in addresses {
+        for (addr, applies_changes) in addresses {
+            let message = match only_work && applies_changes {
+                true => &changes,
+                false => &state,
+            };
             // Send errors are ignored: a host that can't be reached counts as gone once its own news
             // stop.
-            let _ = socket.try_send_to(&message, addr);
+            let _ = socket.try_send_to(message, addr);
+            cx.telemetry.add("news.bytes", message.len() as u64);
         }
         tokio::time::sleep(MIN_INTERVAL).await;
     }
 }
 
+/// Returns whether a state has announcements that are included at times of their own, so that the next state may
+/// lack them.
+fn has_timed_announcements(state: &news::News) -> bool {
+    !state.crash_marks.is_empty()
+        || !state.served_versions.is_empty()
+        || !state.server_limits.is_empty()
+}
+
+/// Makes the message that tells only how the work in `state` differs from what was announced.
+fn build_changes(state: &news::News, announced: &mut Announced) -> news::News {
+    let runs = announced
+        .runs
+        .announce(state.runs.iter().map(|run| run.number));
+    let prefills = announced
+        .prefills
+        .announce(state.prefills.iter().map(|prefill| prefill.number));
+    let new_runs = state
+        .runs
+        .iter()
+        .filter(|run| runs.added.contains(&run.number));
+    let new_prefills = state
+        .prefills
+        .iter()
+        .filter(|prefill| prefills.added.contains(&prefill.number));
+    let work_changes = news::WorkChanges {
+        host: state.host.clone(),
+        incarnation: state.incarnation,
+        sequence: state.sequence,
+        waiting: state.waiting,
+        waiting_on_time: state.waiting_on_time,
+        runs: new_runs.cloned().collect(),
+        prefills: new_prefills.cloned().collect(),
+        ended_runs: runs.ended,
+        ended_prefills: prefills.ended,
+    };
+    news::News {
+        work_changes: Some(work_changes),
+        begun_streams: state.begun_streams.clone(),
+        ..news::News::default()
+    }
+}
+
 /// Makes the message that describes this host's state.
 fn build_message<D: dialect::Dialect>(cx: &context::Router<D>, sequence: u64) -> news::News {
     let now = cx.now();
@@ -139,6 +209,8 @@
         serves_for_others: true,
         unreached_services: links::unreached_services(cx),
         leaving_servers: server_notices::announced(cx),
+        work_changes: None,
+        applies_work_changes: true,
     }
 }
 
@@ -162,6 +234,9 @@
                 // Versions of streams never change, so they are as good in a message that is out of order.
                 stream_versions::merge_received(&cx, std::mem::take(&mut message.begun_streams));
                 stream_versions::answer_query(&cx, &socket, message.stream_query.take());
+                if let Some(changes) = message.work_changes.take() {
+                    apply_work_changes(&cx, changes);
+                }
                 if !message.host.is_empty() {
                     handle_message(&cx, message);
                 }
@@ -201,30 +276,14 @@
             .iter()
             .map(|service| service.as_str().into())
             .collect(),
+        applies_work_changes: message.applies_work_changes,
     };
     let is_newer = locks::lock(&cx.peers).record_news(entry, status, now);
     if !is_newer {
         return;
     }
-    let time_of_age = |age: u32| now.saturating_sub(time::Duration::from_millis(age.into()));
-    let runs = message.runs.into_iter().map(|run| {
-        let known_run = engine_load::Run {
-            engine: run.engine.into(),
-            prompt: run.prompt,
-            output: run.output,
-            generated: run.made,
-            as_of: time_of_age(run.age_ms),
-        };
-        (run.number, known_run)
-    });
-    let prefills = message.prefills.into_iter().map(|prefill| {
-        let known_prefill = engine_load::Prefill {
-            engine: prefill.engine.into(),
-            tokens: prefill.tokens,
-            sent_at: time_of_age(prefill.age_ms),
-        };
-        (prefill.number, known_prefill)
-    });
+    let runs = message.runs.into_iter().map(|run| read_run(run, now));
+    let prefills = message.prefills.into_iter().map(|p| read_prefill(p, now));
     locks::lock(&cx.engine_load).replace_host(&name, runs.collect(), prefills.collect(), now);
     apply_avoided(cx, &name, &message.avoided, now);
     crash_marks::merge_received(cx, message.crash_marks);
@@ -237,6 +296,59 @@
     }
 }
 
+/// Returns a run with its host's number for it.
+fn read_run(run: news::Run, now: time::Duration) -> (u64, engine_load::Run) {
+    let read = engine_load::Run {
+        engine: run.engine.into(),
+        prompt: run.prompt,
+        output: run.output,
+        generated: run.made,
+        as_of: time_of_age(run.age_ms, now),
+    };
+    (run.number, read)
+}
+
+/// Returns a prefill with its host's number for it.
+fn read_prefill(prefill: news::Prefill, now: time::Duration) -> (u64, engine_load::Prefill) {
+    let read = engine_load::Prefill {
+        engine: prefill.engine.into(),
+        tokens: prefill.tokens,
+        sent_at: time_of_age(prefill.age_ms, now),
+    };
+    (prefill.number, read)
+}
+
+fn time_of_age(age_ms: u32, now: time::Duration) -> time::Duration {
+    now.saturating_sub(time::Duration::from_millis(age_ms.into()))
+}
+
+/// Applies the changes of another host's work, unless newer news of that host were received before.
+fn apply_work_changes<D: dialect::Dialect>(cx: &context::Router<D>, changes: news::WorkChanges) {
+    let now = cx.now();
+    if *changes.host == *cx.id.name {
+        return;
+    }
+    let update = peers::PeerUpdate {
+        incarnation: changes.incarnation,
+        sequence: changes.sequence,
+        waiting: changes.waiting,
+        waiting_on_time: changes.waiting_on_time,
+    };
+    if !locks::lock(&cx.peers).record_update(&changes.host, update, now) {
+        return;
+    }
+    let runs = changes.runs.into_iter().map(|run| read_run(run, now));
+    let prefills = changes.prefills.into_iter().map(|p| read_prefill(p, now));
+    let host_changes = engine_load::HostChanges {
+        runs: runs.collect(),
+        prefills: prefills.collect(),
+        ended_runs: changes.ended_runs,
+        ended_prefills: changes.ended_prefills,
+    };
+    locks::lock(&cx.engine_load).change_host(&changes.host, host_changes, now);
+    cx.engine_load_changed.notify_waiters();
+}
+
 /// Avoids the servers that another host avoids, for at most as long as that host does and reports it.
 fn apply_avoided<D: dialect::Dialect>(
     cx: &context::Router<D>,
--- a/daemon/src/router/prefills.rs
+++ b/daemon/src/router/prefills.rs
@@ -76,6 +76,6 @@
         let now = self.cx.now();
         locks::lock(&self.cx.engine_load).remove_prefill(&self.key, self.completed, now);
         self.cx.engine_load_changed.notify_waiters();
-        self.cx.news_due.notify_one();
+        self.cx.work_changed.notify_one();
     }
 }
--- a/daemon/src/router/stream_versions.rs
+++ b/daemon/src/router/stream_versions.rs
@@ -89,7 +89,7 @@
 ) {
     let now = cx.now();
     locks::lock(&cx.stream_versions).record_own(key(began_as), version, expires, now);
-    cx.news_due.notify_one();
+    cx.work_changed.notify_one();
 }
 
 /// Returns the key of the stream that a request began.
@@ -214,7 +214,7 @@
     let mut streams = locks::lock(&cx.stream_versions);
     let announced = streams.next_announced(MAX_STREAMS_PER_MESSAGE, now);
     if streams.has_unannounced() {
-        cx.news_due.notify_one();
+        cx.work_changed.notify_one();
     }
     drop(streams);
     to_wire(announced, now)
--- a/daemon/src/router/telemetry.rs
+++ b/daemon/src/router/telemetry.rs
@@ -87,8 +87,13 @@
 impl Telemetry {
     /// Adds one to a counter.
     pub(crate) fn count(&self, name: &str) {
+        self.add(name, 1);
+    }
+
+    /// Adds to a counter.
+    pub(crate) fn add(&self, name: &str, amount: u64) {
         // The in-memory sink accepts every well-formed metric.
-        let _ = self.client.count(name, 1);
+        let _ = self.client.count(name, amount);
     }
 
     /// Adds a duration to a histogram.
--- a/lib/src/engine_load.rs
+++ b/lib/src/engine_load.rs
@@ -119,6 +119,19 @@
     }
 }
 
+/// Changes of the runs and prefills of a host, each with the host's number for it.
+#[derive(Clone, Debug, Default)]
+pub struct HostChanges {
+    /// New runs.
+    pub runs: Vec<(u64, Run)>,
+    /// New prefills.
+    pub prefills: Vec<(u64, Prefill)>,
+    /// Runs that ended.
+    pub ended_runs: Vec<u64>,
+    /// Prefills that ended.
+    pub ended_prefills: Vec<u64>,
+}
+
 /// Runs and prefills on all engines: this host's own and those that other hosts report.
 #[derive(Debug, Default)]
 pub struct EngineLoad {
@@ -262,6 +275,24 @@
         }
     }
 
+    /// Adds the new runs and prefills of another host and removes those that ended, by their numbers. A
+    /// prefill that ended counts as completed.
+    pub fn change_host(&mut self, host: &str, changes: HostChanges, now: time::Duration) {
+        let host: sync::Arc<str> = host.into();
+        for number in changes.ended_runs {
+            self.remove_run(&(host.clone(), number));
+        }
+        for number in changes.ended_prefills {
+            self.remove_prefill(&(host.clone(), number), true, now);
+        }
+        for (number, run) in changes.runs {
+            self.add_run((host.clone(), number), run);
+        }
+        for (number, prefill) in changes.prefills {
+            self.add_prefill((host.clone(), number), prefill, now);
+        }
+    }
+
     /// Removes the runs and prefills of a host that is gone.
     pub fn forget_host(&mut self, host: &str) {
         let host = host.into();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod announced_marks;
+pub mod announced_work;
 pub mod answer_lengths;
 pub mod answered_parts;
 pub mod auth;
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -52,6 +52,21 @@
     pub serves_for_others: bool,
     /// The services of which the host reaches no server.
     pub unreached_services: Vec<sync::Arc<str>>,
+    /// Whether the host applies changes of work, so that it needn't get the whole state with each.
+    pub applies_work_changes: bool,
+}
+
+/// A message of a host that tells changes of its work, but not its whole status.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerUpdate {
+    /// As [`PeerEntry::incarnation`].
+    pub incarnation: u64,
+    /// As [`PeerStatus::sequence`].
+    pub sequence: u64,
+    /// As [`PeerStatus::waiting`].
+    pub waiting: u32,
+    /// As [`PeerStatus::waiting_on_time`].
+    pub waiting_on_time: u32,
 }
 
 /// Another host.
@@ -143,6 +158,25 @@
         is_newer
     }
 
+    /// Records changes that a host told. Returns whether they are newer than what was known and the host's whole
+    /// status is known; they change nothing otherwise.
+    pub fn record_update(&mut self, name: &str, update: PeerUpdate, now: time::Duration) -> bool {
+        let Some(peer) = self.known.get_mut(name) else {
+            return false;
+        };
+        let Some((status, at)) = &mut peer.status else {
+            return false;
+        };
+        if peer.entry.incarnation != update.incarnation || update.sequence <= status.sequence {
+            return false;
+        }
+        status.sequence = update.sequence;
+        status.waiting = update.waiting;
+        status.waiting_on_time = update.waiting_on_time;
+        *at = now;
+        true
+    }
+
     /// Marks hosts as silent that have sent no news for [`SILENCE_TIMEOUT`], and returns their names. Those
     /// that aren't listed in the store either are removed.
     pub fn expire(&mut self, now: time::Duration) -> Vec<sync::Arc<str>> {
@@ -169,13 +203,18 @@
     }
 
     /// Returns the addresses that this host, named `own`, sends its news to: those of all hosts in its group
-    /// that are listed in the store or send news.
-    pub fn news_addrs(&self, own: &str) -> impl Iterator<Item = net::SocketAddr> {
+    /// that are listed in the store or send news. Each comes with whether the host is known to apply changes of
+    /// work.
+    pub fn news_addrs(&self, own: &str) -> impl Iterator<Item = (net::SocketAddr, bool)> {
         let groups = self.groups();
         let group = groups.group(own);
         let known = self.known.values();
         let same = known.filter(move |peer| groups.group(&peer.entry.name) == group);
-        same.map(|peer| peer.entry.news_addr)
+        same.map(|peer| {
+            let status = peer.status.as_ref();
+            let applies = status.is_some_and(|(status, _)| status.applies_work_changes);
+            (peer.entry.news_addr, applies)
+        })
     }
 
     /// Returns the news addresses of all other hosts, also of those in other groups.
--- a/lib/tests/peer_news.rs
+++ b/lib/tests/peer_news.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use walnuthaven_lib::announced_work;
+use walnuthaven_lib::engine_load;
 use walnuthaven_lib::peers;
 
 fn at(ms: u64) -> time::Duration {
@@ -105,3 +107,116 @@
     peers.expire(at(9_000));
     assert_eq!(peers.count(), 0);
 }
+
+fn update(incarnation: u64, sequence: u64) -> peers::PeerUpdate {
+    peers::PeerUpdate {
+        incarnation,
+        sequence,
+        waiting: 9,
+        waiting_on_time: 3,
+    }
+}
+
+#[test]
+fn updates_count_only_after_the_whole_status_and_in_order() {
+    let mut peers = peers::Peers::default();
+    assert!(!peers.record_update("b", update(5, 1), at(0)));
+    peers.replace_entries(vec![entry(5)]);
+    assert!(!peers.record_update("b", update(5, 1), at(0)));
+    assert!(peers.record_news(entry(5), status(2), at(0)));
+    assert!(!peers.record_update("b", update(5, 2), at(1)));
+    assert!(!peers.record_update("b", update(4, 3), at(1)));
+    assert!(!peers.record_update("b", update(6, 3), at(1)));
+    assert_eq!(peers.waiting(), 2);
+    assert!(peers.record_update("b", update(5, 3), at(1)));
+    assert_eq!(peers.waiting(), 9);
+    // A whole state that was overtaken by an update lacks what the update told.
+    assert!(!peers.record_news(entry(5), status(3), at(2)));
+    assert!(peers.record_news(entry(5), status(4), at(3)));
+    assert_eq!(peers.waiting(), 2);
+}
+
+#[test]
+fn updates_keep_a_host_from_being_silent() {
+    let mut peers = peers::Peers::default();
+    assert!(peers.record_news(entry(5), status(1), at(0)));
+    let later = peers::SILENCE_TIMEOUT - at(1);
+    assert!(peers.record_update("b", update(5, 2), later));
+    assert!(peers.expire(later + at(100)).is_empty());
+}
+
+#[test]
+fn hosts_that_do_not_apply_changes_get_whole_states() {
+    let mut peers = peers::Peers::default();
+    peers.replace_entries(vec![entry(5)]);
+    let applies = |peers: &peers::Peers| peers.news_addrs("own").map(|(_, applies)| applies).next();
+    assert_eq!(applies(&peers), Some(false));
+    let newer = peers::PeerStatus {
+        applies_work_changes: true,
+        ..status(1)
+    };
+    assert!(peers.record_news(entry(5), newer, at(0)));
+    assert_eq!(applies(&peers), Some(true));
+    // It was replaced by a process of the version before.
+    assert!(peers.record_news(entry(6), status(1), at(1)));
+    assert_eq!(applies(&peers), Some(false));
+}
+
+fn run(number: u64) -> (u64, engine_load::Run) {
+    let run = engine_load::Run {
+        engine: format!("e{}", number % 3).into(),
+        prompt: 100,
+        output: 50,
+        generated: 0,
+        as_of: at(0),
+    };
+    (number, run)
+}
+
+/// One host begins and ends runs and tells another one the changes, some of which are lost. After each
+/// whole state, and for as long as none is lost, the other one knows the same runs.
+#[test]
+fn changes_lead_to_the_same_state() {
+    const SEED: u64 = 35;
+    println!("seed {SEED}");
+    quickcheck::QuickCheck::new()
+        .rng(quickcheck::Gen::from_size_and_seed(60, SEED))
+        .quickcheck(states_agree as fn(Vec<(u8, bool)>) -> bool);
+}
+
+fn states_agree(steps: Vec<(u8, bool)>) -> bool {
+    let mut announced = announced_work::AnnouncedWork::default();
+    let mut current = std::collections::BTreeSet::new();
+    let mut load = engine_load::EngineLoad::default();
+    let mut complete = true;
+    for (step, (number, lost)) in (1..).zip(steps) {
+        let number = u64::from(number % 16);
+        if !current.remove(&number) {
+            current.insert(number);
+        }
+        let difference = announced.announce(current.iter().copied());
+        if step % 8 == 0 {
+            load.replace_host(
+                "b",
+                current.iter().map(|n| run(*n)).collect(),
+                Vec::new(),
+                at(0),
+            );
+            complete = true;
+        } else if lost {
+            complete = false;
+        } else {
+            let changes = engine_load::HostChanges {
+                runs: difference.added.into_iter().map(run).collect(),
+                ended_runs: difference.ended,
+                ..engine_load::HostChanges::default()
+            };
+            load.change_host("b", changes, at(0));
+        }
+        let known: std::collections::BTreeSet<u64> = load.runs_of("b").map(|(n, _)| n).collect();
+        if complete && known != current {
+            return false;
+        }
+    }
+    true
+}
