typical_work: average requests by the duration of their runs, and order for larger gains only

Cause: runs counted by the inverse of their length in tokens, so those that wait for their prefill for as long as a short answer takes, which are mostly short ones, counted too much. Change: they count by the inverse of their duration with the prefill; balance must raise the throughput by a quarter (a tenth before).

--- a/lib/src/pool_balance.rs
+++ b/lib/src/pool_balance.rs
@@ -23,9 +23,10 @@
 /// The same while requests run. Longer, since crashed engines are back after a few seconds.
 const MIN_IMBALANCE_BUSY: time::Duration = time::Duration::from_secs(7);
 
-/// Lowest factor by which an order must raise the throughput where the work was measured, as hosts
-/// measure it a little differently.
-pub const MIN_MEASURED_GAIN: f64 = 1.1;
+/// Lowest factor by which balance must raise the throughput before an order is given for measured work: the
+/// measurement may be off by a quarter, as the lengths of answers are predicted, and an order takes the engine out
+/// for seconds.
+pub const MIN_MEASURED_GAIN: f64 = 1.25;
 
 /// Returns how long the number of prefill engines must differ from the wanted one before an order is given.
 pub fn min_imbalance_time(requests_running: bool) -> time::Duration {
--- a/lib/src/typical_work.rs
+++ b/lib/src/typical_work.rs
@@ -18,6 +18,8 @@
 const ASSUMED_PROMPT: u32 = 5_200;
 /// An engine's memory is assumed to hold at least this many prompts.
 const MIN_PROMPTS_IN_MEMORY: u32 = 8;
+/// Time from the placement of a request to its first token, without the prefill.
+const START_OVERHEAD: time::Duration = time::Duration::from_millis(200);
 /// Fewest runs from which an average is taken.
 const MIN_RUNS: u32 = 16;
 
@@ -62,30 +64,36 @@
     /// Returns the work of a typical request, from the runs that these engines have now. `None` if they
     /// have too few, or no prefill was measured yet.
     pub fn typical_work(&self, engines: &[sync::Arc<backends::Backend>]) -> Option<TypicalWork> {
+        let token_time = self.typical_token_time().as_secs_f64();
         let mut count = 0;
         let mut held = 0.0;
-        // Long runs are more often among those that run now than among those that start, so runs count
-        // by the inverse of their length where requests are averaged.
+        // Long requests are more often among those that are in progress than among those that arrive, so they
+        // count by the inverse of their duration where arriving ones are averaged.
         let mut weights = 0.0;
         let mut prompts = 0.0;
+        let mut answer_s = 0.0;
         for run in engines
             .iter()
             .flat_map(|engine| self.runs_of_engine(&engine.id))
         {
-            let output = f64::from(run.output.max(1));
+            let prompt = f64::from(run.prompt);
+            let output = f64::from(run.output.max(run.generated).max(1));
+            let generated_in = output * token_time;
+            let start = self.unqueued_prefill_time(prompt)? + START_OVERHEAD;
+            let weight = 1.0 / (start.as_secs_f64() + generated_in);
             count += 1;
-            held += f64::from(run.prompt) + output / 2.0;
-            weights += 1.0 / output;
-            prompts += f64::from(run.prompt) / output;
+            held += prompt + output / 2.0;
+            weights += weight;
+            prompts += prompt * weight;
+            answer_s += generated_in * weight;
         }
         if count < MIN_RUNS {
             return None;
         }
-        let count = f64::from(count);
         Some(TypicalWork {
             prefill_time: self.unqueued_prefill_time(prompts / weights)?,
-            answer_time: self.typical_token_time().mul_f64(count / weights),
-            held_tokens: held / count,
+            answer_time: time::Duration::from_secs_f64(answer_s / weights),
+            held_tokens: held / f64::from(count),
         })
     }
 }
