news: pace whole states by the number of hosts that get them

From 16 to 20 s, after 35 engines crashed, the hosts log 5,693 server-lost and 21,859 content-marked-elsewhere, and the news that placements rely on are 2.1 s old (0.4 s before): messages wait in links of 10 Mbit/s.

Cause: each of these changes made a host send its whole state to 68 others, up to 500 times a second, with up to four marks each. Ruled out: prompts (148 a second, 3 kB each), streams (a third of the link at most).

Marks and served versions are in whole states only, so that none is taken from its queue for a message that lacks it.

--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -14,6 +14,7 @@
 use walnuthaven_lib::clock;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::engine_load;
+use walnuthaven_lib::news_pacing;
 use walnuthaven_lib::peers;
 use walnuthaven_wire::news;
 
@@ -63,7 +64,7 @@
     prefills: announced_work::AnnouncedWork,
 }
 
-/// Sends the whole state at least every `peers::NEWS_INTERVAL`, and sooner when `news_due` is signalled, and
+/// Sends the whole state at least every `peers::NEWS_INTERVAL`, and soon after `news_due` is signalled, and
 /// changes of work when `work_changed` is.
 async fn send_loop<D: dialect::Dialect>(
     cx: sync::Arc<context::Router<D>>,
@@ -71,26 +72,29 @@
 ) {
     let mut sequence = 0;
     let mut announced = Announced::default();
-    let mut heartbeat_at = cx.now();
+    let mut pacing = news_pacing::Pacing::default();
     loop {
-        let until_heartbeat = heartbeat_at.saturating_sub(cx.now());
-        let only_work = tokio::select! {
+        let addresses: Vec<_> = locks::lock(&cx.peers).news_addrs(&cx.id.name).collect();
+        let until_state = pacing.due_at(addresses.len()).saturating_sub(cx.now());
+        let is_state = tokio::select! {
             biased;
-            () = cx.news_due.notified() => false,
-            () = tokio::time::sleep(until_heartbeat) => false,
-            () = cx.work_changed.notified() => true,
+            () = cx.news_due.notified() => {
+                pacing.record_change();
+                continue;
+            }
+            () = tokio::time::sleep(until_state) => true,
+            () = cx.work_changed.notified() => false,
         };
         sequence += 1;
-        let state = build_message(&cx, sequence);
-        let changes = build_changes(&state, &mut announced);
-        let only_work = only_work && !has_timed_announcements(&state);
-        if !only_work {
-            heartbeat_at = cx.now() + peers::NEWS_INTERVAL;
+        let mut state = build_message(&cx, sequence);
+        let changes = build_changes(&state, &mut announced).encode_to_vec();
+        if is_state {
+            pacing.record_sent(cx.now());
+            add_announcements(&cx, &mut state);
         }
-        let (state, changes) = (state.encode_to_vec(), changes.encode_to_vec());
-        let addresses: Vec<_> = locks::lock(&cx.peers).news_addrs(&cx.id.name).collect();
+        let state = state.encode_to_vec();
         for (addr, applies_changes) in addresses {
-            let message = match only_work && applies_changes {
+            let message = match !is_state && applies_changes {
                 true => &changes,
                 false => &state,
             };
@@ -103,12 +107,10 @@
     }
 }
 
-/// Returns whether a state has announcements that are included at times of their own, so that the next state may
-/// lack them.
-fn has_timed_announcements(state: &news::News) -> bool {
-    !state.crash_marks.is_empty()
-        || !state.served_versions.is_empty()
-        || !state.server_limits.is_empty()
+/// Adds what is announced at times of its own, so that it is in some of the states only.
+fn add_announcements<D: dialect::Dialect>(cx: &context::Router<D>, state: &mut news::News) {
+    state.crash_marks = crash_marks::next_announced(cx);
+    state.served_versions = stream_versions::served(cx);
 }
 
 /// Makes the message that tells only how the work in `state` differs from what was announced.
@@ -145,7 +147,7 @@
     }
 }
 
-/// Makes the message that describes this host's state.
+/// Makes the message that describes this host's state, without what [`add_announcements`] adds.
 fn build_message<D: dialect::Dialect>(cx: &context::Router<D>, sequence: u64) -> news::News {
     let now = cx.now();
     let settings = cx.settings();
@@ -196,10 +198,10 @@
         runs: runs.take(MAX_WORK_ITEMS).collect(),
         prefills: prefills.take(MAX_WORK_ITEMS).collect(),
         avoided,
-        crash_marks: crash_marks::next_announced(cx),
+        crash_marks: Vec::new(),
         begun_streams: stream_versions::next_announced(cx),
         stream_query: None,
-        served_versions: stream_versions::served(cx),
+        served_versions: Vec::new(),
         server_limits: server_limits::announced(cx),
         demand: server_limits::announced_demand(cx),
         zone: match sequence % ZONE_INTERVAL {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod job_journal;
 pub mod lease;
 pub mod membership;
+pub mod news_pacing;
 pub mod outcome;
 pub mod part_blame;
 pub mod peer_choice;
