news, pool_balance: say what messages hold and what a gain is for

Comments only, found on the last read: the message's own comment called every message a whole state, news_due isn't told without delay any more, and MIN_MEASURED_GAIN didn't name the argument that it is for.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -84,7 +84,8 @@
         sync::Mutex<collections::HashMap<sync::Arc<str>, answer_lengths::LengthPredictor>>,
     /// Wakes queued requests after `engine_load` or the set of usable engines has changed.
     pub(crate) engine_load_changed: tokio::sync::Notify,
-    /// Makes the news task send this host's state to the other hosts without delay.
+    /// Makes the news task send this host's whole state to the other hosts soon, after other changes that come
+    /// at the same time.
     pub(crate) news_due: tokio::sync::Notify,
     /// Makes the news task tell the other hosts without delay how this host's runs, prefills and begun streams
     /// changed.
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -57,7 +57,7 @@
     Ok(())
 }
 
-/// The work of which the other hosts were told.
+/// The work of this host that its last message told, whether as a state or as changes.
 #[derive(Debug, Default)]
 struct Announced {
     runs: announced_work::AnnouncedWork,
@@ -113,7 +113,8 @@
     state.served_versions = stream_versions::served(cx);
 }
 
-/// Makes the message that tells only how the work in `state` differs from what was announced.
+/// Makes the message that tells only how the work in `state` differs from what was announced, and records that it is
+/// announced now, also if the state itself is sent.
 fn build_changes(state: &news::News, announced: &mut Announced) -> news::News {
     let runs = announced
         .runs
--- a/lib/src/pool_balance.rs
+++ b/lib/src/pool_balance.rs
@@ -23,9 +23,8 @@
 /// The same while requests run. Longer, since crashed engines are back after a few seconds.
 const MIN_IMBALANCE_BUSY: time::Duration = time::Duration::from_secs(7);
 
-/// Lowest factor by which balance must raise the throughput before an order is given for measured work: the
-/// measurement may be off by a quarter, as the lengths of answers are predicted, and an order takes the engine out
-/// for seconds.
+/// The `min_gain` of [`next_order`] for measured work. The measurement may be off by a quarter, as the lengths of
+/// answers are predicted, and an order takes the engine out for seconds.
 pub const MIN_MEASURED_GAIN: f64 = 1.25;
 
 /// Returns how long the number of prefill engines must differ from the wanted one before an order is given.
