caller_workspace: find callers' workspaces by their keys on the platform's path

Cause: the entry host knew no keys. It passed the caller's `Authorization` on to servers, ran requests of unknown callers, and let callers name their workspace themselves.

Ruled out: a second store of keys beside that of the product's own callers. `auth::KeyIndex` now serves both: a lookup by digest, so that hundreds of keys cost no scan, times tell nothing of a key, and no key can be read back.

Change: the configuration's workspaces become part of the routing table, whole or not at all; errors name field and value, never a key. A host replaces the key in a request's headers by the workspace's name before anything else sees them, so neither logs, dumps nor other hosts get it. Unknown callers get 401 unless the route is open. A workspace's priority goes before the route's. A configuration without workspaces leaves headers as they are.

--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -1,6 +1,5 @@
 //! Authenticates callers and tells them which hosts to use.
 
-use std::collections;
 use std::sync;
 
 use serde::Serialize;
@@ -23,11 +22,11 @@
 /// Largest number of hosts in an answer.
 const MAX_HOSTS: usize = 8;
 
-/// Cache of callers' keys that were verified against an active document, by fingerprint. It saves
+/// Cache of callers' keys that were verified against an active document. It saves
 /// hashing a key with each salt again.
 #[derive(Debug, Default)]
 pub struct KeyCache {
-    known: sync::Mutex<collections::HashMap<[u8; 32], Verified>>,
+    known: sync::Mutex<auth::KeyIndex<Verified>>,
 }
 
 /// The document in which a key was found. The entry is valid while the workspace's active document
@@ -62,16 +61,15 @@
             message,
         ));
     };
-    let fingerprint = auth::fingerprint(key);
     let mut known = locks::lock(&cx.verified_keys.known);
-    if let Some(verified) = known.get(&fingerprint)
+    if let Some(verified) = known.get(key)
         && let Some(stored) = config.get(&verified.workspace)
         && stored.generation == verified.generation
     {
         return Ok(stored.clone());
     }
     let Some(stored) = config.find_by_key(key) else {
-        known.remove(&fingerprint);
+        known.remove(key);
         let message = "the key is not known in any workspace";
         return Err(refusal::Refusal::not_run(
             refusal::Code::Unauthorized,
@@ -85,7 +83,7 @@
         workspace: stored.document.workspace.clone(),
         generation: stored.generation,
     };
-    known.insert(fingerprint, verified);
+    known.insert(key, verified);
     Ok(stored.clone())
 }
 
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -13,11 +13,13 @@
 use hyper::body;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::routing;
+use walnuthaven_lib::workspaces;
 use walnuthaven_wire::forward as wire;
 use xxhash_rust::xxh3;
 
 use crate::router::answer;
 use crate::router::body_memory;
+use crate::router::caller_workspace;
 use crate::router::context;
 use crate::router::crash_marks;
 use crate::router::events::event;
@@ -82,7 +84,7 @@
     arrived: time::Duration,
     guard: context::InFlightGuard<D>,
 ) -> answer::Answer {
-    let (parts, body) = req.into_parts();
+    let (mut parts, body) = req.into_parts();
     let head = match cx.dialect.request_head(&parts.headers) {
         Ok(head) => head,
         Err(bad) => {
@@ -115,6 +117,14 @@
             "version" => table.version);
         return answer::from_router(http::StatusCode::NOT_FOUND, "no route matches");
     };
+    let workspace = match caller_workspace::authenticate(cx, &table, route, &mut parts.headers) {
+        Ok(workspace) => workspace,
+        Err(unauthorized) => {
+            event!(Info, "unauthorized", "id" => id, "route" => route.name,
+                "cause" => unauthorized.cause, "version" => table.version);
+            return unauthorized.answer();
+        }
+    };
     let deadline = arrived + time_limit(route, &head);
     let max_bytes = max_body_bytes(&parts.headers, &table.limits);
     let Some(memory) = cx
@@ -153,6 +163,7 @@
         body,
         memory,
         route: route.clone(),
+        workspace,
         deadline,
         arrived,
         forwarded: None,
@@ -168,6 +179,8 @@
     body: Bytes,
     memory: body_memory::Reservation,
     route: sync::Arc<routing::Route>,
+    /// The caller's workspace; `None` if the deployment has none, or the caller of an open route has no key.
+    workspace: Option<sync::Arc<workspaces::Workspace>>,
     /// When the answer must be complete, as time since boot.
     deadline: time::Duration,
     /// When it arrived, as time since boot.
@@ -216,6 +229,7 @@
         memory,
         deadline: arrived + time_left.min(route.timeout.unwrap_or(DEFAULT_TIMEOUT)),
         route: route.clone(),
+        workspace: caller_workspace::of_forwarded(cx, &table, &parts.headers)?,
         parts,
         arrived,
         forwarded: Some(send::Forwarded {
@@ -248,6 +262,7 @@
         body,
         memory,
         route,
+        workspace,
         deadline,
         arrived,
         forwarded,
@@ -286,14 +301,20 @@
         memory,
         digest,
         parts: shared_parts,
+        priority: caller_workspace::priority(&route, workspace.as_deref()),
+        workspace,
         trial: sync::OnceLock::new(),
         is_proven: atomic::AtomicBool::new(false),
     };
+    let workspace_name = received
+        .workspace
+        .as_ref()
+        .map(|workspace| workspace.name.clone());
     if crash_marks::refuses(cx, &received) {
         crash_marks::log_refusal(cx, &received);
         return crash_marks::refusal_answer(cx, &received);
     }
-    server_limits::record_request(cx, &service.name, route.priority);
+    server_limits::record_request(cx, &service.name, received.priority);
     let answer = match (&service.engines, route.kind) {
         (Some(engines), routing::Kind::Stream { .. }) => {
             let request = stream_request::StreamRequest::new(
@@ -324,6 +345,7 @@
             "body" => crash_marks::hex(body_digest));
     }
     event!(Info, "answered", "id" => id, "route" => route.name, "version" => table.version,
+        "workspace" => workspace_name,
         "digest" => crash_marks::hex(digest), "status" => answer.status().as_u16(),
         "took_ms" => cx.now().saturating_sub(arrived).as_millis() as u64);
     answer
--- a/daemon/src/router/inspect.rs
+++ b/daemon/src/router/inspect.rs
@@ -104,6 +104,19 @@
             })
         })
         .collect();
+    let workspaces: Vec<_> = table
+        .iter()
+        .flat_map(|table| table.workspaces.all())
+        .take(MAX_LISTED)
+        .map(|workspace| {
+            let limit = workspace.limit;
+            json!({
+                "name": workspace.name, "priority": workspace.priority,
+                "per_second": limit.map(|limit| limit.per_second),
+                "burst": limit.map(|limit| limit.burst),
+            })
+        })
+        .collect();
     let engine_load = locks::lock(&cx.engine_load);
     let runs: Vec<_> = engine_load
         .runs_of(&cx.work_owner)
@@ -124,6 +137,7 @@
         "hosts": hosts,
         "servers": servers,
         "avoided": avoided,
+        "workspaces": workspaces,
         "waiting": waiting,
         "runs": runs,
         "crash_marks": crash_marks,
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod body_memory;
+mod caller_workspace;
 mod connection_pool;
 mod connection_timer;
 mod context;
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -172,7 +172,7 @@
     /// Chooses a usable server that isn't in `tried` and below its limit, which the send then counts against.
     fn choose_server(&self, tried: &[sync::Arc<str>]) -> Option<sync::Arc<backends::Backend>> {
         let now = self.cx.now();
-        let priority = self.route.priority;
+        let priority = self.received.priority;
         let mut servers = self.usable_servers();
         servers.retain(|server| !tried.contains(&server.id));
         self.cx.links.remove_lost(&mut servers);
@@ -314,14 +314,14 @@
     /// Returns whether there are servers, and all of them are at their limits.
     fn all_limited(&self, servers: &[sync::Arc<backends::Backend>]) -> bool {
         let mut below = servers.to_vec();
-        let priority = self.route.priority;
+        let priority = self.received.priority;
         server_limits::remove_limited(self.cx, &mut below, self.service, priority)
             && below.is_empty()
     }
 
     /// Returns when a caller should return whose request these servers can't take yet.
     fn limits_retry_after(&self, servers: &[sync::Arc<backends::Backend>]) -> time::Duration {
-        let priority = self.route.priority;
+        let priority = self.received.priority;
         let wait = server_limits::record_refusal(self.cx, servers, self.service, priority);
         wait.max(REFUSED_RETRY_AFTER)
     }
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -282,7 +282,7 @@
     }
     match reconnect(&request.cx, server).await {
         Ok(connection) => {
-            server_limits::record_sent(&request.cx, server, request.route.priority);
+            server_limits::record_sent(&request.cx, server, request.received.priority);
             request.resume_moved_run(server, connection, kv_cache).await
         }
         Err(failure) => Err((failure, Some(kv_cache))),
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -16,6 +16,7 @@
 use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::outcome;
+use walnuthaven_lib::workspaces;
 
 use crate::locks;
 use crate::router::body_memory;
@@ -70,6 +71,10 @@
     pub(crate) headers: http::HeaderMap,
     /// What the headers say to the router.
     pub(crate) head: dialect::RequestHead,
+    /// The caller's workspace, if the deployment has any.
+    pub(crate) workspace: Option<sync::Arc<workspaces::Workspace>>,
+    /// The priority among waiting requests; 0 goes first.
+    pub(crate) priority: u8,
     /// The body.
     pub(crate) body: Bytes,
     /// The memory reserved for the body.
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -176,7 +176,7 @@
             id: self.id(),
             service: &self.service,
             engines: &self.engines,
-            priority: self.route.priority,
+            priority: self.received.priority,
             need: self.need(),
             prefilled: run_kind == engine_memory::RunKind::Moved,
             run_kind,
--- a/lib/src/auth.rs
+++ b/lib/src/auth.rs
@@ -1,5 +1,6 @@
 //! Keys of callers, operators and hosts, compared in constant time.
 
+use std::collections;
 use std::fmt::Write as _;
 
 use serde::Deserialize;
@@ -53,9 +54,50 @@
     a.as_bytes().ct_eq(b.as_bytes()).into()
 }
 
-/// Returns an unsalted digest of a key, under which a cache can keep the result of its
-/// verification.
-pub fn fingerprint(key: &str) -> [u8; 32] {
+/// Values by key. A lookup takes the same time whichever key comes closest, since only digests are compared, and no
+/// key can be read from the index.
+#[derive(Clone, Debug)]
+pub struct KeyIndex<T>(collections::HashMap<[u8; 32], T>);
+
+impl<T> Default for KeyIndex<T> {
+    fn default() -> Self {
+        Self(collections::HashMap::new())
+    }
+}
+
+impl<T> KeyIndex<T> {
+    /// Returns the value of a key.
+    pub fn get(&self, key: &str) -> Option<&T> {
+        self.0.get(&fingerprint(key))
+    }
+
+    /// Sets the value of a key. Returns the one it had.
+    pub fn insert(&mut self, key: &str, value: T) -> Option<T> {
+        self.0.insert(fingerprint(key), value)
+    }
+
+    /// Removes a key.
+    pub fn remove(&mut self, key: &str) {
+        self.0.remove(&fingerprint(key));
+    }
+
+    /// Removes all keys.
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+
+    /// Returns the number of keys.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Returns whether there are no keys.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+fn fingerprint(key: &str) -> [u8; 32] {
     sha2::Sha256::digest(key.as_bytes()).into()
 }
 
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 
 use crate::backends;
+use crate::features;
 use crate::routing;
 
 /// The size of a prompt and its answer, as the request states them.
@@ -281,6 +282,19 @@
     /// Returns the header that is malformed.
     fn request_head(&self, headers: &http::HeaderMap) -> Result<RequestHead, BadHeader>;
 
+    /// Returns which features the terms of a deployment ask for. Unknown terms ask for none.
+    fn features(&self, terms: &[sync::Arc<str>]) -> features::Features;
+
+    /// Returns the key of the caller's workspace in the headers of a request.
+    fn caller_key<'a>(&self, headers: &'a http::HeaderMap) -> Option<&'a str>;
+
+    /// Returns the name that [`Dialect::set_workspace`] set.
+    fn workspace<'a>(&self, headers: &'a http::HeaderMap) -> Option<&'a str>;
+
+    /// Replaces the key in the headers of a request, and whatever the caller named as its workspace, by the name of
+    /// the workspace. Without a name they are removed.
+    fn set_workspace(&self, name: Option<&str>, headers: &mut http::HeaderMap);
+
     /// Builds the headers of a request to a server from those of the caller's request.
     fn server_headers(&self, caller: &http::HeaderMap, params: &SendParams<'_>) -> http::HeaderMap;
 
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -4,6 +4,8 @@
 use std::sync;
 use std::time;
 
+use crate::workspaces;
+
 /// The kind of a route's requests. It determines whether they may be retried after a failure.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -64,6 +66,8 @@
     pub shares: Vec<Share>,
     /// Maximum number of servers to which one request may be sent.
     pub max_attempts: u32,
+    /// Whether callers without a key may use it, in a deployment with workspaces.
+    pub is_open: bool,
 }
 
 impl Route {
@@ -131,6 +135,8 @@
     /// Routes by host name, those with the longest prefix first.
     routes: collections::HashMap<sync::Arc<str>, Vec<sync::Arc<Route>>>,
     services: collections::HashMap<sync::Arc<str>, sync::Arc<Service>>,
+    /// Who may send requests.
+    pub workspaces: workspaces::Workspaces,
 }
 
 impl Table {
@@ -157,6 +163,7 @@
             services: services
                 .map(|service| (service.name.clone(), sync::Arc::new(service)))
                 .collect(),
+            workspaces: workspaces::Workspaces::default(),
         }
     }
 
--- a/lib/tests/route_match.rs
+++ b/lib/tests/route_match.rs
@@ -24,6 +24,7 @@
             },
         ],
         max_attempts: 1,
+        is_open: false,
     }
 }
 
