features: switch features by the terms of a deployment

Cause: parts that serve one kind of deployment must not change how others are served, and the settings said nothing of the terms that hold.

Change: the settings template passes the deployment's terms on, the platform crate translates them to features, and `Settings::features` has them. All are off by default and nothing uses them yet.

Measured: settings_file.rs and the whole workspace's lints pass.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -151,6 +151,7 @@
         clock: clock::BootClock,
         crash_checks: crash_checks::Checks,
     ) -> Self {
+        let settings = with_features(&dialect, settings);
         let id = ids::HostId {
             name: settings.name.clone(),
             incarnation: clock::millis(clock.unix_time()),
@@ -358,6 +359,17 @@
     }
 }
 
+/// Sets the features that the deployment's terms ask for.
+pub(crate) fn with_features<D: dialect::Dialect>(
+    dialect: &D,
+    settings: settings::Settings,
+) -> settings::Settings {
+    settings::Settings {
+        features: dialect.features(&settings.terms),
+        ..settings
+    }
+}
+
 /// Counts a request as in flight until it is dropped.
 #[derive(Debug)]
 pub(crate) struct InFlightGuard<D>(sync::Arc<Router<D>>);
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -172,7 +172,8 @@
             _ = hangup.recv() => true,
             () = tokio::time::sleep(SETTINGS_READ_INTERVAL) => false,
         };
-        match settings::read(&path) {
+        let read = settings::read(&path);
+        match read.map(|read| context::with_features(&cx.dialect, read)) {
             Ok(changed) if changed != *cx.settings() => {
                 log::set_max_level(changed.log_level);
                 cx.set_settings(changed);
--- a/daemon/src/router/settings.rs
+++ b/daemon/src/router/settings.rs
@@ -2,8 +2,10 @@
 
 use std::net;
 use std::path;
+use std::sync;
 use std::time;
 
+use walnuthaven_lib::features;
 use walnuthaven_lib::ids;
 use walnuthaven_lib::retry_share;
 
@@ -36,6 +38,10 @@
     pub grace_period: time::Duration,
     /// How long callers may cache the addresses of entry hosts.
     pub address_ttl: time::Duration,
+    /// The terms that hold for the deployment, in the platform's words.
+    pub terms: Vec<sync::Arc<str>>,
+    /// The features that these terms ask for.
+    pub features: features::Features,
     /// The retry budget of each service.
     pub retry_budget: retry_share::Budget,
     /// The log level.
@@ -53,6 +59,7 @@
         ("store", &["address"]),
         ("limits", &["memory", "files"]),
         ("leaving", &["grace"]),
+        ("deployment", &["terms"]),
         ("directory", &["ttl"]),
         ("retry", &["ratio", "slack", "window"]),
         ("log", &["level"]),
@@ -103,6 +110,11 @@
         max_files: ini.number("limits", "files", DEFAULT_FILES, 64, MAX_FILES)?,
         grace_period: millis("leaving", "grace", DEFAULT_GRACE_MS)?,
         address_ttl: millis("directory", "ttl", DEFAULT_TTL_MS)?,
+        terms: ini
+            .get("deployment", "terms")
+            .map(terms)
+            .unwrap_or_default(),
+        features: features::Features::default(),
         retry_budget: retry_share::Budget {
             ratio: ini.parse_value("retry", "ratio", "a number", Some("0.1"))?,
             slack: ini.parse_value("retry", "slack", "a number", Some("10"))?,
@@ -111,3 +123,12 @@
         log_level: ini.log_level()?,
     })
 }
+
+/// Reads a list of terms, separated by commas.
+fn terms(text: &str) -> Vec<sync::Arc<str>> {
+    let terms = text.split(',').map(str::trim);
+    terms
+        .filter(|term| !term.is_empty())
+        .map(Into::into)
+        .collect()
+}
