soak: check keys and limits of workspaces under faults

Cause: the soak knew no workspaces, so nothing checked over several hosts, with kills, pauses and a store that fails, that servers get names and never keys, that withdrawn keys stay withdrawn, and that limits hold over all hosts.

Change: a soak of its own with a workspace that asks for several times its limit, one whose key is replaced again and again, and callers with a key of nobody.

The test is red until limits are kept.

--- a/daemon/tests/fault_soak.rs
+++ b/daemon/tests/fault_soak.rs
@@ -12,6 +12,7 @@
 use walnuthaven_platform_standin::soak;
 use walnuthaven_platform_standin::stream_tries;
 use walnuthaven_platform_standin::version_soak;
+use walnuthaven_platform_standin::workspace_soak;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
 /// How long faults are injected.
@@ -59,6 +60,32 @@
     assert_guarantees_held(&report);
 }
 
+/// Lets the links of each host carry 10 Mbit a second. The seed is arbitrary.
+const SLOW_LINKS_SOAK: soak::Options = soak::Options {
+    seed: 12,
+    seconds: 6,
+    hosts: 4,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_on_slow_links() {
+    let report = soak::run(BINARY, SLOW_LINKS_SOAK, soak::Faults::OnSlowLinks).await;
+    assert_guarantees_held(&report);
+}
+
+/// Replaces keys, and lets a workspace ask for more than its limit. The seed is arbitrary.
+const WORKSPACE_SOAK: soak::Options = soak::Options {
+    seed: 1,
+    seconds: 12,
+    hosts: 4,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_and_limits_hold_under_faults() {
+    let report = workspace_soak::run(BINARY, WORKSPACE_SOAK).await;
+    assert_guarantees_held(&report);
+}
+
 /// Soaks with crashing requests. With 20 s of seed 3, content crashed up to 11 servers before marks were kept in
 /// the store. With seed 9204, whose servers start again within 5 ms under new ids, it crashed up to 82 before crashes
 /// were judged by process.
