workspace_limits: refuse what exceeds a workspace's limit with 429

Workspaces had limits that nothing kept. A host now charges a caller's request once its route, workspace and service are known and before anything is sent, and answers 429 with the time at which its cost will be there if that exceeds the limit. Requests that another host passed on and continued streams aren't charged again; what is answered 408, 421, 429 or 503 is given back. Use is told in news that are sent anyway, and early if much of it is untold; deployments without limits send nothing more. Metrics and the dump show use per workspace.

--- a/daemon/src/router/answer.rs
+++ b/daemon/src/router/answer.rs
@@ -91,7 +91,16 @@
 /// Makes the response to a request that hasn't run and won't: status 503 with a `Retry-After`
 /// header, so that the caller may safely send it again after that time.
 pub(crate) fn not_run(reason: &str, retry_after: time::Duration) -> Answer {
-    let mut answer = from_router(http::StatusCode::SERVICE_UNAVAILABLE, reason);
+    refused(http::StatusCode::SERVICE_UNAVAILABLE, reason, retry_after)
+}
+
+/// As [`not_run`], for a request that exceeds what its caller may use.
+pub(crate) fn over_limit(reason: &str, retry_after: time::Duration) -> Answer {
+    refused(http::StatusCode::TOO_MANY_REQUESTS, reason, retry_after)
+}
+
+fn refused(status: http::StatusCode, reason: &str, retry_after: time::Duration) -> Answer {
+    let mut answer = from_router(status, reason);
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     if let Ok(value) = http::HeaderValue::from_str(&seconds) {
         answer.headers_mut().insert(header::RETRY_AFTER, value);
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -36,6 +36,7 @@
 use crate::router::telemetry;
 use crate::router::trials;
 use crate::router::via_peer;
+use crate::router::workspace_limits;
 
 /// Up to one in this many of the connections that a server accepts may be idle.
 const IDLE_DIVISOR: usize = 2;
@@ -68,6 +69,8 @@
     pub(crate) server_limits: sync::Mutex<server_limits::Limits>,
     /// Servers that asked to get nothing for some time.
     pub(crate) server_pauses: sync::Mutex<server_pauses::Pauses>,
+    /// What workspaces may use and have used.
+    pub(crate) workspace_limits: sync::Mutex<workspace_limits::Limits>,
     /// Which servers this host reaches.
     pub(crate) links: sync::Arc<links::Links>,
     /// Connections to the hosts that serve requests in place of this one.
@@ -168,6 +171,7 @@
             peers: sync::Mutex::default(),
             server_limits: sync::Mutex::default(),
             server_pauses: sync::Mutex::default(),
+            workspace_limits: sync::Mutex::default(),
             links: sync::Arc::default(),
             via_peer: via_peer::Peers::default(),
             health: sync::Mutex::default(),
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -32,6 +32,7 @@
 use crate::router::server_limits;
 use crate::router::stream_request;
 use crate::router::via_peer;
+use crate::router::workspace_limits;
 
 /// Retry-After while the host has no configuration or crash marks, or a configuration without the
 /// route's service.
@@ -314,6 +315,12 @@
         crash_marks::log_refusal(cx, &received);
         return crash_marks::refusal_answer(cx, &received);
     }
+    let charge = match workspace_limits::charge(cx, table, &received) {
+        Ok(charge) => charge,
+        Err(retry_after) => {
+            return answer::over_limit("the workspace's limit is exceeded", retry_after);
+        }
+    };
     server_limits::record_request(cx, &service.name, received.priority);
     let answer = match (&service.engines, route.kind) {
         (Some(engines), routing::Kind::Stream { .. }) => {
@@ -339,6 +346,11 @@
             plain.answer().await
         }
     };
+    if let Some(charge) = charge
+        && stream_request::implies_not_run(answer.status())
+    {
+        workspace_limits::give_back(cx, &charge);
+    }
     if cx.crash_checks.open_count(digest) > 0 {
         event!(Info, "content-suspected", "id" => id, "digest" => crash_marks::hex(digest),
             "caller" => caller, "path" => path, "has_query" => has_query,
--- a/daemon/src/router/inspect.rs
+++ b/daemon/src/router/inspect.rs
@@ -10,6 +10,7 @@
 use crate::router::context;
 use crate::router::crash_marks;
 use crate::router::events;
+use crate::router::workspace_limits;
 
 /// Version of the dump's JSON layout.
 const DUMP_VERSION: u32 = 1;
@@ -114,6 +115,7 @@
                 "name": workspace.name, "priority": workspace.priority,
                 "per_second": limit.map(|limit| limit.per_second),
                 "burst": limit.map(|limit| limit.burst),
+                "usage": workspace_limits::usage(cx, &workspace.name),
             })
         })
         .collect();
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -22,6 +22,7 @@
 use crate::router::events::event;
 use crate::router::forward;
 use crate::router::inspect;
+use crate::router::workspace_limits;
 
 /// Connections that the kernel queues until they are accepted.
 const BACKLOG: u32 = 1_024;
@@ -246,6 +247,7 @@
         return Ok(json_answer(Bytes::from(value.to_string())));
     }
     let mut text = cx.telemetry.text();
+    text.push_str(&workspace_limits::metrics(cx));
     text.push_str(&format!(
         "walnuthaven_log_dropped {}\n",
         events::dropped_lines()
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -49,6 +49,7 @@
 mod telemetry;
 mod trials;
 mod via_peer;
+mod workspace_limits;
 
 pub use run::run;
 pub use run::start_logging;
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -26,6 +26,7 @@
 use crate::router::server_limits;
 use crate::router::server_notices;
 use crate::router::stream_versions;
+use crate::router::workspace_limits;
 
 /// Shortest time between two messages. Changes within that time are sent together.
 const MIN_INTERVAL: time::Duration = time::Duration::from_millis(2);
@@ -87,11 +88,14 @@
         };
         sequence += 1;
         let mut state = build_message(&cx, sequence);
-        let changes = build_changes(&state, &mut announced).encode_to_vec();
+        let mut changes = build_changes(&state, &mut announced);
         if is_state {
             pacing.record_sent(cx.now());
             add_announcements(&cx, &mut state);
+        } else if let Some(changes) = &mut changes.work_changes {
+            changes.workspace_use = workspace_limits::changes(&cx);
         }
+        let changes = changes.encode_to_vec();
         let state = state.encode_to_vec();
         for (addr, applies_changes) in addresses {
             let message = match !is_state && applies_changes {
@@ -111,6 +115,7 @@
 fn add_announcements<D: dialect::Dialect>(cx: &context::Router<D>, state: &mut news::News) {
     state.crash_marks = crash_marks::next_announced(cx);
     state.served_versions = stream_versions::served(cx);
+    workspace_limits::add_state(cx, state);
 }
 
 /// Makes the message that tells only how the work in `state` differs from what was announced, and records that it is
@@ -140,6 +145,7 @@
         prefills: new_prefills.cloned().collect(),
         ended_runs: runs.ended,
         ended_prefills: prefills.ended,
+        workspace_use: Vec::new(),
     };
     news::News {
         work_changes: Some(work_changes),
@@ -214,6 +220,8 @@
         leaving_servers: server_notices::announced(cx),
         work_changes: None,
         applies_work_changes: true,
+        keeps_workspace_limits: false,
+        workspace_use: Vec::new(),
     }
 }
 
@@ -293,6 +301,9 @@
     server_notices::merge_received(cx, message.leaving_servers);
     server_limits::merge_received(cx, &name, message.server_limits, message.demand);
     stream_versions::record_served(cx, message.served_versions);
+    if message.keeps_workspace_limits {
+        workspace_limits::merge_state(cx, &name, message.incarnation, message.workspace_use);
+    }
     cx.engine_load_changed.notify_waiters();
     if message.config_version > cx.table().map_or(0, |table| table.version) {
         cx.table_outdated.notify_one();
@@ -340,6 +351,12 @@
     if !locks::lock(&cx.peers).record_update(&changes.host, update, now) {
         return;
     }
+    workspace_limits::merge_changes(
+        cx,
+        &changes.host,
+        changes.incarnation,
+        changes.workspace_use,
+    );
     let runs = changes.runs.into_iter().map(|run| read_run(run, now));
     let prefills = changes.prefills.into_iter().map(|p| read_prefill(p, now));
     let host_changes = engine_load::HostChanges {
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -28,6 +28,7 @@
 use crate::router::stage_orders;
 use crate::router::store;
 use crate::router::store_sync;
+use crate::router::workspace_limits;
 
 /// How often silent hosts, vanished servers and expired idle connections are removed.
 const UPKEEP_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -118,6 +119,7 @@
         locks::lock(&cx.server_pauses).expire(now);
         cx.connection_pool.prune(now);
         server_limits::expire(&cx);
+        workspace_limits::expire(&cx);
         links::expire(&cx);
     }
 }
--- a/lib/src/shared_limits.rs
+++ b/lib/src/shared_limits.rs
@@ -233,8 +233,8 @@
 }
 
 impl SharedLimits {
-    /// Puts the limits of a configuration in force, in place of those before. A bucket begins empty: it may be that
-    /// all hosts have started again.
+    /// Puts the limits of a configuration in force, in place of those before. A bucket begins in debt: it may be that
+    /// all hosts have started again, after use that none of them told.
     pub fn set_allowances(
         &mut self,
         allowances: impl Iterator<Item = (sync::Arc<str>, Allowance)>,
@@ -249,8 +249,13 @@
                 ..Bucket::default()
             });
             bucket.refill(share, now);
+            let is_new = bucket.allowance == Allowance::default();
             bucket.allowance = allowance;
-            bucket.set_level(bucket.level, share);
+            let level = match is_new {
+                true => -allowance.per_second * HEARD_TIMEOUT.as_secs_f64(),
+                false => bucket.level,
+            };
+            bucket.set_level(level, share);
             self.buckets.insert(workspace, bucket);
         }
     }
