shared_limits: charge what hosts use first after they start

A host that had just started took the first use that another told of a workspace as use from before its own start, so after a kill of all hosts each host's first requests weren't charged elsewhere: 62 hosts that began with seven times the limit used 2,896,400 tokens in 8 s where 2,870,000 are allowed. What hosts tell that started with it or later counts as new; clocks may differ by seconds, so with it means up to 10 s before. The bucket is a module of its own.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -159,6 +159,7 @@
             name: settings.name.clone(),
             incarnation: clock::millis(clock.unix_time()),
         };
+        let limits = workspace_limits::Limits::new(id.incarnation);
         Self {
             dialect,
             work_owner: id.to_string().into(),
@@ -171,7 +172,7 @@
             peers: sync::Mutex::default(),
             server_limits: sync::Mutex::default(),
             server_pauses: sync::Mutex::default(),
-            workspace_limits: sync::Mutex::default(),
+            workspace_limits: sync::Mutex::new(limits),
             links: sync::Arc::default(),
             via_peer: via_peer::Peers::default(),
             health: sync::Mutex::default(),
--- a/daemon/src/router/workspace_limits.rs
+++ b/daemon/src/router/workspace_limits.rs
@@ -20,13 +20,23 @@
 const MAX_PER_MESSAGE: usize = 32;
 
 /// The limits of a configuration.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Limits {
     known: shared_limits::SharedLimits,
     /// The version of the configuration that they are from.
     version: u64,
 }
 
+impl Limits {
+    /// Creates the limits of a host whose process started at this time, in Unix milliseconds.
+    pub(crate) fn new(incarnation: u64) -> Self {
+        Self {
+            known: shared_limits::SharedLimits::new(incarnation),
+            version: 0,
+        }
+    }
+}
+
 /// What a request was charged.
 #[derive(Debug)]
 pub(crate) struct Charge {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod server_health;
 pub mod server_limits;
 pub mod server_pauses;
+mod shared_bucket;
 pub mod shared_limits;
 pub mod stored_marks;
 pub mod stream_versions;
--- a/lib/tests/shared_limits.rs
+++ b/lib/tests/shared_limits.rs
@@ -94,14 +94,15 @@
             last_retry_after: ms(0),
         };
         for _ in 0..hosts {
-            let host = fleet.start(hosts, 1);
+            let host = fleet.start(hosts);
             fleet.hosts.push(host);
         }
         fleet
     }
 
-    fn start(&mut self, listed: usize, incarnation: u64) -> Host {
-        let mut limits = shared_limits::SharedLimits::default();
+    fn start(&mut self, listed: usize) -> Host {
+        let incarnation = self.now.as_millis() as u64;
+        let mut limits = shared_limits::SharedLimits::new(incarnation);
         limits.set_host_count(listed);
         limits.set_allowances([(WORKSPACE.into(), self.allowance)].into_iter(), self.now);
         Host {
@@ -114,8 +115,7 @@
     }
 
     fn restart(&mut self, host: usize) {
-        let incarnation = self.hosts[host].incarnation + 1;
-        self.hosts[host] = self.start(self.side.len(), incarnation);
+        self.hosts[host] = self.start(self.side.len());
     }
 
     fn set_allowance(&mut self, allowance: shared_limits::Allowance) {
@@ -318,6 +318,17 @@
     fleet.assert_kept("all killed six times");
 }
 
+// What hosts tell first of a workspace soon after their start is new use.
+#[test]
+fn first_use() {
+    for idle in [300, 1_000, 2_500] {
+        let mut fleet = Fleet::new(62, allowance(300_000.0, 100_000.0), 17);
+        fleet.run(ms(idle), |_, _| 0.0);
+        fleet.run(ms(9_000), |_, _| 2_000_000.0 / 62.0);
+        fleet.assert_kept(&format!("idle for {idle} ms"));
+    }
+}
+
 // A host that is started alone takes over how much of the limit is left.
 #[test]
 fn restarted_host() {
