--- a/lib/src/news_pacing.rs
+++ b/lib/src/news_pacing.rs
@@ -12,6 +12,10 @@
 /// 3 Mbit/s at most.
 const INTERVAL_PER_PEER: time::Duration = time::Duration::from_micros(1_500);
 
+/// Time between two whole states while the hosts divide the room of servers, for each host that gets them. Shares
+/// follow demand within a third of a second at 62 hosts, and the cost of messages doesn't grow with their square.
+const HURRIED_INTERVAL_PER_PEER: time::Duration = time::Duration::from_millis(5);
+
 /// Decides when the next whole state is sent. Changes until then are told together.
 #[derive(Debug, Default)]
 pub struct Pacing {
@@ -40,4 +44,11 @@
                 false => peers::NEWS_INTERVAL,
             }
     }
+
+    /// Returns when the next state is due while the hosts divide the room of servers. It doesn't depend on when
+    /// requests come: right after one, a host's demand is above its average.
+    pub fn hurried_at(&self, peers: usize) -> time::Duration {
+        let interval = HURRIED_INTERVAL_PER_PEER * peers as u32;
+        self.last_sent + interval.min(peers::NEWS_INTERVAL)
+    }
 }
--- a/lib/src/server_limits.rs
+++ b/lib/src/server_limits.rs
@@ -10,6 +10,7 @@
 use std::time;
 
 use crate::backends;
+use crate::demand;
 
 /// Lowest rate at which a limited server gets requests, by all hosts together. It shows whether the limit still
 /// holds.
@@ -28,33 +29,11 @@
 /// A host that had no request for a server for this long starts at a random point of its interval. Otherwise
 /// all hosts might send their first request at the same moment.
 const IDLE_AFTER: time::Duration = time::Duration::from_secs(2);
-/// Time constant of the moving average of requests.
-const DEMAND_TIME: time::Duration = time::Duration::from_secs(1);
 /// Share of a rate that less urgent requests keep, however many urgent ones there are.
 const LESS_URGENT_SHARE: f64 = 0.05;
 /// The longest predicted time until a refused caller would be served.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(30);
 
-/// A moving average of a number of events a second.
-#[derive(Clone, Copy, Debug, Default)]
-struct Rate {
-    per_second: f64,
-    /// The time for which `per_second` holds, as time since boot.
-    as_of: time::Duration,
-}
-
-impl Rate {
-    fn at(&self, now: time::Duration) -> f64 {
-        let age = now.saturating_sub(self.as_of).as_secs_f64();
-        self.per_second * (-age / DEMAND_TIME.as_secs_f64()).exp()
-    }
-
-    fn record(&mut self, now: time::Duration) {
-        self.per_second = self.at(now) + 1.0 / DEMAND_TIME.as_secs_f64();
-        self.as_of = now;
-    }
-}
-
 /// Lets requests pass at a rate that may change.
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
@@ -74,7 +53,7 @@
                 (self.tokens + per_second * idle_for.as_secs_f64()).min(1.0 + burst)
             }
             // A single request counts as many a second as come in the time constant of the demand.
-            _ => random + per_second * DEMAND_TIME.as_secs_f64(),
+            _ => random + per_second * demand::AVERAGE_TIME.as_secs_f64(),
         };
         self.wanted_at = Some(now);
         let missing = 1.0 - self.tokens;
@@ -148,11 +127,11 @@
 #[derive(Clone, Debug, Default)]
 struct Demand {
     /// At this host, by priority.
-    own: collections::BTreeMap<u8, Rate>,
+    own: collections::BTreeMap<u8, demand::Rate>,
     /// At other hosts, by their names.
     by_host: collections::BTreeMap<sync::Arc<str>, f64>,
     /// Requests that this host refused.
-    refused: Rate,
+    refused: demand::Rate,
 }
 
 impl Demand {
@@ -168,11 +147,7 @@
 
     /// Returns the requests a second at all other hosts. Those of whom it isn't known count as average ones.
     fn elsewhere(&self, own: f64, hosts: usize) -> f64 {
-        let known: f64 = self.by_host.values().sum();
-        let others = hosts.saturating_sub(1);
-        let unknown = others.saturating_sub(self.by_host.len());
-        let average = (own + known) / (self.by_host.len() + 1) as f64;
-        known + average * unknown as f64
+        demand::elsewhere(own, self.by_host.values().copied(), hosts)
     }
 }
 
@@ -364,6 +339,6 @@
             return MAX_WAIT;
         };
         demand.refused.record(ask.now);
-        duration(demand.refused.at(ask.now) * DEMAND_TIME.as_secs_f64() / per_second)
+        duration(demand.refused.at(ask.now) * demand::AVERAGE_TIME.as_secs_f64() / per_second)
     }
 }
