plain_request: keep requests within the room of servers, if a deployment asks for it

With the feature `shares_plain_room`, callers' requests to plain services are sent or refused as `plain_room` decides, and servers are chosen by their room while it is short. Hosts tell demand in the state that they send every 500 ms anyway, and what shares are made from only while a service is short of room, once per 5 ms and host. Workspaces' requests asked, owed and got are counted in thousandths. Without the feature nothing is sent, counted or decided differently.

Hosts of the version before ignore the new rows, and count as average hosts.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -15,6 +15,7 @@
 use walnuthaven_lib::engine_load;
 use walnuthaven_lib::ids;
 use walnuthaven_lib::peers;
+use walnuthaven_lib::plain_room;
 use walnuthaven_lib::retry_share;
 use walnuthaven_lib::routing;
 use walnuthaven_lib::served_versions;
@@ -66,6 +67,8 @@
     pub(crate) peers: sync::Mutex<peers::Peers>,
     /// The limits that backend servers named.
     pub(crate) server_limits: sync::Mutex<server_limits::Limits>,
+    /// The room at the servers of plain services.
+    pub(crate) plain_room: sync::Mutex<plain_room::PlainRoom>,
     /// Servers that asked to get nothing for some time.
     pub(crate) server_pauses: sync::Mutex<server_pauses::Pauses>,
     /// Which servers this host reaches.
@@ -167,6 +170,7 @@
             servers_listed: atomic::AtomicBool::new(false),
             peers: sync::Mutex::default(),
             server_limits: sync::Mutex::default(),
+            plain_room: sync::Mutex::default(),
             server_pauses: sync::Mutex::default(),
             links: sync::Arc::default(),
             via_peer: via_peer::Peers::default(),
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -31,6 +31,7 @@
 mod peer_stream;
 mod plain_progress;
 mod plain_request;
+mod plain_room;
 mod prefills;
 mod relay;
 mod retry_budget;
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -23,6 +23,7 @@
 use crate::router::crash_marks;
 use crate::router::events::event;
 use crate::router::links;
+use crate::router::plain_room;
 use crate::router::server_limits;
 use crate::router::server_notices;
 use crate::router::stream_versions;
@@ -75,7 +76,11 @@
     let mut pacing = news_pacing::Pacing::default();
     loop {
         let addresses: Vec<_> = locks::lock(&cx.peers).news_addrs(&cx.id.name).collect();
-        let until_state = pacing.due_at(addresses.len()).saturating_sub(cx.now());
+        let mut due_at = pacing.due_at(addresses.len());
+        if plain_room::any_short(&cx) {
+            due_at = due_at.min(pacing.hurried_at(addresses.len()));
+        }
+        let until_state = due_at.saturating_sub(cx.now());
         let is_state = tokio::select! {
             biased;
             () = cx.news_due.notified() => {
@@ -111,6 +116,7 @@
 fn add_announcements<D: dialect::Dialect>(cx: &context::Router<D>, state: &mut news::News) {
     state.crash_marks = crash_marks::next_announced(cx);
     state.served_versions = stream_versions::served(cx);
+    plain_room::add_announced(cx, &mut state.demand);
 }
 
 /// Makes the message that tells only how the work in `state` differs from what was announced, and records that it is
@@ -291,6 +297,7 @@
     apply_avoided(cx, &name, &message.avoided, now);
     crash_marks::merge_received(cx, message.crash_marks);
     server_notices::merge_received(cx, message.leaving_servers);
+    plain_room::merge_received(cx, &name, &message.demand);
     server_limits::merge_received(cx, &name, message.server_limits, message.demand);
     stream_versions::record_served(cx, message.served_versions);
     cx.engine_load_changed.notify_waiters();
@@ -380,6 +387,7 @@
         event!(Warn, "dependency-lost", "dependency" => "host", "host" => name);
         locks::lock(&cx.engine_load).forget_host(&name);
         locks::lock(&cx.server_limits).known.forget_host(&name);
+        locks::lock(&cx.plain_room).forget_host(&name);
         locks::lock(&cx.health).replace_peer_avoidances(&name, &[], cx.now());
         cx.engine_load_changed.notify_waiters();
     }
--- a/daemon/src/router/plain_progress.rs
+++ b/daemon/src/router/plain_progress.rs
@@ -1,11 +1,16 @@
-//! What became of the sends of a request to a plain service.
+//! What becomes of the sends of a request to a plain service.
 
 use std::sync;
+use std::time;
 
 use walnuthaven_lib::backends;
+use walnuthaven_lib::dialect;
 use walnuthaven_lib::outcome;
 
+use crate::locks;
 use crate::router::answer;
+use crate::router::context;
+use crate::router::plain_room;
 use crate::router::send;
 
 /// A send that failed.
@@ -42,3 +47,36 @@
         self.error_answer = failed_send.answer.or(self.error_answer.take());
     }
 }
+
+/// Counts a request as outstanding at a server until it is dropped.
+pub(crate) struct OutstandingGuard<'a, D: dialect::Dialect> {
+    cx: &'a sync::Arc<context::Router<D>>,
+    service: &'a str,
+    server: &'a backends::Backend,
+    /// How long the server took, once it has answered.
+    pub(crate) took: Option<time::Duration>,
+}
+
+impl<'a, D: dialect::Dialect> OutstandingGuard<'a, D> {
+    pub(crate) fn new(
+        cx: &'a sync::Arc<context::Router<D>>,
+        service: &'a str,
+        server: &'a backends::Backend,
+    ) -> Self {
+        locks::lock(&cx.health).record_sent(&server.id);
+        plain_room::record_sent(cx, service, server);
+        Self {
+            cx,
+            service,
+            server,
+            took: None,
+        }
+    }
+}
+
+impl<D: dialect::Dialect> Drop for OutstandingGuard<'_, D> {
+    fn drop(&mut self) {
+        locks::lock(&self.cx.health).record_ended(&self.server.id);
+        plain_room::record_ended(self.cx, self.service, self.server, self.took);
+    }
+}
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -20,6 +20,7 @@
 use crate::router::events::event;
 use crate::router::part_marks;
 use crate::router::plain_progress;
+use crate::router::plain_room;
 use crate::router::send;
 use crate::router::server_limits;
 use crate::router::server_notices;
@@ -63,6 +64,9 @@
             may_have_run: forwarded.may_have_run,
             ..plain_progress::Progress::default()
         };
+        if let Some(refusal) = plain_room::refuse(self.cx, self, &self.usable_servers()) {
+            return refusal;
+        }
         let turn = part_marks::wait_for_turn(self.cx, self.received);
         if turn.await.is_err() {
             return self.refuse_quarantined(progress);
@@ -183,10 +187,15 @@
         server_notices::remove_paused(self.cx, &mut servers);
         server_limits::remove_limited(self.cx, &mut servers, self.service, priority);
         let zone = self.cx.settings().zone.clone();
-        let health = locks::lock(&self.cx.health);
-        let chosen = health.choose(&servers, tried, &zone, rand::random(), now)?;
-        server_limits::record_sent(self.cx, chosen, priority);
-        Some(chosen.clone())
+        let by_room = plain_room::choose(self.cx, self.service, &servers);
+        let by_health = || {
+            let health = locks::lock(&self.cx.health);
+            let chosen = health.choose(&servers, tried, &zone, rand::random(), now);
+            chosen.cloned()
+        };
+        let chosen = by_room.or_else(by_health)?;
+        server_limits::record_sent(self.cx, &chosen, priority);
+        Some(chosen)
     }
 
     fn usable_servers(&self) -> Vec<sync::Arc<backends::Backend>> {
@@ -343,8 +352,7 @@
             false => self.deadline,
         };
         let silent_at = silent_at.min(self.deadline);
-        locks::lock(&cx.health).record_sent(&server.id);
-        let _guard = OutstandingGuard { cx, server };
+        let mut guard = plain_progress::OutstandingGuard::new(cx, self.service, server);
         let params = dialect::SendParams {
             deadline: self.deadline.saturating_sub(started),
             instance: &server.id,
@@ -391,6 +399,7 @@
         let failed = status.is_server_error() || head.not_run;
         locks::lock(&cx.health).record_answer(&server.id, took, failed, cx.now());
         cx.telemetry.time("plain.answer", took);
+        guard.took = (!head.not_run).then_some(took);
         let failed_send = |outcome, cause, answer| plain_progress::FailedSend {
             failure: send::SendFailure { outcome, cause },
             answer,
@@ -465,15 +474,3 @@
         }
     }
 }
-
-/// Counts a request as outstanding at a server until it is dropped.
-struct OutstandingGuard<'a, D> {
-    cx: &'a sync::Arc<context::Router<D>>,
-    server: &'a backends::Backend,
-}
-
-impl<D> Drop for OutstandingGuard<'_, D> {
-    fn drop(&mut self) {
-        locks::lock(&self.cx.health).record_ended(&self.server.id);
-    }
-}
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -22,6 +22,7 @@
 use crate::router::listen;
 use crate::router::news;
 use crate::router::peer_service;
+use crate::router::plain_room;
 use crate::router::served_version_store;
 use crate::router::server_limits;
 use crate::router::settings;
@@ -118,6 +119,7 @@
         locks::lock(&cx.server_pauses).expire(now);
         cx.connection_pool.prune(now);
         server_limits::expire(&cx);
+        plain_room::expire(&cx);
         links::expire(&cx);
     }
 }
--- a/daemon/src/router/server_limits.rs
+++ b/daemon/src/router/server_limits.rs
@@ -15,7 +15,7 @@
 use crate::router::events::event;
 
 /// Maximum number of limits in a news message, and of services whose requests it tells.
-const MAX_PER_MESSAGE: usize = 16;
+pub(super) const MAX_PER_MESSAGE: usize = 16;
 /// Shortest time between two news that tell of requests while limits hold, for each host: the cost of messages
 /// mustn't grow with the square of the hosts.
 const NEWS_SPACING_PER_HOST: time::Duration = time::Duration::from_millis(5);
@@ -209,6 +209,7 @@
     let announced = demand.map(|(service, per_second)| news::ServiceDemand {
         service: service.to_string(),
         per_second,
+        ..news::ServiceDemand::default()
     });
     announced.collect()
 }
