--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -15,6 +15,7 @@
 use walnuthaven_lib::engine_load;
 use walnuthaven_lib::ids;
 use walnuthaven_lib::peers;
+use walnuthaven_lib::plain_room;
 use walnuthaven_lib::retry_share;
 use walnuthaven_lib::routing;
 use walnuthaven_lib::served_versions;
@@ -67,6 +68,8 @@
     pub(crate) peers: sync::Mutex<peers::Peers>,
     /// The limits that backend servers named.
     pub(crate) server_limits: sync::Mutex<server_limits::Limits>,
+    /// The room at the servers of plain services.
+    pub(crate) plain_room: sync::Mutex<plain_room::PlainRoom>,
     /// Servers that asked to get nothing for some time.
     pub(crate) server_pauses: sync::Mutex<server_pauses::Pauses>,
     /// What workspaces may use and have used.
@@ -171,6 +174,7 @@
             servers_listed: atomic::AtomicBool::new(false),
             peers: sync::Mutex::default(),
             server_limits: sync::Mutex::default(),
+            plain_room: sync::Mutex::default(),
             server_pauses: sync::Mutex::default(),
             workspace_limits: sync::Mutex::new(limits),
             links: sync::Arc::default(),
