stream_records: keep which version began a stream in the store during releases

Ruled out: reports of engines (they list running runs only, and the runs of killed hosts end), lists of kept prompts (a version that was tried before keeps them, too), hashing ids over versions (a release moves the shares), and holding back first events until a record is written (each would pay for the store's delays).

While several versions of a service count as served, the first host of each group in line stores digests of the streams that its group began, by version, at most every 100 ms (less often in fleets of more than eight groups). It tells the group what it stored; another host takes over what isn't heard to be stored for 300 ms. Objects are written once and replaced after their streams have expired. A host that starts reads them if several versions count. What isn't stored is refused as before; nothing is guessed. Without a second version there is no call and no message more.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -20,6 +20,7 @@
 use walnuthaven_lib::served_versions;
 use walnuthaven_lib::server_health;
 use walnuthaven_lib::server_pauses;
+use walnuthaven_lib::stream_records;
 use walnuthaven_lib::stream_versions;
 use walnuthaven_lib::wait_queue;
 
@@ -114,6 +115,10 @@
     pub(crate) crash_marks_unsaved: tokio::sync::Notify,
     /// Which software version began each recent stream.
     pub(crate) stream_versions: sync::Mutex<stream_versions::StreamVersions>,
+    /// Which of them the store holds.
+    pub(crate) stream_records: sync::Mutex<stream_records::StreamRecords>,
+    /// Set once this host has read which streams the store holds, or knows that it need not.
+    pub(crate) stream_records_read: sync::OnceLock<()>,
     /// Wakes requests that wait until other hosts tell which version began a stream.
     pub(crate) stream_versions_changed: tokio::sync::Notify,
     /// Streams that other hosts are to be asked about.
@@ -188,6 +193,8 @@
             trials: trials::Trials::default(),
             crash_marks_unsaved: tokio::sync::Notify::new(),
             stream_versions: sync::Mutex::default(),
+            stream_records: sync::Mutex::default(),
+            stream_records_read: sync::OnceLock::new(),
             stream_versions_changed: tokio::sync::Notify::new(),
             stream_queries: sync::Mutex::default(),
             stream_queries_due: tokio::sync::Notify::new(),
--- a/daemon/src/router/inspect.rs
+++ b/daemon/src/router/inspect.rs
@@ -131,6 +131,7 @@
         "server_limits": server_limits,
         "served_versions_read": locks::lock(&cx.served_versions).is_read(),
         "stream_versions": locks::lock(&cx.stream_versions).count(),
+        "streams_unsaved": locks::lock(&cx.stream_records).count_unsaved(),
         "log_dropped": events::dropped_lines(),
     })
 }
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -43,6 +43,7 @@
 mod store;
 mod store_sync;
 mod stream_events;
+mod stream_record_store;
 mod stream_request;
 mod stream_versions;
 mod telemetry;
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -25,6 +25,7 @@
 use crate::router::links;
 use crate::router::server_limits;
 use crate::router::server_notices;
+use crate::router::stream_record_store;
 use crate::router::stream_versions;
 
 /// Shortest time between two messages. Changes within that time are sent together.
@@ -144,6 +145,7 @@
     news::News {
         work_changes: Some(work_changes),
         begun_streams: state.begun_streams.clone(),
+        saved_streams: state.saved_streams.clone(),
         ..news::News::default()
     }
 }
@@ -214,6 +216,7 @@
         leaving_servers: server_notices::announced(cx),
         work_changes: None,
         applies_work_changes: true,
+        saved_streams: stream_record_store::next_announced(cx),
     }
 }
 
@@ -236,6 +239,7 @@
             Ok(mut message) => {
                 // Versions of streams never change, so they are as good in a message that is out of order.
                 stream_versions::merge_received(&cx, std::mem::take(&mut message.begun_streams));
+                stream_record_store::record_saved(&cx, std::mem::take(&mut message.saved_streams));
                 stream_versions::answer_query(&cx, &socket, message.stream_query.take());
                 if let Some(changes) = message.work_changes.take() {
                     apply_work_changes(&cx, changes);
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -28,6 +28,7 @@
 use crate::router::stage_orders;
 use crate::router::store;
 use crate::router::store_sync;
+use crate::router::stream_record_store;
 
 /// How often silent hosts, vanished servers and expired idle connections are removed.
 const UPKEEP_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -97,6 +98,7 @@
     crash_checks::spawn(&cx, crash_checks_rx);
     crash_mark_store::spawn(&cx);
     served_version_store::spawn(&cx);
+    stream_record_store::spawn(&cx);
     stage_orders::spawn(&cx);
     tokio::spawn(register(cx.clone()));
     tokio::spawn(upkeep(cx.clone()));
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -184,6 +184,7 @@
         dialect::Collection::Leases => "leases",
         dialect::Collection::CrashMarks => "crash marks",
         dialect::Collection::ServedVersions => "served versions",
+        dialect::Collection::StreamRecords => "stream records",
     }
 }
 
@@ -245,7 +246,9 @@
             locks::lock(&cx.peers).replace_entries(listed.collect());
         }
         dialect::Collection::CrashMarks => crash_mark_store::apply_list(cx, &objects),
-        dialect::Collection::Leases | dialect::Collection::ServedVersions => {}
+        dialect::Collection::Leases
+        | dialect::Collection::ServedVersions
+        | dialect::Collection::StreamRecords => {}
     }
     event!(Info, "view-listed", "view" => view_name(collection), "revision" => revision,
         "objects" => objects.len());
@@ -282,7 +285,8 @@
         dialect::Collection::Configuration
         | dialect::Collection::Hosts
         | dialect::Collection::Leases
-        | dialect::Collection::ServedVersions => {}
+        | dialect::Collection::ServedVersions
+        | dialect::Collection::StreamRecords => {}
     }
 }
 
--- a/daemon/src/router/stream_versions.rs
+++ b/daemon/src/router/stream_versions.rs
@@ -1,7 +1,8 @@
 //! Finds out which software version of its service began a stream.
 //!
-//! A stream may go on only at that version. A host knows it if a single version has served, or if
-//! it or another host of its group began the stream; otherwise it asks all hosts.
+//! A stream may go on only at that version. A host knows it if a single version has served, if it or
+//! another host of its group began the stream, or if the store held a record of the stream when the host
+//! started; otherwise it asks all hosts.
 
 use std::collections;
 use std::net;
@@ -24,6 +25,8 @@
 const MAX_STREAMS_PER_MESSAGE: usize = 64;
 /// Longest time to wait for the answer of another host.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(150);
+/// Longest time to wait until a host that has just started has read the store's records.
+const READ_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 /// Time after which the other hosts are asked once more. Any datagram may be lost.
 const ASK_AGAIN_AFTER: time::Duration = time::Duration::from_millis(60);
 /// Time to collect streams before other hosts are asked about them in one message.
@@ -88,7 +91,11 @@
     expires: time::Duration,
 ) {
     let now = cx.now();
-    locks::lock(&cx.stream_versions).record_own(key(began_as), version, expires, now);
+    let key = key(began_as);
+    let is_new = locks::lock(&cx.stream_versions).record_own(key, version, expires, now);
+    if is_new {
+        locks::lock(&cx.stream_records).record_begun(key, now);
+    }
     cx.work_changed.notify_one();
 }
 
@@ -104,11 +111,15 @@
     started: time::Duration,
 ) -> Option<stream_versions::Record> {
     let ask_again_at = started + ASK_AGAIN_AFTER;
-    let deadline = started + ANSWER_TIMEOUT;
     let mut asked_again = false;
     queue_query(cx, stream);
     loop {
         let changed = cx.stream_versions_changed.notified();
+        let deadline = started
+            + match cx.stream_records_read.get() {
+                Some(()) => ANSWER_TIMEOUT,
+                None => READ_TIMEOUT,
+            };
         let now = cx.now();
         let known = locks::lock(&cx.stream_versions).get(stream, now).cloned();
         if known.is_some() || now >= deadline {
@@ -251,15 +262,23 @@
         return;
     }
     let now = cx.now();
+    let mut new = Vec::new();
     let mut known = locks::lock(&cx.stream_versions);
     for begun in received {
         for (stream, for_ms) in begun.streams.into_iter().zip(begun.for_ms) {
             let expires = now + time::Duration::from_millis(for_ms.into());
             let stream = stream_versions::StreamKey(stream);
-            known.record_received(stream, &begun.version, expires, now);
+            if known.record_received(stream, &begun.version, expires, now) {
+                new.push(stream);
+            }
         }
     }
     drop(known);
+    let mut records = locks::lock(&cx.stream_records);
+    for stream in new {
+        records.record_begun(stream, now);
+    }
+    drop(records);
     cx.stream_versions_changed.notify_waiters();
 }
 
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -158,6 +158,8 @@
     CrashMarks,
     /// Which software versions of each service serve, or have served.
     ServedVersions,
+    /// Which versions began streams that callers may resume.
+    StreamRecords,
 }
 
 /// How current the result of a list call must be.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod server_limits;
 pub mod server_pauses;
 pub mod stored_marks;
+pub mod stream_records;
 pub mod stream_versions;
 pub mod transfer;
 pub mod trial_turns;
--- a/lib/src/served_versions.rs
+++ b/lib/src/served_versions.rs
@@ -255,6 +255,15 @@
         counting.map(|(of, presence)| (of, presence.servers.len()))
     }
 
+    /// Returns whether several versions of a service count.
+    pub fn is_mixed(&self, now: time::Duration) -> bool {
+        let mut services = self.all(now).map(|(of, _)| &of.service);
+        let Some(mut previous) = services.next() else {
+            return false;
+        };
+        services.any(|service| std::mem::replace(&mut previous, service) == service)
+    }
+
     /// Returns whether the store's records were read.
     pub fn is_read(&self) -> bool {
         self.read
--- a/lib/src/stream_versions.rs
+++ b/lib/src/stream_versions.rs
@@ -59,16 +59,17 @@
 }
 
 impl StreamVersions {
-    /// Records a stream that this host began or took up, and has it announced.
+    /// Records a stream that this host began or took up, and has it announced. Returns whether that wasn't
+    /// known.
     pub fn record_own(
         &mut self,
         key: StreamKey,
         version: &str,
         expires: time::Duration,
         now: time::Duration,
-    ) {
+    ) -> bool {
         if !self.insert(key, version, expires, now) {
-            return;
+            return false;
         }
         self.announced.push_back(Announcement {
             key,
@@ -78,17 +79,18 @@
         if self.announced.len() > MAX_ANNOUNCED {
             self.announced.pop_front();
         }
+        true
     }
 
-    /// Records a stream that another host told of.
+    /// Records a stream that another host told of. Returns whether that wasn't known.
     pub fn record_received(
         &mut self,
         key: StreamKey,
         version: &str,
         expires: time::Duration,
         now: time::Duration,
-    ) {
-        self.insert(key, version, expires, now);
+    ) -> bool {
+        self.insert(key, version, expires, now)
     }
 
     /// Adds or prolongs a record. Returns whether that changed anything. The version of a stream never
@@ -201,6 +203,12 @@
             .any(|announcement| announcement.sent == 0)
     }
 
+    /// Returns the streams that callers may still resume.
+    pub fn keys(&self, now: time::Duration) -> impl Iterator<Item = StreamKey> {
+        let current = self.records.iter().filter(move |(_, of)| now < of.expires);
+        current.map(|(key, _)| *key)
+    }
+
     /// Returns the number of streams that are remembered.
     pub fn count(&self) -> usize {
         self.records.len()
--- a/lib/tests/served_versions.rs
+++ b/lib/tests/served_versions.rs
@@ -372,3 +372,16 @@
         true
     }
 }
+
+#[test]
+fn versions_are_mixed_while_two_of_a_service_count() {
+    let mut view = served_versions::ServedVersions::default();
+    assert!(!view.is_mixed(at(0)));
+    join(&mut view, "i-1", "v1", 0);
+    assert!(!view.is_mixed(at(0)));
+    join(&mut view, "i-2", "v2", 1_000);
+    assert!(view.is_mixed(at(1_000)));
+    vanish(&mut view, "i-1", "v1", 2_000);
+    assert!(view.is_mixed(at(69_999)));
+    assert!(!view.is_mixed(at(70_000)));
+}
--- a/lib/tests/stream_versions.rs
+++ b/lib/tests/stream_versions.rs
@@ -123,7 +123,7 @@
             match own {
                 true => table.record_own(key, version, expires, now),
                 false => table.record_received(key, version, expires, now),
-            }
+            };
             model.retain(|_, (_, until)| now < *until);
             if now < expires {
                 let known = model.entry(number).or_insert((version, expires));
