--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -60,6 +60,7 @@
 mod shared_bucket;
 pub mod shared_limits;
 pub mod stored_marks;
+pub mod stream_records;
 pub mod stream_versions;
 pub mod transfer;
 pub mod trial_turns;
