--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -343,6 +343,8 @@
             name: handle.handle,
             created_at: cx.now(),
             ttl: self.engines.handle_ttl,
+            id: self.id().into(),
+            tokens: need.prompt,
             fetched: false,
             of_run: false,
         })
--- a/daemon/src/router/prefills.rs
+++ b/daemon/src/router/prefills.rs
@@ -32,6 +32,10 @@
     pub(crate) created_at: time::Duration,
     /// How long the engine keeps the cache.
     pub(crate) ttl: time::Duration,
+    /// The id of the request, for the log.
+    pub(crate) id: sync::Arc<str>,
+    /// Number of tokens in the cache.
+    pub(crate) tokens: u32,
     /// Whether another engine has fetched the cache.
     pub(crate) fetched: bool,
     /// Whether it is the cache of a stopped run, with which its own engine can go on.
@@ -53,6 +57,9 @@
         }
         let call = self.cx.dialect.free_handle(&self.name);
         self.cx.telemetry.count("prefills.unused");
+        let age = self.cx.now().saturating_sub(self.created_at);
+        event!(Info, "prefill-unused", "id" => self.id, "server" => self.server.id,
+            "tokens" => self.tokens, "age_ms" => age.as_millis() as u64, "of_run" => self.of_run);
         let (cx, server) = (self.cx.clone(), self.server.clone());
         tokio::spawn(async move {
             if let Err(error) = send::call(&cx, &server, call, FREE_TIMEOUT).await {
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -107,8 +107,14 @@
         let ttl = request.engines.handle_ttl;
         // An engine that is silent meanwhile may still stop the run.
         let deadline = request.deadline;
+        let tokens = request.need().prompt;
         async move {
             let stopped_run = stop_and_copy(cx, source, target, call, ttl, deadline).await;
+            let stopped_run = stopped_run.map(|mut run| {
+                run.kv_cache.id = id;
+                run.kv_cache.tokens = tokens;
+                run
+            });
             stopped_tx.send_replace(Some(stopped_run.is_ok()));
             stopped_run
         }
@@ -162,6 +168,8 @@
         server: source,
         name: kept_memory.handle,
         ttl,
+        id: "".into(),
+        tokens: 0,
         fetched: false,
         of_run: true,
     };
