engine_reservation: stop waiting before the caller leaves

Callers leave a stream after a gap of two seconds, four target latencies or eight longest pauses, also before its first event: after 3.6 s where the target is 0.9 s. Requests waited for room for up to 4 s. One that was placed between 3.3 and 4 s had its prompt read for a caller who was gone, and one refused then had been held for nothing. Ruled out: a shorter limit for all waits, since late answers still earn something.

--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -112,6 +112,8 @@
     pub(crate) first_event_by: time::Duration,
     /// When its answer must be complete.
     pub(crate) deadline: time::Duration,
+    /// When its caller leaves unless it gets an event before.
+    pub(crate) leaves_at: time::Duration,
     /// Ids of the servers that it must not be sent to again.
     pub(crate) tried: &'a [sync::Arc<str>],
     /// Ids of the servers that it is sent to only if no other is usable.
@@ -175,7 +177,8 @@
         start_by: request
             .first_event_by
             .saturating_sub(FIRST_EVENT_OVERHEAD + prefill_time),
-        give_up_at: arrived + wait_queue::max_wait(request.deadline.saturating_sub(arrived)),
+        give_up_at: (arrived + wait_queue::max_wait(request.deadline.saturating_sub(arrived)))
+            .min(request.leaves_at.saturating_sub(FIRST_EVENT_OVERHEAD + prefill_time)),
     };
     let ahead = {
         let mut queues = locks::lock(&cx.wait_queues);
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -10,6 +10,7 @@
 use walnuthaven_lib::outcome;
 use walnuthaven_lib::retry_share;
 use walnuthaven_lib::routing;
+use walnuthaven_lib::wait_queue;
 
 use crate::locks;
 use crate::router::answer;
@@ -182,6 +183,8 @@
             run_kind,
             first_event_by: self.arrived + self.route.target_latency,
             deadline: self.deadline,
+            leaves_at: self.last_event_at.unwrap_or(self.arrived)
+                + wait_queue::patience(self.route.target_latency, self.max_pause()),
             tried,
             left: &self.left_servers,
             on_trial: self.received.trial.get().is_some(),
--- a/lib/src/wait_queue.rs
+++ b/lib/src/wait_queue.rs
@@ -16,6 +16,11 @@
 const WAIT_SHARE: f64 = 0.3;
 /// Longest time that a request may wait. A caller that would have to wait longer does better to retry.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(4);
+/// Callers leave after a gap before an event, the first one too, that exceeds each of these: this time, a
+/// multiple of the target latency and a multiple of the longest pause of a stream that is on time.
+const MIN_PATIENCE: time::Duration = time::Duration::from_secs(2);
+const PATIENCE_IN_TARGETS: u32 = 4;
+const PATIENCE_IN_PAUSES: u32 = 8;
 /// Shortest retry time that a refused caller is given.
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
 /// Random part added to retry times, as a share of them, so that callers don't all retry at once.
@@ -47,6 +52,17 @@
     remaining.mul_f64(WAIT_SHARE).min(MAX_WAIT)
 }
 
+/// Returns how long a caller waits for an event before it leaves. A prompt that is read for a caller who leaves before
+/// the first event is read for nothing.
+pub fn patience(
+    target_latency: time::Duration,
+    max_pause: Option<time::Duration>,
+) -> time::Duration {
+    MIN_PATIENCE
+        .max(target_latency * PATIENCE_IN_TARGETS)
+        .max(max_pause.unwrap_or_default() * PATIENCE_IN_PAUSES)
+}
+
 /// Returns the time after which a refused caller should retry. `predicted` is the predicted time until
 /// there is room; `random` is uniform in 0 to 1.
 pub fn retry_after(predicted: time::Duration, random: f64) -> time::Duration {
