typical_work: predict how often runs end from the runs there are

The wait predicted at a request's arrival assumed 3,500 tokens an answer on every engine. The rate of ends now follows from each known run's predicted length, its engine's speed and its prompt.

--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -33,8 +33,6 @@
 const NO_ENGINE_WAIT: time::Duration = time::Duration::from_millis(1_500);
 /// Maximum answer length in tokens of a request whose headers don't state one.
 const DEFAULT_MAX_OUTPUT: u32 = 512;
-/// Output tokens of a typical run, to predict how often runs end.
-const TYPICAL_OUTPUT: u32 = 3_500;
 
 /// Capacity that a request holds on a decode engine. Dropping it releases the capacity.
 #[derive(Debug)]
@@ -445,10 +443,8 @@
     cx: &context::Router<D>,
     request: &ReservationRequest<'_>,
 ) -> time::Duration {
-    let servers = cx.group_engines(&request.service.name, request.version);
-    let load = locks::lock(&cx.engine_load);
-    let runs: usize = servers.iter().map(|server| load.runs_on(&server.id)).sum();
-    load.typical_token_time() * TYPICAL_OUTPUT / (runs.max(1) as u32)
+    let engines = cx.group_engines(&request.service.name, request.version);
+    locks::lock(&cx.engine_load).time_between_ends(&engines)
 }
 
 /// Logs that no capacity was found and makes the error, with a randomised time to retry after.
--- a/lib/src/typical_work.rs
+++ b/lib/src/typical_work.rs
@@ -96,4 +96,22 @@
             held_tokens: held / f64::from(count),
         })
     }
+
+    /// Returns the predicted average time between the ends of two runs on these engines, or that of one typical run
+    /// if they have none.
+    pub fn time_between_ends(&self, engines: &[sync::Arc<backends::Backend>]) -> time::Duration {
+        let mut ends_per_s = 0.0;
+        for engine in engines {
+            let token_time = self.token_time_on(&engine.id).as_secs_f64();
+            for run in self.runs_of_engine(&engine.id) {
+                let output = f64::from(run.output.max(run.generated).max(1));
+                let start = self.prefill_time(run.prompt) + START_OVERHEAD;
+                ends_per_s += 1.0 / (start.as_secs_f64() + output * token_time);
+            }
+        }
+        match ends_per_s > 0.0 {
+            true => time::Duration::from_secs_f64(1.0 / ends_per_s),
+            false => ASSUMED_EVENT_TIME * ASSUMED_EVENTS,
+        }
+    }
 }
