engine_load: begin a prompt when the one before it has ended

The backlog of an engine was computed from when its prompts were sent, without those that had ended meanwhile. A prompt that had waited behind three others seemed to have begun at once, so the longer the queue the larger the error. The next prompt now begins at the earliest when the last one ended; one that should have ended still counts as being read.

A stream that its caller takes up again counted as a new request, although its engine reads the delivered events with the prompt. They are now part of what the engine has to read. After a move or a new start the tokens of before counted twice, as prompt and as progress, which made engines seem fuller than they are; progress counts from the run's own start now.

--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -40,12 +40,15 @@
     cx: sync::Arc<context::Router<D>>,
     /// Identifies the run in the engine load that hosts share.
     pub(crate) key: engine_load::Key,
+    /// Tokens of the answer that were generated before the run. They count as part of its prompt.
+    generated_before: u32,
 }
 
 impl<D: dialect::Dialect> Reservation<D> {
-    /// Records that the run has generated `tokens` tokens so far.
+    /// Records that `tokens` tokens of the answer have been generated so far, by this run and earlier ones.
     pub(crate) fn record_progress(&self, tokens: u32) {
         let now = self.cx.now();
+        let tokens = tokens.saturating_sub(self.generated_before);
         locks::lock(&self.cx.engine_load).record_progress(&self.key, tokens, now);
     }
 }
@@ -102,6 +105,8 @@
     pub(crate) priority: u8,
     /// The prompt and output tokens for which it needs memory.
     pub(crate) need: engine_memory::Need,
+    /// Tokens of its answer that were generated before. They are part of `need`.
+    pub(crate) generated: u32,
     /// Whether its prompt has been prefilled already.
     pub(crate) prefilled: bool,
     /// Whether it is a new run, one that moves from another engine or one that goes on after an interruption.
@@ -147,10 +152,16 @@
         None => (0, DEFAULT_MAX_OUTPUT, None),
     };
     let output = lengths.predict(hint, max_output);
-    engine_memory::Need {
-        prompt: tokens.saturating_add(generated),
-        output: output.saturating_sub(generated).max(output / 5).max(1),
-    }
+    engine_memory::Need::with_generated(tokens, output, generated)
+}
+
+/// Returns the tokens of the answer that the caller has already if it resumes a stream.
+pub(crate) fn delivered_before(head: &dialect::RequestHead, engines: &routing::EnginePool) -> u32 {
+    let max_output = head
+        .prompt
+        .as_ref()
+        .map_or(DEFAULT_MAX_OUTPUT, |prompt| prompt.max_output);
+    engine_memory::delivered_tokens(head.resume_after, engines.tokens_per_event, max_output)
 }
 
 /// Waits for capacity and reserves it.
@@ -175,8 +186,11 @@
         start_by: request
             .first_event_by
             .saturating_sub(FIRST_EVENT_OVERHEAD + prefill_time),
-        give_up_at: (arrived + wait_queue::max_wait(request.deadline.saturating_sub(arrived)))
-            .min(request.leaves_at.saturating_sub(FIRST_EVENT_OVERHEAD + prefill_time)),
+        give_up_at: (arrived + wait_queue::max_wait(request.deadline.saturating_sub(arrived))).min(
+            request
+                .leaves_at
+                .saturating_sub(FIRST_EVENT_OVERHEAD + prefill_time),
+        ),
     };
     let ahead = {
         let mut queues = locks::lock(&cx.wait_queues);
@@ -322,6 +336,7 @@
     let reservation = Reservation {
         cx: cx.clone(),
         key,
+        generated_before: request.generated,
     };
     Ok((reservation, placement))
 }
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -59,7 +59,7 @@
     version_recorded: bool,
     /// When an event was last sent to the caller.
     pub(crate) last_event_at: Option<time::Duration>,
-    /// Tokens generated so far by all engines together.
+    /// Tokens generated so far by all engines together, also those that the caller had when it resumed the stream.
     pub(crate) tokens_generated: u32,
     /// How many moves of the run, with its KV cache, to another engine were started.
     pub(crate) moves: u32,
@@ -129,7 +129,7 @@
             version: None,
             version_recorded: false,
             last_event_at: None,
-            tokens_generated: 0,
+            tokens_generated: engine_reservation::delivered_before(&received.head, &engines),
             moves: 0,
             may_have_run: forwarded.may_have_run,
             connect_failures: 0,
@@ -179,6 +179,7 @@
             engines: &self.engines,
             priority: self.route.priority,
             need: self.need(),
+            generated: self.tokens_generated,
             prefilled: run_kind == engine_memory::RunKind::Moved,
             run_kind,
             first_event_by: self.arrived + self.route.target_latency,
--- a/lib/src/engine_load.rs
+++ b/lib/src/engine_load.rs
@@ -137,6 +137,8 @@
 pub struct EngineLoad {
     runs: work_index::Index<Run>,
     prefills: work_index::Index<QueuedPrefill>,
+    /// When each engine last completed a prefill: it began the next one then at the earliest.
+    prefills_ended: collections::HashMap<sync::Arc<str>, time::Duration>,
     /// Measured speeds by engine.
     speeds: collections::HashMap<sync::Arc<str>, Speed>,
     /// The speed assumed for engines without measurements: an average over all engines.
@@ -210,6 +212,8 @@
             && completed
         {
             self.learn_prefill_rate(&queued, now);
+            self.prefills_ended
+                .insert(queued.prefill.engine.clone(), now);
         }
     }
 
@@ -304,6 +308,7 @@
     pub fn forget_engine(&mut self, engine: &str) {
         self.runs.remove_engine(engine);
         self.prefills.remove_engine(engine);
+        self.prefills_ended.remove(engine);
         self.speeds.remove(engine);
     }
 
@@ -387,11 +392,16 @@
             .map(|(_, queued)| (queued.prefill.sent_at, queued.prefill.tokens))
             .collect();
         queue.sort_unstable();
-        let end = queue
-            .into_iter()
-            .fold(time::Duration::ZERO, |end, (sent_at, tokens)| {
-                end.max(sent_at) + prefill_time(speed, tokens)
-            });
+        let began = self.prefills_ended.get(engine).copied();
+        let mut queue = queue.into_iter();
+        let Some((sent_at, tokens)) = queue.next() else {
+            return time::Duration::ZERO;
+        };
+        // The first one hasn't ended, even if it should have.
+        let first_end = began.unwrap_or_default().max(sent_at) + prefill_time(speed, tokens);
+        let end = queue.fold(first_end.max(now), |end, (sent_at, tokens)| {
+            end.max(sent_at) + prefill_time(speed, tokens)
+        });
         end.saturating_sub(now)
     }
 
--- a/lib/src/engine_memory.rs
+++ b/lib/src/engine_memory.rs
@@ -33,6 +33,15 @@
 }
 
 impl Need {
+    /// Returns the need of a request of whose predicted `output` tokens `generated` were generated before. An engine
+    /// that goes on reads these with the prompt.
+    pub fn with_generated(prompt: u32, output: u32, generated: u32) -> Self {
+        Self {
+            prompt: prompt.saturating_add(generated),
+            output: output.saturating_sub(generated).max(output / 5).max(1),
+        }
+    }
+
     /// Returns the memory of the run when it starts.
     fn initial_memory(self) -> RunMemory {
         RunMemory {
@@ -42,6 +51,13 @@
     }
 }
 
+/// Returns the tokens of the events that a caller who resumes its stream has already. The caller states the last one,
+/// so they are at most the tokens that it allowed.
+pub fn delivered_tokens(last_event: Option<u64>, tokens_per_event: u32, max_output: u32) -> u32 {
+    let events = last_event.unwrap_or_default().min(u64::from(u32::MAX)) as u32;
+    events.saturating_mul(tokens_per_event).min(max_output)
+}
+
 /// The kind of run that is to be placed. It decides how much of an engine's memory may be filled.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunKind {
