--- a/lib/src/server_health.rs
+++ b/lib/src/server_health.rs
@@ -279,6 +279,14 @@
             .is_none_or(|record| record.no_reuse_until <= now)
     }
 
+    /// Returns whether the server was unreachable or silent to this host, is avoided for it, and hasn't responded
+    /// since.
+    pub fn is_away(&self, id: &str, now: time::Duration) -> bool {
+        self.records.get(id).is_some_and(|record| {
+            record.unreachable > 0 && now < record.avoid_until.max(record.silent_until)
+        })
+    }
+
     /// Returns whether the server should get no requests for now if there are others.
     pub fn is_avoided(&self, id: &str, now: time::Duration) -> bool {
         let until = |record: &ServerRecord| {
@@ -313,12 +321,7 @@
         random: u32,
         now: time::Duration,
     ) -> Option<&'a sync::Arc<backends::Backend>> {
-        let untried = || servers.iter().filter(|s| !tried.contains(&s.id));
-        let not_avoided: Vec<_> = untried().filter(|s| !self.is_avoided(&s.id, now)).collect();
-        let candidates = match not_avoided.is_empty() {
-            true => untried().collect(),
-            false => not_avoided,
-        };
+        let candidates = self.candidates(servers, tried, now);
         let start = random as usize % candidates.len().max(1);
         let rotated = candidates[start..].iter().chain(&candidates[..start]);
         let costs = rotated.map(|server| (self.cost(server, zone), *server));
@@ -326,6 +329,26 @@
         cheapest.map(|(_, server)| server)
     }
 
+    /// Returns the servers that aren't in `tried` and not avoided, or if none is left, those that are avoided.
+    pub fn candidates<'a>(
+        &self,
+        servers: &'a [sync::Arc<backends::Backend>],
+        tried: &[sync::Arc<str>],
+        now: time::Duration,
+    ) -> Vec<&'a sync::Arc<backends::Backend>> {
+        let untried = || servers.iter().filter(|s| !tried.contains(&s.id));
+        let not_avoided: Vec<_> = untried().filter(|s| !self.is_avoided(&s.id, now)).collect();
+        match not_avoided.is_empty() {
+            true => untried().collect(),
+            false => not_avoided,
+        }
+    }
+
+    /// Returns the number of requests sent to a server that haven't ended yet.
+    pub fn outstanding(&self, id: &str) -> u32 {
+        self.records.get(id).map_or(0, |record| record.outstanding)
+    }
+
     /// Returns the expected cost of a request to a server: its latency in milliseconds, raised for servers
     /// that are busy, fail requests or are in another zone.
     fn cost(&self, server: &backends::Backend, zone: &str) -> f64 {
