engine_placement: hold engines that start or recover back from some requests

An engine that has just started has the lowest predicted peak, so all hosts place on it until they hear of each other's runs, whether or not it does what it is asked. A part can now be set for an engine: that part of the requests, drawn by request and engine, sees it as any other, the rest behind all others, in both stages. A higher cost in place of a draw was ruled out: cost decides, so the engine would idle until the others are full, and no answer would show that it is sound. Without parts the order is as before.

--- a/lib/src/engine_load.rs
+++ b/lib/src/engine_load.rs
@@ -10,6 +10,7 @@
 use crate::engine_memory;
 pub use crate::engine_placement::Full;
 pub use crate::engine_placement::Placement;
+use crate::rendezvous;
 use crate::work_index;
 pub use crate::work_index::Key;
 
@@ -139,6 +140,8 @@
     prefills: work_index::Index<QueuedPrefill>,
     /// Measured speeds by engine.
     speeds: collections::HashMap<sync::Arc<str>, Speed>,
+    /// The part of its fair share that each engine gets that starts or recovers.
+    parts: collections::HashMap<sync::Arc<str>, f64>,
     /// The speed assumed for engines without measurements: an average over all engines.
     typical: Speed,
     /// Number of samples of token times in `typical`.
@@ -305,6 +308,31 @@
         self.runs.remove_engine(engine);
         self.prefills.remove_engine(engine);
         self.speeds.remove(engine);
+        self.parts.remove(engine);
+    }
+
+    /// Sets the part of its fair share that an engine gets, from above 0 to 1.
+    pub fn set_part(&mut self, engine: &sync::Arc<str>, part: f64) {
+        if part < 1.0 {
+            self.parts.insert(engine.clone(), part);
+        } else {
+            self.parts.remove(engine);
+        }
+    }
+
+    /// Returns whether any engine gets only a part of its fair share.
+    pub(crate) fn any_has_part(&self) -> bool {
+        !self.parts.is_empty()
+    }
+
+    /// Returns whether a request, drawn by `salt`, takes an engine only if no other is left, as the engine gets only
+    /// a part of its fair share.
+    pub(crate) fn is_held_back(&self, engine: &str, salt: &str) -> bool {
+        let part = self.parts.get(engine);
+        part.is_some_and(|part| {
+            let draw = rendezvous::score(engine, &format!("{salt} part"));
+            draw as f64 / u64::MAX as f64 >= *part
+        })
     }
 
     /// Returns the runs that a host sent, each with the host's number for it.
--- a/lib/src/engine_placement.rs
+++ b/lib/src/engine_placement.rs
@@ -26,6 +26,8 @@
 const JITTER_DIVISOR: u64 = 2;
 /// Prefill completion times in the same interval of this many milliseconds count as equal.
 const PREFILL_TIE_MS: u128 = 20;
+/// Added to the cost of an engine that is held back: more than any cost by memory.
+const HELD_BACK_COST: u64 = 1 << 40;
 
 /// Number of ranks of versions; see `reluctance`.
 const RANKS: usize = 3;
@@ -88,7 +90,8 @@
     ///
     /// Engines of versions that are running out get new runs only if no other engine can take them,
     /// and engines of versions without prefill engines after those, unless no version has any.
-    /// While the preferred engines are few for the hosts, only some of the requests prefer them.
+    /// While the preferred engines are few for the hosts, only some of the requests prefer them. Engines that
+    /// start or recover are held back from some of the requests, which take them only if no other engine is left.
     ///
     /// # Errors
     ///
@@ -103,7 +106,7 @@
         now: time::Duration,
     ) -> Result<Placement, Full> {
         let prefills = match limits.prefill_within {
-            Some(_) => self.earliest_prefills(engines, need, zone, now),
+            Some(within) => self.earliest_prefills(engines, need, within, (zone, salt), now),
             None => EarliestPrefills::new(),
         };
         let within = limits.prefill_within.unwrap_or_default();
@@ -131,6 +134,10 @@
             let hash = rendezvous::score(&engine.id, salt);
             let jitter = hash % (u64::from(limits.memory_tokens) / JITTER_DIVISOR);
             let cost = ((peak + zone_penalty + jitter) as f64 * self.slowness(&engine.id)) as u64;
+            let cost = match self.is_held_back(&engine.id, salt) {
+                true => cost.saturating_add(HELD_BACK_COST),
+                false => cost,
+            };
             ranks[reluctance(&engine.version, &prefills, limits)].add(cost, engine);
         }
         if let Some(decode) = choose_rank(&ranks, limits.run_kind, salt) {
@@ -156,11 +163,17 @@
         &self,
         engines: &'a [sync::Arc<backends::Backend>],
         need: engine_memory::Need,
-        zone: &str,
+        within: time::Duration,
+        (zone, salt): (&str, &str),
         now: time::Duration,
     ) -> EarliestPrefills<'a> {
+        let any_has_part = self.any_has_part();
         let order = |after: time::Duration, engine: &backends::Backend| {
-            (after.as_millis() / PREFILL_TIE_MS, &*engine.zone != zone)
+            let held_back = any_has_part && self.is_held_back(&engine.id, salt);
+            // An engine that is held back takes a prompt that no other can prefill in time.
+            let too_late = any_has_part && after > within;
+            let tie = after.as_millis() / PREFILL_TIE_MS;
+            (too_late, held_back, tie, &*engine.zone != zone)
         };
         let mut earliest = EarliestPrefills::new();
         for engine in engines {
