router: choose by learned speed and pace servers, where a deployment's features say so

With learns_servers, hosts record how requests end at plain servers, tell each other their sums in whole states, at most twice a second and 16 servers a message, and choose in proportion to learned speed. With paces_servers, a server that joins, restarts, or was avoided gets a part of its share until its answers to all hosts show that it is sound; engines as well, where an avoidance counts only if the engine was unreachable or silent, as a change of stage is one too. Without the features the choice is as before, nothing is told, and what others tell is ignored. Log line server-pace, counter server_pace_spells, histogram server_pace_spell.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -31,6 +31,7 @@
 use crate::router::crash_witness;
 use crate::router::links;
 use crate::router::retry_budget;
+use crate::router::server_choice;
 use crate::router::server_limits;
 use crate::router::settings;
 use crate::router::telemetry;
@@ -66,6 +67,8 @@
     pub(crate) peers: sync::Mutex<peers::Peers>,
     /// The limits that backend servers named.
     pub(crate) server_limits: sync::Mutex<server_limits::Limits>,
+    /// What all hosts know of the speed of backend servers, and which ones start or recover.
+    pub(crate) server_choice: sync::Mutex<server_choice::Learned>,
     /// Servers that asked to get nothing for some time.
     pub(crate) server_pauses: sync::Mutex<server_pauses::Pauses>,
     /// Which servers this host reaches.
@@ -167,6 +170,7 @@
             servers_listed: atomic::AtomicBool::new(false),
             peers: sync::Mutex::default(),
             server_limits: sync::Mutex::default(),
+            server_choice: sync::Mutex::default(),
             server_pauses: sync::Mutex::default(),
             links: sync::Arc::default(),
             via_peer: via_peer::Peers::default(),
--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -18,6 +18,7 @@
 use crate::router::part_marks;
 use crate::router::prefills;
 use crate::router::send;
+use crate::router::server_choice;
 use crate::router::stream_request;
 use crate::router::via_peer;
 
@@ -336,6 +337,7 @@
         let took = cx.now().saturating_sub(started);
         cx.telemetry.time("prefill", took);
         locks::lock(&cx.health).record_response(&server.id, cx.now());
+        server_choice::record_engine(&cx, server, true);
         running.completed = true;
         Ok(prefills::KvHandle {
             cx: cx.clone(),
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -18,6 +18,7 @@
 use crate::router::part_marks;
 use crate::router::prefills;
 use crate::router::send;
+use crate::router::server_choice;
 use crate::router::stream_request;
 use crate::router::via_peer;
 
@@ -274,6 +275,7 @@
         };
         if response.status.is_success() && response.head.signed && !response.head.encoded {
             locks::lock(&cx.health).record_response(&server.id, cx.now());
+            server_choice::record_engine(cx, server, true);
             if let Some(handle) = &mut handle {
                 handle.fetched = true;
                 locks::lock(&cx.health).record_fetched_prefill(&handle.server.id);
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -38,6 +38,7 @@
 mod run_move;
 mod send;
 mod served_version_store;
+mod server_choice;
 mod server_limits;
 mod server_notices;
 mod stage_orders;
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -23,6 +23,7 @@
 use crate::router::crash_marks;
 use crate::router::events::event;
 use crate::router::links;
+use crate::router::server_choice;
 use crate::router::server_limits;
 use crate::router::server_notices;
 use crate::router::stream_versions;
@@ -111,6 +112,7 @@
 fn add_announcements<D: dialect::Dialect>(cx: &context::Router<D>, state: &mut news::News) {
     state.crash_marks = crash_marks::next_announced(cx);
     state.served_versions = stream_versions::served(cx);
+    state.server_answers = server_choice::announced(cx);
 }
 
 /// Makes the message that tells only how the work in `state` differs from what was announced, and records that it is
@@ -214,6 +216,7 @@
         leaving_servers: server_notices::announced(cx),
         work_changes: None,
         applies_work_changes: true,
+        server_answers: Vec::new(),
     }
 }
 
@@ -292,6 +295,7 @@
     crash_marks::merge_received(cx, message.crash_marks);
     server_notices::merge_received(cx, message.leaving_servers);
     server_limits::merge_received(cx, &name, message.server_limits, message.demand);
+    server_choice::merge_received(cx, &name, message.server_answers);
     stream_versions::record_served(cx, message.served_versions);
     cx.engine_load_changed.notify_waiters();
     if message.config_version > cx.table().map_or(0, |table| table.version) {
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -11,6 +11,7 @@
 use walnuthaven_lib::outcome;
 use walnuthaven_lib::retry_share;
 use walnuthaven_lib::routing;
+use walnuthaven_lib::server_speed;
 
 use crate::locks;
 use crate::router::answer;
@@ -21,6 +22,7 @@
 use crate::router::part_marks;
 use crate::router::plain_progress;
 use crate::router::send;
+use crate::router::server_choice;
 use crate::router::server_limits;
 use crate::router::server_notices;
 use crate::router::stream_request;
@@ -171,7 +173,6 @@
 
     /// Chooses a usable server that isn't in `tried` and below its limit, which the send then counts against.
     fn choose_server(&self, tried: &[sync::Arc<str>]) -> Option<sync::Arc<backends::Backend>> {
-        let now = self.cx.now();
         let priority = self.received.priority;
         let mut servers = self.usable_servers();
         servers.retain(|server| !tried.contains(&server.id));
@@ -182,11 +183,9 @@
         }
         server_notices::remove_paused(self.cx, &mut servers);
         server_limits::remove_limited(self.cx, &mut servers, self.service, priority);
-        let zone = self.cx.settings().zone.clone();
-        let health = locks::lock(&self.cx.health);
-        let chosen = health.choose(&servers, tried, &zone, rand::random(), now)?;
-        server_limits::record_sent(self.cx, chosen, priority);
-        Some(chosen.clone())
+        let chosen = server_choice::choose(self.cx, &servers, tried)?;
+        server_limits::record_sent(self.cx, &chosen, priority);
+        Some(chosen)
     }
 
     fn usable_servers(&self) -> Vec<sync::Arc<backends::Backend>> {
@@ -390,6 +389,12 @@
         let took = cx.now().saturating_sub(started);
         let failed = status.is_server_error() || head.not_run;
         locks::lock(&cx.health).record_answer(&server.id, took, failed, cx.now());
+        let late = took > self.route.target_latency;
+        let ending = match failed {
+            true => server_speed::Ending::Failed,
+            false => server_speed::Ending::Answered { took, late },
+        };
+        server_choice::record(cx, server, ending);
         cx.telemetry.time("plain.answer", took);
         let failed_send = |outcome, cause, answer| plain_progress::FailedSend {
             failure: send::SendFailure { outcome, cause },
@@ -452,6 +457,9 @@
         failure: send::SendFailure,
         was_silent: bool,
     ) -> plain_progress::FailedSend {
+        if !failure.outcome.is_not_run() {
+            server_choice::record(self.cx, server, server_speed::Ending::Failed);
+        }
         match failure.outcome {
             outcome::Outcome::NeverWritten
             | outcome::Outcome::RefusedUnrun
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -23,6 +23,7 @@
 use crate::router::news;
 use crate::router::peer_service;
 use crate::router::served_version_store;
+use crate::router::server_choice;
 use crate::router::server_limits;
 use crate::router::settings;
 use crate::router::stage_orders;
@@ -118,6 +119,7 @@
         locks::lock(&cx.server_pauses).expire(now);
         cx.connection_pool.prune(now);
         server_limits::expire(&cx);
+        server_choice::update(&cx);
         links::expire(&cx);
     }
 }
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -19,6 +19,7 @@
 use crate::router::context;
 use crate::router::crash_mark_store;
 use crate::router::events::event;
+use crate::router::server_choice;
 use crate::router::store;
 
 /// First pause after a failed call. Doubled after each further failure.
@@ -372,5 +373,6 @@
         locks::lock(&cx.health).forget(&server.id);
         locks::lock(&cx.engine_load).forget_engine(&server.id);
     }
+    server_choice::record_change(cx, &change);
     cx.engine_load_changed.notify_waiters();
 }
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -20,6 +20,7 @@
 use crate::router::events::event;
 use crate::router::links;
 use crate::router::send;
+use crate::router::server_choice;
 use crate::router::stream_versions;
 use crate::router::via_peer;
 
@@ -328,6 +329,9 @@
             }
         }
         drop(health);
+        if failure.outcome != outcome::Outcome::Quarantined {
+            server_choice::record_engine(&self.cx, server, false);
+        }
         self.cx.news_due.notify_one();
         self.silent_server.take_if(|silent| *silent == server.id);
         if !self.failed_servers.contains(&server.id) {
