--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -33,6 +33,7 @@
 use crate::router::crash_witness;
 use crate::router::links;
 use crate::router::retry_budget;
+use crate::router::server_choice;
 use crate::router::server_limits;
 use crate::router::settings;
 use crate::router::telemetry;
@@ -71,6 +72,8 @@
     pub(crate) server_limits: sync::Mutex<server_limits::Limits>,
     /// The room at the servers of plain services.
     pub(crate) plain_room: sync::Mutex<plain_room::PlainRoom>,
+    /// What all hosts know of the speed of backend servers, and which ones start or recover.
+    pub(crate) server_choice: sync::Mutex<server_choice::Learned>,
     /// Servers that asked to get nothing for some time.
     pub(crate) server_pauses: sync::Mutex<server_pauses::Pauses>,
     /// What workspaces may use and have used.
@@ -180,6 +183,7 @@
             peers: sync::Mutex::default(),
             server_limits: sync::Mutex::default(),
             plain_room: sync::Mutex::default(),
+            server_choice: sync::Mutex::default(),
             server_pauses: sync::Mutex::default(),
             workspace_limits: sync::Mutex::new(limits),
             links: sync::Arc::default(),
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -24,6 +24,7 @@
 use crate::router::events::event;
 use crate::router::links;
 use crate::router::plain_room;
+use crate::router::server_choice;
 use crate::router::server_limits;
 use crate::router::server_notices;
 use crate::router::stream_record_store;
@@ -123,6 +124,7 @@
     state.served_versions = stream_versions::served(cx);
     workspace_limits::add_state(cx, state);
     plain_room::add_announced(cx, &mut state.demand);
+    state.server_answers = server_choice::announced(cx);
 }
 
 /// Makes the message that tells only how the work in `state` differs from what was announced, and records that it is
@@ -231,6 +233,7 @@
         keeps_workspace_limits: false,
         workspace_use: Vec::new(),
         saved_streams: stream_record_store::next_announced(cx),
+        server_answers: Vec::new(),
     }
 }
 
@@ -311,6 +314,7 @@
     server_notices::merge_received(cx, message.leaving_servers);
     plain_room::merge_received(cx, &name, &message.demand);
     server_limits::merge_received(cx, &name, message.server_limits, message.demand);
+    server_choice::merge_received(cx, &name, message.server_answers);
     stream_versions::record_served(cx, message.served_versions);
     if message.keeps_workspace_limits {
         workspace_limits::merge_state(cx, &name, message.incarnation, message.workspace_use);
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -24,6 +24,7 @@
 use crate::router::peer_service;
 use crate::router::plain_room;
 use crate::router::served_version_store;
+use crate::router::server_choice;
 use crate::router::server_limits;
 use crate::router::settings;
 use crate::router::stage_orders;
@@ -124,6 +125,7 @@
         server_limits::expire(&cx);
         workspace_limits::expire(&cx);
         plain_room::expire(&cx);
+        server_choice::update(&cx);
         links::expire(&cx);
     }
 }
