plain_room: follow shortages between requests too

Of those that remained late many were refused first and told to return in 200 ms while the shortage lasted; supposed cause: a host with few requests forgot it in between.

Shortages are followed whenever a host looks at the room, also when it tells the others. Nothing is learned of servers in a host's first second.

--- a/lib/src/plain_room.rs
+++ b/lib/src/plain_room.rs
@@ -39,7 +39,7 @@
 /// that in which a burst does.
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
 const MAX_RETRY_AFTER: time::Duration = time::Duration::from_secs(2);
-/// A shortage ends once there was room for this long: about three requests of one host.
+/// A shortage ends once there was room for this long: three intervals at which hosts tell each other.
 const SHORTAGE_GAP: time::Duration = time::Duration::from_secs(1);
 /// Averages since the first request count as those of this time at least.
 const MIN_AVERAGED: time::Duration = time::Duration::from_millis(300);
@@ -143,8 +143,8 @@
     asked: f64,
     /// Requests a second that may be sent.
     capacity: f64,
-    /// Whether most slots are taken, so that requests may be refused.
-    is_taken: bool,
+    /// Whether more is asked for and most slots are taken, so that requests may be refused.
+    is_short: bool,
 }
 
 impl Service {
@@ -204,7 +204,8 @@
                 works[index].add(*work);
             }
         }
-        let is_short = now < self.tells_until;
+        // The answers to the first requests are yet to come, so averages say too little of what servers do.
+        let learns = now < self.tells_until && now >= self.since + demand::AVERAGE_TIME;
         let mut room = Room {
             asked,
             ..Room::default()
@@ -214,7 +215,7 @@
         let mut outstanding = 0.0;
         for (place, work) in self.places.iter().zip(works) {
             let work = work.times(scale);
-            if is_short {
+            if learns {
                 self.servers.learn(&place.process, place.slots, work, now);
             }
             let does = self.servers.capacity(&place.process, place.slots)?;
@@ -227,7 +228,14 @@
         if asked > TELL_ABOVE * capacity {
             self.tells_until = now + TELL_FOR;
         }
-        room.is_taken = outstanding >= MIN_TAKEN_SHARE * slots;
+        let is_taken = outstanding >= MIN_TAKEN_SHARE * slots;
+        room.is_short = is_taken && asked > room.capacity;
+        if room.is_short {
+            if now > self.short_at + SHORTAGE_GAP {
+                self.short_since = now;
+            }
+            self.short_at = now;
+        }
         Some(room)
     }
 
@@ -310,13 +318,9 @@
         let Some(room) = service.room(now) else {
             return Decision::Send;
         };
-        if room.asked <= room.capacity || !room.is_taken {
+        if !room.is_short {
             return Decision::Send;
         }
-        if now > service.short_at + SHORTAGE_GAP {
-            service.short_since = now;
-        }
-        service.short_at = now;
         let share = service.workspace_share(ask, room);
         let share = service.priority_share(ask, share).clamp(0.0, 1.0);
         let credit = service.credits.entry(key).or_insert(Credit {
