start_pace: failures that all servers have don't hold a sound one back

Slow servers and news that are late were ruled out: the lines at the end of the spells show no late answers and 5 to 10% failed.

Failures up to twice the rate of the service's servers together now count as chance, for the part and for growth by time.

--- a/daemon/src/router/server_choice.rs
+++ b/daemon/src/router/server_choice.rs
@@ -41,6 +41,7 @@
         &mut self,
         cx: &context::Router<D>,
         server: &backends::Backend,
+        usual_failures: f64,
         now: time::Duration,
     ) -> f64 {
         if self.paces.is_empty() {
@@ -54,6 +55,7 @@
         let evidence = start_pace::Evidence {
             recent: self.speeds.recent(&process, now),
             enough: per_slot * f64::from(server.slots.max(1)),
+            usual_failures,
         };
         let pace = self.paces.pace(&process, evidence, now);
         if let start_pace::Pace::Ended(after) = pace {
@@ -107,6 +109,10 @@
     };
     let mut learned = locks::lock(&cx.server_choice);
     let estimates = learned.speeds.estimates(&usable, now);
+    let usual_failures = match learned.paces.is_empty() {
+        true => 0.0,
+        false => learned.speeds.failure_rate(&usable, now),
+    };
     let candidates: Vec<_> = usable
         .iter()
         .zip(estimates)
@@ -115,7 +121,7 @@
             |((server, estimate), outstanding)| server_share::Candidate {
                 server,
                 estimate,
-                part: learned.part(cx, server, now),
+                part: learned.part(cx, server, usual_failures, now),
                 outstanding,
             },
         )
@@ -159,7 +165,7 @@
             return;
         }
         learned.speeds.record(&server.process(), ending, false, now);
-        learned.part(cx, server, now)
+        learned.part(cx, server, 0.0, now)
     };
     locks::lock(&cx.engine_load).set_part(&server.id, part);
 }
@@ -179,7 +185,7 @@
     let part = {
         let mut learned = locks::lock(&cx.server_choice);
         learned.begin(cx, server, "started", server_speed::Sums::default());
-        learned.part(cx, server, cx.now())
+        learned.part(cx, server, 0.0, cx.now())
     };
     if server.stage.is_some() {
         locks::lock(&cx.engine_load).set_part(&server.id, part);
@@ -227,7 +233,7 @@
         }
         for engine in listed.iter().filter(|server| server.stage.is_some()) {
             if learned.paces.is_paced(&engine.process()) {
-                parts.push((engine.id.clone(), learned.part(cx, engine, now)));
+                parts.push((engine.id.clone(), learned.part(cx, engine, 0.0, now)));
             }
         }
     }
--- a/lib/src/server_speed.rs
+++ b/lib/src/server_speed.rs
@@ -275,6 +275,19 @@
         entry.map_or(Sums::default(), |entry| entry.all(now).recent)
     }
 
+    /// Returns the part of the requests that these servers of one service fail, all together.
+    pub fn failure_rate(
+        &self,
+        servers: &[sync::Arc<backends::Backend>],
+        now: time::Duration,
+    ) -> f64 {
+        let recent = servers
+            .iter()
+            .map(|server| self.recent(&server.process(), now));
+        let total = recent.fold(Sums::default(), |total, recent| total.plus(&recent));
+        total.failed / (total.count + TYPICAL_ANSWERS)
+    }
+
     /// Returns what is expected of these servers of one service.
     pub fn estimates(
         &self,
--- a/lib/src/start_pace.rs
+++ b/lib/src/start_pace.rs
@@ -22,6 +22,8 @@
 const UNKNOWN_FOR: time::Duration = time::Duration::from_secs(5);
 /// Longest spell. The learned time and failures say more by then.
 const LONGEST_SPELL: time::Duration = time::Duration::from_secs(10);
+/// Failures up to this many times the usual rate of the service are chance.
+const CHANCE_FACTOR: f64 = 2.0;
 /// Late or failed answers below this have faded.
 const FADED: f64 = 0.5;
 
@@ -45,6 +47,8 @@
     pub recent: server_speed::Sums,
     /// Number of good answers that show it to be sound.
     pub enough: f64,
+    /// Part of the requests that the servers of its service fail, from 0 to 1.
+    pub usual_failures: f64,
 }
 
 /// What a spell allows.
@@ -122,9 +126,11 @@
 fn part(spell: &Spell, evidence: Evidence, elapsed: time::Duration) -> f64 {
     let since = evidence.recent.minus(&spell.before.recent_faded(elapsed));
     let good = (since.answered() - since.late).max(0.0);
-    let bad = LATE_WEIGHT * since.late + FAILED_WEIGHT * since.failed;
+    let by_chance = CHANCE_FACTOR * evidence.usual_failures * since.count;
+    let failed = (since.failed - by_chance).max(0.0);
+    let bad = LATE_WEIGHT * since.late + FAILED_WEIGHT * failed;
     let shown = START_PART + (good - bad) / evidence.enough.max(1.0);
-    let grown = match since.late + since.failed < FADED {
+    let grown = match since.late + failed < FADED {
         true => elapsed.as_secs_f64() / UNKNOWN_FOR.as_secs_f64(),
         false => 0.0,
     };
--- a/lib/tests/plain_fleet/mod.rs
+++ b/lib/tests/plain_fleet/mod.rs
@@ -168,6 +168,7 @@
             .map(|(i, s)| (i, s.backend.clone()))
             .unzip();
         let estimates = host.speeds.estimates(&listed, at(now));
+        let usual_failures = host.speeds.failure_rate(&listed, at(now));
         let candidates: Vec<_> = listed
             .iter()
             .zip(estimates)
@@ -177,6 +178,7 @@
                 let evidence = start_pace::Evidence {
                     recent: host.speeds.recent(&process, at(now)),
                     enough: f64::from(SLOTS),
+                    usual_failures,
                 };
                 server_share::Candidate {
                     server,
--- a/lib/tests/start_pace.rs
+++ b/lib/tests/start_pace.rs
@@ -25,6 +25,11 @@
     sound(now, draws).filter(|_| !fails)
 }
 
+/// Fails as many requests as all servers of its service do, by what callers send.
+fn sound_but_for_callers(now: u64, draws: &mut plain_fleet::Draws) -> Option<f64> {
+    sound(now, draws).filter(|_| draws.next() > 0.09)
+}
+
 /// Plays 86 hosts, 211 requests a second and three sound servers, with one more that joins. In its first second it
 /// never gets more than its slots at once.
 fn played(behaviour: Behaviour, seed: u64) -> plain_fleet::Fleet {
@@ -60,6 +65,21 @@
     assert!(at_first < 0.5, "{at_first}");
 }
 
+/// Failures that all servers have don't hold a sound one back.
+#[test]
+fn usual_failures() {
+    let play = |seed| {
+        let behaviours = [sound_but_for_callers as Behaviour; 4];
+        let mut fleet = plain_fleet::Fleet::new(86, &behaviours, seed);
+        fleet.servers[3].joins = JOINS;
+        fleet.run_until(JOINS + 1_500, 211.0);
+        fleet
+    };
+    let fleets: Vec<_> = SEEDS.map(play).collect();
+    let after_a_second = part(&fleets, 1_000..1_500);
+    assert!(after_a_second >= 0.9, "{after_a_second}");
+}
+
 /// While it is slow, few requests find that out; it has 90% of its share within three seconds after.
 #[test]
 fn slow_start() {
