--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -15,11 +15,13 @@
 use walnuthaven_lib::engine_load;
 use walnuthaven_lib::ids;
 use walnuthaven_lib::peers;
+use walnuthaven_lib::plain_room;
 use walnuthaven_lib::retry_share;
 use walnuthaven_lib::routing;
 use walnuthaven_lib::served_versions;
 use walnuthaven_lib::server_health;
 use walnuthaven_lib::server_pauses;
+use walnuthaven_lib::stream_records;
 use walnuthaven_lib::stream_versions;
 use walnuthaven_lib::wait_queue;
 
@@ -37,6 +39,7 @@
 use crate::router::telemetry;
 use crate::router::trials;
 use crate::router::via_peer;
+use crate::router::workspace_limits;
 
 /// Up to one in this many of the connections that a server accepts may be idle.
 const IDLE_DIVISOR: usize = 2;
@@ -69,8 +72,12 @@
     pub(crate) server_limits: sync::Mutex<server_limits::Limits>,
     /// What all hosts know of the speed of backend servers, and which ones start or recover.
     pub(crate) server_choice: sync::Mutex<server_choice::Learned>,
+    /// The room at the servers of plain services.
+    pub(crate) plain_room: sync::Mutex<plain_room::PlainRoom>,
     /// Servers that asked to get nothing for some time.
     pub(crate) server_pauses: sync::Mutex<server_pauses::Pauses>,
+    /// What workspaces may use and have used.
+    pub(crate) workspace_limits: sync::Mutex<workspace_limits::Limits>,
     /// Which servers this host reaches.
     pub(crate) links: sync::Arc<links::Links>,
     /// Connections to the hosts that serve requests in place of this one.
@@ -117,6 +124,10 @@
     pub(crate) crash_marks_unsaved: tokio::sync::Notify,
     /// Which software version began each recent stream.
     pub(crate) stream_versions: sync::Mutex<stream_versions::StreamVersions>,
+    /// Which of them the store holds.
+    pub(crate) stream_records: sync::Mutex<stream_records::StreamRecords>,
+    /// Set once this host has read which streams the store holds, or knows that it need not.
+    pub(crate) stream_records_read: sync::OnceLock<()>,
     /// Wakes requests that wait until other hosts tell which version began a stream.
     pub(crate) stream_versions_changed: tokio::sync::Notify,
     /// Streams that other hosts are to be asked about.
@@ -159,6 +170,7 @@
             name: settings.name.clone(),
             incarnation: clock::millis(clock.unix_time()),
         };
+        let limits = workspace_limits::Limits::new(id.incarnation);
         Self {
             dialect,
             work_owner: id.to_string().into(),
@@ -171,7 +183,9 @@
             peers: sync::Mutex::default(),
             server_limits: sync::Mutex::default(),
             server_choice: sync::Mutex::default(),
+            plain_room: sync::Mutex::default(),
             server_pauses: sync::Mutex::default(),
+            workspace_limits: sync::Mutex::new(limits),
             links: sync::Arc::default(),
             via_peer: via_peer::Peers::default(),
             health: sync::Mutex::default(),
@@ -193,6 +207,8 @@
             trials: trials::Trials::default(),
             crash_marks_unsaved: tokio::sync::Notify::new(),
             stream_versions: sync::Mutex::default(),
+            stream_records: sync::Mutex::default(),
+            stream_records_read: sync::OnceLock::new(),
             stream_versions_changed: tokio::sync::Notify::new(),
             stream_queries: sync::Mutex::default(),
             stream_queries_due: tokio::sync::Notify::new(),
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -23,10 +23,13 @@
 use crate::router::crash_marks;
 use crate::router::events::event;
 use crate::router::links;
+use crate::router::plain_room;
 use crate::router::server_choice;
 use crate::router::server_limits;
 use crate::router::server_notices;
+use crate::router::stream_record_store;
 use crate::router::stream_versions;
+use crate::router::workspace_limits;
 
 /// Shortest time between two messages. Changes within that time are sent together.
 const MIN_INTERVAL: time::Duration = time::Duration::from_millis(2);
@@ -76,7 +79,11 @@
     let mut pacing = news_pacing::Pacing::default();
     loop {
         let addresses: Vec<_> = locks::lock(&cx.peers).news_addrs(&cx.id.name).collect();
-        let until_state = pacing.due_at(addresses.len()).saturating_sub(cx.now());
+        let mut due_at = pacing.due_at(addresses.len());
+        if plain_room::any_short(&cx) {
+            due_at = due_at.min(pacing.hurried_at(addresses.len()));
+        }
+        let until_state = due_at.saturating_sub(cx.now());
         let is_state = tokio::select! {
             biased;
             () = cx.news_due.notified() => {
@@ -88,11 +95,14 @@
         };
         sequence += 1;
         let mut state = build_message(&cx, sequence);
-        let changes = build_changes(&state, &mut announced).encode_to_vec();
+        let mut changes = build_changes(&state, &mut announced);
         if is_state {
             pacing.record_sent(cx.now());
             add_announcements(&cx, &mut state);
+        } else if let Some(changes) = &mut changes.work_changes {
+            changes.workspace_use = workspace_limits::changes(&cx);
         }
+        let changes = changes.encode_to_vec();
         let state = state.encode_to_vec();
         for (addr, applies_changes) in addresses {
             let message = match !is_state && applies_changes {
@@ -113,6 +123,8 @@
     state.crash_marks = crash_marks::next_announced(cx);
     state.served_versions = stream_versions::served(cx);
     state.server_answers = server_choice::announced(cx);
+    workspace_limits::add_state(cx, state);
+    plain_room::add_announced(cx, &mut state.demand);
 }
 
 /// Makes the message that tells only how the work in `state` differs from what was announced, and records that it is
@@ -142,10 +154,12 @@
         prefills: new_prefills.cloned().collect(),
         ended_runs: runs.ended,
         ended_prefills: prefills.ended,
+        workspace_use: Vec::new(),
     };
     news::News {
         work_changes: Some(work_changes),
         begun_streams: state.begun_streams.clone(),
+        saved_streams: state.saved_streams.clone(),
         ..news::News::default()
     }
 }
@@ -217,6 +231,9 @@
         work_changes: None,
         applies_work_changes: true,
         server_answers: Vec::new(),
+        keeps_workspace_limits: false,
+        workspace_use: Vec::new(),
+        saved_streams: stream_record_store::next_announced(cx),
     }
 }
 
@@ -239,6 +256,7 @@
             Ok(mut message) => {
                 // Versions of streams never change, so they are as good in a message that is out of order.
                 stream_versions::merge_received(&cx, std::mem::take(&mut message.begun_streams));
+                stream_record_store::record_saved(&cx, std::mem::take(&mut message.saved_streams));
                 stream_versions::answer_query(&cx, &socket, message.stream_query.take());
                 if let Some(changes) = message.work_changes.take() {
                     apply_work_changes(&cx, changes);
@@ -294,9 +312,13 @@
     apply_avoided(cx, &name, &message.avoided, now);
     crash_marks::merge_received(cx, message.crash_marks);
     server_notices::merge_received(cx, message.leaving_servers);
+    plain_room::merge_received(cx, &name, &message.demand);
     server_limits::merge_received(cx, &name, message.server_limits, message.demand);
     server_choice::merge_received(cx, &name, message.server_answers);
     stream_versions::record_served(cx, message.served_versions);
+    if message.keeps_workspace_limits {
+        workspace_limits::merge_state(cx, &name, message.incarnation, message.workspace_use);
+    }
     cx.engine_load_changed.notify_waiters();
     if message.config_version > cx.table().map_or(0, |table| table.version) {
         cx.table_outdated.notify_one();
@@ -344,6 +366,12 @@
     if !locks::lock(&cx.peers).record_update(&changes.host, update, now) {
         return;
     }
+    workspace_limits::merge_changes(
+        cx,
+        &changes.host,
+        changes.incarnation,
+        changes.workspace_use,
+    );
     let runs = changes.runs.into_iter().map(|run| read_run(run, now));
     let prefills = changes.prefills.into_iter().map(|p| read_prefill(p, now));
     let host_changes = engine_load::HostChanges {
@@ -384,6 +412,7 @@
         event!(Warn, "dependency-lost", "dependency" => "host", "host" => name);
         locks::lock(&cx.engine_load).forget_host(&name);
         locks::lock(&cx.server_limits).known.forget_host(&name);
+        locks::lock(&cx.plain_room).forget_host(&name);
         locks::lock(&cx.health).replace_peer_avoidances(&name, &[], cx.now());
         cx.engine_load_changed.notify_waiters();
     }
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -21,6 +21,7 @@
 use crate::router::events::event;
 use crate::router::part_marks;
 use crate::router::plain_progress;
+use crate::router::plain_room;
 use crate::router::send;
 use crate::router::server_choice;
 use crate::router::server_limits;
@@ -65,6 +66,9 @@
             may_have_run: forwarded.may_have_run,
             ..plain_progress::Progress::default()
         };
+        if let Some(refusal) = plain_room::refuse(self.cx, self, &self.usable_servers()) {
+            return refusal;
+        }
         let turn = part_marks::wait_for_turn(self.cx, self.received);
         if turn.await.is_err() {
             return self.refuse_quarantined(progress);
@@ -183,7 +187,8 @@
         }
         server_notices::remove_paused(self.cx, &mut servers);
         server_limits::remove_limited(self.cx, &mut servers, self.service, priority);
-        let chosen = server_choice::choose(self.cx, &servers, tried)?;
+        let chosen = plain_room::choose(self.cx, self.service, &servers)
+            .or_else(|| server_choice::choose(self.cx, &servers, tried))?;
         server_limits::record_sent(self.cx, &chosen, priority);
         Some(chosen)
     }
@@ -342,8 +347,7 @@
             false => self.deadline,
         };
         let silent_at = silent_at.min(self.deadline);
-        locks::lock(&cx.health).record_sent(&server.id);
-        let _guard = OutstandingGuard { cx, server };
+        let mut guard = plain_progress::OutstandingGuard::new(cx, self.service, server);
         let params = dialect::SendParams {
             deadline: self.deadline.saturating_sub(started),
             instance: &server.id,
@@ -396,6 +400,7 @@
         };
         server_choice::record(cx, server, ending);
         cx.telemetry.time("plain.answer", took);
+        guard.took = (!head.not_run).then_some(took);
         let failed_send = |outcome, cause, answer| plain_progress::FailedSend {
             failure: send::SendFailure { outcome, cause },
             answer,
@@ -473,15 +478,3 @@
         }
     }
 }
-
-/// Counts a request as outstanding at a server until it is dropped.
-struct OutstandingGuard<'a, D> {
-    cx: &'a sync::Arc<context::Router<D>>,
-    server: &'a backends::Backend,
-}
-
-impl<D> Drop for OutstandingGuard<'_, D> {
-    fn drop(&mut self) {
-        locks::lock(&self.cx.health).record_ended(&self.server.id);
-    }
-}
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -22,6 +22,7 @@
 use crate::router::listen;
 use crate::router::news;
 use crate::router::peer_service;
+use crate::router::plain_room;
 use crate::router::served_version_store;
 use crate::router::server_choice;
 use crate::router::server_limits;
@@ -29,6 +30,8 @@
 use crate::router::stage_orders;
 use crate::router::store;
 use crate::router::store_sync;
+use crate::router::stream_record_store;
+use crate::router::workspace_limits;
 
 /// How often silent hosts, vanished servers and expired idle connections are removed.
 const UPKEEP_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -98,6 +101,7 @@
     crash_checks::spawn(&cx, crash_checks_rx);
     crash_mark_store::spawn(&cx);
     served_version_store::spawn(&cx);
+    stream_record_store::spawn(&cx);
     stage_orders::spawn(&cx);
     tokio::spawn(register(cx.clone()));
     tokio::spawn(upkeep(cx.clone()));
@@ -120,6 +124,8 @@
         cx.connection_pool.prune(now);
         server_limits::expire(&cx);
         server_choice::update(&cx);
+        workspace_limits::expire(&cx);
+        plain_room::expire(&cx);
         links::expire(&cx);
     }
 }
