--- a/daemon/tests/fault_soak.rs
+++ b/daemon/tests/fault_soak.rs
@@ -243,6 +243,7 @@
         id: "r".to_owned(),
         host: 0,
         in_touch: true,
+        after_kill: false,
         version_serves: true,
         ready: (1, 1),
         cut: false,
@@ -311,6 +312,24 @@
     assert_eq!(count_broken_streams(1, &late), 1, "refused late");
 }
 
+#[test]
+fn checker_finds_streams_that_do_not_go_on_after_a_kill() {
+    let begun = stream_tries::Try {
+        complete: false,
+        ..try_with("v1", 1..=2)
+    };
+    let after_kill = |of: stream_tries::Try| stream_tries::Try {
+        in_touch: false,
+        after_kill: true,
+        ..of
+    };
+    let refused = [begun.clone(), after_kill(refused_after(20))];
+    assert_eq!(count_broken_streams(11, &refused), 0, "too few to tell");
+    assert_eq!(count_broken_streams(12, &refused), 1);
+    let goes_on = [begun, after_kill(try_with("v1", 3..=4))];
+    assert_eq!(count_broken_streams(12, &goes_on), 0);
+}
+
 /// Returns a request and its complete answer.
 fn request(id: &str, repeatable: bool, status: u16, body: &str) -> history::SentRequest {
     history::SentRequest {
