shared_limits: begin with an empty bucket instead of a debt

Cause: after all hosts were killed, the buckets of all workspaces began with a debt of 0.75 s of their limits, refilled at first only by each host's small part.

Ruled out: that the limit needs the debt. An empty bucket presumes that the burst is used; what killed hosts hadn't told is bounded by the untold time, which is half of what a limit may be exceeded by.

Change: buckets begin empty.

Measured: all 13 tests of shared_limits.rs pass with their bounds as they were, `killed_hosts` and `first_use` among them.

--- a/lib/src/shared_bucket.rs
+++ b/lib/src/shared_bucket.rs
@@ -120,12 +120,6 @@
         self.level = level.min(self.capacity(share)).max(least);
     }
 
-    /// Returns what other hosts may have used without telling it before they were killed.
-    pub(crate) fn debt_of_others(&self, hosts: usize) -> f64 {
-        let others = 1.0 - 1.0 / hosts.max(1) as f64;
-        self.allowance.per_second * HEARD_TIMEOUT.as_secs_f64() * others
-    }
-
     /// Returns whether so much is untold that all hosts together might exceed the limit by it.
     pub(crate) fn is_untold(&self, hosts: usize) -> bool {
         let untold = self.own.used - self.told;
--- a/lib/src/shared_limits.rs
+++ b/lib/src/shared_limits.rs
@@ -88,8 +88,8 @@
         }
     }
 
-    /// Puts the limits of a configuration in force, in place of those before. A bucket begins in debt: it may be that
-    /// all hosts have started again, after use that none of them told.
+    /// Puts the limits of a configuration in force, in place of those before. A bucket begins empty: it may be that all
+    /// hosts have started again after the burst was used.
     pub fn set_allowances(
         &mut self,
         allowances: impl Iterator<Item = (sync::Arc<str>, Allowance)>,
@@ -106,25 +106,15 @@
                     ..shared_bucket::Bucket::default()
                 });
             bucket.refill(share, now);
-            let is_new = bucket.allowance == Allowance::default();
             bucket.allowance = allowance;
-            let debt = match is_new {
-                true => bucket.debt_of_others(self.listed),
-                false => 0.0,
-            };
-            bucket.set_level(bucket.level - debt, share);
+            bucket.set_level(bucket.level, share);
             self.buckets.insert(workspace, bucket);
         }
     }
 
     /// Records how many hosts there are, with this one; 0 if that isn't known yet.
     pub fn set_host_count(&mut self, hosts: usize) {
-        let before = std::mem::replace(&mut self.listed, hosts);
-        if before == 0 && hosts > 0 {
-            for bucket in self.buckets.values_mut() {
-                bucket.level -= bucket.debt_of_others(hosts);
-            }
-        }
+        self.listed = hosts;
     }
 
     /// Returns whether there is nothing to keep.
