workspaces: weigh shares of short room by the limits of workspaces

Cause: while a plain service was short of room, all workspaces were owed the same, whatever their limits.

Ruled out: weights in the settings, which nobody keeps in step with the limits; and shares by what was used before, by which a workspace gains that sends more.

Change: a workspace's weight is its limit relative to the highest one; one without a limit weighs as much as the highest. Limits that count different things can't be compared: then all weigh the same, as before.

--- a/daemon/src/router/plain_room.rs
+++ b/daemon/src/router/plain_room.rs
@@ -58,10 +58,13 @@
     let workspace = received.workspace.as_ref();
     let workspace = workspace.map_or("", |workspace| &workspace.name);
     let hosts = cx.host_count();
+    let table = cx.table();
     let ask = plain_room::Ask {
         service: request.service,
         workspace,
-        weights: &[],
+        weights: table
+            .as_ref()
+            .map_or(&[], |table| table.workspaces.weights()),
         priority: received.priority,
         servers: &places(&servers),
         hosts,
--- a/lib/src/workspaces.rs
+++ b/lib/src/workspaces.rs
@@ -67,6 +67,8 @@
 pub struct Workspaces {
     by_name: collections::BTreeMap<sync::Arc<str>, sync::Arc<Workspace>>,
     by_key: auth::KeyIndex<sync::Arc<Workspace>>,
+    /// What each workspace is owed of room that is short, relative to the others.
+    weights: Vec<(sync::Arc<str>, f64)>,
 }
 
 impl Workspaces {
@@ -96,9 +98,16 @@
                 return Err(format!("workspace name {name:?}: used twice"));
             }
         }
+        workspaces.weights = weights(workspaces.by_name.values());
         Ok(workspaces)
     }
 
+    /// Returns what each workspace is owed of room that is short, relative to the others: as much as its limit allows
+    /// it. One without a limit is owed as much as the one with the highest limit.
+    pub fn weights(&self) -> &[(sync::Arc<str>, f64)] {
+        &self.weights
+    }
+
     /// Returns whether the deployment has no workspaces.
     pub fn is_empty(&self) -> bool {
         self.by_name.is_empty()
@@ -120,6 +129,31 @@
     }
 }
 
+fn weights<'a>(
+    workspaces: impl Iterator<Item = &'a sync::Arc<Workspace>> + Clone,
+) -> Vec<(sync::Arc<str>, f64)> {
+    // Limits that count different things can't be compared.
+    let unit = |workspace: &Workspace| {
+        let counts_tokens = |limit: Limit| matches!(limit.unit, Unit::Tokens { .. });
+        workspace.limit.map(counts_tokens)
+    };
+    let mut units = workspaces.clone().filter_map(|workspace| unit(workspace));
+    let first = units.next();
+    if units.any(|unit| Some(unit) != first) {
+        return Vec::new();
+    }
+    let rates = workspaces.clone().filter_map(|workspace| workspace.limit);
+    let highest = rates.map(|limit| limit.per_second).fold(0.0, f64::max);
+    if highest == 0.0 {
+        return Vec::new();
+    }
+    let weights = workspaces.map(|workspace| {
+        let limit = workspace.limit.map_or(highest, |limit| limit.per_second);
+        (workspace.name.clone(), limit / highest)
+    });
+    weights.collect()
+}
+
 fn check(workspace: &Workspace) -> Result<(), String> {
     let name = &workspace.name;
     if name.is_empty() || !name.bytes().all(|byte| byte.is_ascii_graphic()) {
--- a/lib/tests/workspace_index.rs
+++ b/lib/tests/workspace_index.rs
@@ -82,3 +82,32 @@
     let requests = limit(1.0, 1.0, workspaces::Unit::Requests);
     assert_eq!(requests.cost(Some(&prompt)), 1.0);
 }
+
+#[test]
+fn weights_follow_limits() {
+    let with_limit = |name, limit| {
+        let mut definition = definition(name, &[]);
+        definition.workspace.limit = limit;
+        definition
+    };
+    let tokens = |per_second| {
+        let unit = workspaces::Unit::Tokens { plain: 200.0 };
+        Some(limit(per_second, 1.0, unit))
+    };
+    let weights = |definitions| {
+        let known = workspaces::Workspaces::new(definitions).unwrap();
+        known.weights().to_vec()
+    };
+    let small_and_large = vec![
+        with_limit("large", tokens(400.0)),
+        with_limit("small", tokens(100.0)),
+        with_limit("unlimited", None),
+    ];
+    let expected = [("large", 1.0), ("small", 0.25), ("unlimited", 1.0)];
+    let expected = expected.map(|(name, weight)| (name.into(), weight));
+    assert_eq!(weights(small_and_large), expected);
+    let requests = Some(limit(9.0, 1.0, workspaces::Unit::Requests));
+    let incomparable = vec![with_limit("a", tokens(400.0)), with_limit("b", requests)];
+    assert!(weights(incomparable).is_empty());
+    assert!(weights(vec![with_limit("a", None)]).is_empty());
+}
