preview: show where a request would go now, without sending it

Cause: an engineer on call could only read where requests had gone. Why a workspace waits, or a server gets nothing, had to be put together from dumps.

Ruled out: a copy of the decisions in the command line, which would drift from them; and a request that is sent and withdrawn, which counts against limits and takes room.

Change: `walnuthaven requests preview ROUTE` asks a host, which asks the functions that decide: limits of the workspace on a copy of its bucket, usable engines, placement, predicted wait, choice among plain servers. Each server that is listed is shown with its work and the reason why it was passed over. Errors name parameter and value. For that, `limits` and `predicted_wait` of engine_reservation are functions of their own, and what a request needs moved to engine_need; requests are decided on as before.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -87,6 +87,8 @@
 enum Requests {
     /// Shows the state of a request.
     Show(queries::request_show::Args),
+    /// Shows where a request would go now, and why, without sending it.
+    Preview(queries::request_preview::Args),
 }
 
 #[derive(Debug, clap::Subcommand)]
@@ -132,6 +134,9 @@
         Command::Requests(Requests::Show(args)) => {
             queries::request_show::run(&connect()?, args, format)
         }
+        Command::Requests(Requests::Preview(args)) => {
+            queries::request_preview::run(&connect()?, args, format)
+        }
         Command::Quarantine(Quarantine::List) => queries::quarantine_list::run(&connect()?, format),
         Command::Quarantine(Quarantine::Lift(args)) => {
             commands::quarantine_lift::run(&connect()?, args)
--- a/cli/src/queries/mod.rs
+++ b/cli/src/queries/mod.rs
@@ -10,6 +10,7 @@
 pub mod key;
 pub mod pools;
 pub mod quarantine_list;
+pub mod request_preview;
 pub mod request_show;
 pub mod state_dump;
 
--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -31,8 +31,6 @@
 /// Predicted wait while no engine is usable, and for a request that gave up waiting: about the time
 /// in which a server restarts.
 const NO_ENGINE_WAIT: time::Duration = time::Duration::from_millis(1_500);
-/// Maximum answer length in tokens of a request whose headers don't state one.
-const DEFAULT_MAX_OUTPUT: u32 = 512;
 
 /// Capacity that a request holds on a decode engine. Dropping it releases the capacity.
 #[derive(Debug)]
@@ -135,35 +133,6 @@
     }
 }
 
-/// Returns the tokens for which a request needs memory, from the predicted length of its answer.
-/// `generated` tokens were generated before an interruption, and count as part of the prompt.
-pub(crate) fn need_of<D: dialect::Dialect>(
-    cx: &context::Router<D>,
-    service: &str,
-    prompt: Option<&dialect::Prompt>,
-    generated: u32,
-) -> engine_memory::Need {
-    let lengths = locks::lock(&cx.answer_lengths)
-        .get(service)
-        .copied()
-        .unwrap_or_default();
-    let (tokens, max_output, hint) = match prompt {
-        Some(prompt) => (prompt.tokens, prompt.max_output, prompt.output_hint),
-        None => (0, DEFAULT_MAX_OUTPUT, None),
-    };
-    let output = lengths.predict(hint, max_output);
-    engine_memory::Need::with_generated(tokens, output, generated)
-}
-
-/// Returns the tokens of the answer that the caller has already if it resumes a stream.
-pub(crate) fn delivered_before(head: &dialect::RequestHead, engines: &routing::EnginePool) -> u32 {
-    let max_output = head
-        .prompt
-        .as_ref()
-        .map_or(DEFAULT_MAX_OUTPUT, |prompt| prompt.max_output);
-    engine_memory::delivered_tokens(head.resume_after, engines.tokens_per_event, max_output)
-}
-
 /// Waits for capacity and reserves it.
 ///
 /// # Errors
@@ -289,20 +258,7 @@
     let engines = usable_engines(cx, request, now);
     let versions_running_out =
         locks::lock(&cx.servers).versions_running_out(&request.service.name, now);
-    let limits = engine_memory::Limits {
-        memory_tokens: request.engines.memory_tokens,
-        run_kind: request.run_kind,
-        slots: request.engines.slots,
-        prefill_within: (!request.prefilled).then(|| {
-            let min = locks::lock(&cx.engine_load).prefill_time(request.need.prompt)
-                + FIRST_EVENT_OVERHEAD;
-            let left = request
-                .first_event_by
-                .saturating_sub(now + FIRST_EVENT_OVERHEAD);
-            left.max(min)
-        }),
-        versions_running_out: &versions_running_out,
-    };
+    let limits = limits(cx, request, &versions_running_out, now);
     let mut load = locks::lock(&cx.engine_load);
     let placement = load.place(
         &engines,
@@ -341,9 +297,32 @@
     Ok((reservation, placement))
 }
 
+/// Returns the limits that the placement of a request has to keep.
+pub(super) fn limits<'a, D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    request: &ReservationRequest<'_>,
+    versions_running_out: &'a [sync::Arc<str>],
+    now: time::Duration,
+) -> engine_memory::Limits<'a> {
+    engine_memory::Limits {
+        memory_tokens: request.engines.memory_tokens,
+        run_kind: request.run_kind,
+        slots: request.engines.slots,
+        prefill_within: (!request.prefilled).then(|| {
+            let min = locks::lock(&cx.engine_load).prefill_time(request.need.prompt)
+                + FIRST_EVENT_OVERHEAD;
+            let left = request
+                .first_event_by
+                .saturating_sub(now + FIRST_EVENT_OVERHEAD);
+            left.max(min)
+        }),
+        versions_running_out,
+    }
+}
+
 /// Returns the engines on which a request may be placed. Decode engines that are only avoided, but may be
 /// sound, are among them if no other decode engine is left.
-fn usable_engines<D: dialect::Dialect>(
+pub(super) fn usable_engines<D: dialect::Dialect>(
     cx: &context::Router<D>,
     request: &ReservationRequest<'_>,
     now: time::Duration,
@@ -411,7 +390,7 @@
         false => locks::lock(&cx.peers).waiting(),
     };
     let ahead_at_all_hosts = ahead + waiting_elsewhere;
-    let predicted = wait + time_between_ends(cx, request).mul_f64(ahead_at_all_hosts as f64);
+    let predicted = predicted_wait(cx, request, wait, ahead_at_all_hosts);
     if predicted <= max_wait {
         event!(Info, "waits", "id" => request.id, "service" => request.service.name,
             "cause" => cause, "predicted_ms" => predicted.as_millis() as u64,
@@ -453,13 +432,17 @@
     ))
 }
 
-/// Returns the predicted average time between the ends of two runs on the engines of the service.
-fn time_between_ends<D: dialect::Dialect>(
+/// Returns the predicted time until a request starts for which there is room after `wait`, if others were not `ahead`
+/// of it: as many runs have to end.
+pub(super) fn predicted_wait<D: dialect::Dialect>(
     cx: &context::Router<D>,
     request: &ReservationRequest<'_>,
+    wait: time::Duration,
+    ahead: usize,
 ) -> time::Duration {
     let engines = cx.group_engines(&request.service.name, request.version);
-    locks::lock(&cx.engine_load).time_between_ends(&engines)
+    let between_ends = locks::lock(&cx.engine_load).time_between_ends(&engines);
+    wait + between_ends.mul_f64(ahead as f64)
 }
 
 /// Logs that no capacity was found and makes the error, with a randomised time to retry after.
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -22,6 +22,7 @@
 use crate::router::events::event;
 use crate::router::forward;
 use crate::router::inspect;
+use crate::router::preview;
 use crate::router::workspace_limits;
 
 /// Connections that the kernel queues until they are accepted.
@@ -238,11 +239,34 @@
     answer::complete(http::StatusCode::OK, headers, body)
 }
 
+/// Answers where a request would go.
+fn answer_preview<D: dialect::Dialect>(cx: &context::Router<D>, query: &str) -> answer::Answer {
+    let (status, body) = match preview::preview(cx, query) {
+        Ok(value) => (http::StatusCode::OK, value),
+        Err(preview::Fault::Parameter(message)) => {
+            (http::StatusCode::BAD_REQUEST, error_body(&message))
+        }
+        Err(preview::Fault::Unknown(message)) => {
+            (http::StatusCode::NOT_FOUND, error_body(&message))
+        }
+    };
+    let mut answer = json_answer(Bytes::from(body.to_string()));
+    *answer.status_mut() = status;
+    answer
+}
+
+fn error_body(message: &str) -> serde_json::Value {
+    serde_json::json!({"error": {"message": message}})
+}
+
 /// Answers a request to the operators' API, or with the metrics if its path isn't one of the API's.
 fn answer_metrics<D: dialect::Dialect>(
     cx: &context::Router<D>,
     req: &http::Request<body::Incoming>,
 ) -> Result<answer::Answer, convert::Infallible> {
+    if req.uri().path() == preview::PATH {
+        return Ok(answer_preview(cx, req.uri().query().unwrap_or_default()));
+    }
     if let Some(value) = inspect::answer(cx, req.uri().path()) {
         return Ok(json_answer(Bytes::from(value.to_string())));
     }
--- a/daemon/src/router/server_choice.rs
+++ b/daemon/src/router/server_choice.rs
@@ -130,6 +130,22 @@
     server_share::choose(&candidates, zone, draws).cloned()
 }
 
+/// Returns how long an answer of a server is expected to take, if that is learned.
+pub(crate) fn expected<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    server: &sync::Arc<backends::Backend>,
+) -> Option<time::Duration> {
+    if !cx.settings().features.learns_servers {
+        return None;
+    }
+    let learned = locks::lock(&cx.server_choice);
+    let estimates = learned
+        .speeds
+        .estimates(std::slice::from_ref(server), cx.now());
+    let estimate = estimates.first()?;
+    Some(time::Duration::from_secs_f64(estimate.time_ms / 1_000.0))
+}
+
 /// Records how a request ended at a server of a plain service.
 pub(crate) fn record<D: dialect::Dialect>(
     cx: &context::Router<D>,
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -16,6 +16,7 @@
 use crate::router::answer;
 use crate::router::context;
 use crate::router::crash_marks;
+use crate::router::engine_need;
 use crate::router::engine_prepare;
 use crate::router::engine_reservation;
 use crate::router::events::event;
@@ -130,7 +131,7 @@
             version: None,
             version_recorded: false,
             last_event_at: None,
-            tokens_generated: engine_reservation::delivered_before(&received.head, &engines),
+            tokens_generated: engine_need::delivered_before(&received.head, &engines),
             moves: 0,
             may_have_run: forwarded.may_have_run,
             connect_failures: 0,
@@ -165,7 +166,7 @@
     /// Returns the prompt and output tokens that the rest of the answer needs on an engine.
     pub(super) fn need(&self) -> engine_memory::Need {
         let prompt = self.received.head.prompt.as_ref();
-        engine_reservation::need_of(&self.cx, &self.service.name, prompt, self.tokens_generated)
+        engine_need::need_of(&self.cx, &self.service.name, prompt, self.tokens_generated)
     }
 
     /// Describes the capacity that the request needs, on servers that aren't in `tried`.
--- a/daemon/src/router/workspace_limits.rs
+++ b/daemon/src/router/workspace_limits.rs
@@ -132,6 +132,17 @@
     }
 }
 
+/// Returns how long a request of a workspace would have to wait for its cost; `None` if it would be within the limit.
+pub(crate) fn preview<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    workspace: &str,
+    cost: f64,
+) -> Option<time::Duration> {
+    let now = cx.now();
+    let limits = &mut locks::lock(&cx.workspace_limits).known;
+    limits.preview(workspace, cost, now)
+}
+
 /// Gives back what a request was charged that hasn't run.
 pub(crate) fn give_back<D: dialect::Dialect>(cx: &context::Router<D>, charge: &Charge) {
     let now = cx.now();
--- a/lib/src/engine_placement.rs
+++ b/lib/src/engine_placement.rs
@@ -159,6 +159,18 @@
         }
     }
 
+    /// Returns whether an engine has room for a run.
+    pub fn has_room(
+        &self,
+        engine: &backends::Backend,
+        need: engine_memory::Need,
+        limits: engine_memory::Limits<'_>,
+        now: time::Duration,
+    ) -> bool {
+        let runs = self.run_memories(&engine.id, now);
+        engine_memory::peak_with(runs, need, limits, &engine.version).is_some()
+    }
+
     fn earliest_prefills<'a>(
         &self,
         engines: &'a [sync::Arc<backends::Backend>],
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -178,6 +178,11 @@
         list.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &sync::Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the service with this name.
     pub fn service(&self, name: &str) -> Option<&sync::Arc<Service>> {
         self.services.get(name)
--- a/lib/src/shared_limits.rs
+++ b/lib/src/shared_limits.rs
@@ -179,6 +179,21 @@
         Decision::Refused { retry_after }
     }
 
+    /// Returns how long a request would have to wait; `None` if it would be within the limit. Charges nothing.
+    pub fn preview(
+        &mut self,
+        workspace: &str,
+        cost: f64,
+        now: time::Duration,
+    ) -> Option<time::Duration> {
+        let share = self.share(now);
+        let bucket = self.buckets.get(workspace)?;
+        let mut copy = bucket.clone();
+        copy.refill(share, now);
+        // A draw of 1 admits nothing that isn't sure to be.
+        (!copy.decide(cost, share, 1.0)).then(|| copy.wait(cost, share))
+    }
+
     /// Gives back the cost of a request that was admitted and hasn't run.
     pub fn give_back(&mut self, workspace: &str, cost: f64, now: time::Duration) {
         let share = self.share(now);
