--- a/daemon/tests/workspace_keys.rs
+++ b/daemon/tests/workspace_keys.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 use walnuthaven_platform_standin::caller;
 use walnuthaven_platform_standin::hosts;
+use walnuthaven_platform_standin::link;
 use walnuthaven_platform_standin::server;
 use walnuthaven_platform_standin::store;
 
@@ -182,3 +183,38 @@
         401
     );
 }
+
+#[tokio::test]
+async fn workspace_goes_with_a_request_that_another_host_serves() {
+    let (store, addr) = store::Store::start().await;
+    store.put("config", "main", configuration(3, &["key-a"]));
+    let gate = server::Server::start("i-a", None).await;
+    gate.register(&store, "gate");
+    let link = link::Link::start(gate.addr).await;
+    let view = store.start_view(vec![(gate.addr, link.addr)]).await;
+    let cut_off = hosts::Host::start(BINARY, "h1", view);
+    let helper = hosts::Host::start(BINARY, "h2", addr);
+    cut_off.wait_ready().await;
+    helper.wait_ready().await;
+    link.set(link::State::Reset);
+    let headers = "Authorization: Bearer key-a\r\nX-Tenant: south\r\n";
+    let start = time::Instant::now();
+    for number in 0.. {
+        let bytes = caller::request("POST", "/plain/x", &format!("r{number}"), headers, "");
+        let answer = caller::send(cut_off.callers_addr, &bytes, TIMEOUT).await;
+        if answer.status == 200 {
+            break;
+        }
+        assert!(start.elapsed() < TIMEOUT, "{}", cut_off.log());
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    for request in gate.received() {
+        assert_eq!(request.headers["x-tenant"], "north");
+        assert!(!request.headers.contains_key("authorization"));
+    }
+    let logs = cut_off.log() + &helper.log();
+    assert!(
+        logs.contains("passed-on") && !logs.contains("key-a"),
+        "{logs}"
+    );
+}
