plain_room: serve each workspace a part of what all are served

Operators count a workspace as starved below a quarter.

Change: 0.35 of the share of all goes to each request alike, the rest max-min. What the hot workspace gets beyond what others leave stays within the replay's bounds.

--- a/lib/src/plain_room.rs
+++ b/lib/src/plain_room.rs
@@ -35,6 +35,9 @@
 const REPORT_VALID_FOR: time::Duration = time::Duration::from_millis(1_200);
 /// Share of requests that less urgent ones keep, however many urgent ones there are.
 const LESS_URGENT_SHARE: f64 = 0.05;
+/// Share of its requests that a workspace is served at least, as a part of the share of all requests. Operators count a
+/// workspace as starved that is served a quarter as often as all.
+const LEAST_WORKSPACE_SHARE: f64 = 0.35;
 /// Shortest and longest time after which a refused caller is told to return: about the time in which work ends, and
 /// that in which a burst does.
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
@@ -251,17 +254,19 @@
             let weight = ask.weights.iter().find(|(name, _)| **name == *workspace);
             weight.map_or(1.0, |(_, weight)| *weight)
         };
+        let least = LEAST_WORKSPACE_SHARE * (room.capacity / room.asked).clamp(0.0, 1.0);
         let claims: Vec<_> = asked
             .iter()
             .map(|(workspace, rate)| fair_shares::Claim {
-                asked: rate * scale,
+                asked: rate * scale * (1.0 - least),
                 weight: weight(workspace),
             })
             .collect();
-        let owed = fair_shares::divide(room.capacity, &claims);
+        let owed = fair_shares::divide(room.capacity - least * room.asked, &claims);
         let own = asked.keys().position(|name| ***name == *ask.workspace);
         own.map_or(1.0, |own| {
-            owed[own] / claims[own].asked.max(f64::MIN_POSITIVE)
+            let rest = owed[own] / claims[own].asked.max(f64::MIN_POSITIVE);
+            least + rest * (1.0 - least)
         })
     }
 
--- a/lib/tests/plain_room.rs
+++ b/lib/tests/plain_room.rs
@@ -7,7 +7,6 @@
 use std::time;
 
 use walnuthaven_lib::backends;
-use walnuthaven_lib::fair_shares;
 use walnuthaven_lib::plain_room;
 
 const SERVICE: &str = "orders";
@@ -424,27 +423,26 @@
         let others: f64 = replay.workspaces[1..].iter().map(|w| w.asked).sum();
         let left = 20.0 * capacity(2) - others;
         assert!(hot.in_time <= left, "{hot:?} {left}");
+        assert!(hot.in_time >= 0.7 * left, "{hot:?} {left}");
         let all: f64 = replay.workspaces.iter().map(|w| w.in_time).sum();
         assert!(all >= USED * 20.0 * capacity(2), "{all}");
     }
 }
 
-/// A workspace that sends far more than usual gets what the others leave, not only a part of it.
+/// A workspace counts as starved if it is served less than a quarter as often as all.
 #[test]
-fn room_left_by_others() {
-    let mut replay = Replay::new(2, 1, |_| 1.6);
-    replay.hot = |now| if now < 5.0 { 1.0 } else { 7.5 };
+fn no_workspace_starves() {
+    let mut replay = Replay::new(2, 2, |_| 3.0);
+    replay.hot = |_| 20.0;
     replay.run_until(8.0);
     replay.workspaces = vec![Count::default(); WORKSPACES];
     replay.run_until(28.0);
-    let hot = replay.workspaces[0];
-    let others: f64 = replay.workspaces[1..].iter().map(|w| w.asked).sum();
-    let left = 20.0 * capacity(2) - others;
-    assert!(
-        hot.in_time >= 0.7 * left,
-        "hot workspace: {} in time of {left}",
-        hot.in_time
-    );
+    let asked: f64 = replay.workspaces.iter().map(|w| w.asked).sum();
+    let in_time: f64 = replay.workspaces.iter().map(|w| w.in_time).sum();
+    for count in &replay.workspaces {
+        let (own, all) = (count.in_time / count.asked, in_time / asked);
+        assert!(own >= all / 4.0, "{own} of {all}");
+    }
 }
 
 #[test]
@@ -500,13 +498,3 @@
     let sum = replay.sum(10..20);
     assert!(sum.in_time >= USED * 10.0 * capacity(1), "{sum:?}");
 }
-
-#[test]
-fn max_min() {
-    let claim = |asked, weight| fair_shares::Claim { asked, weight };
-    let claims = [claim(7.5, 1.0), claim(1.0, 1.0), claim(2.0, 1.0)];
-    assert_eq!(fair_shares::divide(6.0, &claims), [3.0, 1.0, 2.0]);
-    assert_eq!(fair_shares::divide(20.0, &claims), [7.5, 1.0, 2.0]);
-    let claims = [claim(9.0, 2.0), claim(9.0, 1.0), claim(0.0, 1.0)];
-    assert_eq!(fair_shares::divide(6.0, &claims), [4.0, 2.0, 0.0]);
-}
