plain_room, preview: generic functions in place of trait objects

Cause: two closures were passed as trait objects, one of them for each request that is short of room.

Change: a method and a function with type parameters; nothing else changes.

--- a/daemon/src/router/preview.rs
+++ b/daemon/src/router/preview.rs
@@ -195,11 +195,6 @@
     /// Returns why a server of the service isn't considered at all; `None` if it is.
     fn reason_to_skip(&self, server: &sync::Arc<backends::Backend>) -> Option<&'static str> {
         let priority = caller_workspace::priority(self.route, self.workspace);
-        let remains = |remove: &dyn Fn(&mut Vec<sync::Arc<backends::Backend>>)| {
-            let mut servers = vec![server.clone()];
-            remove(&mut servers);
-            !servers.is_empty()
-        };
         let usable = locks::lock(&self.cx.servers)
             .usable(&self.service.name, self.now)
             .contains(server);
@@ -213,13 +208,15 @@
         if server.stage.is_some() && !self.cx.group_engines(service, None).contains(server) {
             return Some("belongs to another group of hosts");
         }
-        if !remains(&|servers| self.cx.links.remove_lost(servers)) {
+        if !remains(server, |servers| self.cx.links.remove_lost(servers)) {
             return Some("out of reach");
         }
-        if !remains(&|servers| server_notices::remove_paused(self.cx, servers)) {
+        if !remains(server, |servers| {
+            server_notices::remove_paused(self.cx, servers)
+        }) {
             return Some("wants no requests for now");
         }
-        if !remains(&|servers| {
+        if !remains(server, |servers| {
             server_limits::remove_limited(self.cx, servers, service, priority);
         }) {
             return Some("at its limit");
@@ -402,3 +399,13 @@
         self.candidate(engine, load.runs_on(&engine.id), json!(expected), result)
     }
 }
+
+/// Returns whether a server is left among candidates after `remove`.
+fn remains(
+    server: &sync::Arc<backends::Backend>,
+    remove: impl FnOnce(&mut Vec<sync::Arc<backends::Backend>>),
+) -> bool {
+    let mut servers = vec![server.clone()];
+    remove(&mut servers);
+    !servers.is_empty()
+}
--- a/lib/src/plain_room.rs
+++ b/lib/src/plain_room.rs
@@ -270,21 +270,19 @@
         })
     }
 
+    /// Returns the requests a second of a workspace at this host whose priorities match.
+    fn rate_of(&self, ask: Ask<'_>, matches: impl Fn(u8) -> bool) -> f64 {
+        let own = self.own.iter().filter(|((workspace, priority), _)| {
+            **workspace == *ask.workspace && matches(*priority)
+        });
+        own.map(|(_, rate)| rate.at(ask.now)).sum()
+    }
+
     /// Returns which share of the requests of a priority is sent if `share` is sent of all: urgent ones come first.
     fn priority_share(&self, ask: Ask<'_>, share: f64) -> f64 {
-        let of = |priorities: &dyn Fn(u8) -> bool| -> f64 {
-            let own = self
-                .own
-                .iter()
-                .filter(|((workspace, priority), _)| {
-                    **workspace == *ask.workspace && priorities(*priority)
-                })
-                .map(|(_, rate)| rate.at(ask.now));
-            own.sum()
-        };
-        let all = of(&|_| true);
-        let urgent = of(&|priority| priority < ask.priority);
-        let same = of(&|priority| priority == ask.priority);
+        let all = self.rate_of(ask, |_| true);
+        let urgent = self.rate_of(ask, |priority| priority < ask.priority);
+        let same = self.rate_of(ask, |priority| priority == ask.priority);
         if all <= same {
             return share;
         }
