shared_limits: have callers return to hosts that start once these hear others

A host that starts took its part of 1/62 for lasting.

Ruled out: a larger part at the start, by which hosts that don't hear each other exceed a limit together.

Change: in the first 1.5 s without half of the hosts, callers are told to return after 400 ms at most; hosts tell their states twice a second. After that a host is cut off, and the wait is that of its part.

--- a/lib/src/shared_limits.rs
+++ b/lib/src/shared_limits.rs
@@ -22,6 +22,11 @@
 /// A host that started at most this long before another one counts as started with it. Clocks of hosts differ by
 /// some seconds.
 const START_DIFFERENCE_MS: u64 = 10_000;
+/// A host that starts hears the others within this time; they tell their states twice a second. One that doesn't is
+/// cut off from them.
+const HEARING_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// Callers return to a host that starts after this time at most, as it may use the whole limit once it hears the others.
+const HEARING_WAIT: time::Duration = time::Duration::from_millis(400);
 /// Whole states tell all workspaces in turn within this many messages, also those that haven't changed.
 const TURNS: usize = 4;
 
@@ -75,6 +80,8 @@
     last_share: f64,
     /// When this host last heard fewer than half of the hosts.
     alone_at: Option<time::Duration>,
+    /// Since when it has heard fewer than half of the hosts, if it does.
+    apart_since: Option<time::Duration>,
     /// The number of whole states told.
     states: usize,
 }
@@ -137,6 +144,10 @@
         if self.alone_at.is_none() || !shared_bucket::has_most(share) {
             self.alone_at = Some(now);
         }
+        match shared_bucket::has_most(share) {
+            true => self.apart_since = None,
+            false => _ = self.apart_since.get_or_insert(now),
+        }
         let before = std::mem::replace(&mut self.last_share, share);
         if share > 0.0 && share < before {
             for bucket in self.buckets.values_mut() {
@@ -173,7 +184,14 @@
             let tell = bucket.is_untold(self.listed);
             return Decision::Admitted { tell };
         }
-        let retry_after = bucket.wait(cost, share);
+        let is_starting = self
+            .apart_since
+            .is_some_and(|since| now.saturating_sub(since) < HEARING_TIME);
+        let wait = bucket.wait(cost, share);
+        let retry_after = match is_starting {
+            true => wait.min(HEARING_WAIT),
+            false => wait,
+        };
         bucket.own.refused += cost;
         bucket.awaited += cost;
         Decision::Refused { retry_after }
