review: show two holders with one fencing token after a drill

Cause: a lease that the store has lost is created again with the first fencing number. Change: a case in which the store comes back from a copy without the lease, and the holder leaves.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,8 @@
 //! the rule was broken, 0 if it held, and 2 if the case couldn't run. With `TROUBLE=0` in the environment the
 //! disruption is left out.
 
+#[path = "../2/case.rs"]
+mod drill;
 mod http;
 mod json;
 mod server;
@@ -49,6 +51,7 @@
     };
     let result = match args.first().map(String::as_str) {
         Some("twice") => twice::play(&mut world),
+        Some("drill") => drill::play(&mut world),
         _ => Err("unknown case".to_owned()),
     };
     let (verdict, code) = match &result {
