review: show that hosts don't recover beside an unreadable entry

Cause: one entry with half an escaped character makes the list of all servers unreadable. Change: a case in which all hosts are killed while such an entry of another writer lies in the store.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,8 @@
 
 #[path = "../2/case.rs"]
 mod drill;
+#[path = "../3/case.rs"]
+mod foreign;
 mod http;
 mod json;
 mod server;
@@ -52,6 +54,7 @@
     let result = match args.first().map(String::as_str) {
         Some("twice") => twice::play(&mut world),
         Some("drill") => drill::play(&mut world),
+        Some("foreign") => foreign::play(&mut world),
         _ => Err("unknown case".to_owned()),
     };
     let (verdict, code) = match &result {
