review: show truncated answers that look complete

Cause: a plain answer without a length counts as complete when its connection ends, also when its server was killed. Change: a case in which one of three servers is killed within its answers.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,8 @@
 mod store;
 #[path = "../1/case.rs"]
 mod twice;
+#[path = "../4/case.rs"]
+mod unframed;
 mod world;
 
 use std::path::PathBuf;
@@ -55,6 +57,7 @@
         Some("twice") => twice::play(&mut world),
         Some("drill") => drill::play(&mut world),
         Some("foreign") => foreign::play(&mut world),
+        Some("unframed") => unframed::play(&mut world),
         _ => Err("unknown case".to_owned()),
     };
     let (verdict, code) = match &result {
