review: show requests that a leaving host cuts

Cause: a leaving host reads and forwards requests on open connections until it exits. Change: a case in which clients use their open connections towards the end of the grace period.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,8 @@
 mod foreign;
 mod http;
 mod json;
+#[path = "../5/case.rs"]
+mod leave;
 mod server;
 mod store;
 #[path = "../1/case.rs"]
@@ -57,6 +59,7 @@
         Some("twice") => twice::play(&mut world),
         Some("drill") => drill::play(&mut world),
         Some("foreign") => foreign::play(&mut world),
+        Some("leave") => leave::play(&mut world),
         Some("unframed") => unframed::play(&mut world),
         _ => Err("unknown case".to_owned()),
     };
