--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -216,18 +216,28 @@
     /// Starts a host with the command of the deploy file. A host of a name that was started before keeps its
     /// addresses.
     pub fn start_host(&mut self, name: &str) -> Result<Host, Failure> {
-        let known = self
-            .host_ports
-            .iter()
-            .find(|(n, _)| n == name)
-            .map(|(_, p)| p.clone());
-        let ports = known.unwrap_or_else(|| {
+        let known = self.host_ports.iter().find(|(n, _)| n == name);
+        if let Some(ports) = known.map(|(_, ports)| ports.clone()) {
+            return self.spawn_host(name, &ports);
+        }
+        loop {
             let ports = free_ports(5);
-            self.host_ports.push((name.to_owned(), ports.clone()));
-            ports
-        });
+            let mut host = self.spawn_host(name, &ports)?;
+            thread::sleep(Duration::from_millis(60));
+            // A port that was free may have been taken meanwhile.
+            if !host.process.has_ended() {
+                self.host_ports.push((name.to_owned(), ports));
+                return Ok(host);
+            }
+            self.record.add(format!(
+                "host {name} has ended, and is started at other ports"
+            ));
+        }
+    }
+
+    fn spawn_host(&self, name: &str, ports: &[u16]) -> Result<Host, Failure> {
         let settings = self.dir.join(format!("{name}.ini"));
-        fs::write(&settings, self.settings(name, &ports)?).map_err(|e| e.to_string())?;
+        fs::write(&settings, self.settings(name, ports)?).map_err(|e| e.to_string())?;
         let log = self.dir.join(format!("{name}.log"));
         let out = fs::File::options()
             .create(true)
