--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -22,10 +22,10 @@
             ("gap-ms", "20"),
             ("fail-every", fail_every),
         ];
-        world.start_server(id, None, &options)
+        world.start_server(id, &options)
     };
     let _prefill = engine("i-p1", "prefill", "0")?;
-    let (crashing, _) = engine("i-d1", "decode", "0")?;
+    let crashing = engine("i-d1", "decode", "0")?;
     // One in eight is less than the share of errors that the site has servers make of themselves, up to 14 in 100.
     let _sound = engine("i-d2", "decode", "8")?;
     thread::sleep(Duration::from_millis(300));
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -56,11 +56,7 @@
             ("stage", "decode"),
             ("switch-ms", "6000"),
         ];
-        engines.push(
-            world
-                .start_server(&format!("i-e{number}"), None, &options)?
-                .0,
-        );
+        engines.push(world.start_server(&format!("i-e{number}"), &options)?);
     }
     thread::sleep(Duration::from_millis(300));
     let hosts = [
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -18,7 +18,7 @@
     world.store.put("config", "main", &world::config(7));
     let engine = |id: &str, stage: &str| {
         let options = [("service", "writer"), ("stage", stage)];
-        world.start_server(id, None, &options)
+        world.start_server(id, &options)
     };
     let _engines = [
         engine("i-p1", "prefill")?,
@@ -28,7 +28,7 @@
     let mut servers = Vec::new();
     for number in 1..=3 {
         let options = [("service", "portal"), ("slots", "6"), ("work-ms", "100")];
-        servers.push(world.start_server(&format!("i-s{number}"), None, &options)?);
+        servers.push(world.start_server(&format!("i-s{number}"), &options)?);
     }
     thread::sleep(Duration::from_millis(300));
     let mut leaving = world.start_host("h1")?;
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -23,6 +23,9 @@
 /// A case that takes longer than this couldn't run.
 const MAX_TIME: Duration = Duration::from_secs(112);
 
+/// Time in which a process that can't listen at its ports has ended.
+const BIND_TIME: Duration = Duration::from_millis(60);
+
 /// The ids of the child processes that haven't been waited for.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -223,7 +226,7 @@
         loop {
             let ports = free_ports(5);
             let mut host = self.spawn_host(name, &ports)?;
-            thread::sleep(Duration::from_millis(60));
+            thread::sleep(BIND_TIME);
             // A port that was free may have been taken meanwhile.
             if !host.process.has_ended() {
                 self.host_ports.push((name.to_owned(), ports));
@@ -265,22 +268,31 @@
     }
 
     /// Starts a backend server as a process. `options` are pairs of names and values.
-    pub fn start_server(
+    pub fn start_server(&self, id: &str, options: &[(&str, &str)]) -> Result<Process, Failure> {
+        loop {
+            let addr = local(free_ports(1)[0]).to_string();
+            let mut server = self.spawn_server(id, &addr, options)?;
+            thread::sleep(BIND_TIME);
+            // A port that was free may have been taken meanwhile.
+            if !server.has_ended() {
+                return Ok(server);
+            }
+            self.record.add(format!(
+                "server {id} has ended, and is started at another port"
+            ));
+        }
+    }
+
+    fn spawn_server(
         &self,
         id: &str,
-        addr: Option<SocketAddr>,
+        addr: &str,
         options: &[(&str, &str)],
-    ) -> Result<(Process, SocketAddr), Failure> {
-        let addr = addr.unwrap_or_else(|| local(free_ports(1)[0]));
+    ) -> Result<Process, Failure> {
         let program = std::env::current_exe().map_err(|e| e.to_string())?;
         let mut command = Command::new(program);
         command.args(["server", "--id", id, "--zone", "zone-a"]);
-        command.args([
-            "--addr",
-            &addr.to_string(),
-            "--store",
-            &self.store.addr.to_string(),
-        ]);
+        command.args(["--addr", addr, "--store", &self.store.addr.to_string()]);
         for (name, value) in options {
             command.args([&format!("--{name}"), *value]);
         }
@@ -294,7 +306,7 @@
             }
         });
         self.record.add(format!("server {id} started"));
-        Ok((Process::new(id, child), addr))
+        Ok(Process::new(id, child))
     }
 
     /// Waits until hosts say that they are ready.
