router: log requests that are sent to servers that have left the view

Cause: the log can't tell whether a leaving server got a request because its host learned late or because the host didn't look again between the choice and the send. Change: `sent-after-departure` with the way and the time since the host knew. Result: no change of logic; the crate builds.

--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -176,6 +176,7 @@
         ));
     }
     crash_marks::check_send(cx, req, params.work, &server.id)?;
+    server_notices::log_departed(cx, req.head.request_id.as_deref(), server);
     let timeout = time_left(cx, options.deadline);
     let builder = http::Request::builder().method(req.method.clone());
     let mut message = builder
--- a/daemon/src/router/server_notices.rs
+++ b/daemon/src/router/server_notices.rs
@@ -108,6 +108,21 @@
     left?.into_iter().min()
 }
 
+/// Logs that a request is sent to a server that has left this host's view, or is about to.
+pub(crate) fn log_departed<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    id: Option<&str>,
+    server: &backends::Backend,
+) {
+    let departure = locks::lock(&cx.departures).get(&server.process());
+    if let Some(departure) = departure {
+        let known_for = cx.now().saturating_sub(departure.at);
+        cx.telemetry.count("servers.sent_after_departure");
+        event!(Warn, "sent-after-departure", "id" => id, "server" => server.id,
+            "way" => format!("{:?}", departure.way), "known_ms" => known_for.as_millis() as u64);
+    }
+}
+
 /// Returns whether a server wants no requests: it leaves, or asked for a pause.
 pub(crate) fn wants_none<D: dialect::Dialect>(
     cx: &context::Router<D>,
