router: look before the send whether the chosen server has left

Cause: a choice was checked against the view of the servers, the send only against what servers said in answers. Between the two lie a prefill, a copy of a run's memory, the wait for another server while one is silent. Ruled out as the cause of these: a late view, as the host had logged the departure before the send. Change: the registry decides for a process whether it may get work, at the choice and at each send. A request whose engine left during the prefill goes to another one, with what was prefilled, and without using an attempt.

--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -19,6 +19,7 @@
 use crate::router::prefills;
 use crate::router::send;
 use crate::router::server_choice;
+use crate::router::server_notices;
 use crate::router::stream_request;
 use crate::router::via_peer;
 
@@ -130,6 +131,11 @@
                     }
                 }
             }
+            // It may have left while the prompt was prefilled. Another engine can fetch the result.
+            if server_notices::wants_none(&self.cx, &server) {
+                event!(Info, "left-before-send", "id" => self.id(), "server" => server.id);
+                continue;
+            }
             return Ok(PreparedServer {
                 server,
                 reservation,
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -168,7 +168,7 @@
     params: &dialect::SendParams<'_>,
     options: Options,
 ) -> Result<ServerResponse, SendFailure> {
-    // It may have said so since it was chosen.
+    // It may have left since it was chosen.
     if server_notices::wants_none(cx, server) {
         return Err(failure(
             outcome::Outcome::RefusedUnrun,
--- a/daemon/src/router/server_notices.rs
+++ b/daemon/src/router/server_notices.rs
@@ -123,12 +123,14 @@
     }
 }
 
-/// Returns whether a server wants no requests: it leaves, or asked for a pause.
+/// Returns whether a server that was chosen for a request mustn't get it any more: it leaves, has left this host's view,
+/// or asked for a pause.
 pub(crate) fn wants_none<D: dialect::Dialect>(
     cx: &context::Router<D>,
     server: &backends::Backend,
 ) -> bool {
-    locks::lock(&cx.servers).has_said_to_leave(&server.process()) || is_paused(cx, server)
+    let may_get_work = locks::lock(&cx.servers).may_get_work(&server.process(), cx.now());
+    !may_get_work || is_paused(cx, server)
 }
 
 /// Returns whether a server asked for a pause that isn't over.
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -272,11 +272,6 @@
         leaving.filter(|process| self.tracked.contains_key(&process.id))
     }
 
-    /// Returns whether a process said that it leaves.
-    pub fn has_said_to_leave(&self, process: &Process) -> bool {
-        self.leaving.contains_key(process)
-    }
-
     /// Records that an entry is gone from the store. Returns `None` if that was known.
     pub fn remove(&mut self, id: &str, now: time::Duration) -> Option<Change> {
         self.listed.clear();
@@ -355,6 +350,18 @@
             .is_none_or(|tracked| tracked.backend.draining)
     }
 
+    /// Returns whether a process that was chosen for work may still get it: it is listed or a last resort, and neither
+    /// leaves nor was replaced.
+    pub fn may_get_work(&self, process: &Process, now: time::Duration) -> bool {
+        let tracked = self.tracked.get(&process.id);
+        tracked.is_some_and(|t| {
+            t.backend.process() == *process
+                && !t.backend.draining
+                && !t.replaced
+                && t.last_resort_until.is_none_or(|until| now < until)
+        })
+    }
+
     /// Returns the servers of a service that may get new work: those with an entry, or if there are none,
     /// those that are a last resort. Servers that are draining, or whose address another one has, are left out.
     pub fn usable(
--- a/lib/tests/backend_registry.rs
+++ b/lib/tests/backend_registry.rs
@@ -292,3 +292,29 @@
     registry.put(next);
     assert_eq!(usable(&mut registry, ms(5_001)), ["a".into(), "b".into()]);
 }
+
+#[test]
+fn a_process_that_left_after_its_choice_gets_no_work() {
+    let mut registry = registry_of(&["drains", "goes", "restarts", "stays"]);
+    let process = |id: &str| server(id).process();
+    let may = |registry: &backends::Registry, id: &str, at| registry.may_get_work(&process(id), at);
+    for id in ["drains", "goes", "restarts", "stays"] {
+        assert!(may(&registry, id, ms(0)), "{id}");
+    }
+    let mut draining = server("drains");
+    draining.draining = true;
+    registry.put(draining);
+    registry.remove("goes", ms(10));
+    let mut restarted = server("restarts");
+    restarted.started_unix_ms = Some(2);
+    restarted.addr = "127.0.0.1:81".parse().unwrap();
+    registry.put(restarted.clone());
+    assert!(!may(&registry, "drains", ms(10)));
+    assert!(may(&registry, "goes", ms(10)), "it is a last resort");
+    let later = ms(10) + backends::LAST_RESORT_FOR;
+    assert!(!may(&registry, "goes", later));
+    assert!(!may(&registry, "restarts", ms(10)));
+    assert!(registry.may_get_work(&restarted.process(), ms(10)));
+    assert!(may(&registry, "stays", later));
+    assert!(!may(&registry, "unknown", ms(10)));
+}
