router: end the time as a last resort while the server still serves

Cause: an entry that went without notice left its server a last resort for two seconds after any failed call to the store, so up to 2.7 s after its removal; it serves for two. Change: only an outage of a second or more, in which entries may expire, prolongs it; a process that vanished gets work only while its service has none that is listed, at the send as at the choice. Result: single_failed_call_prolongs_no_last_resort and the extended test of a choice fail before and pass now. The test of outages says when the outage began; what it checks is unchanged.

--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -197,7 +197,7 @@
     failure: &store::Failure,
 ) {
     if collection == dialect::Collection::Backends {
-        locks::lock(&cx.servers).store_lost();
+        locks::lock(&cx.servers).store_lost(cx.now());
     }
     cx.telemetry.count("store.failures");
     if !std::mem::replace(failing, true) {
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -18,6 +18,8 @@
 /// How long after an outage of the store the servers whose entries expired remain a last resort. Their
 /// entries are expected back within this time.
 pub const OUTAGE_GRACE: time::Duration = time::Duration::from_secs(2);
+/// Shortest outage in which entries expire, as servers renew them every second or so. A single failed call is none.
+const MIN_OUTAGE: time::Duration = time::Duration::from_secs(1);
 
 /// How long it is remembered that a process leaves after its entry is gone, which may come back meanwhile.
 const LEAVING_KEPT_FOR: time::Duration = time::Duration::from_secs(600);
@@ -148,7 +150,8 @@
     changes: u64,
     /// The latest time that was passed in. Changes without a time of their own count as made then.
     latest: time::Duration,
-    store_unreachable: bool,
+    /// Since when the store doesn't answer.
+    unreachable_since: Option<time::Duration>,
     /// When the store answered again after its last outage.
     store_recovered_at: Option<time::Duration>,
 }
@@ -306,14 +309,14 @@
     }
 
     /// Records that the store doesn't answer.
-    pub fn store_lost(&mut self) {
-        self.store_unreachable = true;
+    pub fn store_lost(&mut self, now: time::Duration) {
+        self.unreachable_since.get_or_insert(now);
     }
 
     /// Records that the store answers. Must be called before the contents of the answer are applied.
     pub fn store_answered(&mut self, now: time::Duration) {
-        if self.store_unreachable {
-            self.store_unreachable = false;
+        let lost_at = self.unreachable_since.take();
+        if lost_at.is_some_and(|at| now.saturating_sub(at) >= MIN_OUTAGE) {
             self.store_recovered_at = Some(now);
         }
     }
@@ -350,15 +353,25 @@
             .is_none_or(|tracked| tracked.backend.draining)
     }
 
-    /// Returns whether a process that was chosen for work may still get it: it is listed or a last resort, and neither
-    /// leaves nor was replaced.
+    /// Returns whether a process that was chosen for work may still get it: it neither leaves nor was replaced, and it is
+    /// listed, or a last resort of a service of which no server is.
     pub fn may_get_work(&self, process: &Process, now: time::Duration) -> bool {
         let tracked = self.tracked.get(&process.id);
+        let tracked = tracked
+            .filter(|t| t.backend.process() == *process && !t.backend.draining && !t.replaced);
         tracked.is_some_and(|t| {
-            t.backend.process() == *process
+            t.last_resort_until
+                .is_none_or(|until| now < until && !self.has_listed(&t.backend.service))
+        })
+    }
+
+    /// Returns whether a server of the service has an entry and may get new work.
+    fn has_listed(&self, service: &str) -> bool {
+        self.tracked.values().any(|t| {
+            &*t.backend.service == service
                 && !t.backend.draining
                 && !t.replaced
-                && t.last_resort_until.is_none_or(|until| now < until)
+                && t.last_resort_until.is_none()
         })
     }
 
--- a/lib/tests/backend_registry.rs
+++ b/lib/tests/backend_registry.rs
@@ -72,7 +72,8 @@
 #[test]
 fn servers_with_expired_entries_stay_usable_for_two_seconds_after_an_outage() {
     let mut registry = registry_of(&["a", "b"]);
-    registry.store_lost();
+    registry.store_lost(ms(6_000));
+    registry.store_lost(ms(8_000));
     registry.store_answered(ms(10_000));
     registry.replace_all(Vec::new(), ms(10_000));
     assert_eq!(usable(&mut registry, ms(11_900)).len(), 2);
@@ -83,6 +84,17 @@
     assert_eq!(registry.count(), 1);
 }
 
+#[test]
+fn single_failed_call_prolongs_no_last_resort() {
+    let mut registry = registry_of(&["a", "b"]);
+    registry.store_lost(ms(9_900));
+    registry.store_answered(ms(10_000));
+    registry.replace_all(Vec::new(), ms(10_000));
+    let over = ms(10_000) + backends::LAST_RESORT_FOR;
+    assert_eq!(usable(&mut registry, over - ms(1)).len(), 2);
+    assert!(usable(&mut registry, over).is_empty());
+}
+
 #[test]
 fn the_same_id_with_another_start_time_is_a_restart() {
     let mut registry = registry_of(&["a"]);
@@ -310,11 +322,14 @@
     restarted.addr = "127.0.0.1:81".parse().unwrap();
     registry.put(restarted.clone());
     assert!(!may(&registry, "drains", ms(10)));
-    assert!(may(&registry, "goes", ms(10)), "it is a last resort");
-    let later = ms(10) + backends::LAST_RESORT_FOR;
-    assert!(!may(&registry, "goes", later));
+    assert!(!may(&registry, "goes", ms(10)), "others are listed");
     assert!(!may(&registry, "restarts", ms(10)));
     assert!(registry.may_get_work(&restarted.process(), ms(10)));
-    assert!(may(&registry, "stays", later));
+    assert!(may(&registry, "stays", ms(10)));
     assert!(!may(&registry, "unknown", ms(10)));
+    for id in ["stays", "restarts"] {
+        registry.remove(id, ms(20));
+    }
+    assert!(may(&registry, "stays", ms(20)), "it is a last resort");
+    assert!(!may(&registry, "stays", ms(20) + backends::LAST_RESORT_FOR));
 }
