router: find out that a watch's connection went silent

Cause: a watch without changes and one whose connection is dead look alike. TCP keepalive sends no probes while bytes are unacknowledged, and a proxy answers them. Weighed: short watch calls for all hosts, which cost the store calls by their number. Change: hosts tell each other the newest change of a server that they know of; one that lacks it for 0.6 s opens its watch again. Watch calls for servers end at times of their own, for all hosts together about two a second, so that a fleet whose connections all went silent finds out; the other views then ask again, too. Connections to the store break if bytes are unacknowledged for 3 s.

--- a/daemon/src/router/connection_pool.rs
+++ b/daemon/src/router/connection_pool.rs
@@ -34,6 +34,8 @@
 /// probes below, a peer that no longer responds is detected within three seconds.
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
+/// How long bytes may be unacknowledged. No keepalive probes are sent meanwhile.
+const UNACKNOWLEDGED_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 /// An open connection. Dropping it closes the connection, which cancels the request in progress on
 /// it.
@@ -172,7 +174,7 @@
     }
 }
 
-/// Opens a connection. `heard` is set whenever bytes arrive on it.
+/// Opens a connection to a server. `heard` is set whenever bytes arrive on it.
 ///
 /// # Errors
 ///
@@ -182,6 +184,29 @@
     timeout: time::Duration,
     heard: Option<sync::Arc<atomic::AtomicBool>>,
 ) -> io::Result<Connection> {
+    let stream = open_stream(addr, timeout).await?;
+    start_http(stream, heard).await
+}
+
+/// Opens a connection to the store. It also breaks if what was sent isn't acknowledged for some time; a server may
+/// take its time to read a long request.
+///
+/// # Errors
+///
+/// Returns an error if the connection can't be opened within `timeout`.
+pub(crate) async fn connect_to_store(
+    addr: net::SocketAddr,
+    timeout: time::Duration,
+) -> io::Result<Connection> {
+    let stream = open_stream(addr, timeout).await?;
+    socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    start_http(stream, None).await
+}
+
+async fn open_stream(
+    addr: net::SocketAddr,
+    timeout: time::Duration,
+) -> io::Result<tokio::net::TcpStream> {
     let opening = tokio::time::timeout(timeout, tokio::net::TcpStream::connect(addr));
     let stream = opening.await.map_err(|_| io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
@@ -190,6 +215,13 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket2::SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
+    Ok(stream)
+}
+
+async fn start_http(
+    stream: tokio::net::TcpStream,
+    heard: Option<sync::Arc<atomic::AtomicBool>>,
+) -> io::Result<Connection> {
     let (stream, head_limit) = head_limit::LimitedStream::new(stream, heard);
     let io = rt::TokioIo::new(stream);
     let (tx, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -39,6 +39,7 @@
 use crate::router::telemetry;
 use crate::router::trials;
 use crate::router::via_peer;
+use crate::router::view_renewal;
 use crate::router::workspace_limits;
 
 /// Up to one in this many of the connections that a server accepts may be idle.
@@ -66,6 +67,8 @@
     pub(crate) servers: sync::Mutex<backends::Registry>,
     /// Whether backend servers have been listed from the store at least once.
     pub(crate) servers_listed: atomic::AtomicBool,
+    /// Wakes the tasks that follow the store.
+    pub(crate) renewals: view_renewal::Renewals,
     /// The other entry hosts.
     pub(crate) peers: sync::Mutex<peers::Peers>,
     /// The limits that backend servers named.
@@ -180,6 +183,7 @@
             table: sync::RwLock::new(None),
             servers: sync::Mutex::default(),
             servers_listed: atomic::AtomicBool::new(false),
+            renewals: view_renewal::Renewals::default(),
             peers: sync::Mutex::default(),
             server_limits: sync::Mutex::default(),
             plain_room: sync::Mutex::default(),
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -54,6 +54,7 @@
 mod telemetry;
 mod trials;
 mod via_peer;
+mod view_renewal;
 mod workspace_limits;
 
 pub use run::run;
--- a/daemon/src/router/news.rs
+++ b/daemon/src/router/news.rs
@@ -234,6 +234,7 @@
         workspace_use: Vec::new(),
         saved_streams: stream_record_store::next_announced(cx),
         server_answers: Vec::new(),
+        servers_revision: cx.renewals.servers_revision(),
     }
 }
 
@@ -301,6 +302,7 @@
             .map(|service| service.as_str().into())
             .collect(),
         applies_work_changes: message.applies_work_changes,
+        servers_revision: message.servers_revision,
     };
     let is_newer = locks::lock(&cx.peers).record_news(entry, status, now);
     if !is_newer {
@@ -320,6 +322,7 @@
         workspace_limits::merge_state(cx, &name, message.incarnation, message.workspace_use);
     }
     cx.engine_load_changed.notify_waiters();
+    cx.renewals.record_told(message.servers_revision);
     if message.config_version > cx.table().map_or(0, |table| table.version) {
         cx.table_outdated.notify_one();
     }
--- a/daemon/src/router/store.rs
+++ b/daemon/src/router/store.rs
@@ -1,6 +1,7 @@
 //! A client of the platform's store, which holds the configuration and the entries of servers and
 //! hosts.
 
+use std::io;
 use std::sync;
 use std::time;
 
@@ -19,9 +20,6 @@
 /// Longest time for the body of an answer. A configuration of half a megabyte takes half a second
 /// on the slowest link, which it shares with response streams.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(6);
-/// How long the store waits for a change before it answers a watch call.
-const WATCH_TIME: time::Duration = time::Duration::from_secs(25);
-
 /// Why a call failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Failure {
@@ -29,6 +27,8 @@
     Status(dialect::StoreStatus),
     /// No answer came. A write may have been applied, or may still be applied later.
     NoAnswer(String),
+    /// The same, as nothing came in time.
+    Silent,
     /// The answer can't be understood.
     Unreadable,
 }
@@ -38,6 +38,7 @@
         match self {
             Self::Status(status) => write!(f, "{status:?}"),
             Self::NoAnswer(cause) => write!(f, "no answer: {cause}"),
+            Self::Silent => f.write_str("no answer in time"),
             Self::Unreadable => f.write_str("unreadable answer"),
         }
     }
@@ -94,15 +95,15 @@
         Ok(objects.into_iter().find(|object| &*object.name == name))
     }
 
-    /// Returns the changes of a collection since a revision. Waits up to `WATCH_TIME` for the first
-    /// one.
+    /// Returns the changes of a collection since a revision. Waits up to `wait` for the first one.
     pub(crate) async fn watch(
         &mut self,
         collection: dialect::Collection,
         revision: u64,
+        wait: time::Duration,
     ) -> Result<dialect::Changes, Failure> {
-        let call = self.cx.dialect.watch(collection, revision, WATCH_TIME);
-        let body = self.call(call, WATCH_TIME + CALL_TIMEOUT).await?;
+        let call = self.cx.dialect.watch(collection, revision, wait);
+        let body = self.call(call, wait + CALL_TIMEOUT).await?;
         self.cx.dialect.changes(&body).ok_or(Failure::Unreadable)
     }
 
@@ -156,7 +157,7 @@
         let exchange = async {
             let mut connection = match previous {
                 Some(connection) => connection,
-                None => connection_pool::connect(addr, CALL_TIMEOUT, None).await?,
+                None => connection_pool::connect_to_store(addr, CALL_TIMEOUT).await?,
             };
             let headers = http::HeaderMap::new();
             let response = send::call_on(&mut connection, addr, call, headers);
@@ -165,10 +166,11 @@
             let body =
                 tokio::time::timeout(BODY_TIMEOUT, send::read_body(response, MAX_BODY_BYTES))
                     .await??;
-            Ok::<_, std::io::Error>((status, body, connection))
+            Ok::<_, io::Error>((status, body, connection))
         };
         self.cx.telemetry.count("store.calls");
         let (status, body, connection) = match exchange.await {
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => return Err(Failure::Silent),
             Err(error) => return Err(Failure::NoAnswer(error.to_string())),
             Ok(answer) => answer,
         };
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -14,6 +14,7 @@
 use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::peers;
+use walnuthaven_lib::view_revisions;
 
 use crate::locks;
 use crate::router::context;
@@ -21,6 +22,7 @@
 use crate::router::events::event;
 use crate::router::server_choice;
 use crate::router::store;
+use crate::router::view_renewal;
 
 /// First pause after a failed call. Doubled after each further failure.
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(80);
@@ -41,10 +43,6 @@
 /// the other hosts must know of the third crash within three seconds.
 const MARKS_WATCH_PAUSE: time::Duration = time::Duration::from_millis(300);
 
-/// How long another host may have a newer configuration before this host lists the configuration
-/// again. A working watch delivers even a large configuration within half a second.
-const MAX_TIME_BEHIND: time::Duration = time::Duration::from_millis(900);
-
 /// A host's entry in the store.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct HostEntry {
@@ -78,6 +76,8 @@
     let mut pause = FIRST_PAUSE;
     let mut watch_from: Option<u64> = None;
     let mut failing = false;
+    // Whether the next watch call replaces one that is open.
+    let mut renews = false;
     let mut may_lag = collection == dialect::Collection::Backends;
     loop {
         let step = async {
@@ -104,13 +104,17 @@
                     Ok(None)
                 }
                 Some(revision) => {
-                    tokio::time::sleep(watch_pause(collection)).await;
-                    let changes = client.watch(collection, revision).await?;
+                    if !std::mem::take(&mut renews) {
+                        tokio::time::sleep(watch_pause(collection)).await;
+                    }
+                    let wait = watch_time(&cx, collection);
+                    let changes = client.watch(collection, revision, wait).await?;
                     record_success(&cx, collection, &mut failing);
                     for change in &changes.changes {
                         apply_change(&cx, collection, change);
                     }
                     if collection == dialect::Collection::Backends {
+                        cx.renewals.record_changes(&changes);
                         locks::lock(&cx.served_versions).record_answer(cx.now());
                     }
                     Ok(Some(changes.revision))
@@ -119,8 +123,11 @@
         };
         let result: Result<Option<u64>, store::Failure> = tokio::select! {
             result = step => result,
-            () = wait_until_outdated(&cx, collection) => {
-                watch_from = None;
+            renewal = view_renewal::wait(&cx, collection) => {
+                match renewal {
+                    view_renewal::Renewal::List => watch_from = None,
+                    view_renewal::Renewal::Watch => renews = true,
+                }
                 client = store::Client::new(&cx);
                 continue;
             }
@@ -135,6 +142,10 @@
                 watch_from = None;
             }
             Err(failure) => {
+                let was_watching = watch_from.is_some();
+                if was_watching && failure == store::Failure::Silent {
+                    cx.renewals.record_silence();
+                }
                 // Changes during the store's outage may be missing from its history, so the view is
                 // listed again.
                 watch_from = None;
@@ -147,26 +158,6 @@
     }
 }
 
-/// Waits until another host has had a newer configuration than this host for `MAX_TIME_BEHIND`.
-/// Waits forever for other views than the configuration.
-async fn wait_until_outdated<D: dialect::Dialect>(
-    cx: &context::Router<D>,
-    collection: dialect::Collection,
-) {
-    if collection != dialect::Collection::Configuration {
-        return std::future::pending().await;
-    }
-    loop {
-        cx.table_outdated.notified().await;
-        tokio::time::sleep(MAX_TIME_BEHIND).await;
-        let newest = locks::lock(&cx.peers).config_version();
-        if cx.table().is_none_or(|table| table.version < newest) {
-            event!(Warn, "configuration-behind", "newest" => newest);
-            return;
-        }
-    }
-}
-
 /// Returns the pause before each watch call.
 fn watch_pause(collection: dialect::Collection) -> time::Duration {
     match collection {
@@ -176,6 +167,20 @@
     }
 }
 
+/// Returns how long a watch call waits for a change. Only the calls for the servers end early to find out whether
+/// connections went silent.
+fn watch_time<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    collection: dialect::Collection,
+) -> time::Duration {
+    match collection {
+        dialect::Collection::Backends => {
+            view_revisions::watch_time(cx.host_count(), rand::random())
+        }
+        _ => view_revisions::MAX_WATCH_TIME,
+    }
+}
+
 /// Returns the name of a view in log lines.
 fn view_name(collection: dialect::Collection) -> &'static str {
     match collection {
@@ -239,6 +244,7 @@
             changes
                 .into_iter()
                 .for_each(|change| on_server_change(cx, change));
+            cx.renewals.record_list(&objects, revision);
             locks::lock(&cx.served_versions).record_answer(cx.now());
             cx.servers_listed.store(true, atomic::Ordering::Relaxed);
         }
--- /dev/null
+++ b/daemon/src/router/view_renewal.rs
@@ -0,0 +1,124 @@
+//! When this host asks the store again although a watch call is open: the call's connection may have gone silent, or
+//! the view must be known to be current.
+
+use std::sync;
+use std::time;
+
+use walnuthaven_lib::dialect;
+use walnuthaven_lib::view_revisions;
+
+use crate::locks;
+use crate::router::context;
+use crate::router::events::event;
+
+/// How long another host may have a newer configuration before this host lists the configuration
+/// again. A working watch delivers even a large configuration within half a second.
+const MAX_CONFIGURATION_LAG: time::Duration = time::Duration::from_millis(900);
+/// How long another host may know of a change of a server that this host lacks: the longest pause between two watch
+/// calls.
+const MAX_SERVERS_LAG: time::Duration = time::Duration::from_millis(600);
+
+/// Wakes the tasks that follow the store's collections.
+#[derive(Debug, Default)]
+pub(crate) struct Renewals {
+    /// Up to which revision the backend servers are known.
+    servers: sync::Mutex<view_revisions::ViewRevision>,
+    servers_lag: tokio::sync::Notify,
+    /// Signalled when a connection to the store turned out to be silent.
+    silent: tokio::sync::Notify,
+}
+
+/// What to ask the store for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Renewal {
+    /// A list of all objects.
+    List,
+    /// The changes since the last answer.
+    Watch,
+}
+
+impl Renewals {
+    /// Returns the newest change of a server that this host knows of, for other hosts.
+    pub(crate) fn servers_revision(&self) -> u64 {
+        locks::lock(&self.servers).changed()
+    }
+
+    /// Records the newest change of a server that another host knows of.
+    pub(crate) fn record_told(&self, revision: u64) {
+        if locks::lock(&self.servers).lacks(revision) {
+            self.servers_lag.notify_one();
+        }
+    }
+
+    /// Records a list of the backend servers.
+    pub(crate) fn record_list(&self, objects: &[dialect::Object], revision: u64) {
+        let newest = objects.iter().map(|object| object.revision).max();
+        locks::lock(&self.servers).record_list(revision, newest.unwrap_or(0));
+    }
+
+    /// Records the changes of the backend servers since the last answer.
+    pub(crate) fn record_changes(&self, changes: &dialect::Changes) {
+        let newest = changes.changes.iter().map(|c| c.object.revision).max();
+        locks::lock(&self.servers).record_changes(changes.revision, newest);
+    }
+
+    /// Has the other views ask the store again: one connection went silent, so theirs may have, too.
+    pub(crate) fn record_silence(&self) {
+        self.silent.notify_waiters();
+    }
+}
+
+/// Waits until the store must be asked again for a collection.
+pub(crate) async fn wait<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    collection: dialect::Collection,
+) -> Renewal {
+    let silent = cx.renewals.silent.notified();
+    match collection {
+        dialect::Collection::Backends => {
+            wait_for_servers_lag(cx).await;
+            cx.renewals.record_silence();
+            Renewal::Watch
+        }
+        dialect::Collection::Configuration => tokio::select! {
+            () = wait_for_configuration_lag(cx) => Renewal::List,
+            () = silent => Renewal::Watch,
+        },
+        dialect::Collection::CrashMarks => {
+            silent.await;
+            Renewal::Watch
+        }
+        dialect::Collection::Hosts
+        | dialect::Collection::Leases
+        | dialect::Collection::ServedVersions
+        | dialect::Collection::StreamRecords => std::future::pending().await,
+    }
+}
+
+/// Waits until another host has known of a change of a server for `MAX_SERVERS_LAG` that this host lacks.
+async fn wait_for_servers_lag<D: dialect::Dialect>(cx: &context::Router<D>) {
+    loop {
+        cx.renewals.servers_lag.notified().await;
+        tokio::time::sleep(MAX_SERVERS_LAG).await;
+        let newest = locks::lock(&cx.peers).servers_revision();
+        let mut servers = locks::lock(&cx.renewals.servers);
+        if servers.lacks(newest) {
+            servers.record_check(newest);
+            event!(Warn, "servers-behind", "newest" => newest, "known" => servers.changed());
+            return;
+        }
+    }
+}
+
+/// Waits until another host has had a newer configuration than this host for `MAX_CONFIGURATION_LAG`.
+async fn wait_for_configuration_lag<D: dialect::Dialect>(cx: &context::Router<D>) {
+    loop {
+        cx.table_outdated.notified().await;
+        tokio::time::sleep(MAX_CONFIGURATION_LAG).await;
+        let newest = locks::lock(&cx.peers).config_version();
+        if cx.table().is_none_or(|table| table.version < newest) {
+            event!(Warn, "configuration-behind", "newest" => newest);
+            return;
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod trial_turns;
 pub mod typical_work;
 pub mod validate;
+pub mod view_revisions;
 pub mod wait_queue;
 pub mod work_index;
 pub mod workspaces;
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -54,6 +54,8 @@
     pub unreached_services: Vec<sync::Arc<str>>,
     /// Whether the host applies changes of work, so that it needn't get the whole state with each.
     pub applies_work_changes: bool,
+    /// The store's revision of the newest change of a backend server that the host knows of.
+    pub servers_revision: u64,
 }
 
 /// A message of a host that tells changes of its work, but not its whole status.
@@ -324,6 +326,13 @@
             .unwrap_or(0)
     }
 
+    /// Returns the store's revision of the newest change of a backend server that any other host knows of, or 0.
+    pub fn servers_revision(&self) -> u64 {
+        let statuses = self.known.values().filter_map(|peer| peer.status.as_ref());
+        let revisions = statuses.map(|(status, _)| status.servers_revision);
+        revisions.max().unwrap_or(0)
+    }
+
     /// Returns the highest age of the last news of any host that isn't silent. Decisions are based on
     /// information up to this old.
     pub fn oldest_news_age(&self, now: time::Duration) -> time::Duration {
