platform: decode each entry of the store alone

Cause: an answer of the store was parsed as one document, so half an escaped character, a number that is too large or 130 nested lists made all of it unreadable. Change: the answer is split into its entries without decoding them, and each is decoded alone. One that can't be keeps its name, counts as removed and is logged; JSON beyond 128 levels isn't decoded. Pages go on after entries that can't be read.

--- a/daemon/src/router/store.rs
+++ b/daemon/src/router/store.rs
@@ -10,6 +10,7 @@
 
 use crate::router::connection_pool;
 use crate::router::context;
+use crate::router::events::event;
 use crate::router::send;
 
 /// Largest answer of the store in bytes: several times that of a page of a list.
@@ -70,14 +71,19 @@
         let mut first_revision = None;
         loop {
             let after = objects.last().map(|object| object.name.clone());
-            let after = after.as_deref();
-            let call = self.cx.dialect.list(collection, freshness, after);
+            let call = self
+                .cx
+                .dialect
+                .list(collection, freshness, after.as_deref());
             let body = self.call(call, CALL_TIMEOUT).await?;
             let page = self.cx.dialect.page(&body).ok_or(Failure::Unreadable)?;
+            log_unreadable(page.unreadable, page.revision);
             // A watch from the first page's revision also reports changes that happen between the
             // pages.
             let revision = *first_revision.get_or_insert(page.revision);
-            let more = page.more && !page.objects.is_empty();
+            let last = page.objects.last().map(|object| object.name.clone());
+            // The next page follows the last name that can be read.
+            let more = page.more && last.is_some() && last != after;
             objects.extend(page.objects);
             if !more {
                 return Ok((objects, revision));
@@ -104,7 +110,9 @@
     ) -> Result<dialect::Changes, Failure> {
         let call = self.cx.dialect.watch(collection, revision, wait);
         let body = self.call(call, wait + CALL_TIMEOUT).await?;
-        self.cx.dialect.changes(&body).ok_or(Failure::Unreadable)
+        let changes = self.cx.dialect.changes(&body).ok_or(Failure::Unreadable)?;
+        log_unreadable(changes.unreadable, changes.revision);
+        Ok(changes)
     }
 
     /// Creates an object.
@@ -181,3 +189,10 @@
         }
     }
 }
+
+/// Logs that some objects have no readable name. The others are used.
+fn log_unreadable(objects: usize, revision: u64) {
+    if objects > 0 {
+        event!(Warn, "objects-unreadable", "objects" => objects, "revision" => revision);
+    }
+}
--- a/daemon/tests/store_changes.rs
+++ b/daemon/tests/store_changes.rs
@@ -127,6 +127,57 @@
     }
 }
 
+/// What other writers may write as the content of an entry.
+fn foreign_contents() -> Vec<String> {
+    let nested = format!("{}1{}", "[".repeat(130), "]".repeat(130));
+    let deep = format!("{}1{}", "{\"a\":".repeat(9_000), "}".repeat(9_000));
+    let entry = |field: &str| {
+        format!(
+            "{{\"service\":\"gate\",\"address\":\"127.0.0.1:9\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":6,\
+             \"state\":\"ready\",{field}}}"
+        )
+    };
+    let odd = [
+        r#""zone":"hall \ud83c""#,
+        r#""slots":1e999"#,
+        r#""born":-1"#,
+        r#""slots":99999999999999999999999999"#,
+        r#""address":"127.0.0.1:65536""#,
+        r#""cold_remaining_ms":NaN"#,
+    ];
+    let odd = odd.iter().map(|field| entry(field));
+    odd.chain([nested.clone(), deep, entry(&format!("\"x\":{nested}"))])
+        .collect()
+}
+
+/// Hosts follow the list of servers beside an entry that can't be read, when they run and when they start.
+#[tokio::test]
+async fn unreadable_content_spoils_no_other_entry() {
+    for content in foreign_contents() {
+        let (store, _, _server) = start_store().await;
+        let texts = vec![("\"(foreign)\"".to_owned(), content.clone())];
+        let addr = store.start_with_texts(texts).await;
+        hosts::configure(&store, 3);
+        let mut host = hosts::Host::start(BINARY, "h1", addr);
+        host.wait_ready().await;
+        store.put("servers", "i-0", json!("(foreign)"));
+        tokio::time::sleep(time::Duration::from_millis(700)).await;
+        let other = server::Server::start("i-b", None).await;
+        other.register(&store, "gate");
+        store.remove("servers", "i-a");
+        let start = time::Instant::now();
+        while !host.log().contains("\"i-b\",\"change\":\"joined\"") {
+            let shown = &content[..content.len().min(200)];
+            assert!(start.elapsed() < TIMEOUT, "{shown}: {}", host.log());
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        host.restart();
+        host.wait_ready().await;
+        wait_for_status(&host, "/once/x", 200).await;
+        assert!(host.log().contains("server-unreadable"), "{}", host.log());
+    }
+}
+
 #[tokio::test]
 async fn request_for_previous_server_at_reused_address_is_not_run() {
     let (store, addr, server) = start_store().await;
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -187,8 +187,10 @@
 /// A page of a list.
 #[derive(Clone, Debug)]
 pub struct Page {
-    /// The objects of the page, without unreadable ones.
+    /// The objects of the page. One whose content can't be decoded has the fault as its content.
     pub objects: Vec<Object>,
+    /// The number of further objects, of which not even the name can be decoded.
+    pub unreadable: usize,
     /// Whether more objects follow after the last one.
     pub more: bool,
     /// The store's revision that the page shows.
@@ -209,6 +211,8 @@
 pub struct Changes {
     /// The changes, oldest first.
     pub changes: Vec<ObjectChange>,
+    /// The number of further changes, of which not even the object's name can be decoded.
+    pub unreadable: usize,
     /// The store's revision up to which the changes are complete.
     pub revision: u64,
 }
