router: keep no connection on which an answer didn't name its request

Seen by callers: a request that may run once ran at two servers, or was answered as not run although a server ran it (reported: a faulty server writes an earlier refusal once more on a kept connection). Cause: an answer that names another request is recognised; a copy of one that names none was taken for the answer to the next request. Change: a connection is kept only while all its answers named their request. Result: repeated_refusal_is_not_believed fails before ('RepeatNamelessRefusal: r1 ran 2 times') and passes.

--- a/daemon/src/router/connection_pool.rs
+++ b/daemon/src/router/connection_pool.rs
@@ -45,6 +45,9 @@
     pub(crate) tx: http1::SendRequest<Full<Bytes>>,
     /// Whether a request was sent on the connection before.
     pub(crate) reused: bool,
+    /// Whether all answers so far named their request. A second copy of one that doesn't would be taken for the answer
+    /// to a later request, so the connection isn't kept.
+    pub(crate) names_requests: bool,
     /// Set while a request is sent or answered on a connection to a server.
     pub(crate) in_use: Option<links::InUse>,
     head_limit: head_limit::HeadLimit,
@@ -160,6 +163,9 @@
     keep_alive: Option<time::Duration>,
     mut connection: Connection,
 ) {
+    if !connection.names_requests {
+        return;
+    }
     let ready = tokio::time::timeout(READY_TIMEOUT, connection.tx.ready()).await;
     if let Ok(Ok(())) = ready {
         connection.reused = true;
@@ -232,6 +238,7 @@
     Ok(Connection {
         tx,
         reused: false,
+        names_requests: true,
         in_use: None,
         head_limit,
         task,
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -209,6 +209,7 @@
     let (parts, body) = response.into_parts();
     let head = cx.dialect.reply_head(parts.status, &parts.headers);
     let expected_id = req.head.request_id.as_deref();
+    connection.names_requests &= head.request_id.is_some();
     if let (Some(expected), Some(answered)) = (expected_id, head.request_id.as_deref())
         && expected != answered
     {
--- a/daemon/tests/plain_requests.rs
+++ b/daemon/tests/plain_requests.rs
@@ -173,6 +173,30 @@
     }
 }
 
+/// The server runs a request after it wrote an earlier refusal once more.
+#[tokio::test]
+async fn repeated_refusal_is_not_believed() {
+    for fault in [
+        server::Fault::RepeatRefusal,
+        server::Fault::RepeatNamelessRefusal,
+    ] {
+        let setup = start_setup().await;
+        setup.set_fault(fault);
+        for number in 0..6 {
+            let id = format!("r{number}");
+            let answer = setup.send("/once/x", &id, "").await;
+            let runs = setup.runs_of(&id);
+            assert!(runs <= 1, "{fault:?}: {id} ran {runs} times");
+            let refused = [429, 503].contains(&answer.status);
+            assert!(
+                !refused || runs == 0,
+                "{fault:?}: {id} ran and was refused: {}",
+                setup.host.log()
+            );
+        }
+    }
+}
+
 #[tokio::test]
 async fn answer_delimited_by_connection_close_is_forwarded() {
     let setup = start_setup().await;
