router: confirm the only version known before a stream goes on at it

Cause: a host that has seen a single version concludes that each stream began at it, from a view of the servers that may be 30 s old if it heard any other host within 1.2 s, and 4 s otherwise. A list that may lag counted as current. Change: a host whose view is older than 0.6 s and that hasn't heard from half of the others within 0.6 s lists the servers first. If the store doesn't answer and no host knows the stream, the caller is asked to come again. What hosts hear of each other decides in all other cases, so that take-ups cost no calls while hosts are in touch.

--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -34,6 +34,8 @@
 /// news: a new host lists the others after its own entry was written, so of two new hosts at least one
 /// finds the other and sends it news.
 const HOSTS_LIST_INTERVAL: time::Duration = time::Duration::from_secs(40);
+/// How old a list that may lag is at most.
+const MAX_LIST_LAG: time::Duration = time::Duration::from_secs(5);
 /// Pause before each watch call for backend servers, so that many changes at once cost few calls. It is
 /// short compared with the two seconds within which requests to a leaving server must stop.
 const SERVERS_WATCH_PAUSE: time::Duration = time::Duration::from_millis(600);
@@ -87,12 +89,21 @@
                         true => dialect::Freshness::MayLag,
                         false => dialect::Freshness::Newest,
                     };
+                    let asked_at = cx.now();
                     let (objects, revision) = client.list(collection, freshness).await?;
                     // A view must never go back to an older state, so of a watched collection only the
                     // first list may lag. The watch that follows delivers what it lacks.
                     may_lag = false;
                     record_success(&cx, collection, &mut failing);
                     apply_list(&cx, collection, objects, revision);
+                    if collection == dialect::Collection::Backends {
+                        let shows = match freshness {
+                            dialect::Freshness::Newest => asked_at,
+                            dialect::Freshness::MayLag => asked_at.saturating_sub(MAX_LIST_LAG),
+                        };
+                        locks::lock(&cx.served_versions).record_answer(shows);
+                        cx.renewals.notify_listed();
+                    }
                     Ok(Some(revision))
                 }
                 Some(_) if collection == dialect::Collection::Hosts => {
@@ -245,7 +256,6 @@
                 .into_iter()
                 .for_each(|change| on_server_change(cx, change));
             cx.renewals.record_list(&objects, revision);
-            locks::lock(&cx.served_versions).record_answer(cx.now());
             cx.servers_listed.store(true, atomic::Ordering::Relaxed);
         }
         dialect::Collection::Hosts => {
--- a/daemon/src/router/stream_versions.rs
+++ b/daemon/src/router/stream_versions.rs
@@ -20,6 +20,7 @@
 use crate::locks;
 use crate::router::context;
 use crate::router::events::event;
+use crate::router::view_renewal;
 
 /// Maximum number of streams in a message.
 const MAX_STREAMS_PER_MESSAGE: usize = 64;
@@ -27,6 +28,8 @@
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 /// Longest time to wait until a host that has just started has read the store's records.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+/// How old the view of the servers may be for a conclusion from it, if most other hosts aren't heard.
+const MAX_UNCONFIRMED: time::Duration = time::Duration::from_millis(600);
 /// Time after which the other hosts are asked once more. Any datagram may be lost.
 const ASK_AGAIN_AFTER: time::Duration = time::Duration::from_millis(60);
 /// Time to collect streams before other hosts are asked about them in one message.
@@ -49,18 +52,23 @@
     let known = locks::lock(&cx.stream_versions)
         .get(stream, started)
         .cloned();
+    let sole_is_certain = sole.is_none() || known.is_some() || is_current(cx, started).await;
+    // The servers may have been listed meanwhile.
+    let sole = sole.and_then(|_| sole_version(cx, service));
     // What was recorded of this stream goes before what is concluded from the servers.
     let (source, version, record) = match (known, sole) {
         (Some(known), sole) if sole.as_ref() != Some(&known.version) => {
             ("memory", Some(known.version.clone()), Some(known))
         }
-        (known, Some(sole)) => ("sole", Some(sole), known),
-        (_, None) => match ask(cx, stream, started).await {
+        (known, Some(sole)) if sole_is_certain => ("sole", Some(sole), known),
+        _ => match ask(cx, stream, started).await {
             Some(found) => ("asked", Some(found.version.clone()), Some(found)),
             // A host that has just started may have read meanwhile what served before.
             None => match sole_version(cx, service) {
-                Some(sole) => ("sole", Some(sole), None),
-                None => ("unknown", None, None),
+                Some(sole) if sole_is_certain || is_in_close_touch(cx) => {
+                    ("sole", Some(sole), None)
+                }
+                _ => ("unknown", None, None),
             },
         },
     };
@@ -82,6 +90,20 @@
     locks::lock(&cx.served_versions).sole(service, in_touch, now)
 }
 
+fn is_in_close_touch<D: dialect::Dialect>(cx: &context::Router<D>) -> bool {
+    locks::lock(&cx.peers).is_in_close_touch(&cx.id.name, cx.now())
+}
+
+/// Returns whether this host knows of all servers that others may have begun streams at. A host that was cut off from
+/// the others, or paused, lists the servers first.
+async fn is_current<D: dialect::Dialect>(cx: &context::Router<D>, now: time::Duration) -> bool {
+    let is_recent = {
+        let served = locks::lock(&cx.served_versions);
+        served.is_confirmed_since(now.saturating_sub(MAX_UNCONFIRMED))
+    };
+    is_recent || is_in_close_touch(cx) || view_renewal::confirm_servers(cx).await
+}
+
 /// Records that a version began a stream, or goes on with it, and tells the other hosts. Callers may take
 /// the stream up until `expires`, as time since boot.
 pub(crate) fn record_begun<D: dialect::Dialect>(
--- a/daemon/src/router/view_renewal.rs
+++ b/daemon/src/router/view_renewal.rs
@@ -18,12 +18,18 @@
 /// calls.
 const MAX_SERVERS_LAG: time::Duration = time::Duration::from_millis(600);
 
+/// Longest wait for a list of the servers that shows that the view is current.
+const MAX_CONFIRMATION: time::Duration = time::Duration::from_millis(400);
+
 /// Wakes the tasks that follow the store's collections.
 #[derive(Debug, Default)]
 pub(crate) struct Renewals {
     /// Up to which revision the backend servers are known.
     servers: sync::Mutex<view_revisions::ViewRevision>,
     servers_lag: tokio::sync::Notify,
+    servers_list_due: tokio::sync::Notify,
+    /// Signalled when the backend servers were listed.
+    servers_listed: tokio::sync::Notify,
     /// Signalled when a connection to the store turned out to be silent.
     silent: tokio::sync::Notify,
 }
@@ -56,6 +62,11 @@
         locks::lock(&self.servers).record_list(revision, newest.unwrap_or(0));
     }
 
+    /// Wakes those who wait for a list of the backend servers, which must be applied.
+    pub(crate) fn notify_listed(&self) {
+        self.servers_listed.notify_waiters();
+    }
+
     /// Records the changes of the backend servers since the last answer.
     pub(crate) fn record_changes(&self, changes: &dialect::Changes) {
         let newest = changes.changes.iter().map(|c| c.object.revision).max();
@@ -75,11 +86,13 @@
 ) -> Renewal {
     let silent = cx.renewals.silent.notified();
     match collection {
-        dialect::Collection::Backends => {
-            wait_for_servers_lag(cx).await;
-            cx.renewals.record_silence();
-            Renewal::Watch
-        }
+        dialect::Collection::Backends => tokio::select! {
+            () = wait_for_servers_lag(cx) => {
+                cx.renewals.record_silence();
+                Renewal::Watch
+            }
+            () = cx.renewals.servers_list_due.notified() => Renewal::List,
+        },
         dialect::Collection::Configuration => tokio::select! {
             () = wait_for_configuration_lag(cx) => Renewal::List,
             () = silent => Renewal::Watch,
@@ -95,6 +108,26 @@
     }
 }
 
+/// Lists the backend servers, unless the store is known not to answer, and waits until the view shows all changes that
+/// the store had accepted at the time of the call. Returns whether it does.
+pub(crate) async fn confirm_servers<D: dialect::Dialect>(cx: &context::Router<D>) -> bool {
+    let started = cx.now();
+    let deadline = tokio::time::Instant::now() + MAX_CONFIRMATION;
+    loop {
+        let listed = cx.renewals.servers_listed.notified();
+        if locks::lock(&cx.served_versions).is_confirmed_since(started) {
+            return true;
+        }
+        if !locks::lock(&cx.servers).is_store_reachable() {
+            return false;
+        }
+        cx.renewals.servers_list_due.notify_one();
+        if tokio::time::timeout_at(deadline, listed).await.is_err() {
+            return false;
+        }
+    }
+}
+
 /// Waits until another host has known of a change of a server for `MAX_SERVERS_LAG` that this host lacks.
 async fn wait_for_servers_lag<D: dialect::Dialect>(cx: &context::Router<D>) {
     loop {
--- a/daemon/tests/mixed_versions.rs
+++ b/daemon/tests/mixed_versions.rs
@@ -8,12 +8,16 @@
 use walnuthaven_platform_standin::caller;
 use walnuthaven_platform_standin::engine_setup;
 use walnuthaven_platform_standin::hosts;
+use walnuthaven_platform_standin::proxy;
 use walnuthaven_platform_standin::server;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
 /// Headers of a request with a long answer.
 const LONG_PROMPT: &str = "X-Model: m\r\nX-Token-Count: 500,9000\r\nX-Length-Hint: 8400\r\n";
 
+/// How long a host hears neither from the store nor from other hosts.
+const OUT_OF_STEP: time::Duration = time::Duration::from_millis(800);
+
 /// Starts a host with a decode engine of version v1, whose streams have `events` events 20 ms apart.
 async fn start_setup(events: u64) -> engine_setup::EngineSetup {
     let setup = engine_setup::EngineSetup::start_with(BINARY, &["i-d1"]).await;
@@ -335,3 +339,43 @@
     assert_eq!(answer.status, 503, "{log}");
     assert!(gone.elapsed() < time::Duration::from_millis(900), "{log}");
 }
+
+/// Has a stream resumed at a host whose watch went silent and whose only fellow host, at which the stream began, is gone,
+/// while an engine of another version joined. Returns the answer.
+async fn resume_out_of_step(
+    store_fault: proxy::Fault,
+) -> (engine_setup::EngineSetup, caller::Answer) {
+    let mut setup = start_setup(50).await;
+    let link = proxy::Proxy::start(setup.store_addr).await;
+    let fellow = hosts::Host::start(BINARY, "h2", setup.store_addr);
+    fellow.wait_ready().await;
+    let host = hosts::Host::start(BINARY, "h3", link.addr);
+    host.wait_ready().await;
+    setup.host = host;
+    setup.wait_for_log("\"view\":\"hosts\"").await;
+    tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+    link.silence_open();
+    link.set_fault(store_fault);
+    drop(fellow);
+    let newer = server::Server::start("i-d2", Some("decode")).await;
+    newer.set_version("v2");
+    newer.register(&setup.store, "scribe");
+    setup.decode_engines.push(newer);
+    tokio::time::sleep(OUT_OF_STEP).await;
+    let answer = resume(&setup.host, "r2", "r1", 3).await;
+    (setup, answer)
+}
+
+#[tokio::test]
+async fn host_out_of_step_does_not_presume_the_only_version_it_knows() {
+    for store_fault in [
+        proxy::Fault::None,
+        proxy::Fault::Reset,
+        proxy::Fault::DropAll,
+    ] {
+        let (setup, answer) = resume_out_of_step(store_fault).await;
+        let log = setup.host.log();
+        assert_eq!(answer.status, 503, "{store_fault:?}: {answer:?} {log}");
+        assert_eq!(setup.runs_of("r2"), 0, "{store_fault:?}: {log}");
+    }
+}
--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -321,6 +321,11 @@
         }
     }
 
+    /// Returns whether the store answered the last call.
+    pub fn is_store_reachable(&self) -> bool {
+        self.unreachable_since.is_none()
+    }
+
     /// Forgets servers whose time as a last resort is over. Must be called regularly.
     pub fn expire(&mut self, now: time::Duration) {
         self.latest = self.latest.max(now);
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -20,6 +20,10 @@
 /// message if there is a single other host.
 const IN_TOUCH_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
 
+/// How recent the last news of most hosts must be for this host to know what they know: a little more than the
+/// longest interval between two messages.
+const CLOSE_TOUCH_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+
 /// A host's entry in the store. News messages carry the same information.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PeerEntry {
@@ -231,6 +235,23 @@
         self.known.is_empty() || statuses.any(|(_, at)| now.saturating_sub(*at) <= IN_TOUCH_TIMEOUT)
     }
 
+    /// Returns whether this host heard from at least half of the other hosts in its group just now, as far as there are
+    /// any. If not, it was cut off from them or paused, and may lack what they know. `own` is its name.
+    pub fn is_in_close_touch(&self, own: &str, now: time::Duration) -> bool {
+        let groups = self.groups();
+        let group = groups.group(own);
+        let in_group = self.known.values();
+        let in_group = in_group.filter(|peer| groups.group(&peer.entry.name) == group);
+        let (mut count, mut heard) = (0, 0);
+        for peer in in_group {
+            let at = peer.status.as_ref().map(|(_, at)| *at);
+            count += 1;
+            let is_recent = |at| now.saturating_sub(at) <= CLOSE_TOUCH_TIMEOUT;
+            heard += usize::from(at.is_some_and(is_recent));
+        }
+        heard * 2 >= count
+    }
+
     /// Returns how all hosts, including this one, are split into groups.
     pub fn groups(&self) -> host_groups::Groups {
         host_groups::Groups::of(self.count() + 1)
--- a/lib/src/served_versions.rs
+++ b/lib/src/served_versions.rs
@@ -140,7 +140,12 @@
     /// Records that the store answered a call for the servers, whose changes were applied before.
     pub fn record_answer(&mut self, now: time::Duration) {
         self.listed_since.get_or_insert(now);
-        self.confirmed_at = now;
+        self.confirmed_at = self.confirmed_at.max(now);
+    }
+
+    /// Returns whether the view of the servers shows all changes that the store had accepted at a time.
+    pub fn is_confirmed_since(&self, at: time::Duration) -> bool {
+        self.listed_since.is_some() && self.confirmed_at >= at
     }
 
     /// Records that a version counts for some more time at another host.
--- a/lib/tests/peer_news.rs
+++ b/lib/tests/peer_news.rs
@@ -220,3 +220,22 @@
     }
     true
 }
+
+#[test]
+fn a_host_that_hears_few_others_is_not_in_close_touch() {
+    let named = |name: &str| peers::PeerEntry {
+        name: name.into(),
+        ..entry(1)
+    };
+    let mut peers = peers::Peers::default();
+    assert!(peers.is_in_close_touch("own", at(0)), "there are no others");
+    peers.replace_entries(["b", "c", "d"].map(named).into());
+    assert!(!peers.is_in_close_touch("own", at(0)));
+    peers.record_news(named("b"), status(1), at(0));
+    assert!(!peers.is_in_close_touch("own", at(0)));
+    peers.record_news(named("c"), status(1), at(300));
+    assert!(peers.is_in_close_touch("own", at(600)));
+    assert!(!peers.is_in_close_touch("own", at(601)), "it was paused");
+    peers.expire(at(9_000));
+    assert!(!peers.is_in_close_touch("own", at(9_000)), "it was cut off");
+}
