router: let one record of a request's attempts decide what may follow

Cause: whether a request may have run was a flag that each path set by hand; the path of a server's own failure set none, and the request was passed on to another host. Change: `outcome::RunState` records how each attempt ended (not sent, refused, may have run, answered), on the plain path, the stream path, replacements and calls to other hosts. Only it says whether a request may be sent again, passed on or answered as not run. A host that passes nothing on leaves the answer to what ended the attempts before.

--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -12,6 +12,7 @@
 use http_body_util::Limited;
 use hyper::body;
 use walnuthaven_lib::dialect;
+use walnuthaven_lib::outcome;
 use walnuthaven_lib::routing;
 use walnuthaven_lib::workspaces;
 use walnuthaven_wire::forward as wire;
@@ -235,7 +236,7 @@
         arrived,
         forwarded: Some(send::Forwarded {
             used_attempts: call.used_attempts,
-            may_have_run: call.may_have_run,
+            runs: outcome::RunState::of_other_host(call.may_have_run),
             tried: call.tried.into_iter().map(Into::into).collect(),
             suspected_crashes: call.suspected_crashes as usize,
         }),
@@ -394,7 +395,7 @@
         Err(unsent) => {
             let (request, _) = *unsent;
             let mut answer = request.failure_answer(failure);
-            if !request.may_have_run && request.reaches_no_engine() {
+            if request.runs.may_be_refused() && request.reaches_no_engine() {
                 answer.extensions_mut().insert(answer::Unreached);
             }
             answer
--- a/daemon/src/router/peer_stream.rs
+++ b/daemon/src/router/peer_stream.rs
@@ -4,6 +4,7 @@
 
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::event_stream;
+use walnuthaven_lib::outcome;
 
 use crate::router::answer;
 use crate::router::context;
@@ -34,8 +35,8 @@
     let began_as = request.began_as().to_owned();
     let mut passed = request.passed_on(&received, &began_as);
     let opened = passed.open(&cx).await;
-    let (used_attempts, may_have_run) = (passed.used_attempts, passed.may_have_run);
-    request.record_used(used_attempts, may_have_run);
+    let (used_attempts, runs) = (passed.used_attempts, passed.runs);
+    request.record_used(used_attempts, runs);
     let opened = match opened {
         Ok(opened) => opened,
         Err(via_peer::Failure::NotSent) => return Err(Box::new((request, guard))),
@@ -89,8 +90,8 @@
     let began_as = request.began_as().to_owned();
     let mut passed = request.passed_on(&received, &began_as);
     let opened = passed.open(&cx).await.ok();
-    let (used_attempts, may_have_run) = (passed.used_attempts, passed.may_have_run);
-    request.record_used(used_attempts, may_have_run);
+    let (used_attempts, runs) = (passed.used_attempts, passed.runs);
+    request.record_used(used_attempts, runs);
     opened.filter(|opened| opened.is_stream && opened.status.is_success())
 }
 
@@ -108,7 +109,7 @@
         };
         event!(Info, "peer-stream-broke", "id" => request.id(), "host" => opened.peer,
             "cause" => cause, "delivered" => request.last_event);
-        request.may_have_run = true;
+        request.runs.record(outcome::AttemptEnd::MayHaveRun);
         let reopened = tokio::select! {
             reopened = reopen(&mut request) => reopened,
             () = tx.closed() => return stream_events::record_end(&request, "caller left", ""),
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -63,7 +63,7 @@
         let mut progress = plain_progress::Progress {
             tried: forwarded.tried,
             ended_sends: forwarded.used_attempts,
-            may_have_run: forwarded.may_have_run,
+            runs: forwarded.runs,
             ..plain_progress::Progress::default()
         };
         if let Some(refusal) = plain_room::refuse(self.cx, self, &self.usable_servers()) {
@@ -117,7 +117,7 @@
                         "in_flight" => in_flight.len(), "next" => format!("{next:?}"));
                     if failure.outcome == outcome::Outcome::Quarantined {
                         // The silent servers may have run the request, or crashed by it.
-                        progress.may_have_run |= !in_flight.is_empty();
+                        progress.record_unended(in_flight.len());
                         return self.refuse_quarantined(progress);
                     }
                     if self.is_on_trial() {
@@ -139,7 +139,7 @@
                     // The sends in flight may have reached their servers.
                     may_pass_on = false;
                     progress.ended_sends += in_flight.len() as u32;
-                    progress.may_have_run |= !in_flight.is_empty();
+                    progress.record_unended(in_flight.len());
                     if let Some(answer) = self.pass_on(&mut progress).await {
                         return answer;
                     }
@@ -209,7 +209,7 @@
             max_attempts: self.route.max_attempts,
             deadline: self.deadline,
             used_attempts: progress.ended_sends,
-            may_have_run: progress.may_have_run,
+            runs: progress.runs,
             tried: progress.tried.clone(),
             resume_after: None,
             began_as: self.id(),
@@ -221,7 +221,7 @@
             .retain(|server| !progress.unreached.contains(server));
         let answered = passed.answer(self.cx).await;
         progress.ended_sends = passed.used_attempts;
-        progress.may_have_run = passed.may_have_run;
+        progress.runs = passed.runs;
         match answered {
             Ok(answer) => Some(answer),
             Err(via_peer::Failure::NotSent) => None,
@@ -247,7 +247,7 @@
 
     /// Makes the answer to a request that may not be sent any more, because its content crashes servers.
     fn refuse_quarantined(&self, progress: plain_progress::Progress) -> answer::Answer {
-        if progress.may_have_run {
+        if !progress.runs.may_be_refused() {
             return self.failed_answer(progress);
         }
         crash_marks::log_refusal(self.cx, self.received);
@@ -280,9 +280,9 @@
         if let Some(answer) = self.pass_on(&mut progress).await {
             return answer;
         }
-        let may_have_run = progress.may_have_run;
+        let may_be_refused = progress.runs.may_be_refused();
         let mut answer = self.failed_answer(progress);
-        if !may_have_run {
+        if may_be_refused {
             answer.extensions_mut().insert(answer::Unreached);
         }
         answer
@@ -293,7 +293,7 @@
         if let Some(error_answer) = progress.error_answer {
             return error_answer;
         }
-        if progress.may_have_run {
+        if !progress.runs.may_be_refused() {
             return answer::from_router(http::StatusCode::BAD_GATEWAY, "no other server is usable");
         }
         let mut untried = self.usable_servers();
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -283,7 +283,7 @@
     event!(Info, "server-replaced", "id" => request.id(), "server" => server.id,
         "cause" => "server fell silent", "by" => other.server.id,
         "delivered" => request.last_event);
-    let ran_before = std::mem::take(&mut request.may_have_run);
+    let runs_before = std::mem::take(&mut request.runs);
     let mut held = Some(silent);
     let started = {
         let starting = request.start_on(other);
@@ -296,10 +296,10 @@
             }
         }
     };
-    let other_ran = std::mem::replace(&mut request.may_have_run, ran_before);
-    request.may_have_run |= other_ran;
+    let runs_of_other = std::mem::replace(&mut request.runs, runs_before);
+    request.runs.merge(runs_of_other);
     if let Ok(engine_stream::DecodeResult::Failed(_)) | Err(_) = &started
-        && !other_ran
+        && !runs_of_other.may_have_run()
         && let Some(stream) = held.take()
     {
         return Replacement::Refused(stream);
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -48,8 +48,8 @@
 pub(crate) struct Forwarded {
     /// How many servers may have received it.
     pub(crate) used_attempts: u32,
-    /// Whether a server may have run it.
-    pub(crate) may_have_run: bool,
+    /// What these sends allow.
+    pub(crate) runs: outcome::RunState,
     /// Servers that it mustn't be sent to again.
     pub(crate) tried: Vec<sync::Arc<str>>,
     /// How many servers may have crashed by its content, as far as that isn't known yet.
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -65,8 +65,8 @@
     pub(crate) tokens_generated: u32,
     /// How many moves of the run, with its KV cache, to another engine were started.
     pub(crate) moves: u32,
-    /// Whether a server may have run the request.
-    pub(super) may_have_run: bool,
+    /// What the attempts so far allow.
+    pub(super) runs: outcome::RunState,
     /// The number of connections to servers that could not be opened.
     pub(super) connect_failures: u32,
     /// Whether it was sent to a server that generates the answer. Further sends are retries.
@@ -133,7 +133,7 @@
             last_event_at: None,
             tokens_generated: engine_need::delivered_before(&received.head, &engines),
             moves: 0,
-            may_have_run: forwarded.may_have_run,
+            runs: forwarded.runs,
             connect_failures: 0,
             sent_before: forwarded.used_attempts > 0,
             prefilled_before: false,
@@ -272,7 +272,7 @@
             max_attempts: self.route.max_attempts,
             deadline: self.deadline,
             used_attempts: self.route.max_attempts - self.attempts_left,
-            may_have_run: self.may_have_run,
+            runs: self.runs,
             tried: self.failed_servers.clone(),
             resume_after: self.last_event,
             began_as,
@@ -281,9 +281,9 @@
     }
 
     /// Records what other hosts have used up of the request.
-    pub(crate) fn record_used(&mut self, used_attempts: u32, may_have_run: bool) {
+    pub(crate) fn record_used(&mut self, used_attempts: u32, runs: outcome::RunState) {
         self.attempts_left = self.route.max_attempts.saturating_sub(used_attempts);
-        self.may_have_run |= may_have_run;
+        self.runs.merge(runs);
         self.sent_before |= used_attempts > 0;
     }
 
@@ -344,6 +344,14 @@
         }
     }
 
+    /// Records that a server answered with a failure of its own, which may be relayed to the caller.
+    pub(super) fn record_answered(&mut self, server: &backends::Backend) {
+        self.runs.record(outcome::AttemptEnd::Answered);
+        if !self.failed_servers.contains(&server.id) {
+            self.failed_servers.push(server.id.clone());
+        }
+    }
+
     /// Counts a send to an engine that generates the answer, against the attempts of the route and
     /// the retry budget.
     pub(super) fn count_attempt(&mut self) {
@@ -365,7 +373,7 @@
     pub(crate) fn failure_answer(&self, failure: OpenFailure) -> answer::Answer {
         match failure {
             OpenFailure::Answer(answer) => *answer,
-            OpenFailure::Quarantined if !self.may_have_run => {
+            OpenFailure::Quarantined if self.runs.may_be_refused() => {
                 crash_marks::refusal_answer(&self.cx, &self.received)
             }
             OpenFailure::Quarantined => {
@@ -375,13 +383,15 @@
             OpenFailure::UnknownVersion => {
                 answer::not_run(UNKNOWN_VERSION, UNKNOWN_VERSION_RETRY_AFTER)
             }
-            OpenFailure::NoCapacity(no_capacity) if !self.may_have_run => {
+            OpenFailure::NoCapacity(no_capacity) if self.runs.may_be_refused() => {
                 answer::not_run(no_capacity.cause, no_capacity.retry_after)
             }
             OpenFailure::NoCapacity(no_capacity) => {
                 answer::from_router(http::StatusCode::BAD_GATEWAY, no_capacity.cause)
             }
-            OpenFailure::NoAnswer(outcome::Next::RefuseUnrun, cause) if !self.may_have_run => {
+            OpenFailure::NoAnswer(outcome::Next::RefuseUnrun, cause)
+                if self.runs.may_be_refused() =>
+            {
                 answer::not_run(cause, REFUSED_RETRY_AFTER)
             }
             OpenFailure::NoAnswer(outcome::Next::TimedOut, cause) => {
--- a/daemon/src/router/via_peer.rs
+++ b/daemon/src/router/via_peer.rs
@@ -261,8 +261,8 @@
     pub(crate) deadline: time::Duration,
     /// How many servers may have received it.
     pub(crate) used_attempts: u32,
-    /// Whether a server may have run it.
-    pub(crate) may_have_run: bool,
+    /// What these sends, and those of other hosts, allow.
+    pub(crate) runs: outcome::RunState,
     /// Servers that it isn't sent to again.
     pub(crate) tried: Vec<sync::Arc<str>>,
     /// The last event that the caller has, if a stream is continued.
@@ -280,10 +280,9 @@
 
     /// Returns whether it may be passed on at all: it wasn't before, and it either hasn't run or may run again.
     fn may_be_passed_on<D: dialect::Dialect>(&self, cx: &context::Router<D>) -> bool {
-        let may_run = !self.may_have_run || self.kind.may_run_again();
         let in_budget = self.used_attempts == 0 || cx.may_retry(self.service);
         self.received.forwarded.is_none()
-            && may_run
+            && self.runs.may_be_sent(self.kind)
             && in_budget
             && self.used_attempts < self.max_attempts
             && self.deadline.saturating_sub(cx.now()) > MIN_TIME
@@ -344,9 +343,10 @@
                 }
             }
         }
-        match self.may_have_run {
-            true => Err(Failure::Unknown("no other host answered")),
-            false => Err(Failure::NotSent),
+        // Without another host, what ended the attempts before is the answer.
+        match self.asked.is_empty() || self.runs.may_be_refused() {
+            true => Err(Failure::NotSent),
+            false => Err(Failure::Unknown("no other host answered")),
         }
     }
 
@@ -393,7 +393,7 @@
         cx.telemetry.count("peers.broken");
         event!(Info, "peer-failed", "id" => self.id(), "host" => self.asked.last(), "cause" => cause);
         self.used_attempts += 1;
-        self.may_have_run = true;
+        self.runs.record(outcome::AttemptEnd::MayHaveRun);
         match self.may_be_passed_on(cx) {
             true => Ok(()),
             false => Err(Failure::Unknown(cause)),
@@ -464,7 +464,7 @@
             time_left_ms: clock::millis(time_left),
             config_version: cx.table().map_or(0, |table| table.version),
             used_attempts: self.used_attempts,
-            may_have_run: self.may_have_run,
+            may_have_run: self.runs.may_have_run(),
             tried: self.tried.iter().map(ToString::to_string).collect(),
             resume_after: self.resume_after,
             began_as: self.began_as.to_owned(),
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -33,6 +33,74 @@
     }
 }
 
+/// How an attempt to have a request answered ended, whoever made it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptEnd {
+    /// A server answered, or failed by itself, which counts as run.
+    Answered,
+    /// There is no answer, and it isn't known whether it ran.
+    MayHaveRun,
+    /// Nothing of the request was sent.
+    NotSent,
+    /// Whoever received it stated that it didn't run.
+    Refused,
+}
+
+impl From<Outcome> for AttemptEnd {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::NeverWritten | Outcome::Quarantined => Self::NotSent,
+            Outcome::RefusedUnrun => Self::Refused,
+            Outcome::ServerFailed => Self::Answered,
+            Outcome::BrokenBeforeAnswer | Outcome::BrokenMidway | Outcome::Silent => {
+                Self::MayHaveRun
+            }
+        }
+    }
+}
+
+/// What the attempts of a request allow, here and at other hosts. Each end of an attempt is recorded; nothing else
+/// decides whether the request may be sent again or answered as not run.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RunState {
+    may_have_run: bool,
+}
+
+impl RunState {
+    /// Returns the state after attempts of another host.
+    pub fn of_other_host(may_have_run: bool) -> Self {
+        Self { may_have_run }
+    }
+
+    /// Records the end of an attempt.
+    pub fn record(&mut self, end: AttemptEnd) {
+        self.may_have_run |= match end {
+            AttemptEnd::Answered | AttemptEnd::MayHaveRun => true,
+            AttemptEnd::NotSent | AttemptEnd::Refused => false,
+        };
+    }
+
+    /// Adds the attempts of another state.
+    pub fn merge(&mut self, other: Self) {
+        self.may_have_run |= other.may_have_run;
+    }
+
+    /// Returns whether a server or another host may get a request of this kind.
+    pub fn may_be_sent(self, kind: routing::Kind) -> bool {
+        !self.may_have_run || kind.may_run_again()
+    }
+
+    /// Returns whether the caller may be told that the request didn't run.
+    pub fn may_be_refused(self) -> bool {
+        !self.may_have_run
+    }
+
+    /// Returns whether a server may have run the request.
+    pub fn may_have_run(self) -> bool {
+        self.may_have_run
+    }
+}
+
 /// What a request may still use for further sends.
 #[derive(Clone, Copy, Debug)]
 pub struct Allowance {
--- a/lib/tests/send_outcomes.rs
+++ b/lib/tests/send_outcomes.rs
@@ -99,3 +99,59 @@
         assert_eq!(next, outcome::Next::RefuseUnrun, "{kind:?}");
     }
 }
+
+const ENDS: [outcome::AttemptEnd; 4] = [
+    outcome::AttemptEnd::Answered,
+    outcome::AttemptEnd::MayHaveRun,
+    outcome::AttemptEnd::NotSent,
+    outcome::AttemptEnd::Refused,
+];
+
+/// All pairs of ends, of attempts here and at other hosts, of all kinds of requests.
+#[test]
+fn attempts_decide_whether_a_request_may_be_sent_or_refused() {
+    let ran = |end| {
+        matches!(
+            end,
+            outcome::AttemptEnd::Answered | outcome::AttemptEnd::MayHaveRun
+        )
+    };
+    let kinds = [
+        routing::Kind::Once,
+        routing::Kind::Repeatable,
+        STREAM,
+        RESUMABLE,
+    ];
+    for first in ENDS {
+        for second in ENDS {
+            for at_other_host in [false, true] {
+                let mut runs = outcome::RunState::default();
+                runs.record(first);
+                if at_other_host {
+                    let mut other = outcome::RunState::of_other_host(runs.may_have_run());
+                    other.record(second);
+                    runs.merge(other);
+                } else {
+                    runs.record(second);
+                }
+                let may_have_run = ran(first) || ran(second);
+                let case = format!("{first:?}, {second:?}, {at_other_host}");
+                assert_eq!(runs.may_have_run(), may_have_run, "{case}");
+                assert_eq!(runs.may_be_refused(), !may_have_run, "{case}");
+                for kind in kinds {
+                    let expected = !may_have_run || kind.may_run_again();
+                    assert_eq!(runs.may_be_sent(kind), expected, "{case}, {kind:?}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn outcomes_and_ends_agree_on_what_may_have_run() {
+    for outcome in OUTCOMES {
+        let mut runs = outcome::RunState::default();
+        runs.record(outcome.into());
+        assert_eq!(runs.may_be_refused(), outcome.is_not_run(), "{outcome:?}");
+    }
+}
