router: refuse at a leaving host what it couldn't answer before it ends

Cause: only new connections were refused; whether a request could end before the process did wasn't looked at. Change: from 3 s after the signal on, a request whose time limit is later than the end of the process is answered 503 with Connection: close, so that its caller sends it to another host.

--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -43,6 +43,11 @@
 const LEAVING_RETRY_AFTER: time::Duration = time::Duration::from_millis(50);
 /// How long a leaving host still accepts requests whose answers are streams.
 pub(crate) const ACCEPT_STREAMS_FOR: time::Duration = time::Duration::from_millis(2_500);
+/// How long a leaving host accepts requests whose time limit is later than its end. Callers that don't know yet that it
+/// leaves expect an answer, and few requests use up their time.
+const ACCEPT_ALL_FOR: time::Duration = time::Duration::from_secs(3);
+/// Time to write an answer that is made at the time limit.
+const ANSWER_TIME: time::Duration = time::Duration::from_millis(100);
 /// Retry-After when there is no memory for the body: about the time that a request takes.
 const NO_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 /// A head may exceed the limit in force by this factor, as a caller may know of a raised limit earlier than
@@ -128,6 +133,10 @@
         }
     };
     let deadline = arrived + time_limit(route, &head);
+    if cx.leaving_for() > ACCEPT_ALL_FOR && cx.ends_before(deadline + ANSWER_TIME) {
+        event!(Info, "refused", "id" => id, "cause" => "this host leaves");
+        return answer::not_run("this host leaves", LEAVING_RETRY_AFTER);
+    }
     let max_bytes = max_body_bytes(&parts.headers, &table.limits);
     let Some(memory) = cx
         .body_memory
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -44,8 +44,6 @@
 const MAX_REGISTER_PAUSE: time::Duration = time::Duration::from_secs(2);
 /// Time for callers to learn that the host leaves. It accepts their connections for at least that long.
 const CALLER_NOTICE_TIME: time::Duration = time::Duration::from_millis(3_200);
-/// The process exits this long before the end of its grace period, at which it would be killed.
-const GRACE_MARGIN: time::Duration = time::Duration::from_millis(400);
 /// Time to answer the last requests. A leaving host that is never idle stops accepting connections this
 /// long before it exits.
 const LAST_REQUESTS_TIME: time::Duration = time::Duration::from_millis(1_500);
@@ -205,7 +203,7 @@
     cx.news_due.notify_one();
     event!(Info, "leave", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed));
     tokio::spawn(unregister(cx.clone()));
-    let max_time = settings.grace_period.saturating_sub(GRACE_MARGIN);
+    let max_time = settings.grace_period.saturating_sub(context::GRACE_MARGIN);
     let min_time = CALLER_NOTICE_TIME.max(forward::ACCEPT_STREAMS_FOR);
     serve_until_idle(
         cx,
--- a/daemon/tests/host_shutdown.rs
+++ b/daemon/tests/host_shutdown.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic;
 use std::time;
 
+use tokio::io::AsyncWriteExt as _;
 use walnuthaven_platform_standin::caller;
 use walnuthaven_platform_standin::hosts;
 use walnuthaven_platform_standin::server;
@@ -11,6 +12,9 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
 /// Longest time to wait for an answer or an expected state.
 const TIMEOUT: time::Duration = time::Duration::from_secs(9);
+/// When callers send on kept connections, after the signal: near the end of the grace period.
+const LATE: time::Duration = time::Duration::from_millis(6_500);
+const SPACING: time::Duration = time::Duration::from_millis(50);
 /// The grace period in the hosts' settings: after it, the platform would kill the process.
 const GRACE: time::Duration = time::Duration::from_secs(8);
 
@@ -170,3 +174,67 @@
     };
     assert!(status.success(), "{status}");
 }
+
+/// A long stream keeps the host up until the end of its grace period, while callers send on connections that they have
+/// kept open.
+#[tokio::test]
+async fn leaving_host_passes_on_nothing_that_it_would_cut() {
+    let (store, addr) = store::Store::start().await;
+    let mut configuration = hosts::configuration(3);
+    configuration["routes"][3]["timeout_ms"] = 14_000.into();
+    store.put("config", "main", configuration);
+    let server = server::Server::start("i-a", None).await;
+    server.delay_ms.store(150, atomic::Ordering::Relaxed);
+    server.register(&store, "gate");
+    let engine = server::Server::start("i-d", Some("decode")).await;
+    engine
+        .events_per_stream
+        .store(60, atomic::Ordering::Relaxed);
+    engine.delay_ms.store(200, atomic::Ordering::Relaxed);
+    engine.register(&store, "scribe");
+    let host = hosts::Host::start(BINARY, "h1", addr);
+    host.wait_ready().await;
+    let callers = host.callers_addr;
+    let mut kept = Vec::new();
+    for number in 0..30 {
+        let mut stream = tokio::net::TcpStream::connect(callers).await.unwrap();
+        let bytes = caller::request("POST", "/once/x", &format!("a{number}"), "", "");
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        let answer = caller::read(&mut stream, TIMEOUT).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        kept.push(stream);
+    }
+    let long = tokio::spawn(async move {
+        let headers = "X-Token-Count: 10,7000\r\n";
+        let bytes = caller::request("POST", "/single/x", "long", headers, "p");
+        caller::send(callers, &bytes, TIMEOUT * 2).await
+    });
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    host.signal(rustix::process::Signal::TERM).unwrap();
+    let signalled = tokio::time::Instant::now();
+    let mut sends = Vec::new();
+    for (number, mut stream) in kept.into_iter().enumerate() {
+        let at = signalled + LATE + SPACING * number as u32;
+        sends.push(tokio::spawn(async move {
+            tokio::time::sleep_until(at).await;
+            let headers = "X-Request-Deadline: 1500\r\n";
+            let bytes = caller::request("POST", "/once/x", &format!("b{number}"), headers, "");
+            // The host may have ended.
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            caller::read(&mut stream, TIMEOUT).await
+        }));
+    }
+    let mut refused = 0;
+    for (number, send) in sends.into_iter().enumerate() {
+        let answer = send.await.unwrap();
+        let runs = server.runs_of(&format!("b{number}"));
+        assert!(
+            runs == 0 || answer.complete,
+            "b{number} was cut: {}",
+            host.log()
+        );
+        refused += usize::from(answer.status == 503);
+    }
+    assert!(refused > 0, "the host ended early: {}", host.log());
+    drop(long);
+}
