router: check that a plain answer without a length wasn't cut by a crash

Cause: a killed process ends its connections in order, so a body without an end of its own looks whole. Streams had a check whether the server has ended, plain answers hadn't. Change: one function decides for both whether a body that ended is whole. Answers that have no body have an end. The cost is a connection for each answer without a length.

--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -221,12 +221,18 @@
         ));
     }
     server_notices::record_answer(cx, server, parts.status, &parts.headers);
+    let has_no_body = req.method == http::Method::HEAD
+        || matches!(
+            parts.status,
+            http::StatusCode::NO_CONTENT | http::StatusCode::NOT_MODIFIED
+        );
     let framing = [
         http::header::CONTENT_LENGTH,
         http::header::TRANSFER_ENCODING,
     ];
     Ok(ServerResponse {
-        has_explicit_end: framing.iter().any(|name| parts.headers.contains_key(name)),
+        has_explicit_end: has_no_body
+            || framing.iter().any(|name| parts.headers.contains_key(name)),
         status: parts.status,
         headers: parts.headers,
         head,
@@ -311,6 +317,7 @@
     response: ServerResponse,
     deadline: time::Duration,
 ) -> Result<(http::StatusCode, http::HeaderMap, Bytes), SendFailure> {
+    let has_end = response.has_explicit_end;
     let mut attempt = response.attempt;
     let reading = read_buffered(cx, response.body);
     let body = match tokio::time::timeout(time_left(cx, deadline), reading).await {
@@ -325,6 +332,10 @@
         }
         Ok(Ok(body)) => body,
     };
+    if !ended_whole(cx, has_end, &response.server).await {
+        attempt.set_broken(cx.now());
+        return Err(failure(outcome::Outcome::BrokenMidway, BODY_BROKE));
+    }
     attempt.set_answered();
     tokio::spawn(connection_pool::return_connection(
         cx.clone(),
@@ -335,6 +346,16 @@
     Ok((response.status, response.headers, body))
 }
 
+/// Returns whether a body that ended is whole. Without an end of its own, one that a crash broke off looks the same,
+/// which shows in that its server has ended.
+pub(crate) async fn ended_whole<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    has_explicit_end: bool,
+    server: &backends::Backend,
+) -> bool {
+    has_explicit_end || !crash_checks::has_ended(cx, server).await
+}
+
 /// Reads a body into memory that is shared with the answers to all other requests.
 ///
 /// # Errors
--- a/daemon/src/router/stream_events.rs
+++ b/daemon/src/router/stream_events.rs
@@ -8,7 +8,6 @@
 
 use crate::locks;
 use crate::router::answer;
-use crate::router::crash_checks;
 use crate::router::events::event;
 use crate::router::send;
 use crate::router::stream_request;
@@ -68,11 +67,9 @@
     server: &backends::Backend,
     held: &[Bytes],
 ) -> bool {
-    if response.has_explicit_end {
-        return true;
-    }
+    let has_end = response.has_explicit_end;
     let has_events = response.attempt.began().is_some() || !held.is_empty();
-    has_events && !crash_checks::has_ended(&request.cx, server).await
+    (has_end || has_events) && send::ended_whole(&request.cx, has_end, server).await
 }
 
 /// How an event's id relates to that of the last event.
--- a/daemon/tests/plain_requests.rs
+++ b/daemon/tests/plain_requests.rs
@@ -206,6 +206,34 @@
     assert!(answer.body.starts_with("body of r1"), "{answer:?}");
 }
 
+/// The connection ends as that of a whole answer does.
+#[tokio::test]
+async fn answer_without_length_that_a_crash_cuts_is_not_complete() {
+    for (path, id) in [("/once/x", "r1"), ("/plain/x", "r2")] {
+        let setup = start_setup().await;
+        setup.set_fault(server::Fault::CrashWithinUnframedAnswer);
+        let sent = setup.send(path, id, "");
+        let cut = async {
+            let start = time::Instant::now();
+            while setup.runs_of(id) == 0 {
+                assert!(start.elapsed() < TIMEOUT, "{id} never ran");
+                tokio::time::sleep(time::Duration::from_millis(1)).await;
+            }
+            let idle = match setup.a.runs_of(id) {
+                0 => &setup.a,
+                _ => &setup.b,
+            };
+            idle.set_fault(server::Fault::None);
+        };
+        let (answer, ()) = tokio::join!(sent, cut);
+        let whole = answer.body.starts_with(&format!("body of {id} from i-"));
+        match path {
+            "/once/x" => assert_eq!(answer.status, 502, "{answer:?}"),
+            _ => assert!(answer.status == 200 && whole, "{answer:?}"),
+        }
+    }
+}
+
 #[tokio::test]
 async fn silent_server_times_out_at_the_deadline() {
     let setup = start_setup().await;
