router: give leases up and list all views again in a new era of the store

Hosts whose entries were lost with the copy stayed unknown to hosts that started later. Cause: no code read the store's era. A lease that wasn't stored was free at once, and began with fencing number 1; its holder went on; views compared revisions that are given out again. Change: a new era ends the holder's lease, and lets a successor wait until a holder of the former era has ended; fencing numbers of a later era are higher. All views are listed again and hosts write their entries again.

--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -101,7 +101,7 @@
     served_version_store::spawn(&cx);
     stream_record_store::spawn(&cx);
     stage_orders::spawn(&cx);
-    tokio::spawn(register(cx.clone()));
+    tokio::spawn(keep_registered(cx.clone()));
     tokio::spawn(upkeep(cx.clone()));
     tokio::spawn(reload(cx.clone(), path.to_owned(), hangup));
     event!(Info, "start", "host" => cx.id.to_string(), "zone" => settings.zone,
@@ -128,11 +128,22 @@
     }
 }
 
+/// Keeps the host's entry in the store: writes it at the start, and again when the store came back from a copy.
+async fn keep_registered<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>) {
+    loop {
+        register(&cx).await;
+        cx.renewals.wait_for_era_after(cx.renewals.era()).await;
+        if cx.is_leaving() {
+            return;
+        }
+    }
+}
+
 /// Writes the host's entry to the store, and retries until that succeeds.
-async fn register<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>) {
-    let mut client = store::Client::new(&cx);
+async fn register<D: dialect::Dialect>(cx: &sync::Arc<context::Router<D>>) {
+    let mut client = store::Client::new(cx);
     let mut pause = FIRST_REGISTER_PAUSE;
-    while let Err(failure) = try_register(&cx, &mut client).await {
+    while let Err(failure) = try_register(cx, &mut client).await {
         event!(Info, "entry-not-written", "cause" => failure.to_string());
         tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
         pause = (pause * 2).min(MAX_REGISTER_PAUSE);
--- a/daemon/src/router/stage_orders.rs
+++ b/daemon/src/router/stage_orders.rs
@@ -155,8 +155,15 @@
         })
     }
 
+    /// Gives the lease up if the store has come back from a copy, which may not hold it.
+    fn record_era(&mut self) {
+        let era = self.cx.renewals.era();
+        self.lease.record_era(era, self.cx.now());
+    }
+
     /// Acquires the lease unless this host holds it already. Returns whether this host holds it.
     async fn ensure_lease(&mut self) -> bool {
+        self.record_era();
         if self.lease.held(self.cx.now()).is_some() {
             return true;
         }
@@ -178,6 +185,7 @@
             // An unreadable record is replaced as if there were none.
             lease::Record::deserialize(&object.value).ok()
         });
+        self.record_era();
         let now = self.cx.now();
         let lease::Step::Write(record) = self.lease.observe(record.as_ref(), true, now) else {
             return Ok(false);
@@ -192,6 +200,7 @@
             }
         }
         self.lease.record_write(&record, now);
+        self.record_era();
         event!(Info, "lease-held", "fence" => record.fence, "renewal" => record.renewal);
         Ok(true)
     }
@@ -213,6 +222,7 @@
             event!(Info, "order-skipped", "server" => engine.id);
             return;
         };
+        self.record_era();
         let Some(held) = self.lease.held(self.cx.now()) else {
             return;
         };
--- a/daemon/src/router/store.rs
+++ b/daemon/src/router/store.rs
@@ -171,18 +171,22 @@
             let response = send::call_on(&mut connection, addr, call, headers);
             let response = tokio::time::timeout(timeout, response).await??;
             let status = response.status();
+            let era = self.cx.dialect.store_era(response.headers());
             let body =
                 tokio::time::timeout(BODY_TIMEOUT, send::read_body(response, MAX_BODY_BYTES))
                     .await??;
-            Ok::<_, io::Error>((status, body, connection))
+            Ok::<_, io::Error>((status, era, body, connection))
         };
         self.cx.telemetry.count("store.calls");
-        let (status, body, connection) = match exchange.await {
+        let (status, era, body, connection) = match exchange.await {
             Err(error) if error.kind() == io::ErrorKind::TimedOut => return Err(Failure::Silent),
             Err(error) => return Err(Failure::NoAnswer(error.to_string())),
             Ok(answer) => answer,
         };
         self.connection = Some(connection);
+        if let Some(era) = era {
+            self.cx.renewals.record_era(era);
+        }
         match self.cx.dialect.store_status(status) {
             dialect::StoreStatus::Done => Ok(body),
             other => Err(Failure::Status(other)),
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -77,11 +77,16 @@
     let mut client = store::Client::new(&cx);
     let mut pause = FIRST_PAUSE;
     let mut watch_from: Option<u64> = None;
+    // The store's era of the view.
+    let mut view_era = 0;
     let mut failing = false;
     // Whether the next watch call replaces one that is open.
     let mut renews = false;
     let mut may_lag = collection == dialect::Collection::Backends;
     loop {
+        if watch_from.is_none() {
+            view_era = cx.renewals.era();
+        }
         let step = async {
             match watch_from {
                 None => {
@@ -120,6 +125,9 @@
                     }
                     let wait = watch_time(&cx, collection);
                     let changes = client.watch(collection, revision, wait).await?;
+                    if cx.renewals.era() != view_era {
+                        return Ok(None);
+                    }
                     record_success(&cx, collection, &mut failing);
                     for change in &changes.changes {
                         apply_change(&cx, collection, change);
@@ -133,8 +141,9 @@
             }
         };
         let result: Result<Option<u64>, store::Failure> = tokio::select! {
+            biased;
             result = step => result,
-            renewal = view_renewal::wait(&cx, collection) => {
+            renewal = view_renewal::wait(&cx, collection, view_era) => {
                 match renewal {
                     view_renewal::Renewal::List => watch_from = None,
                     view_renewal::Renewal::Watch => renews = true,
@@ -145,6 +154,10 @@
         };
         match result {
             Ok(revision) => {
+                if view_era == 0 {
+                    // The first answer of the store names its era.
+                    view_era = cx.renewals.era();
+                }
                 watch_from = revision;
                 pause = FIRST_PAUSE;
             }
--- a/daemon/src/router/view_renewal.rs
+++ b/daemon/src/router/view_renewal.rs
@@ -2,6 +2,7 @@
 //! the view must be known to be current.
 
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use walnuthaven_lib::dialect;
@@ -30,6 +31,10 @@
     servers_list_due: tokio::sync::Notify,
     /// Signalled when the backend servers were listed.
     servers_listed: tokio::sync::Notify,
+    /// The newest era of the store that an answer named; 0 if none did.
+    era: atomic::AtomicU64,
+    /// Signalled when the era has changed.
+    era_changed: tokio::sync::Notify,
     /// Signalled when a connection to the store turned out to be silent.
     silent: tokio::sync::Notify,
 }
@@ -73,16 +78,53 @@
         locks::lock(&self.servers).record_changes(changes.revision, newest);
     }
 
+    /// Returns the store's era.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Records the era that an answer of the store named. Revisions of different eras can't be compared, so all views
+    /// are listed again in a new one.
+    pub(crate) fn record_era(&self, era: u64) {
+        let before = self.era.fetch_max(era, atomic::Ordering::Relaxed);
+        if era > before && before > 0 {
+            event!(Warn, "store-era", "era" => era, "before" => before);
+            self.era_changed.notify_waiters();
+        }
+    }
+
+    /// Waits until the store's era isn't `known` any more.
+    pub(crate) async fn wait_for_era_after(&self, known: u64) {
+        loop {
+            let changed = self.era_changed.notified();
+            if known > 0 && self.era() != known {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Has the other views ask the store again: one connection went silent, so theirs may have, too.
     pub(crate) fn record_silence(&self) {
         self.silent.notify_waiters();
     }
 }
 
-/// Waits until the store must be asked again for a collection.
+/// Waits until the store must be asked again for a collection, whose view is of an era of the store.
 pub(crate) async fn wait<D: dialect::Dialect>(
     cx: &context::Router<D>,
     collection: dialect::Collection,
+    era: u64,
+) -> Renewal {
+    tokio::select! {
+        renewal = wait_in_era(cx, collection) => renewal,
+        () = cx.renewals.wait_for_era_after(era) => Renewal::List,
+    }
+}
+
+async fn wait_in_era<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    collection: dialect::Collection,
 ) -> Renewal {
     let silent = cx.renewals.silent.notified();
     match collection {
--- /dev/null
+++ b/daemon/tests/store_copies.rs
@@ -0,0 +1,59 @@
+//! A store that comes back from a copy some seconds old.
+
+use std::sync;
+use std::time;
+
+use walnuthaven_platform_standin::hosts;
+use walnuthaven_platform_standin::server;
+use walnuthaven_platform_standin::store;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
+/// Longest time to wait for what hosts write or read again.
+const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// The store's kind of the hosts' entries.
+const HOSTS: &str = "walnuthaven-hosts";
+
+async fn wait_until(log_of: &hosts::Host, what: &str, mut is_so: impl FnMut() -> bool) {
+    let start = time::Instant::now();
+    while !is_so() {
+        assert!(start.elapsed() < TIMEOUT, "{what}: {}", log_of.log());
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
+
+async fn add_server(store: &store::Store, id: &str) -> sync::Arc<server::Server> {
+    let server = server::Server::start(id, None).await;
+    server.register(store, "gate");
+    server
+}
+
+/// Twice in a row: what was written since the copy is written again, under revisions that were given out before.
+#[tokio::test]
+async fn hosts_go_on_with_a_store_that_came_back_from_a_copy() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    add_server(&store, "i-a").await;
+    let copy = store.copy();
+    let again = store.copy();
+    let names = ["h1", "h2"];
+    let all = names.map(|name| hosts::Host::start(BINARY, name, addr));
+    for host in &all {
+        host.wait_ready().await;
+    }
+    wait_until(&all[0], "the entries were written", || {
+        store.object_names(HOSTS) == names
+    })
+    .await;
+    for (copy, id) in [(copy, "i-b"), (again, "i-c")] {
+        store.come_back_from(copy);
+        let _server = add_server(&store, id).await;
+        for host in &all {
+            let joined = format!("\"{id}\",\"change\":\"joined\"");
+            wait_until(host, id, || host.log().contains(&joined)).await;
+        }
+        wait_until(&all[0], "the entries are written again", || {
+            store.object_names(HOSTS) == names
+        })
+        .await;
+    }
+}
--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -4,6 +4,9 @@
 //! counts the duration from before it sent the write, on a clock that also runs during suspension, and
 //! stops using the lease some time before its end. A successor waits for the duration of the lease plus
 //! that of the longest order, so that the last order of a paused holder has ended.
+//!
+//! A store that comes back from a copy loses leases. Each time is an era: what was read in one isn't compared with what
+//! is read in another, and the fencing numbers of a later era are higher.
 
 use std::time;
 
@@ -19,6 +22,9 @@
 /// The longest time that an order to an engine may take.
 pub const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// Fencing numbers that each era has for itself.
+const FENCES_PER_ERA: u64 = 1_000_000;
+
 /// The stored lease object.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
@@ -65,6 +71,10 @@
     seen: Option<(Record, time::Duration)>,
     /// Set while this host holds the lease.
     held: Option<Held>,
+    /// The store's era, if it was read.
+    era: Option<u64>,
+    /// When the holders of earlier eras have ended, if this host saw the era begin.
+    former_end_at: time::Duration,
 }
 
 impl Lease {
@@ -74,14 +84,39 @@
             own,
             seen: None,
             held: None,
+            era: None,
+            former_end_at: time::Duration::ZERO,
+        }
+    }
+
+    /// Records the store's era. A lease of an earlier one isn't held any more: another host may have taken it after the
+    /// copy was made, or may take it now.
+    pub fn record_era(&mut self, era: u64, now: time::Duration) {
+        if self.era == Some(era) {
+            return;
         }
+        if self.era.is_some() {
+            self.seen = None;
+            self.held = None;
+            self.former_end_at = now + LEASE_DURATION + ORDER_TIMEOUT;
+        }
+        self.era = Some(era);
+    }
+
+    /// Returns the highest fencing number of earlier eras.
+    fn former_fences(&self) -> u64 {
+        self.era.unwrap_or(0).saturating_mul(FENCES_PER_ERA)
     }
 
     /// Observes the stored record, as read at `now`, and returns what to do next. `wanted` says whether this
-    /// host wants to hold the lease.
+    /// host wants to hold the lease. The store's era must be recorded before.
     pub fn observe(&mut self, stored: Option<&Record>, wanted: bool, now: time::Duration) -> Step {
+        let former_fences = self.former_fences();
         let Some(stored) = stored else {
-            return if wanted { self.write(0, 0) } else { Step::Wait };
+            return match wanted && now >= self.former_end_at {
+                true => self.write(former_fences, 0),
+                false => Step::Wait,
+            };
         };
         let changed = self.seen.as_ref().is_none_or(|(seen, _)| seen != stored);
         if changed {
@@ -93,12 +128,13 @@
         if !wanted {
             return Step::Wait;
         }
-        if stored.holder == self.own {
-            return self.write(stored.fence - 1, stored.renewal);
+        let is_of_era = stored.fence > former_fences || former_fences == 0;
+        if stored.holder == self.own && is_of_era && now >= self.former_end_at {
+            return self.write(stored.fence.saturating_sub(1), stored.renewal);
         }
         let since = self.seen.as_ref().map_or(now, |(_, at)| *at);
         if now.saturating_sub(since) >= LEASE_DURATION + ORDER_TIMEOUT {
-            return self.write(stored.fence, 0);
+            return self.write(stored.fence.max(former_fences), 0);
         }
         Step::Wait
     }
--- a/lib/tests/lease_fencing.rs
+++ b/lib/tests/lease_fencing.rs
@@ -166,3 +166,65 @@
         "each role keeps its minimum"
     );
 }
+
+/// A host reads the lease in an era of the store, and acquires or renews it where possible.
+fn attempt_in_era(lease: &mut lease::Lease, era: u64, stored: &mut Stored, now: time::Duration) {
+    lease.record_era(era, now);
+    attempt(lease, stored, now, false);
+}
+
+#[test]
+fn a_holder_gives_its_lease_up_when_the_store_comes_back_from_a_copy() {
+    let mut stored = Stored::default();
+    let mut holder = lease::Lease::new(host("a"));
+    attempt_in_era(&mut holder, 1, &mut stored, secs(0));
+    assert!(holder.held(secs(1)).is_some());
+    holder.record_era(2, secs(1));
+    assert!(holder.held(secs(1)).is_none());
+}
+
+#[test]
+fn fences_rise_across_eras_whatever_the_copy_holds() {
+    for copied in [false, true] {
+        let mut stored = Stored::default();
+        let mut first = lease::Lease::new(host("a"));
+        let mut second = lease::Lease::new(host("b"));
+        second.record_era(1, secs(0));
+        attempt_in_era(&mut first, 1, &mut stored, secs(0));
+        let fence = first.held(secs(1)).expect("lease is held").fence;
+        let mut copy = Stored::default();
+        if copied {
+            copy.record = stored.record.clone();
+        }
+        let former_end = secs(1) + lease::LEASE_DURATION + lease::ORDER_TIMEOUT;
+        for at in 1..13 {
+            attempt_in_era(&mut second, 2, &mut copy, secs(at));
+            assert!(
+                second.held(secs(at)).is_none(),
+                "at {at} s, copied: {copied}"
+            );
+        }
+        attempt_in_era(&mut second, 2, &mut copy, former_end);
+        let held = second.held(former_end).expect("the lease is free");
+        assert!(held.fence > fence, "{} after {fence}", held.fence);
+        assert_eq!(
+            second.held(former_end).map(|held| held.fence > fence),
+            Some(true)
+        );
+    }
+}
+
+/// The copy has this host's own lease, which another host may have had since.
+#[test]
+fn a_holder_does_not_renew_its_lease_of_an_earlier_era() {
+    let mut stored = Stored::default();
+    let mut holder = lease::Lease::new(host("a"));
+    attempt_in_era(&mut holder, 1, &mut stored, secs(0));
+    let fence = holder.held(secs(1)).expect("lease is held").fence;
+    for at in 1..13 {
+        attempt_in_era(&mut holder, 2, &mut stored, secs(at));
+        assert!(holder.held(secs(at)).is_none(), "at {at} s");
+    }
+    attempt_in_era(&mut holder, 2, &mut stored, secs(14));
+    assert!(holder.held(secs(14)).expect("lease is held").fence > fence);
+}
