router: list again, not watch, after a connection to the store went silent

Cause: once one watch call had ended without an answer, the other views opened theirs again. While the store is silent such a call is lost, and is noticed 26.5 s later; the calls before had only waited. Result: views_are_current_after_a_silent_store_answers_again fails before and passes, with the three others of silent_store.

--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -80,8 +80,6 @@
     // The store's era of the view.
     let mut view_era = 0;
     let mut failing = false;
-    // Whether the next watch call replaces one that is open.
-    let mut renews = false;
     let mut may_lag = collection == dialect::Collection::Backends;
     loop {
         if watch_from.is_none() {
@@ -120,9 +118,7 @@
                     Ok(None)
                 }
                 Some(revision) => {
-                    if !std::mem::take(&mut renews) {
-                        tokio::time::sleep(watch_pause(collection)).await;
-                    }
+                    tokio::time::sleep(watch_pause(collection)).await;
                     let wait = watch_time(&cx, collection);
                     let changes = client.watch(collection, revision, wait).await?;
                     if cx.renewals.era() != view_era {
@@ -143,11 +139,8 @@
         let result: Result<Option<u64>, store::Failure> = tokio::select! {
             biased;
             result = step => result,
-            renewal = view_renewal::wait(&cx, collection, view_era) => {
-                match renewal {
-                    view_renewal::Renewal::List => watch_from = None,
-                    view_renewal::Renewal::Watch => renews = true,
-                }
+            () = view_renewal::wait(&cx, collection, view_era) => {
+                watch_from = None;
                 client = store::Client::new(&cx);
                 continue;
             }
--- a/daemon/src/router/view_renewal.rs
+++ b/daemon/src/router/view_renewal.rs
@@ -1,5 +1,8 @@
-//! When this host asks the store again although a watch call is open: the call's connection may have gone silent, or
-//! the view must be known to be current.
+//! When this host lists objects of the store again although a watch call is open: the call's connection may have gone
+//! silent, or the view must be known to be current.
+//!
+//! It doesn't watch again without a list: a call that the store answers at once shows soon whether it answers at all,
+//! whereas a watch call that is lost is noticed when it should have ended.
 
 use std::sync;
 use std::sync::atomic;
@@ -39,15 +42,6 @@
     silent: tokio::sync::Notify,
 }
 
-/// What to ask the store for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Renewal {
-    /// A list of all objects.
-    List,
-    /// The changes since the last answer.
-    Watch,
-}
-
 impl Renewals {
     /// Returns the newest change of a server that this host knows of, for other hosts.
     pub(crate) fn servers_revision(&self) -> u64 {
@@ -104,45 +98,39 @@
         }
     }
 
-    /// Has the other views ask the store again: one connection went silent, so theirs may have, too.
+    /// Has the other views listed again: one connection went silent, so theirs may have, too.
     pub(crate) fn record_silence(&self) {
         self.silent.notify_waiters();
     }
 }
 
-/// Waits until the store must be asked again for a collection, whose view is of an era of the store.
+/// Waits until a collection must be listed again, whose view is of an era of the store.
 pub(crate) async fn wait<D: dialect::Dialect>(
     cx: &context::Router<D>,
     collection: dialect::Collection,
     era: u64,
-) -> Renewal {
+) {
     tokio::select! {
-        renewal = wait_in_era(cx, collection) => renewal,
-        () = cx.renewals.wait_for_era_after(era) => Renewal::List,
+        () = wait_in_era(cx, collection) => {}
+        () = cx.renewals.wait_for_era_after(era) => {}
     }
 }
 
 async fn wait_in_era<D: dialect::Dialect>(
     cx: &context::Router<D>,
     collection: dialect::Collection,
-) -> Renewal {
+) {
     let silent = cx.renewals.silent.notified();
     match collection {
         dialect::Collection::Backends => tokio::select! {
-            () = wait_for_servers_lag(cx) => {
-                cx.renewals.record_silence();
-                Renewal::Watch
-            }
-            () = cx.renewals.servers_list_due.notified() => Renewal::List,
+            () = wait_for_servers_lag(cx) => cx.renewals.record_silence(),
+            () = cx.renewals.servers_list_due.notified() => {}
         },
         dialect::Collection::Configuration => tokio::select! {
-            () = wait_for_configuration_lag(cx) => Renewal::List,
-            () = silent => Renewal::Watch,
+            () = wait_for_configuration_lag(cx) => {}
+            () = silent => {}
         },
-        dialect::Collection::CrashMarks => {
-            silent.await;
-            Renewal::Watch
-        }
+        dialect::Collection::CrashMarks => silent.await,
         dialect::Collection::Hosts
         | dialect::Collection::Leases
         | dialect::Collection::ServedVersions
--- a/daemon/tests/silent_store.rs
+++ b/daemon/tests/silent_store.rs
@@ -125,3 +125,27 @@
     }
     fleet.check_unused("i-a").await;
 }
+
+/// Calls that are made during the silence are lost, too.
+#[tokio::test]
+async fn views_are_current_after_a_silent_store_answers_again() {
+    let fleet = Fleet::start().await;
+    for proxy in &fleet.proxies {
+        proxy.set_fault(proxy::Fault::DropAll);
+    }
+    tokio::time::sleep(time::Duration::from_millis(4_500)).await;
+    for proxy in &fleet.proxies {
+        proxy.set_fault(proxy::Fault::None);
+    }
+    tokio::time::sleep(STABILITY).await;
+    let mut newer = hosts::configuration(4);
+    newer["routes"][0]["path_prefix"] = "/moved/".into();
+    fleet.store.put("config", "main", newer);
+    let entry = fleet.servers[0].entry("gate", "draining");
+    fleet.store.put("servers", "i-a", entry);
+    tokio::time::sleep(NOTICE_TIME).await;
+    for host in &fleet.hosts {
+        assert_eq!(fleet.status(host, "/moved/x").await, 200, "{}", host.log());
+    }
+    fleet.check_unused("i-a").await;
+}
