router: let waits for changes of servers end at a steady rate

Cause: all watches of the fleet began after the same change, while the store was silent. Their waits were 12.5 to 25 s, so no host noticed before 14 s, and none could tell the others. Change: the waits are distributed exponentially, with a mean of half a second for each host of the fleet.

--- a/lib/src/view_revisions.rs
+++ b/lib/src/view_revisions.rs
@@ -1,8 +1,8 @@
 //! Up to which revision of the store a host knows a collection, compared with other hosts.
 //!
 //! A watch whose connection went silent looks like one without changes. Hosts tell each other the newest change that
-//! they know of, so that one that lacks it finds out. And they don't all wait equally long for changes, so that one of
-//! them soon finds out if the watches of all went silent at once.
+//! they know of, so that one that lacks it finds out. And their waits for a change are spread so that at any moment some
+//! end soon, also if all began at the same change: so a few hosts soon find out that the watches of all went silent.
 
 use std::time;
 
@@ -10,15 +10,16 @@
 pub const MAX_WATCH_TIME: time::Duration = time::Duration::from_secs(25);
 /// The shortest, however few hosts there are.
 const MIN_WATCH_TIME: time::Duration = time::Duration::from_secs(1);
-/// Time between two answers without a change to any host of the fleet.
+/// Mean time between two waits that end without a change, of all hosts together.
 const FLEET_ANSWER_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
-/// Returns how long a watch call waits for a change in a fleet of `hosts`. `random` is uniform in 0 to 1, so that calls
-/// of hosts that started together end at different times.
+/// Returns how long a watch call waits for a change in a fleet of `hosts`. `random` is uniform in 0 to 1. The waits are
+/// distributed exponentially: the rate at which they end is the same at any time after they began.
 pub fn watch_time(hosts: usize, random: f64) -> time::Duration {
-    let longest = FLEET_ANSWER_INTERVAL.saturating_mul(hosts.try_into().unwrap_or(u32::MAX));
-    let longest = longest.clamp(MIN_WATCH_TIME, MAX_WATCH_TIME);
-    longest.mul_f64(0.5 + random / 2.0).max(MIN_WATCH_TIME)
+    let mean = FLEET_ANSWER_INTERVAL.as_secs_f64() * hosts as f64;
+    let seconds = mean * -(1.0 - random).ln();
+    let seconds = seconds.min(MAX_WATCH_TIME.as_secs_f64());
+    time::Duration::from_secs_f64(seconds).max(MIN_WATCH_TIME)
 }
 
 /// What a host knows of a collection.
--- a/lib/tests/view_revisions.rs
+++ b/lib/tests/view_revisions.rs
@@ -63,34 +63,53 @@
     assert!(view.lacks(31));
 }
 
-/// Watches of all hosts fall silent together; the first call that isn't answered shows it.
+/// Watches of all hosts begin at the same change and are silent; the first call that isn't answered shows it.
 #[test]
 fn a_fleet_finds_out_soon_that_all_watches_are_silent() {
     for hosts in [3, 6, 8, 30, 62, 86, 300, 2_000] {
         let mut first_ends = 0.0;
-        let rounds = 200;
+        let rounds = 400;
         for _ in 0..rounds {
-            let left = (0..hosts).map(|_| {
-                let time = view_revisions::watch_time(hosts, rand::random::<f64>());
-                time.mul_f64(rand::random::<f64>()).as_secs_f64()
-            });
-            first_ends += left.fold(f64::INFINITY, f64::min) / f64::from(rounds);
+            let waits =
+                (0..hosts).map(|_| view_revisions::watch_time(hosts, rand::random()).as_secs_f64());
+            first_ends += waits.fold(f64::INFINITY, f64::min) / f64::from(rounds);
         }
         let bound = FINDS_OUT_WITHIN.as_secs_f64();
         assert!(first_ends < bound, "{hosts} hosts: {first_ends} s");
     }
 }
 
+/// The same, at any time after the waits began: of those that haven't ended yet, some end soon.
+#[test]
+fn waits_end_at_a_steady_rate() {
+    let hosts = 86;
+    let waits: Vec<_> = (0..hosts * 400)
+        .map(|_| view_revisions::watch_time(hosts, rand::random()).as_secs_f64())
+        .collect();
+    for second in 1..24 {
+        let from = f64::from(second);
+        let open = waits.iter().filter(|wait| **wait >= from).count();
+        let ended = waits
+            .iter()
+            .filter(|wait| (from..from + 1.0).contains(*wait));
+        let share = ended.count() as f64 / open as f64;
+        assert!(share > 0.015, "after {second} s: {share}");
+    }
+}
+
 #[test]
 fn calls_do_not_grow_with_the_fleet_until_they_are_rare() {
-    for hosts in 1..=50 {
-        let per_second =
-            f64::from(hosts) / view_revisions::watch_time(hosts as usize, 0.0).as_secs_f64();
+    let samples = 2_000;
+    for hosts in [1, 3, 8, 30, 50] {
+        let waits =
+            (0..samples).map(|_| view_revisions::watch_time(hosts, rand::random()).as_secs_f64());
+        let mean = waits.sum::<f64>() / f64::from(samples);
+        let per_second = hosts as f64 / mean;
         assert!(
-            per_second <= 4.0,
+            per_second < 4.0,
             "{hosts} hosts make {per_second} calls a second"
         );
     }
-    let large = view_revisions::watch_time(2_000, 1.0);
-    assert_eq!(large, view_revisions::MAX_WATCH_TIME);
+    let longest = view_revisions::watch_time(2_000, 1.0);
+    assert_eq!(longest, view_revisions::MAX_WATCH_TIME);
 }
