router: let no request for a current view cancel a list that is under way

Cause: read in the diff: each stream that is taken up at a host out of step asks for a list of the servers and so cancelled the one before; with a slow store none would have ended. Each could also cost a call. Change: a view is listed again only if it is being watched; requests within 40 ms share a list.

--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -85,6 +85,7 @@
         if watch_from.is_none() {
             view_era = cx.renewals.era();
         }
+        let is_watching = watch_from.is_some();
         let step = async {
             match watch_from {
                 None => {
@@ -139,7 +140,8 @@
         let result: Result<Option<u64>, store::Failure> = tokio::select! {
             biased;
             result = step => result,
-            () = view_renewal::wait(&cx, collection, view_era) => {
+            // A list that is under way is as good as another one.
+            () = view_renewal::wait(&cx, collection, view_era), if is_watching => {
                 watch_from = None;
                 client = store::Client::new(&cx);
                 continue;
@@ -159,8 +161,7 @@
                 watch_from = None;
             }
             Err(failure) => {
-                let was_watching = watch_from.is_some();
-                if was_watching && failure == store::Failure::Silent {
+                if is_watching && failure == store::Failure::Silent {
                     cx.renewals.record_silence();
                 }
                 // Changes during the store's outage may be missing from its history, so the view is
--- a/daemon/src/router/view_renewal.rs
+++ b/daemon/src/router/view_renewal.rs
@@ -21,7 +21,8 @@
 /// How long another host may know of a change of a server that this host lacks: the longest pause between two watch
 /// calls.
 const MAX_SERVERS_LAG: time::Duration = time::Duration::from_millis(600);
-
+/// Time to collect those who wait for a list of the servers.
+const COLLECT_TIME: time::Duration = time::Duration::from_millis(40);
 /// Longest wait for a list of the servers that shows that the view is current.
 const MAX_CONFIRMATION: time::Duration = time::Duration::from_millis(400);
 
@@ -124,7 +125,10 @@
     match collection {
         dialect::Collection::Backends => tokio::select! {
             () = wait_for_servers_lag(cx) => cx.renewals.record_silence(),
-            () = cx.renewals.servers_list_due.notified() => {}
+            () = async {
+                cx.renewals.servers_list_due.notified().await;
+                tokio::time::sleep(COLLECT_TIME).await;
+            } => {}
         },
         dialect::Collection::Configuration => tokio::select! {
             () = wait_for_configuration_lag(cx) => {}
