--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -26,10 +26,7 @@
 impl Outcome {
     /// Returns whether it is certain that the server hasn't run the request.
     pub fn is_not_run(self) -> bool {
-        matches!(
-            self,
-            Self::NeverWritten | Self::RefusedUnrun | Self::Quarantined
-        )
+        !AttemptEnd::from(self).may_have_run()
     }
 }
 
@@ -46,6 +43,16 @@
     Refused,
 }
 
+impl AttemptEnd {
+    /// Returns whether a server may have run the request.
+    fn may_have_run(self) -> bool {
+        match self {
+            Self::Answered | Self::MayHaveRun => true,
+            Self::NotSent | Self::Refused => false,
+        }
+    }
+}
+
 impl From<Outcome> for AttemptEnd {
     fn from(outcome: Outcome) -> Self {
         match outcome {
@@ -74,10 +81,7 @@
 
     /// Records the end of an attempt.
     pub fn record(&mut self, end: AttemptEnd) {
-        self.may_have_run |= match end {
-            AttemptEnd::Answered | AttemptEnd::MayHaveRun => true,
-            AttemptEnd::NotSent | AttemptEnd::Refused => false,
-        };
+        self.may_have_run |= end.may_have_run();
     }
 
     /// Adds the attempts of another state.
@@ -132,10 +136,9 @@
 /// Decides what the router does after a send with this outcome. A request is retried only if it hasn't run or
 /// its kind allows running it again.
 pub fn next(kind: routing::Kind, outcome: Outcome, allowance: Allowance) -> Next {
-    let allowed = match outcome {
-        Outcome::Quarantined => false,
-        outcome => outcome.is_not_run() || kind.may_run_again(),
-    };
+    let mut runs = RunState::default();
+    runs.record(outcome.into());
+    let allowed = outcome != Outcome::Quarantined && runs.may_be_sent(kind);
     if allowed && allowance.attempts > 0 && allowance.budget && allowance.time > MIN_TIME_TO_RETRY {
         return Next::SendAgain;
     }
