lib: name the conditions of usable servers and of hosts of a group once

Cause: the check before a send wrote again when a server is listed or may be used, a third and fourth time; close touch selected the hosts of a group as two other functions do. Change: `Tracked::is_listed`, `Tracked::may_be_used`, `Peers::of_group`; the argument of `record_answer` says what it is. No behaviour changes.

--- a/lib/src/backends.rs
+++ b/lib/src/backends.rs
@@ -109,10 +109,17 @@
 
 impl Tracked {
     fn is_ready_decode_engine(&self) -> bool {
-        self.backend.stage == Some(Stage::Decode)
-            && !self.backend.draining
-            && self.last_resort_until.is_none()
-            && !self.replaced
+        self.backend.stage == Some(Stage::Decode) && self.is_listed()
+    }
+
+    /// Returns whether it has an entry and may get new work.
+    fn is_listed(&self) -> bool {
+        self.may_be_used() && self.last_resort_until.is_none()
+    }
+
+    /// Returns whether it may get new work, as a last resort at least, as long as that lasts.
+    fn may_be_used(&self) -> bool {
+        !self.backend.draining && !self.replaced
     }
 
     /// Returns whether the process ended before `other`, another one at its address, was started.
@@ -362,8 +369,7 @@
     /// listed, or a last resort of a service of which no server is.
     pub fn may_get_work(&self, process: &Process, now: time::Duration) -> bool {
         let tracked = self.tracked.get(&process.id);
-        let tracked = tracked
-            .filter(|t| t.backend.process() == *process && !t.backend.draining && !t.replaced);
+        let tracked = tracked.filter(|t| t.backend.process() == *process && t.may_be_used());
         tracked.is_some_and(|t| {
             t.last_resort_until
                 .is_none_or(|until| now < until && !self.has_listed(&t.backend.service))
@@ -372,12 +378,8 @@
 
     /// Returns whether a server of the service has an entry and may get new work.
     fn has_listed(&self, service: &str) -> bool {
-        self.tracked.values().any(|t| {
-            &*t.backend.service == service
-                && !t.backend.draining
-                && !t.replaced
-                && t.last_resort_until.is_none()
-        })
+        let mut tracked = self.tracked.values();
+        tracked.any(|t| &*t.backend.service == service && t.is_listed())
     }
 
     /// Returns the servers of a service that may get new work: those with an entry, or if there are none,
@@ -394,7 +396,7 @@
         let of_service = || {
             self.tracked
                 .values()
-                .filter(|t| &*t.backend.service == service && !t.backend.draining && !t.replaced)
+                .filter(|t| &*t.backend.service == service && t.may_be_used())
         };
         let listed: sync::Arc<[_]> = of_service()
             .filter(|t| t.last_resort_until.is_none())
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -212,11 +212,7 @@
     /// that are listed in the store or send news. Each comes with whether the host is known to apply changes of
     /// work.
     pub fn news_addrs(&self, own: &str) -> impl Iterator<Item = (net::SocketAddr, bool)> {
-        let groups = self.groups();
-        let group = groups.group(own);
-        let known = self.known.values();
-        let same = known.filter(move |peer| groups.group(&peer.entry.name) == group);
-        same.map(|peer| {
+        self.of_group(own).map(|peer| {
             let status = peer.status.as_ref();
             let applies = status.is_some_and(|(status, _)| status.applies_work_changes);
             (peer.entry.news_addr, applies)
@@ -238,12 +234,8 @@
     /// Returns whether this host heard from at least half of the other hosts in its group just now, as far as there are
     /// any. If not, it was cut off from them or paused, and may lack what they know. `own` is its name.
     pub fn is_in_close_touch(&self, own: &str, now: time::Duration) -> bool {
-        let groups = self.groups();
-        let group = groups.group(own);
-        let in_group = self.known.values();
-        let in_group = in_group.filter(|peer| groups.group(&peer.entry.name) == group);
         let (mut count, mut heard) = (0, 0);
-        for peer in in_group {
+        for peer in self.of_group(own) {
             let at = peer.status.as_ref().map(|(_, at)| *at);
             count += 1;
             let is_recent = |at| now.saturating_sub(at) <= CLOSE_TOUCH_TIMEOUT;
@@ -252,6 +244,14 @@
         heard * 2 >= count
     }
 
+    /// Returns the other hosts in the group of this host, named `own`.
+    fn of_group(&self, own: &str) -> impl Iterator<Item = &Peer> {
+        let groups = self.groups();
+        let group = groups.group(own);
+        let known = self.known.values();
+        known.filter(move |peer| groups.group(&peer.entry.name) == group)
+    }
+
     /// Returns how all hosts, including this one, are split into groups.
     pub fn groups(&self) -> host_groups::Groups {
         host_groups::Groups::of(self.count() + 1)
@@ -268,13 +268,11 @@
 
     /// Returns the names of the other hosts in the group of this host, named `own`, that callers may connect to.
     pub fn accepting_in_group(&self, own: &str) -> impl Iterator<Item = &str> {
-        let groups = self.groups();
-        let group = groups.group(own);
-        let accepting = self.known.iter().filter(move |(name, peer)| {
+        let accepting = self.of_group(own).filter(|peer| {
             let status = peer.status.as_ref();
-            status.is_some_and(|(status, _)| status.takes_callers) && groups.group(name) == group
+            status.is_some_and(|(status, _)| status.takes_callers)
         });
-        accepting.map(|(name, _)| &**name)
+        accepting.map(|peer| &*peer.entry.name)
     }
 
     /// Returns the entries of all other hosts, each with the age of its last news, or `None` if it is silent.
--- a/lib/src/served_versions.rs
+++ b/lib/src/served_versions.rs
@@ -137,10 +137,10 @@
         }
     }
 
-    /// Records that the store answered a call for the servers, whose changes were applied before.
-    pub fn record_answer(&mut self, now: time::Duration) {
-        self.listed_since.get_or_insert(now);
-        self.confirmed_at = self.confirmed_at.max(now);
+    /// Records an answer of the store, applied before, that shows all changes of servers up to a time.
+    pub fn record_answer(&mut self, shows: time::Duration) {
+        self.listed_since.get_or_insert(shows);
+        self.confirmed_at = self.confirmed_at.max(shows);
     }
 
     /// Returns whether the view of the servers shows all changes that the store had accepted at a time.
