--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -43,7 +43,7 @@
 use crate::router::workspace_limits;
 
 /// The process ends this long before the end of its grace period, at which it would be killed.
-pub(crate) const GRACE_MARGIN: time::Duration = time::Duration::from_millis(400);
+const GRACE_MARGIN: time::Duration = time::Duration::from_millis(400);
 /// Up to one in this many of the connections that a server accepts may be idle.
 const IDLE_DIVISOR: usize = 2;
 
@@ -286,11 +286,15 @@
         *locks::write(&self.leaving_since) = Some(now);
     }
 
+    /// Returns the longest time from the start of leaving to the end of the process.
+    pub(crate) fn max_leaving_time(&self) -> time::Duration {
+        self.settings().grace_period.saturating_sub(GRACE_MARGIN)
+    }
+
     /// Returns whether this host, if it leaves, may have ended before a time since boot.
     pub(crate) fn ends_before(&self, at: time::Duration) -> bool {
         let leaving_since = *locks::read(&self.leaving_since);
-        let grace = self.settings().grace_period;
-        leaving_since.is_some_and(|since| since + grace.saturating_sub(GRACE_MARGIN) < at)
+        leaving_since.is_some_and(|since| since + self.max_leaving_time() < at)
     }
 
     /// Stops accepting connections of callers.
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -209,12 +209,11 @@
 /// the store, and goes on serving until no request is in flight or the grace period is nearly over.
 async fn shut_down<D: dialect::Dialect>(cx: &sync::Arc<context::Router<D>>) {
     let started = cx.now();
-    let settings = cx.settings();
     cx.start_leaving();
     cx.news_due.notify_one();
     event!(Info, "leave", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed));
     tokio::spawn(unregister(cx.clone()));
-    let max_time = settings.grace_period.saturating_sub(context::GRACE_MARGIN);
+    let max_time = cx.max_leaving_time();
     let min_time = CALLER_NOTICE_TIME.max(forward::ACCEPT_STREAMS_FOR);
     serve_until_idle(
         cx,
--- a/daemon/src/router/server_notices.rs
+++ b/daemon/src/router/server_notices.rs
@@ -108,7 +108,7 @@
     left?.into_iter().min()
 }
 
-/// Logs that a request is sent to a server that has left this host's view, or is about to.
+/// Logs that a request is sent to a server that has left this host's view: the last resort of its service.
 pub(crate) fn log_departed<D: dialect::Dialect>(
     cx: &context::Router<D>,
     id: Option<&str>,
--- a/daemon/src/router/stage_orders.rs
+++ b/daemon/src/router/stage_orders.rs
@@ -161,10 +161,15 @@
         self.lease.record_era(era, self.cx.now());
     }
 
+    /// Returns the lease if this host holds it and may send an order now.
+    fn held_lease(&mut self) -> Option<lease::Held> {
+        self.record_era();
+        self.lease.held(self.cx.now())
+    }
+
     /// Acquires the lease unless this host holds it already. Returns whether this host holds it.
     async fn ensure_lease(&mut self) -> bool {
-        self.record_era();
-        if self.lease.held(self.cx.now()).is_some() {
+        if self.held_lease().is_some() {
             return true;
         }
         match self.try_acquire_lease().await {
@@ -200,7 +205,6 @@
             }
         }
         self.lease.record_write(&record, now);
-        self.record_era();
         event!(Info, "lease-held", "fence" => record.fence, "renewal" => record.renewal);
         Ok(true)
     }
@@ -222,8 +226,7 @@
             event!(Info, "order-skipped", "server" => engine.id);
             return;
         };
-        self.record_era();
-        let Some(held) = self.lease.held(self.cx.now()) else {
+        let Some(held) = self.held_lease() else {
             return;
         };
         let call = self.cx.dialect.stage_order(&dialect::FencedStageOrder {
--- a/daemon/src/router/store.rs
+++ b/daemon/src/router/store.rs
@@ -21,6 +21,7 @@
 /// Longest time for the body of an answer. A configuration of half a megabyte takes half a second
 /// on the slowest link, which it shares with response streams.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(6);
+
 /// Why a call failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Failure {
@@ -69,12 +70,10 @@
     ) -> Result<(Vec<dialect::Object>, u64), Failure> {
         let mut objects: Vec<dialect::Object> = Vec::new();
         let mut first_revision = None;
+        let mut after = None;
         loop {
-            let after = objects.last().map(|object| object.name.clone());
-            let call = self
-                .cx
-                .dialect
-                .list(collection, freshness, after.as_deref());
+            let dialect = &self.cx.dialect;
+            let call = dialect.list(collection, freshness, after.as_deref());
             let body = self.call(call, CALL_TIMEOUT).await?;
             let page = self.cx.dialect.page(&body).ok_or(Failure::Unreadable)?;
             log_unreadable(page.unreadable, page.revision);
@@ -88,6 +87,7 @@
             if !more {
                 return Ok((objects, revision));
             }
+            after = last;
         }
     }
 
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -80,6 +80,7 @@
     // The store's era of the view.
     let mut view_era = 0;
     let mut failing = false;
+    // Whether the last answer brought changes, so that more may follow soon.
     let mut has_changed = true;
     let mut may_lag = collection == dialect::Collection::Backends;
     loop {
@@ -130,7 +131,6 @@
                         return Ok(None);
                     }
                     record_success(&cx, collection, &mut failing);
-                    // After an answer without changes there are none to be collected.
                     has_changed = !changes.changes.is_empty();
                     for change in &changes.changes {
                         apply_change(&cx, collection, change);
@@ -144,7 +144,6 @@
             }
         };
         let result: Result<Option<u64>, store::Failure> = tokio::select! {
-            biased;
             result = step => result,
             // A list that is under way is as good as another one.
             () = view_renewal::wait(&cx, collection, view_era), if is_watching => {
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -339,14 +339,17 @@
         }
         self.cx.news_due.notify_one();
         self.silent_server.take_if(|silent| *silent == server.id);
-        if !self.failed_servers.contains(&server.id) {
-            self.failed_servers.push(server.id.clone());
-        }
+        self.exclude(server);
     }
 
     /// Records that a server answered with a failure of its own, which may be relayed to the caller.
     pub(super) fn record_answered(&mut self, server: &backends::Backend) {
         self.runs.record(outcome::AttemptEnd::Answered);
+        self.exclude(server);
+    }
+
+    /// Keeps the request from being sent to a server again.
+    fn exclude(&mut self, server: &backends::Backend) {
         if !self.failed_servers.contains(&server.id) {
             self.failed_servers.push(server.id.clone());
         }
--- a/daemon/tests/silent_store.rs
+++ b/daemon/tests/silent_store.rs
@@ -66,6 +66,23 @@
         }
     }
 
+    /// Has server `i-a` leave, and moves a route.
+    fn change(&self) {
+        let entry = self.servers[0].entry("gate", "draining");
+        self.store.put("servers", "i-a", entry);
+        let mut newer = hosts::configuration(4);
+        newer["routes"][0]["path_prefix"] = "/moved/".into();
+        self.store.put("config", "main", newer);
+    }
+
+    /// Checks that all hosts know of the change.
+    async fn check_changed(&self) {
+        for host in &self.hosts {
+            assert_eq!(self.status(host, "/moved/x").await, 200, "{}", host.log());
+        }
+        self.check_unused("i-a").await;
+    }
+
     async fn status(&self, host: &hosts::Host, path: &str) -> u16 {
         let bytes = caller::request("POST", path, "r", "", "");
         let answer = caller::send(host.callers_addr, &bytes, TIMEOUT);
@@ -113,17 +130,10 @@
     let began = time::Instant::now();
     fleet.silence(fleet.hosts.len());
     tokio::time::sleep(time::Duration::from_millis(1_000)).await;
-    let entry = fleet.servers[0].entry("gate", "draining");
-    fleet.store.put("servers", "i-a", entry);
-    let mut newer = hosts::configuration(4);
-    newer["routes"][0]["path_prefix"] = "/moved/".into();
-    fleet.store.put("config", "main", newer);
+    fleet.change();
     let due = (began + STABILITY).max(time::Instant::now()) + NOTICE_TIME;
     tokio::time::sleep_until(due.into()).await;
-    for host in &fleet.hosts {
-        assert_eq!(fleet.status(host, "/moved/x").await, 200, "{}", host.log());
-    }
-    fleet.check_unused("i-a").await;
+    fleet.check_changed().await;
 }
 
 /// Calls that are made during the silence are lost, too.
@@ -138,14 +148,7 @@
         proxy.set_fault(proxy::Fault::None);
     }
     tokio::time::sleep(STABILITY).await;
-    let mut newer = hosts::configuration(4);
-    newer["routes"][0]["path_prefix"] = "/moved/".into();
-    fleet.store.put("config", "main", newer);
-    let entry = fleet.servers[0].entry("gate", "draining");
-    fleet.store.put("servers", "i-a", entry);
+    fleet.change();
     tokio::time::sleep(NOTICE_TIME).await;
-    for host in &fleet.hosts {
-        assert_eq!(fleet.status(host, "/moved/x").await, 200, "{}", host.log());
-    }
-    fleet.check_unused("i-a").await;
+    fleet.check_changed().await;
 }
