router: follow a store whose eras begin with 0

Seen by hosts: after such a store came back from a copy for the first time, its views weren't listed again and hosts' entries weren't written again. Cause: 0 meant that no era is known yet, so a change from 0, or from answers that name none, wasn't one. Two gaps beside it, read in the code: an entry that was written just before a new era could be taken for one of it, and a list whose pages are from two eras was taken for one view. Ruled out: that answers without the header have another meaning; it is in all answers of a store that has eras. Change: the era is unknown only before the first answer, and 0 if an answer names none. The era of an entry is that from before its write, and a list ends with a new era.

--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -131,8 +131,11 @@
 /// Keeps the host's entry in the store: writes it at the start, and again when the store came back from a copy.
 async fn keep_registered<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>) {
     loop {
+        // An entry that was written before a new era began may be lost, even if the host learned of the era first.
+        let era = cx.renewals.era();
         register(&cx).await;
-        cx.renewals.wait_for_era_after(cx.renewals.era()).await;
+        let written_in = era.or_else(|| cx.renewals.era());
+        cx.renewals.wait_for_era_after(written_in).await;
         if cx.is_leaving() {
             return;
         }
--- a/daemon/src/router/stage_orders.rs
+++ b/daemon/src/router/stage_orders.rs
@@ -157,8 +157,9 @@
 
     /// Gives the lease up if the store has come back from a copy, which may not hold it.
     fn record_era(&mut self) {
-        let era = self.cx.renewals.era();
-        self.lease.record_era(era, self.cx.now());
+        if let Some(era) = self.cx.renewals.era() {
+            self.lease.record_era(era, self.cx.now());
+        }
     }
 
     /// Returns the lease if this host holds it and may send an order now.
--- a/daemon/src/router/store.rs
+++ b/daemon/src/router/store.rs
@@ -70,11 +70,17 @@
     ) -> Result<(Vec<dialect::Object>, u64), Failure> {
         let mut objects: Vec<dialect::Object> = Vec::new();
         let mut first_revision = None;
+        let mut first_era = None;
         let mut after = None;
         loop {
             let dialect = &self.cx.dialect;
             let call = dialect.list(collection, freshness, after.as_deref());
             let body = self.call(call, CALL_TIMEOUT).await?;
+            let era = self.cx.renewals.era();
+            if *first_era.get_or_insert(era) != era {
+                // The pages are of different states.
+                return Err(Failure::Status(dialect::StoreStatus::HistoryGone));
+            }
             let page = self.cx.dialect.page(&body).ok_or(Failure::Unreadable)?;
             log_unreadable(page.unreadable, page.revision);
             // A watch from the first page's revision also reports changes that happen between the
@@ -184,9 +190,7 @@
             Ok(answer) => answer,
         };
         self.connection = Some(connection);
-        if let Some(era) = era {
-            self.cx.renewals.record_era(era);
-        }
+        self.cx.renewals.record_era(era);
         match self.cx.dialect.store_status(status) {
             dialect::StoreStatus::Done => Ok(body),
             other => Err(Failure::Status(other)),
--- a/daemon/src/router/store_sync.rs
+++ b/daemon/src/router/store_sync.rs
@@ -78,7 +78,7 @@
     let mut pause = FIRST_PAUSE;
     let mut watch_from: Option<u64> = None;
     // The store's era of the view.
-    let mut view_era = 0;
+    let mut view_era = None;
     let mut failing = false;
     // Whether the last answer brought changes, so that more may follow soon.
     let mut has_changed = true;
@@ -154,10 +154,8 @@
         };
         match result {
             Ok(revision) => {
-                if view_era == 0 {
-                    // The first answer of the store names its era.
-                    view_era = cx.renewals.era();
-                }
+                // The first answer of the store names its era.
+                view_era = view_era.or_else(|| cx.renewals.era());
                 watch_from = revision;
                 pause = FIRST_PAUSE;
             }
--- a/daemon/src/router/view_renewal.rs
+++ b/daemon/src/router/view_renewal.rs
@@ -5,7 +5,6 @@
 //! whereas a watch call that is lost is noticed when it should have ended.
 
 use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use walnuthaven_lib::dialect;
@@ -35,8 +34,8 @@
     servers_list_due: tokio::sync::Notify,
     /// Signalled when the backend servers were listed.
     servers_listed: tokio::sync::Notify,
-    /// The newest era of the store that an answer named; 0 if none did.
-    era: atomic::AtomicU64,
+    /// The newest era of the store; `None` before its first answer.
+    era: sync::Mutex<Option<u64>>,
     /// Signalled when the era has changed.
     era_changed: tokio::sync::Notify,
     /// Signalled when a connection to the store turned out to be silent.
@@ -73,26 +72,29 @@
         locks::lock(&self.servers).record_changes(changes.revision, newest);
     }
 
-    /// Returns the store's era.
-    pub(crate) fn era(&self) -> u64 {
-        self.era.load(atomic::Ordering::Relaxed)
+    /// Returns the store's era, or `None` before its first answer.
+    pub(crate) fn era(&self) -> Option<u64> {
+        *locks::lock(&self.era)
     }
 
-    /// Records the era that an answer of the store named. Revisions of different eras can't be compared, so all views
-    /// are listed again in a new one.
+    /// Records the era of an answer of the store. Revisions of different eras can't be compared, so all views are
+    /// listed again in a new one.
     pub(crate) fn record_era(&self, era: u64) {
-        let before = self.era.fetch_max(era, atomic::Ordering::Relaxed);
-        if era > before && before > 0 {
+        let mut newest = locks::lock(&self.era);
+        if newest.is_some_and(|newest| newest >= era) {
+            return;
+        }
+        if let Some(before) = newest.replace(era) {
             event!(Warn, "store-era", "era" => era, "before" => before);
             self.era_changed.notify_waiters();
         }
     }
 
     /// Waits until the store's era isn't `known` any more.
-    pub(crate) async fn wait_for_era_after(&self, known: u64) {
+    pub(crate) async fn wait_for_era_after(&self, known: Option<u64>) {
         loop {
             let changed = self.era_changed.notified();
-            if known > 0 && self.era() != known {
+            if known.is_some() && self.era() != known {
                 return;
             }
             changed.await;
@@ -109,7 +111,7 @@
 pub(crate) async fn wait<D: dialect::Dialect>(
     cx: &context::Router<D>,
     collection: dialect::Collection,
-    era: u64,
+    era: Option<u64>,
 ) {
     tokio::select! {
         () = wait_in_era(cx, collection) => {}
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -370,8 +370,9 @@
     /// Encodes a call that deletes an object if its revision is still the given one.
     fn delete(&self, collection: Collection, name: &str, revision: u64) -> Call;
 
-    /// Decodes the store's era in the headers of its answer: it rises each time the store comes back from a copy.
-    fn store_era(&self, headers: &http::HeaderMap) -> Option<u64>;
+    /// Decodes the store's era in the headers of its answer: it rises each time the store comes back from a copy, and is
+    /// 0 if it never did, or the answer names none.
+    fn store_era(&self, headers: &http::HeaderMap) -> u64;
 
     /// Interprets the status of the store's answer.
     fn store_status(&self, status: http::StatusCode) -> StoreStatus;
