lease: presume a former holder in an era that a host didn't see begin

Cause: only a host that saw the era begin waited for the former lease; one that starts knows as little of the holder. Ruled out: asking other hosts, which may all have started after the holder was cut off; the number of orders that engines report, as the holder may not have given any yet. Change: a host waits for the duration of a lease and an order after it first hears of an era that isn't the store's first. A missing lease is free at once only in a store that has never come back from a copy. Tests: the eras of the earlier tests were 1 and 2, and are 0 and 1 now, since 1 isn't the first one any more; they check the same.

--- a/daemon/src/router/stage_orders.rs
+++ b/daemon/src/router/stage_orders.rs
@@ -68,6 +68,8 @@
             if self.cx.is_leaving() {
                 return;
             }
+            // A host that starts in a later era waits from its first answer of the store on, not from its first order.
+            self.record_era();
             self.check_balance().await;
         }
     }
--- a/daemon/tests/store_copies.rs
+++ b/daemon/tests/store_copies.rs
@@ -3,7 +3,9 @@
 use std::sync;
 use std::time;
 
+use walnuthaven_lib::lease;
 use walnuthaven_platform_standin::hosts;
+use walnuthaven_platform_standin::link;
 use walnuthaven_platform_standin::server;
 use walnuthaven_platform_standin::store;
 
@@ -12,6 +14,8 @@
 const TIMEOUT: time::Duration = time::Duration::from_secs(5);
 /// The store's kind of the hosts' entries.
 const HOSTS: &str = "walnuthaven-hosts";
+/// What a host logs when it has acquired or renewed the lease for orders to engines.
+const LEASE_HELD: &str = "\"event\":\"lease-held\"";
 
 async fn wait_until(log_of: &hosts::Host, what: &str, mut is_so: impl FnMut() -> bool) {
     let start = time::Instant::now();
@@ -57,3 +61,37 @@
         .await;
     }
 }
+
+/// Guards against two holders of the lease for orders to engines: the first one is cut off from the store, which comes
+/// back from a copy without the lease, before another host starts.
+#[tokio::test]
+async fn host_that_starts_after_a_drill_waits_for_the_former_lease() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    for number in 0..6 {
+        let engine = server::Server::start(&format!("i-e{number}"), Some("prefill")).await;
+        engine.register(&store, "scribe");
+    }
+    let copy = store.copy();
+    let link = link::Link::start(addr).await;
+    let first = hosts::Host::start(BINARY, "h1", link.addr);
+    wait_until(&first, "the first host holds the lease", || {
+        first.log().contains(LEASE_HELD)
+    })
+    .await;
+    link.set(link::State::Hanging);
+    let held_from = time::Instant::now();
+    store.come_back_from(copy);
+    let second = hosts::Host::start(BINARY, "h2", addr);
+    let longest = lease::LEASE_DURATION + lease::ORDER_TIMEOUT + TIMEOUT;
+    while !second.log().contains(LEASE_HELD) {
+        assert!(held_from.elapsed() < longest, "{}", second.log());
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    let waited = held_from.elapsed();
+    assert!(
+        waited >= lease::LEASE_DURATION,
+        "the second host holds it after {waited:?}: {}",
+        second.log()
+    );
+}
--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -6,7 +6,8 @@
 //! that of the longest order, so that the last order of a paused holder has ended.
 //!
 //! A store that comes back from a copy loses leases. Each time is an era: what was read in one isn't compared with what
-//! is read in another, and the fencing numbers of a later era are higher.
+//! is read in another, and the fencing numbers of a later era are higher. A host that first hears of a later era presumes
+//! that a lease of an earlier one is still held, whether or not it ran then.
 
 use std::time;
 
@@ -71,9 +72,9 @@
     seen: Option<(Record, time::Duration)>,
     /// Set while this host holds the lease.
     held: Option<Held>,
-    /// The store's era, if it was read.
-    era: Option<u64>,
-    /// When the holders of earlier eras have ended, if this host saw the era begin.
+    /// The store's era; 0 until it first comes back from a copy.
+    era: u64,
+    /// When the leases of earlier eras have ended.
     former_end_at: time::Duration,
 }
 
@@ -84,7 +85,7 @@
             own,
             seen: None,
             held: None,
-            era: None,
+            era: 0,
             former_end_at: time::Duration::ZERO,
         }
     }
@@ -92,20 +93,18 @@
     /// Records the store's era. A lease of an earlier one isn't held any more: another host may have taken it after the
     /// copy was made, or may take it now.
     pub fn record_era(&mut self, era: u64, now: time::Duration) {
-        if self.era == Some(era) {
+        if self.era == era {
             return;
         }
-        if self.era.is_some() {
-            self.seen = None;
-            self.held = None;
-            self.former_end_at = now + LEASE_DURATION + ORDER_TIMEOUT;
-        }
-        self.era = Some(era);
+        self.era = era;
+        self.seen = None;
+        self.held = None;
+        self.former_end_at = now + LEASE_DURATION + ORDER_TIMEOUT;
     }
 
     /// Returns the highest fencing number of earlier eras.
     fn former_fences(&self) -> u64 {
-        self.era.unwrap_or(0).saturating_mul(FENCES_PER_ERA)
+        self.era.saturating_mul(FENCES_PER_ERA)
     }
 
     /// Observes the stored record, as read at `now`, and returns what to do next. `wanted` says whether this
--- a/lib/tests/lease_fencing.rs
+++ b/lib/tests/lease_fencing.rs
@@ -177,9 +177,9 @@
 fn a_holder_gives_its_lease_up_when_the_store_comes_back_from_a_copy() {
     let mut stored = Stored::default();
     let mut holder = lease::Lease::new(host("a"));
-    attempt_in_era(&mut holder, 1, &mut stored, secs(0));
+    attempt_in_era(&mut holder, 0, &mut stored, secs(0));
     assert!(holder.held(secs(1)).is_some());
-    holder.record_era(2, secs(1));
+    holder.record_era(1, secs(1));
     assert!(holder.held(secs(1)).is_none());
 }
 
@@ -189,8 +189,8 @@
         let mut stored = Stored::default();
         let mut first = lease::Lease::new(host("a"));
         let mut second = lease::Lease::new(host("b"));
-        second.record_era(1, secs(0));
-        attempt_in_era(&mut first, 1, &mut stored, secs(0));
+        second.record_era(0, secs(0));
+        attempt_in_era(&mut first, 0, &mut stored, secs(0));
         let fence = first.held(secs(1)).expect("lease is held").fence;
         let mut copy = Stored::default();
         if copied {
@@ -198,13 +198,13 @@
         }
         let former_end = secs(1) + lease::LEASE_DURATION + lease::ORDER_TIMEOUT;
         for at in 1..13 {
-            attempt_in_era(&mut second, 2, &mut copy, secs(at));
+            attempt_in_era(&mut second, 1, &mut copy, secs(at));
             assert!(
                 second.held(secs(at)).is_none(),
                 "at {at} s, copied: {copied}"
             );
         }
-        attempt_in_era(&mut second, 2, &mut copy, former_end);
+        attempt_in_era(&mut second, 1, &mut copy, former_end);
         let held = second.held(former_end).expect("the lease is free");
         assert!(held.fence > fence, "{} after {fence}", held.fence);
         assert_eq!(
@@ -219,12 +219,43 @@
 fn a_holder_does_not_renew_its_lease_of_an_earlier_era() {
     let mut stored = Stored::default();
     let mut holder = lease::Lease::new(host("a"));
-    attempt_in_era(&mut holder, 1, &mut stored, secs(0));
+    attempt_in_era(&mut holder, 0, &mut stored, secs(0));
     let fence = holder.held(secs(1)).expect("lease is held").fence;
     for at in 1..13 {
-        attempt_in_era(&mut holder, 2, &mut stored, secs(at));
+        attempt_in_era(&mut holder, 1, &mut stored, secs(at));
         assert!(holder.held(secs(at)).is_none(), "at {at} s");
     }
-    attempt_in_era(&mut holder, 2, &mut stored, secs(14));
+    attempt_in_era(&mut holder, 1, &mut stored, secs(14));
     assert!(holder.held(secs(14)).expect("lease is held").fence > fence);
 }
+
+/// Guards against two holders after a drill: a host that starts when the store has lost the lease doesn't know its
+/// holder, which goes on until it hears of the new era.
+#[test]
+fn a_host_that_starts_in_a_later_era_waits_for_the_holder_before_it() {
+    let mut stored = Stored::default();
+    let mut holder = lease::Lease::new(host("a"));
+    attempt_in_era(&mut holder, 0, &mut stored, secs(0));
+    let fence = holder.held(secs(1)).expect("lease is held").fence;
+    let mut copy = Stored::default();
+    let mut starting = lease::Lease::new(host("b"));
+    let mut second_held = None;
+    for at in 1..20 {
+        attempt_in_era(&mut starting, 1, &mut copy, secs(at));
+        let held = starting.held(secs(at));
+        assert!(
+            held.is_none() || holder.held(secs(at)).is_none(),
+            "two hosts hold the lease at {at} s"
+        );
+        second_held = second_held.or(held);
+    }
+    assert!(second_held.expect("the lease is free at last").fence > fence);
+}
+
+#[test]
+fn a_store_that_lost_nothing_gives_the_first_lease_at_once() {
+    let mut stored = Stored::default();
+    let mut lease = lease::Lease::new(host("a"));
+    attempt_in_era(&mut lease, 0, &mut stored, secs(0));
+    assert!(lease.held(secs(0)).is_some());
+}
