router: decide at each send whether a leaving host can answer before it ends

Cause: whether a request can be answered in time was decided at its head only. Two related paths, found by tests: a request that was sent again after a server's failure at 6.5 s, and a stream that got room at 4.3 s. Ruled out: shorter time limits for servers, after which they would have run what nobody reads. Change: the question is asked again when the body is whole, before each send to a server or to another host, and while a request waits for its turn or for room; what can't be sent any more is refused at once, or answered 502 if it may have run. Streams of which the caller has events go on as long as the host. What a host's shutdown allows has a module of its own.

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -36,14 +36,13 @@
 use crate::router::server_choice;
 use crate::router::server_limits;
 use crate::router::settings;
+use crate::router::shutdown;
 use crate::router::telemetry;
 use crate::router::trials;
 use crate::router::via_peer;
 use crate::router::view_renewal;
 use crate::router::workspace_limits;
 
-/// The process ends this long before the end of its grace period, at which it would be killed.
-const GRACE_MARGIN: time::Duration = time::Duration::from_millis(400);
 /// Up to one in this many of the connections that a server accepts may be idle.
 const IDLE_DIVISOR: usize = 2;
 
@@ -151,10 +150,8 @@
     pub(crate) connection_pool: connection_pool::Pool,
     /// Counters and histograms.
     pub(crate) telemetry: telemetry::Telemetry,
-    /// When the host was told to leave, as time since boot.
-    leaving_since: sync::RwLock<Option<time::Duration>>,
-    /// Whether the host has stopped accepting connections of callers.
-    accepting_stopped: tokio::sync::watch::Sender<bool>,
+    /// How far the host's shutdown is.
+    pub(super) shutdown: shutdown::Shutdown,
     /// The number of requests whose callers wait for an answer.
     pub(crate) in_flight: atomic::AtomicUsize,
     next_number: atomic::AtomicU64,
@@ -224,8 +221,7 @@
             retry_budgets: retry_budget::RetryBudgets::new(clock.now()),
             connection_pool: connection_pool::Pool::default(),
             telemetry: telemetry::Telemetry::default(),
-            leaving_since: sync::RwLock::new(None),
-            accepting_stopped: tokio::sync::watch::Sender::new(false),
+            shutdown: shutdown::Shutdown::default(),
             in_flight: atomic::AtomicUsize::new(0),
             next_number: atomic::AtomicU64::new(1),
             clock: clock::SteadyClock::new(clock),
@@ -276,48 +272,6 @@
         self.next_number.fetch_add(1, atomic::Ordering::Relaxed)
     }
 
-    pub(crate) fn is_leaving(&self) -> bool {
-        locks::read(&self.leaving_since).is_some()
-    }
-
-    /// Records that the host leaves from now on.
-    pub(crate) fn start_leaving(&self) {
-        let now = self.now();
-        *locks::write(&self.leaving_since) = Some(now);
-    }
-
-    /// Returns the longest time from the start of leaving to the end of the process.
-    pub(crate) fn max_leaving_time(&self) -> time::Duration {
-        self.settings().grace_period.saturating_sub(GRACE_MARGIN)
-    }
-
-    /// Returns whether this host, if it leaves, may have ended before a time since boot.
-    pub(crate) fn ends_before(&self, at: time::Duration) -> bool {
-        let leaving_since = *locks::read(&self.leaving_since);
-        leaving_since.is_some_and(|since| since + self.max_leaving_time() < at)
-    }
-
-    /// Stops accepting connections of callers.
-    pub(crate) fn stop_accepting(&self) {
-        self.accepting_stopped.send_replace(true);
-    }
-
-    /// Waits until `stop_accepting` is called.
-    pub(crate) async fn accepting_stopped(&self) {
-        // This only fails once the sender is dropped, and `self` owns the sender.
-        let _ = self
-            .accepting_stopped
-            .subscribe()
-            .wait_for(|stopped| *stopped)
-            .await;
-    }
-
-    /// Returns how long the host has been leaving, or zero if it isn't leaving.
-    pub(crate) fn leaving_for(&self) -> time::Duration {
-        let leaving_since = *locks::read(&self.leaving_since);
-        leaving_since.map_or(time::Duration::ZERO, |at| self.now().saturating_sub(at))
-    }
-
     /// Returns whether the host is ready for callers: it knows the backend servers, the configuration
     /// and the crash marks, and isn't leaving.
     pub(crate) fn takes_callers(&self) -> bool {
--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -20,6 +20,7 @@
 use crate::router::send;
 use crate::router::server_choice;
 use crate::router::server_notices;
+use crate::router::shutdown;
 use crate::router::stream_request;
 use crate::router::via_peer;
 
@@ -53,14 +54,19 @@
     /// time and retry budget allow.
     ///
     /// Gives up whatever was prepared once the request may not be sent any more, because its content or a part of its
-    /// prompt crashes servers.
+    /// prompt crashes servers, or because this host leaves. A stream that has begun goes on as long as the host does.
     pub(super) async fn prepare(
         &mut self,
         kv_cache: Option<prefills::KvHandle<D>>,
     ) -> Result<PreparedServer<D>, stream_request::OpenFailure> {
         let (cx, received) = (self.cx.clone(), self.received.clone());
+        let (deadline, has_begun) = (self.deadline, self.last_event_at.is_some());
         tokio::select! {
             prepared = self.try_prepare(kv_cache) => prepared,
+            () = cx.wait_until_unsendable(deadline), if !has_begun => {
+                event!(Info, "refused", "id" => received.head.request_id, "cause" => shutdown::LEAVES);
+                Err(stream_request::OpenFailure::HostLeaves)
+            }
             () = crash_marks::wait_until_refused(&cx, &received) => {
                 crash_marks::log_refusal(&cx, &received);
                 Err(stream_request::OpenFailure::Quarantined)
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -31,6 +31,7 @@
 use crate::router::relay;
 use crate::router::send;
 use crate::router::server_limits;
+use crate::router::shutdown;
 use crate::router::stream_request;
 use crate::router::via_peer;
 use crate::router::workspace_limits;
@@ -38,16 +39,8 @@
 /// Retry-After while the host has no configuration or crash marks, or a configuration without the
 /// route's service.
 const NOT_READY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
-/// Retry-After of requests for streams that a leaving host refuses. It is short because callers
-/// send them to another host.
-const LEAVING_RETRY_AFTER: time::Duration = time::Duration::from_millis(50);
 /// How long a leaving host still accepts requests whose answers are streams.
 pub(crate) const ACCEPT_STREAMS_FOR: time::Duration = time::Duration::from_millis(2_500);
-/// How long a leaving host accepts requests whose time limit is later than its end. Callers that don't know yet that it
-/// leaves expect an answer, and few requests use up their time.
-const ACCEPT_ALL_FOR: time::Duration = time::Duration::from_secs(3);
-/// Time to write an answer that is made at the time limit.
-const ANSWER_TIME: time::Duration = time::Duration::from_millis(100);
 /// Retry-After when there is no memory for the body: about the time that a request takes.
 const NO_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 /// A head may exceed the limit in force by this factor, as a caller may know of a raised limit earlier than
@@ -133,9 +126,8 @@
         }
     };
     let deadline = arrived + time_limit(route, &head);
-    if cx.leaving_for() > ACCEPT_ALL_FOR && cx.ends_before(deadline + ANSWER_TIME) {
-        event!(Info, "refused", "id" => id, "cause" => "this host leaves");
-        return answer::not_run("this host leaves", LEAVING_RETRY_AFTER);
+    if !cx.may_send(deadline) {
+        return refuse_leaving(&head);
     }
     let max_bytes = max_body_bytes(&parts.headers, &table.limits);
     let Some(memory) = cx
@@ -167,6 +159,10 @@
             );
         }
     };
+    // The body may have taken long.
+    if !cx.may_send(deadline) {
+        return refuse_leaving(&head);
+    }
     let request = RoutedRequest {
         caller,
         parts,
@@ -182,6 +178,12 @@
     answer_routed(cx, &table, request, guard).await
 }
 
+/// Refuses a request that a leaving host couldn't answer before it ends.
+fn refuse_leaving(head: &dialect::RequestHead) -> answer::Answer {
+    event!(Info, "refused", "id" => head.request_id, "cause" => shutdown::LEAVES);
+    answer::not_run(shutdown::LEAVES, shutdown::RETRY_AFTER)
+}
+
 /// A request that was read completely and matched a route.
 struct RoutedRequest {
     caller: net::IpAddr,
@@ -380,7 +382,7 @@
     mut guard: context::InFlightGuard<D>,
 ) -> answer::Answer {
     if cx.leaving_for() > ACCEPT_STREAMS_FOR {
-        return answer::not_run("this host leaves", LEAVING_RETRY_AFTER);
+        return refuse_leaving(&request.received.head);
     }
     if via_peer::is_needed(cx, &request.received, &request.service.name) {
         match peer_stream::answer(request, guard).await {
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -44,6 +44,7 @@
 mod server_choice;
 mod server_limits;
 mod server_notices;
+mod shutdown;
 mod stage_orders;
 mod store;
 mod store_sync;
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -26,6 +26,7 @@
 use crate::router::server_choice;
 use crate::router::server_limits;
 use crate::router::server_notices;
+use crate::router::shutdown;
 use crate::router::stream_request;
 use crate::router::via_peer;
 
@@ -69,8 +70,13 @@
         if let Some(refusal) = plain_room::refuse(self.cx, self, &self.usable_servers()) {
             return refusal;
         }
-        let turn = part_marks::wait_for_turn(self.cx, self.received);
-        if turn.await.is_err() {
+        let turn = tokio::select! {
+            turn = part_marks::wait_for_turn(self.cx, self.received) => turn,
+            () = self.cx.wait_until_unsendable(self.deadline) => {
+                return self.failed_answer(progress);
+            }
+        };
+        if turn.is_err() {
             return self.refuse_quarantined(progress);
         }
         if via_peer::is_needed(self.cx, self.received, self.service)
@@ -177,6 +183,9 @@
 
     /// Chooses a usable server that isn't in `tried` and below its limit, which the send then counts against.
     fn choose_server(&self, tried: &[sync::Arc<str>]) -> Option<sync::Arc<backends::Backend>> {
+        if !self.cx.may_send(self.deadline) {
+            return None;
+        }
         let priority = self.received.priority;
         let mut servers = self.usable_servers();
         servers.retain(|server| !tried.contains(&server.id));
@@ -296,6 +305,10 @@
         if !progress.runs.may_be_refused() {
             return answer::from_router(http::StatusCode::BAD_GATEWAY, "no other server is usable");
         }
+        if !self.cx.may_send(self.deadline) {
+            event!(Info, "refused", "id" => self.id(), "service" => self.service, "cause" => shutdown::LEAVES);
+            return answer::not_run(shutdown::LEAVES, shutdown::RETRY_AFTER);
+        }
         let mut untried = self.usable_servers();
         let none_usable = untried.is_empty();
         if let Some(wait) = server_notices::time_until_wanted(self.cx, untried.iter()) {
--- /dev/null
+++ b/daemon/src/router/shutdown.rs
@@ -0,0 +1,87 @@
+//! What a host that leaves still accepts and sends.
+
+use std::time;
+
+use walnuthaven_lib::dialect;
+
+use crate::router::context;
+
+/// The process ends this long before the end of its grace period, at which it would be killed.
+const GRACE_MARGIN: time::Duration = time::Duration::from_millis(400);
+/// How long a leaving host sends requests whose time limit is later than its end. Callers that don't know yet that it
+/// leaves expect an answer, and few requests use up their time.
+const SEND_ALL_FOR: time::Duration = time::Duration::from_secs(3);
+/// Time to write an answer that is made at the time limit.
+const ANSWER_TIME: time::Duration = time::Duration::from_millis(100);
+/// Retry-After of requests that a leaving host refuses. It is short because callers send them to another host.
+pub(crate) const RETRY_AFTER: time::Duration = time::Duration::from_millis(50);
+/// The cause of these refusals.
+pub(crate) const LEAVES: &str = "this host leaves";
+
+/// How far a host's shutdown is.
+#[derive(Debug, Default)]
+pub(crate) struct Shutdown {
+    /// When the host was told to leave, as time since boot.
+    since: tokio::sync::watch::Sender<Option<time::Duration>>,
+    /// Whether the host has stopped accepting connections of callers.
+    accepting_stopped: tokio::sync::watch::Sender<bool>,
+}
+
+impl<D: dialect::Dialect> context::Router<D> {
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.shutdown.since.borrow().is_some()
+    }
+
+    /// Records that the host leaves from now on.
+    pub(crate) fn start_leaving(&self) {
+        self.shutdown.since.send_replace(Some(self.now()));
+    }
+
+    /// Returns how long the host has been leaving, or zero if it isn't leaving.
+    pub(crate) fn leaving_for(&self) -> time::Duration {
+        let since = *self.shutdown.since.borrow();
+        since.map_or(time::Duration::ZERO, |at| self.now().saturating_sub(at))
+    }
+
+    /// Returns the longest time from the start of leaving to the end of the process.
+    pub(crate) fn max_leaving_time(&self) -> time::Duration {
+        self.settings().grace_period.saturating_sub(GRACE_MARGIN)
+    }
+
+    /// Returns since when a request that must be answered by `deadline`, as time since boot, may not be sent to a server:
+    /// the process may end before the answer. `None` if it may be.
+    fn unsendable_since(&self, deadline: time::Duration) -> Option<time::Duration> {
+        let since = (*self.shutdown.since.borrow())?;
+        let end = since + self.max_leaving_time();
+        (end < deadline + ANSWER_TIME).then_some(since + SEND_ALL_FOR)
+    }
+
+    /// Returns whether a request that must be answered by `deadline`, as time since boot, may be sent to a server.
+    pub(crate) fn may_send(&self, deadline: time::Duration) -> bool {
+        self.unsendable_since(deadline)
+            .is_none_or(|since| self.now() < since)
+    }
+
+    /// Waits until such a request may not be sent any more.
+    pub(crate) async fn wait_until_unsendable(&self, deadline: time::Duration) {
+        let mut since = self.shutdown.since.subscribe();
+        // This only fails once the sender is dropped, and `self` owns the sender.
+        let _ = since.wait_for(Option::is_some).await;
+        match self.unsendable_since(deadline) {
+            Some(since) => tokio::time::sleep(since.saturating_sub(self.now())).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Stops accepting connections of callers.
+    pub(crate) fn stop_accepting(&self) {
+        self.shutdown.accepting_stopped.send_replace(true);
+    }
+
+    /// Waits until `stop_accepting` is called.
+    pub(crate) async fn accepting_stopped(&self) {
+        let mut stopped = self.shutdown.accepting_stopped.subscribe();
+        // As above, the sender lives.
+        let _ = stopped.wait_for(|stopped| *stopped).await;
+    }
+}
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -23,6 +23,7 @@
 use crate::router::links;
 use crate::router::send;
 use crate::router::server_choice;
+use crate::router::shutdown;
 use crate::router::stream_versions;
 use crate::router::via_peer;
 
@@ -95,6 +96,8 @@
     NoCapacity(engine_reservation::NoCapacity),
     /// The content crashes servers.
     Quarantined,
+    /// This host leaves and couldn't relay the answer.
+    HostLeaves,
     /// The stream to be continued was begun by servers of a software version that isn't known.
     UnknownVersion,
 }
@@ -107,6 +110,7 @@
             Self::NoAnswer(_, cause) => cause,
             Self::NoCapacity(no_capacity) => no_capacity.cause,
             Self::Quarantined => "crashes servers",
+            Self::HostLeaves => shutdown::LEAVES,
             Self::UnknownVersion => UNKNOWN_VERSION,
         }
     }
@@ -383,6 +387,12 @@
                 let cause = "the rest of the answer crashes servers";
                 answer::from_router(http::StatusCode::BAD_GATEWAY, cause)
             }
+            OpenFailure::HostLeaves if self.runs.may_be_refused() => {
+                answer::not_run(shutdown::LEAVES, shutdown::RETRY_AFTER)
+            }
+            OpenFailure::HostLeaves => {
+                answer::from_router(http::StatusCode::BAD_GATEWAY, shutdown::LEAVES)
+            }
             OpenFailure::UnknownVersion => {
                 answer::not_run(UNKNOWN_VERSION, UNKNOWN_VERSION_RETRY_AFTER)
             }
--- a/daemon/src/router/via_peer.rs
+++ b/daemon/src/router/via_peer.rs
@@ -285,6 +285,7 @@
             && self.runs.may_be_sent(self.kind)
             && in_budget
             && self.used_attempts < self.max_attempts
+            && (self.resume_after.is_some() || cx.may_send(self.deadline))
             && self.deadline.saturating_sub(cx.now()) > MIN_TIME
     }
 
