outcome: count each attempt as run until its end shows otherwise

Cause: an end that isn't recorded meant that nothing had run. Ruled out: that the missing record of relay.rs is visible to callers now; streams that may run once aren't passed on after a break. Change: a request's attempts are counted where it is sent, to a server or to another host, and each may have run until it is recorded as refused or not sent. An attempt that is dropped, or still under way, needs no record. The sends of replaced and moved runs and of silent servers are covered by that, and lose theirs. The replies of other hosts are read in a module of their own. Result: an_attempt_without_a_recorded_end_may_have_run checks it; send_outcomes.rs covers the same pairs of ends, kinds, here and at other hosts, through the new type.

--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -136,7 +136,7 @@
         };
         let read = self.read_decode_answer(&server, answered).await;
         if read.is_err() {
-            self.record_answered(&server);
+            self.exclude(&server);
         }
         match read? {
             DecodeResponse::Stream(response) => Ok(DecodeResult::Stream(OpenStream {
@@ -165,7 +165,6 @@
         let answered = tokio::select! {
             answered = sending => answered,
             () = part_marks::wait_until_refused(&cx, &received) => {
-                self.runs.record(outcome::AttemptEnd::MayHaveRun);
                 let outcome = outcome::Outcome::Quarantined;
                 let cause = "a part of the prompt crashes servers";
                 DecodeAnswer {
@@ -174,7 +173,6 @@
                 }
             }
             () = via_peer::wait_until_needed(&cx, &received, &service), if may_run_again => {
-                self.runs.record(outcome::AttemptEnd::MayHaveRun);
                 let outcome = outcome::Outcome::Silent;
                 let cause = "no engine is in reach";
                 DecodeAnswer {
@@ -183,7 +181,6 @@
                 }
             }
             other = self.prepare_alternative(server, sent_at, STREAM_HEAD_SILENCE) => {
-                self.runs.record(outcome::AttemptEnd::MayHaveRun);
                 self.leave_silent_server(server);
                 event!(Info, "server-replaced", "id" => self.id(), "server" => server.id,
                     "cause" => "server fell silent before its answer", "by" => other.server.id);
@@ -354,7 +351,6 @@
             true => outcome::Outcome::RefusedUnrun,
             false => failure.outcome,
         };
-        self.runs.record(outcome.into());
         let is_last_send =
             self.attempts_left == 1 || !(self.sent_before || self.cx.may_retry(&self.service.name));
         if was_prefill && failure.outcome == outcome::Outcome::Silent && is_last_send {
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -173,6 +173,7 @@
         workspace,
         deadline,
         arrived,
+        attempts: sync::Arc::default(),
         forwarded: None,
     };
     answer_routed(cx, &table, request, guard).await
@@ -198,6 +199,8 @@
     deadline: time::Duration,
     /// When it arrived, as time since boot.
     arrived: time::Duration,
+    /// Its attempts so far.
+    attempts: sync::Arc<outcome::Attempts>,
     /// Set if another host passed it on.
     forwarded: Option<send::Forwarded>,
 }
@@ -245,9 +248,9 @@
         workspace: caller_workspace::of_forwarded(cx, &table, &parts.headers)?,
         parts,
         arrived,
+        attempts: sync::Arc::new(outcome::Attempts::of_other_host(call.may_have_run)),
         forwarded: Some(send::Forwarded {
             used_attempts: call.used_attempts,
-            runs: outcome::RunState::of_other_host(call.may_have_run),
             tried: call.tried.into_iter().map(Into::into).collect(),
             suspected_crashes: call.suspected_crashes as usize,
         }),
@@ -278,6 +281,7 @@
         workspace,
         deadline,
         arrived,
+        attempts,
         forwarded,
     } = request;
     let id = head.request_id.clone();
@@ -305,6 +309,7 @@
     let body_digest = xxh3::xxh3_64(&body);
     let received = send::CallerRequest {
         caller,
+        attempts,
         forwarded,
         method: parts.method,
         target: parts.uri,
@@ -406,7 +411,7 @@
         Err(unsent) => {
             let (request, _) = *unsent;
             let mut answer = request.failure_answer(failure);
-            if request.runs.may_be_refused() && request.reaches_no_engine() {
+            if request.runs().may_be_refused() && request.reaches_no_engine() {
                 answer.extensions_mut().insert(answer::Unreached);
             }
             answer
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -28,6 +28,7 @@
 mod listen;
 mod news;
 mod part_marks;
+mod peer_reply;
 mod peer_service;
 mod peer_stream;
 mod plain_progress;
--- a/daemon/src/router/peer_stream.rs
+++ b/daemon/src/router/peer_stream.rs
@@ -4,7 +4,6 @@
 
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::event_stream;
-use walnuthaven_lib::outcome;
 
 use crate::router::answer;
 use crate::router::context;
@@ -35,8 +34,8 @@
     let began_as = request.began_as().to_owned();
     let mut passed = request.passed_on(&received, &began_as);
     let opened = passed.open(&cx).await;
-    let (used_attempts, runs) = (passed.used_attempts, passed.runs);
-    request.record_used(used_attempts, runs);
+    let used_attempts = passed.used_attempts;
+    request.record_used(used_attempts);
     let opened = match opened {
         Ok(opened) => opened,
         Err(via_peer::Failure::NotSent) => return Err(Box::new((request, guard))),
@@ -90,8 +89,8 @@
     let began_as = request.began_as().to_owned();
     let mut passed = request.passed_on(&received, &began_as);
     let opened = passed.open(&cx).await.ok();
-    let (used_attempts, runs) = (passed.used_attempts, passed.runs);
-    request.record_used(used_attempts, runs);
+    let used_attempts = passed.used_attempts;
+    request.record_used(used_attempts);
     opened.filter(|opened| opened.is_stream && opened.status.is_success())
 }
 
@@ -109,7 +108,6 @@
         };
         event!(Info, "peer-stream-broke", "id" => request.id(), "host" => opened.peer,
             "cause" => cause, "delivered" => request.last_event);
-        request.runs.record(outcome::AttemptEnd::MayHaveRun);
         let reopened = tokio::select! {
             reopened = reopen(&mut request) => reopened,
             () = tx.closed() => return stream_events::record_end(&request, "caller left", ""),
--- a/daemon/src/router/plain_progress.rs
+++ b/daemon/src/router/plain_progress.rs
@@ -29,20 +29,11 @@
     pub(crate) tried: Vec<sync::Arc<str>>,
     /// Number of ended sends that may have reached a server.
     pub(crate) ended_sends: u32,
-    /// What the ended sends allow.
-    pub(crate) runs: outcome::RunState,
     /// The newest error response of a server.
     pub(crate) error_answer: Option<answer::Answer>,
 }
 
 impl Progress {
-    /// Records that some sends haven't ended. They may have reached their servers.
-    pub(crate) fn record_unended(&mut self, sends: usize) {
-        if sends > 0 {
-            self.runs.record(outcome::AttemptEnd::MayHaveRun);
-        }
-    }
-
     /// Records a send that failed.
     pub(crate) fn record(&mut self, server: &backends::Backend, failed_send: FailedSend) {
         let outcome = failed_send.failure.outcome;
@@ -50,7 +41,6 @@
             self.unreached.push(server.id.clone());
         }
         self.ended_sends += u32::from(outcome != outcome::Outcome::NeverWritten);
-        self.runs.record(outcome.into());
         self.error_answer = failed_send.answer.or(self.error_answer.take());
     }
 }
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -56,6 +56,11 @@
         self.received.head.request_id.as_deref().unwrap_or("-")
     }
 
+    /// Returns what the attempts so far allow.
+    fn runs(&self) -> outcome::RunState {
+        self.received.attempts.state()
+    }
+
     /// Sends the request, to further servers if necessary, and returns the answer for the caller. A silent
     /// server may still answer, so its send goes on while another server is tried.
     pub(crate) async fn answer(&self) -> answer::Answer {
@@ -64,7 +69,6 @@
         let mut progress = plain_progress::Progress {
             tried: forwarded.tried,
             ended_sends: forwarded.used_attempts,
-            runs: forwarded.runs,
             ..plain_progress::Progress::default()
         };
         if let Some(refusal) = plain_room::refuse(self.cx, self, &self.usable_servers()) {
@@ -122,8 +126,6 @@
                         "attempts_left" => allowance.attempts, "budget" => allowance.budget,
                         "in_flight" => in_flight.len(), "next" => format!("{next:?}"));
                     if failure.outcome == outcome::Outcome::Quarantined {
-                        // The silent servers may have run the request, or crashed by it.
-                        progress.record_unended(in_flight.len());
                         return self.refuse_quarantined(progress);
                     }
                     if self.is_on_trial() {
@@ -145,7 +147,6 @@
                     // The sends in flight may have reached their servers.
                     may_pass_on = false;
                     progress.ended_sends += in_flight.len() as u32;
-                    progress.record_unended(in_flight.len());
                     if let Some(answer) = self.pass_on(&mut progress).await {
                         return answer;
                     }
@@ -218,7 +219,6 @@
             max_attempts: self.route.max_attempts,
             deadline: self.deadline,
             used_attempts: progress.ended_sends,
-            runs: progress.runs,
             tried: progress.tried.clone(),
             resume_after: None,
             began_as: self.id(),
@@ -230,7 +230,6 @@
             .retain(|server| !progress.unreached.contains(server));
         let answered = passed.answer(self.cx).await;
         progress.ended_sends = passed.used_attempts;
-        progress.runs = passed.runs;
         match answered {
             Ok(answer) => Some(answer),
             Err(via_peer::Failure::NotSent) => None,
@@ -256,7 +255,7 @@
 
     /// Makes the answer to a request that may not be sent any more, because its content crashes servers.
     fn refuse_quarantined(&self, progress: plain_progress::Progress) -> answer::Answer {
-        if !progress.runs.may_be_refused() {
+        if !self.runs().may_be_refused() {
             return self.failed_answer(progress);
         }
         crash_marks::log_refusal(self.cx, self.received);
@@ -289,7 +288,7 @@
         if let Some(answer) = self.pass_on(&mut progress).await {
             return answer;
         }
-        let may_be_refused = progress.runs.may_be_refused();
+        let may_be_refused = self.runs().may_be_refused();
         let mut answer = self.failed_answer(progress);
         if may_be_refused {
             answer.extensions_mut().insert(answer::Unreached);
@@ -302,7 +301,7 @@
         if let Some(error_answer) = progress.error_answer {
             return error_answer;
         }
-        if !progress.runs.may_be_refused() {
+        if !self.runs().may_be_refused() {
             return answer::from_router(http::StatusCode::BAD_GATEWAY, "no other server is usable");
         }
         if !self.cx.may_send(self.deadline) {
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -283,7 +283,7 @@
     event!(Info, "server-replaced", "id" => request.id(), "server" => server.id,
         "cause" => "server fell silent", "by" => other.server.id,
         "delivered" => request.last_event);
-    let runs_before = std::mem::take(&mut request.runs);
+    let attempts_before = request.received.attempts.count();
     let mut held = Some(silent);
     let started = {
         let starting = request.start_on(other);
@@ -296,10 +296,9 @@
             }
         }
     };
-    let runs_of_other = std::mem::replace(&mut request.runs, runs_before);
-    request.runs.merge(runs_of_other);
+    let may_have_run = request.received.attempts.count() > attempts_before;
     if let Ok(engine_stream::DecodeResult::Failed(_)) | Err(_) = &started
-        && !runs_of_other.may_have_run()
+        && !may_have_run
         && let Some(stream) = held.take()
     {
         return Replacement::Refused(stream);
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -48,8 +48,6 @@
 pub(crate) struct Forwarded {
     /// How many servers may have received it.
     pub(crate) used_attempts: u32,
-    /// What these sends allow.
-    pub(crate) runs: outcome::RunState,
     /// Servers that it mustn't be sent to again.
     pub(crate) tried: Vec<sync::Arc<str>>,
     /// How many servers may have crashed by its content, as far as that isn't known yet.
@@ -61,6 +59,8 @@
 pub(crate) struct CallerRequest {
     /// The caller's address.
     pub(crate) caller: net::IpAddr,
+    /// Its attempts so far.
+    pub(crate) attempts: sync::Arc<outcome::Attempts>,
     /// Set if another host passed it on, which reaches no server itself.
     pub(crate) forwarded: Option<Forwarded>,
     /// The method.
@@ -185,6 +185,9 @@
         .map_err(|_| failure(outcome::Outcome::NeverWritten, "request can't be built"))?;
     *message.headers_mut() = cx.dialect.server_headers(&req.headers, params);
     let subject = req.subject(params.work);
+    // A prefill doesn't run the request.
+    let is_prefill = matches!(params.work, dialect::Work::Prefill);
+    let run = (!is_prefill).then(|| req.attempts.start());
     let mut attempt = crash_checks::Attempt::new(&cx.crash_checks, server, subject, cx.now());
     let answer = tokio::time::timeout(timeout, connection.send(message)).await;
     let response = match answer {
@@ -193,6 +196,7 @@
             return Err(match error.take_message() {
                 Some(_) => {
                     attempt.set_answered();
+                    end_run(run, outcome::AttemptEnd::NotSent);
                     failure(outcome::Outcome::NeverWritten, "connection had closed")
                 }
                 None => {
@@ -220,6 +224,13 @@
             "answer to another request",
         ));
     }
+    end_run(
+        run,
+        match head.not_run {
+            true => outcome::AttemptEnd::Refused,
+            false => outcome::AttemptEnd::Answered,
+        },
+    );
     server_notices::record_answer(cx, server, parts.status, &parts.headers);
     let has_no_body = req.method == http::Method::HEAD
         || matches!(
@@ -243,6 +254,13 @@
     })
 }
 
+/// Records how an attempt ended, if the send was one.
+fn end_run(run: Option<outcome::Attempt>, end: outcome::AttemptEnd) {
+    if let Some(run) = run {
+        run.end(end);
+    }
+}
+
 fn connection_failure(error: &hyper::Error) -> SendFailure {
     let cause = match (error.is_parse(), error.is_incomplete_message()) {
         (true, _) => "bytes that are no answer",
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -66,8 +66,6 @@
     pub(crate) tokens_generated: u32,
     /// How many moves of the run, with its KV cache, to another engine were started.
     pub(crate) moves: u32,
-    /// What the attempts so far allow.
-    pub(super) runs: outcome::RunState,
     /// The number of connections to servers that could not be opened.
     pub(super) connect_failures: u32,
     /// Whether it was sent to a server that generates the answer. Further sends are retries.
@@ -137,7 +135,6 @@
             last_event_at: None,
             tokens_generated: engine_need::delivered_before(&received.head, &engines),
             moves: 0,
-            runs: forwarded.runs,
             connect_failures: 0,
             sent_before: forwarded.used_attempts > 0,
             prefilled_before: false,
@@ -276,7 +273,6 @@
             max_attempts: self.route.max_attempts,
             deadline: self.deadline,
             used_attempts: self.route.max_attempts - self.attempts_left,
-            runs: self.runs,
             tried: self.failed_servers.clone(),
             resume_after: self.last_event,
             began_as,
@@ -285,12 +281,16 @@
     }
 
     /// Records what other hosts have used up of the request.
-    pub(crate) fn record_used(&mut self, used_attempts: u32, runs: outcome::RunState) {
+    pub(crate) fn record_used(&mut self, used_attempts: u32) {
         self.attempts_left = self.route.max_attempts.saturating_sub(used_attempts);
-        self.runs.merge(runs);
         self.sent_before |= used_attempts > 0;
     }
 
+    /// Returns what the attempts so far allow, here and at other hosts.
+    pub(crate) fn runs(&self) -> outcome::RunState {
+        self.received.attempts.state()
+    }
+
     /// Returns the id of the request that brought the stream's first event.
     pub(crate) fn began_as(&self) -> &str {
         let head = &self.received.head;
@@ -346,14 +346,8 @@
         self.exclude(server);
     }
 
-    /// Records that a server answered with a failure of its own, which may be relayed to the caller.
-    pub(super) fn record_answered(&mut self, server: &backends::Backend) {
-        self.runs.record(outcome::AttemptEnd::Answered);
-        self.exclude(server);
-    }
-
     /// Keeps the request from being sent to a server again.
-    fn exclude(&mut self, server: &backends::Backend) {
+    pub(super) fn exclude(&mut self, server: &backends::Backend) {
         if !self.failed_servers.contains(&server.id) {
             self.failed_servers.push(server.id.clone());
         }
@@ -380,14 +374,14 @@
     pub(crate) fn failure_answer(&self, failure: OpenFailure) -> answer::Answer {
         match failure {
             OpenFailure::Answer(answer) => *answer,
-            OpenFailure::Quarantined if self.runs.may_be_refused() => {
+            OpenFailure::Quarantined if self.runs().may_be_refused() => {
                 crash_marks::refusal_answer(&self.cx, &self.received)
             }
             OpenFailure::Quarantined => {
                 let cause = "the rest of the answer crashes servers";
                 answer::from_router(http::StatusCode::BAD_GATEWAY, cause)
             }
-            OpenFailure::HostLeaves if self.runs.may_be_refused() => {
+            OpenFailure::HostLeaves if self.runs().may_be_refused() => {
                 answer::not_run(shutdown::LEAVES, shutdown::RETRY_AFTER)
             }
             OpenFailure::HostLeaves => {
@@ -396,14 +390,14 @@
             OpenFailure::UnknownVersion => {
                 answer::not_run(UNKNOWN_VERSION, UNKNOWN_VERSION_RETRY_AFTER)
             }
-            OpenFailure::NoCapacity(no_capacity) if self.runs.may_be_refused() => {
+            OpenFailure::NoCapacity(no_capacity) if self.runs().may_be_refused() => {
                 answer::not_run(no_capacity.cause, no_capacity.retry_after)
             }
             OpenFailure::NoCapacity(no_capacity) => {
                 answer::from_router(http::StatusCode::BAD_GATEWAY, no_capacity.cause)
             }
             OpenFailure::NoAnswer(outcome::Next::RefuseUnrun, cause)
-                if self.runs.may_be_refused() =>
+                if self.runs().may_be_refused() =>
             {
                 answer::not_run(cause, REFUSED_RETRY_AFTER)
             }
--- a/daemon/src/router/via_peer.rs
+++ b/daemon/src/router/via_peer.rs
@@ -24,8 +24,10 @@
 use crate::router::context;
 use crate::router::events::event;
 use crate::router::links;
+use crate::router::peer_reply;
 use crate::router::peer_service;
 use crate::router::send;
+use crate::router::stream_request;
 
 /// Maximum number of hosts that a request is passed on to, one after the other.
 const MAX_PEERS: usize = 3;
@@ -261,8 +263,6 @@
     pub(crate) deadline: time::Duration,
     /// How many servers may have received it.
     pub(crate) used_attempts: u32,
-    /// What these sends, and those of other hosts, allow.
-    pub(crate) runs: outcome::RunState,
     /// Servers that it isn't sent to again.
     pub(crate) tried: Vec<sync::Arc<str>>,
     /// The last event that the caller has, if a stream is continued.
@@ -278,11 +278,16 @@
         self.received.head.request_id.as_deref().unwrap_or("-")
     }
 
+    /// Returns what the attempts so far allow, here and at other hosts.
+    fn runs(&self) -> outcome::RunState {
+        self.received.attempts.state()
+    }
+
     /// Returns whether it may be passed on at all: it wasn't before, and it either hasn't run or may run again.
     fn may_be_passed_on<D: dialect::Dialect>(&self, cx: &context::Router<D>) -> bool {
         let in_budget = self.used_attempts == 0 || cx.may_retry(self.service);
         self.received.forwarded.is_none()
-            && self.runs.may_be_sent(self.kind)
+            && self.runs().may_be_sent(self.kind)
             && in_budget
             && self.used_attempts < self.max_attempts
             && (self.resume_after.is_some() || cx.may_send(self.deadline))
@@ -337,15 +342,17 @@
                 "service" => self.service, "used_attempts" => self.used_attempts);
             match self.call(cx, client, &helper, guard).await {
                 Ok(answer) => return Ok(answer),
-                Err(CallFailure::Declined(cause)) => self.record_declined(cx, &helper, &cause),
-                Err(CallFailure::Broken(cause)) => {
+                Err(peer_reply::CallFailure::Declined(cause)) => {
+                    self.record_declined(cx, &helper, &cause)
+                }
+                Err(peer_reply::CallFailure::Broken(cause)) => {
                     disconnect(cx, &helper.name);
                     self.record_broken(cx, cause)?;
                 }
             }
         }
         // Without another host, what ended the attempts before is the answer.
-        match self.asked.is_empty() || self.runs.may_be_refused() {
+        match self.asked.is_empty() || self.runs().may_be_refused() {
             true => Err(Failure::NotSent),
             false => Err(Failure::Unknown("no other host answered")),
         }
@@ -394,7 +401,6 @@
         cx.telemetry.count("peers.broken");
         event!(Info, "peer-failed", "id" => self.id(), "host" => self.asked.last(), "cause" => cause);
         self.used_attempts += 1;
-        self.runs.record(outcome::AttemptEnd::MayHaveRun);
         match self.may_be_passed_on(cx) {
             true => Ok(()),
             false => Err(Failure::Unknown(cause)),
@@ -407,40 +413,42 @@
         mut client: Client,
         helper: &Helper,
         guard: OutstandingGuard<D>,
-    ) -> Result<PeerAnswer<D>, CallFailure> {
+    ) -> Result<PeerAnswer<D>, peer_reply::CallFailure> {
         let may_run_again = self.kind.may_run_again();
         let time_left = self.deadline.saturating_sub(cx.now());
+        let message = self.message(cx, time_left);
+        let attempt = self.received.attempts.start();
         let exchange = async {
-            let reply = client.serve(self.message(cx, time_left)).await;
+            let reply = client.serve(message).await;
             let mut reply = reply
-                .map_err(|status| refused_or_broken(&status))?
+                .map_err(|status| peer_reply::refused_or_broken(&status))?
                 .into_inner();
-            let first = reply
-                .message()
-                .await
-                .map_err(|_| CallFailure::Broken("the call to the other host broke off"))?;
+            let first = reply.message().await.map_err(|_| {
+                peer_reply::CallFailure::Broken("the call to the other host broke off")
+            })?;
             Ok((reply, first))
         };
-        let (reply, first) = tokio::select! {
-            exchanged = exchange => exchanged?,
+        let exchanged = tokio::select! {
+            exchanged = exchange => exchanged,
             () = tokio::time::sleep(time_left) => {
-                return Err(CallFailure::Broken("no answer of the other host in time"));
+                return Err(peer_reply::CallFailure::Broken("no answer of the other host in time"));
             }
             () = wait_until_silent(cx, &helper.name), if may_run_again => {
-                return Err(CallFailure::Broken("the other host fell silent"));
+                return Err(peer_reply::CallFailure::Broken("the other host fell silent"));
             }
         };
-        let head = match first.and_then(|first| first.reply) {
-            Some(forward::serve_reply::Reply::Head(head)) => head,
-            Some(forward::serve_reply::Reply::Declined(declined)) => {
-                return Err(CallFailure::Declined(declined.cause));
+        let read = exchanged.and_then(|(reply, first)| Ok((reply, peer_reply::read_head(first)?)));
+        match &read {
+            Ok((_, (status, _))) if stream_request::implies_not_run(*status) => {
+                attempt.end(outcome::AttemptEnd::Refused);
             }
-            _ => return Err(CallFailure::Broken("unexpected message of the other host")),
-        };
-        let status = u16::try_from(head.status).ok();
-        let status = status.and_then(|status| http::StatusCode::from_u16(status).ok());
+            Ok(_) => attempt.end(outcome::AttemptEnd::Answered),
+            Err(peer_reply::CallFailure::Declined(_)) => attempt.end(outcome::AttemptEnd::Refused),
+            Err(peer_reply::CallFailure::Broken(_)) => attempt.end(outcome::AttemptEnd::MayHaveRun),
+        }
+        let (reply, (status, head)) = read?;
         Ok(PeerAnswer {
-            status: status.ok_or(CallFailure::Broken("unexpected message of the other host"))?,
+            status,
             headers: peer_service::read_headers(head.headers),
             is_stream: head.is_stream,
             peer: helper.name.clone(),
@@ -465,7 +473,7 @@
             time_left_ms: clock::millis(time_left),
             config_version: cx.table().map_or(0, |table| table.version),
             used_attempts: self.used_attempts,
-            may_have_run: self.runs.may_have_run(),
+            may_have_run: self.runs().may_have_run(),
             tried: self.tried.iter().map(ToString::to_string).collect(),
             resume_after: self.resume_after,
             began_as: self.began_as.to_owned(),
@@ -473,22 +481,3 @@
         }
     }
 }
-
-/// Why a host that was called didn't answer.
-enum CallFailure {
-    /// It doesn't serve the request, and hasn't sent it to a server.
-    Declined(String),
-    /// It may have sent it to a server.
-    Broken(&'static str),
-}
-
-/// Interprets the status of a call that failed before its first message. A host refuses calls of strangers, and of
-/// hosts that it doesn't know yet, before it reads them.
-fn refused_or_broken(status: &tonic::Status) -> CallFailure {
-    match status.code() {
-        tonic::Code::PermissionDenied | tonic::Code::Unimplemented => {
-            CallFailure::Declined(status.message().to_owned())
-        }
-        _ => CallFailure::Broken("the call to the other host failed"),
-    }
-}
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -1,5 +1,7 @@
 //! The outcome of sending a request to a backend server, and what the router does next.
 
+use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use crate::routing;
@@ -66,29 +68,75 @@
     }
 }
 
-/// What the attempts of a request allow, here and at other hosts. Each end of an attempt is recorded; nothing else
-/// decides whether the request may be sent again or answered as not run.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct RunState {
-    may_have_run: bool,
+/// The attempts of a request, shared by all that make one. Each counts as one that may have run until its end shows that
+/// it didn't, so none is forgotten that is given up, or whose end isn't recorded.
+#[derive(Debug, Default)]
+pub struct Attempts {
+    /// Number of attempts that may have run.
+    count: atomic::AtomicUsize,
 }
 
-impl RunState {
-    /// Returns the state after attempts of another host.
+impl Attempts {
+    /// Returns the attempts after those of another host.
     pub fn of_other_host(may_have_run: bool) -> Self {
-        Self { may_have_run }
+        Self {
+            count: atomic::AtomicUsize::new(may_have_run.into()),
+        }
+    }
+
+    /// Starts an attempt, just before the request is sent.
+    pub fn start(self: &sync::Arc<Self>) -> Attempt {
+        self.count.fetch_add(1, atomic::Ordering::Relaxed);
+        Attempt {
+            attempts: self.clone(),
+            may_have_run: true,
+        }
+    }
+
+    /// Returns the number of attempts that may have run, with those that haven't ended.
+    pub fn count(&self) -> usize {
+        self.count.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Returns what the attempts allow.
+    pub fn state(&self) -> RunState {
+        RunState {
+            may_have_run: self.count() > 0,
+        }
     }
+}
+
+/// An attempt under way. One that is dropped may have run.
+#[derive(Debug)]
+#[must_use]
+pub struct Attempt {
+    attempts: sync::Arc<Attempts>,
+    may_have_run: bool,
+}
 
-    /// Records the end of an attempt.
-    pub fn record(&mut self, end: AttemptEnd) {
-        self.may_have_run |= end.may_have_run();
+impl Attempt {
+    /// Records how it ended.
+    pub fn end(mut self, end: AttemptEnd) {
+        self.may_have_run = end.may_have_run();
     }
+}
 
-    /// Adds the attempts of another state.
-    pub fn merge(&mut self, other: Self) {
-        self.may_have_run |= other.may_have_run;
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        if !self.may_have_run {
+            self.attempts.count.fetch_sub(1, atomic::Ordering::Relaxed);
+        }
     }
+}
 
+/// What the attempts of a request allow, here and at other hosts. Nothing else decides whether the request may be sent
+/// again or answered as not run.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RunState {
+    may_have_run: bool,
+}
+
+impl RunState {
     /// Returns whether a server or another host may get a request of this kind.
     pub fn may_be_sent(self, kind: routing::Kind) -> bool {
         !self.may_have_run || kind.may_run_again()
@@ -136,8 +184,9 @@
 /// Decides what the router does after a send with this outcome. A request is retried only if it hasn't run or
 /// its kind allows running it again.
 pub fn next(kind: routing::Kind, outcome: Outcome, allowance: Allowance) -> Next {
-    let mut runs = RunState::default();
-    runs.record(outcome.into());
+    let runs = RunState {
+        may_have_run: !outcome.is_not_run(),
+    };
     let allowed = outcome != Outcome::Quarantined && runs.may_be_sent(kind);
     if allowed && allowance.attempts > 0 && allowance.budget && allowance.time > MIN_TIME_TO_RETRY {
         return Next::SendAgain;
--- a/lib/tests/send_outcomes.rs
+++ b/lib/tests/send_outcomes.rs
@@ -1,5 +1,6 @@
 //! The next step after a send, for all kinds of routes and all outcomes.
 
+use std::sync;
 use std::time;
 
 use walnuthaven_lib::outcome;
@@ -107,6 +108,11 @@
     outcome::AttemptEnd::Refused,
 ];
 
+/// Returns the attempts after those of another host.
+fn attempts(may_have_run: bool) -> sync::Arc<outcome::Attempts> {
+    sync::Arc::new(outcome::Attempts::of_other_host(may_have_run))
+}
+
 /// All pairs of ends, of attempts here and at other hosts, of all kinds of requests.
 #[test]
 fn attempts_decide_whether_a_request_may_be_sent_or_refused() {
@@ -125,15 +131,21 @@
     for first in ENDS {
         for second in ENDS {
             for at_other_host in [false, true] {
-                let mut runs = outcome::RunState::default();
-                runs.record(first);
-                if at_other_host {
-                    let mut other = outcome::RunState::of_other_host(runs.may_have_run());
-                    other.record(second);
-                    runs.merge(other);
+                let here = attempts(false);
+                here.start().end(first);
+                let runs = if at_other_host {
+                    let passed_on = here.start();
+                    let other = attempts(ran(first));
+                    other.start().end(second);
+                    passed_on.end(match other.state().may_be_refused() {
+                        true => outcome::AttemptEnd::Refused,
+                        false => outcome::AttemptEnd::MayHaveRun,
+                    });
+                    here.state()
                 } else {
-                    runs.record(second);
-                }
+                    here.start().end(second);
+                    here.state()
+                };
                 let may_have_run = ran(first) || ran(second);
                 let case = format!("{first:?}, {second:?}, {at_other_host}");
                 assert_eq!(runs.may_have_run(), may_have_run, "{case}");
@@ -150,8 +162,25 @@
 #[test]
 fn outcomes_and_ends_agree_on_what_may_have_run() {
     for outcome in OUTCOMES {
-        let mut runs = outcome::RunState::default();
-        runs.record(outcome.into());
-        assert_eq!(runs.may_be_refused(), outcome.is_not_run(), "{outcome:?}");
+        let attempts = attempts(false);
+        attempts.start().end(outcome.into());
+        let is_not_run = attempts.state().may_be_refused();
+        assert_eq!(is_not_run, outcome.is_not_run(), "{outcome:?}");
     }
 }
+
+/// Guards against a request that runs twice, or is refused although it ran, because a way out of an attempt doesn't
+/// record its end.
+#[test]
+fn an_attempt_without_a_recorded_end_may_have_run() {
+    let attempts = attempts(false);
+    let under_way = attempts.start();
+    assert!(!attempts.state().may_be_refused(), "it hasn't ended");
+    let refused = attempts.start();
+    refused.end(outcome::AttemptEnd::Refused);
+    assert_eq!(attempts.count(), 1);
+    drop(under_way);
+    assert_eq!(attempts.count(), 1);
+    assert!(!attempts.state().may_be_sent(STREAM));
+    assert!(attempts.state().may_be_sent(RESUMABLE));
+}
