router: end a leaving host once its answers have left, not once they are made

Cause: a leaving host exits when no request is in flight, and a request isn't any more as soon as its answer is handed to the connection. What the connection holds of it was lost with the process. Change: when no request is in flight, connections of callers end in order, each after the answer that it writes; the process exits when all have closed, or at the end of its time. Idle ones close at once, so nothing else waits longer. Result: answer_to_a_slow_reader_is_complete fails before ('2807689 bytes') and passes; the host exits within 1 s of the last byte.

--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -23,6 +23,7 @@
 use crate::router::forward;
 use crate::router::inspect;
 use crate::router::preview;
+use crate::router::shutdown;
 use crate::router::workspace_limits;
 
 /// Connections that the kernel queues until they are accepted.
@@ -123,8 +124,9 @@
         time_limits(&limits_cx)
     });
     let stream = tokio::io::join(timed_reader, writer);
+    let service_cx = cx.clone();
     let service = service::service_fn(move |req| {
-        let cx = cx.clone();
+        let cx = service_cx.clone();
         let head_state = head_state.clone();
         head_state.set_head_read();
         async move {
@@ -142,7 +144,21 @@
         .header_read_timeout(None::<time::Duration>)
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(rt::TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
+    tokio::pin!(connection);
+    let closed = match endpoint {
+        Endpoint::Callers => {
+            let _guard = shutdown::ConnectionGuard::new(&cx);
+            tokio::select! {
+                closed = connection.as_mut() => closed,
+                () = cx.connections_closing() => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
+        }
+        Endpoint::Discovery | Endpoint::Metrics => connection.await,
+    };
+    if let Err(error) = closed {
         log_closing(caller, &error);
     }
 }
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -47,6 +47,8 @@
 /// Time to answer the last requests. A leaving host that is never idle stops accepting connections this
 /// long before it exits.
 const LAST_REQUESTS_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// How often a leaving host checks whether its callers' connections have closed.
+const CLOSE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(5);
 /// Time for the log's writer thread to write the last lines.
 const LOG_WRITE_TIME: time::Duration = time::Duration::from_millis(20);
 /// How often a leaving host checks whether its requests have been answered.
@@ -209,7 +211,8 @@
 }
 
 /// Shuts the host down gracefully: tells callers and other hosts that it leaves, removes its entry from
-/// the store, and goes on serving until no request is in flight or the grace period is nearly over.
+/// the store, and goes on serving until no request is in flight and all answers are written, or the grace period is
+/// nearly over.
 async fn shut_down<D: dialect::Dialect>(cx: &sync::Arc<context::Router<D>>) {
     let started = cx.now();
     cx.start_leaving();
@@ -227,6 +230,11 @@
     .await;
     cx.stop_accepting();
     serve_until_idle(cx, started, time::Duration::ZERO, max_time).await;
+    // Requests that arrive from now on aren't read. The answers of the last ones may not have left yet.
+    cx.close_connections();
+    while cx.has_connections() && cx.now().saturating_sub(started) < max_time {
+        tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+    }
     event!(Info, "stop", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed),
         "took_ms" => cx.now().saturating_sub(started).as_millis() as u64);
     // Blocks the only runtime thread on purpose, so that no further request is read.
--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -1,5 +1,7 @@
 //! What a host that leaves still accepts and sends.
 
+use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use walnuthaven_lib::dialect;
@@ -25,6 +27,35 @@
     since: tokio::sync::watch::Sender<Option<time::Duration>>,
     /// Whether the host has stopped accepting connections of callers.
     accepting_stopped: tokio::sync::watch::Sender<bool>,
+    /// Whether connections of callers close after the answers that are being written.
+    closing: tokio::sync::watch::Sender<bool>,
+    /// The number of open connections of callers.
+    connections: atomic::AtomicUsize,
+}
+
+/// Counts a connection of a caller as open until it is dropped.
+#[derive(Debug)]
+pub(crate) struct ConnectionGuard<D>(sync::Arc<context::Router<D>>);
+
+impl<D> ConnectionGuard<D> {
+    pub(crate) fn new(cx: &sync::Arc<context::Router<D>>) -> Self {
+        let connections = &cx.shutdown.connections;
+        connections.fetch_add(1, atomic::Ordering::Relaxed);
+        Self(cx.clone())
+    }
+}
+
+impl<D> Drop for ConnectionGuard<D> {
+    fn drop(&mut self) {
+        let connections = &self.0.shutdown.connections;
+        connections.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+/// Waits until a switch is on that the caller keeps alive.
+async fn wait_until_on(switch: &tokio::sync::watch::Sender<bool>) {
+    // This only fails once the sender is dropped.
+    let _ = switch.subscribe().wait_for(|is_on| *is_on).await;
 }
 
 impl<D: dialect::Dialect> context::Router<D> {
@@ -62,11 +93,16 @@
             .is_none_or(|since| self.now() < since)
     }
 
-    /// Waits until such a request may not be sent any more.
-    pub(crate) async fn wait_until_unsendable(&self, deadline: time::Duration) {
+    /// Waits until the host is told to leave.
+    async fn wait_until_leaving(&self) {
         let mut since = self.shutdown.since.subscribe();
         // This only fails once the sender is dropped, and `self` owns the sender.
         let _ = since.wait_for(Option::is_some).await;
+    }
+
+    /// Waits until such a request may not be sent any more.
+    pub(crate) async fn wait_until_unsendable(&self, deadline: time::Duration) {
+        self.wait_until_leaving().await;
         match self.unsendable_since(deadline) {
             Some(since) => tokio::time::sleep(since.saturating_sub(self.now())).await,
             None => std::future::pending().await,
@@ -80,8 +116,21 @@
 
     /// Waits until `stop_accepting` is called.
     pub(crate) async fn accepting_stopped(&self) {
-        let mut stopped = self.shutdown.accepting_stopped.subscribe();
-        // As above, the sender lives.
-        let _ = stopped.wait_for(|stopped| *stopped).await;
+        wait_until_on(&self.shutdown.accepting_stopped).await;
+    }
+
+    /// Closes the connections of callers, each after the answer that is being written.
+    pub(crate) fn close_connections(&self) {
+        self.shutdown.closing.send_replace(true);
+    }
+
+    /// Waits until `close_connections` is called.
+    pub(crate) async fn connections_closing(&self) {
+        wait_until_on(&self.shutdown.closing).await;
+    }
+
+    /// Returns whether a connection of a caller is open.
+    pub(crate) fn has_connections(&self) -> bool {
+        self.shutdown.connections.load(atomic::Ordering::Relaxed) > 0
     }
 }
--- a/daemon/tests/host_shutdown.rs
+++ b/daemon/tests/host_shutdown.rs
@@ -238,3 +238,38 @@
     assert!(refused > 0, "the host ended early: {}", host.log());
     drop(long);
 }
+
+/// Guards against answers that are cut because the host ends when it has made them, not when they have left.
+#[tokio::test]
+async fn answer_to_a_slow_reader_is_complete() {
+    const BYTES: usize = 3_500_000;
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    let server = server::Server::start("i-a", None).await;
+    server.padding.store(BYTES, atomic::Ordering::Relaxed);
+    server.register(&store, "gate");
+    let mut host = hosts::Host::start(BINARY, "h1", addr);
+    host.wait_ready().await;
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let mut stream = socket.connect(host.callers_addr).await.unwrap();
+    let bytes = caller::request("POST", "/once/x", "r", "", "");
+    stream.write_all(bytes.as_bytes()).await.unwrap();
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    assert_eq!(server.runs_of("r"), 1, "{}", host.log());
+    host.signal(rustix::process::Signal::TERM).unwrap();
+    // Longer than the host stays up for callers that don't know of its shutdown.
+    tokio::time::sleep(time::Duration::from_secs(5)).await;
+    let answer = caller::read(&mut stream, TIMEOUT).await;
+    assert!(
+        answer.complete && answer.body.len() > BYTES,
+        "{} bytes: {}",
+        answer.body.len(),
+        host.log()
+    );
+    let read = time::Instant::now();
+    while host.process.try_wait().unwrap().is_none() {
+        assert!(read.elapsed() < time::Duration::from_secs(1), "it waits");
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
