router: answer what a leaving host couldn't, before it ends

Seen by callers: requests that a leaving host had sent to servers, or not yet read whole, ended with a closed connection at the end of its grace period, which says nothing of them (reported, LOST). Cause: the process ended with whatever was in flight. Ruled out: that these can all be avoided by refusing sends; what was sent in the first 3 s may take longer than the host has. Change: 200 ms before the host ends, requests without an answer get one: 503 if their attempts show that they haven't run, 504 otherwise. A request of another host's caller is declined if nothing was sent here, so that a third host may serve it. What reads parts of a request has a module of its own. Result: request_without_an_answer_at_the_end_gets_one fails before (no status, where 504 is expected) and passes, as do the other tests of late_sends.rs and host_shutdown.rs.

--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -29,6 +29,7 @@
 use crate::router::peer_stream;
 use crate::router::plain_request;
 use crate::router::relay;
+use crate::router::request_parts;
 use crate::router::send;
 use crate::router::server_limits;
 use crate::router::shutdown;
@@ -46,8 +47,6 @@
 /// A head may exceed the limit in force by this factor, as a caller may know of a raised limit earlier than
 /// the host.
 const HEAD_TOLERANCE: usize = 2;
-/// Time limit for the answer if neither the caller nor the route limits it.
-const DEFAULT_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 
 /// Answers a request and counts it.
 ///
@@ -84,7 +83,7 @@
     arrived: time::Duration,
     guard: context::InFlightGuard<D>,
 ) -> answer::Answer {
-    let (mut parts, body) = req.into_parts();
+    let (parts, body) = req.into_parts();
     let head = match cx.dialect.request_head(&parts.headers) {
         Ok(head) => head,
         Err(bad) => {
@@ -94,6 +93,52 @@
         }
     };
     let id = head.request_id.clone();
+    let attempts = sync::Arc::<outcome::Attempts>::default();
+    let received = ReceivedRequest {
+        caller,
+        parts,
+        head,
+        body,
+        attempts: attempts.clone(),
+    };
+    tokio::select! {
+        answer = answer_received(cx, received, arrived, guard) => answer,
+        () = cx.wait_for_last_answers() => {
+            let may_have_run = attempts.state().may_have_run();
+            event!(Warn, "unanswered-at-end", "id" => id, "may_have_run" => may_have_run);
+            match may_have_run {
+                true => answer::from_router(http::StatusCode::GATEWAY_TIMEOUT, shutdown::LEAVES),
+                false => answer::not_run(shutdown::LEAVES, shutdown::RETRY_AFTER),
+            }
+        }
+    }
+}
+
+/// A request whose head was read.
+struct ReceivedRequest {
+    caller: net::IpAddr,
+    parts: http::request::Parts,
+    head: dialect::RequestHead,
+    body: body::Incoming,
+    /// Its attempts so far.
+    attempts: sync::Arc<outcome::Attempts>,
+}
+
+/// Matches a route, reads the body and has a server answer.
+async fn answer_received<D: dialect::Dialect>(
+    cx: &sync::Arc<context::Router<D>>,
+    received: ReceivedRequest,
+    arrived: time::Duration,
+    guard: context::InFlightGuard<D>,
+) -> answer::Answer {
+    let ReceivedRequest {
+        caller,
+        mut parts,
+        head,
+        body,
+        attempts,
+    } = received;
+    let id = head.request_id.clone();
     let Some(table) = cx.table() else {
         event!(Info, "refused", "id" => id, "cause" => "no configuration yet");
         return answer::not_run("no configuration yet", NOT_READY_RETRY_AFTER);
@@ -102,7 +147,7 @@
         event!(Info, "refused", "id" => id, "cause" => "crash marks not read yet");
         return answer::not_run("crash marks not read yet", NOT_READY_RETRY_AFTER);
     }
-    let head_bytes = head_bytes(&parts);
+    let head_bytes = request_parts::head_bytes(&parts);
     if head_bytes > table.limits.header_bytes.saturating_mul(HEAD_TOLERANCE) {
         event!(Info, "head-too-large", "id" => id, "bytes" => head_bytes,
             "limit" => table.limits.header_bytes);
@@ -111,7 +156,7 @@
             "the head is too large",
         );
     }
-    let host = host_name(&parts);
+    let host = request_parts::host_name(&parts);
     let Some(route) = table.find(&host, parts.uri.path()) else {
         event!(Info, "no-route", "id" => id, "host" => host, "path" => parts.uri.path(),
             "version" => table.version);
@@ -125,11 +170,11 @@
             return unauthorized.answer();
         }
     };
-    let deadline = arrived + time_limit(route, &head);
+    let deadline = arrived + request_parts::time_limit(route, &head);
     if !cx.may_send(deadline) {
         return refuse_leaving(&head);
     }
-    let max_bytes = max_body_bytes(&parts.headers, &table.limits);
+    let max_bytes = request_parts::max_body_bytes(&parts.headers, &table.limits);
     let Some(memory) = cx
         .body_memory
         .reserve(max_bytes, cx.settings().memory_bytes)
@@ -173,7 +218,7 @@
         workspace,
         deadline,
         arrived,
-        attempts: sync::Arc::default(),
+        attempts,
         forwarded: None,
     };
     answer_routed(cx, &table, request, guard).await
@@ -231,9 +276,10 @@
         head.resume_after = Some(event);
         head.resumes = Some(call.began_as.into());
     }
-    let host = host_name(&parts);
+    let host = request_parts::host_name(&parts);
     let route = table.find(&host, parts.uri.path()).ok_or("no route")?;
     let time_left = time::Duration::from_millis(call.time_left_ms);
+    let attempts = sync::Arc::new(outcome::Attempts::of_other_host(call.may_have_run));
     let memory = cx
         .body_memory
         .reserve(call.body.len(), cx.settings().memory_bytes)
@@ -243,19 +289,29 @@
         head,
         body: call.body.into(),
         memory,
-        deadline: arrived + time_left.min(route.timeout.unwrap_or(DEFAULT_TIMEOUT)),
+        deadline: arrived + time_left.min(route.timeout.unwrap_or(request_parts::DEFAULT_TIMEOUT)),
         route: route.clone(),
         workspace: caller_workspace::of_forwarded(cx, &table, &parts.headers)?,
         parts,
         arrived,
-        attempts: sync::Arc::new(outcome::Attempts::of_other_host(call.may_have_run)),
+        attempts: attempts.clone(),
         forwarded: Some(send::Forwarded {
             used_attempts: call.used_attempts,
             tried: call.tried.into_iter().map(Into::into).collect(),
             suspected_crashes: call.suspected_crashes as usize,
         }),
     };
-    let answer = answer_routed(cx, &table, request, guard).await;
+    let attempts_before = attempts.count();
+    let answer = tokio::select! {
+        answer = answer_routed(cx, &table, request, guard) => answer,
+        () = cx.wait_for_last_answers() => {
+            if attempts.count() == attempts_before {
+                // Another host may serve it.
+                return Err(shutdown::LEAVES);
+            }
+            answer::from_router(http::StatusCode::GATEWAY_TIMEOUT, shutdown::LEAVES)
+        }
+    };
     // That it isn't run here says nothing of the sends before.
     if call.may_have_run && stream_request::implies_not_run(answer.status()) {
         let cause = "no other server answered";
@@ -295,13 +351,13 @@
             NOT_READY_RETRY_AFTER,
         );
     };
-    let digest = digest(caller, &parts.uri, &body);
+    let digest = request_parts::digest(caller, &parts.uri, &body);
     let prompt_parts = match service.engines {
         Some(_) => &head.prompt_parts[..],
         None => &[],
     };
     let prompt_parts = part_marks::prompt_parts(&service.name, prompt_parts);
-    let host = host_name(&parts);
+    let host = request_parts::host_name(&parts);
     let content_parts = part_marks::content_parts(&host, &parts.uri, &body);
     let shared_parts = prompt_parts.chain(content_parts).collect();
     let path = parts.uri.path().to_owned();
@@ -418,57 +474,3 @@
         }
     }
 }
-
-/// Returns the name of the host that a request is for; empty if it has none.
-fn host_name(parts: &http::request::Parts) -> String {
-    let host = parts.headers.get(http::header::HOST);
-    let host = host
-        .and_then(|host| host.to_str().ok())
-        .or_else(|| parts.uri.host());
-    host.unwrap_or_default().to_owned()
-}
-
-/// Returns the size of a request's head in bytes, as it is usually written.
-fn head_bytes(parts: &http::request::Parts) -> usize {
-    let target = parts.uri.path_and_query();
-    let target_bytes = target.map_or(1, |target| target.as_str().len());
-    let line_bytes = parts.method.as_str().len() + target_bytes + "  HTTP/1.1\r\n".len();
-    let headers = parts.headers.iter();
-    let header_bytes =
-        headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
-    line_bytes + header_bytes.sum::<usize>() + "\r\n".len()
-}
-
-/// Returns the maximum size in bytes of a request's body, according to its headers and the limits.
-fn max_body_bytes(headers: &http::HeaderMap, limits: &routing::CallerLimits) -> usize {
-    let length = headers.get(http::header::CONTENT_LENGTH);
-    let stated = length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
-    let chunked = headers.contains_key(http::header::TRANSFER_ENCODING);
-    let max_bytes = match (stated, chunked) {
-        (Some(stated), _) => stated,
-        (None, true) => limits.body_bytes,
-        (None, false) => 0,
-    };
-    max_bytes.min(limits.body_bytes)
-}
-
-/// Returns a digest of a request's caller, target and body, by which the request is recognised when
-/// it is sent again.
-fn digest(caller: net::IpAddr, target: &http::Uri, body: &Bytes) -> u64 {
-    let mut hasher = xxh3::Xxh3::new();
-    hasher.update(caller.to_string().as_bytes());
-    hasher.update(target.to_string().as_bytes());
-    hasher.update(&[0]);
-    hasher.update(body);
-    hasher.digest()
-}
-
-/// Returns how long the answer may take: the shorter of the caller's and the route's limit.
-fn time_limit(route: &routing::Route, head: &dialect::RequestHead) -> time::Duration {
-    let limits = [route.timeout, head.deadline];
-    limits
-        .into_iter()
-        .flatten()
-        .min()
-        .unwrap_or(DEFAULT_TIMEOUT)
-}
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -37,6 +37,7 @@
 mod prefills;
 mod preview;
 mod relay;
+mod request_parts;
 mod retry_budget;
 mod run;
 mod run_move;
--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -13,6 +13,8 @@
 /// How long a leaving host sends requests whose time limit is later than its end. Callers that don't know yet that it
 /// leaves expect an answer, and few requests use up their time.
 const SEND_ALL_FOR: time::Duration = time::Duration::from_secs(3);
+/// A leaving host answers what is left this long before it ends, so that callers get these answers.
+const LAST_ANSWERS_TIME: time::Duration = time::Duration::from_millis(200);
 /// Time to write an answer that is made at the time limit.
 const ANSWER_TIME: time::Duration = time::Duration::from_millis(100);
 /// Retry-After of requests that a leaving host refuses. It is short because callers send them to another host.
@@ -100,6 +102,13 @@
         let _ = since.wait_for(Option::is_some).await;
     }
 
+    /// Waits until this host answers what is left, because it ends.
+    pub(crate) async fn wait_for_last_answers(&self) {
+        self.wait_until_leaving().await;
+        let left = self.max_leaving_time().saturating_sub(self.leaving_for());
+        tokio::time::sleep(left.saturating_sub(LAST_ANSWERS_TIME)).await;
+    }
+
     /// Waits until such a request may not be sent any more.
     pub(crate) async fn wait_until_unsendable(&self, deadline: time::Duration) {
         self.wait_until_leaving().await;
--- a/daemon/tests/late_sends.rs
+++ b/daemon/tests/late_sends.rs
@@ -209,3 +209,29 @@
     }
     setup.assert_was_held_up().await;
 }
+
+/// Guards against requests that are cut at the host's end: they get an answer that says what is known of them.
+#[tokio::test]
+async fn request_without_an_answer_at_the_end_gets_one() {
+    let setup = Setup::start().await;
+    let server = add_server(&setup.store, "i-b", 12_000).await;
+    setup.store.remove("servers", "i-a");
+    setup.wait_for_log("\"i-a\",\"change\":\"vanished\"").await;
+    let addr = setup.host.callers_addr;
+    let send = |id: &'static str, sent: usize| async move {
+        let bytes = caller::request("POST", "/once/x", id, "", "a body");
+        let mut stream = tokio::net::TcpStream::connect(addr).await.unwrap();
+        let part = &bytes.as_bytes()[..bytes.len() - sent];
+        stream.write_all(part).await.unwrap();
+        caller::read(&mut stream, TIMEOUT).await
+    };
+    let signalled = setup.leave();
+    let (running, unread) = tokio::join!(send("running", 0), send("unread", 1));
+    assert!(signalled.elapsed() < secs(8.0), "after the grace period");
+    let log = setup.host.log();
+    assert_eq!((running.status, running.complete), (504, true), "{log}");
+    assert_eq!((unread.status, unread.complete), (503, true), "{log}");
+    assert_eq!(server.runs_of("running"), 1);
+    assert_eq!(server.runs_of("unread"), 0);
+    setup.assert_was_held_up().await;
+}
