router: write served versions and streams again that a drill of the store lost

Seen by hosts: after the store came back from a copy, records of streams stayed lost, and those of versions unless they were being written just then. If all hosts ended then, streams were refused, or hosts couldn't tell which version began them. Cause: both are written when they change, and nothing looked at the store's era. Crash marks are listed again in a new era, which shows what the store lacks; these aren't followed. Change: in a new era all versions that count and all known streams are due once more, against a list that doesn't lag, and by the hosts' turns; revisions of objects to replace are forgotten, as they may be given out again.

--- a/daemon/src/router/served_version_store.rs
+++ b/daemon/src/router/served_version_store.rs
@@ -50,11 +50,17 @@
 
 async fn keep_records<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>) {
     let mut client = store::Client::new(&cx);
+    let mut era = cx.renewals.era();
     read_records(&cx, &mut client).await;
     let mut pause = FIRST_PAUSE;
     let mut freshness = dialect::Freshness::MayLag;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
+        if cx.renewals.has_new_era(&mut era) {
+            // A lagging list may be of the former era.
+            freshness = dialect::Freshness::Newest;
+            locks::lock(&cx.served_versions).record_store_loss(cx.now());
+        }
         if !is_due(&cx) {
             continue;
         }
--- a/daemon/src/router/stream_record_store.rs
+++ b/daemon/src/router/stream_record_store.rs
@@ -69,8 +69,13 @@
 
 async fn keep_records<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>) {
     let mut client = store::Client::new(&cx);
+    let mut era = cx.renewals.era();
     read_records(&cx, &mut client).await;
     for number in 0_u64.. {
+        if cx.renewals.has_new_era(&mut era) {
+            let known = locks::lock(&cx.stream_versions);
+            locks::lock(&cx.stream_records).record_store_loss(&known, cx.now());
+        }
         let is_needed = check_needed(&cx);
         tokio::time::sleep(match is_needed {
             true => WRITE_CHECK_INTERVAL,
--- a/daemon/src/router/view_renewal.rs
+++ b/daemon/src/router/view_renewal.rs
@@ -77,6 +77,13 @@
         *locks::lock(&self.era)
     }
 
+    /// Returns whether the store has lost writes since it was asked last, and updates what is known of its era.
+    pub(crate) fn has_new_era(&self, known: &mut Option<u64>) -> bool {
+        let newest = self.era();
+        let before = std::mem::replace(known, newest);
+        before.is_some() && before != newest
+    }
+
     /// Records the era of an answer of the store. Revisions of different eras can't be compared, so all views are
     /// listed again in a new one.
     pub(crate) fn record_era(&self, era: u64) {
--- a/daemon/tests/store_copies.rs
+++ b/daemon/tests/store_copies.rs
@@ -4,6 +4,8 @@
 use std::time;
 
 use walnuthaven_lib::lease;
+use walnuthaven_platform_standin::caller;
+use walnuthaven_platform_standin::engine_setup;
 use walnuthaven_platform_standin::hosts;
 use walnuthaven_platform_standin::link;
 use walnuthaven_platform_standin::server;
@@ -14,6 +16,12 @@
 const TIMEOUT: time::Duration = time::Duration::from_secs(5);
 /// The store's kind of the hosts' entries.
 const HOSTS: &str = "walnuthaven-hosts";
+/// The store's kinds of crash marks, served versions and streams.
+const RECORDS: [&str; 3] = [
+    "walnuthaven-crash-marks",
+    "walnuthaven-served-versions",
+    "walnuthaven-stream-records",
+];
 /// What a host logs when it has acquired or renewed the lease for orders to engines.
 const LEASE_HELD: &str = "\"event\":\"lease-held\"";
 
@@ -25,6 +33,47 @@
     }
 }
 
+/// Guards against content that crashes servers again, and against streams that go on at another version, after a drill
+/// and the end of all hosts: what only these knew is in the store again.
+#[tokio::test]
+async fn records_that_a_drill_lost_are_written_again() {
+    let (store, addr) = store::Store::start().await;
+    hosts::configure(&store, 3);
+    let poisoned = add_server(&store, "i-a").await;
+    poisoned.set_fault(server::Fault::CrashOnPoison);
+    for (id, version) in [("i-d1", "v1"), ("i-d2", "v2")] {
+        let engine = server::Server::start(id, Some("decode")).await;
+        engine.set_version(version);
+        engine.register(&store, "scribe");
+    }
+    let copy = store.copy();
+    let again = store.copy();
+    let all = ["h1", "h2"].map(|name| hosts::Host::start(BINARY, name, addr));
+    for host in &all {
+        host.wait_ready().await;
+    }
+    let poison = caller::request("POST", "/once/x", "c", "", "poison");
+    caller::send(all[0].callers_addr, &poison, TIMEOUT).await;
+    let stream = caller::request("POST", "/brief/x", "s", engine_setup::PROMPT, "p");
+    let stream = caller::send(all[0].callers_addr, &stream, TIMEOUT).await;
+    assert_eq!((stream.status, stream.complete), (200, true), "{stream:?}");
+    let log = || all[0].log() + &all[1].log();
+    for copy in [None, Some(copy), Some(again)] {
+        if let Some(copy) = copy {
+            store.come_back_from(copy);
+        }
+        let start = time::Instant::now();
+        loop {
+            let stored = RECORDS.map(|kind| store.object_names(kind).len());
+            if stored[0] == 1 && stored[1] == 2 && stored[2] >= 1 {
+                break;
+            }
+            assert!(start.elapsed() < TIMEOUT, "{stored:?}: {}", log());
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    }
+}
+
 async fn add_server(store: &store::Store, id: &str) -> sync::Arc<server::Server> {
     let server = server::Server::start(id, None).await;
     server.register(store, "gate");
--- a/lib/src/served_versions.rs
+++ b/lib/src/served_versions.rs
@@ -284,6 +284,15 @@
         self.unsaved.values().any(|due| *due <= now)
     }
 
+    /// Has all versions that count looked at, as the store may have lost their records.
+    pub fn record_store_loss(&mut self, now: time::Duration) {
+        let counting = self.by_version.iter();
+        let counting = counting.filter(|(_, presence)| presence.counts(now));
+        let versions: Vec<_> = counting.map(|(of, _)| of.clone()).collect();
+        self.unsaved
+            .extend(versions.into_iter().map(|version| (version, now)));
+    }
+
     /// Compares the records that are due with those of the store, and returns what to write. Those that need
     /// no write are saved; the others are due again later, until a list shows them.
     pub fn next_writes(
--- a/lib/src/stream_records.rs
+++ b/lib/src/stream_records.rs
@@ -104,6 +104,19 @@
         }
     }
 
+    /// Has all known streams stored once more, if any are stored, as the store may have lost them. Its objects have
+    /// other revisions then.
+    pub fn record_store_loss(
+        &mut self,
+        known: &stream_versions::StreamVersions,
+        now: time::Duration,
+    ) {
+        self.replaceable.clear();
+        if self.needed {
+            self.unsaved.extend(known.keys(now).map(|key| (key, now)));
+        }
+    }
+
     /// Returns whether streams are stored at present.
     pub fn is_needed(&self) -> bool {
         self.needed
--- a/lib/tests/served_versions.rs
+++ b/lib/tests/served_versions.rs
@@ -385,3 +385,19 @@
     assert!(view.is_mixed(at(69_999)));
     assert!(!view.is_mixed(at(70_000)));
 }
+
+/// Guards against streams that go on at another version because a drill lost the record of theirs.
+#[test]
+fn version_whose_record_the_store_lost_is_stored_again() {
+    let mut view = served_versions::ServedVersions::default();
+    join(&mut view, "i-a", "v1", 0);
+    let writes = view.next_writes(&[], unix(0), at(0));
+    view.record_written(&writes[0]);
+    assert!(!view.has_unsaved(at(10_000)));
+    view.record_store_loss(at(10_000));
+    let writes = view.next_writes(&[], unix(10_000), at(10_000));
+    assert_eq!(writes, [served_versions::Write::Put(of("v1"), None, None)]);
+    view.record_store_loss(at(20_000));
+    let writes = view.next_writes(&[stored("v1", None)], unix(20_000), at(20_000));
+    assert_eq!(writes, [], "the copy has it");
+}
--- a/lib/tests/stream_records.rs
+++ b/lib/tests/stream_records.rs
@@ -192,3 +192,24 @@
         })
     }
 }
+
+/// Guards against streams that no host knows after a drill and the end of all hosts.
+#[test]
+fn streams_that_the_store_lost_are_stored_again() {
+    let mut host = Host::storing();
+    host.begin(1, "v1", 0);
+    host.begin(2, "v2", 10_000);
+    let batch = host.next(0, 10_000).unwrap();
+    host.records.record_written(&batch, at(10_005));
+    let old = stream_records::Replaceable {
+        name: "o".into(),
+        revision: 7,
+    };
+    host.records.record_replaceable(vec![old]);
+    assert_eq!(host.next(0, 11_000), None);
+    host.records.record_store_loss(&host.known, at(15_000));
+    let batch = host.next(0, 15_000).unwrap();
+    // The first stream has expired.
+    assert_eq!(keys(&batch), [2]);
+    assert_eq!(batch.replaces, None, "its revision is of the former era");
+}
