--- a/daemon/tests/fault_soak.rs
+++ b/daemon/tests/fault_soak.rs
@@ -8,8 +8,10 @@
 use walnuthaven_platform_standin::history;
 use walnuthaven_platform_standin::part_soak;
 use walnuthaven_platform_standin::request_outcome;
+use walnuthaven_platform_standin::restart_soak;
 use walnuthaven_platform_standin::silent_soak;
 use walnuthaven_platform_standin::soak;
+use walnuthaven_platform_standin::stage_orders;
 use walnuthaven_platform_standin::stream_tries;
 use walnuthaven_platform_standin::version_soak;
 use walnuthaven_platform_standin::workspace_soak;
@@ -60,6 +62,32 @@
     assert_guarantees_held(&report);
 }
 
+/// Lets the store come back from copies beside the other faults, among them killed hosts. The seed is arbitrary.
+const DRILL_SOAK: soak::Options = soak::Options {
+    seed: 21,
+    seconds: 12,
+    hosts: 4,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_after_drills() {
+    let report = soak::run(BINARY, DRILL_SOAK, soak::Faults::AndDrills).await;
+    assert_guarantees_held(&report);
+}
+
+/// Restarts all hosts by plan under full load. The seed is arbitrary.
+const RESTART_SOAK: soak::Options = soak::Options {
+    seed: 1,
+    seconds: 12,
+    hosts: 4,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_restarts_lose_no_request() {
+    let report = restart_soak::run(BINARY, RESTART_SOAK).await;
+    assert_guarantees_held(&report);
+}
+
 /// Lets the links of each host carry 10 Mbit a second. The seed is arbitrary.
 const SLOW_LINKS_SOAK: soak::Options = soak::Options {
     seed: 12,
@@ -218,6 +246,18 @@
         time::Duration::from_millis(6_600)));
 }
 
+#[test]
+fn checker_finds_orders_of_two_holders() {
+    let order = |holder: &str, fence| stage_orders::StageOrder {
+        holder: holder.to_owned(),
+        fence,
+    };
+    let count = |orders: &[_]| stage_orders::broken_rules(orders).len();
+    assert_eq!(count(&[order("a", 1), order("a", 1), order("b", 2)]), 0);
+    assert_eq!(count(&[order("a", 1), order("b", 1)]), 1, "one fence");
+    assert_eq!(count(&[order("a", 2), order("b", 1)]), 1, "a lower fence");
+}
+
 #[test]
 fn checker_finds_content_that_is_sent_on() {
     let start = time::Instant::now();
