--- a/daemon/tests/failed_requests.rs
+++ b/daemon/tests/failed_requests.rs
@@ -39,6 +39,8 @@
     (ends, setup.host.log() + &fellow.log())
 }
 
+/// Guards against requests that run twice after a server's own failure, or are refused although they ran (review/1, TWICE and
+/// REFUSED).
 #[tokio::test]
 async fn failure_of_a_server_is_the_answer_to_what_may_run_once() {
     let (ends, log) = fail_while_an_engine_is_lost("/single/x").await;
--- a/daemon/tests/host_shutdown.rs
+++ b/daemon/tests/host_shutdown.rs
@@ -175,7 +175,8 @@
     assert!(status.success(), "{status}");
 }
 
-/// A long stream keeps the host up until the end of its grace period, while callers send on connections that they have
+/// Guards against requests of kept connections that run at a server and are cut by their host's end (review/5, LOST). A long
+/// stream keeps the host up until the end of its grace period, while callers send on connections that they have
 /// kept open.
 #[tokio::test]
 async fn leaving_host_passes_on_nothing_that_it_would_cut() {
--- a/daemon/tests/late_sends.rs
+++ b/daemon/tests/late_sends.rs
@@ -17,7 +17,7 @@
 const TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// The routes' time limit, which is longer than the hosts' grace period of 8 s.
 const TIME_LIMIT_MS: u64 = 14_000;
-/// The end of the grace period in which rules allow an answer that was sent early to be cut.
+/// When a request that can't be sent any more is refused, after the signal at the latest.
 const REFUSED_BY: time::Duration = time::Duration::from_secs(4);
 /// The pause between two events.
 const EVENT_PAUSE_MS: u64 = 200;
--- a/lib/tests/lease_fencing.rs
+++ b/lib/tests/lease_fencing.rs
@@ -173,6 +173,7 @@
     attempt(lease, stored, now, false);
 }
 
+/// Guards against orders of two holders after a drill (review/2, ONE).
 #[test]
 fn a_holder_gives_its_lease_up_when_the_store_comes_back_from_a_copy() {
     let mut stored = Stored::default();
@@ -183,6 +184,7 @@
     assert!(holder.held(secs(1)).is_none());
 }
 
+/// Guards against one fencing number of two holders after a drill (review/2, ONE).
 #[test]
 fn fences_rise_across_eras_whatever_the_copy_holds() {
     for copied in [false, true] {
