daemon: let hosts of broken_answers.rs know each other, and keep engines in their stage

Cause, in its log: the first host hadn't heard of the second one 1.2 s after both were ready, so it refused the request with 503, as it should. With a longer wait, engines were ordered to prefill, as the set-up had no engine for that, and two other tests failed: nobody was left to fail. Change: the set-up waits until the first host tells callers of the second one, and has an engine that prefills, which must be used. No check is removed or eased.

--- a/daemon/tests/broken_answers.rs
+++ b/daemon/tests/broken_answers.rs
@@ -12,7 +12,7 @@
 use walnuthaven_platform_standin::store;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
-/// Time for hosts to hear of each other.
+/// Time for hosts that know each other to hear which servers each reaches.
 const START_TIME: time::Duration = time::Duration::from_millis(1_200);
 const EVENTS: u64 = 8;
 const EVENT_PAUSE_MS: u64 = 50;
@@ -30,8 +30,25 @@
     server::Fault::UnsignedAnswer,
 ];
 
-/// Two servers of a service, and two hosts. The first host reaches the servers over links.
+/// Waits until a host tells callers the address of another one, from which it has heard then.
+async fn wait_until_known(host: &hosts::Host, other: &hosts::Host) {
+    let path = "/walnuthaven/resolve?name=h.example&region=r&zone=z1";
+    let bytes = caller::request("GET", path, "q", "", "");
+    let start = time::Instant::now();
+    loop {
+        let answer = caller::send(host.directory_addr, &bytes, engine_setup::TIMEOUT).await;
+        if answer.body.contains(&other.callers_addr.to_string()) {
+            return;
+        }
+        assert!(start.elapsed() < engine_setup::TIMEOUT, "{}", host.log());
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
+
+/// Two servers of a service, and two hosts. The first host reaches the servers over links. Engines have one beside them that
+/// prefills, so that none of them is ordered to.
 struct Setup {
+    prefill_engine: sync::Arc<server::Server>,
     servers: Vec<sync::Arc<server::Server>>,
     links: Vec<sync::Arc<link::Link>>,
     hosts: [hosts::Host; 2],
@@ -56,14 +73,23 @@
             servers.push(server);
             links.push(link);
         }
+        let prefill_engine = server::Server::start("i-p", Some("prefill")).await;
+        let link = link::Link::start(prefill_engine.addr).await;
+        addresses.push((prefill_engine.addr, link.addr));
+        links.push(link);
+        if stage.is_some() {
+            prefill_engine.register(&store, "scribe");
+        }
         let view = store.start_view(addresses).await;
         let hosts = [("h1", view), ("h2", addr)]
             .map(|(name, store)| hosts::Host::start(BINARY, name, store));
         for host in &hosts {
             host.wait_ready().await;
         }
+        wait_until_known(&hosts[0], &hosts[1]).await;
         tokio::time::sleep(START_TIME).await;
         Self {
+            prefill_engine,
             servers,
             links,
             hosts,
@@ -156,6 +182,7 @@
         setup.log()
     );
     assert!(setup.sends_of("r") >= 2, "{case}: {}", setup.log());
+    assert!(!setup.prefill_engine.received().is_empty(), "{case}");
     let whole = engine_setup::complete_stream(EVENTS);
     assert!(whole.starts_with(&answer.body), "{case}: {}", setup.log());
     assert!(
