--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -107,8 +107,8 @@
             let may_have_run = attempts.state().may_have_run();
             event!(Warn, "unanswered-at-end", "id" => id, "may_have_run" => may_have_run);
             match may_have_run {
-                true => answer::from_router(http::StatusCode::GATEWAY_TIMEOUT, shutdown::LEAVES),
-                false => answer::not_run(shutdown::LEAVES, shutdown::RETRY_AFTER),
+                true => shutdown::unknown_outcome(),
+                false => shutdown::refusal(),
             }
         }
     }
@@ -227,7 +227,7 @@
 /// Refuses a request that a leaving host couldn't answer before it ends.
 fn refuse_leaving(head: &dialect::RequestHead) -> answer::Answer {
     event!(Info, "refused", "id" => head.request_id, "cause" => shutdown::LEAVES);
-    answer::not_run(shutdown::LEAVES, shutdown::RETRY_AFTER)
+    shutdown::refusal()
 }
 
 /// A request that was read completely and matched a route.
@@ -309,7 +309,7 @@
                 // Another host may serve it.
                 return Err(shutdown::LEAVES);
             }
-            answer::from_router(http::StatusCode::GATEWAY_TIMEOUT, shutdown::LEAVES)
+            shutdown::unknown_outcome()
         }
     };
     // That it isn't run here says nothing of the sends before.
@@ -467,7 +467,7 @@
         Err(unsent) => {
             let (request, _) = *unsent;
             let mut answer = request.failure_answer(failure);
-            if request.runs().may_be_refused() && request.reaches_no_engine() {
+            if request.received.runs().may_be_refused() && request.reaches_no_engine() {
                 answer.extensions_mut().insert(answer::Unreached);
             }
             answer
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -56,11 +56,6 @@
         self.received.head.request_id.as_deref().unwrap_or("-")
     }
 
-    /// Returns what the attempts so far allow.
-    fn runs(&self) -> outcome::RunState {
-        self.received.attempts.state()
-    }
-
     /// Sends the request, to further servers if necessary, and returns the answer for the caller. A silent
     /// server may still answer, so its send goes on while another server is tried.
     pub(crate) async fn answer(&self) -> answer::Answer {
@@ -75,6 +70,7 @@
             return refusal;
         }
         let turn = tokio::select! {
+            biased;
             turn = part_marks::wait_for_turn(self.cx, self.received) => turn,
             () = self.cx.wait_until_unsendable(self.deadline) => {
                 return self.failed_answer(progress);
@@ -255,7 +251,7 @@
 
     /// Makes the answer to a request that may not be sent any more, because its content crashes servers.
     fn refuse_quarantined(&self, progress: plain_progress::Progress) -> answer::Answer {
-        if !self.runs().may_be_refused() {
+        if !self.received.runs().may_be_refused() {
             return self.failed_answer(progress);
         }
         crash_marks::log_refusal(self.cx, self.received);
@@ -288,7 +284,7 @@
         if let Some(answer) = self.pass_on(&mut progress).await {
             return answer;
         }
-        let may_be_refused = self.runs().may_be_refused();
+        let may_be_refused = self.received.runs().may_be_refused();
         let mut answer = self.failed_answer(progress);
         if may_be_refused {
             answer.extensions_mut().insert(answer::Unreached);
@@ -301,12 +297,12 @@
         if let Some(error_answer) = progress.error_answer {
             return error_answer;
         }
-        if !self.runs().may_be_refused() {
+        if !self.received.runs().may_be_refused() {
             return answer::from_router(http::StatusCode::BAD_GATEWAY, "no other server is usable");
         }
         if !self.cx.may_send(self.deadline) {
             event!(Info, "refused", "id" => self.id(), "service" => self.service, "cause" => shutdown::LEAVES);
-            return answer::not_run(shutdown::LEAVES, shutdown::RETRY_AFTER);
+            return shutdown::refusal();
         }
         let mut untried = self.usable_servers();
         let none_usable = untried.is_empty();
--- a/daemon/src/router/request_parts.rs
+++ b/daemon/src/router/request_parts.rs
@@ -3,7 +3,6 @@
 use std::net;
 use std::time;
 
-use bytes::Bytes;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::routing;
 use xxhash_rust::xxh3;
@@ -46,7 +45,7 @@
 
 /// Returns a digest of a request's caller, target and body, by which the request is recognised when
 /// it is sent again.
-pub(super) fn digest(caller: net::IpAddr, target: &http::Uri, body: &Bytes) -> u64 {
+pub(super) fn digest(caller: net::IpAddr, target: &http::Uri, body: &[u8]) -> u64 {
     let mut hasher = xxh3::Xxh3::new();
     hasher.update(caller.to_string().as_bytes());
     hasher.update(target.to_string().as_bytes());
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -93,6 +93,11 @@
 }
 
 impl CallerRequest {
+    /// Returns what the attempts so far allow, here and at other hosts.
+    pub(crate) fn runs(&self) -> outcome::RunState {
+        self.attempts.state()
+    }
+
     /// Records that a server wrote part of the answer without crashing by it.
     pub(crate) fn set_proven(&self) {
         self.is_proven.store(true, atomic::Ordering::Relaxed);
--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -6,6 +6,7 @@
 
 use walnuthaven_lib::dialect;
 
+use crate::router::answer;
 use crate::router::context;
 
 /// The process ends this long before the end of its grace period, at which it would be killed.
@@ -18,10 +19,20 @@
 /// Time to write an answer that is made at the time limit.
 const ANSWER_TIME: time::Duration = time::Duration::from_millis(100);
 /// Retry-After of requests that a leaving host refuses. It is short because callers send them to another host.
-pub(crate) const RETRY_AFTER: time::Duration = time::Duration::from_millis(50);
+const RETRY_AFTER: time::Duration = time::Duration::from_millis(50);
 /// The cause of these refusals.
 pub(crate) const LEAVES: &str = "this host leaves";
 
+/// Makes the answer of a leaving host to a request that hasn't run.
+pub(crate) fn refusal() -> answer::Answer {
+    answer::not_run(LEAVES, RETRY_AFTER)
+}
+
+/// Makes the answer of a host that ends to a request that may have run.
+pub(crate) fn unknown_outcome() -> answer::Answer {
+    answer::from_router(http::StatusCode::GATEWAY_TIMEOUT, LEAVES)
+}
+
 /// How far a host's shutdown is.
 #[derive(Debug, Default)]
 pub(crate) struct Shutdown {
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -286,11 +286,6 @@
         self.sent_before |= used_attempts > 0;
     }
 
-    /// Returns what the attempts so far allow, here and at other hosts.
-    pub(crate) fn runs(&self) -> outcome::RunState {
-        self.received.attempts.state()
-    }
-
     /// Returns the id of the request that brought the stream's first event.
     pub(crate) fn began_as(&self) -> &str {
         let head = &self.received.head;
@@ -374,30 +369,28 @@
     pub(crate) fn failure_answer(&self, failure: OpenFailure) -> answer::Answer {
         match failure {
             OpenFailure::Answer(answer) => *answer,
-            OpenFailure::Quarantined if self.runs().may_be_refused() => {
+            OpenFailure::Quarantined if self.received.runs().may_be_refused() => {
                 crash_marks::refusal_answer(&self.cx, &self.received)
             }
             OpenFailure::Quarantined => {
                 let cause = "the rest of the answer crashes servers";
                 answer::from_router(http::StatusCode::BAD_GATEWAY, cause)
             }
-            OpenFailure::HostLeaves if self.runs().may_be_refused() => {
-                answer::not_run(shutdown::LEAVES, shutdown::RETRY_AFTER)
-            }
+            OpenFailure::HostLeaves if self.received.runs().may_be_refused() => shutdown::refusal(),
             OpenFailure::HostLeaves => {
                 answer::from_router(http::StatusCode::BAD_GATEWAY, shutdown::LEAVES)
             }
             OpenFailure::UnknownVersion => {
                 answer::not_run(UNKNOWN_VERSION, UNKNOWN_VERSION_RETRY_AFTER)
             }
-            OpenFailure::NoCapacity(no_capacity) if self.runs().may_be_refused() => {
+            OpenFailure::NoCapacity(no_capacity) if self.received.runs().may_be_refused() => {
                 answer::not_run(no_capacity.cause, no_capacity.retry_after)
             }
             OpenFailure::NoCapacity(no_capacity) => {
                 answer::from_router(http::StatusCode::BAD_GATEWAY, no_capacity.cause)
             }
             OpenFailure::NoAnswer(outcome::Next::RefuseUnrun, cause)
-                if self.runs().may_be_refused() =>
+                if self.received.runs().may_be_refused() =>
             {
                 answer::not_run(cause, REFUSED_RETRY_AFTER)
             }
--- a/daemon/src/router/via_peer.rs
+++ b/daemon/src/router/via_peer.rs
@@ -278,16 +278,11 @@
         self.received.head.request_id.as_deref().unwrap_or("-")
     }
 
-    /// Returns what the attempts so far allow, here and at other hosts.
-    fn runs(&self) -> outcome::RunState {
-        self.received.attempts.state()
-    }
-
     /// Returns whether it may be passed on at all: it wasn't before, and it either hasn't run or may run again.
     fn may_be_passed_on<D: dialect::Dialect>(&self, cx: &context::Router<D>) -> bool {
         let in_budget = self.used_attempts == 0 || cx.may_retry(self.service);
         self.received.forwarded.is_none()
-            && self.runs().may_be_sent(self.kind)
+            && self.received.runs().may_be_sent(self.kind)
             && in_budget
             && self.used_attempts < self.max_attempts
             && (self.resume_after.is_some() || cx.may_send(self.deadline))
@@ -352,7 +347,7 @@
             }
         }
         // Without another host, what ended the attempts before is the answer.
-        match self.asked.is_empty() || self.runs().may_be_refused() {
+        match self.asked.is_empty() || self.received.runs().may_be_refused() {
             true => Err(Failure::NotSent),
             false => Err(Failure::Unknown("no other host answered")),
         }
@@ -473,7 +468,7 @@
             time_left_ms: clock::millis(time_left),
             config_version: cx.table().map_or(0, |table| table.version),
             used_attempts: self.used_attempts,
-            may_have_run: self.runs().may_have_run(),
+            may_have_run: self.received.runs().may_have_run(),
             tried: self.tried.iter().map(ToString::to_string).collect(),
             resume_after: self.resume_after,
             began_as: self.began_as.to_owned(),
--- a/daemon/tests/broken_answers.rs
+++ b/daemon/tests/broken_answers.rs
@@ -32,11 +32,9 @@
 
 /// Waits until a host tells callers the address of another one, from which it has heard then.
 async fn wait_until_known(host: &hosts::Host, other: &hosts::Host) {
-    let path = "/walnuthaven/resolve?name=h.example&region=r&zone=z1";
-    let bytes = caller::request("GET", path, "q", "", "");
     let start = time::Instant::now();
     loop {
-        let answer = caller::send(host.directory_addr, &bytes, engine_setup::TIMEOUT).await;
+        let answer = caller::resolve(host.directory_addr, engine_setup::TIMEOUT).await;
         if answer.body.contains(&other.callers_addr.to_string()) {
             return;
         }
--- a/daemon/tests/late_sends.rs
+++ b/daemon/tests/late_sends.rs
@@ -27,13 +27,16 @@
 /// A host that a long stream keeps up until the end of its grace period.
 struct Setup {
     store: sync::Arc<store::Store>,
+    /// The only plain server.
+    server: sync::Arc<server::Server>,
     engine: sync::Arc<server::Server>,
     host: hosts::Host,
     long: tokio::task::JoinHandle<caller::Answer>,
 }
 
 impl Setup {
-    async fn start() -> Self {
+    /// Starts a host, with a plain server that takes `plain_ms` for an answer.
+    async fn start(plain_ms: u64) -> Self {
         let (store, addr) = store::Store::start().await;
         let mut configuration = hosts::configuration(3);
         for route in configuration["routes"].as_array_mut().unwrap() {
@@ -49,12 +52,13 @@
             .delay_ms
             .store(EVENT_PAUSE_MS, atomic::Ordering::Relaxed);
         engine.register(&store, "scribe");
-        add_server(&store, "i-a", 0).await;
+        let server = add_server(&store, "i-a", plain_ms).await;
         let host = hosts::Host::start(BINARY, "h1", addr);
         host.wait_ready().await;
         let long = tokio::spawn(send_stream(host.callers_addr, "long".to_owned(), 60));
         let setup = Self {
             store,
+            server,
             engine,
             host,
             long,
@@ -107,9 +111,7 @@
 /// Guards against requests that are cut because only their heads were looked at.
 #[tokio::test]
 async fn request_whose_body_ends_late_is_not_cut() {
-    let setup = Setup::start().await;
-    let server = add_server(&setup.store, "i-b", 400).await;
-    setup.store.remove("servers", "i-a");
+    let setup = Setup::start(400).await;
     let signalled = setup.leave();
     let addr = setup.host.callers_addr;
     let mut sends = Vec::new();
@@ -130,7 +132,7 @@
     let mut refused = 0;
     for (number, send) in sends.into_iter().enumerate() {
         let answer = send.await.unwrap();
-        let runs = server.runs_of(&format!("r{number}"));
+        let runs = setup.server.runs_of(&format!("r{number}"));
         assert!(
             runs == 0 || answer.complete,
             "r{number} was cut: {}",
@@ -146,10 +148,7 @@
 /// Guards against requests that are sent again so late that they are cut.
 #[tokio::test]
 async fn request_of_a_server_that_fails_late_is_not_sent_again() {
-    let setup = Setup::start().await;
-    let first = add_server(&setup.store, "i-b", 9_000).await;
-    setup.store.remove("servers", "i-a");
-    setup.wait_for_log("\"i-a\",\"change\":\"vanished\"").await;
+    let setup = Setup::start(9_000).await;
     let addr = setup.host.callers_addr;
     let signalled = setup.leave();
     let send = tokio::spawn(async move {
@@ -157,10 +156,10 @@
         caller::send(addr, &bytes, TIMEOUT).await
     });
     tokio::time::sleep_until(signalled + secs(5.0)).await;
-    assert_eq!(first.runs_of("r"), 1, "{}", setup.host.log());
-    let second = add_server(&setup.store, "i-c", 3_000).await;
+    assert_eq!(setup.server.runs_of("r"), 1, "{}", setup.host.log());
+    let second = add_server(&setup.store, "i-b", 3_000).await;
     tokio::time::sleep_until(signalled + secs(6.5)).await;
-    first.crash();
+    setup.server.crash();
     let answer = send.await.unwrap();
     assert!(
         answer.complete,
@@ -176,7 +175,7 @@
 /// Guards against streams that wait for room until they can only be cut.
 #[tokio::test]
 async fn stream_that_waits_for_room_is_refused_while_its_caller_has_time() {
-    let setup = Setup::start().await;
+    let setup = Setup::start(0).await;
     let addr = setup.host.callers_addr;
     // Seven of the engine's eight slots, until about 4.5 s after the signal.
     setup
@@ -213,15 +212,12 @@
 /// Guards against requests that are cut at the host's end: they get an answer that says what is known of them.
 #[tokio::test]
 async fn request_without_an_answer_at_the_end_gets_one() {
-    let setup = Setup::start().await;
-    let server = add_server(&setup.store, "i-b", 12_000).await;
-    setup.store.remove("servers", "i-a");
-    setup.wait_for_log("\"i-a\",\"change\":\"vanished\"").await;
+    let setup = Setup::start(12_000).await;
     let addr = setup.host.callers_addr;
-    let send = |id: &'static str, sent: usize| async move {
+    let send = |id: &'static str, left_out: usize| async move {
         let bytes = caller::request("POST", "/once/x", id, "", "a body");
         let mut stream = tokio::net::TcpStream::connect(addr).await.unwrap();
-        let part = &bytes.as_bytes()[..bytes.len() - sent];
+        let part = &bytes.as_bytes()[..bytes.len() - left_out];
         stream.write_all(part).await.unwrap();
         caller::read(&mut stream, TIMEOUT).await
     };
@@ -231,7 +227,7 @@
     let log = setup.host.log();
     assert_eq!((running.status, running.complete), (504, true), "{log}");
     assert_eq!((unread.status, unread.complete), (503, true), "{log}");
-    assert_eq!(server.runs_of("running"), 1);
-    assert_eq!(server.runs_of("unread"), 0);
+    assert_eq!(setup.server.runs_of("running"), 1);
+    assert_eq!(setup.server.runs_of("unread"), 0);
     setup.assert_was_held_up().await;
 }
--- a/daemon/tests/store_changes.rs
+++ b/daemon/tests/store_changes.rs
@@ -266,9 +266,7 @@
         })
         .collect();
     assert_eq!(holders.len(), 1, "{orders:?}");
-    let path = "/walnuthaven/resolve?name=h.example&region=r&zone=z1";
-    let bytes = caller::request("GET", path, "q", "", "");
-    let addresses = caller::send(all_hosts[0].directory_addr, &bytes, TIMEOUT).await;
+    let addresses = caller::resolve(all_hosts[0].directory_addr, TIMEOUT).await;
     for host in &all_hosts {
         assert!(
             addresses.body.contains(&host.callers_addr.to_string()),
