router: log what the end of a host cuts and why it came then

Cause: the record of requests lost at planned stops has no line of the stopped host that names a lost request. `stop` said neither why the host ended then nor what had held it up, and a request that the end of the process cut was in no line.

Change: the host keeps the connections of its callers with their newest requests, instead of their number. A line `cut-at-end` (warning) before `stop` names up to 20 requests whose answers aren't there, are being passed on or may not have left, with their time and whether a server may have run them. `leave` and `stop` say what is in flight, open and unsaved; `stop` also its cause (idle, or the end of the grace period) and until when the host was seen to wait for requests, marks and connections. Refusals of a leaving host are counted. `unanswered-at-end` is also logged for requests that another host passed on. Per request: one more store under a lock that only its own connection takes. What is sent or refused, and when the process ends, is as before.

--- a/daemon/src/router/connection_timer.rs
+++ b/daemon/src/router/connection_timer.rs
@@ -16,6 +16,9 @@
 use futures_util::task as futures_task;
 use http_body::Body;
 use tokio::io::AsyncRead;
+use walnuthaven_lib::outcome;
+
+use crate::locks;
 
 /// Whether the current request's head has been read on a connection. Shared by the connection's
 /// reading side and its responses.
@@ -27,14 +30,61 @@
     is_head_read: atomic::AtomicBool,
     /// Wakes the reading side once the response was sent, so that it measures the idle time.
     reader: futures_task::AtomicWaker,
+    /// Whether the current request's answer was made.
+    is_answer_made: atomic::AtomicBool,
+    /// The newest request, for the log of the host's end.
+    newest: sync::Mutex<Option<OpenRequest>>,
+}
+
+/// A request that was read on a connection.
+#[derive(Clone, Debug)]
+pub(crate) struct OpenRequest {
+    /// Its id, if it has a readable one.
+    pub(crate) id: Option<sync::Arc<str>>,
+    /// When it arrived, as time since boot.
+    pub(crate) arrived: time::Duration,
+    /// Its attempts so far.
+    pub(crate) attempts: sync::Arc<outcome::Attempts>,
+}
+
+/// How far the answer to a connection's newest request is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum AnswerState {
+    /// There is no answer yet.
+    None,
+    /// Its head was made, and it is being passed on.
+    Begun,
+    /// All of it was made. The caller may not have read all of it.
+    Made,
 }
 
 impl HeadState {
     /// Records that the head of a request was read, which stops the timer.
     pub(crate) fn set_head_read(&self) {
+        self.0
+            .is_answer_made
+            .store(false, atomic::Ordering::Relaxed);
         self.0.is_head_read.store(true, atomic::Ordering::Relaxed);
     }
 
+    /// Records which request was read.
+    pub(crate) fn set_request(&self, request: OpenRequest) {
+        *locks::lock(&self.0.newest) = Some(request);
+    }
+
+    /// Returns the newest request and how far its answer is; `None` if there was none.
+    pub(crate) fn newest(&self) -> Option<(OpenRequest, AnswerState)> {
+        let request = locks::lock(&self.0.newest).clone()?;
+        let is_answer_made = self.0.is_answer_made.load(atomic::Ordering::Relaxed);
+        let state = match (self.is_head_read(), is_answer_made) {
+            (true, false) => AnswerState::None,
+            (true, true) => AnswerState::Begun,
+            (false, _) => AnswerState::Made,
+        };
+        Some((request, state))
+    }
+
     /// Records that the response was sent: the next bytes belong to the head of another request.
     fn set_answered(&self) {
         self.0.is_head_read.store(false, atomic::Ordering::Relaxed);
@@ -56,6 +106,10 @@
 
 impl<B> TrackedBody<B> {
     pub(crate) fn new(body: B, head_state: HeadState) -> Self {
+        head_state
+            .0
+            .is_answer_made
+            .store(true, atomic::Ordering::Relaxed);
         Self { body, head_state }
     }
 }
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -21,6 +21,7 @@
 use crate::router::answer;
 use crate::router::body_memory;
 use crate::router::caller_workspace;
+use crate::router::connection_timer;
 use crate::router::context;
 use crate::router::crash_marks;
 use crate::router::events::event;
@@ -56,12 +57,13 @@
 pub(crate) async fn handle<D: dialect::Dialect>(
     cx: sync::Arc<context::Router<D>>,
     caller: net::IpAddr,
+    connection: &connection_timer::HeadState,
     req: http::Request<body::Incoming>,
 ) -> Result<answer::Answer, convert::Infallible> {
     let arrived = cx.now();
     let guard = context::InFlightGuard::new(&cx);
     cx.telemetry.count("requests");
-    let mut answer = make_answer(&cx, caller, req, arrived, guard).await;
+    let mut answer = make_answer(&cx, caller, connection, req, arrived, guard).await;
     if cx.is_leaving() {
         // Makes the caller send its next request to another host. The host doesn't close the
         // connection itself, as a request may be on its way.
@@ -79,12 +81,21 @@
 async fn make_answer<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     caller: net::IpAddr,
+    connection: &connection_timer::HeadState,
     req: http::Request<body::Incoming>,
     arrived: time::Duration,
     guard: context::InFlightGuard<D>,
 ) -> answer::Answer {
     let (parts, body) = req.into_parts();
-    let head = match cx.dialect.request_head(&parts.headers) {
+    let attempts = sync::Arc::<outcome::Attempts>::default();
+    let head = cx.dialect.request_head(&parts.headers);
+    let id = head.as_ref().ok().and_then(|head| head.request_id.clone());
+    connection.set_request(connection_timer::OpenRequest {
+        id: id.clone(),
+        arrived,
+        attempts: attempts.clone(),
+    });
+    let head = match head {
         Ok(head) => head,
         Err(bad) => {
             event!(Info, "bad-request", "header" => bad.header, "value" => bad.value);
@@ -92,8 +103,6 @@
             return answer::from_router(http::StatusCode::BAD_REQUEST, &reason);
         }
     };
-    let id = head.request_id.clone();
-    let attempts = sync::Arc::<outcome::Attempts>::default();
     let received = ReceivedRequest {
         caller,
         parts,
@@ -108,7 +117,7 @@
             event!(Warn, "unanswered-at-end", "id" => id, "may_have_run" => may_have_run);
             match may_have_run {
                 true => shutdown::unknown_outcome(),
-                false => shutdown::refusal(),
+                false => cx.refuse_leaving(),
             }
         }
     }
@@ -172,7 +181,7 @@
     };
     let deadline = arrived + request_parts::time_limit(route, &head);
     if !cx.may_send(deadline) {
-        return refuse_leaving(&head);
+        return refuse_leaving(cx, &head);
     }
     let max_bytes = request_parts::max_body_bytes(&parts.headers, &table.limits);
     let Some(memory) = cx
@@ -206,7 +215,7 @@
     };
     // The body may have taken long.
     if !cx.may_send(deadline) {
-        return refuse_leaving(&head);
+        return refuse_leaving(cx, &head);
     }
     let request = RoutedRequest {
         caller,
@@ -225,9 +234,12 @@
 }
 
 /// Refuses a request that a leaving host couldn't answer before it ends.
-fn refuse_leaving(head: &dialect::RequestHead) -> answer::Answer {
+fn refuse_leaving<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    head: &dialect::RequestHead,
+) -> answer::Answer {
     event!(Info, "refused", "id" => head.request_id, "cause" => shutdown::LEAVES);
-    shutdown::refusal()
+    cx.refuse_leaving()
 }
 
 /// A request that was read completely and matched a route.
@@ -302,10 +314,14 @@
         }),
     };
     let attempts_before = attempts.count();
+    let id = request.head.request_id.clone();
     let answer = tokio::select! {
         answer = answer_routed(cx, &table, request, guard) => answer,
         () = cx.wait_for_last_answers() => {
-            if attempts.count() == attempts_before {
+            let may_have_run = attempts.count() > attempts_before;
+            event!(Warn, "unanswered-at-end", "id" => id, "may_have_run" => may_have_run,
+                "passed_on" => true);
+            if !may_have_run {
                 // Another host may serve it.
                 return Err(shutdown::LEAVES);
             }
@@ -443,7 +459,7 @@
     mut guard: context::InFlightGuard<D>,
 ) -> answer::Answer {
     if cx.leaving_for() > ACCEPT_STREAMS_FOR {
-        return refuse_leaving(&request.received.head);
+        return refuse_leaving(cx, &request.received.head);
     }
     if via_peer::is_needed(cx, &request.received, &request.service.name) {
         match peer_stream::answer(request, guard).await {
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -125,13 +125,14 @@
     });
     let stream = tokio::io::join(timed_reader, writer);
     let service_cx = cx.clone();
+    let guard_state = head_state.clone();
     let service = service::service_fn(move |req| {
         let cx = service_cx.clone();
         let head_state = head_state.clone();
         head_state.set_head_read();
         async move {
             let answer = match endpoint {
-                Endpoint::Callers => forward::handle(cx, caller, req).await,
+                Endpoint::Callers => forward::handle(cx, caller, &head_state, req).await,
                 Endpoint::Discovery => answer_discovery(&cx, &req),
                 Endpoint::Metrics => answer_metrics(&cx, &req),
             };
@@ -147,7 +148,7 @@
     tokio::pin!(connection);
     let closed = match endpoint {
         Endpoint::Callers => {
-            let _guard = shutdown::ConnectionGuard::new(&cx);
+            let _guard = shutdown::ConnectionGuard::new(&cx, guard_state);
             tokio::select! {
                 closed = connection.as_mut() => closed,
                 () = cx.connections_closing() => {
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -302,7 +302,7 @@
         }
         if !self.cx.may_send(self.deadline) {
             event!(Info, "refused", "id" => self.id(), "service" => self.service, "cause" => shutdown::LEAVES);
-            return shutdown::refusal();
+            return self.cx.refuse_leaving();
         }
         let mut untried = self.usable_servers();
         let none_usable = untried.is_empty();
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -217,30 +217,56 @@
     let started = cx.now();
     cx.start_leaving();
     cx.news_due.notify_one();
-    event!(Info, "leave", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed));
+    event!(Info, "leave", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed),
+        "connections" => cx.open_connections(), "marks_unsaved" => has_unsaved_marks(cx),
+        "grace_ms" => clock::millis(cx.max_leaving_time()));
     tokio::spawn(unregister(cx.clone()));
     let max_time = cx.max_leaving_time();
     let min_time = CALLER_NOTICE_TIME.max(forward::ACCEPT_STREAMS_FOR);
+    let mut held_up = HeldUp::default();
     serve_until_idle(
         cx,
         started,
         min_time,
         max_time.saturating_sub(LAST_REQUESTS_TIME),
+        &mut held_up,
     )
     .await;
     cx.stop_accepting();
-    serve_until_idle(cx, started, time::Duration::ZERO, max_time).await;
+    serve_until_idle(cx, started, time::Duration::ZERO, max_time, &mut held_up).await;
     // Requests that arrive from now on aren't read. The answers of the last ones may not have left yet.
     cx.close_connections();
-    while cx.has_connections() && cx.now().saturating_sub(started) < max_time {
+    while cx.open_connections() > 0 && cx.now().saturating_sub(started) < max_time {
+        held_up.connections = cx.now().saturating_sub(started);
         tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
     }
+    let took = cx.now().saturating_sub(started);
+    cx.log_cut();
     event!(Info, "stop", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed),
-        "took_ms" => cx.now().saturating_sub(started).as_millis() as u64);
+        "connections" => cx.open_connections(), "marks_unsaved" => has_unsaved_marks(cx),
+        "cause" => if took < max_time { "idle" } else { "end of grace period" },
+        "took_ms" => clock::millis(took), "requests_until_ms" => clock::millis(held_up.requests),
+        "marks_until_ms" => clock::millis(held_up.marks),
+        "connections_until_ms" => clock::millis(held_up.connections), "refused" => cx.refused_leaving());
     // Blocks the only runtime thread on purpose, so that no further request is read.
     thread::sleep(LOG_WRITE_TIME);
 }
 
+/// What a leaving host last waited for: when it was last seen, since the host was told to leave; zero if never.
+#[derive(Default)]
+struct HeldUp {
+    /// Requests in flight.
+    requests: time::Duration,
+    /// Crash marks that the store lacks.
+    marks: time::Duration,
+    /// Open connections of callers, after the requests.
+    connections: time::Duration,
+}
+
+fn has_unsaved_marks<D>(cx: &context::Router<D>) -> bool {
+    locks::lock(&cx.crash_marks).stored.has_unsaved()
+}
+
 /// Waits while the other tasks serve requests, until none is in flight and no crash mark is left to
 /// write. Returns no earlier than `min_time` and no later than about `max_time` after `started`.
 async fn serve_until_idle<D: dialect::Dialect>(
@@ -248,12 +274,20 @@
     started: time::Duration,
     min_time: time::Duration,
     max_time: time::Duration,
+    held_up: &mut HeldUp,
 ) {
     loop {
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
         let elapsed = cx.now().saturating_sub(started);
-        let marks_saved = !locks::lock(&cx.crash_marks).stored.has_unsaved();
-        let idle = marks_saved && cx.in_flight.load(atomic::Ordering::Relaxed) == 0;
+        let marks_unsaved = has_unsaved_marks(cx);
+        let in_flight = cx.in_flight.load(atomic::Ordering::Relaxed);
+        if marks_unsaved {
+            held_up.marks = elapsed;
+        }
+        if in_flight > 0 {
+            held_up.requests = elapsed;
+        }
+        let idle = !marks_unsaved && in_flight == 0;
         if elapsed >= max_time || (idle && elapsed >= min_time) {
             return;
         }
--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -1,13 +1,18 @@
 //! What a host that leaves still accepts and sends.
 
+use std::collections;
 use std::sync;
 use std::sync::atomic;
 use std::time;
 
+use walnuthaven_lib::clock;
 use walnuthaven_lib::dialect;
 
+use crate::locks;
 use crate::router::answer;
+use crate::router::connection_timer;
 use crate::router::context;
+use crate::router::events::event;
 
 /// The process ends this long before the end of its grace period, at which it would be killed.
 const GRACE_MARGIN: time::Duration = time::Duration::from_millis(400);
@@ -20,11 +25,13 @@
 const ANSWER_TIME: time::Duration = time::Duration::from_millis(100);
 /// Retry-After of requests that a leaving host refuses. It is short because callers send them to another host.
 const RETRY_AFTER: time::Duration = time::Duration::from_millis(50);
+/// The most requests that the log of the host's end names.
+const MAX_NAMED: usize = 20;
 /// The cause of these refusals.
 pub(crate) const LEAVES: &str = "this host leaves";
 
 /// Makes the answer of a leaving host to a request that hasn't run.
-pub(crate) fn refusal() -> answer::Answer {
+fn refusal() -> answer::Answer {
     answer::not_run(LEAVES, RETRY_AFTER)
 }
 
@@ -42,26 +49,36 @@
     accepting_stopped: tokio::sync::watch::Sender<bool>,
     /// Whether connections of callers close after the answers that are being written.
     closing: tokio::sync::watch::Sender<bool>,
-    /// The number of open connections of callers.
-    connections: atomic::AtomicUsize,
+    /// The open connections of callers.
+    connections: sync::Mutex<collections::HashMap<u64, connection_timer::HeadState>>,
+    next_connection: atomic::AtomicU64,
+    /// The number of requests that were refused because the host leaves.
+    refused: atomic::AtomicUsize,
 }
 
 /// Counts a connection of a caller as open until it is dropped.
 #[derive(Debug)]
-pub(crate) struct ConnectionGuard<D>(sync::Arc<context::Router<D>>);
+pub(crate) struct ConnectionGuard<D> {
+    cx: sync::Arc<context::Router<D>>,
+    number: u64,
+}
 
 impl<D> ConnectionGuard<D> {
-    pub(crate) fn new(cx: &sync::Arc<context::Router<D>>) -> Self {
-        let connections = &cx.shutdown.connections;
-        connections.fetch_add(1, atomic::Ordering::Relaxed);
-        Self(cx.clone())
+    pub(crate) fn new(
+        cx: &sync::Arc<context::Router<D>>,
+        head_state: connection_timer::HeadState,
+    ) -> Self {
+        let next = &cx.shutdown.next_connection;
+        let number = next.fetch_add(1, atomic::Ordering::Relaxed);
+        locks::lock(&cx.shutdown.connections).insert(number, head_state);
+        let cx = cx.clone();
+        Self { cx, number }
     }
 }
 
 impl<D> Drop for ConnectionGuard<D> {
     fn drop(&mut self) {
-        let connections = &self.0.shutdown.connections;
-        connections.fetch_sub(1, atomic::Ordering::Relaxed);
+        locks::lock(&self.cx.shutdown.connections).remove(&self.number);
     }
 }
 
@@ -149,8 +166,51 @@
         wait_until_on(&self.shutdown.closing).await;
     }
 
-    /// Returns whether a connection of a caller is open.
-    pub(crate) fn has_connections(&self) -> bool {
-        self.shutdown.connections.load(atomic::Ordering::Relaxed) > 0
+    /// Returns the number of open connections of callers.
+    pub(crate) fn open_connections(&self) -> usize {
+        locks::lock(&self.shutdown.connections).len()
+    }
+
+    /// Counts a request that is refused because the host leaves, and makes its answer.
+    pub(crate) fn refuse_leaving(&self) -> answer::Answer {
+        self.telemetry.count("leaving.refusals");
+        let refused = &self.shutdown.refused;
+        refused.fetch_add(1, atomic::Ordering::Relaxed);
+        refusal()
+    }
+
+    /// Returns the number of requests that were refused because the host leaves.
+    pub(crate) fn refused_leaving(&self) -> usize {
+        self.shutdown.refused.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Logs which requests the end of the process cuts, just before it: those without a whole answer, and those whose
+    /// answers may not have left.
+    pub(crate) fn log_cut(&self) {
+        let connections = locks::lock(&self.shutdown.connections);
+        let in_flight = self.in_flight.load(atomic::Ordering::Relaxed);
+        if connections.is_empty() && in_flight == 0 {
+            return;
+        }
+        let newest = connections.values().filter_map(|state| state.newest());
+        let mut cut: Vec<_> = newest.collect();
+        cut.sort_by_key(|(request, state)| {
+            (
+                *state == connection_timer::AnswerState::Made,
+                request.arrived,
+            )
+        });
+        let named = cut.iter().take(MAX_NAMED).map(|(request, state)| {
+            let taken = self.now().saturating_sub(request.arrived);
+            serde_json::json!({
+                "id": request.id,
+                "for_ms": clock::millis(taken),
+                "answer": state,
+                "may_have_run": request.attempts.state().may_have_run(),
+            })
+        });
+        let named: Vec<_> = named.collect();
+        event!(Warn, "cut-at-end", "in_flight" => in_flight, "connections" => connections.len(),
+            "requests" => named, "not_named" => cut.len().saturating_sub(MAX_NAMED));
     }
 }
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -376,7 +376,9 @@
                 let cause = "the rest of the answer crashes servers";
                 answer::from_router(http::StatusCode::BAD_GATEWAY, cause)
             }
-            OpenFailure::HostLeaves if self.received.runs().may_be_refused() => shutdown::refusal(),
+            OpenFailure::HostLeaves if self.received.runs().may_be_refused() => {
+                self.cx.refuse_leaving()
+            }
             OpenFailure::HostLeaves => {
                 answer::from_router(http::StatusCode::BAD_GATEWAY, shutdown::LEAVES)
             }
