router: a grace period that changes while the host leaves doesn't move its end

Cause: the process ends by the grace period at the signal, but whether a request may be sent, and when the last answers are due, went by the settings in force. Settings that raised it meanwhile had requests sent that the end then cut.

Change: the end is fixed when the host is told to leave.

Result: grace_period_that_changes_meanwhile_cuts_nothing fails before (7 and 8 of 20 requests cut, 2 of 2 runs) and passes after (1 of 1; debug build, load 30 on 8 cores).

--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -215,13 +215,13 @@
 /// nearly over.
 async fn shut_down<D: dialect::Dialect>(cx: &sync::Arc<context::Router<D>>) {
     let started = cx.now();
-    cx.start_leaving();
+    let end = cx.start_leaving();
     cx.news_due.notify_one();
+    let max_time = end.saturating_sub(started);
     event!(Info, "leave", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed),
         "connections" => cx.open_connections(), "marks_unsaved" => has_unsaved_marks(cx),
-        "grace_ms" => clock::millis(cx.max_leaving_time()));
+        "grace_ms" => clock::millis(max_time));
     tokio::spawn(unregister(cx.clone()));
-    let max_time = cx.max_leaving_time();
     let min_time = CALLER_NOTICE_TIME.max(forward::ACCEPT_STREAMS_FOR);
     let mut held_up = HeldUp::default();
     serve_until_idle(
--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -40,11 +40,20 @@
     answer::from_router(http::StatusCode::GATEWAY_TIMEOUT, LEAVES)
 }
 
+/// The time in which a host leaves, as times since boot.
+#[derive(Clone, Copy, Debug)]
+struct Period {
+    /// When the host was told to leave.
+    since: time::Duration,
+    /// When the process ends at the latest.
+    end: time::Duration,
+}
+
 /// How far a host's shutdown is.
 #[derive(Debug, Default)]
 pub(crate) struct Shutdown {
-    /// When the host was told to leave, as time since boot.
-    since: tokio::sync::watch::Sender<Option<time::Duration>>,
+    /// `None` until the host is told to leave.
+    period: tokio::sync::watch::Sender<Option<Period>>,
     /// Whether the host has stopped accepting connections of callers.
     accepting_stopped: tokio::sync::watch::Sender<bool>,
     /// Whether connections of callers close after the answers that are being written.
@@ -90,31 +99,33 @@
 
 impl<D: dialect::Dialect> context::Router<D> {
     pub(crate) fn is_leaving(&self) -> bool {
-        self.shutdown.since.borrow().is_some()
+        self.shutdown.period.borrow().is_some()
     }
 
-    /// Records that the host leaves from now on.
-    pub(crate) fn start_leaving(&self) {
-        self.shutdown.since.send_replace(Some(self.now()));
+    /// Records that the host leaves from now on. Returns when the process ends at the latest, as time since boot; a grace
+    /// period that changes later doesn't move it.
+    pub(crate) fn start_leaving(&self) -> time::Duration {
+        let since = self.now();
+        let end = since + self.settings().grace_period.saturating_sub(GRACE_MARGIN);
+        self.shutdown
+            .period
+            .send_replace(Some(Period { since, end }));
+        end
     }
 
     /// Returns how long the host has been leaving, or zero if it isn't leaving.
     pub(crate) fn leaving_for(&self) -> time::Duration {
-        let since = *self.shutdown.since.borrow();
-        since.map_or(time::Duration::ZERO, |at| self.now().saturating_sub(at))
-    }
-
-    /// Returns the longest time from the start of leaving to the end of the process.
-    pub(crate) fn max_leaving_time(&self) -> time::Duration {
-        self.settings().grace_period.saturating_sub(GRACE_MARGIN)
+        let period = *self.shutdown.period.borrow();
+        period.map_or(time::Duration::ZERO, |period| {
+            self.now().saturating_sub(period.since)
+        })
     }
 
     /// Returns since when a request that must be answered by `deadline`, as time since boot, may not be sent to a server:
     /// the process may end before the answer. `None` if it may be.
     fn unsendable_since(&self, deadline: time::Duration) -> Option<time::Duration> {
-        let since = (*self.shutdown.since.borrow())?;
-        let end = since + self.max_leaving_time();
-        (end < deadline + ANSWER_TIME).then_some(since + SEND_ALL_FOR)
+        let period = (*self.shutdown.period.borrow())?;
+        (period.end < deadline + ANSWER_TIME).then_some(period.since + SEND_ALL_FOR)
     }
 
     /// Returns whether a request that must be answered by `deadline`, as time since boot, may be sent to a server.
@@ -125,15 +136,16 @@
 
     /// Waits until the host is told to leave.
     async fn wait_until_leaving(&self) {
-        let mut since = self.shutdown.since.subscribe();
+        let mut period = self.shutdown.period.subscribe();
         // This only fails once the sender is dropped, and `self` owns the sender.
-        let _ = since.wait_for(Option::is_some).await;
+        let _ = period.wait_for(Option::is_some).await;
     }
 
     /// Waits until this host answers what is left, because it ends.
     pub(crate) async fn wait_for_last_answers(&self) {
         self.wait_until_leaving().await;
-        let left = self.max_leaving_time().saturating_sub(self.leaving_for());
+        let end = self.shutdown.period.borrow().map(|period| period.end);
+        let left = end.unwrap_or_default().saturating_sub(self.now());
         tokio::time::sleep(left.saturating_sub(LAST_ANSWERS_TIME)).await;
     }
 
