router: a host that is late at its end still writes its last answers

Cause: the last answers are made 200 ms before the process ends. A process that doesn't run for that long finds its end before them, because the main task is run first, and ends at once.

Change: connections have 100 ms to close from when they are told to, also if the end has come.

--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -47,6 +47,8 @@
 /// Time to answer the last requests. A leaving host that is never idle stops accepting connections this
 /// long before it exits.
 const LAST_REQUESTS_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// Time for connections to close once they are told to, even if the process was late and its end has come.
+const CLOSE_TIME: time::Duration = time::Duration::from_millis(100);
 /// How often a leaving host checks whether its callers' connections have closed.
 const CLOSE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(5);
 /// Time for the log's writer thread to write the last lines.
@@ -236,7 +238,8 @@
     serve_until_idle(cx, started, time::Duration::ZERO, max_time, &mut held_up).await;
     // Requests that arrive from now on aren't read. The answers of the last ones may not have left yet.
     cx.close_connections();
-    while cx.open_connections() > 0 && cx.now().saturating_sub(started) < max_time {
+    let close_by = end.max(cx.now() + CLOSE_TIME);
+    while cx.open_connections() > 0 && cx.now() < close_by {
         held_up.connections = cx.now().saturating_sub(started);
         tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
     }
