router: a connection isn't idle while its caller takes an answer

Cause: the limit on idle connections ran from when an answer had been handed to the connection, not from when it was written. A caller that reads slowly was cut at the limit, in the middle of its answer.

Change: the time runs from the last written byte. While a write waits for the caller, 60 s without a written byte close the connection.

--- a/daemon/src/router/connection_timer.rs
+++ b/daemon/src/router/connection_timer.rs
@@ -16,19 +16,24 @@
 use futures_util::task as futures_task;
 use http_body::Body;
 use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use walnuthaven_lib::outcome;
 
 use crate::locks;
 
-/// Whether the current request's head has been read on a connection. Shared by the connection's
-/// reading side and its responses.
+/// Whether the current request's head has been read on a connection. Shared by the connection's two
+/// sides and its responses.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct HeadState(sync::Arc<SharedHeadState>);
 
 #[derive(Debug, Default)]
 struct SharedHeadState {
     is_head_read: atomic::AtomicBool,
-    /// Wakes the reading side once the response was sent, so that it measures the idle time.
+    /// Whether bytes were written since the reading side last looked.
+    has_written: atomic::AtomicBool,
+    /// Whether the last write waits for the caller to take bytes.
+    is_blocked: atomic::AtomicBool,
+    /// Wakes the reading side once the response was sent or a part of it written, so that it measures the idle time.
     reader: futures_task::AtomicWaker,
     /// Whether the current request's answer was made.
     is_answer_made: atomic::AtomicBool,
@@ -94,6 +99,15 @@
     fn is_head_read(&self) -> bool {
         self.0.is_head_read.load(atomic::Ordering::Relaxed)
     }
+
+    /// Returns whether bytes were written since the last call.
+    fn take_written(&self) -> bool {
+        self.0.has_written.swap(false, atomic::Ordering::Relaxed)
+    }
+
+    fn is_blocked(&self) -> bool {
+        self.0.is_blocked.load(atomic::Ordering::Relaxed)
+    }
 }
 
 /// A response body that resets the connection's [`HeadState`] when it is dropped, as the response
@@ -148,6 +162,9 @@
 /// before it learns of bytes that arrived in time.
 const LAST_READ_DELAY: time::Duration = time::Duration::from_millis(10);
 
+/// Longest time in which a caller takes nothing of an answer that is being written.
+const MAX_WRITE_PAUSE: time::Duration = time::Duration::from_secs(60);
+
 /// Limits on the time that a caller may take.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TimeLimits {
@@ -198,6 +215,7 @@
         let limits = (self.limits)();
         match self.head_begun {
             true => limits.head,
+            false if self.head_state.is_blocked() => limits.idle.max(MAX_WRITE_PAUSE),
             false => limits.idle,
         }
     }
@@ -237,6 +255,74 @@
     }
 }
 
+/// The writing side of a connection. A connection isn't idle while its caller takes an answer: that has been handed
+/// to the connection long before the last byte is written if the caller reads it slowly.
+#[derive(Debug)]
+pub(crate) struct TrackedWriter<S> {
+    stream: S,
+    head_state: HeadState,
+}
+
+impl<S> TrackedWriter<S> {
+    pub(crate) fn new(stream: S, head_state: HeadState) -> Self {
+        Self { stream, head_state }
+    }
+
+    /// Records what a write did.
+    fn record(&self, polled: task::Poll<io::Result<usize>>) -> task::Poll<io::Result<usize>> {
+        let shared = &self.head_state.0;
+        match polled {
+            task::Poll::Ready(Ok(1..)) => {
+                shared.has_written.store(true, atomic::Ordering::Relaxed);
+                if shared.is_blocked.swap(false, atomic::Ordering::Relaxed) {
+                    shared.reader.wake();
+                }
+            }
+            task::Poll::Ready(_) => {}
+            task::Poll::Pending => shared.is_blocked.store(true, atomic::Ordering::Relaxed),
+        }
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for TrackedWriter<S> {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        let polled = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record(polled)
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        let polled = pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record(polled)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 impl<S, F> AsyncRead for TimedReader<S, F>
 where
     S: AsyncRead + Unpin,
@@ -263,6 +349,10 @@
             // What has arrived is read even if it is late.
             return polled;
         }
+        self.head_state.0.reader.register(cx.waker());
+        if self.head_state.take_written() && !self.head_begun {
+            self.wait = None;
+        }
         if self.poll_limit(cx).is_ready() {
             let late = match self.head_begun {
                 true => "the head of a request took too long",
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -123,6 +123,7 @@
     let timed_reader = connection_timer::TimedReader::new(reader, head_state.clone(), move || {
         time_limits(&limits_cx)
     });
+    let writer = connection_timer::TrackedWriter::new(writer, head_state.clone());
     let stream = tokio::io::join(timed_reader, writer);
     let service_cx = cx.clone();
     let guard_state = head_state.clone();
