drain: a host that leaves stores the answers of its jobs before it ends

Cause: a host counted as idle once its requests had run, although the answer of a job waited to be stored. If the platform was away just then, the host ended with the only copy.

Change: a job that runs, or whose answer isn't stored, keeps the host up, to the end of the drain timeout at most.

--- a/daemon/src/drain.rs
+++ b/daemon/src/drain.rs
@@ -93,7 +93,7 @@
     wait_for(cx, Phase::Left).await;
 }
 
-/// Returns whether no request is running, no answer is being sent, and no request waits in the
+/// Returns whether no request or job is running, no answer is being sent, and no request waits in the
 /// queues of the cells stewarded here. Queued requests may have their home at other hosts.
 fn is_idle(cx: &host::Host) -> bool {
     let calls = cx
@@ -105,7 +105,7 @@
         let counts = cell.with(|cell| cell.counts());
         counts.urgent + counts.normal + counts.patient > 0
     });
-    calls == 0 && running == 0 && !waiting && !has_readers(cx)
+    calls == 0 && running == 0 && !waiting && !has_readers(cx) && !jobs::are_running(cx)
 }
 
 fn open_connections(cx: &host::Host) -> u64 {
--- a/daemon/src/jobs.rs
+++ b/daemon/src/jobs.rs
@@ -82,6 +82,11 @@
     cx.jobs.running.close();
 }
 
+/// Returns whether a job runs, or its answer isn't stored yet.
+pub fn are_running(cx: &host::Host) -> bool {
+    cx.jobs.running.available_permits() < MAX_RUNNING
+}
+
 /// Takes over the journals whose owners are gone.
 async fn take_over_abandoned(cx: &sync::Arc<host::Host>) {
     let client = cx.platform.clone();
