view-revisions: show that a silent host may never hear of a removal

Cause: the watch event of a removal has the revision of the object's last change, so a host takes the revision after its last answer for that of the removal, and tells it. A host whose last answer before the removal was of a later revision (the store's revision counts the changes of all collections) takes the removal for one that it knows. It has no `servers-behind` line and goes on sending to the removed server until its own silent watch call fails.

--- a/lib/tests/view_revisions.rs
+++ b/lib/tests/view_revisions.rs
@@ -31,6 +31,17 @@
     assert!(silent.lacks(current.changed()));
 }
 
+/// Guards against removals that a silent host never notices, because its last answer is newer than those of the others
+/// before the removal. The store's revision also counts changes of other collections.
+#[test]
+fn a_removal_is_lacked_by_the_host_with_the_newest_answer_before_it() {
+    let (mut current, mut silent) = (listed(4, 4), listed(4, 4));
+    silent.record_changes(7, None);
+    current.record_changes(8, Some(3));
+    let told = current.changed();
+    assert!(silent.lacks(told), "the removal at 8 is told as {told}");
+}
+
 #[test]
 fn answers_without_changes_are_not_told() {
     let (mut current, silent) = (listed(10, 7), listed(10, 7));
