router: send nothing whose time limit comes after the last answers

Cause: a leaving host sent requests whose limit came up to 100 ms before its end, but gives its last answers 200 ms before it. A request of a silent server that arrived in between got 504 up to 100 ms before its limit, although a server's silence is no reason to end an answer sooner.

Change: both times are the same now. What arrives in these 100 ms is refused as not run, and its caller tries another host.

--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -21,8 +21,6 @@
 const SEND_ALL_FOR: time::Duration = time::Duration::from_secs(3);
 /// A leaving host answers what is left this long before it ends, so that callers get these answers.
 const LAST_ANSWERS_TIME: time::Duration = time::Duration::from_millis(200);
-/// Time to write an answer that is made at the time limit.
-const ANSWER_TIME: time::Duration = time::Duration::from_millis(100);
 /// Retry-After of requests that a leaving host refuses. It is short because callers send them to another host.
 const RETRY_AFTER: time::Duration = time::Duration::from_millis(50);
 /// The most requests that the log of the host's end names.
@@ -122,10 +120,10 @@
     }
 
     /// Returns since when a request that must be answered by `deadline`, as time since boot, may not be sent to a server:
-    /// the process may end before the answer. `None` if it may be.
+    /// the last answers may come before that. `None` if it may be.
     fn unsendable_since(&self, deadline: time::Duration) -> Option<time::Duration> {
         let period = (*self.shutdown.period.borrow())?;
-        (period.end < deadline + ANSWER_TIME).then_some(period.since + SEND_ALL_FOR)
+        (period.end < deadline + LAST_ANSWERS_TIME).then_some(period.since + SEND_ALL_FOR)
     }
 
     /// Returns whether a request that must be answered by `deadline`, as time since boot, may be sent to a server.
--- a/daemon/tests/stop_edges.rs
+++ b/daemon/tests/stop_edges.rs
@@ -193,6 +193,43 @@
     }
 }
 
+/// Guards against requests that are sent to a silent server and given up before their time limit, because the host ends.
+#[tokio::test]
+async fn request_that_is_sent_is_not_given_up_before_its_limit() {
+    const LIMIT: time::Duration = time::Duration::from_secs(1);
+    let setup = Setup::start(0, 15_000).await;
+    let kept = keep_connections(setup.host.callers_addr, 20).await;
+    setup.server.set_fault(server::Fault::NeverAnswer);
+    let long = setup.hold_up().await;
+    let signalled = setup.leave();
+    let mut sends = Vec::new();
+    for (number, mut stream) in kept.into_iter().enumerate() {
+        let at = signalled + secs(6.3 + number as f64 / 50.0);
+        sends.push(tokio::spawn(async move {
+            tokio::time::sleep_until(at).await;
+            let headers = format!("X-Request-Deadline: {}\r\n", LIMIT.as_millis());
+            let bytes = caller::request("POST", "/once/x", &format!("b{number}"), &headers, "");
+            let sent = time::Instant::now();
+            // The host may have ended.
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            let answer = caller::read(&mut stream, TIMEOUT).await;
+            (answer, sent.elapsed())
+        }));
+    }
+    let mut early = Vec::new();
+    let mut timed_out = 0;
+    for (number, send) in sends.into_iter().enumerate() {
+        let (answer, took) = send.await.unwrap();
+        timed_out += usize::from(answer.status == 504);
+        if answer.status == 504 && took < LIMIT {
+            early.push((number, took));
+        }
+    }
+    assert!(early.is_empty(), "early: {early:?}: {}", setup.host.log());
+    assert!(timed_out > 0, "nothing was sent: {}", setup.host.log());
+    drop(long);
+}
+
 /// Guards against answers that are cut by the limit on idle connections, because their callers read them slowly.
 #[tokio::test]
 async fn connection_is_not_idle_while_its_answer_is_read() {
