--- a/daemon/tests/stop_soak.rs
+++ b/daemon/tests/stop_soak.rs
@@ -118,7 +118,8 @@
     assert_eq!(fault(case(0, ""), near_end), LOST, "a stop is no excuse");
     let unread = |took| {
         move |case: &mut Case| {
-            (unsent(case), cut(case));
+            unsent(case);
+            cut(case);
             case.sent.ended = case.sent.written.unwrap() + took;
         }
     };
