tests: let planned_stops.rs notice when it checked nothing

Cause: a run in which the test itself stood still wrote all requests after the host's end, and passed.

Change: each case must have had an answer from the host, and those through another host must have been passed on.

--- a/daemon/tests/planned_stops.rs
+++ b/daemon/tests/planned_stops.rs
@@ -254,6 +254,10 @@
         count(0),
     );
     println!("{counts}");
+    assert!(
+        sent.iter().any(|sent| sent.answer.complete),
+        "nothing was read in time: {counts}"
+    );
     let log = host.log();
     let leave = log.lines().filter(|line| {
         let is_of_lost = |sent: &&Sent| line.contains(&format!("\"id\":\"{}\"", sent.id));
@@ -461,5 +465,6 @@
     }
     let passed = setup.host.log().matches("\"passed-on\"").count();
     let what = format!("leaves {own:?}, other {other:?}, silent {is_silent}, {passed} passed on");
+    assert!(passed > 0, "{what}: {}", setup.host.log());
     check(&what, took, &sent, &setup.servers, &setup.host);
 }
