router: say what the end of a leaving host's period leaves out

Cause: a comment called it the latest end of the process, which gives connections 100 ms to close after it. Change: the comment only. Result: formatting passes; nothing else was run, as no code changes.

--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -43,7 +43,7 @@
 struct Period {
     /// When the host was told to leave.
     since: time::Duration,
-    /// When the process ends at the latest.
+    /// When the process ends at the latest, but for the time that connections have to close then.
     end: time::Duration,
 }
 
