router: log where the answer to a caller ended

What ended a caller's answer couldn't be told from the logs: a connection that closed within an answer was only logged for some causes and never named the request, stream-ended didn't name the server, and the last lines could be lost at the end of a process. connection-closed names the open request and how far its answer was, also when the caller closed it; stream-ended names the server that had it last and for how long the host had been leaving; stop counts streams that were broken off while the host left and lines that the log dropped; the end of a process waits until its lines were written.

--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -129,6 +129,7 @@
             kv_cache,
         } = prepared;
         self.count_attempt();
+        self.last_server = Some(server.id.clone());
         let sending = self.send_decode(&server, connection, kv_cache);
         let answered = match self.wait_for_answer(&server, sending).await {
             Awaited::Answer(answered) => *answered,
@@ -206,6 +207,7 @@
         kv_cache: prefills::KvHandle<D>,
     ) -> Result<Resumed<D>, (send::SendFailure, Option<prefills::KvHandle<D>>)> {
         self.count_retry();
+        self.last_server = Some(server.id.clone());
         let sending = self.send_decode(server, connection, Some(kv_cache));
         let answered = match self.wait_for_answer(server, sending).await {
             Awaited::Answer(answered) => *answered,
--- a/daemon/src/router/events.rs
+++ b/daemon/src/router/events.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic;
 use std::sync::mpsc;
 use std::thread;
+use std::time;
 
 use bytes::Bytes;
 use walnuthaven_lib::clock;
@@ -29,12 +30,24 @@
     bytes: 0,
 });
 static DROPPED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
+/// Number of lines that wait to be written.
+static QUEUED: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+/// How often it is looked up whether all lines were written.
+const FLUSH_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(1);
 
 /// Returns the number of lines that were dropped instead of written.
 pub(crate) fn dropped_lines() -> u64 {
     DROPPED.load(atomic::Ordering::Relaxed)
 }
 
+/// Blocks the thread until all lines were written, but no longer than `timeout`.
+pub(crate) fn flush(timeout: time::Duration) {
+    let started = time::Instant::now();
+    while QUEUED.load(atomic::Ordering::Relaxed) > 0 && started.elapsed() < timeout {
+        thread::sleep(FLUSH_CHECK_INTERVAL);
+    }
+}
+
 /// The newest lines and their total size in bytes.
 struct RecentLines {
     lines: collections::VecDeque<Bytes>,
@@ -78,7 +91,9 @@
         if self.line.ends_with(b"\n") {
             let line = Bytes::from(std::mem::take(&mut self.line));
             locks::lock(&RECENT).push(line.clone());
+            QUEUED.fetch_add(1, atomic::Ordering::Relaxed);
             if self.tx.try_send(line).is_err() {
+                QUEUED.fetch_sub(1, atomic::Ordering::Relaxed);
                 DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
             }
         }
@@ -104,14 +119,17 @@
             let mut out = io::stdout();
             while let Ok(first) = rx.recv() {
                 let mut lines = first.to_vec();
+                let mut count = 1;
                 while lines.len() < 64 * 1024
                     && let Ok(more) = rx.try_recv()
                 {
                     lines.extend(more);
+                    count += 1;
                 }
                 if out.write_all(&lines).and_then(|()| out.flush()).is_err() {
-                    DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
+                    DROPPED.fetch_add(count, atomic::Ordering::Relaxed);
                 }
+                QUEUED.fetch_sub(count as usize, atomic::Ordering::Relaxed);
             }
         })?;
     let writer: Box<dyn io::Write + Send> = Box::new(LineSender {
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -126,7 +126,7 @@
     let writer = connection_timer::TrackedWriter::new(writer, head_state.clone());
     let stream = tokio::io::join(timed_reader, writer);
     let service_cx = cx.clone();
-    let guard_state = head_state.clone();
+    let (guard_state, open_state) = (head_state.clone(), head_state.clone());
     let service = service::service_fn(move |req| {
         let cx = service_cx.clone();
         let head_state = head_state.clone();
@@ -161,7 +161,7 @@
         Endpoint::Discovery | Endpoint::Metrics => connection.await,
     };
     if let Err(error) = closed {
-        log_closing(caller, &error);
+        log_closing(&cx, caller, &open_state, &error);
     }
 }
 
@@ -176,16 +176,26 @@
     }
 }
 
-/// Logs that the host closed a caller's connection, unless the caller had closed it or it was idle.
-fn log_closing(caller: net::IpAddr, error: &hyper::Error) {
+/// Logs that a caller's connection closed, unless the caller had closed it between two requests or it was idle.
+fn log_closing<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    caller: net::IpAddr,
+    state: &connection_timer::HeadState,
+    error: &hyper::Error,
+) {
     if error.is_parse() {
         event!(Info, "bad-request", "cause" => error.to_string());
     }
-    let Some(cause) = closing_cause(error) else {
-        return;
+    let newest = state.newest();
+    let open = newest.filter(|(_, answer)| *answer != connection_timer::AnswerState::Made);
+    let cause = match (closing_cause(error), &open) {
+        (None, None) => return,
+        (cause, _) => cause.unwrap_or("the caller closed it"),
     };
+    let (open, answer) = open.unzip();
     event!(Info, "connection-closed", "caller" => caller, "cause" => cause,
-        "error" => error.to_string());
+        "error" => error.to_string(), "id" => open.and_then(|request| request.id),
+        "answer" => answer, "leaving_ms" => cx.leaving_for().as_millis() as u64);
 }
 
 /// Returns why the host closed a connection; `None` if the caller had closed it or it was idle.
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -3,7 +3,6 @@
 use std::path;
 use std::sync;
 use std::sync::atomic;
-use std::thread;
 use std::time;
 
 use anyhow::Context as _;
@@ -51,8 +50,8 @@
 const CLOSE_TIME: time::Duration = time::Duration::from_millis(100);
 /// How often a leaving host checks whether its callers' connections have closed.
 const CLOSE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(5);
-/// Time for the log's writer thread to write the last lines.
-const LOG_WRITE_TIME: time::Duration = time::Duration::from_millis(20);
+/// Longest time for the log's writer thread to write the last lines.
+const LOG_WRITE_TIME: time::Duration = time::Duration::from_millis(100);
 /// How often a leaving host checks whether its requests have been answered.
 const IDLE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -250,9 +249,10 @@
         "cause" => if took < max_time { "idle" } else { "end of grace period" },
         "took_ms" => clock::millis(took), "requests_until_ms" => clock::millis(held_up.requests),
         "marks_until_ms" => clock::millis(held_up.marks),
-        "connections_until_ms" => clock::millis(held_up.connections), "refused" => cx.refused_leaving());
+        "connections_until_ms" => clock::millis(held_up.connections), "refused" => cx.refused_leaving(),
+        "streams_broken" => cx.streams_broken_leaving(), "log_dropped" => events::dropped_lines());
     // Blocks the only runtime thread on purpose, so that no further request is read.
-    thread::sleep(LOG_WRITE_TIME);
+    events::flush(LOG_WRITE_TIME);
 }
 
 /// What a leaving host last waited for: when it was last seen, since the host was told to leave; zero if never.
--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -61,6 +61,8 @@
     next_connection: atomic::AtomicU64,
     /// The number of requests that were refused because the host leaves.
     refused: atomic::AtomicUsize,
+    /// The number of streams that were broken off while the host left.
+    streams_broken: atomic::AtomicUsize,
 }
 
 /// Counts a connection of a caller as open until it is dropped.
@@ -194,6 +196,19 @@
         self.shutdown.refused.load(atomic::Ordering::Relaxed)
     }
 
+    /// Counts a stream that is broken off, if the host leaves.
+    pub(crate) fn record_broken_stream(&self) {
+        if self.is_leaving() {
+            let broken = &self.shutdown.streams_broken;
+            broken.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the number of streams that were broken off while the host left.
+    pub(crate) fn streams_broken_leaving(&self) -> usize {
+        self.shutdown.streams_broken.load(atomic::Ordering::Relaxed)
+    }
+
     /// Logs which requests the end of the process cuts, just before it: those without a whole answer, and those whose
     /// answers may not have left.
     pub(crate) fn log_cut(&self) {
--- a/daemon/src/router/stream_events.rs
+++ b/daemon/src/router/stream_events.rs
@@ -128,6 +128,7 @@
 ) {
     // Fails only if the caller has disconnected already.
     let _ = tx.send(Err(answer::Broken)).await;
+    request.cx.record_broken_stream();
     record_end(request, "broken", cause);
 }
 
@@ -145,6 +146,7 @@
         _ => "streams.left",
     });
     event!(Info, "stream-ended", "id" => request.received.head.request_id, "how" => how,
-        "cause" => cause, "events" => request.last_event, "tokens" => request.tokens_generated,
-        "took_ms" => took.as_millis() as u64);
+        "cause" => cause, "server" => request.last_server, "events" => request.last_event,
+        "tokens" => request.tokens_generated, "took_ms" => took.as_millis() as u64,
+        "leaving_ms" => request.cx.leaving_for().as_millis() as u64);
 }
