--- /dev/null
+++ b/daemon/tests/moved_streams.rs
@@ -0,0 +1,124 @@
+//! Streams whose run is to move to another engine while their host leaves, and that engine doesn't take it. The engine that
+//! has the run is sound, so the stream must end whole.
+
+use std::sync;
+use std::sync::atomic;
+
+use walnuthaven_platform_standin::caller;
+use walnuthaven_platform_standin::engine_setup;
+use walnuthaven_platform_standin::server;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
+/// Headers of a request with a long answer.
+const LONG_PROMPT: &str = "X-Model: m\r\nX-Token-Count: 500,9000\r\nX-Length-Hint: 4900\r\n";
+/// Streams take about two seconds, of which an engine that leaves serves more than one.
+const EVENTS: u64 = 70;
+const EVENT_PAUSE_MS: u64 = 30;
+/// One route that may be resumed and one that may not.
+const PATHS: [&str; 2] = ["/brief/x", "/single/x"];
+
+/// A stream whose engine leaves, with what became of it.
+struct Moved {
+    setup: engine_setup::EngineSetup,
+    answer: caller::Answer,
+    leaving: sync::Arc<server::Server>,
+    other: sync::Arc<server::Server>,
+}
+
+/// Has an engine leave while it writes a stream, and its host get SIGTERM. `disturb` is applied to both engines, that which
+/// leaves first.
+async fn drain_beside_stop(
+    path: &str,
+    disturb: impl Fn(&server::Server, &server::Server),
+) -> Moved {
+    let setup = engine_setup::EngineSetup::start(BINARY).await;
+    for engine in &setup.decode_engines {
+        let events = &engine.events_per_stream;
+        events.store(EVENTS, atomic::Ordering::Relaxed);
+        engine
+            .delay_ms
+            .store(EVENT_PAUSE_MS, atomic::Ordering::Relaxed);
+    }
+    let bytes = caller::request("POST", path, "r1", LONG_PROMPT, "a prompt");
+    let drain = async {
+        let leaving = setup.wait_for_run("r1").await;
+        let other = setup.decode_engines.iter().find(|e| e.id != leaving.id);
+        let other = other.unwrap().clone();
+        disturb(&leaving, &other);
+        setup.host.signal(rustix::process::Signal::TERM).unwrap();
+        setup.wait_for_log("\"event\":\"leave\"").await;
+        let entry = leaving.entry("scribe", "draining");
+        setup.store.put("servers", &leaving.id, entry);
+        (leaving, other)
+    };
+    let (answer, (leaving, other)) = tokio::join!(
+        caller::send(setup.host.callers_addr, &bytes, engine_setup::TIMEOUT),
+        drain
+    );
+    Moved {
+        setup,
+        answer,
+        leaving,
+        other,
+    }
+}
+
+impl Moved {
+    fn assert_whole(&self, path: &str) {
+        let Self { setup, answer, .. } = self;
+        let log = setup.host.log();
+        assert!(log.contains("\"event\":\"move\""), "no move: {log}");
+        let ended = (answer.status, answer.complete);
+        assert_eq!(ended, (200, true), "{path} was cut: {log}");
+        assert_eq!(answer.body, engine_setup::complete_stream(EVENTS), "{path}");
+        assert_eq!(
+            setup.prefill_engine.received().len(),
+            1,
+            "{path}: the prompt was prefilled again: {log}"
+        );
+    }
+}
+
+/// Guards against streams that their host has stopped for an engine that has no room for them.
+#[tokio::test]
+async fn stream_stays_if_the_other_engine_has_no_room() {
+    for path in PATHS {
+        let moved = drain_beside_stop(path, |leaving, _| {
+            leaving
+                .refuses_copies
+                .store(true, atomic::Ordering::Relaxed);
+        })
+        .await;
+        moved.assert_whole(path);
+        let runs = (moved.leaving.runs_of("r1"), moved.other.runs_of("r1"));
+        assert_eq!(runs, (1, 0), "{path}");
+    }
+}
+
+/// Guards against streams that are cut because the engine that was to go on with them refuses.
+#[tokio::test]
+async fn stream_returns_if_the_other_engine_refuses() {
+    for path in PATHS {
+        let moved = drain_beside_stop(path, |_, other| {
+            other.set_fault(server::Fault::ExpirePrefill);
+        })
+        .await;
+        moved.assert_whole(path);
+        assert_eq!(moved.other.runs_of("r1"), 0, "{path}");
+    }
+}
+
+/// Guards against streams that are cut because the engine that was to go on with them fails.
+#[tokio::test]
+async fn stream_returns_if_the_other_engine_fails() {
+    for fault in [
+        server::Fault::Status500,
+        server::Fault::UnsignedAnswer,
+        server::Fault::CloseWithinHeader,
+    ] {
+        for path in PATHS {
+            let moved = drain_beside_stop(path, |_, other| other.set_fault(fault)).await;
+            moved.assert_whole(path);
+        }
+    }
+}
--- a/daemon/tests/silent_engines.rs
+++ b/daemon/tests/silent_engines.rs
@@ -73,6 +73,28 @@
     assert_eq!(setup.runs_of("r1"), 1, "{log}");
 }
 
+/// Guards against streams that are cut because their engine stood still and the one that was to replace it failed.
+#[tokio::test]
+async fn stream_survives_silence_while_the_other_engine_fails() {
+    let setup = start_setup(&["i-d1", "i-d2"]).await;
+    let fail_elsewhere = async {
+        let engine = setup.wait_for_run("r1").await;
+        let other = setup.decode_engines.iter().find(|e| e.id != engine.id);
+        other.unwrap().set_fault(server::Fault::Status500);
+        setup.host.signal(rustix::process::Signal::TERM).unwrap();
+    };
+    let ((answer, engine), ()) =
+        tokio::join!(pause_midway(&setup, "/brief/x", "r1"), fail_elsewhere);
+    let log = setup.host.log();
+    assert!(
+        log.contains("\"event\":\"server-replaced\""),
+        "not replaced: {log}"
+    );
+    assert_eq!((answer.status, answer.complete), (200, true), "{log}");
+    assert_eq!(answer.body, engine_setup::complete_stream(50));
+    assert_eq!(engine.runs_of("r1"), 1, "{log}");
+}
+
 #[tokio::test]
 async fn stream_survives_the_silence_of_all_engines() {
     let setup = start_setup(&["i-d1", "i-d2"]).await;
