router: stop no run for an engine that doesn't take it

Callers got streams with status 200 that closed before their end, of routes that may be resumed and of those that may not, although no server broke them off. A run that had to leave its engine was stopped there first and offered to the other engine then. If that one had no room, refused or failed, a leaving engine wasn't asked to take the run back, and after a failure no engine was: the stream ended, though its server would have written it to the end. Class: an irreversible step before the one that may fail.

Now the other engine has to take a copy while the run goes on, and the run is stopped after that; one that isn't taken stays and is offered again 300 ms later. If the other engine refuses or fails all the same, the first one takes the run back, also while it leaves, up to a second after this host learned of it (it serves for two). Engines take a handle once, so a run can't go on twice. A stream that isn't sent again waits for the copy until its deadline, also where the retry budget is the reason.

Two tests pinned the fault: run_that_cannot_be_copied_restarts_only_if_repeatable wanted a cut stream where the other engine has no room; it now wants whole streams of one run each. stopped_unrepeatable_run_refused_elsewhere_is_not_restarted wanted one where the other engine refuses; now both engines refuse, and the one that stopped the run must have been asked.

--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -75,6 +75,13 @@
     kv_cache: Option<prefills::KvHandle<D>>,
 }
 
+/// Returns the KV cache if it is that of a stopped run, which its own engine can go on with after another one failed.
+fn kept_run<D: dialect::Dialect>(
+    handle: Option<prefills::KvHandle<D>>,
+) -> Option<prefills::KvHandle<D>> {
+    handle.filter(|handle| handle.of_run)
+}
+
 impl<D: dialect::Dialect> stream_request::StreamRequest<D> {
     /// Opens the stream of the answer, or the rest of a stream of which events were delivered: on `prepared`
     /// if it is set. Tries further servers as far as the request's attempts, time and retry budget allow.
@@ -216,9 +223,10 @@
         match self.read_decode_answer(server, answered).await {
             Ok(DecodeResponse::Stream(response)) => Ok(Resumed::Stream(response)),
             Ok(DecodeResponse::Failed(failure, kv_cache)) => Err((failure, kv_cache)),
-            Err(_) => {
+            // A failure of the engine is returned above.
+            Err(failure) => {
                 let outcome = outcome::Outcome::ServerFailed;
-                let cause = "server failed";
+                let cause = failure.cause();
                 Err((send::SendFailure { outcome, cause }, None))
             }
         }
@@ -274,7 +282,7 @@
             Err(failure) if failure.outcome.is_not_run() => {
                 return Ok(DecodeResponse::Failed(failure, handle));
             }
-            Err(failure) => return Ok(DecodeResponse::Failed(failure, None)),
+            Err(failure) => return Ok(DecodeResponse::Failed(failure, kept_run(handle))),
         };
         if response.status.is_success() && response.head.signed && !response.head.encoded {
             locks::lock(&cx.health).record_response(&server.id, cx.now());
@@ -288,7 +296,7 @@
         let not_run = response.head.not_run;
         let (status, headers, body) = match send::read_to_end(cx, response, self.deadline).await {
             Ok(parts) => parts,
-            Err(failure) => return Ok(DecodeResponse::Failed(failure, None)),
+            Err(failure) => return Ok(DecodeResponse::Failed(failure, kept_run(handle))),
         };
         if not_run {
             return Ok(self.refused_response(status, handle));
@@ -298,11 +306,20 @@
             let cause = "answer without signature";
             return Ok(DecodeResponse::Failed(
                 send::SendFailure { outcome, cause },
-                None,
+                kept_run(handle),
             ));
         }
         event!(Info, "server-failed", "id" => self.id(), "server" => server.id,
             "status" => status.as_u16());
+        if let Some(handle) = kept_run(handle) {
+            // The engine that stopped the run may go on.
+            let outcome = outcome::Outcome::ServerFailed;
+            let cause = "server failed";
+            return Ok(DecodeResponse::Failed(
+                send::SendFailure { outcome, cause },
+                Some(handle),
+            ));
+        }
         let headers = cx.dialect.caller_headers(&headers);
         Err(stream_request::OpenFailure::Answer(Box::new(
             answer::complete(status, headers, body),
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -1,5 +1,6 @@
-//! Moves a run to another engine: its engine stops it and copies its KV cache to the other engine,
-//! which continues the stream after the last event that the caller received.
+//! Moves a run to another engine: its engine copies its KV cache to the other engine while the run goes on, and stops it
+//! once that has room for it. The other engine continues the stream after the last event that the caller received. If it
+//! doesn't, the engine that was stopped takes the run back.
 
 use std::sync;
 use std::time;
@@ -21,11 +22,13 @@
 use crate::router::server_notices;
 use crate::router::stream_request;
 
-/// Longest time for an engine that has stopped a run to have its KV cache copied, unless the stream
+/// Longest time for an engine to copy a run's KV cache, unless the run is stopped and the stream
 /// depends on it: a copy of a gigabyte takes some milliseconds and queues behind other copies.
 const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// Maximum number of moves of one request. Each move pauses the caller's stream.
 pub(crate) const MAX_MOVES: u32 = 3;
+/// Pause before a run that no engine took is offered again.
+const OFFER_PAUSE: time::Duration = time::Duration::from_millis(300);
 
 /// A move in progress.
 #[derive(Debug)]
@@ -76,12 +79,12 @@
     source: &sync::Arc<backends::Backend>,
     reservation: &engine_reservation::Reservation<D>,
 ) -> Option<RunMove<D>> {
-    if !request.engines.can_move_runs || request.moves >= MAX_MOVES {
+    let cx = &request.cx;
+    let now = cx.now();
+    if !request.engines.can_move_runs || request.moves >= MAX_MOVES || now < request.may_move_at {
         return None;
     }
     let id = request.received.head.request_id.clone()?;
-    let cx = &request.cx;
-    let now = cx.now();
     let memory = request.engines.memory_tokens;
     if server_notices::is_paused(cx, source) {
         return None;
@@ -95,12 +98,11 @@
         cx.telemetry.count("runs.nowhere_to_move");
         return None;
     };
-    request.moves += 1;
+    request.may_move_at = now + OFFER_PAUSE;
     let cx = &request.cx;
     cx.telemetry.count("runs.moved");
     event!(Info, "move", "id" => id, "from" => source.id, "to" => target.id,
         "from_version" => source.version, "to_version" => target.version, "reason" => format!("{reason:?}"), "tokens" => request.tokens_generated);
-    let call = cx.dialect.stop_and_copy(&id, target.addr);
     let (stopped_tx, stopped) = tokio::sync::watch::channel(None);
     let copy_task = {
         let (cx, source, target) = (cx.clone(), source.clone(), target.clone());
@@ -109,12 +111,15 @@
         let deadline = request.deadline;
         let tokens = request.need().prompt;
         async move {
-            let stopped_run = stop_and_copy(cx, source, target, call, ttl, deadline).await;
-            let stopped_run = stopped_run.map(|mut run| {
-                run.kv_cache.id = id;
-                run.kv_cache.tokens = tokens;
-                run
-            });
+            let offer = Offer {
+                cx,
+                source,
+                target,
+                id,
+                tokens,
+                ttl,
+            };
+            let stopped_run = offer.copy_and_stop(deadline).await;
             stopped_tx.send_replace(Some(stopped_run.is_ok()));
             stopped_run
         }
@@ -128,55 +133,91 @@
     })
 }
 
-/// Asks an engine to stop a run and copy its KV cache.
-///
-/// # Errors
-///
-/// Returns an error if the run wasn't stopped, or if that is unknown.
-async fn stop_and_copy<D: dialect::Dialect>(
+/// A run that is to be moved.
+struct Offer<D> {
     cx: sync::Arc<context::Router<D>>,
     source: sync::Arc<backends::Backend>,
     target: sync::Arc<backends::Backend>,
-    call: dialect::Call,
+    /// The id of its request.
+    id: sync::Arc<str>,
+    /// Number of tokens in its KV cache.
+    tokens: u32,
+    /// How long engines keep a copy.
     ttl: time::Duration,
-    deadline: time::Duration,
-) -> Result<StoppedRun<D>, NotStopped> {
-    let options = send::Options {
-        deadline,
-        repeatable: false,
-    };
-    // Connects to the target first, so that the run isn't stopped for an engine that can't be
-    // reached.
-    let connection = send::get_connection(&cx, &target, options).await;
-    let connection = connection.map_err(|_| NotStopped::Refused)?;
-    let timeout = deadline.saturating_sub(cx.now());
-    let (status, body) = match send::call(&cx, &source, call, timeout).await {
-        Ok(answer) => answer,
-        Err(error) => {
-            event!(Info, "move-unanswered", "from" => source.id, "cause" => error.to_string());
-            return Err(NotStopped::Unanswered);
+}
+
+impl<D: dialect::Dialect> Offer<D> {
+    /// Asks the engine to copy the run's KV cache while the run goes on, then to stop it and copy the rest.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the run wasn't stopped, or if that is unknown.
+    async fn copy_and_stop(self, deadline: time::Duration) -> Result<StoppedRun<D>, NotStopped> {
+        let (cx, source) = (&self.cx, &self.source);
+        let options = send::Options {
+            deadline,
+            repeatable: false,
+        };
+        // Connects to the target first, so that the run isn't stopped for an engine that can't be
+        // reached.
+        let connection = send::get_connection(cx, &self.target, options).await;
+        let connection = connection.map_err(|_| NotStopped::Refused)?;
+        // Nor is it for one without room.
+        let time_left = deadline.saturating_sub(cx.now());
+        let copied = self
+            .copy(dialect::RunCopy::KeepsRunning, time_left.min(COPY_TIMEOUT))
+            .await;
+        let (status, copy) = copied.ok_or(NotStopped::Refused)?;
+        let mut copy = copy.ok_or(NotStopped::Refused)?;
+        if !status.is_success() || server_notices::wants_none(cx, &self.target) {
+            return Err(NotStopped::Refused);
         }
-    };
-    let kept_memory = cx.dialect.kept_memory(&body);
-    let Some(kept_memory) = kept_memory else {
-        event!(Info, "move-refused", "from" => source.id, "status" => status.as_u16());
-        return Err(NotStopped::Refused);
-    };
-    let kv_cache = prefills::KvHandle {
-        created_at: cx.now(),
-        cx,
-        server: source,
-        name: kept_memory.handle,
-        ttl,
-        id: "".into(),
-        tokens: 0,
-        fetched: false,
-        of_run: true,
-    };
-    Ok(StoppedRun {
-        kv_cache,
-        connection: status.is_success().then_some(connection),
-    })
+        let time_left = deadline.saturating_sub(cx.now());
+        let stopped = self.copy(dialect::RunCopy::Stops, time_left).await;
+        let (status, kv_cache) = stopped.ok_or(NotStopped::Unanswered)?;
+        let Some(kv_cache) = kv_cache else {
+            event!(Info, "move-refused", "id" => self.id, "from" => source.id, "status" => status.as_u16());
+            return Err(NotStopped::Refused);
+        };
+        // The newer handle is that of the same copy.
+        copy.fetched = true;
+        Ok(StoppedRun {
+            kv_cache,
+            connection: status.is_success().then_some(connection),
+        })
+    }
+
+    /// Has the engine copy the run's KV cache. Returns the status of its answer and the handle that it holds, if any;
+    /// `None` if there is no answer.
+    async fn copy(
+        &self,
+        copy: dialect::RunCopy,
+        timeout: time::Duration,
+    ) -> Option<(http::StatusCode, Option<prefills::KvHandle<D>>)> {
+        let (cx, source) = (&self.cx, &self.source);
+        let call = cx.dialect.copy_run(&self.id, self.target.addr, copy);
+        let (status, body) = match send::call(cx, source, call, timeout).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                event!(Info, "move-unanswered", "id" => self.id, "from" => source.id,
+                    "copy" => format!("{copy:?}"), "cause" => error.to_string());
+                return None;
+            }
+        };
+        let kept_memory = cx.dialect.kept_memory(&body);
+        let handle = kept_memory.map(|kept_memory| prefills::KvHandle {
+            cx: cx.clone(),
+            server: source.clone(),
+            name: kept_memory.handle,
+            created_at: cx.now(),
+            ttl: self.ttl,
+            id: self.id.clone(),
+            tokens: self.tokens,
+            fetched: false,
+            of_run: true,
+        });
+        Some((status, handle))
+    }
 }
 
 impl<D: dialect::Dialect> RunMove<D> {
@@ -209,9 +250,10 @@
         source_reservation: engine_reservation::Reservation<D>,
         has_end: bool,
     ) -> Option<Result<engine_stream::OpenStream<D>, MoveFailure>> {
-        // A stream that may run once can only go on with the answer. The task neither panics nor is
+        // A stream that isn't sent again can only go on with the answer. The task neither panics nor is
         // cancelled.
-        let max_wait = match has_end || request.route.kind.may_run_again() {
+        let after_break = request.decide_next(outcome::Outcome::BrokenMidway);
+        let max_wait = match has_end || after_break == outcome::Next::SendAgain {
             true => COPY_TIMEOUT,
             false => request.deadline.saturating_sub(request.cx.now()),
         };
@@ -225,6 +267,7 @@
             Err(NotStopped::Refused) => return None,
             Err(NotStopped::Unanswered) => return Some(Err(MoveFailure::Unanswered)),
         };
+        request.moves += 1;
         // The engine that stopped the run lives.
         request.received.set_proven();
         let mut kv_cache = Some(stopped_run.kv_cache);
@@ -259,7 +302,8 @@
                 "after_event" => request.last_event, "cause" => failure.cause);
             request.record_failure(&server, &failure, request.cx.now());
             cause = failure.cause;
-            kv_cache = cache.filter(|_| failure.outcome.is_not_run());
+            // Engines take a handle only once, so the run doesn't go on twice.
+            kv_cache = cache;
         }
         // The run was stopped midway, even if the last send wasn't executed.
         let outcome = outcome::Outcome::BrokenMidway;
@@ -288,7 +332,7 @@
             resumed => return resumed,
         }
     }
-    match reconnect(&request.cx, server).await {
+    match reconnect(&request.cx, server, &kv_cache).await {
         Ok(connection) => {
             server_limits::record_sent(&request.cx, server, request.received.priority);
             request.resume_moved_run(server, connection, kv_cache).await
@@ -298,12 +342,17 @@
 }
 
 /// Opens a connection to the engine that is to continue a stopped run. Fails if that engine is
-/// leaving, as leaving engines get no requests.
+/// leaving, unless it is the one that stopped the run and serves long enough to be sent it.
 async fn reconnect<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
     server: &backends::Backend,
+    kv_cache: &prefills::KvHandle<D>,
 ) -> Result<connection_pool::Connection, send::SendFailure> {
-    if locks::lock(&cx.servers).is_leaving(&server.id) {
+    let may_get_run = match kv_cache.server.process() == server.process() {
+        true => server_notices::takes_back(cx, server),
+        false => !locks::lock(&cx.servers).is_leaving(&server.id),
+    };
+    if !may_get_run {
         let outcome = outcome::Outcome::NeverWritten;
         let cause = "engine leaves";
         return Err(send::SendFailure { outcome, cause });
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -174,7 +174,13 @@
     options: Options,
 ) -> Result<ServerResponse, SendFailure> {
     // It may have left since it was chosen.
-    if server_notices::wants_none(cx, server) {
+    let wants_it = match params.work {
+        dialect::Work::Decode { source, .. } if source == server.addr => {
+            server_notices::takes_back(cx, server)
+        }
+        _ => !server_notices::wants_none(cx, server),
+    };
+    if !wants_it {
         return Err(failure(
             outcome::Outcome::RefusedUnrun,
             "server wants no requests",
--- a/daemon/src/router/server_notices.rs
+++ b/daemon/src/router/server_notices.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use walnuthaven_lib::backends;
+use walnuthaven_lib::departures;
 use walnuthaven_lib::dialect;
 use walnuthaven_wire::news;
 
@@ -15,6 +16,8 @@
 
 /// Maximum number of leaving servers in a news message.
 const MAX_PER_MESSAGE: usize = 16;
+/// How long a leaving server is sent runs that it has stopped. It goes on serving for two seconds.
+const TAKES_BACK_FOR: time::Duration = time::Duration::from_secs(1);
 
 /// Records what an answer of a server says of it.
 pub(crate) fn record_answer<D: dialect::Dialect>(
@@ -133,6 +136,18 @@
     !may_get_work || is_paused(cx, server)
 }
 
+/// Returns whether a server takes back a run that it has stopped: also one that leaves, for a while.
+pub(crate) fn takes_back<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    server: &backends::Backend,
+) -> bool {
+    let departure = locks::lock(&cx.departures).get(&server.process());
+    departure.is_none_or(|departure| {
+        departure.way == departures::Way::Drained
+            && cx.now().saturating_sub(departure.at) < TAKES_BACK_FOR
+    })
+}
+
 /// Returns whether a server asked for a pause that isn't over.
 pub(crate) fn is_paused<D: dialect::Dialect>(
     cx: &context::Router<D>,
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -64,8 +64,10 @@
     pub(crate) last_event_at: Option<time::Duration>,
     /// Tokens generated so far by all engines together, also those that the caller had when it resumed the stream.
     pub(crate) tokens_generated: u32,
-    /// How many moves of the run, with its KV cache, to another engine were started.
+    /// How often the run was stopped to be moved, with its KV cache, to another engine.
     pub(crate) moves: u32,
+    /// When the run may be offered to another engine again.
+    pub(super) may_move_at: time::Duration,
     /// The number of connections to servers that could not be opened.
     pub(super) connect_failures: u32,
     /// Whether it was sent to a server that generates the answer. Further sends are retries.
@@ -137,6 +139,7 @@
             last_event_at: None,
             tokens_generated: engine_need::delivered_before(&received.head, &engines),
             moves: 0,
+            may_move_at: time::Duration::ZERO,
             connect_failures: 0,
             sent_before: forwarded.used_attempts > 0,
             prefilled_before: false,
--- a/daemon/tests/engine_streams.rs
+++ b/daemon/tests/engine_streams.rs
@@ -213,41 +213,40 @@
 }
 
 #[tokio::test]
-async fn run_that_cannot_be_copied_restarts_only_if_repeatable() {
+async fn run_that_cannot_be_copied_stays_on_its_engine() {
     let setup = engine_setup::EngineSetup::start(BINARY).await;
     make_streams_long(&setup);
     for engine in &setup.decode_engines {
         engine.refuses_copies.store(true, atomic::Ordering::Relaxed);
     }
-    for (path, id, complete, runs) in [("/single/x", "r1", false, 1), ("/brief/x", "r2", true, 2)] {
+    for (path, id, prefills) in [("/single/x", "r1", 1), ("/brief/x", "r2", 2)] {
         let bytes = caller::request("POST", path, id, LONG_PROMPT, "a prompt");
         let (answer, (leaving, _)) = tokio::join!(
             caller::send(setup.host.callers_addr, &bytes, engine_setup::TIMEOUT),
             drain_running_engine(&setup, id)
         );
-        assert_eq!(
-            (answer.status, answer.complete),
-            (200, complete),
-            "{answer:?}"
-        );
-        assert!(
-            engine_setup::complete_stream(70).starts_with(&answer.body),
-            "{answer:?}"
-        );
-        assert_eq!(setup.runs_of(id), runs, "{path}");
+        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+        assert_eq!(answer.body, engine_setup::complete_stream(70), "{path}");
+        let copies = leaving.received();
+        let copies = copies
+            .iter()
+            .filter(|request| request.request_line.contains("kv-move"));
+        assert!(copies.count() > 0, "{path}: no move was tried");
+        assert_eq!((leaving.runs_of(id), setup.runs_of(id)), (1, 1), "{path}");
+        assert_eq!(setup.prefill_engine.received().len(), prefills, "{path}");
         leaving.register(&setup.store, "scribe");
         tokio::time::sleep(time::Duration::from_millis(600)).await;
     }
 }
 
 #[tokio::test]
-async fn stopped_unrepeatable_run_refused_elsewhere_is_not_restarted() {
+async fn stopped_unrepeatable_run_refused_by_both_engines_is_not_restarted() {
     let setup = engine_setup::EngineSetup::start(BINARY).await;
     make_streams_long(&setup);
     let bytes = caller::request("POST", "/single/x", "r1", LONG_PROMPT, "a prompt");
     let drain_and_refuse = async {
         let (leaving, other) = drain_running_engine(&setup, "r1").await;
-        other.set_fault(server::Fault::ExpirePrefill);
+        setup.set_fault(server::Fault::ExpirePrefill);
         (leaving, other)
     };
     let (answer, (leaving, other)) = tokio::join!(
@@ -261,6 +260,11 @@
         "the move wasn't tried: {:?}",
         other.received()
     );
+    let returned = leaving.received();
+    let returned = returned
+        .iter()
+        .filter(|request| request.headers.contains_key("last-event-id"));
+    assert_eq!(returned.count(), 1, "the run wasn't offered to its engine");
     assert_eq!((leaving.runs_of("r1"), other.runs_of("r1")), (1, 0));
     assert_eq!(
         setup.prefill_engine.received().len(),
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -279,6 +279,15 @@
     Ready,
 }
 
+/// What becomes of a run whose memory is copied to another engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunCopy {
+    /// It goes on. A further call copies only what is new.
+    KeepsRunning,
+    /// It is stopped first, so that the other engine can go on with it.
+    Stops,
+}
+
 /// Translates the messages of one deployment platform.
 pub trait Dialect: Clone + Send + Sync + 'static {
     /// Decodes the headers of a caller's request.
@@ -322,8 +331,8 @@
     /// Encodes a call that frees memory which an engine keeps.
     fn free_handle(&self, handle: &str) -> Call;
 
-    /// Encodes a call that stops a run and copies its memory to another engine.
-    fn stop_and_copy(&self, request_id: &str, to: net::SocketAddr) -> Call;
+    /// Encodes a call that copies a run's memory to another engine.
+    fn copy_run(&self, request_id: &str, to: net::SocketAddr, copy: RunCopy) -> Call;
 
     /// Encodes a call that asks an engine for its state.
     fn report(&self) -> Call;
