router: keep a silent stream whose replacement fails

Callers got streams that closed before their end because their engine stood still for 1.2 s: the stream was given to another engine, and if that one answered with a failure, it ended, though its own engine was still there to go on with it. A stream also ended at once if no engine was in reach and no further attempt, time or retry budget was left for another host.

Now a silent stream that is still open when the other engine fails, in whatever way, is kept; an answer is left for another host only if it may be sent once more. Events without an id that had arrived from the silent engine are no longer dropped then. A leaving engine is asked to take a run back for 1.5 s instead of one, and a refused move is logged with both engines.

Ruled out: that the second attempt should be kept back, as the first engine may have ended.

Measured: stream_survives_silence_while_the_other_engine_fails fails before and passes; moved_streams.rs, silent_engines.rs, engine_streams.rs, cut_links.rs, silent_servers.rs and peer_calls.rs pass (debug).

--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -169,7 +169,9 @@
         let sent_at = self.cx.now();
         let (cx, received) = (self.cx.clone(), self.received.clone());
         let service = self.service.name.clone();
-        let may_run_again = self.route.kind.may_run_again();
+        // The answer is the only one otherwise.
+        let may_be_left = self.route.kind.may_run_again()
+            && self.decide_next(outcome::Outcome::Silent) == outcome::Next::SendAgain;
         let answered = tokio::select! {
             answered = sending => answered,
             () = part_marks::wait_until_refused(&cx, &received) => {
@@ -180,7 +182,7 @@
                     kv_cache: None,
                 }
             }
-            () = via_peer::wait_until_needed(&cx, &received, &service), if may_run_again => {
+            () = via_peer::wait_until_needed(&cx, &received, &service), if may_be_left => {
                 let outcome = outcome::Outcome::Silent;
                 let cause = "no engine is in reach";
                 DecodeAnswer {
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -76,6 +76,9 @@
     run_move: Option<run_move::RunMove<D>>,
     /// Whether it was recorded that the prompt doesn't crash servers.
     is_proven: bool,
+    /// Events without an id of a stream that another server may continue. They are part of the answer if
+    /// the stream goes on or ends as it should.
+    held: Vec<bytes::Bytes>,
 }
 
 /// Why events are no longer relayed from a server.
@@ -89,8 +92,8 @@
 enum Replacement<D: dialect::Dialect> {
     /// The other server goes on.
     Opened(engine_stream::OpenStream<D>),
-    /// The other server didn't run the request, and the silent stream is still open.
-    Refused(ServerStream<D>),
+    /// The other server failed, and the silent stream is still open.
+    Kept(ServerStream<D>),
     /// Neither goes on.
     Failed(&'static str),
 }
@@ -213,6 +216,7 @@
         splitter: event_stream::Splitter::default(),
         run_move: None,
         is_proven: false,
+        held: Vec::new(),
     };
     let end = loop {
         let other = match relay_events(request, &mut stream, tx).await {
@@ -225,7 +229,7 @@
         };
         stream = match replacement {
             Replacement::Opened(opened) => return ServerStreamEnd::Replaced(opened),
-            Replacement::Refused(stream) => stream,
+            Replacement::Kept(stream) => stream,
             Replacement::Failed(cause) => {
                 return ServerStreamEnd::Ended(StreamEnd::NotContinued(cause));
             }
@@ -272,7 +276,7 @@
 }
 
 /// Has another server go on with a silent stream. The stream is kept until the other server sends,
-/// so that it can go on itself if the other server refuses, but not so long that both servers work
+/// so that it can go on itself if the other server fails, but not so long that both servers work
 /// on the request.
 async fn replace<D: dialect::Dialect>(
     request: &mut stream_request::StreamRequest<D>,
@@ -283,7 +287,6 @@
     event!(Info, "server-replaced", "id" => request.id(), "server" => server.id,
         "cause" => "server fell silent", "by" => other.server.id,
         "delivered" => request.last_event);
-    let attempts_before = request.received.attempts.count();
     let mut held = Some(silent);
     let started = {
         let starting = request.start_on(other);
@@ -296,12 +299,10 @@
             }
         }
     };
-    let may_have_run = request.received.attempts.count() > attempts_before;
     if let Ok(engine_stream::DecodeResult::Failed(_)) | Err(_) = &started
-        && !may_have_run
         && let Some(stream) = held.take()
     {
-        return Replacement::Refused(stream);
+        return Replacement::Kept(stream);
     }
     drop(held);
     request.leave_silent_server(&server);
@@ -336,12 +337,11 @@
     tokio::pin!(needs_peer);
     // Bytes that continued the stream by nothing.
     let mut useless_bytes = 0;
-    // Events without an id of a stream that another server may continue. They are part of the answer if
-    // the stream goes on or ends as it should.
-    let mut held = Vec::new();
     let mut progressed_at = request.cx.now();
     loop {
         let time_left = request.deadline.saturating_sub(request.cx.now());
+        // The stream is the only answer otherwise.
+        let may_be_left = request.decide_next(outcome::Outcome::Silent) == outcome::Next::SendAgain;
         let max_silence = max_pause.map_or(time_left, |pause| pause * SILENCE_FACTOR);
         let body = &mut stream.response.body;
         let event = tokio::select! {
@@ -356,19 +356,25 @@
             other = request.prepare_alternative(&stream.server, progressed_at, max_silence), if max_pause.is_some() => {
                 return RelayEnd::Silent(other);
             }
-            () = &mut needs_peer, if max_pause.is_some() => {
+            () = &mut needs_peer, if max_pause.is_some() && may_be_left => {
                 return broken(outcome::Outcome::Silent, "no engine is in reach");
             }
         };
         let mut next = match event {
             Ok(event) => event,
             Err(stream_events::EventsEnd::Complete)
-                if !stream_events::is_whole(request, &stream.response, &stream.server, &held)
-                    .await =>
+                if !stream_events::is_whole(
+                    request,
+                    &stream.response,
+                    &stream.server,
+                    &stream.held,
+                )
+                .await =>
             {
                 return broken(midway, stream_events::BROKE_OFF);
             }
             Err(stream_events::EventsEnd::Complete) => {
+                let held = std::mem::take(&mut stream.held);
                 let sent = stream_events::send_events(tx, held).await;
                 return RelayEnd::Ended(if sent {
                     StreamEnd::Complete
@@ -397,12 +403,12 @@
                 stream_events::EventOrder::Gap => return broken(midway, "events are missing"),
             }
             let is_part = event.id.is_some() || max_pause.is_none();
-            held.push(event.bytes);
+            stream.held.push(event.bytes);
             if !is_part {
                 continue;
             }
             request.record_version(&stream.server);
-            if !stream_events::send_events(tx, std::mem::take(&mut held)).await {
+            if !stream_events::send_events(tx, std::mem::take(&mut stream.held)).await {
                 return RelayEnd::Ended(StreamEnd::CallerLeft);
             }
             record_pause(request, &stream.server.id);
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -153,7 +153,7 @@
     ///
     /// Returns an error if the run wasn't stopped, or if that is unknown.
     async fn copy_and_stop(self, deadline: time::Duration) -> Result<StoppedRun<D>, NotStopped> {
-        let (cx, source) = (&self.cx, &self.source);
+        let cx = &self.cx;
         let options = send::Options {
             deadline,
             repeatable: false,
@@ -168,16 +168,16 @@
             .copy(dialect::RunCopy::KeepsRunning, time_left.min(COPY_TIMEOUT))
             .await;
         let (status, copy) = copied.ok_or(NotStopped::Refused)?;
-        let mut copy = copy.ok_or(NotStopped::Refused)?;
-        if !status.is_success() || server_notices::wants_none(cx, &self.target) {
-            return Err(NotStopped::Refused);
-        }
+        let copy = copy.filter(|_| status.is_success());
+        let copy = copy.filter(|_| !server_notices::wants_none(cx, &self.target));
+        let Some(mut copy) = copy else {
+            return Err(self.record_refused(status));
+        };
         let time_left = deadline.saturating_sub(cx.now());
         let stopped = self.copy(dialect::RunCopy::Stops, time_left).await;
         let (status, kv_cache) = stopped.ok_or(NotStopped::Unanswered)?;
         let Some(kv_cache) = kv_cache else {
-            event!(Info, "move-refused", "id" => self.id, "from" => source.id, "status" => status.as_u16());
-            return Err(NotStopped::Refused);
+            return Err(self.record_refused(status));
         };
         // The newer handle is that of the same copy.
         copy.fetched = true;
@@ -187,6 +187,13 @@
         })
     }
 
+    /// Logs that the run wasn't stopped, as one of the engines wouldn't have it moved.
+    fn record_refused(&self, status: http::StatusCode) -> NotStopped {
+        event!(Info, "move-refused", "id" => self.id, "from" => self.source.id,
+            "to" => self.target.id, "status" => status.as_u16());
+        NotStopped::Refused
+    }
+
     /// Has the engine copy the run's KV cache. Returns the status of its answer and the handle that it holds, if any;
     /// `None` if there is no answer.
     async fn copy(
--- a/daemon/src/router/server_notices.rs
+++ b/daemon/src/router/server_notices.rs
@@ -17,7 +17,7 @@
 /// Maximum number of leaving servers in a news message.
 const MAX_PER_MESSAGE: usize = 16;
 /// How long a leaving server is sent runs that it has stopped. It goes on serving for two seconds.
-const TAKES_BACK_FOR: time::Duration = time::Duration::from_secs(1);
+const TAKES_BACK_FOR: time::Duration = time::Duration::from_millis(1_500);
 
 /// Records what an answer of a server says of it.
 pub(crate) fn record_answer<D: dialect::Dialect>(
