router: bound what a server's answer may cost

A server whose chunk sizes never end took a whole host: the HTTP library reads a chunk's size for as long as digits come, without a limit and without giving way, so 30 of 60 callers of that server had no answer and none of 20 of another service was served. Bytes before the head were limited, bytes of a body's framing weren't. Class: work for a peer that is bounded neither in bytes nor in time at once.

One limit now counts all bytes of an answer: 512 KB before the body and ahead of what is taken of it, and 16 for each byte of the body and 64 for each part. It covers heads, interim responses, chunk sizes, extensions and trailers of servers, engines and the store. After 64 KB at once other tasks run. The library buffers up to 128 KB of an answer, which was 400.

--- a/daemon/src/router/connection_pool.rs
+++ b/daemon/src/router/connection_pool.rs
@@ -10,7 +10,6 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body;
 use hyper::client;
 use hyper::client::conn::http1;
 use hyper_util::rt;
@@ -18,8 +17,8 @@
 
 use crate::locks;
 use crate::router::context;
-use crate::router::head_limit;
 use crate::router::links;
+use crate::router::read_limit;
 
 /// How long a connection may be idle if the server's answer doesn't state a keep-alive time.
 const DEFAULT_IDLE_TIME: time::Duration = time::Duration::from_secs(4);
@@ -50,7 +49,7 @@
     pub(crate) names_requests: bool,
     /// Set while a request is sent or answered on a connection to a server.
     pub(crate) in_use: Option<links::InUse>,
-    head_limit: head_limit::HeadLimit,
+    read_limit: read_limit::ReadLimit,
     /// Drives the connection's reads and writes.
     task: tokio::task::JoinHandle<()>,
 }
@@ -66,13 +65,13 @@
         &mut self,
         message: http::Request<Full<Bytes>>,
     ) -> Result<
-        http::Response<body::Incoming>,
+        http::Response<read_limit::LimitedBody>,
         client::conn::TrySendError<http::Request<Full<Bytes>>>,
     > {
-        self.head_limit.start();
+        self.read_limit.start();
         let response = self.tx.try_send_request(message).await;
-        self.head_limit.lift();
-        response
+        let limited = |body| read_limit::LimitedBody::new(body, self.read_limit.clone());
+        response.map(|response| response.map(limited))
     }
 }
 
@@ -228,9 +227,12 @@
     stream: tokio::net::TcpStream,
     heard: Option<sync::Arc<atomic::AtomicBool>>,
 ) -> io::Result<Connection> {
-    let (stream, head_limit) = head_limit::LimitedStream::new(stream, heard);
+    let (stream, read_limit) = read_limit::LimitedStream::new(stream, heard);
     let io = rt::TokioIo::new(stream);
-    let (tx, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
+    let handshake = http1::Builder::new()
+        .max_buf_size(read_limit::MAX_BUFFER)
+        .handshake(io);
+    let (tx, connection) = handshake.await.map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
         // The request that was sent on the connection reports how it ended.
         let _ = connection.await;
@@ -240,7 +242,7 @@
         reused: false,
         names_requests: true,
         in_use: None,
-        head_limit,
+        read_limit,
         task,
     })
 }
--- /dev/null
+++ b/daemon/src/router/read_limit.rs
@@ -0,0 +1,193 @@
+//! Bounds what is read of a server's answer, and for how long at a time.
+//!
+//! The HTTP library limits the size of one head, but reads interim responses, or the size of a chunk, for as long as they
+//! come, and keeps the thread busy meanwhile.
+
+use std::io;
+use std::pin;
+use std::sync;
+use std::sync::atomic;
+use std::task;
+
+use bytes::Buf as _;
+use bytes::Bytes;
+use http_body::Body;
+use hyper::body;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+
+/// Bytes that a server may send before the body of its answer, or ahead of what is taken of the body. It is more than the
+/// HTTP library buffers.
+const MAX_BYTES: usize = 512 * 1024;
+/// The most bytes that the HTTP library buffers of an answer.
+pub(super) const MAX_BUFFER: usize = 128 * 1024;
+/// Bytes that a server may send for each byte of the body, and for each part of it.
+const BYTES_PER_BODY_BYTE: usize = 16;
+const BYTES_PER_PART: usize = 64;
+/// Bytes that are read on a connection before other tasks run.
+const MAX_BYTES_AT_ONCE: usize = 64 * 1024;
+
+/// How many further bytes may be read of the answer on a connection.
+#[derive(Clone, Debug)]
+pub(super) struct ReadLimit(sync::Arc<atomic::AtomicUsize>);
+
+impl ReadLimit {
+    fn new() -> Self {
+        Self(sync::Arc::new(atomic::AtomicUsize::new(MAX_BYTES)))
+    }
+
+    /// Starts to count anew: a request is sent.
+    pub(super) fn start(&self) {
+        self.0.store(MAX_BYTES, atomic::Ordering::Relaxed);
+    }
+
+    fn left(&self) -> usize {
+        self.0.load(atomic::Ordering::Relaxed)
+    }
+
+    fn record_read(&self, bytes: usize) {
+        let left = self.left().saturating_sub(bytes);
+        self.0.store(left, atomic::Ordering::Relaxed);
+    }
+
+    /// Records that a part of the body was taken.
+    fn record_part(&self, bytes: usize) {
+        let allowed = bytes
+            .saturating_mul(BYTES_PER_BODY_BYTE)
+            .saturating_add(BYTES_PER_PART);
+        let left = self.left().saturating_add(allowed).min(MAX_BYTES);
+        self.0.store(left, atomic::Ordering::Relaxed);
+    }
+}
+
+/// The body of a server's answer.
+#[derive(Debug)]
+pub(crate) struct LimitedBody {
+    body: body::Incoming,
+    limit: ReadLimit,
+}
+
+impl LimitedBody {
+    pub(super) fn new(body: body::Incoming, limit: ReadLimit) -> Self {
+        Self { body, limit }
+    }
+}
+
+impl Body for LimitedBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<http_body::Frame<Bytes>, hyper::Error>>> {
+        let polled = pin::Pin::new(&mut self.body).poll_frame(cx);
+        if let task::Poll::Ready(Some(Ok(frame))) = &polled {
+            let bytes = frame.data_ref().map_or(0, |data| data.remaining());
+            self.limit.record_part(bytes);
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A connection with such a limit.
+#[derive(Debug)]
+pub(super) struct LimitedStream<S> {
+    stream: S,
+    limit: ReadLimit,
+    /// Bytes that were read since other tasks ran.
+    at_once: usize,
+    /// Set when bytes arrive.
+    heard: Option<sync::Arc<atomic::AtomicBool>>,
+}
+
+impl<S> LimitedStream<S> {
+    /// Returns the connection and its limit. `heard` is set whenever bytes arrive.
+    pub(super) fn new(
+        stream: S,
+        heard: Option<sync::Arc<atomic::AtomicBool>>,
+    ) -> (Self, ReadLimit) {
+        let limit = ReadLimit::new();
+        let limited = Self {
+            stream,
+            limit: limit.clone(),
+            at_once: 0,
+            heard,
+        };
+        (limited, limit)
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for LimitedStream<S> {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        if self.limit.left() == 0 {
+            return task::Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        if self.at_once >= MAX_BYTES_AT_ONCE {
+            self.at_once = 0;
+            cx.waker().wake_by_ref();
+            return task::Poll::Pending;
+        }
+        let filled = buf.filled().len();
+        let polled = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = buf.filled().len() - filled;
+        if let Some(heard) = self.heard.as_ref().filter(|_| read > 0) {
+            heard.store(true, atomic::Ordering::Relaxed);
+        }
+        self.limit.record_read(read);
+        self.at_once = match polled.is_pending() {
+            true => 0,
+            false => self.at_once + read,
+        };
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for LimitedStream<S> {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -12,7 +12,6 @@
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::Limited;
-use hyper::body;
 use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::outcome;
@@ -26,6 +25,7 @@
 use crate::router::crash_marks;
 use crate::router::links;
 use crate::router::part_marks;
+use crate::router::read_limit;
 use crate::router::server_notices;
 use crate::router::trials;
 
@@ -127,7 +127,7 @@
     /// What the headers say to the router.
     pub(crate) head: dialect::ReplyHead,
     /// The body, of which nothing has been read.
-    pub(crate) body: body::Incoming,
+    pub(crate) body: read_limit::LimitedBody,
     /// The connection, which is in use until the body has ended.
     pub(crate) connection: connection_pool::Connection,
     /// Whether the body says itself where it ends, by its length or in chunks. Otherwise it ends with its connection.
@@ -392,7 +392,7 @@
 /// Returns the cause if the body breaks off, is too large, or there is no memory for it.
 async fn read_buffered<D: dialect::Dialect>(
     cx: &context::Router<D>,
-    mut body: body::Incoming,
+    mut body: read_limit::LimitedBody,
 ) -> Result<Bytes, &'static str> {
     let memory_bytes = cx.settings().memory_bytes;
     let mut reservations = Vec::new();
@@ -449,7 +449,7 @@
     addr: net::SocketAddr,
     call: dialect::Call,
     headers: http::HeaderMap,
-) -> io::Result<http::Response<body::Incoming>> {
+) -> io::Result<http::Response<read_limit::LimitedBody>> {
     connection.tx.ready().await.map_err(io::Error::other)?;
     let mut message = http::Request::builder()
         .method(call.method)
@@ -472,7 +472,7 @@
 ///
 /// Returns an error if the body breaks off or exceeds `max_bytes`.
 pub(crate) async fn read_body(
-    response: http::Response<body::Incoming>,
+    response: http::Response<read_limit::LimitedBody>,
     max_bytes: usize,
 ) -> io::Result<Bytes> {
     let body = Limited::new(response.into_body(), max_bytes)
--- a/daemon/src/router/stream_events.rs
+++ b/daemon/src/router/stream_events.rs
@@ -9,6 +9,7 @@
 use crate::locks;
 use crate::router::answer;
 use crate::router::events::event;
+use crate::router::read_limit;
 use crate::router::send;
 use crate::router::stream_request;
 
@@ -39,7 +40,7 @@
 
 /// Reads the next complete event. Dropping the future loses nothing that was read.
 pub(super) async fn next_event(
-    body: &mut hyper::body::Incoming,
+    body: &mut read_limit::LimitedBody,
     splitter: &mut event_stream::Splitter,
 ) -> Result<Option<event_stream::Event>, EventsEnd> {
     loop {
--- a/daemon/tests/endless_answers.rs
+++ b/daemon/tests/endless_answers.rs
@@ -88,6 +88,8 @@
         Endless::Interim,
         Endless::Body,
         Endless::Chunks,
+        Endless::ChunkSize,
+        Endless::LongChunkSizes,
     ] {
         let (host, servers) = start_plain(server::Fault::Endless(endless)).await;
         for answer in send_many(&host, "/once/x", "", CONCURRENT).await {
@@ -159,6 +161,7 @@
     for endless in [
         Endless::Body,
         Endless::Chunks,
+        Endless::ChunkSize,
         Endless::HeaderLine,
         Endless::Garbage,
     ] {
@@ -215,3 +218,58 @@
     let peak = peak_memory_mb(&setup.host);
     assert!(peak < MEMORY_MB, "{peak} MB\n{}", json!(setup.host.log()));
 }
+
+/// Guards against a server whose answers take up the time of the host, so that other services aren't served.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_services_are_served_beside_answers_without_end() {
+    use server::Endless;
+    const SOUND: usize = 20;
+    for endless in [
+        Endless::ChunkSize,
+        Endless::LongChunkSizes,
+        Endless::Chunks,
+        Endless::Interim,
+    ] {
+        for of_engines in [false, true] {
+            let setup =
+                engine_setup::EngineSetup::start_with_settings(BINARY, &["i-d1"], &settings())
+                    .await;
+            let plain = server::Server::start("i-a", None).await;
+            plain.register(&setup.store, "gate");
+            setup.wait_for_log("\"server\":\"i-a\"").await;
+            let fault = server::Fault::Endless(endless);
+            let (bad, sound) = match of_engines {
+                true => {
+                    setup.set_fault(fault);
+                    ("/single/x", "/once/x")
+                }
+                false => {
+                    plain.set_fault(fault);
+                    ("/once/x", "/single/x")
+                }
+            };
+            let (failed, served) = tokio::join!(
+                send_many(&setup.host, bad, engine_setup::PROMPT, CONCURRENT),
+                async {
+                    tokio::time::sleep(time::Duration::from_millis(200)).await;
+                    let mut served = Vec::new();
+                    while served.len() < SOUND {
+                        // No more than an engine takes at once.
+                        let answers = send_many(&setup.host, sound, engine_setup::PROMPT, 4);
+                        served.extend(answers.await);
+                    }
+                    served
+                }
+            );
+            let what = format!("{endless:?}, engines {of_engines}");
+            let log = setup.host.log();
+            // Requests that wait for room at a server may be refused.
+            let unanswered = failed.iter().filter(|answer| answer.status == 0).count();
+            assert_eq!(unanswered, 0, "{what}: {log}");
+            let whole = served
+                .iter()
+                .filter(|answer| answer.status == 200 && answer.complete);
+            assert_eq!(whole.count(), SOUND, "{what}: {log}");
+        }
+    }
+}
