router: bound what a caller's body and another host's events may cost

The same class as for servers: a chunk size that never ends in a caller's body kept the host busy until the body's time limit, and events of another host that the caller has already were read until the stream's deadline. Callers' connections have the same limit now, with the larger buffer of theirs, and such events are bounded as those of servers are. Calls between hosts are HTTP/2, whose library bounds frames; their messages were bounded before.

--- a/daemon/src/router/connection_pool.rs
+++ b/daemon/src/router/connection_pool.rs
@@ -36,6 +36,9 @@
 /// How long bytes may be unacknowledged. No keepalive probes are sent meanwhile.
 const UNACKNOWLEDGED_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
+/// The most bytes that the HTTP library buffers of an answer.
+const MAX_BUFFER: usize = 128 * 1024;
+
 /// An open connection. Dropping it closes the connection, which cancels the request in progress on
 /// it.
 #[derive(Debug)]
@@ -227,11 +230,9 @@
     stream: tokio::net::TcpStream,
     heard: Option<sync::Arc<atomic::AtomicBool>>,
 ) -> io::Result<Connection> {
-    let (stream, read_limit) = read_limit::LimitedStream::new(stream, heard);
+    let (stream, read_limit) = read_limit::LimitedStream::new(stream, MAX_BUFFER, heard);
     let io = rt::TokioIo::new(stream);
-    let handshake = http1::Builder::new()
-        .max_buf_size(read_limit::MAX_BUFFER)
-        .handshake(io);
+    let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(io);
     let (tx, connection) = handshake.await.map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
         // The request that was sent on the connection reports how it ended.
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
-use hyper::body;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::outcome;
 use walnuthaven_lib::routing;
@@ -29,6 +28,7 @@
 use crate::router::peer_service;
 use crate::router::peer_stream;
 use crate::router::plain_request;
+use crate::router::read_limit;
 use crate::router::relay;
 use crate::router::request_parts;
 use crate::router::send;
@@ -58,7 +58,7 @@
     cx: sync::Arc<context::Router<D>>,
     caller: net::IpAddr,
     connection: &connection_timer::HeadState,
-    req: http::Request<body::Incoming>,
+    req: http::Request<read_limit::LimitedBody>,
 ) -> Result<answer::Answer, convert::Infallible> {
     let arrived = cx.now();
     let guard = context::InFlightGuard::new(&cx);
@@ -82,7 +82,7 @@
     cx: &sync::Arc<context::Router<D>>,
     caller: net::IpAddr,
     connection: &connection_timer::HeadState,
-    req: http::Request<body::Incoming>,
+    req: http::Request<read_limit::LimitedBody>,
     arrived: time::Duration,
     guard: context::InFlightGuard<D>,
 ) -> answer::Answer {
@@ -128,7 +128,7 @@
     caller: net::IpAddr,
     parts: http::request::Parts,
     head: dialect::RequestHead,
-    body: body::Incoming,
+    body: read_limit::LimitedBody,
     /// Its attempts so far.
     attempts: sync::Arc<outcome::Attempts>,
 }
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -23,6 +23,7 @@
 use crate::router::forward;
 use crate::router::inspect;
 use crate::router::preview;
+use crate::router::read_limit;
 use crate::router::shutdown;
 use crate::router::workspace_limits;
 
@@ -119,6 +120,7 @@
     }
     let head_state = connection_timer::HeadState::default();
     let (reader, writer) = stream.into_split();
+    let (reader, read_limit) = read_limit::LimitedStream::new(reader, MAX_HEAD_BYTES, None);
     let limits_cx = cx.clone();
     let timed_reader = connection_timer::TimedReader::new(reader, head_state.clone(), move || {
         time_limits(&limits_cx)
@@ -127,13 +129,18 @@
     let stream = tokio::io::join(timed_reader, writer);
     let service_cx = cx.clone();
     let (guard_state, open_state) = (head_state.clone(), head_state.clone());
-    let service = service::service_fn(move |req| {
+    let service = service::service_fn(move |req: http::Request<body::Incoming>| {
         let cx = service_cx.clone();
         let head_state = head_state.clone();
+        let read_limit = read_limit.clone();
         head_state.set_head_read();
+        read_limit.start();
         async move {
             let answer = match endpoint {
-                Endpoint::Callers => forward::handle(cx, caller, &head_state, req).await,
+                Endpoint::Callers => {
+                    let req = req.map(|body| read_limit::LimitedBody::new(body, read_limit));
+                    forward::handle(cx, caller, &head_state, req).await
+                }
                 Endpoint::Discovery => answer_discovery(&cx, &req),
                 Endpoint::Metrics => answer_metrics(&cx, &req),
             };
--- a/daemon/src/router/peer_stream.rs
+++ b/daemon/src/router/peer_stream.rs
@@ -126,6 +126,8 @@
     tx: &stream_events::EventSender,
 ) -> PartEnd {
     let mut splitter = event_stream::Splitter::default();
+    // Bytes that continued the stream by nothing.
+    let mut useless_bytes = 0;
     loop {
         let time_left = request.deadline.saturating_sub(request.cx.now());
         let data = tokio::select! {
@@ -144,8 +146,14 @@
         }
         while let Some(event) = splitter.next_event() {
             match stream_events::check_event_id(request, &event) {
-                stream_events::EventOrder::Next => {}
-                stream_events::EventOrder::Duplicate => continue,
+                stream_events::EventOrder::Next => useless_bytes = 0,
+                stream_events::EventOrder::Duplicate => {
+                    useless_bytes += event.bytes.len();
+                    if useless_bytes > event_stream::MAX_EVENT_BYTES {
+                        return PartEnd::Broken("bytes that are no answer");
+                    }
+                    continue;
+                }
                 stream_events::EventOrder::Gap => return PartEnd::Broken("events are missing"),
             }
             if !stream_events::send_events(tx, vec![event.bytes]).await {
--- a/daemon/src/router/read_limit.rs
+++ b/daemon/src/router/read_limit.rs
@@ -1,4 +1,4 @@
-//! Bounds what is read of a server's answer, and for how long at a time.
+//! Bounds what is read of a message, a server's answer or a caller's request, and for how long at a time.
 //!
 //! The HTTP library limits the size of one head, but reads interim responses, or the size of a chunk, for as long as they
 //! come, and keeps the thread busy meanwhile.
@@ -17,38 +17,44 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
-/// Bytes that a server may send before the body of its answer, or ahead of what is taken of the body. It is more than the
-/// HTTP library buffers.
-const MAX_BYTES: usize = 512 * 1024;
-/// The most bytes that the HTTP library buffers of an answer.
-pub(super) const MAX_BUFFER: usize = 128 * 1024;
-/// Bytes that a server may send for each byte of the body, and for each part of it.
+/// Buffers of the HTTP library that a peer may fill before the body of its message, or ahead of what is taken of the body.
+const BUFFERS: usize = 4;
+/// Bytes that a peer may send for each byte of the body, and for each part of it.
 const BYTES_PER_BODY_BYTE: usize = 16;
 const BYTES_PER_PART: usize = 64;
 /// Bytes that are read on a connection before other tasks run.
 const MAX_BYTES_AT_ONCE: usize = 64 * 1024;
 
-/// How many further bytes may be read of the answer on a connection.
+/// How many further bytes may be read of the message on a connection.
 #[derive(Clone, Debug)]
-pub(super) struct ReadLimit(sync::Arc<atomic::AtomicUsize>);
+pub(super) struct ReadLimit(sync::Arc<BytesLeft>);
+
+#[derive(Debug)]
+struct BytesLeft {
+    left: atomic::AtomicUsize,
+    max: usize,
+}
 
 impl ReadLimit {
-    fn new() -> Self {
-        Self(sync::Arc::new(atomic::AtomicUsize::new(MAX_BYTES)))
+    fn new(max: usize) -> Self {
+        Self(sync::Arc::new(BytesLeft {
+            left: atomic::AtomicUsize::new(max),
+            max,
+        }))
     }
 
-    /// Starts to count anew: a request is sent.
+    /// Starts to count anew: a request is sent, or the head of one was read.
     pub(super) fn start(&self) {
-        self.0.store(MAX_BYTES, atomic::Ordering::Relaxed);
+        self.0.left.store(self.0.max, atomic::Ordering::Relaxed);
     }
 
     fn left(&self) -> usize {
-        self.0.load(atomic::Ordering::Relaxed)
+        self.0.left.load(atomic::Ordering::Relaxed)
     }
 
     fn record_read(&self, bytes: usize) {
         let left = self.left().saturating_sub(bytes);
-        self.0.store(left, atomic::Ordering::Relaxed);
+        self.0.left.store(left, atomic::Ordering::Relaxed);
     }
 
     /// Records that a part of the body was taken.
@@ -56,12 +62,12 @@
         let allowed = bytes
             .saturating_mul(BYTES_PER_BODY_BYTE)
             .saturating_add(BYTES_PER_PART);
-        let left = self.left().saturating_add(allowed).min(MAX_BYTES);
-        self.0.store(left, atomic::Ordering::Relaxed);
+        let left = self.left().saturating_add(allowed).min(self.0.max);
+        self.0.left.store(left, atomic::Ordering::Relaxed);
     }
 }
 
-/// The body of a server's answer.
+/// The body of a message.
 #[derive(Debug)]
 pub(crate) struct LimitedBody {
     body: body::Incoming,
@@ -111,12 +117,14 @@
 }
 
 impl<S> LimitedStream<S> {
-    /// Returns the connection and its limit. `heard` is set whenever bytes arrive.
+    /// Returns the connection and its limit. `max_buffer` is what the HTTP library buffers, and `heard` is set whenever
+    /// bytes arrive.
     pub(super) fn new(
         stream: S,
+        max_buffer: usize,
         heard: Option<sync::Arc<atomic::AtomicBool>>,
     ) -> (Self, ReadLimit) {
-        let limit = ReadLimit::new();
+        let limit = ReadLimit::new(max_buffer * BUFFERS);
         let limited = Self {
             stream,
             limit: limit.clone(),
--- a/daemon/tests/caller_limits.rs
+++ b/daemon/tests/caller_limits.rs
@@ -12,6 +12,8 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
 /// Longest time to wait for an answer or a closed connection.
 const TIMEOUT: time::Duration = time::Duration::from_secs(8);
+/// The routes' time limit, by which a body has to arrive.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 /// The configuration's limit on the time to receive the head of a request.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
@@ -144,3 +146,22 @@
     assert_eq!(got, (200, true), "{answer:?}: {}", host.log());
     assert_eq!(server.runs_of("r2"), 1);
 }
+
+/// Guards against bodies that take up the time of the host until their time limit, by a chunk size that never ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_without_end_is_cut_before_its_time_limit() {
+    let (host, server) = start_host("").await;
+    let mut stream = tokio::net::TcpStream::connect(host.callers_addr)
+        .await
+        .unwrap();
+    let head = "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n\
+                Transfer-Encoding: chunked\r\n\r\n";
+    let began = time::Instant::now();
+    let mut written = stream.write_all(head.as_bytes()).await;
+    while written.is_ok() {
+        written = stream.write_all(&[b'0'; 65_536]).await;
+    }
+    let took = began.elapsed();
+    assert!(took < BODY_TIMEOUT, "cut after {took:?}: {}", host.log());
+    assert_eq!(server.runs_of("r1"), 0);
+}
