router: content marks don't end a run that was stopped for a move

Such content isn't sent to servers meanwhile; that was applied to the send that only lets a stopped run go on, too, at the other engine and at its own, so the host ended a stream that it had had stopped itself. A run that was stopped while it wrote the answer doesn't crash servers.

--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -238,6 +238,7 @@
         let options = send::Options {
             deadline: self.deadline,
             repeatable,
+            continues_run: false,
         };
         send::get_connection(&self.cx, server, options).await
     }
@@ -323,6 +324,7 @@
         let options = send::Options {
             deadline: prefill_deadline.min(self.deadline),
             repeatable: true,
+            continues_run: false,
         };
         let params = dialect::SendParams {
             deadline: self.deadline.saturating_sub(started),
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -138,7 +138,7 @@
         self.count_attempt();
         self.last_server = Some(server.id.clone());
         let sending = self.send_decode(&server, connection, kv_cache);
-        let answered = match self.wait_for_answer(&server, sending).await {
+        let answered = match self.wait_for_answer(&server, sending, false).await {
             Awaited::Answer(answered) => *answered,
             Awaited::Replaced(other) => return Ok(DecodeResult::Replaced(other)),
         };
@@ -160,11 +160,12 @@
     }
 
     /// Waits for a server's answer. If the server is silent, another one replaces it as soon as
-    /// that is prepared.
+    /// that is prepared. `continues_run` states whether the server is to go on with a run that was stopped.
     async fn wait_for_answer(
         &mut self,
         server: &sync::Arc<backends::Backend>,
         sending: impl Future<Output = DecodeAnswer<D>>,
+        continues_run: bool,
     ) -> Awaited<D> {
         let sent_at = self.cx.now();
         let (cx, received) = (self.cx.clone(), self.received.clone());
@@ -174,7 +175,7 @@
             && self.decide_next(outcome::Outcome::Silent) == outcome::Next::SendAgain;
         let answered = tokio::select! {
             answered = sending => answered,
-            () = part_marks::wait_until_refused(&cx, &received) => {
+            () = part_marks::wait_until_refused(&cx, &received), if !continues_run => {
                 let outcome = outcome::Outcome::Quarantined;
                 let cause = "a part of the prompt crashes servers";
                 DecodeAnswer {
@@ -218,7 +219,7 @@
         self.count_retry();
         self.last_server = Some(server.id.clone());
         let sending = self.send_decode(server, connection, Some(kv_cache));
-        let answered = match self.wait_for_answer(server, sending).await {
+        let answered = match self.wait_for_answer(server, sending, true).await {
             Awaited::Answer(answered) => *answered,
             Awaited::Replaced(other) => return Ok(Resumed::Replaced(other)),
         };
@@ -246,6 +247,7 @@
         let options = send::Options {
             deadline: self.deadline,
             repeatable: self.route.kind.may_run_again(),
+            continues_run: kv_cache.as_ref().is_some_and(|kv_cache| kv_cache.of_run),
         };
         let (last_event, now) = (self.last_event, self.cx.now());
         async move {
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -366,6 +366,7 @@
         let options = |deadline| send::Options {
             deadline,
             repeatable,
+            continues_run: false,
         };
         let connection = match send::get_connection(cx, server, options(silent_at)).await {
             Ok(connection) => connection,
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -157,6 +157,7 @@
         let options = send::Options {
             deadline,
             repeatable: false,
+            continues_run: false,
         };
         // Connects to the target first, so that the run isn't stopped for an engine that can't be
         // reached.
@@ -367,6 +368,7 @@
     let options = send::Options {
         deadline: cx.now() + COPY_TIMEOUT,
         repeatable: false,
+        continues_run: false,
     };
     send::get_connection(cx, server, options).await
 }
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -161,6 +161,8 @@
     /// Whether the request may be sent again if the connection breaks and it is unknown whether the
     /// server ran it.
     pub(crate) repeatable: bool,
+    /// Whether the server is to go on with a run that was stopped.
+    pub(crate) continues_run: bool,
 }
 
 /// Sends a request on a connection and waits for the head of the answer. Sends nothing if the content
@@ -186,7 +188,10 @@
             "server wants no requests",
         ));
     }
-    crash_marks::check_send(cx, req, params.work, &server.id)?;
+    // A run that was stopped while it wrote the answer doesn't crash servers.
+    if !options.continues_run {
+        crash_marks::check_send(cx, req, params.work, &server.id)?;
+    }
     server_notices::log_departed(cx, req.head.request_id.as_deref(), server);
     let timeout = time_left(cx, options.deadline);
     let builder = http::Request::builder().method(req.method.clone());
--- a/daemon/tests/moved_streams.rs
+++ b/daemon/tests/moved_streams.rs
@@ -3,6 +3,7 @@
 
 use std::sync;
 use std::sync::atomic;
+use std::time;
 
 use walnuthaven_platform_standin::caller;
 use walnuthaven_platform_standin::engine_setup;
@@ -122,3 +123,57 @@
         }
     }
 }
+
+/// Guards against streams that are cut because other requests with the same content may have crashed servers.
+#[tokio::test]
+async fn stream_moves_although_its_content_is_suspected() {
+    let setup = engine_setup::EngineSetup::start_with(BINARY, &["i-d1", "i-d2", "i-d3"]).await;
+    for engine in &setup.decode_engines {
+        let events = &engine.events_per_stream;
+        events.store(EVENTS, atomic::Ordering::Relaxed);
+        engine
+            .delay_ms
+            .store(EVENT_PAUSE_MS, atomic::Ordering::Relaxed);
+    }
+    let bytes = caller::request("POST", "/single/x", "r1", LONG_PROMPT, "a prompt");
+    let suspect_and_drain = async {
+        let leaving = setup.wait_for_run("r1").await;
+        let others = setup.decode_engines.iter().filter(|e| e.id != leaving.id);
+        let others: Vec<_> = others.collect();
+        for other in &others {
+            other.set_fault(server::Fault::CloseWithinHeader);
+        }
+        // Each send that breaks is checked for a crash for a while. The requests that the first engine gets last.
+        for number in 0..8 {
+            let id = format!("b{number}");
+            let bytes = caller::request("POST", "/single/x", &id, LONG_PROMPT, "a prompt");
+            let addr = setup.host.callers_addr;
+            tokio::spawn(async move { caller::send(addr, &bytes, engine_setup::TIMEOUT).await });
+        }
+        let started = time::Instant::now();
+        while setup
+            .host
+            .log()
+            .matches("\"event\":\"send-failed\"")
+            .count()
+            < 3
+        {
+            assert!(started.elapsed() < engine_setup::TIMEOUT, "no send failed");
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+        for other in &others {
+            other.set_fault(server::Fault::None);
+        }
+        let entry = leaving.entry("scribe", "draining");
+        setup.store.put("servers", &leaving.id, entry);
+    };
+    let (answer, ()) = tokio::join!(
+        caller::send(setup.host.callers_addr, &bytes, engine_setup::TIMEOUT),
+        suspect_and_drain
+    );
+    let log = setup.host.log();
+    assert!(log.contains("\"event\":\"content-suspected\""), "{log}");
+    assert!(log.contains("\"event\":\"moved\",\"id\":\"r1\""), "{log}");
+    assert_eq!((answer.status, answer.complete), (200, true), "{log}");
+    assert_eq!(answer.body, engine_setup::complete_stream(EVENTS));
+}
