--- a/daemon/tests/moved_streams.rs
+++ b/daemon/tests/moved_streams.rs
@@ -26,13 +26,9 @@
     other: sync::Arc<server::Server>,
 }
 
-/// Has an engine leave while it writes a stream, and its host get SIGTERM. `disturb` is applied to both engines, that which
-/// leaves first.
-async fn drain_beside_stop(
-    path: &str,
-    disturb: impl Fn(&server::Server, &server::Server),
-) -> Moved {
-    let setup = engine_setup::EngineSetup::start(BINARY).await;
+/// Starts a host with decode engines of these ids.
+async fn start(ids: &[&str]) -> engine_setup::EngineSetup {
+    let setup = engine_setup::EngineSetup::start_with(BINARY, ids).await;
     for engine in &setup.decode_engines {
         let events = &engine.events_per_stream;
         events.store(EVENTS, atomic::Ordering::Relaxed);
@@ -40,6 +36,16 @@
             .delay_ms
             .store(EVENT_PAUSE_MS, atomic::Ordering::Relaxed);
     }
+    setup
+}
+
+/// Has an engine leave while it writes a stream, and its host get SIGTERM. `disturb` is applied to both engines, that which
+/// leaves first.
+async fn drain_beside_stop(
+    path: &str,
+    disturb: impl Fn(&server::Server, &server::Server),
+) -> Moved {
+    let setup = start(&["i-d1", "i-d2"]).await;
     let bytes = caller::request("POST", path, "r1", LONG_PROMPT, "a prompt");
     let drain = async {
         let leaving = setup.wait_for_run("r1").await;
@@ -127,14 +133,7 @@
 /// Guards against streams that are cut because other requests with the same content may have crashed servers.
 #[tokio::test]
 async fn stream_moves_although_its_content_is_suspected() {
-    let setup = engine_setup::EngineSetup::start_with(BINARY, &["i-d1", "i-d2", "i-d3"]).await;
-    for engine in &setup.decode_engines {
-        let events = &engine.events_per_stream;
-        events.store(EVENTS, atomic::Ordering::Relaxed);
-        engine
-            .delay_ms
-            .store(EVENT_PAUSE_MS, atomic::Ordering::Relaxed);
-    }
+    let setup = start(&["i-d1", "i-d2", "i-d3"]).await;
     let bytes = caller::request("POST", "/single/x", "r1", LONG_PROMPT, "a prompt");
     let suspect_and_drain = async {
         let leaving = setup.wait_for_run("r1").await;
