router: limit the log lines that malformed requests cause

A client that connects again whenever it is closed causes a line of the log each time, thousands a second, which also push the lines of ordinary requests out of the newest 256 kB that `explain` reads. Lines of malformed heads, closed connections, unknown routes, missing keys and bodies and heads over the limit are now written at most 50 times a second from each place in the code. The next line tells in `suppressed` how many weren't. Lines of requests that are handled or refused for want of room stay whole.

--- a/daemon/src/router/events.rs
+++ b/daemon/src/router/events.rs
@@ -171,6 +171,19 @@
 }
 pub(crate) use event;
 
+/// Logs an event that clients can cause as often as they like. Few of each place in the code are written in a second;
+/// the field `suppressed` has the number of those that weren't.
+macro_rules! limited_event {
+    ($level:ident, $name:literal $(, $key:literal => $value:expr)+ $(,)?) => {{
+        static LIMIT: $crate::router::log_limit::LogLimit =
+            $crate::router::log_limit::LogLimit::new();
+        if let Some(suppressed) = LIMIT.pass(std::time::Instant::now()) {
+            $crate::router::events::event!($level, $name $(, $key => $value)+, "suppressed" => suppressed);
+        }
+    }};
+}
+pub(crate) use limited_event;
+
 /// Returns a value as JSON text.
 pub(crate) fn to_json<T: serde::Serialize + ?Sized>(value: &T) -> String {
     serde_json::to_string(value).unwrap_or_else(|error| format!("\"{error}\""))
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -24,6 +24,7 @@
 use crate::router::context;
 use crate::router::crash_marks;
 use crate::router::events::event;
+use crate::router::events::limited_event;
 use crate::router::part_marks;
 use crate::router::peer_service;
 use crate::router::peer_stream;
@@ -98,7 +99,7 @@
     let head = match head {
         Ok(head) => head,
         Err(bad) => {
-            event!(Info, "bad-request", "header" => bad.header, "value" => bad.value);
+            limited_event!(Info, "bad-request", "header" => bad.header, "value" => bad.value);
             let reason = format!("header {}: {:?} is malformed", bad.header, bad.value);
             return answer::from_router(http::StatusCode::BAD_REQUEST, &reason);
         }
@@ -158,7 +159,7 @@
     }
     let head_bytes = request_parts::head_bytes(&parts);
     if head_bytes > table.limits.header_bytes.saturating_mul(HEAD_TOLERANCE) {
-        event!(Info, "head-too-large", "id" => id, "bytes" => head_bytes,
+        limited_event!(Info, "head-too-large", "id" => id, "bytes" => head_bytes,
             "limit" => table.limits.header_bytes);
         return answer::from_router(
             http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -167,14 +168,14 @@
     }
     let host = request_parts::host_name(&parts);
     let Some(route) = table.find(&host, parts.uri.path()) else {
-        event!(Info, "no-route", "id" => id, "host" => host, "path" => parts.uri.path(),
+        limited_event!(Info, "no-route", "id" => id, "host" => host, "path" => parts.uri.path(),
             "version" => table.version);
         return answer::from_router(http::StatusCode::NOT_FOUND, "no route matches");
     };
     let workspace = match caller_workspace::authenticate(cx, &table, route, &mut parts.headers) {
         Ok(workspace) => workspace,
         Err(unauthorized) => {
-            event!(Info, "unauthorized", "id" => id, "route" => route.name,
+            limited_event!(Info, "unauthorized", "id" => id, "route" => route.name,
                 "cause" => unauthorized.cause, "version" => table.version);
             return unauthorized.answer();
         }
@@ -196,7 +197,7 @@
     let body = match tokio::time::timeout(deadline.saturating_sub(cx.now()), reading).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            event!(Info, "body-too-large", "id" => id, "limit" => table.limits.body_bytes);
+            limited_event!(Info, "body-too-large", "id" => id, "limit" => table.limits.body_bytes);
             return answer::from_router(
                 http::StatusCode::PAYLOAD_TOO_LARGE,
                 "the body is too large",
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -20,6 +20,7 @@
 use crate::router::context;
 use crate::router::events;
 use crate::router::events::event;
+use crate::router::events::limited_event;
 use crate::router::forward;
 use crate::router::inspect;
 use crate::router::preview;
@@ -191,7 +192,7 @@
     error: &hyper::Error,
 ) {
     if error.is_parse() {
-        event!(Info, "bad-request", "cause" => error.to_string());
+        limited_event!(Info, "bad-request", "cause" => error.to_string());
     }
     let newest = state.newest();
     let open = newest.filter(|(_, answer)| *answer != connection_timer::AnswerState::Made);
@@ -200,7 +201,7 @@
         (cause, _) => cause.unwrap_or("the caller closed it"),
     };
     let (open, answer) = open.unzip();
-    event!(Info, "connection-closed", "caller" => caller, "cause" => cause,
+    limited_event!(Info, "connection-closed", "caller" => caller, "cause" => cause,
         "error" => error.to_string(), "id" => open.and_then(|request| request.id),
         "answer" => answer, "leaving_ms" => cx.leaving_for().as_millis() as u64);
 }
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -25,6 +25,7 @@
 mod inspect;
 mod links;
 mod listen;
+mod log_limit;
 mod news;
 mod part_marks;
 mod peer_reply;
