router: bound what the connections of all clients hold together

What callers saw: crowds that send heads or blank lines without end, stall, or don't read long answers took a host of 64 MB to 213 MB of its own and of the kernel's memory; on a machine that enforces its limit, the process is killed and its requests are lost.

Cause: nothing added up what connections hold. A full listener left the next client, whoever it was, in the kernel's queue until an idle one timed out.

Change: clients.rs counts the connections of all listeners for HTTP, and the bytes of heads (doubled, as the library doubles its buffer), bodies and answers until they were sent. The bounds follow from `[limits] memory` and `files`. Near a bound connections are closed: those that have held most bytes for longest; to make room for a connection, those that never brought a request, the oldest first, then idle ones. A request that was received and may be at a server is never given up, so that a closed connection still means "not run" where it did. An answer of a server waits for memory instead of failing. If no connection can be closed, the next one is refused at once. The kernel's buffers of a connection have a fixed size, reads are of 8 KiB, and a connection without a request doesn't hold the memory of one.

Ruled out: a limit on heads by the configuration's `max_header_bytes` alone (16 kB times all connections is more than the memory, too, and too_large_head_is_rejected wants heads of 100 kB logged with their id); a limit for each address (callers behind one address are many).

--- a/daemon/src/router/connection_pool.rs
+++ b/daemon/src/router/connection_pool.rs
@@ -230,7 +230,8 @@
     stream: tokio::net::TcpStream,
     heard: Option<sync::Arc<atomic::AtomicBool>>,
 ) -> io::Result<Connection> {
-    let (stream, read_limit) = read_limit::LimitedStream::new(stream, MAX_BUFFER, heard);
+    let (stream, read_limit) =
+        read_limit::LimitedStream::new(stream, MAX_BUFFER, MAX_BUFFER, heard);
     let io = rt::TokioIo::new(stream);
     let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(io);
     let (tx, connection) = handshake.await.map_err(io::Error::other)?;
--- a/daemon/src/router/connection_timer.rs
+++ b/daemon/src/router/connection_timer.rs
@@ -17,22 +17,24 @@
 use http_body::Body;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
+use walnuthaven_lib::load_shedding;
 use walnuthaven_lib::outcome;
 
 use crate::locks;
+use crate::router::clients;
 
 /// Whether the current request's head has been read on a connection. Shared by the connection's two
 /// sides and its responses.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct HeadState(sync::Arc<SharedHeadState>);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct SharedHeadState {
+    /// The connection, as far as it matters for what it holds.
+    client: clients::Client,
     is_head_read: atomic::AtomicBool,
     /// Whether bytes were written since the reading side last looked.
     has_written: atomic::AtomicBool,
-    /// Whether the last write waits for the caller to take bytes.
-    is_blocked: atomic::AtomicBool,
     /// Wakes the reading side once the response was sent or a part of it written, so that it measures the idle time.
     reader: futures_task::AtomicWaker,
     /// Whether the current request's answer was made.
@@ -65,8 +67,25 @@
 }
 
 impl HeadState {
+    pub(crate) fn new(client: clients::Client) -> Self {
+        Self(sync::Arc::new(SharedHeadState {
+            client,
+            is_head_read: atomic::AtomicBool::new(false),
+            has_written: atomic::AtomicBool::new(false),
+            reader: futures_task::AtomicWaker::new(),
+            is_answer_made: atomic::AtomicBool::new(false),
+            newest: sync::Mutex::new(None),
+        }))
+    }
+
+    /// Returns the connection, as far as it matters for what it holds.
+    pub(crate) fn client(&self) -> &clients::Client {
+        &self.0.client
+    }
+
     /// Records that the head of a request was read, which stops the timer.
     pub(crate) fn set_head_read(&self) {
+        self.0.client.enter(load_shedding::Phase::Served);
         self.0
             .is_answer_made
             .store(false, atomic::Ordering::Relaxed);
@@ -92,6 +111,8 @@
 
     /// Records that the response was sent: the next bytes belong to the head of another request.
     fn set_answered(&self) {
+        self.0.client.release_head();
+        self.0.client.enter(load_shedding::Phase::Waiting);
         self.0.is_head_read.store(false, atomic::Ordering::Relaxed);
         self.0.reader.wake();
     }
@@ -106,7 +127,7 @@
     }
 
     fn is_blocked(&self) -> bool {
-        self.0.is_blocked.load(atomic::Ordering::Relaxed)
+        self.0.client.is_blocked()
     }
 }
 
@@ -120,6 +141,7 @@
 
 impl<B> TrackedBody<B> {
     pub(crate) fn new(body: B, head_state: HeadState) -> Self {
+        head_state.0.client.enter(load_shedding::Phase::Answer);
         head_state
             .0
             .is_answer_made
@@ -154,10 +176,6 @@
     }
 }
 
-/// Maximum number of bytes in one read. The HTTP library doubles its buffer whenever a read fills it, up to
-/// the size of the largest head.
-const MAX_READ: usize = 16_384;
-
 /// Time from the end of a limit to the last read. If the host itself was late, the runtime may run timers
 /// before it learns of bytes that arrived in time.
 const LAST_READ_DELAY: time::Duration = time::Duration::from_millis(10);
@@ -274,12 +292,14 @@
         match polled {
             task::Poll::Ready(Ok(1..)) => {
                 shared.has_written.store(true, atomic::Ordering::Relaxed);
-                if shared.is_blocked.swap(false, atomic::Ordering::Relaxed) {
+                if shared.client.set_blocked(false) {
                     shared.reader.wake();
                 }
             }
             task::Poll::Ready(_) => {}
-            task::Poll::Pending => shared.is_blocked.store(true, atomic::Ordering::Relaxed),
+            task::Poll::Pending => {
+                shared.client.set_blocked(true);
+            }
         }
         polled
     }
@@ -334,17 +354,30 @@
         buf: &mut tokio::io::ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let polled = poll_read_part(&mut self.stream, cx, buf);
-        if self.head_state.is_head_read() {
+        let is_head_read = self.head_state.is_head_read();
+        let may_read = is_head_read || self.head_state.client().may_read();
+        let polled = match may_read {
+            true => pin::Pin::new(&mut self.stream).poll_read(cx, buf),
+            false => {
+                // Connections are being closed, which takes a moment.
+                cx.waker().wake_by_ref();
+                task::Poll::Pending
+            }
+        };
+        if is_head_read {
             self.head_begun = false;
             self.wait = None;
             self.head_state.0.reader.register(cx.waker());
             return polled;
         }
         if polled.is_ready() {
-            if buf.filled().len() > before && !self.head_begun {
+            let read = buf.filled().len() - before;
+            self.head_state.client().add_head(read);
+            if read > 0 && !self.head_begun {
                 self.head_begun = true;
                 self.wait = None;
+                let client = self.head_state.client();
+                client.enter(load_shedding::Phase::Head);
             }
             // What has arrived is read even if it is late.
             return polled;
@@ -363,19 +396,3 @@
         polled
     }
 }
-
-/// Reads at most `MAX_READ` bytes.
-fn poll_read_part<S: AsyncRead + Unpin>(
-    stream: &mut S,
-    cx: &mut task::Context<'_>,
-    buf: &mut tokio::io::ReadBuf<'_>,
-) -> task::Poll<io::Result<()>> {
-    if buf.remaining() <= MAX_READ {
-        return pin::Pin::new(stream).poll_read(cx, buf);
-    }
-    let mut part = tokio::io::ReadBuf::new(buf.initialize_unfilled_to(MAX_READ));
-    let polled = pin::Pin::new(stream).poll_read(cx, &mut part);
-    let read = part.filled().len();
-    buf.advance(read);
-    polled
-}
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -26,7 +26,7 @@
 use walnuthaven_lib::wait_queue;
 
 use crate::locks;
-use crate::router::body_memory;
+use crate::router::clients;
 use crate::router::connection_pool;
 use crate::router::crash_checks;
 use crate::router::crash_marks;
@@ -140,10 +140,8 @@
     pub(crate) stream_queries_due: tokio::sync::Notify,
     /// Which software versions have served.
     pub(crate) served_versions: sync::Mutex<served_versions::ServedVersions>,
-    /// The memory held by answers that are being read.
-    pub(crate) answer_memory: sync::Arc<body_memory::BodyMemory>,
-    /// The memory held by request bodies.
-    pub(crate) body_memory: sync::Arc<body_memory::BodyMemory>,
+    /// The connections of clients, and the memory of their messages.
+    pub(crate) clients: sync::Arc<clients::Clients>,
     /// This host's shares of the retry budgets, by service.
     pub(crate) retry_budgets: retry_budget::RetryBudgets,
     /// Idle connections to backend servers.
@@ -173,6 +171,7 @@
             incarnation: clock::millis(clock.unix_time()),
         };
         let limits = workspace_limits::Limits::new(id.incarnation);
+        let resources = settings.resource_limits();
         Self {
             dialect,
             work_owner: id.to_string().into(),
@@ -216,8 +215,7 @@
             stream_queries: sync::Mutex::default(),
             stream_queries_due: tokio::sync::Notify::new(),
             served_versions: sync::Mutex::default(),
-            answer_memory: sync::Arc::default(),
-            body_memory: sync::Arc::default(),
+            clients: sync::Arc::new(clients::Clients::new(resources)),
             retry_budgets: retry_budget::RetryBudgets::new(clock.now()),
             connection_pool: connection_pool::Pool::default(),
             telemetry: telemetry::Telemetry::default(),
@@ -244,6 +242,7 @@
     }
 
     pub(crate) fn set_settings(&self, settings: settings::Settings) {
+        self.clients.set_limits(settings.resource_limits());
         *locks::write(&self.settings) = sync::Arc::new(settings);
     }
 
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -8,8 +8,6 @@
 use std::time;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
-use http_body_util::Limited;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::outcome;
 use walnuthaven_lib::routing;
@@ -18,8 +16,8 @@
 use xxhash_rust::xxh3;
 
 use crate::router::answer;
-use crate::router::body_memory;
 use crate::router::caller_workspace;
+use crate::router::clients;
 use crate::router::connection_timer;
 use crate::router::context;
 use crate::router::crash_marks;
@@ -31,6 +29,7 @@
 use crate::router::plain_request;
 use crate::router::read_limit;
 use crate::router::relay;
+use crate::router::request_body;
 use crate::router::request_parts;
 use crate::router::send;
 use crate::router::server_limits;
@@ -44,8 +43,6 @@
 const NOT_READY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 /// How long a leaving host still accepts requests whose answers are streams.
 pub(crate) const ACCEPT_STREAMS_FOR: time::Duration = time::Duration::from_millis(2_500);
-/// Retry-After when there is no memory for the body: about the time that a request takes.
-const NO_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 /// A head may exceed the limit in force by this factor, as a caller may know of a raised limit earlier than
 /// the host.
 const HEAD_TOLERANCE: usize = 2;
@@ -71,6 +68,10 @@
         let close = http::HeaderValue::from_static("close");
         answer.headers_mut().insert(http::header::CONNECTION, close);
     }
+    if let answer::ResponseBody::Complete(Some(body)) = answer.body_mut() {
+        let whole = std::mem::take(body);
+        *body = connection.client().hold_answer(whole);
+    }
     let status = answer.status();
     if status.is_client_error() || status.is_server_error() {
         cx.telemetry.count(&format!("answers.{}", status.as_u16()));
@@ -106,6 +107,7 @@
     };
     let received = ReceivedRequest {
         caller,
+        client: connection.client(),
         parts,
         head,
         body,
@@ -125,8 +127,9 @@
 }
 
 /// A request whose head was read.
-struct ReceivedRequest {
+struct ReceivedRequest<'a> {
     caller: net::IpAddr,
+    client: &'a clients::Client,
     parts: http::request::Parts,
     head: dialect::RequestHead,
     body: read_limit::LimitedBody,
@@ -137,12 +140,13 @@
 /// Matches a route, reads the body and has a server answer.
 async fn answer_received<D: dialect::Dialect>(
     cx: &sync::Arc<context::Router<D>>,
-    received: ReceivedRequest,
+    received: ReceivedRequest<'_>,
     arrived: time::Duration,
     guard: context::InFlightGuard<D>,
 ) -> answer::Answer {
     let ReceivedRequest {
         caller,
+        client,
         mut parts,
         head,
         body,
@@ -184,35 +188,15 @@
     if !cx.may_send(deadline) {
         return refuse_leaving(cx, &head);
     }
-    let max_bytes = request_parts::max_body_bytes(&parts.headers, &table.limits);
-    let Some(memory) = cx
-        .body_memory
-        .reserve(max_bytes, cx.settings().memory_bytes)
-    else {
-        event!(Info, "refused", "id" => id, "cause" => "no memory for the body",
-            "bytes" => max_bytes);
-        return answer::not_run("no memory for the body", NO_MEMORY_RETRY_AFTER);
+    let body_limits = request_body::BodyLimits {
+        stated_bytes: request_parts::max_body_bytes(&parts.headers, &table.limits),
+        max_bytes: table.limits.body_bytes,
+        deadline,
     };
-    let reading = Limited::new(body, table.limits.body_bytes).collect();
-    let body = match tokio::time::timeout(deadline.saturating_sub(cx.now()), reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            limited_event!(Info, "body-too-large", "id" => id, "limit" => table.limits.body_bytes);
-            return answer::from_router(
-                http::StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is too large",
-            );
-        }
-        Ok(Err(_)) => {
-            return answer::from_router(http::StatusCode::BAD_REQUEST, "the body broke off");
-        }
-        Err(_) => {
-            event!(Info, "refused", "id" => id, "cause" => "body not read in time");
-            return answer::from_router(
-                http::StatusCode::REQUEST_TIMEOUT,
-                "the body took too long",
-            );
-        }
+    let read = request_body::read(cx, client, id.as_deref(), body, body_limits).await;
+    let (body, memory) = match read {
+        Ok(read) => read,
+        Err(answer) => return answer,
     };
     // The body may have taken long.
     if !cx.may_send(deadline) {
@@ -249,7 +233,7 @@
     parts: http::request::Parts,
     head: dialect::RequestHead,
     body: Bytes,
-    memory: body_memory::Reservation,
+    memory: clients::Held,
     route: sync::Arc<routing::Route>,
     /// The caller's workspace; `None` if the deployment has none, or the caller of an open route has no key.
     workspace: Option<sync::Arc<workspaces::Workspace>>,
@@ -293,10 +277,8 @@
     let route = table.find(&host, parts.uri.path()).ok_or("no route")?;
     let time_left = time::Duration::from_millis(call.time_left_ms);
     let attempts = sync::Arc::new(outcome::Attempts::of_other_host(call.may_have_run));
-    let memory = cx
-        .body_memory
-        .reserve(call.body.len(), cx.settings().memory_bytes)
-        .ok_or("no memory for the body")?;
+    let memory = cx.clients.reserve(None, call.body.len()).await;
+    let memory = memory.ok_or("no memory for the body")?;
     let request = RoutedRequest {
         caller: call.caller.parse().map_err(|_| "caller")?,
         head,
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -16,6 +16,7 @@
 
 use crate::locks;
 use crate::router::answer;
+use crate::router::clients;
 use crate::router::connection_timer;
 use crate::router::context;
 use crate::router::events;
@@ -36,9 +37,9 @@
 /// Idle timeout, and limit on the time of a request's head, until the configuration is known.
 const DEFAULT_TIMEOUT: time::Duration = time::Duration::from_secs(15);
 /// Largest head of a request in bytes that a connection can receive, whatever the configuration allows.
-const MAX_HEAD_BYTES: usize = 262_144;
-/// File descriptors kept free for files and connections to servers.
-const RESERVED_FILES: usize = 600;
+const MAX_HEAD_BYTES: usize = 131_072;
+/// Bytes that are read at a time.
+const MAX_READ: usize = 8 * 1024;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
 /// Maximum number of addresses in an answer to an address lookup.
@@ -67,6 +68,11 @@
 ) -> io::Result<()> {
     let socket = tokio::net::TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    // Connections that are accepted have the same.
+    let buffer = cx.clients.limits().client_socket_buffer;
+    let buffer = u32::try_from(buffer).unwrap_or(u32::MAX);
+    socket.set_recv_buffer_size(buffer)?;
+    socket.set_send_buffer_size(buffer)?;
     socket.bind(addr)?;
     let listener = socket.listen(BACKLOG)?;
     tokio::spawn(accept(cx.clone(), listener, endpoint));
@@ -78,19 +84,13 @@
     listener: tokio::net::TcpListener,
     endpoint: Endpoint,
 ) {
-    let max_connections = cx
-        .settings()
-        .max_files
-        .saturating_sub(RESERVED_FILES)
-        .max(64);
-    let permits = sync::Arc::new(tokio::sync::Semaphore::new(max_connections));
     loop {
-        // The semaphore is never closed.
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            return;
+        let accepting = async {
+            let has_place = cx.clients.wait_for_place().await;
+            (listener.accept().await, has_place)
         };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (accepted, has_place) = tokio::select! {
+            accepted = accepting => accepted,
             () = cx.accepting_stopped(), if endpoint == Endpoint::Callers => return,
         };
         let (stream, caller) = match accepted {
@@ -101,10 +101,20 @@
                 continue;
             }
         };
+        if !has_place {
+            // The client may ask another host at once, as nothing was read.
+            cx.clients.record_refused();
+            continue;
+        }
+        let registration = cx.clients.add();
         let cx = cx.clone();
         tokio::spawn(async move {
-            serve(cx, stream, caller.ip(), endpoint).await;
-            drop(permit);
+            let client = registration.client().clone();
+            tokio::select! {
+                () = client.wait_until_shed() => {}
+                () = serve(cx, stream, caller.ip(), endpoint, client.clone()) => {}
+            }
+            drop(registration);
         });
     }
 }
@@ -114,14 +124,16 @@
     stream: tokio::net::TcpStream,
     caller: net::IpAddr,
     endpoint: Endpoint,
+    client: clients::Client,
 ) {
     if stream.set_nodelay(true).is_err() {
         // The connection is closed already.
         return;
     }
-    let head_state = connection_timer::HeadState::default();
+    let head_state = connection_timer::HeadState::new(client);
     let (reader, writer) = stream.into_split();
-    let (reader, read_limit) = read_limit::LimitedStream::new(reader, MAX_HEAD_BYTES, None);
+    let (reader, read_limit) =
+        read_limit::LimitedStream::new(reader, MAX_HEAD_BYTES, MAX_READ, None);
     let limits_cx = cx.clone();
     let timed_reader = connection_timer::TimedReader::new(reader, head_state.clone(), move || {
         time_limits(&limits_cx)
@@ -136,7 +148,8 @@
         let read_limit = read_limit.clone();
         head_state.set_head_read();
         read_limit.start();
-        async move {
+        // A connection without a request would take the memory of one otherwise.
+        Box::pin(async move {
             let answer = match endpoint {
                 Endpoint::Callers => {
                     let req = req.map(|body| read_limit::LimitedBody::new(body, read_limit));
@@ -148,7 +161,7 @@
             answer.map(|answer| {
                 answer.map(|body| connection_timer::TrackedBody::new(body, head_state))
             })
-        }
+        })
     });
     let connection = http1::Builder::new()
         .header_read_timeout(None::<time::Duration>)
@@ -308,6 +321,10 @@
     }
     let mut text = cx.telemetry.text();
     text.push_str(&workspace_limits::metrics(cx));
+    for (name, value) in cx.clients.metrics() {
+        let name = name.replace('.', "_");
+        text.push_str(&format!("walnuthaven_{name} {value}\n"));
+    }
     text.push_str(&format!(
         "walnuthaven_log_dropped {}\n",
         events::dropped_lines()
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -7,8 +7,8 @@
 pub mod settings;
 
 mod answer;
-mod body_memory;
 mod caller_workspace;
+mod clients;
 mod connection_pool;
 mod connection_timer;
 mod context;
@@ -38,6 +38,7 @@
 mod preview;
 mod read_limit;
 mod relay;
+mod request_body;
 mod request_parts;
 mod retry_budget;
 mod run;
--- a/daemon/src/router/read_limit.rs
+++ b/daemon/src/router/read_limit.rs
@@ -27,7 +27,7 @@
 
 /// How many further bytes may be read of the message on a connection.
 #[derive(Clone, Debug)]
-pub(super) struct ReadLimit(sync::Arc<BytesLeft>);
+pub(crate) struct ReadLimit(sync::Arc<BytesLeft>);
 
 #[derive(Debug)]
 struct BytesLeft {
@@ -44,7 +44,7 @@
     }
 
     /// Starts to count anew: a request is sent, or the head of one was read.
-    pub(super) fn start(&self) {
+    pub(crate) fn start(&self) {
         self.0.left.store(self.0.max, atomic::Ordering::Relaxed);
     }
 
@@ -75,7 +75,7 @@
 }
 
 impl LimitedBody {
-    pub(super) fn new(body: body::Incoming, limit: ReadLimit) -> Self {
+    pub(crate) fn new(body: body::Incoming, limit: ReadLimit) -> Self {
         Self { body, limit }
     }
 }
@@ -107,9 +107,11 @@
 
 /// A connection with such a limit.
 #[derive(Debug)]
-pub(super) struct LimitedStream<S> {
+pub(crate) struct LimitedStream<S> {
     stream: S,
     limit: ReadLimit,
+    /// Bytes that are read at a time.
+    max_read: usize,
     /// Bytes that were read since other tasks ran.
     at_once: usize,
     /// Set when bytes arrive.
@@ -118,16 +120,18 @@
 
 impl<S> LimitedStream<S> {
     /// Returns the connection and its limit. `max_buffer` is what the HTTP library buffers, and `heard` is set whenever
-    /// bytes arrive.
-    pub(super) fn new(
+    /// bytes arrive. The library doubles its buffer whenever a read fills it, so that `max_read` limits that, too.
+    pub(crate) fn new(
         stream: S,
         max_buffer: usize,
+        max_read: usize,
         heard: Option<sync::Arc<atomic::AtomicBool>>,
     ) -> (Self, ReadLimit) {
         let limit = ReadLimit::new(max_buffer * BUFFERS);
         let limited = Self {
             stream,
             limit: limit.clone(),
+            max_read,
             at_once: 0,
             heard,
         };
@@ -150,7 +154,8 @@
             return task::Poll::Pending;
         }
         let filled = buf.filled().len();
-        let polled = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
+        let max_read = self.max_read;
+        let polled = poll_read_part(&mut self.stream, cx, buf, max_read);
         let read = buf.filled().len() - filled;
         if let Some(heard) = self.heard.as_ref().filter(|_| read > 0) {
             heard.store(true, atomic::Ordering::Relaxed);
@@ -164,6 +169,23 @@
     }
 }
 
+/// Reads at most `max` bytes.
+fn poll_read_part<S: AsyncRead + Unpin>(
+    stream: &mut S,
+    cx: &mut task::Context<'_>,
+    buf: &mut ReadBuf<'_>,
+    max: usize,
+) -> task::Poll<io::Result<()>> {
+    if buf.remaining() <= max {
+        return pin::Pin::new(stream).poll_read(cx, buf);
+    }
+    let mut part = ReadBuf::new(buf.initialize_unfilled_to(max));
+    let polled = pin::Pin::new(stream).poll_read(cx, &mut part);
+    let read = part.filled().len();
+    buf.advance(read);
+    polled
+}
+
 impl<S: AsyncWrite + Unpin> AsyncWrite for LimitedStream<S> {
     fn poll_write(
         mut self: pin::Pin<&mut Self>,
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use http_body::Body as _;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -18,7 +19,7 @@
 use walnuthaven_lib::workspaces;
 
 use crate::locks;
-use crate::router::body_memory;
+use crate::router::clients;
 use crate::router::connection_pool;
 use crate::router::context;
 use crate::router::crash_checks;
@@ -79,7 +80,7 @@
     pub(crate) body: Bytes,
     /// The memory reserved for the body.
     #[expect(dead_code, reason = "releases the memory when it is dropped")]
-    pub(crate) memory: body_memory::Reservation,
+    pub(crate) memory: clients::Held,
     /// Digest of the caller, target and body. It is the same when the caller sends the request
     /// again.
     pub(crate) digest: u64,
@@ -390,27 +391,35 @@
     has_explicit_end || !crash_checks::has_ended(cx, server).await
 }
 
-/// Reads a body into memory that is shared with the answers to all other requests.
+/// Reads a body into memory that is shared with all other messages, and waits until there is some.
 ///
 /// # Errors
 ///
-/// Returns the cause if the body breaks off, is too large, or there is no memory for it.
+/// Returns the cause if the body breaks off or is too large.
 async fn read_buffered<D: dialect::Dialect>(
     cx: &context::Router<D>,
     mut body: read_limit::LimitedBody,
 ) -> Result<Bytes, &'static str> {
-    let memory_bytes = cx.settings().memory_bytes;
-    let mut reservations = Vec::new();
-    let mut buf = BytesMut::new();
+    let stated = body.size_hint().exact().unwrap_or(0);
+    let stated = usize::try_from(stated).unwrap_or(usize::MAX);
+    if stated > MAX_BUFFERED_BODY {
+        return Err("answer too large");
+    }
+    let mut held = vec![cx.clients.wait_for_memory(stated).await];
+    let mut reserved = stated;
+    let mut buf = BytesMut::with_capacity(stated);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| BODY_BROKE)?.into_data() else {
             continue;
         };
-        if buf.len() + data.len() > MAX_BUFFERED_BODY {
+        let length = buf.len() + data.len();
+        if length > MAX_BUFFERED_BODY {
             return Err("answer too large");
         }
-        let reserved = cx.answer_memory.reserve(data.len(), memory_bytes);
-        reservations.push(reserved.ok_or("no memory for the answer")?);
+        if length > reserved {
+            held.push(cx.clients.wait_for_memory(length - reserved).await);
+            reserved = length;
+        }
         buf.extend_from_slice(&data);
     }
     Ok(buf.freeze())
--- a/daemon/src/router/settings.rs
+++ b/daemon/src/router/settings.rs
@@ -7,6 +7,7 @@
 
 use walnuthaven_lib::features;
 use walnuthaven_lib::ids;
+use walnuthaven_lib::resource_limits;
 use walnuthaven_lib::retry_share;
 
 use crate::ini_file;
@@ -50,6 +51,13 @@
     pub log_level: log::LevelFilter,
 }
 
+impl Settings {
+    /// Returns what the process may use for its clients.
+    pub(crate) fn resource_limits(&self) -> resource_limits::ResourceLimits {
+        resource_limits::ResourceLimits::new(self.memory_bytes, self.max_files)
+    }
+}
+
 /// The sections and keys that a settings file may contain.
 const KNOWN_KEYS: ini_file::KnownKeys = ini_file::KnownKeys {
     sections: &[
