router: read the body of a request into one buffer

A body of 64 kB in parts of one byte took megabytes: each part kept an entry of its own, and the buffer alive that it was received in. Only the bytes of the body were reserved.

--- a/daemon/src/router/request_body.rs
+++ b/daemon/src/router/request_body.rs
@@ -3,8 +3,8 @@
 use std::time;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt as _;
-use http_body_util::Limited;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::load_shedding;
 
@@ -29,6 +29,12 @@
     pub(super) deadline: time::Duration,
 }
 
+/// Why a body wasn't read to its end.
+enum Fault {
+    TooLarge,
+    BrokeOff,
+}
+
 /// Reads a body. Returns it with the memory that it holds.
 ///
 /// # Errors
@@ -50,20 +56,20 @@
         ));
     };
     client.enter(load_shedding::Phase::Body);
-    let reading = Limited::new(body, limits.max_bytes).collect();
+    let reading = collect(body, limits);
     let time_left = limits.deadline.saturating_sub(cx.now());
     let read = tokio::time::timeout(time_left, reading).await;
     client.enter(load_shedding::Phase::Served);
     match read {
-        Ok(Ok(body)) => Ok((body.to_bytes(), memory)),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+        Ok(Ok(body)) => Ok((body, memory)),
+        Ok(Err(Fault::TooLarge)) => {
             limited_event!(Info, "body-too-large", "id" => id, "limit" => limits.max_bytes);
             Err(answer::from_router(
                 http::StatusCode::PAYLOAD_TOO_LARGE,
                 "the body is too large",
             ))
         }
-        Ok(Err(_)) => Err(answer::from_router(
+        Ok(Err(Fault::BrokeOff)) => Err(answer::from_router(
             http::StatusCode::BAD_REQUEST,
             "the body broke off",
         )),
@@ -76,3 +82,18 @@
         }
     }
 }
+
+/// Reads a body into one buffer. Its parts would each keep the buffer alive that they were received in.
+async fn collect(mut body: read_limit::LimitedBody, limits: BodyLimits) -> Result<Bytes, Fault> {
+    let mut buf = BytesMut::with_capacity(limits.stated_bytes);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Fault::BrokeOff)?.into_data() else {
+            continue;
+        };
+        if buf.len() + data.len() > limits.max_bytes {
+            return Err(Fault::TooLarge);
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
