router: bound the connections to servers that requests are sent on

Requests sent ahead on 450 connections opened 1,167 descriptors of 1,100, and the answers that a busy host hadn't read yet filled the kernel's buffers of these connections with up to 115 MB: connections to servers had no part of the descriptors, and buffers that grow.

Each connection that a request is sent on takes a place, of which the process's descriptors and memory allow a number; calls of the host's own use the reserved descriptors. If all places are taken, the connection that has been idle longest is closed; if none is idle, the send fails as one that was never written, so that the request is refused as not run. The kernel's buffer for what a server sends has a fixed size, and reads are of 16 KiB, as the HTTP library's buffer grows with them.

--- a/daemon/src/router/connection_pool.rs
+++ b/daemon/src/router/connection_pool.rs
@@ -36,8 +36,12 @@
 /// How long bytes may be unacknowledged. No keepalive probes are sent meanwhile.
 const UNACKNOWLEDGED_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
+/// How often a request that needs a connection has an idle one closed.
+const PLACE_TRIES: usize = 4;
 /// The most bytes that the HTTP library buffers of an answer.
 const MAX_BUFFER: usize = 128 * 1024;
+/// Bytes that are read at a time of an answer to a request.
+const MAX_READ: usize = 16 * 1024;
 
 /// An open connection. Dropping it closes the connection, which cancels the request in progress on
 /// it.
@@ -149,6 +153,19 @@
         locks::lock(&self.idle).remove(server);
     }
 
+    /// Closes the connection that has been idle for longest. Returns `false` if none is idle.
+    fn close_oldest(&self) -> bool {
+        let mut idle = locks::lock(&self.idle);
+        let lists = idle.values_mut().filter(|list| !list.is_empty());
+        match lists.min_by_key(|list| list[0].idle_since) {
+            Some(list) => {
+                list.remove(0);
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Closes connections that were idle for too long or that the server closed.
     pub(crate) fn prune(&self, now: time::Duration) {
         locks::lock(&self.idle).retain(|_, list| {
@@ -182,7 +199,49 @@
     }
 }
 
-/// Opens a connection to a server. `heard` is set whenever bytes arrive on it.
+/// The number of connections to servers that requests are sent on.
+#[derive(Debug, Default)]
+pub(crate) struct OpenCount(atomic::AtomicUsize);
+
+/// Counts such a connection until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Place {
+    count: sync::Arc<OpenCount>,
+    /// Size of the kernel's buffer for what the server sends, in bytes.
+    receive_buffer: usize,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.count.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+/// Takes the place of a further connection to a server. If all are taken, idle connections are closed; if there are
+/// none, returns `None`.
+pub(crate) async fn take_place<D: walnuthaven_lib::dialect::Dialect>(
+    cx: &context::Router<D>,
+) -> Option<Place> {
+    let limits = cx.clients.limits();
+    let count = &cx.server_connections;
+    for _ in 0..PLACE_TRIES {
+        if count.0.load(atomic::Ordering::Relaxed) < limits.server_connections {
+            count.0.fetch_add(1, atomic::Ordering::Relaxed);
+            return Some(Place {
+                count: count.clone(),
+                receive_buffer: limits.server_socket_buffer,
+            });
+        }
+        if !cx.connection_pool.close_oldest() {
+            return None;
+        }
+        // A connection closes once its task was told to end.
+        tokio::task::yield_now().await;
+    }
+    None
+}
+
+/// Opens a connection to a server for one of the router's own calls.
 ///
 /// # Errors
 ///
@@ -190,10 +249,33 @@
 pub(crate) async fn connect(
     addr: net::SocketAddr,
     timeout: time::Duration,
-    heard: Option<sync::Arc<atomic::AtomicBool>>,
 ) -> io::Result<Connection> {
-    let stream = open_stream(addr, timeout).await?;
-    start_http(stream, heard).await
+    let stream = open_stream(new_socket(addr)?, addr, timeout).await?;
+    start_http(stream, None, None).await
+}
+
+/// Opens a connection to a server for requests, which takes `place`. `heard` is set whenever bytes arrive on it.
+///
+/// # Errors
+///
+/// Returns an error if the connection can't be opened within `timeout`.
+pub(crate) async fn connect_in(
+    place: Place,
+    addr: net::SocketAddr,
+    timeout: time::Duration,
+    heard: sync::Arc<atomic::AtomicBool>,
+) -> io::Result<Connection> {
+    let socket = new_socket(addr)?;
+    socket.set_recv_buffer_size(u32::try_from(place.receive_buffer).unwrap_or(u32::MAX))?;
+    let stream = open_stream(socket, addr, timeout).await?;
+    start_http(stream, Some(heard), Some(place)).await
+}
+
+fn new_socket(addr: net::SocketAddr) -> io::Result<tokio::net::TcpSocket> {
+    match addr {
+        net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4(),
+        net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6(),
+    }
 }
 
 /// Opens a connection to the store. It also breaks if what was sent isn't acknowledged for some time; a server may
@@ -206,16 +288,17 @@
     addr: net::SocketAddr,
     timeout: time::Duration,
 ) -> io::Result<Connection> {
-    let stream = open_stream(addr, timeout).await?;
+    let stream = open_stream(new_socket(addr)?, addr, timeout).await?;
     socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    start_http(stream, None).await
+    start_http(stream, None, None).await
 }
 
 async fn open_stream(
+    socket: tokio::net::TcpSocket,
     addr: net::SocketAddr,
     timeout: time::Duration,
 ) -> io::Result<tokio::net::TcpStream> {
-    let opening = tokio::time::timeout(timeout, tokio::net::TcpStream::connect(addr));
+    let opening = tokio::time::timeout(timeout, socket.connect(addr));
     let stream = opening.await.map_err(|_| io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
     let keepalive = socket2::TcpKeepalive::new()
@@ -229,15 +312,21 @@
 async fn start_http(
     stream: tokio::net::TcpStream,
     heard: Option<sync::Arc<atomic::AtomicBool>>,
+    place: Option<Place>,
 ) -> io::Result<Connection> {
-    let (stream, read_limit) =
-        read_limit::LimitedStream::new(stream, MAX_BUFFER, MAX_BUFFER, heard);
+    // The store's answers are long, and there are few connections to it.
+    let max_read = match place {
+        Some(_) => MAX_READ,
+        None => MAX_BUFFER,
+    };
+    let (stream, read_limit) = read_limit::LimitedStream::new(stream, MAX_BUFFER, max_read, heard);
     let io = rt::TokioIo::new(stream);
     let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(io);
     let (tx, connection) = handshake.await.map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
         // The request that was sent on the connection reports how it ended.
         let _ = connection.await;
+        drop(place);
     });
     Ok(Connection {
         tx,
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -144,6 +144,8 @@
     pub(crate) clients: sync::Arc<clients::Clients>,
     /// This host's shares of the retry budgets, by service.
     pub(crate) retry_budgets: retry_budget::RetryBudgets,
+    /// The number of connections to backend servers that requests are sent on.
+    pub(crate) server_connections: sync::Arc<connection_pool::OpenCount>,
     /// Idle connections to backend servers.
     pub(crate) connection_pool: connection_pool::Pool,
     /// Counters and histograms.
@@ -218,6 +220,7 @@
             clients: sync::Arc::new(clients::Clients::new(resources)),
             retry_budgets: retry_budget::RetryBudgets::new(clock.now()),
             connection_pool: connection_pool::Pool::default(),
+            server_connections: sync::Arc::default(),
             telemetry: telemetry::Telemetry::default(),
             shutdown: shutdown::Shutdown::default(),
             in_flight: atomic::AtomicUsize::new(0),
--- a/daemon/src/router/crash_checks.rs
+++ b/daemon/src/router/crash_checks.rs
@@ -422,7 +422,7 @@
     server: &backends::Backend,
 ) -> departures::Probe {
     cx.telemetry.count("server.connections");
-    match connection_pool::connect(server.addr, PROBE_TIMEOUT, None).await {
+    match connection_pool::connect(server.addr, PROBE_TIMEOUT).await {
         Ok(_) => departures::Probe::Accepted,
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
             departures::Probe::Refused
--- a/daemon/src/router/crash_witness.rs
+++ b/daemon/src/router/crash_witness.rs
@@ -158,6 +158,6 @@
 
 async fn accepts<D: dialect::Dialect>(cx: &context::Router<D>, server: &backends::Backend) -> bool {
     cx.telemetry.count("server.connections");
-    let opened = connection_pool::connect(server.addr, CONNECT_TIMEOUT, None).await;
+    let opened = connection_pool::connect(server.addr, CONNECT_TIMEOUT).await;
     opened.is_ok()
 }
--- a/daemon/src/router/links.rs
+++ b/daemon/src/router/links.rs
@@ -88,7 +88,7 @@
     }
 }
 
-/// Opens a connection to a server, and records whether that shows that it is in reach.
+/// Opens a connection to a server, which takes `place`, and records whether that shows that it is in reach.
 ///
 /// # Errors
 ///
@@ -97,9 +97,10 @@
     cx: &sync::Arc<context::Router<D>>,
     server: &backends::Backend,
     timeout: time::Duration,
+    place: connection_pool::Place,
 ) -> io::Result<connection_pool::Connection> {
     let heard = cx.links.heard_flag(&server.id);
-    let opened = connection_pool::connect(server.addr, timeout, Some(heard)).await;
+    let opened = connection_pool::connect_in(place, server.addr, timeout, heard).await;
     match &opened {
         // The server may only be busy.
         Err(error) if error.kind() == io::ErrorKind::TimedOut => {
@@ -200,7 +201,7 @@
         return;
     };
     cx.telemetry.count("server.checks");
-    let opened = connection_pool::connect(server.addr, CHECK_TIMEOUT, None).await;
+    let opened = connection_pool::connect(server.addr, CHECK_TIMEOUT).await;
     match &opened {
         Ok(_) => {}
         Err(error) if error.kind() == io::ErrorKind::TimedOut => {
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -310,7 +310,13 @@
         return Ok(connection);
     }
     let timeout = CONNECT_TIMEOUT.min(time_left(cx, options.deadline));
-    let opened = links::open(cx, server, timeout).await;
+    let place = connection_pool::take_place(cx).await;
+    let place = place.ok_or_else(|| {
+        cx.telemetry.count("server.no_place");
+        let cause = "too many connections to servers";
+        failure(outcome::Outcome::NeverWritten, cause)
+    })?;
+    let opened = links::open(cx, server, timeout, place).await;
     cx.telemetry.count("server.connections");
     let mut connection = opened.map_err(|error| {
         let now = cx.now();
@@ -441,7 +447,7 @@
     let mut headers = http::HeaderMap::new();
     cx.dialect.set_expected_instance(&server.id, &mut headers);
     let exchange = async {
-        let mut connection = connection_pool::connect(server.addr, timeout, None).await?;
+        let mut connection = connection_pool::connect(server.addr, timeout).await?;
         let response = call_on(&mut connection, server.addr, call, headers).await?;
         let status = response.status();
         server_notices::record_answer(cx, server, status, response.headers());
