router: bound the connections and messages of other hosts

Whoever reaches the address for other hosts could open connections without number (1,522 descriptors of 1,100), and have messages of up to 32 MB read before its address was looked at.

The address is checked before a call's message is read. Connections have a number of their own; another one closes the oldest without a call of a known host, or else the oldest. Messages that are being received share a part of the memory, beyond which a call fails as one that may be sent elsewhere or again; windows and the kernel's buffers are smaller, and a call has 10 s to arrive.

--- a/daemon/src/router/clients.rs
+++ b/daemon/src/router/clients.rs
@@ -41,6 +41,8 @@
     shed_for_bytes: atomic::AtomicU64,
     shed_for_connections: atomic::AtomicU64,
     refused: atomic::AtomicU64,
+    peers_shed: atomic::AtomicU64,
+    peers_refused: atomic::AtomicU64,
 }
 
 /// A client's connection.
@@ -95,6 +97,8 @@
             shed_for_bytes: atomic::AtomicU64::new(0),
             shed_for_connections: atomic::AtomicU64::new(0),
             refused: atomic::AtomicU64::new(0),
+            peers_shed: atomic::AtomicU64::new(0),
+            peers_refused: atomic::AtomicU64::new(0),
         }
     }
 
@@ -131,6 +135,16 @@
             "open" => locks::lock(&self.open).len());
     }
 
+    /// Counts a connection of another host that was closed to make room.
+    pub(crate) fn record_peer_shed(&self) {
+        self.peers_shed.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
+    /// Counts a call of another host for whose message there was no memory.
+    pub(crate) fn record_peer_refused(&self) {
+        self.peers_refused.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
     /// Adds a connection. It counts until the returned value is dropped.
     pub(crate) fn add(self: &sync::Arc<Self>) -> Registration {
         let number = self.next_number.fetch_add(1, atomic::Ordering::Relaxed);
@@ -272,7 +286,7 @@
     }
 
     /// Returns the metrics by name. The first two are levels, the others count since the start of the process.
-    pub(crate) fn metrics(&self) -> [(&'static str, u64); 5] {
+    pub(crate) fn metrics(&self) -> [(&'static str, u64); 7] {
         let count = |counter: &atomic::AtomicU64| counter.load(atomic::Ordering::Relaxed);
         [
             ("clients.open", locks::lock(&self.open).len() as u64),
@@ -286,6 +300,8 @@
                 count(&self.shed_for_connections),
             ),
             ("clients.refused", count(&self.refused)),
+            ("peers.shed", count(&self.peers_shed)),
+            ("peers.refused", count(&self.peers_refused)),
         ]
     }
 }
--- a/daemon/src/router/peer_reply.rs
+++ b/daemon/src/router/peer_reply.rs
@@ -27,13 +27,13 @@
     Ok((status.ok_or(unexpected)?, head))
 }
 
-/// Interprets the status of a call that failed before its first message. A host refuses calls of strangers, and of
-/// hosts that it doesn't know yet, before it reads them.
+/// Interprets the status of a call that failed before its first message. A host refuses calls of strangers, of hosts
+/// that it doesn't know yet, and those that it has no memory for before it has read them.
 pub(crate) fn refused_or_broken(status: &tonic::Status) -> CallFailure {
     match status.code() {
-        tonic::Code::PermissionDenied | tonic::Code::Unimplemented => {
-            CallFailure::Declined(status.message().to_owned())
-        }
+        tonic::Code::PermissionDenied
+        | tonic::Code::ResourceExhausted
+        | tonic::Code::Unimplemented => CallFailure::Declined(status.message().to_owned()),
         _ => CallFailure::Broken("the call to the other host failed"),
     }
 }
--- a/daemon/src/router/peer_service.rs
+++ b/daemon/src/router/peer_service.rs
@@ -5,9 +5,11 @@
 use std::sync::atomic;
 use std::time;
 
+use futures_util::StreamExt as _;
 use http_body_util::BodyExt as _;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers;
+use tonic::service;
 use tonic::transport;
 use walnuthaven_lib::dialect;
 use walnuthaven_wire::forward as wire;
@@ -18,7 +20,9 @@
 use crate::router::context;
 use crate::router::crash_witness;
 use crate::router::events::event;
+use crate::router::events::limited_event;
 use crate::router::forward;
+use crate::router::peer_connections;
 
 /// Interval of HTTP/2 keep-alive pings while calls are open.
 pub(crate) const PING_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -28,6 +32,11 @@
 pub(crate) const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
 /// Maximum number of requests that are served for other hosts at a time. Each takes some ten kilobytes.
 const MAX_SERVED: usize = 512;
+/// Longest time for a call to be received and the answer to begin.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// Bytes that a host may send ahead on a call, and on all calls of a connection.
+const CALL_WINDOW: u32 = 64 * 1024;
+const CONNECTION_WINDOW: u32 = 128 * 1024;
 /// Number of messages of an answer that are buffered while the other host doesn't read.
 const MESSAGE_BUFFER: usize = 8;
 
@@ -42,9 +51,18 @@
 ) -> std::io::Result<()> {
     let socket = tokio::net::TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    let buffer = u32::try_from(cx.clients.limits().client_socket_buffer).unwrap_or(u32::MAX);
+    socket.set_recv_buffer_size(buffer)?;
     socket.bind(addr)?;
     let listener = socket.listen(MAX_SERVED as u32)?;
+    let connections = peer_connections::PeerConnections::new(cx.clients.clone());
+    let connections = sync::Arc::new(connections);
+    let admitting = connections.clone();
     let incoming = transport::server::TcpIncoming::from(listener).with_nodelay(Some(true));
+    let incoming = incoming.then(move |accepted| {
+        let connections = admitting.clone();
+        async move { connections.admit(accepted?).await }
+    });
     let service = forward_server::ForwardServer::new(Service {
         cx: cx.clone(),
         served: sync::Arc::default(),
@@ -52,8 +70,20 @@
     let service = service
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
+    let sender_cx = cx.clone();
+    let service = service::interceptor::InterceptedService::new(service, move |req| {
+        check_sender(&sender_cx, req)
+    });
+    let service = peer_connections::CountedService {
+        service,
+        connections,
+    };
     tokio::spawn(async move {
         let served = transport::Server::builder()
+            .timeout(CALL_TIMEOUT)
+            .initial_stream_window_size(CALL_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .max_concurrent_streams(MAX_SERVED as u32)
             .http2_keepalive_interval(Some(PING_INTERVAL))
             .http2_keepalive_timeout(Some(PING_TIMEOUT))
             .add_service(service)
@@ -81,18 +111,24 @@
     }
 }
 
-impl<D: dialect::Dialect> Service<D> {
-    /// Checks that a call comes from the address of a known host.
-    fn check_sender<T>(&self, req: &tonic::Request<T>) -> Result<(), tonic::Status> {
-        let sender = req.remote_addr().map(|addr| addr.ip());
-        let is_known = sender.is_some_and(|addr| locks::lock(&self.cx.peers).has_address(addr));
-        if is_known {
-            return Ok(());
-        }
-        event!(Warn, "stranger-refused", "address" => sender.map(|addr| addr.to_string()));
-        Err(tonic::Status::permission_denied("not a known host"))
+/// Checks that a call comes from the address of a known host, before its message is read.
+fn check_sender<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    req: tonic::Request<()>,
+) -> Result<tonic::Request<()>, tonic::Status> {
+    let sender = req.extensions().get::<peer_connections::Sender>();
+    let is_known =
+        |sender: &&peer_connections::Sender| locks::lock(&cx.peers).has_address(sender.addr());
+    if let Some(sender) = sender.filter(is_known) {
+        sender.set_known();
+        return Ok(req);
     }
+    let address = sender.map(|sender| sender.addr());
+    limited_event!(Warn, "stranger-refused", "address" => address);
+    Err(tonic::Status::permission_denied("not a known host"))
+}
 
+impl<D: dialect::Dialect> Service<D> {
     /// Returns why this host doesn't serve a request for another one, if it doesn't.
     fn reason_to_decline(&self, call: &wire::ServeRequest) -> Option<&'static str> {
         let cx = &self.cx;
@@ -120,7 +156,6 @@
         &self,
         req: tonic::Request<wire::ServeRequest>,
     ) -> Result<tonic::Response<Replies>, tonic::Status> {
-        self.check_sender(&req)?;
         let call = req.into_inner();
         let (tx, rx) = mpsc::channel(MESSAGE_BUFFER);
         let cx = self.cx.clone();
@@ -148,7 +183,6 @@
         &self,
         req: tonic::Request<wire::CheckServerRequest>,
     ) -> Result<tonic::Response<wire::CheckServerReply>, tonic::Status> {
-        self.check_sender(&req)?;
         let state = crash_witness::check(&self.cx, req.get_ref()).await.into();
         Ok(tonic::Response::new(wire::CheckServerReply { state }))
     }
