api: bound what callers' connections hold

The ledger of entry hosts counts these connections, too, with HTTP/2 a connection's calls together: heads, and bodies part by part until their call ends. `[limits] memory` (1 GB) and `files` (the system's limit) give the bounds; the least of them and `connections` holds. A body that finds no memory is refused as not run, with a Retry-After. The kernel's buffers have a fixed size.

--- a/daemon/src/api.rs
+++ b/daemon/src/api.rs
@@ -19,6 +19,7 @@
 use walnuthaven_lib::request_table;
 
 use crate::callers;
+use crate::client_stream;
 use crate::connections;
 use crate::drain;
 use crate::host;
@@ -26,6 +27,7 @@
 use crate::locks;
 use crate::openai;
 use crate::plain;
+use crate::router::clients;
 
 /// The header with a request's id.
 pub const ID_HEADER: &str = "x-request-id";
@@ -47,8 +49,13 @@
     let ended = drain::wait_until_left(&cx);
     let accept = async {
         loop {
+            let has_place = cx.clients.wait_for_place().await;
             match listener.accept().await {
-                Ok((stream, _)) => on_accepted(&cx, &router, stream),
+                Ok((stream, _)) if has_place => on_accepted(&cx, &router, stream),
+                Ok(_) => {
+                    cx.metrics.count("connection.refused");
+                    cx.clients.record_refused();
+                }
                 Err(error) => {
                     log::warn!("can't accept a caller's connection: {error}");
                     tokio::time::sleep(time::Duration::from_millis(50)).await;
@@ -63,20 +70,17 @@
 }
 
 fn on_accepted(cx: &sync::Arc<host::Host>, router: &axum::Router, stream: tokio::net::TcpStream) {
-    let open_count = cx
-        .counters
+    cx.counters
         .connections
         .fetch_add(1, atomic::Ordering::Relaxed);
     let open_guard = OpenConnectionGuard(cx.clone());
-    if open_count as usize >= cx.settings.limits.max_connections {
-        cx.metrics.count("connection.refused");
-        return;
-    }
+    let registration = cx.clients.add();
     let cx = cx.clone();
     let router = router.clone();
     tokio::spawn(async move {
         let _open_guard = open_guard;
-        serve_connection(&cx, router, stream).await;
+        serve_connection(&cx, router, stream, registration.client()).await;
+        drop(registration);
     });
 }
 
@@ -93,12 +97,16 @@
     cx: &sync::Arc<host::Host>,
     router: axum::Router,
     stream: tokio::net::TcpStream,
+    client: &clients::Client,
 ) {
     let limits = &cx.settings.limits;
     // Tokens must be sent at once rather than be collected. A failure to set this only delays them.
     let _ = stream.set_nodelay(true);
     let stall = time::Duration::from_millis(limits.stall_timeout_ms);
-    let io = rt::TokioIo::new(connections::WriteTimeoutStream::new(stream, stall));
+    let max_head = limits.max_header_bytes.max(HYPER_MIN_BUF_BYTES);
+    let calls = client_stream::Calls::new(client.clone(), max_head);
+    let stream = connections::WriteTimeoutStream::new(stream, stall);
+    let io = rt::TokioIo::new(client_stream::ClientStream::new(stream, calls.clone()));
     let connection = connections::Connection::default();
     let service_connection = connection.clone();
     let service_cx = cx.clone();
@@ -106,28 +114,40 @@
         let cx = service_cx.clone();
         let router = router.clone();
         let connection = service_connection.clone();
-        let req = req.map(body::Body::new);
-        async move { Ok::<_, convert::Infallible>(handle(&cx, router, connection, req).await) }
+        let call = calls.start();
+        let req = req.map(|body| body::Body::new(call.count_body(body)));
+        // A connection without a call would take the memory of one otherwise.
+        Box::pin(async move {
+            let response = handle(&cx, router, connection, req).await;
+            drop(call);
+            Ok::<_, convert::Infallible>(response)
+        })
     });
     let mut builder = conn::auto::Builder::new(rt::TokioExecutor::new());
     builder
         .http1()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(time::Duration::from_millis(limits.header_timeout_ms))
-        .max_buf_size(limits.max_header_bytes.max(HYPER_MIN_BUF_BYTES))
+        .max_buf_size(max_head)
         .http2()
         .timer(rt::TokioTimer::new())
         .max_header_list_size(u32::try_from(limits.max_header_bytes).unwrap_or(u32::MAX));
     let serving = builder.serve_connection(io, service);
     let mut serving = std::pin::pin!(serving);
-    let ended = tokio::select! {
-        ended = serving.as_mut() => ended,
-        () = wait_until_closable(cx, &connection) => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
+    let serving = async {
+        tokio::select! {
+            ended = serving.as_mut() => ended.is_ok(),
+            () = wait_until_closable(cx, &connection) => {
+                serving.as_mut().graceful_shutdown();
+                serving.await.is_ok()
+            }
         }
     };
-    connection.record_delivery(cx, ended.is_ok());
+    let has_ended_well = tokio::select! {
+        ended = serving => ended,
+        () = client.wait_until_shed() => false,
+    };
+    connection.record_delivery(cx, has_ended_well);
 }
 
 /// Waits until the host is leaving and the connection can be closed without losing a request. On
@@ -386,7 +406,10 @@
     };
     let limit = cx.settings.limits.max_body_bytes;
     let body = body::to_bytes(req.into_body(), limit).await;
-    let body = body.map_err(|_| {
+    let body = body.map_err(|error| {
+        if client_stream::is_out_of_memory(&error) {
+            return client_stream::no_memory();
+        }
         let message = format!("the body exceeds {limit} bytes or was cut off");
         refusal::Refusal::not_run(refusal::Code::TooLarge, message)
     })?;
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -229,4 +229,7 @@
     }
     let members = locks::lock(&cx.members).live_members().len() as u64;
     cx.metrics.gauge("membership.members", members);
+    for (name, value) in cx.clients.metrics() {
+        cx.metrics.gauge(name, value);
+    }
 }
--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -45,6 +45,7 @@
 use crate::platform;
 use crate::poll;
 use crate::retention;
+use crate::router::clients;
 use crate::settings;
 use crate::steward;
 use crate::stewardship;
@@ -93,6 +94,8 @@
     pub jobs: jobs::Jobs,
     /// Metrics.
     pub metrics: sync::Arc<metrics::Metrics>,
+    /// The connections of clients, and the memory of their messages.
+    pub(crate) clients: sync::Arc<clients::Clients>,
     /// Traces of recent requests.
     pub traces: trace::Traces,
     /// Cache of callers' keys that were verified.
@@ -170,8 +173,9 @@
     /// Returns an error if an address, the events file or a client can't be set up. The error names
     /// the settings key of an address that can't be used.
     pub async fn start(settings: settings::Settings) -> anyhow::Result<RunningHost> {
-        let api = listen("api", settings.api_addr).await?;
-        let peer = listen("peer", settings.peer_addr).await?;
+        let buffer = settings.limits.resource_limits().client_socket_buffer;
+        let api = listen("api", settings.api_addr, buffer)?;
+        let peer = listen("peer", settings.peer_addr, buffer)?;
         let admin = admin::listen(settings.admin_addr)?;
         let addresses = Addresses {
             api: api.local_addr()?,
@@ -242,6 +246,7 @@
             plain: plain::Proxy::new()?,
             jobs: jobs::Jobs::new(&id),
             metrics: sync::Arc::new(metrics::Metrics::new(settings.statsd_addr, &settings.name)?),
+            clients: sync::Arc::new(clients::Clients::new(settings.limits.resource_limits())),
             traces: trace::Traces::default(),
             verified_keys: callers::KeyCache::default(),
             phase: watch::Sender::new(drain::Phase::Serving),
@@ -291,10 +296,29 @@
     admin: net::SocketAddr,
 }
 
-/// Listens on an address. `key` is the settings key that errors mention.
-async fn listen(key: &str, addr: net::SocketAddr) -> anyhow::Result<tokio::net::TcpListener> {
-    let bound = tokio::net::TcpListener::bind(addr).await;
-    bound.with_context(|| format!("section [listen], key {key:?}: can't listen on {addr}"))
+/// Connections that the kernel queues until they are accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Listens on an address. `key` is the settings key that errors mention, `buffer` the size in bytes of the kernel's buffers
+/// of a connection, in each direction.
+fn listen(
+    key: &str,
+    addr: net::SocketAddr,
+    buffer: usize,
+) -> anyhow::Result<tokio::net::TcpListener> {
+    let bound = || {
+        let socket = match addr {
+            net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
+            net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
+        };
+        let buffer = u32::try_from(buffer).unwrap_or(u32::MAX);
+        socket.set_reuseaddr(true)?;
+        socket.set_recv_buffer_size(buffer)?;
+        socket.set_send_buffer_size(buffer)?;
+        socket.bind(addr)?;
+        socket.listen(BACKLOG)
+    };
+    bound().with_context(|| format!("section [listen], key {key:?}: can't listen on {addr}"))
 }
 
 fn write_event(file: &mut fs::File, record: &history::Record) -> io::Result<()> {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 pub mod callers;
 pub mod cancel;
+mod client_stream;
 pub mod configure;
 pub mod connections;
 pub mod console;
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -8,7 +8,7 @@
 
 mod answer;
 mod caller_workspace;
-mod clients;
+pub(crate) mod clients;
 mod connection_pool;
 mod connection_timer;
 mod context;
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -7,6 +7,7 @@
 use walnuthaven_lib::auth;
 use walnuthaven_lib::cell;
 use walnuthaven_lib::ids;
+use walnuthaven_lib::resource_limits;
 
 use crate::ini_file;
 
@@ -62,6 +63,21 @@
     pub header_timeout_ms: u64,
     /// Longest time for which a caller may accept no bytes of its answer, in milliseconds.
     pub stall_timeout_ms: u64,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
+    /// File descriptors that the process may open.
+    pub max_files: usize,
+}
+
+impl Limits {
+    /// Returns what the process may use for its clients.
+    pub fn resource_limits(&self) -> resource_limits::ResourceLimits {
+        let limits = resource_limits::ResourceLimits::new(self.memory_bytes, self.max_files);
+        resource_limits::ResourceLimits {
+            client_connections: limits.client_connections.min(self.max_connections),
+            ..limits
+        }
+    }
 }
 
 impl Default for Limits {
@@ -72,6 +88,8 @@
             max_connections: 4_096,
             header_timeout_ms: 5_000,
             stall_timeout_ms: 10_000,
+            memory_bytes: 1_000_000_000,
+            max_files: process_files(),
         }
     }
 }
@@ -104,7 +122,15 @@
     ("policy", &["scheduler"]),
     (
         "limits",
-        &["body", "header", "connections", "header_time", "stall_time"],
+        &[
+            "body",
+            "header",
+            "connections",
+            "header_time",
+            "stall_time",
+            "memory",
+            "files",
+        ],
     ),
     ("log", &["level", "file", "events"]),
     ("metrics", &["statsd"]),
@@ -118,6 +144,7 @@
 };
 const MIN_FLEET_KEY_CHARS: usize = 16;
 const DEFAULT_THREADS: usize = 2;
+const MAX_FILES: usize = 1_000_000;
 const MAX_THREADS: usize = 64;
 const DEFAULT_DRAIN_TIMEOUT_S: u64 = 120;
 
@@ -207,6 +234,13 @@
     }
 }
 
+/// Returns how many file descriptors the system lets the process open.
+fn process_files() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    let files = limit.current.and_then(|files| usize::try_from(files).ok());
+    files.unwrap_or(MAX_FILES).min(MAX_FILES)
+}
+
 fn limits(source: &ini_file::IniFile) -> Result<Limits, ini_file::Fault> {
     let default = Limits::default();
     let max_connections = default.max_connections;
@@ -216,6 +250,8 @@
         max_connections: source.number("limits", "connections", max_connections, 1, 1_000_000)?,
         header_timeout_ms: source.duration("limits", "header_time", default.header_timeout_ms)?,
         stall_timeout_ms: source.duration("limits", "stall_time", default.stall_timeout_ms)?,
+        memory_bytes: source.size("limits", "memory", default.memory_bytes)?,
+        max_files: source.number("limits", "files", default.max_files, 64, MAX_FILES)?,
     })
 }
 
