admin: serve operators without a thread for each connection

1,500 connections to the operators' port took 1,396 threads and 3,033 descriptors, and heads without end 932 MB: the HTTP server of rouille has a thread for each connection, and reads heads of any length.

hyper serves the port now, with the limits of entry hosts on heads, idle time and the ledger; a request that was received is handed to the same handlers, four at a time on threads of their own. Answers and the size of a body that is accepted are as before.

--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -176,7 +176,7 @@
         let buffer = settings.limits.resource_limits().client_socket_buffer;
         let api = listen("api", settings.api_addr, buffer)?;
         let peer = listen("peer", settings.peer_addr, buffer)?;
-        let admin = admin::listen(settings.admin_addr)?;
+        let admin = admin::Listener::new(listen("admin", settings.admin_addr, buffer)?)?;
         let addresses = Addresses {
             api: api.local_addr()?,
             peer: peer.local_addr()?,
