--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use futures_util::StreamExt as _;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers;
 use tonic::service;
@@ -32,6 +33,7 @@
 use crate::peer_client;
 use crate::plain;
 use crate::poll;
+use crate::router::peer_connections;
 
 const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
 
@@ -43,14 +45,25 @@
             let presented = req.metadata().get(peer_client::HOST_KEY_METADATA);
             let presented = presented.and_then(|value| value.to_str().ok());
             match presented.is_some_and(|presented| auth::constant_time_eq(presented, &key.0)) {
-                true => Ok(req),
+                true => {
+                    if let Some(sender) = req.extensions().get::<peer_connections::Sender>() {
+                        sender.set_known();
+                    }
+                    Ok(req)
+                }
                 false => Err(tonic::Status::unauthenticated("the host key is wrong")),
             }
         };
     let server = peer_server::PeerServer::new(Server { cx: cx.clone() })
         .max_decoding_message_size(MAX_MESSAGE_BYTES);
     let server = service::interceptor::InterceptedService::new(server, check_host_key);
+    let connections = peer_connections::PeerConnections::new(cx.clients.clone());
+    let connections = sync::Arc::new(connections);
     let incoming = transport::server::TcpIncoming::from(listener).with_nodelay(Some(true));
+    let incoming = incoming.then(move |accepted| {
+        let connections = connections.clone();
+        async move { connections.admit(accepted?).await }
+    });
     let ended = drain::wait_until_left(&cx);
     let served = transport::Server::builder()
         .add_service(server)
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -28,7 +28,7 @@
 mod log_limit;
 mod news;
 mod part_marks;
-mod peer_connections;
+pub(crate) mod peer_connections;
 mod peer_reply;
 mod peer_service;
 mod peer_stream;
