plain: bound the calls that a host makes at a time

Requests sent ahead by 450 callers opened 1,695 descriptors of 1,100: each call that finds no idle connection opens one, and all that became idle were kept. Calls to plain servers take one of a number of places, which follows from the descriptors; without one a call is refused as not run, with a Retry-After. Sixteen idle connections to a server are kept.

--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -243,7 +243,7 @@
             engines: engine::Client::new()?,
             peers: peer_client::Peers::new(&settings.fleet_key),
             platform: platform::Client::new(&settings.platform_url),
-            plain: plain::Proxy::new()?,
+            plain: plain::Proxy::new(settings.limits.resource_limits().server_connections)?,
             jobs: jobs::Jobs::new(&id),
             metrics: sync::Arc::new(metrics::Metrics::new(settings.statsd_addr, &settings.name)?),
             clients: sync::Arc::new(clients::Clients::new(settings.limits.resource_limits())),
--- a/daemon/src/plain.rs
+++ b/daemon/src/plain.rs
@@ -77,10 +77,17 @@
 /// How a call ended; `None` while it runs.
 type Outcome = Option<Result<Reply, refusal::Refusal>>;
 
+/// Retry-After while a host makes as many calls as it may.
+const NO_PLACE_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// Maximum number of idle connections to one server.
+const MAX_IDLE_CONNECTIONS: usize = 16;
+
 /// The state that calls to plain services share.
 #[derive(Debug)]
 pub struct Proxy {
     http: reqwest::Client,
+    /// The calls that may be made at a time.
+    calls: tokio::sync::Semaphore,
     endpoints: endpoints::Cache,
     /// The outcomes of non-repeatable calls whose home host is this one, by request number.
     replies: sync::Mutex<collections::HashMap<u64, watch::Receiver<Outcome>>>,
@@ -89,20 +96,22 @@
 }
 
 impl Proxy {
-    /// Creates the state of a host that has made no calls.
+    /// Creates the state of a host that has made no calls, and makes up to `max_calls` at a time.
     ///
     /// # Errors
     ///
     /// Returns an error if the HTTP client can't be set up.
-    pub fn new() -> anyhow::Result<Self> {
+    pub fn new(max_calls: usize) -> anyhow::Result<Self> {
         let http = reqwest::Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
             .tcp_nodelay(true)
             .no_proxy()
             .redirect(reqwest::redirect::Policy::none())
             .build()?;
         Ok(Self {
             http,
+            calls: tokio::sync::Semaphore::new(max_calls),
             endpoints: endpoints::Cache::default(),
             replies: sync::Mutex::default(),
             call_count: atomic::AtomicUsize::new(0),
@@ -302,6 +311,7 @@
     workspace: &ids::Name,
 ) -> Result<Reply, refusal::Refusal> {
     drain::refuse_if_leaving(cx)?;
+    let _place = take_place(cx)?;
     let mut endpoints = ordered_endpoints(cx, call).await?;
     permits::hold_at_backup(cx, id, workspace).await?;
     endpoints.truncate(MAX_SERVERS_TRIED);
@@ -323,6 +333,7 @@
     cx: &sync::Arc<host::Host>,
     call: &Call,
 ) -> Result<Reply, refusal::Refusal> {
+    let _place = take_place(cx)?;
     let mut endpoints = ordered_endpoints(cx, call).await?;
     endpoints.truncate(MAX_SERVERS_TRIED);
     let mut unknown_outcome = None;
@@ -347,6 +358,16 @@
     Err(unknown_outcome.unwrap_or_else(|| no_server(call)))
 }
 
+/// Takes the place of one of the calls that may be made at a time, as each needs a connection.
+fn take_place(cx: &host::Host) -> Result<tokio::sync::SemaphorePermit<'_>, refusal::Refusal> {
+    cx.plain.calls.try_acquire().map_err(|_| {
+        cx.metrics.count("plain.no_place");
+        let message = "this host makes too many calls to plain servers";
+        refusal::Refusal::not_run(refusal::Code::Unavailable, message)
+            .with_retry_after(NO_PLACE_RETRY_AFTER)
+    })
+}
+
 /// Calls a function with the retry budget of the caller's workspace.
 fn with_retry_budget<T>(
     cx: &host::Host,
