--- a/daemon/src/client_stream.rs
+++ b/daemon/src/client_stream.rs
@@ -19,6 +19,8 @@
 
 /// Retry-After when there is no memory for a body.
 const NO_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// The parts of a body are copied into one buffer once all have come.
+const BODY_COPIES: usize = 2;
 /// Memory that a part of a body takes besides its bytes. It may be a byte long.
 const PART_BYTES: usize = 128;
 
@@ -158,7 +160,8 @@
         if let task::Poll::Ready(Some(Ok(frame))) = &polled
             && let Some(data) = frame.data_ref()
         {
-            match self.calls.0.client.try_hold(data.len() + PART_BYTES) {
+            let bytes = data.len() * BODY_COPIES + PART_BYTES;
+            match self.calls.0.client.try_hold(bytes) {
                 Some(held) => locks::lock(&self.held).push(held),
                 None => {
                     let error = io::Error::from(io::ErrorKind::OutOfMemory);
