lib, api: count the memory of an idle process, and read a body before its call

A call's body is read before its handler is called, into one buffer whose memory is reserved first, as at entry hosts. 16 MiB, or half of the memory, count as taken; a connection of a client counts 36 KiB instead of 48 for that. Reads are of 8 KiB.

--- a/daemon/src/client_stream.rs
+++ b/daemon/src/client_stream.rs
@@ -8,42 +8,21 @@
 use std::time;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body::Body;
+use http_body_util::BodyExt as _;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use walnuthaven_lib::load_shedding;
 use walnuthaven_lib::refusal;
 
-use crate::locks;
 use crate::router::clients;
+use crate::router::read_limit;
 
+/// Bytes that are read at a time, a little less than the HTTP library's smallest buffer, which doubles when a read fills it.
+const MAX_READ: usize = 8 * 1024 - 1;
 /// Retry-After when there is no memory for a body.
 const NO_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
-/// The parts of a body are copied into one buffer once all have come.
-const BODY_COPIES: usize = 2;
-/// Memory that a part of a body takes besides its bytes. It may be a byte long.
-const PART_BYTES: usize = 128;
-
-/// Returns whether a body couldn't be read because there is no memory for it.
-pub(crate) fn is_out_of_memory(error: &(dyn std::error::Error + 'static)) -> bool {
-    let mut next = Some(error);
-    while let Some(error) = next {
-        let kind = error.downcast_ref::<io::Error>().map(io::Error::kind);
-        if kind == Some(io::ErrorKind::OutOfMemory) {
-            return true;
-        }
-        next = error.source();
-    }
-    false
-}
-
-/// Returns the refusal of a request for whose body there is no memory.
-pub(crate) fn no_memory() -> refusal::Refusal {
-    let message = "no memory for the body";
-    refusal::Refusal::not_run(refusal::Code::Unavailable, message)
-        .with_retry_after(NO_MEMORY_RETRY_AFTER)
-}
-
 /// The calls of a connection.
 #[derive(Clone, Debug)]
 pub(crate) struct Calls(sync::Arc<SharedCalls>);
@@ -80,7 +59,6 @@
         self.update_phase();
         Call {
             calls: self.clone(),
-            held: sync::Arc::default(),
         }
     }
 
@@ -99,85 +77,81 @@
     }
 }
 
-/// A call, with the memory of its body.
+/// A call of a connection.
 #[derive(Debug)]
 pub(crate) struct Call {
     calls: Calls,
-    held: sync::Arc<sync::Mutex<Vec<clients::Held>>>,
 }
 
-impl Call {
-    /// Returns a body that counts as held by the connection until the call ends.
-    pub(crate) fn count_body<B>(&self, body: B) -> CountedBody<B> {
-        CountedBody {
-            body,
-            calls: self.calls.clone(),
-            held: self.held.clone(),
-        }
+/// Counts a body as being received until it is dropped.
+struct Receiving<'a>(&'a Calls);
+
+impl Drop for Receiving<'_> {
+    fn drop(&mut self) {
+        let receiving = &self.0.0.receiving;
+        receiving.fetch_sub(1, atomic::Ordering::Relaxed);
+        self.0.update_phase();
     }
 }
 
-impl Drop for Call {
-    fn drop(&mut self) {
-        self.calls.0.open.fetch_sub(1, atomic::Ordering::Relaxed);
-        self.calls.update_phase();
-        if !self.calls.has_open() {
-            self.calls.0.client.release_head();
+impl Call {
+    /// Reads the body of the call. Returns it with the memory that it holds.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a body that is longer than `max_bytes` or cut off, and one that there is no memory for.
+    pub(crate) async fn read_body<B>(
+        &self,
+        mut body: B,
+        max_bytes: usize,
+    ) -> Result<(Bytes, clients::Held), refusal::Refusal>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let _receiving = Receiving(&self.calls);
+        let stated = body.size_hint().exact();
+        let stated = stated.map_or(max_bytes, |bytes| {
+            usize::try_from(bytes).unwrap_or(usize::MAX)
+        });
+        if stated > max_bytes {
+            return Err(too_large(max_bytes));
+        }
+        let held = self.calls.client().reserve(stated).await;
+        let held = held.ok_or_else(no_memory)?;
+        // The parts would each keep the buffer alive that they were received in.
+        let mut buf = BytesMut::with_capacity(stated);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| too_large(max_bytes))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if buf.len() + data.len() > max_bytes {
+                return Err(too_large(max_bytes));
+            }
+            buf.extend_from_slice(&data);
         }
+        Ok((buf.freeze(), held))
     }
 }
 
-/// The body of a call. It fails if there is no memory for it.
-#[derive(Debug)]
-pub(crate) struct CountedBody<B> {
-    body: B,
-    calls: Calls,
-    held: sync::Arc<sync::Mutex<Vec<clients::Held>>>,
+fn too_large(limit: usize) -> refusal::Refusal {
+    let message = format!("the body exceeds {limit} bytes or was cut off");
+    refusal::Refusal::not_run(refusal::Code::TooLarge, message)
 }
 
-impl<B> Drop for CountedBody<B> {
-    fn drop(&mut self) {
-        let receiving = &self.calls.0.receiving;
-        receiving.fetch_sub(1, atomic::Ordering::Relaxed);
-        self.calls.update_phase();
-    }
+fn no_memory() -> refusal::Refusal {
+    let message = "no memory for the body";
+    refusal::Refusal::not_run(refusal::Code::Unavailable, message)
+        .with_retry_after(NO_MEMORY_RETRY_AFTER)
 }
 
-impl<B> Body for CountedBody<B>
-where
-    B: Body<Data = Bytes> + Unpin,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    type Data = Bytes;
-    type Error = Box<dyn std::error::Error + Send + Sync>;
-
-    fn poll_frame(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<Option<Result<http_body::Frame<Bytes>, Self::Error>>> {
-        let polled = pin::Pin::new(&mut self.body).poll_frame(cx);
-        let polled = polled.map_err(Into::into);
-        if let task::Poll::Ready(Some(Ok(frame))) = &polled
-            && let Some(data) = frame.data_ref()
-        {
-            let bytes = data.len() * BODY_COPIES + PART_BYTES;
-            match self.calls.0.client.try_hold(bytes) {
-                Some(held) => locks::lock(&self.held).push(held),
-                None => {
-                    let error = io::Error::from(io::ErrorKind::OutOfMemory);
-                    return task::Poll::Ready(Some(Err(error.into())));
-                }
-            }
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.calls.0.open.fetch_sub(1, atomic::Ordering::Relaxed);
+        self.calls.update_phase();
+        if !self.calls.has_open() {
+            self.calls.0.client.release_head();
         }
-        polled
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> http_body::SizeHint {
-        self.body.size_hint()
     }
 }
 
@@ -218,7 +192,7 @@
             return task::Poll::Pending;
         }
         let before = buf.filled().len();
-        let polled = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
+        let polled = read_limit::poll_read_part(&mut self.stream, cx, buf, MAX_READ);
         let read = buf.filled().len() - before;
         if has_open {
             self.head = 0;
--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -27,7 +27,7 @@
 
 use crate::admin;
 use crate::answer;
-use crate::api;
+use crate::api_server;
 use crate::callers;
 use crate::cancel;
 use crate::configure;
@@ -193,7 +193,7 @@
         jobs::spawn(&host);
         orders::spawn(&host);
         retention::spawn(&host);
-        tokio::spawn(api::serve(host.clone(), api));
+        tokio::spawn(api_server::serve(host.clone(), api));
         Ok(RunningHost {
             host,
             api_addr: addresses.api,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admin_api;
 pub mod answer;
 pub mod api;
+mod api_server;
 pub mod attempt;
 pub mod callers;
 pub mod cancel;
--- a/daemon/src/openai.rs
+++ b/daemon/src/openai.rs
@@ -19,7 +19,6 @@
 
 use crate::answer;
 use crate::api;
-use crate::client_stream;
 use crate::connections;
 use crate::generate;
 use crate::host;
@@ -180,9 +179,6 @@
     body: Result<Bytes, extract::rejection::BytesRejection>,
 ) -> Result<Body, refusal::Refusal> {
     let body = body.map_err(|rejection| {
-        if client_stream::is_out_of_memory(&rejection) {
-            return client_stream::no_memory();
-        }
         let too_large = rejection.status() == http::StatusCode::PAYLOAD_TOO_LARGE;
         let code = match too_large {
             true => refusal::Code::TooLarge,
--- a/daemon/src/router/clients.rs
+++ b/daemon/src/router/clients.rs
@@ -392,13 +392,6 @@
         self.0.clients.reserve(Some(self), bytes).await
     }
 
-    /// Reserves memory for a part of a body, if there is some now.
-    pub(crate) fn try_hold(&self, bytes: usize) -> Option<Held> {
-        let clients = &self.0.clients;
-        let may_hold = clients.has_room(bytes) || clients.make_room(bytes);
-        may_hold.then(|| clients.hold(Some(self), bytes))
-    }
-
     /// Counts an answer as held by the connection until it was sent.
     pub(crate) fn hold_answer(&self, data: Bytes) -> Bytes {
         if data.is_empty() {
--- a/daemon/src/router/read_limit.rs
+++ b/daemon/src/router/read_limit.rs
@@ -170,7 +170,7 @@
 }
 
 /// Reads at most `max` bytes.
-fn poll_read_part<S: AsyncRead + Unpin>(
+pub(crate) fn poll_read_part<S: AsyncRead + Unpin>(
     stream: &mut S,
     cx: &mut task::Context<'_>,
     buf: &mut ReadBuf<'_>,
--- a/lib/src/resource_limits.rs
+++ b/lib/src/resource_limits.rs
@@ -7,8 +7,10 @@
 /// Half of these descriptors is for clients, and this part for other hosts. The rest is for servers.
 const CLIENT_FILES_DIVISOR: usize = 2;
 const PEER_FILES_DIVISOR: usize = 16;
+/// Memory of a process without clients; at most half of what it may use counts as such.
+const BASE_BYTES: usize = 16 * 1024 * 1024;
 /// Memory of a client's connection besides its messages: buffers of the HTTP library and of the kernel.
-const CLIENT_BYTES: usize = 48 * 1024;
+const CLIENT_BYTES: usize = 36 * 1024;
 /// Memory of a connection to a server: the same, with more in the kernel.
 const SERVER_BYTES: usize = 64 * 1024;
 /// Memory of a connection of another host, whose calls share a window.
@@ -49,6 +51,7 @@
 impl ResourceLimits {
     /// Returns the limits of a process that may use `memory` bytes and `files` descriptors.
     pub fn new(memory: usize, files: usize) -> Self {
+        let memory = memory - BASE_BYTES.min(memory / 2);
         let least = files / MIN_FILES_DIVISOR;
         let files = files.saturating_sub(RESERVED_FILES).max(least);
         let client_files = files / CLIENT_FILES_DIVISOR;
