--- a/daemon/src/router/connection_pool.rs
+++ b/daemon/src/router/connection_pool.rs
@@ -233,11 +233,12 @@
             });
         }
         if !cx.connection_pool.close_oldest() {
-            return None;
+            break;
         }
         // A connection closes once its task was told to end.
         tokio::task::yield_now().await;
     }
+    cx.telemetry.count("server.no_place");
     None
 }
 
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -311,11 +311,8 @@
     }
     let timeout = CONNECT_TIMEOUT.min(time_left(cx, options.deadline));
     let place = connection_pool::take_place(cx).await;
-    let place = place.ok_or_else(|| {
-        cx.telemetry.count("server.no_place");
-        let cause = "too many connections to servers";
-        failure(outcome::Outcome::NeverWritten, cause)
-    })?;
+    let cause = "too many connections to servers";
+    let place = place.ok_or_else(|| failure(outcome::Outcome::NeverWritten, cause))?;
     let opened = links::open(cx, server, timeout, place).await;
     cx.telemetry.count("server.connections");
     let mut connection = opened.map_err(|error| {
