router: a request that was sent ahead isn't handled before the answer before it has left

Its connection counted as one with a request at a server, which is never closed, so that clients that send ahead and read nothing kept their answers' memory and their places. The HTTP library reads such a request, but starts it only once the answer before it was written.

--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -137,6 +137,7 @@
         read_limit.start();
         let req = req.map(|body| read_limit::LimitedBody::new(body, read_limit.clone()));
         Box::pin(async move {
+            head_state.set_handled();
             let response = handle(admin, addr, head_state.client(), req).await;
             let response = response.map(|body| {
                 let body = Full::new(head_state.client().hold_answer(body));
--- a/daemon/src/router/connection_timer.rs
+++ b/daemon/src/router/connection_timer.rs
@@ -85,13 +85,18 @@
 
     /// Records that the head of a request was read, which stops the timer.
     pub(crate) fn set_head_read(&self) {
-        self.0.client.enter(load_shedding::Phase::Served);
         self.0
             .is_answer_made
             .store(false, atomic::Ordering::Relaxed);
         self.0.is_head_read.store(true, atomic::Ordering::Relaxed);
     }
 
+    /// Records that the request is handled from now on. One that was sent ahead isn't before the answer to the one
+    /// before it has left.
+    pub(crate) fn set_handled(&self) {
+        self.0.client.enter(load_shedding::Phase::Served);
+    }
+
     /// Records which request was read.
     pub(crate) fn set_request(&self, request: OpenRequest) {
         *locks::lock(&self.0.newest) = Some(request);
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -150,6 +150,7 @@
         read_limit.start();
         // A connection without a request would take the memory of one otherwise.
         Box::pin(async move {
+            head_state.set_handled();
             let answer = match endpoint {
                 Endpoint::Callers => {
                     let req = req.map(|body| read_limit::LimitedBody::new(body, read_limit));
