lib: close connections that stall before new ones

A connection without a request was the first to be closed however new it was, so that beside connections that stall with answers each ordinary caller was closed by the next one before its request was read. Those that began what they do within the last 250 ms come last now.

--- a/lib/src/load_shedding.rs
+++ b/lib/src/load_shedding.rs
@@ -3,6 +3,9 @@
 use std::cmp;
 use std::time;
 
+/// A connection that began what it does less than this ago is closed after those that stall.
+const NEW_TIME: time::Duration = time::Duration::from_millis(250);
+
 /// What a client's connection does.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Phase {
@@ -48,13 +51,16 @@
     fn rank(&self) -> Option<u8> {
         let is_sending = self.bytes > 0 || self.is_blocked;
         match self.phase {
+            Phase::Answer if !self.is_blocked => None,
+            Phase::Served => None,
+            // The next bytes are probably on their way.
+            _ if self.age < NEW_TIME => Some(6),
             Phase::Waiting if is_sending => Some(4),
             Phase::Waiting if !self.has_asked => Some(0),
             Phase::Waiting => Some(1),
             Phase::Head => Some(2),
             Phase::Body => Some(3),
-            Phase::Answer if self.is_blocked => Some(5),
-            Phase::Answer | Phase::Served => None,
+            Phase::Answer => Some(5),
         }
     }
 }
--- a/lib/tests/load_shedding.rs
+++ b/lib/tests/load_shedding.rs
@@ -59,10 +59,12 @@
         holder(4, Phase::Body, 8_000, 10),
         holder(5, Phase::Head, 8_000, 10),
         kept,
-        holder(6, Phase::Waiting, 5, 0),
-        holder(7, Phase::Waiting, 50, 0),
+        holder(6, Phase::Waiting, 500, 0),
+        holder(7, Phase::Waiting, 5_000, 0),
+        holder(8, Phase::Waiting, 5, 0),
+        holder(9, Phase::Head, 50, 10),
     ];
     let order = load_shedding::for_connections(&holders, 10);
-    assert_eq!(order, [7, 6, 1, 5, 4, 3, 2]);
+    assert_eq!(order, [7, 6, 1, 5, 4, 3, 2, 9, 8]);
     assert_eq!(load_shedding::for_connections(&holders, 2), [7, 6]);
 }
