router: messages get free memory in order of arrival

Answers that waited for memory tried again at random times, so that an ordinary one waited as long as a crowd had others. One that fits at once doesn't wait.

--- a/daemon/src/router/clients.rs
+++ b/daemon/src/router/clients.rs
@@ -36,6 +36,8 @@
     held: atomic::AtomicUsize,
     /// Bytes of them on connections that are being closed.
     closing: atomic::AtomicUsize,
+    /// Held by the message that gets the next free memory, so that messages get it in order of arrival.
+    turn: tokio::sync::Mutex<()>,
     /// Signalled when a connection was closed.
     closed: tokio::sync::Notify,
     shed_for_bytes: atomic::AtomicU64,
@@ -93,6 +95,7 @@
             next_number: atomic::AtomicU64::new(0),
             held: atomic::AtomicUsize::new(0),
             closing: atomic::AtomicUsize::new(0),
+            turn: tokio::sync::Mutex::new(()),
             closed: tokio::sync::Notify::new(),
             shed_for_bytes: atomic::AtomicU64::new(0),
             shed_for_connections: atomic::AtomicU64::new(0),
@@ -271,8 +274,13 @@
         None
     }
 
-    /// Reserves memory as [`Self::reserve`] does, but waits until there is some.
+    /// Reserves memory as [`Self::reserve`] does, but waits until there is some. Messages that don't fit wait in order of
+    /// arrival.
     pub(crate) async fn wait_for_memory(self: &sync::Arc<Self>, bytes: usize) -> Held {
+        if self.has_room(bytes) {
+            return self.hold(None, bytes);
+        }
+        let _turn = self.turn.lock().await;
         loop {
             // A single message may be longer than all memory for messages.
             if bytes >= self.limits().message_bytes {
