router: close a connection once

Its bytes then counted twice as leaving and were taken back once, so that the bound on messages rose by them for good. Not shown by a test; entry hosts have one thread.

--- a/daemon/src/router/clients.rs
+++ b/daemon/src/router/clients.rs
@@ -38,7 +38,7 @@
     closing: atomic::AtomicUsize,
     /// Held by the message that gets the next free memory, so that messages get it in order of arrival.
     turn: tokio::sync::Mutex<()>,
-    /// Signalled when a connection was closed.
+    /// Signalled when a connection has been closed.
     closed: tokio::sync::Notify,
     shed_for_bytes: atomic::AtomicU64,
     shed_for_connections: atomic::AtomicU64,
@@ -191,8 +191,13 @@
     fn shed(&self, numbers: &[u64]) -> bool {
         let open = locks::lock(&self.open);
         for shared in numbers.iter().filter_map(|number| open.get(number)) {
+            let mut shed = locks::lock(&shared.shed);
+            if shed.is_some() {
+                // Another thread has chosen it meanwhile.
+                continue;
+            }
             let bytes = shared.held.load(atomic::Ordering::Relaxed);
-            *locks::lock(&shared.shed) = Some(bytes);
+            *shed = Some(bytes);
             self.closing.fetch_add(bytes, atomic::Ordering::Relaxed);
             shared.shed_signal.notify_one();
         }
@@ -314,7 +319,7 @@
     }
 }
 
-/// Counts a connection as open until it is dropped.
+/// Counts a connection as open until this is dropped.
 #[derive(Debug)]
 pub(crate) struct Registration(Client);
 
