lib: never close a connection whose stream its client takes

An answer that is passed on counted as one that is only left to be sent. Its connection is closed now only if its client doesn't take what comes, as for descriptors.

The unit test requests_at_servers_are_never_closed has such a stream with bytes.

--- a/lib/src/load_shedding.rs
+++ b/lib/src/load_shedding.rs
@@ -18,7 +18,7 @@
     Body,
     /// A request that was received is handled. It may be at a server, so that its connection is never closed.
     Served,
-    /// An answer is being passed on.
+    /// An answer is being passed on. Its server may still work on it.
     Answer,
 }
 
@@ -40,6 +40,15 @@
 }
 
 impl Holder {
+    /// Returns whether its request may be at a server, and its client takes what comes of the answer.
+    fn is_at_server(&self) -> bool {
+        match self.phase {
+            Phase::Served => true,
+            Phase::Answer => !self.is_blocked,
+            Phase::Waiting | Phase::Head | Phase::Body => false,
+        }
+    }
+
     /// Returns what it has held for how long.
     fn cost(&self) -> u128 {
         // A connection that begins has a cost, too.
@@ -51,8 +60,7 @@
     fn rank(&self) -> Option<u8> {
         let is_sending = self.bytes > 0 || self.is_blocked;
         match self.phase {
-            Phase::Answer if !self.is_blocked => None,
-            Phase::Served => None,
+            _ if self.is_at_server() => None,
             // The next bytes are probably on their way.
             _ if self.age < NEW_TIME => Some(6),
             Phase::Waiting if is_sending => Some(4),
@@ -60,7 +68,7 @@
             Phase::Waiting => Some(1),
             Phase::Head => Some(2),
             Phase::Body => Some(3),
-            Phase::Answer => Some(5),
+            Phase::Answer | Phase::Served => Some(5),
         }
     }
 }
@@ -68,7 +76,7 @@
 /// Returns the connections to close so that `bytes` bytes become free: those that have held most for longest.
 pub fn for_bytes(holders: &[Holder], bytes: usize) -> Vec<u64> {
     let sheddable = holders.iter();
-    let sheddable = sheddable.filter(|holder| holder.bytes > 0 && holder.phase != Phase::Served);
+    let sheddable = sheddable.filter(|holder| holder.bytes > 0 && !holder.is_at_server());
     let mut sheddable: Vec<_> = sheddable.collect();
     sheddable.sort_by_key(|holder| cmp::Reverse(holder.cost()));
     let mut freed = 0;
--- a/lib/tests/load_shedding.rs
+++ b/lib/tests/load_shedding.rs
@@ -40,7 +40,7 @@
 fn requests_at_servers_are_never_closed() {
     let holders = [
         holder(1, Phase::Served, 9_000, 1_000_000),
-        holder(2, Phase::Answer, 9_000, 0),
+        holder(2, Phase::Answer, 9_000, 500),
         holder(3, Phase::Waiting, 1, 0),
     ];
     assert!(load_shedding::for_bytes(&holders, 100).is_empty());
