api: a body that is cut off is malformed, and one that is too long is read before it is refused

Plain calls get 400 for it now, too. It is read without being kept now, up to four times the limit, as about a limit's worth was before.

--- a/daemon/src/client_stream.rs
+++ b/daemon/src/client_stream.rs
@@ -21,6 +21,8 @@
 
 /// Bytes that are read at a time, a little less than the HTTP library's smallest buffer, which doubles when a read fills it.
 const MAX_READ: usize = 8 * 1024 - 1;
+/// A body that is too long is read up to this many times the limit.
+const MAX_DISCARDED: usize = 4;
 /// Retry-After when there is no memory for a body.
 const NO_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 /// The calls of a connection.
@@ -114,6 +116,7 @@
             usize::try_from(bytes).unwrap_or(usize::MAX)
         });
         if stated > max_bytes {
+            discard(body, max_bytes).await;
             return Err(too_large(max_bytes));
         }
         let held = self.calls.client().reserve(stated).await;
@@ -121,11 +124,13 @@
         // The parts would each keep the buffer alive that they were received in.
         let mut buf = BytesMut::with_capacity(stated);
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| too_large(max_bytes))?;
+            let frame = frame.map_err(|_| cut_off())?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
             if buf.len() + data.len() > max_bytes {
+                drop((buf, held));
+                discard(body, max_bytes).await;
                 return Err(too_large(max_bytes));
             }
             buf.extend_from_slice(&data);
@@ -134,8 +139,25 @@
     }
 }
 
+/// Reads a body that is too long without keeping it, as a caller that is still sending may not read the refusal. Stops after
+/// a few times `max_bytes`.
+async fn discard<B: Body<Data = Bytes> + Unpin>(mut body: B, max_bytes: usize) {
+    let mut left = max_bytes.saturating_mul(MAX_DISCARDED);
+    while let Some(Ok(frame)) = body.frame().await {
+        let bytes = frame.data_ref().map_or(0, Bytes::len);
+        left = left.saturating_sub(bytes);
+        if left == 0 {
+            return;
+        }
+    }
+}
+
+fn cut_off() -> refusal::Refusal {
+    refusal::Refusal::not_run(refusal::Code::BadRequest, "the body was cut off")
+}
+
 fn too_large(limit: usize) -> refusal::Refusal {
-    let message = format!("the body exceeds {limit} bytes or was cut off");
+    let message = format!("the body exceeds {limit} bytes");
     refusal::Refusal::not_run(refusal::Code::TooLarge, message)
 }
 
