daemon: pass the writes of wrapped streams on in one place

Five wrappers of a stream, two of them of this change, wrote the same five calls each and differ only in what they do with the result of a write. A macro implements them, as a blanket impl for a trait of ours isn't allowed. No behaviour changes: slow_reader.rs, caller_limits.rs, peer_calls.rs, plain_requests.rs, engine_streams.rs and configuration_changes.rs pass.

--- a/daemon/src/client_stream.rs
+++ b/daemon/src/client_stream.rs
@@ -12,10 +12,10 @@
 use http_body::Body;
 use http_body_util::BodyExt as _;
 use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
 use walnuthaven_lib::load_shedding;
 use walnuthaven_lib::refusal;
 
+use crate::pass_writes;
 use crate::router::clients;
 use crate::router::read_limit;
 
@@ -195,7 +195,7 @@
         }
     }
 
-    fn record_write<T>(&self, polled: task::Poll<T>) -> task::Poll<T> {
+    fn record_write(&self, polled: task::Poll<io::Result<usize>>) -> task::Poll<io::Result<usize>> {
         self.calls.client().set_blocked(polled.is_pending());
         polled
     }
@@ -231,40 +231,4 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for ClientStream<S> {
-    fn poll_write(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<io::Result<usize>> {
-        let polled = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.record_write(polled)
-    }
-
-    fn poll_write_vectored(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> task::Poll<io::Result<usize>> {
-        let polled = pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.record_write(polled)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
+pass_writes::pass_writes!([S] ClientStream<S>, |stream, _, polled| stream.record_write(polled));
--- a/daemon/src/connections.rs
+++ b/daemon/src/connections.rs
@@ -12,13 +12,13 @@
 use std::time;
 
 use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
 use walnuthaven_lib::ids;
 use walnuthaven_lib::request_table;
 use walnuthaven_wire::peer;
 
 use crate::host;
 use crate::locks;
+use crate::pass_writes;
 use crate::permits;
 
 /// An answer whose delivery is recorded at the request's home host.
@@ -162,11 +162,11 @@
     }
 
     /// Converts the result of a write into an error if writes have been pending for too long.
-    fn check_stall<T>(
+    fn check_stall(
         &mut self,
         cx: &mut task::Context<'_>,
-        poll: task::Poll<io::Result<T>>,
-    ) -> task::Poll<io::Result<T>> {
+        poll: task::Poll<io::Result<usize>>,
+    ) -> task::Poll<io::Result<usize>> {
         if poll.is_ready() {
             self.stall_timer = None;
             return poll;
@@ -195,40 +195,4 @@
     }
 }
 
-impl AsyncWrite for WriteTimeoutStream {
-    fn poll_write(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<io::Result<usize>> {
-        let poll = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.check_stall(cx, poll)
-    }
-
-    fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> task::Poll<io::Result<usize>> {
-        let poll = pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.check_stall(cx, poll)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
+pass_writes::pass_writes!([] WriteTimeoutStream, WriteTimeoutStream::check_stall);
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod openai;
 pub mod orders;
 pub mod pages;
+mod pass_writes;
 pub mod peer_client;
 pub mod peer_server;
 pub mod permits;
--- a/daemon/src/router/connection_timer.rs
+++ b/daemon/src/router/connection_timer.rs
@@ -16,11 +16,11 @@
 use futures_util::task as futures_task;
 use http_body::Body;
 use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
 use walnuthaven_lib::load_shedding;
 use walnuthaven_lib::outcome;
 
 use crate::locks;
+use crate::pass_writes;
 use crate::router::clients;
 
 /// Whether the current request's head has been read on a connection. Shared by the connection's two
@@ -310,43 +310,7 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for TrackedWriter<S> {
-    fn poll_write(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<io::Result<usize>> {
-        let polled = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.record(polled)
-    }
-
-    fn poll_write_vectored(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> task::Poll<io::Result<usize>> {
-        let polled = pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.record(polled)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
+pass_writes::pass_writes!([S] TrackedWriter<S>, |writer, _, polled| writer.record(polled));
 
 impl<S, F> AsyncRead for TimedReader<S, F>
 where
--- a/daemon/src/router/peer_connections.rs
+++ b/daemon/src/router/peer_connections.rs
@@ -14,13 +14,13 @@
 use futures_util::task as futures_task;
 use http_body::Body;
 use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
 use tonic::body;
 use tonic::codegen;
 use tonic::server;
 use tonic::transport::server as transport_server;
 
 use crate::locks;
+use crate::pass_writes;
 use crate::router::clients;
 use crate::router::events::limited_event;
 
@@ -178,41 +178,7 @@
     }
 }
 
-impl AsyncWrite for PeerStream {
-    fn poll_write(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
+pass_writes::pass_writes!([] PeerStream);
 
 /// A service whose messages count against the memory for them while they are received.
 #[derive(Clone, Debug)]
--- a/daemon/src/router/read_limit.rs
+++ b/daemon/src/router/read_limit.rs
@@ -14,9 +14,10 @@
 use http_body::Body;
 use hyper::body;
 use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
+use crate::pass_writes;
+
 /// Buffers of the HTTP library that a peer may fill before the body of its message, or ahead of what is taken of the body.
 const BUFFERS: usize = 4;
 /// Bytes that a peer may send for each byte of the body, and for each part of it.
@@ -186,38 +187,4 @@
     polled
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for LimitedStream<S> {
-    fn poll_write(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
+pass_writes::pass_writes!([S] LimitedStream<S>);
