router: accept connections of clients in one place

The loop that waits for a place, accepts, refuses and closes on demand stood in three listeners. Each also asked for a place before it waited for a connection, however long that took: a listener that found none refused its next client although there was room by then, and one that found some accepted one over the limit. Found on reading. A connection is accepted first and then waits for its place.

--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -92,29 +92,18 @@
 async fn accept(admin: sync::Arc<Admin>, listener: tokio::net::TcpListener) {
     let clients = admin.cx.clients.clone();
     loop {
-        let has_place = clients.wait_for_place().await;
-        let (stream, addr) = match listener.accept().await {
-            Ok(accepted) => accepted,
+        let accepted = match clients.accept(&listener).await {
+            Ok(Some(accepted)) => accepted,
+            Ok(None) => continue,
             Err(error) => {
                 log::warn!("can't accept an operator's connection: {error}");
                 tokio::time::sleep(time::Duration::from_millis(50)).await;
                 continue;
             }
         };
-        if !has_place {
-            clients.record_refused();
-            continue;
-        }
-        let registration = clients.add();
-        let admin = admin.clone();
-        tokio::spawn(async move {
-            let client = registration.client().clone();
-            tokio::select! {
-                () = client.wait_until_shed() => {}
-                () = serve_connection(admin, stream, addr, client.clone()) => {}
-            }
-            drop(registration);
-        });
+        let client = accepted.registration.client().clone();
+        let serving = serve_connection(admin.clone(), accepted.stream, accepted.addr, client);
+        tokio::spawn(accepted.registration.run(serving));
     }
 }
 
--- a/daemon/src/api_server.rs
+++ b/daemon/src/api_server.rs
@@ -22,13 +22,9 @@
     let ended = drain::wait_until_left(&cx);
     let accept = async {
         loop {
-            let has_place = cx.clients.wait_for_place().await;
-            match listener.accept().await {
-                Ok((stream, _)) if has_place => on_accepted(&cx, &router, stream),
-                Ok(_) => {
-                    cx.metrics.count("connection.refused");
-                    cx.clients.record_refused();
-                }
+            match cx.clients.accept(&listener).await {
+                Ok(Some(accepted)) => on_accepted(&cx, &router, accepted),
+                Ok(None) => cx.metrics.count("connection.refused"),
                 Err(error) => {
                     log::warn!("can't accept a caller's connection: {error}");
                     tokio::time::sleep(time::Duration::from_millis(50)).await;
@@ -42,18 +38,21 @@
     }
 }
 
-fn on_accepted(cx: &sync::Arc<host::Host>, router: &axum::Router, stream: tokio::net::TcpStream) {
+fn on_accepted(cx: &sync::Arc<host::Host>, router: &axum::Router, accepted: clients::Accepted) {
     cx.counters
         .connections
         .fetch_add(1, atomic::Ordering::Relaxed);
     let open_guard = OpenConnectionGuard(cx.clone());
-    let registration = cx.clients.add();
     let cx = cx.clone();
     let router = router.clone();
     tokio::spawn(async move {
         let _open_guard = open_guard;
+        let clients::Accepted {
+            stream,
+            registration,
+            ..
+        } = accepted;
         serve_connection(&cx, router, stream, registration.client()).await;
-        drop(registration);
     });
 }
 
--- a/daemon/src/router/clients.rs
+++ b/daemon/src/router/clients.rs
@@ -2,13 +2,14 @@
 //! hold most for longest are closed.
 
 use std::collections;
+use std::io;
+use std::net;
 use std::sync;
 use std::sync::atomic;
 use std::time;
 
 use bytes::Bytes;
 use walnuthaven_lib::load_shedding;
-use walnuthaven_lib::load_shedding::Phase;
 use walnuthaven_lib::resource_limits;
 
 use crate::locks;
@@ -56,7 +57,7 @@
     clients: sync::Arc<Clients>,
     number: u64,
     /// What the connection does, and since when.
-    phase: sync::Mutex<(Phase, tokio::time::Instant)>,
+    phase: sync::Mutex<(load_shedding::Phase, tokio::time::Instant)>,
     has_asked: atomic::AtomicBool,
     is_blocked: atomic::AtomicBool,
     /// Bytes of messages, those of the head among them.
@@ -113,9 +114,33 @@
         *locks::write(&self.limits) = limits;
     }
 
-    /// Waits until another connection may be accepted, and closes others for that. Returns `false` if none can be
-    /// closed, so that the next one has to be refused.
-    pub(crate) async fn wait_for_place(&self) -> bool {
+    /// Accepts the next connection. Returns `None` if it was refused, as there are too many and none of them can be closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection can't be accepted.
+    pub(crate) async fn accept(
+        self: &sync::Arc<Self>,
+        listener: &tokio::net::TcpListener,
+    ) -> io::Result<Option<Accepted>> {
+        let (stream, addr) = listener.accept().await?;
+        if self.wait_for_place().await {
+            let registration = self.add();
+            return Ok(Some(Accepted {
+                stream,
+                addr,
+                registration,
+            }));
+        }
+        self.refused.fetch_add(1, atomic::Ordering::Relaxed);
+        limited_event!(Warn, "connection-refused", "cause" => "too many connections",
+            "open" => locks::lock(&self.open).len());
+        Ok(None)
+    }
+
+    /// Waits until there is a place for another connection, and closes others for that. Returns `false` if none can be
+    /// closed.
+    async fn wait_for_place(&self) -> bool {
         loop {
             let closed = self.closed.notified();
             let max = self.limits().client_connections;
@@ -131,13 +156,6 @@
         }
     }
 
-    /// Counts a connection that was refused.
-    pub(crate) fn record_refused(&self) {
-        self.refused.fetch_add(1, atomic::Ordering::Relaxed);
-        limited_event!(Warn, "connection-refused", "cause" => "too many connections",
-            "open" => locks::lock(&self.open).len());
-    }
-
     /// Counts a connection of another host that was closed to make room.
     pub(crate) fn record_peer_shed(&self) {
         self.peers_shed.fetch_add(1, atomic::Ordering::Relaxed);
@@ -149,12 +167,12 @@
     }
 
     /// Adds a connection. It counts until the returned value is dropped.
-    pub(crate) fn add(self: &sync::Arc<Self>) -> Registration {
+    fn add(self: &sync::Arc<Self>) -> Registration {
         let number = self.next_number.fetch_add(1, atomic::Ordering::Relaxed);
         let shared = sync::Arc::new(Shared {
             clients: self.clone(),
             number,
-            phase: sync::Mutex::new((Phase::Waiting, tokio::time::Instant::now())),
+            phase: sync::Mutex::new((load_shedding::Phase::Waiting, tokio::time::Instant::now())),
             has_asked: atomic::AtomicBool::new(false),
             is_blocked: atomic::AtomicBool::new(false),
             held: atomic::AtomicUsize::new(0),
@@ -187,8 +205,15 @@
         holders.collect()
     }
 
-    /// Tells connections to close. Returns whether some close.
-    fn shed(&self, numbers: &[u64]) -> bool {
+    /// Tells connections to close, and counts them in `counter`. Returns whether there are any.
+    fn shed(&self, numbers: &[u64], counter: &atomic::AtomicU64, cause: &str) -> bool {
+        if numbers.is_empty() {
+            return false;
+        }
+        let count = numbers.len() as u64;
+        counter.fetch_add(count, atomic::Ordering::Relaxed);
+        limited_event!(Warn, "connections-shed", "cause" => cause, "count" => count,
+            "held" => self.held.load(atomic::Ordering::Relaxed));
         let open = locks::lock(&self.open);
         for shared in numbers.iter().filter_map(|number| open.get(number)) {
             let mut shed = locks::lock(&shared.shed);
@@ -201,19 +226,12 @@
             self.closing.fetch_add(bytes, atomic::Ordering::Relaxed);
             shared.shed_signal.notify_one();
         }
-        !numbers.is_empty()
+        true
     }
 
     fn shed_connections(&self, count: usize) -> bool {
         let chosen = load_shedding::for_connections(&self.holders(), count);
-        if chosen.is_empty() {
-            return false;
-        }
-        let count = chosen.len() as u64;
-        self.shed_for_connections
-            .fetch_add(count, atomic::Ordering::Relaxed);
-        limited_event!(Warn, "connections-shed", "cause" => "too many connections", "count" => count);
-        self.shed(&chosen)
+        self.shed(&chosen, &self.shed_for_connections, "too many connections")
     }
 
     /// Returns the bytes that are held and will stay so.
@@ -231,14 +249,7 @@
         }
         let excess = (staying + needed).saturating_sub(max - max / SPARE_DIVISOR);
         let chosen = load_shedding::for_bytes(&self.holders(), excess);
-        if !chosen.is_empty() {
-            let count = chosen.len() as u64;
-            self.shed_for_bytes
-                .fetch_add(count, atomic::Ordering::Relaxed);
-            limited_event!(Warn, "connections-shed", "cause" => "too many bytes of messages",
-                "count" => count, "held" => staying);
-            self.shed(&chosen);
-        }
+        self.shed(&chosen, &self.shed_for_bytes, "too many bytes of messages");
         self.staying() + needed <= max
     }
 
@@ -319,6 +330,14 @@
     }
 }
 
+/// A connection that was accepted.
+#[derive(Debug)]
+pub(crate) struct Accepted {
+    pub(crate) stream: tokio::net::TcpStream,
+    pub(crate) addr: net::SocketAddr,
+    pub(crate) registration: Registration,
+}
+
 /// Counts a connection as open until this is dropped.
 #[derive(Debug)]
 pub(crate) struct Registration(Client);
@@ -327,6 +346,14 @@
     pub(crate) fn client(&self) -> &Client {
         &self.0
     }
+
+    /// Runs what serves the connection until it ends or the connection has to be closed.
+    pub(crate) async fn run(self, serving: impl Future<Output = ()>) {
+        tokio::select! {
+            () = self.0.wait_until_shed() => {}
+            () = serving => {}
+        }
+    }
 }
 
 impl Drop for Registration {
@@ -355,9 +382,12 @@
 
 impl Client {
     /// Records what the connection does from now on.
-    pub(crate) fn enter(&self, phase: Phase) {
+    pub(crate) fn enter(&self, phase: load_shedding::Phase) {
         *locks::lock(&self.0.phase) = (phase, tokio::time::Instant::now());
-        if !matches!(phase, Phase::Waiting | Phase::Head) {
+        if !matches!(
+            phase,
+            load_shedding::Phase::Waiting | load_shedding::Phase::Head
+        ) {
             self.0.has_asked.store(true, atomic::Ordering::Relaxed);
         }
     }
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -85,37 +85,24 @@
     endpoint: Endpoint,
 ) {
     loop {
-        let accepting = async {
-            let has_place = cx.clients.wait_for_place().await;
-            (listener.accept().await, has_place)
-        };
-        let (accepted, has_place) = tokio::select! {
-            accepted = accepting => accepted,
+        let accepted = tokio::select! {
+            accepted = cx.clients.accept(&listener) => accepted,
             () = cx.accepting_stopped(), if endpoint == Endpoint::Callers => return,
         };
-        let (stream, caller) = match accepted {
-            Ok(accepted) => accepted,
+        let accepted = match accepted {
+            Ok(Some(accepted)) => accepted,
+            // The client may ask another host at once, as nothing was read.
+            Ok(None) => continue,
             Err(error) => {
                 event!(Warn, "accept-failed", "cause" => error.to_string());
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        if !has_place {
-            // The client may ask another host at once, as nothing was read.
-            cx.clients.record_refused();
-            continue;
-        }
-        let registration = cx.clients.add();
-        let cx = cx.clone();
-        tokio::spawn(async move {
-            let client = registration.client().clone();
-            tokio::select! {
-                () = client.wait_until_shed() => {}
-                () = serve(cx, stream, caller.ip(), endpoint, client.clone()) => {}
-            }
-            drop(registration);
-        });
+        let client = accepted.registration.client().clone();
+        let caller = accepted.addr.ip();
+        let serving = serve(cx.clone(), accepted.stream, caller, endpoint, client);
+        tokio::spawn(accepted.registration.run(serving));
     }
 }
 
