daemon: read the bodies of requests in one place

Callers' bodies at both kinds of hosts, and operators', were read by three loops. One serves all now; the operators' one collected parts one by one, so that a body in parts of a byte took many times its size there, the fault that mended for callers. Limits and answers stay.

caller_limits.rs, plain_requests.rs, bad_input.rs and console_pages.rs pass.

--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -7,9 +7,7 @@
 use std::time;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body;
 use hyper::server::conn::http1;
 use hyper::service;
@@ -151,9 +149,8 @@
     client: &clients::Client,
     req: http::Request<read_limit::LimitedBody>,
 ) -> http::Response<Bytes> {
-    let (parts, body) = req.into_parts();
-    let stated = http_body::Body::size_hint(&body).exact();
-    let stated = stated.map_or(MAX_BODY_BYTES, |bytes| bytes as usize);
+    let (parts, mut body) = req.into_parts();
+    let stated = read_limit::stated_bytes(&body).unwrap_or(MAX_BODY_BYTES);
     if stated > MAX_BODY_BYTES {
         return plain(http::StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
     }
@@ -161,13 +158,15 @@
         let status = http::StatusCode::SERVICE_UNAVAILABLE;
         return plain(status, "no memory for the body");
     };
-    let reading = Limited::new(body, MAX_BODY_BYTES).collect();
+    let reading = read_limit::collect(&mut body, stated, MAX_BODY_BYTES);
     let data = match tokio::time::timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+        Ok(Ok(data)) => data,
+        Ok(Err(read_limit::BodyFault::TooLarge)) => {
             return plain(http::StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
         }
-        Ok(Err(_)) => return plain(http::StatusCode::BAD_REQUEST, "the body broke off"),
+        Ok(Err(read_limit::BodyFault::BrokeOff)) => {
+            return plain(http::StatusCode::BAD_REQUEST, "the body broke off");
+        }
         Err(_) => return plain(http::StatusCode::REQUEST_TIMEOUT, "the body took too long"),
     };
     // The semaphore is never closed.
--- a/daemon/src/client_stream.rs
+++ b/daemon/src/client_stream.rs
@@ -8,7 +8,6 @@
 use std::time;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body::Body;
 use http_body_util::BodyExt as _;
 use tokio::io::AsyncRead;
@@ -25,6 +24,7 @@
 const MAX_DISCARDED: usize = 4;
 /// Retry-After when there is no memory for a body.
 const NO_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+
 /// The calls of a connection.
 #[derive(Clone, Debug)]
 pub(crate) struct Calls(sync::Arc<SharedCalls>);
@@ -85,6 +85,16 @@
     calls: Calls,
 }
 
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.calls.0.open.fetch_sub(1, atomic::Ordering::Relaxed);
+        self.calls.update_phase();
+        if !self.calls.has_open() {
+            self.calls.0.client.release_head();
+        }
+    }
+}
+
 /// Counts a body as being received until it is dropped.
 struct Receiving<'a>(&'a Calls);
 
@@ -111,31 +121,22 @@
         B: Body<Data = Bytes> + Unpin,
     {
         let _receiving = Receiving(&self.calls);
-        let stated = body.size_hint().exact();
-        let stated = stated.map_or(max_bytes, |bytes| {
-            usize::try_from(bytes).unwrap_or(usize::MAX)
-        });
+        let stated = read_limit::stated_bytes(&body).unwrap_or(max_bytes);
         if stated > max_bytes {
             discard(body, max_bytes).await;
             return Err(too_large(max_bytes));
         }
         let held = self.calls.client().reserve(stated).await;
         let held = held.ok_or_else(no_memory)?;
-        // The parts would each keep the buffer alive that they were received in.
-        let mut buf = BytesMut::with_capacity(stated);
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| cut_off())?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            if buf.len() + data.len() > max_bytes {
-                drop((buf, held));
+        match read_limit::collect(&mut body, stated, max_bytes).await {
+            Ok(data) => Ok((data, held)),
+            Err(read_limit::BodyFault::BrokeOff) => Err(cut_off()),
+            Err(read_limit::BodyFault::TooLarge) => {
+                drop(held);
                 discard(body, max_bytes).await;
-                return Err(too_large(max_bytes));
+                Err(too_large(max_bytes))
             }
-            buf.extend_from_slice(&data);
         }
-        Ok((buf.freeze(), held))
     }
 }
 
@@ -167,16 +168,6 @@
         .with_retry_after(NO_MEMORY_RETRY_AFTER)
 }
 
-impl Drop for Call {
-    fn drop(&mut self) {
-        self.calls.0.open.fetch_sub(1, atomic::Ordering::Relaxed);
-        self.calls.update_phase();
-        if !self.calls.has_open() {
-            self.calls.0.client.release_head();
-        }
-    }
-}
-
 /// A connection whose heads count as held, and that records whether its caller takes what is sent.
 #[derive(Debug)]
 pub(crate) struct ClientStream<S> {
--- a/daemon/src/router/read_limit.rs
+++ b/daemon/src/router/read_limit.rs
@@ -11,7 +11,9 @@
 
 use bytes::Buf as _;
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body::Body;
+use http_body_util::BodyExt as _;
 use hyper::body;
 use tokio::io::AsyncRead;
 use tokio::io::ReadBuf;
@@ -106,6 +108,43 @@
     }
 }
 
+/// Why a body wasn't read to its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum BodyFault {
+    BrokeOff,
+    TooLarge,
+}
+
+/// Returns the length that a body's head states, if it does.
+pub(crate) fn stated_bytes<B: Body>(body: &B) -> Option<usize> {
+    let stated = body.size_hint().exact()?;
+    Some(usize::try_from(stated).unwrap_or(usize::MAX))
+}
+
+/// Reads a body of up to `max_bytes` bytes into one buffer, which begins with `capacity`. Its parts would each keep the buffer
+/// alive that they were received in.
+///
+/// # Errors
+///
+/// Returns why the body wasn't read to its end.
+pub(crate) async fn collect<B: Body<Data = Bytes> + Unpin>(
+    body: &mut B,
+    capacity: usize,
+    max_bytes: usize,
+) -> Result<Bytes, BodyFault> {
+    let mut buf = BytesMut::with_capacity(capacity);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyFault::BrokeOff)?.into_data() else {
+            continue;
+        };
+        if buf.len() + data.len() > max_bytes {
+            return Err(BodyFault::TooLarge);
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
+
 /// A connection with such a limit.
 #[derive(Debug)]
 pub(crate) struct LimitedStream<S> {
--- a/daemon/src/router/request_body.rs
+++ b/daemon/src/router/request_body.rs
@@ -3,8 +3,6 @@
 use std::time;
 
 use bytes::Bytes;
-use bytes::BytesMut;
-use http_body_util::BodyExt as _;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::load_shedding;
 
@@ -29,12 +27,6 @@
     pub(super) deadline: time::Duration,
 }
 
-/// Why a body wasn't read to its end.
-enum Fault {
-    TooLarge,
-    BrokeOff,
-}
-
 /// Reads a body. Returns it with the memory that it holds.
 ///
 /// # Errors
@@ -44,7 +36,7 @@
     cx: &context::Router<D>,
     client: &clients::Client,
     id: Option<&str>,
-    body: read_limit::LimitedBody,
+    mut body: read_limit::LimitedBody,
     limits: BodyLimits,
 ) -> Result<(Bytes, clients::Held), answer::Answer> {
     let Some(memory) = client.reserve(limits.stated_bytes).await else {
@@ -56,20 +48,20 @@
         ));
     };
     client.enter(load_shedding::Phase::Body);
-    let reading = collect(body, limits);
+    let reading = read_limit::collect(&mut body, limits.stated_bytes, limits.max_bytes);
     let time_left = limits.deadline.saturating_sub(cx.now());
     let read = tokio::time::timeout(time_left, reading).await;
     client.enter(load_shedding::Phase::Served);
     match read {
         Ok(Ok(body)) => Ok((body, memory)),
-        Ok(Err(Fault::TooLarge)) => {
+        Ok(Err(read_limit::BodyFault::TooLarge)) => {
             limited_event!(Info, "body-too-large", "id" => id, "limit" => limits.max_bytes);
             Err(answer::from_router(
                 http::StatusCode::PAYLOAD_TOO_LARGE,
                 "the body is too large",
             ))
         }
-        Ok(Err(Fault::BrokeOff)) => Err(answer::from_router(
+        Ok(Err(read_limit::BodyFault::BrokeOff)) => Err(answer::from_router(
             http::StatusCode::BAD_REQUEST,
             "the body broke off",
         )),
@@ -82,18 +74,3 @@
         }
     }
 }
-
-/// Reads a body into one buffer. Its parts would each keep the buffer alive that they were received in.
-async fn collect(mut body: read_limit::LimitedBody, limits: BodyLimits) -> Result<Bytes, Fault> {
-    let mut buf = BytesMut::with_capacity(limits.stated_bytes);
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| Fault::BrokeOff)?.into_data() else {
-            continue;
-        };
-        if buf.len() + data.len() > limits.max_bytes {
-            return Err(Fault::TooLarge);
-        }
-        buf.extend_from_slice(&data);
-    }
-    Ok(buf.freeze())
-}
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -9,7 +9,6 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use http_body::Body as _;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -403,8 +402,7 @@
     cx: &context::Router<D>,
     mut body: read_limit::LimitedBody,
 ) -> Result<Bytes, &'static str> {
-    let stated = body.size_hint().exact().unwrap_or(0);
-    let stated = usize::try_from(stated).unwrap_or(usize::MAX);
+    let stated = read_limit::stated_bytes(&body).unwrap_or(0);
     if stated > MAX_BUFFERED_BODY {
         return Err("answer too large");
     }
