daemon: open sockets with fixed buffers in one place

Three listeners and the connections to servers each set up their socket, with the same options. admin::Listener only wrapped a listener since the operators' port is served by hyper, and is gone.

--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -37,13 +37,6 @@
 /// Longest time to receive a body.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
-/// The open operators' port. Connections wait until [`serve`] is called.
-#[derive(Debug)]
-pub struct Listener {
-    addr: net::SocketAddr,
-    listener: tokio::net::TcpListener,
-}
-
 /// What the handlers of operators' requests have access to.
 #[derive(Debug)]
 pub struct Admin {
@@ -54,37 +47,14 @@
     handlers: tokio::sync::Semaphore,
 }
 
-impl Listener {
-    /// Takes over the open port.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the port has no address.
-    pub fn new(listener: tokio::net::TcpListener) -> anyhow::Result<Self> {
-        Ok(Self {
-            addr: listener.local_addr()?,
-            listener,
-        })
-    }
-
-    /// Returns the address of the port.
-    ///
-    /// # Errors
-    ///
-    /// Never fails; the signature matches that of other listeners.
-    pub fn local_addr(&self) -> anyhow::Result<net::SocketAddr> {
-        Ok(self.addr)
-    }
-}
-
-/// Starts to handle operators' requests.
-pub fn serve(cx: sync::Arc<host::Host>, listener: Listener) {
+/// Starts to accept operators' connections and to handle their requests.
+pub fn serve(cx: sync::Arc<host::Host>, listener: tokio::net::TcpListener) {
     let admin = sync::Arc::new(Admin {
         cx,
         runtime: runtime::Handle::current(),
         handlers: tokio::sync::Semaphore::new(HANDLERS),
     });
-    tokio::spawn(accept(admin, listener.listener));
+    tokio::spawn(accept(admin, listener));
 }
 
 async fn accept(admin: sync::Arc<Admin>, listener: tokio::net::TcpListener) {
--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -47,6 +47,7 @@
 use crate::retention;
 use crate::router::clients;
 use crate::settings;
+use crate::sockets;
 use crate::steward;
 use crate::stewardship;
 use crate::trace;
@@ -173,10 +174,11 @@
     /// Returns an error if an address, the events file or a client can't be set up. The error names
     /// the settings key of an address that can't be used.
     pub async fn start(settings: settings::Settings) -> anyhow::Result<RunningHost> {
-        let buffer = settings.limits.resource_limits().client_socket_buffer;
-        let api = listen("api", settings.api_addr, buffer)?;
-        let peer = listen("peer", settings.peer_addr, buffer)?;
-        let admin = admin::Listener::new(listen("admin", settings.admin_addr, buffer)?)?;
+        let limits = settings.limits.resource_limits();
+        let buffers = sockets::Buffers::both(limits.client_socket_buffer);
+        let api = listen("api", settings.api_addr, buffers)?;
+        let peer = listen("peer", settings.peer_addr, buffers)?;
+        let admin = listen("admin", settings.admin_addr, buffers)?;
         let addresses = Addresses {
             api: api.local_addr()?,
             peer: peer.local_addr()?,
@@ -299,26 +301,14 @@
 /// Connections that the kernel queues until they are accepted.
 const BACKLOG: u32 = 1_024;
 
-/// Listens on an address. `key` is the settings key that errors mention, `buffer` the size in bytes of the kernel's buffers
-/// of a connection, in each direction.
+/// Listens on an address. `key` is the settings key that errors mention.
 fn listen(
     key: &str,
     addr: net::SocketAddr,
-    buffer: usize,
+    buffers: sockets::Buffers,
 ) -> anyhow::Result<tokio::net::TcpListener> {
-    let bound = || {
-        let socket = match addr {
-            net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
-            net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
-        };
-        let buffer = u32::try_from(buffer).unwrap_or(u32::MAX);
-        socket.set_reuseaddr(true)?;
-        socket.set_recv_buffer_size(buffer)?;
-        socket.set_send_buffer_size(buffer)?;
-        socket.bind(addr)?;
-        socket.listen(BACKLOG)
-    };
-    bound().with_context(|| format!("section [listen], key {key:?}: can't listen on {addr}"))
+    let listener = sockets::listen(addr, buffers, BACKLOG);
+    listener.with_context(|| format!("section [listen], key {key:?}: can't listen on {addr}"))
 }
 
 fn write_event(file: &mut fs::File, record: &history::Record) -> io::Result<()> {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod retry_state;
 pub mod router;
 pub mod settings;
+mod sockets;
 pub mod steward;
 pub mod stewardship;
 pub mod trace;
--- a/daemon/src/router/connection_pool.rs
+++ b/daemon/src/router/connection_pool.rs
@@ -19,6 +19,7 @@
 use crate::router::context;
 use crate::router::links;
 use crate::router::read_limit;
+use crate::sockets;
 
 /// How long a connection may be idle if the server's answer doesn't state a keep-alive time.
 const DEFAULT_IDLE_TIME: time::Duration = time::Duration::from_secs(4);
@@ -251,7 +252,7 @@
     addr: net::SocketAddr,
     timeout: time::Duration,
 ) -> io::Result<Connection> {
-    let stream = open_stream(new_socket(addr)?, addr, timeout).await?;
+    let stream = open_stream(sockets::open(addr)?, addr, timeout).await?;
     start_http(stream, None, None).await
 }
 
@@ -266,19 +267,12 @@
     timeout: time::Duration,
     heard: sync::Arc<atomic::AtomicBool>,
 ) -> io::Result<Connection> {
-    let socket = new_socket(addr)?;
-    socket.set_recv_buffer_size(u32::try_from(place.receive_buffer).unwrap_or(u32::MAX))?;
+    let socket = sockets::open(addr)?;
+    sockets::set_receive_buffer(&socket, place.receive_buffer)?;
     let stream = open_stream(socket, addr, timeout).await?;
     start_http(stream, Some(heard), Some(place)).await
 }
 
-fn new_socket(addr: net::SocketAddr) -> io::Result<tokio::net::TcpSocket> {
-    match addr {
-        net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4(),
-        net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6(),
-    }
-}
-
 /// Opens a connection to the store. It also breaks if what was sent isn't acknowledged for some time; a server may
 /// take its time to read a long request.
 ///
@@ -289,7 +283,7 @@
     addr: net::SocketAddr,
     timeout: time::Duration,
 ) -> io::Result<Connection> {
-    let stream = open_stream(new_socket(addr)?, addr, timeout).await?;
+    let stream = open_stream(sockets::open(addr)?, addr, timeout).await?;
     socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     start_http(stream, None, None).await
 }
--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -28,6 +28,7 @@
 use crate::router::read_limit;
 use crate::router::shutdown;
 use crate::router::workspace_limits;
+use crate::sockets;
 
 /// Connections that the kernel queues until they are accepted.
 const BACKLOG: u32 = 1_024;
@@ -66,15 +67,8 @@
     addr: net::SocketAddr,
     endpoint: Endpoint,
 ) -> io::Result<()> {
-    let socket = tokio::net::TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    // Connections that are accepted have the same.
-    let buffer = cx.clients.limits().client_socket_buffer;
-    let buffer = u32::try_from(buffer).unwrap_or(u32::MAX);
-    socket.set_recv_buffer_size(buffer)?;
-    socket.set_send_buffer_size(buffer)?;
-    socket.bind(addr)?;
-    let listener = socket.listen(BACKLOG)?;
+    let buffers = sockets::Buffers::both(cx.clients.limits().client_socket_buffer);
+    let listener = sockets::listen(addr, buffers, BACKLOG)?;
     tokio::spawn(accept(cx.clone(), listener, endpoint));
     Ok(())
 }
--- a/daemon/src/router/peer_service.rs
+++ b/daemon/src/router/peer_service.rs
@@ -23,6 +23,7 @@
 use crate::router::events::limited_event;
 use crate::router::forward;
 use crate::router::peer_connections;
+use crate::sockets;
 
 /// Interval of HTTP/2 keep-alive pings while calls are open.
 pub(crate) const PING_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -49,12 +50,11 @@
     cx: &sync::Arc<context::Router<D>>,
     addr: net::SocketAddr,
 ) -> std::io::Result<()> {
-    let socket = tokio::net::TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    let buffer = u32::try_from(cx.clients.limits().client_socket_buffer).unwrap_or(u32::MAX);
-    socket.set_recv_buffer_size(buffer)?;
-    socket.bind(addr)?;
-    let listener = socket.listen(MAX_SERVED as u32)?;
+    let buffers = sockets::Buffers {
+        receive: cx.clients.limits().client_socket_buffer,
+        send: None,
+    };
+    let listener = sockets::listen(addr, buffers, MAX_SERVED as u32)?;
     let connections = peer_connections::PeerConnections::new(cx.clients.clone());
     let connections = sync::Arc::new(connections);
     let admitting = connections.clone();
