--- a/daemon/tests/listener_crowds.rs
+++ b/daemon/tests/listener_crowds.rs
@@ -3,11 +3,8 @@
 use std::net;
 use std::time;
 
-use walnuthaven_platform_standin::client_crowd::Reading;
-use walnuthaven_platform_standin::client_crowd::Script;
+use walnuthaven_platform_standin::client_crowd;
 use walnuthaven_platform_standin::crowd_setup;
-use walnuthaven_platform_standin::crowd_setup::CLIENTS;
-use walnuthaven_platform_standin::crowd_setup::MANY_CLIENTS;
 use walnuthaven_platform_standin::hosts;
 use walnuthaven_platform_standin::http2_frames;
 
@@ -40,15 +37,15 @@
 }
 
 /// Starts a host and checks that it bears a crowd that follows a script at some of its addresses.
-async fn check(addrs: Addrs, clients: usize, script: Script) {
+async fn check(addrs: Addrs, clients: usize, script: client_crowd::Script) {
     let _turn = crowd_setup::TURN.lock().await;
     let mut setup = crowd_setup::CrowdSetup::start(BINARY).await;
     let addrs = addrs(&setup.host);
     setup.check(&addrs, clients, &script).await;
 }
 
-fn endless_head() -> Script {
-    Script::new(
+fn endless_head() -> client_crowd::Script {
+    client_crowd::Script::new(
         "GET /metrics HTTP/1.1\r\nHost: h\r\nX-Own: ",
         &"x".repeat(4_096),
     )
@@ -56,81 +53,95 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_end_for_addresses() {
-    check(directory, CLIENTS, endless_head()).await;
+    check(directory, crowd_setup::CLIENTS, endless_head()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_end_for_metrics() {
-    check(metrics, CLIENTS, endless_head()).await;
+    check(metrics, crowd_setup::CLIENTS, endless_head()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn blank_lines_for_addresses() {
-    let script = Script::new("", &"\r\n".repeat(2_048));
-    check(directory, CLIENTS, script).await;
+    let script = client_crowd::Script::new("", &"\r\n".repeat(2_048));
+    check(directory, crowd_setup::CLIENTS, script).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_for_metrics() {
     let first = "POST /metrics HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n";
-    check(metrics, CLIENTS, Script::new(first, &"x".repeat(4_096))).await;
+    check(
+        metrics,
+        crowd_setup::CLIENTS,
+        client_crowd::Script::new(first, &"x".repeat(4_096)),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn unread_metrics() {
     let request = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n";
-    let script = Script {
-        reading: Reading::Nothing,
-        ..Script::new("", &request.repeat(20))
+    let script = client_crowd::Script {
+        reading: client_crowd::Reading::Nothing,
+        ..client_crowd::Script::new("", &request.repeat(20))
     };
-    check(metrics, CLIENTS, script).await;
+    check(metrics, crowd_setup::CLIENTS, script).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn unread_addresses() {
     let request =
         "GET /walnuthaven/resolve?name=h.example&region=r&zone=z1 HTTP/1.1\r\nHost: h\r\n\r\n";
-    let script = Script {
-        reading: Reading::Nothing,
-        ..Script::new("", &request.repeat(20))
+    let script = client_crowd::Script {
+        reading: client_crowd::Reading::Nothing,
+        ..client_crowd::Script::new("", &request.repeat(20))
     };
-    check(directory, CLIENTS, script).await;
+    check(directory, crowd_setup::CLIENTS, script).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_to_all_addresses() {
-    check(all, MANY_CLIENTS, Script::new("", "")).await;
+    check(
+        all,
+        crowd_setup::MANY_CLIENTS,
+        client_crowd::Script::new("", ""),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_as_other_hosts() {
-    check(peers, MANY_CLIENTS, Script::new("", "")).await;
+    check(
+        peers,
+        crowd_setup::MANY_CLIENTS,
+        client_crowd::Script::new("", ""),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_end_as_other_hosts() {
-    let mut script = Script::new("", "");
-    script.first = http2_frames::preface();
-    script.first.extend(http2_frames::unfinished_head(1, "/x"));
-    script.repeated = http2_frames::continuation(1);
-    check(peers, CLIENTS, script).await;
+    let mut first = http2_frames::preface();
+    first.extend(http2_frames::unfinished_head(1, "/x"));
+    let script = client_crowd::Script {
+        first,
+        repeated: http2_frames::continuation(1),
+        ..client_crowd::Script::new("", "")
+    };
+    check(peers, crowd_setup::CLIENTS, script).await;
 }
 
 /// Returns a script that begins several calls, whose long messages never end.
-fn unfinished_calls() -> Script {
-    let headers = [("content-type", "application/grpc"), ("te", "trailers")];
-    // A message of 30 MB that isn't compressed.
-    let mut message = vec![0, 0x01, 0xc9, 0xc3, 0x80];
-    message.resize(60_000, 1);
-    let path = "/walnuthaven.forward.v1.Forward/Serve";
-    let mut script = Script::new("", "");
-    script.first = http2_frames::unfinished_bodies(path, &headers, 15, &message);
-    script
+fn unfinished_calls() -> client_crowd::Script {
+    client_crowd::Script {
+        first: http2_frames::unfinished_calls("/walnuthaven.forward.v1.Forward/Serve"),
+        ..client_crowd::Script::new("", "")
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn unfinished_calls_of_strangers() {
-    check(peers, CLIENTS, unfinished_calls()).await;
+    check(peers, crowd_setup::CLIENTS, unfinished_calls()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -141,5 +152,7 @@
     other.wait_ready().await;
     tokio::time::sleep(NEWS_TIME).await;
     let addrs = peers(&setup.host);
-    setup.check(&addrs, CLIENTS, &unfinished_calls()).await;
+    setup
+        .check(&addrs, crowd_setup::CLIENTS, &unfinished_calls())
+        .await;
 }
--- a/lib/tests/load_shedding.rs
+++ b/lib/tests/load_shedding.rs
@@ -3,9 +3,13 @@
 use std::time;
 
 use walnuthaven_lib::load_shedding;
-use walnuthaven_lib::load_shedding::Phase;
 
-fn holder(number: u64, phase: Phase, age_ms: u64, bytes: usize) -> load_shedding::Holder {
+fn holder(
+    number: u64,
+    phase: load_shedding::Phase,
+    age_ms: u64,
+    bytes: usize,
+) -> load_shedding::Holder {
     load_shedding::Holder {
         number,
         phase,
@@ -19,10 +23,10 @@
 #[test]
 fn most_bytes_for_longest_go_first() {
     let holders = [
-        holder(1, Phase::Head, 10, 300),
-        holder(2, Phase::Head, 2_000, 200),
-        holder(3, Phase::Waiting, 500, 4_000),
-        holder(4, Phase::Body, 5_000, 100),
+        holder(1, load_shedding::Phase::Head, 10, 300),
+        holder(2, load_shedding::Phase::Head, 2_000, 200),
+        holder(3, load_shedding::Phase::Waiting, 500, 4_000),
+        holder(4, load_shedding::Phase::Body, 5_000, 100),
     ];
     assert_eq!(load_shedding::for_bytes(&holders, 1), [3]);
     assert_eq!(load_shedding::for_bytes(&holders, 4_001), [3, 4]);
@@ -31,7 +35,7 @@
 
 #[test]
 fn nothing_is_closed_if_nothing_is_needed() {
-    let holders = [holder(1, Phase::Head, 10, 300)];
+    let holders = [holder(1, load_shedding::Phase::Head, 10, 300)];
     assert!(load_shedding::for_bytes(&holders, 0).is_empty());
     assert!(load_shedding::for_connections(&holders, 0).is_empty());
 }
@@ -39,9 +43,9 @@
 #[test]
 fn requests_at_servers_are_never_closed() {
     let holders = [
-        holder(1, Phase::Served, 9_000, 1_000_000),
-        holder(2, Phase::Answer, 9_000, 500),
-        holder(3, Phase::Waiting, 1, 0),
+        holder(1, load_shedding::Phase::Served, 9_000, 1_000_000),
+        holder(2, load_shedding::Phase::Answer, 9_000, 500),
+        holder(3, load_shedding::Phase::Waiting, 1, 0),
     ];
     assert!(load_shedding::for_bytes(&holders, 100).is_empty());
     assert_eq!(load_shedding::for_connections(&holders, 3), [3]);
@@ -49,20 +53,20 @@
 
 #[test]
 fn connections_without_a_request_go_first() {
-    let mut kept = holder(1, Phase::Waiting, 9_000, 0);
+    let mut kept = holder(1, load_shedding::Phase::Waiting, 9_000, 0);
     kept.has_asked = true;
-    let mut blocked = holder(2, Phase::Answer, 9_000, 10);
+    let mut blocked = holder(2, load_shedding::Phase::Answer, 9_000, 10);
     blocked.is_blocked = true;
     let holders = [
         blocked,
-        holder(3, Phase::Waiting, 8_000, 10),
-        holder(4, Phase::Body, 8_000, 10),
-        holder(5, Phase::Head, 8_000, 10),
+        holder(3, load_shedding::Phase::Waiting, 8_000, 10),
+        holder(4, load_shedding::Phase::Body, 8_000, 10),
+        holder(5, load_shedding::Phase::Head, 8_000, 10),
         kept,
-        holder(6, Phase::Waiting, 500, 0),
-        holder(7, Phase::Waiting, 5_000, 0),
-        holder(8, Phase::Waiting, 5, 0),
-        holder(9, Phase::Head, 50, 10),
+        holder(6, load_shedding::Phase::Waiting, 500, 0),
+        holder(7, load_shedding::Phase::Waiting, 5_000, 0),
+        holder(8, load_shedding::Phase::Waiting, 5, 0),
+        holder(9, load_shedding::Phase::Head, 50, 10),
     ];
     let order = load_shedding::for_connections(&holders, 10);
     assert_eq!(order, [7, 6, 1, 5, 4, 3, 2, 9, 8]);
--- a/standin/tests/client_crowds.rs
+++ b/standin/tests/client_crowds.rs
@@ -10,11 +10,7 @@
 
 use walnuthaven_platform_standin::caller;
 use walnuthaven_platform_standin::client_crowd;
-use walnuthaven_platform_standin::client_crowd::Reading;
-use walnuthaven_platform_standin::client_crowd::Script;
 use walnuthaven_platform_standin::crowd_setup;
-use walnuthaven_platform_standin::crowd_setup::CLIENTS;
-use walnuthaven_platform_standin::crowd_setup::MANY_CLIENTS;
 use walnuthaven_platform_standin::http2_frames;
 use walnuthaven_standin::world;
 
@@ -95,7 +91,12 @@
     }
 
     /// Has a crowd press on an address of the host. Checks that it holds its limits, lives, and answers afterwards.
-    async fn check(&mut self, addr: net::SocketAddr, clients: usize, script: &Script) {
+    async fn check(
+        &mut self,
+        addr: net::SocketAddr,
+        clients: usize,
+        script: &client_crowd::Script,
+    ) {
         let meter = client_crowd::Meter::start(self.process.id(), &[addr]);
         client_crowd::press(&[addr], clients, script, crowd_setup::PRESS_TIME).await;
         let peaks = meter.stop();
@@ -125,55 +126,63 @@
     format!("POST /v1/services/status/check HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {key}\r\n")
 }
 
-async fn check_api(clients: usize, script: Script) {
+async fn check_api(clients: usize, script: client_crowd::Script) {
     let _turn = crowd_setup::TURN.lock().await;
     let mut setup = Setup::start().await;
     let addr = setup.api;
     setup.check(addr, clients, &script).await;
 }
 
-async fn check_admin(clients: usize, script: Script) {
+async fn check_admin(clients: usize, script: client_crowd::Script) {
     let _turn = crowd_setup::TURN.lock().await;
     let mut setup = Setup::start().await;
     let addr = setup.admin;
     setup.check(addr, clients, &script).await;
 }
 
-async fn check_peer(clients: usize, script: Script) {
+async fn check_peer(clients: usize, script: client_crowd::Script) {
     let _turn = crowd_setup::TURN.lock().await;
     let mut setup = Setup::start().await;
     let addr = setup.peer;
     setup.check(addr, clients, &script).await;
 }
 
-fn endless_head() -> Script {
-    Script::new(&format!("{}X-Own: ", head()), &"x".repeat(4_096))
+fn endless_head() -> client_crowd::Script {
+    client_crowd::Script::new(&format!("{}X-Own: ", head()), &"x".repeat(4_096))
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_end() {
-    check_api(CLIENTS, endless_head()).await;
+    check_api(crowd_setup::CLIENTS, endless_head()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn blank_lines() {
-    check_api(CLIENTS, Script::new("", &"\r\n".repeat(2_048))).await;
+    check_api(
+        crowd_setup::CLIENTS,
+        client_crowd::Script::new("", &"\r\n".repeat(2_048)),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn stalled_bodies() {
     let first = format!("{}Content-Length: 1048576\r\n\r\n", head());
-    let script = Script {
+    let script = client_crowd::Script {
         max_bytes: 1_000_000,
-        ..Script::new(&first, &"x".repeat(4_096))
+        ..client_crowd::Script::new(&first, &"x".repeat(4_096))
     };
-    check_api(CLIENTS, script).await;
+    check_api(crowd_setup::CLIENTS, script).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_of_tiny_parts() {
     let first = format!("{}Transfer-Encoding: chunked\r\n\r\n", head());
-    check_api(CLIENTS, Script::new(&first, &"1\r\nx\r\n".repeat(700))).await;
+    check_api(
+        crowd_setup::CLIENTS,
+        client_crowd::Script::new(&first, &"1\r\nx\r\n".repeat(700)),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -181,54 +190,58 @@
     let key = format!("Bearer {}", world::STUDIO_KEY);
     let headers = [("authorization", &*key)];
     let path = "/v1/services/status/check";
-    let mut script = Script::new("", "");
-    script.first = http2_frames::unfinished_bodies(path, &headers, 15, &[b'x'; 60_000]);
-    check_api(CLIENTS, script).await;
+    let script = client_crowd::Script {
+        first: http2_frames::unfinished_bodies(path, &headers, 15, &[b'x'; 60_000]),
+        ..client_crowd::Script::new("", "")
+    };
+    check_api(crowd_setup::CLIENTS, script).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_sent_ahead() {
     let request = format!("{}Content-Length: 0\r\n\r\n", head());
-    let script = Script {
-        reading: Reading::Nothing,
-        ..Script::new("", &request.repeat(20))
+    let script = client_crowd::Script {
+        reading: client_crowd::Reading::Nothing,
+        ..client_crowd::Script::new("", &request.repeat(20))
     };
-    check_api(CLIENTS, script).await;
+    check_api(crowd_setup::CLIENTS, script).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_without_a_request() {
-    check_api(MANY_CLIENTS, Script::new("", "")).await;
+    check_api(crowd_setup::MANY_CLIENTS, client_crowd::Script::new("", "")).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_kept_after_a_request() {
     let request = format!("{}Content-Length: 0\r\n\r\n", head());
-    check_api(MANY_CLIENTS, Script::new(&request, "")).await;
+    check_api(
+        crowd_setup::MANY_CLIENTS,
+        client_crowd::Script::new(&request, ""),
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_end_for_operators() {
-    check_admin(CLIENTS, endless_head()).await;
+    check_admin(crowd_setup::CLIENTS, endless_head()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_of_operators() {
-    check_admin(MANY_CLIENTS, Script::new("", "")).await;
+    check_admin(crowd_setup::MANY_CLIENTS, client_crowd::Script::new("", "")).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_as_other_hosts() {
-    check_peer(MANY_CLIENTS, Script::new("", "")).await;
+    check_peer(crowd_setup::MANY_CLIENTS, client_crowd::Script::new("", "")).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn unfinished_calls_of_strangers() {
-    let headers = [("content-type", "application/grpc"), ("te", "trailers")];
-    let mut message = vec![0, 0x01, 0xc9, 0xc3, 0x80];
-    message.resize(60_000, 1);
-    let path = "/walnuthaven.peer.v1.Peer/Probe";
-    let mut script = Script::new("", "");
-    script.first = http2_frames::unfinished_bodies(path, &headers, 15, &message);
-    check_peer(CLIENTS, script).await;
+    let script = client_crowd::Script {
+        first: http2_frames::unfinished_calls("/walnuthaven.peer.v1.Peer/Probe"),
+        ..client_crowd::Script::new("", "")
+    };
+    check_peer(crowd_setup::CLIENTS, script).await;
 }
