router: log what each request waited for that the end of a host cuts

When a host ends while it relays a stream, its log said only that the answer had begun. The record of a stream that was lost around a planned stop can't tell a run between two engines from one that its engine writes, or a caller that doesn't read. Its `cut-at-end` lines also name several requests in one line, of which such a record keeps the first.

Each request that is cut now has a line `request-cut` with its id: the server that it was sent to last, what its stream waited for, the last event relayed and how long ago, the bytes that the caller's connection hasn't taken, and whether it took nothing at its last write. `cut-at-end` stays as it is. The relaying tasks write this to StreamProgress, which the request shares with its connection; it takes the place of `last_server`. An event costs two relaxed stores and two additions; states and servers change only between engines.

`leave` has `late_ms`: by how much the regular upkeep was overdue, or had been at its last run. A process that was starved may run its upkeep just before it handles the signal, so the time since the last run alone would show nothing.

Left out: what the kernel hasn't sent of an answer, or the unread bytes of a connection. Both need the socket, which the HTTP library owns.

What it costs in processor time wasn't measured.

--- a/daemon/src/router/connection_timer.rs
+++ b/daemon/src/router/connection_timer.rs
@@ -22,6 +22,7 @@
 use crate::locks;
 use crate::pass_writes;
 use crate::router::clients;
+use crate::router::stream_progress;
 
 /// Whether the current request's head has been read on a connection. Shared by the connection's two
 /// sides and its responses.
@@ -52,6 +53,8 @@
     pub(crate) arrived: time::Duration,
     /// Its attempts so far.
     pub(crate) attempts: sync::Arc<outcome::Attempts>,
+    /// How far its stream is, if the answer is one.
+    pub(crate) progress: sync::Arc<stream_progress::StreamProgress>,
 }
 
 /// How far the answer to a connection's newest request is.
@@ -142,6 +145,7 @@
 pub(crate) struct TrackedBody<B> {
     body: B,
     head_state: HeadState,
+    progress: Option<sync::Arc<stream_progress::StreamProgress>>,
 }
 
 impl<B> TrackedBody<B> {
@@ -151,7 +155,14 @@
             .0
             .is_answer_made
             .store(true, atomic::Ordering::Relaxed);
-        Self { body, head_state }
+        let progress = locks::lock(&head_state.0.newest)
+            .as_ref()
+            .map(|request| request.progress.clone());
+        Self {
+            body,
+            head_state,
+            progress,
+        }
     }
 }
 
@@ -169,7 +180,11 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<http_body::Frame<B::Data>, B::Error>>> {
-        pin::Pin::new(&mut self.body).poll_frame(cx)
+        let polled = pin::Pin::new(&mut self.body).poll_frame(cx);
+        if let (task::Poll::Ready(Some(Ok(frame))), Some(progress)) = (&polled, &self.progress) {
+            progress.count_taken(frame.data_ref().map_or(0, bytes::Buf::remaining));
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -31,6 +31,7 @@
 use crate::router::crash_checks;
 use crate::router::crash_marks;
 use crate::router::crash_witness;
+use crate::router::lateness;
 use crate::router::links;
 use crate::router::retry_budget;
 use crate::router::server_choice;
@@ -152,6 +153,8 @@
     pub(crate) telemetry: telemetry::Telemetry,
     /// How far the host's shutdown is.
     pub(super) shutdown: shutdown::Shutdown,
+    /// How late the regular upkeep runs.
+    pub(super) upkeep_lateness: lateness::Lateness,
     /// The number of requests whose callers wait for an answer.
     pub(crate) in_flight: atomic::AtomicUsize,
     next_number: atomic::AtomicU64,
@@ -223,6 +226,7 @@
             server_connections: sync::Arc::default(),
             telemetry: telemetry::Telemetry::default(),
             shutdown: shutdown::Shutdown::default(),
+            upkeep_lateness: lateness::Lateness::default(),
             in_flight: atomic::AtomicUsize::new(0),
             next_number: atomic::AtomicU64::new(1),
             clock: clock::SteadyClock::new(clock),
--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -21,6 +21,7 @@
 use crate::router::server_choice;
 use crate::router::server_notices;
 use crate::router::shutdown;
+use crate::router::stream_progress;
 use crate::router::stream_request;
 use crate::router::via_peer;
 
@@ -172,6 +173,8 @@
                 self.cx.news_due.notify_one();
             }
             self.silent_server = Some(server.id.clone());
+            let silent = stream_progress::StreamState::ServerSilent;
+            self.received.progress.set_state(silent);
             event!(Info, "server-silent", "id" => self.id(), "server" => server.id,
                 "delivered" => self.last_event, "others_go_on" => others_go_on);
         }
@@ -203,6 +206,8 @@
             return;
         }
         self.silent_server = None;
+        let generating = stream_progress::StreamState::Generating;
+        self.received.progress.set_state(generating);
         let now = self.cx.now();
         locks::lock(&self.cx.health).record_response(&server.id, now);
         self.cx.news_due.notify_one();
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -19,6 +19,7 @@
 use crate::router::prefills;
 use crate::router::send;
 use crate::router::server_choice;
+use crate::router::stream_progress;
 use crate::router::stream_request;
 use crate::router::via_peer;
 
@@ -93,7 +94,11 @@
         loop {
             let server = match prepared.take() {
                 Some(server) => server,
-                None => self.prepare(kv_cache.take()).await?,
+                None => {
+                    let waiting = stream_progress::StreamState::WaitingForEngine;
+                    self.received.progress.set_state(waiting);
+                    self.prepare(kv_cache.take()).await?
+                }
             };
             match self.start_on(server).await? {
                 DecodeResult::Stream(stream) => return Ok(stream),
@@ -107,6 +112,8 @@
     /// the same millisecond, at many hosts. A random pause lets each host hear which servers the
     /// others chose.
     pub(crate) async fn reopen(&mut self) -> Result<OpenStream<D>, stream_request::OpenFailure> {
+        let waiting = stream_progress::StreamState::WaitingForEngine;
+        self.received.progress.set_state(waiting);
         tokio::time::sleep(engine_prepare::REOPEN_JITTER.mul_f64(rand::random::<f64>())).await;
         let on_trial = self.received.trial.get().is_some();
         if on_trial || part_marks::has_unanswered(&self.cx, &self.received) {
@@ -136,7 +143,9 @@
             kv_cache,
         } = prepared;
         self.count_attempt();
-        self.last_server = Some(server.id.clone());
+        let progress = &self.received.progress;
+        progress.set_server(&server.id);
+        progress.set_state(stream_progress::StreamState::SentToEngine);
         let sending = self.send_decode(&server, connection, kv_cache);
         let answered = match self.wait_for_answer(&server, sending, false).await {
             Awaited::Answer(answered) => *answered,
@@ -217,7 +226,7 @@
         kv_cache: prefills::KvHandle<D>,
     ) -> Result<Resumed<D>, (send::SendFailure, Option<prefills::KvHandle<D>>)> {
         self.count_retry();
-        self.last_server = Some(server.id.clone());
+        self.received.progress.set_server(&server.id);
         let sending = self.send_decode(server, connection, Some(kv_cache));
         let answered = match self.wait_for_answer(server, sending, true).await {
             Awaited::Answer(answered) => *answered,
--- a/daemon/src/router/forward.rs
+++ b/daemon/src/router/forward.rs
@@ -34,6 +34,7 @@
 use crate::router::send;
 use crate::router::server_limits;
 use crate::router::shutdown;
+use crate::router::stream_progress;
 use crate::router::stream_request;
 use crate::router::via_peer;
 use crate::router::workspace_limits;
@@ -90,12 +91,14 @@
 ) -> answer::Answer {
     let (parts, body) = req.into_parts();
     let attempts = sync::Arc::<outcome::Attempts>::default();
+    let progress = sync::Arc::<stream_progress::StreamProgress>::default();
     let head = cx.dialect.request_head(&parts.headers);
     let id = head.as_ref().ok().and_then(|head| head.request_id.clone());
     connection.set_request(connection_timer::OpenRequest {
         id: id.clone(),
         arrived,
         attempts: attempts.clone(),
+        progress: progress.clone(),
     });
     let head = match head {
         Ok(head) => head,
@@ -112,6 +115,7 @@
         head,
         body,
         attempts: attempts.clone(),
+        progress,
     };
     tokio::select! {
         answer = answer_received(cx, received, arrived, guard) => answer,
@@ -135,6 +139,7 @@
     body: read_limit::LimitedBody,
     /// Its attempts so far.
     attempts: sync::Arc<outcome::Attempts>,
+    progress: sync::Arc<stream_progress::StreamProgress>,
 }
 
 /// Matches a route, reads the body and has a server answer.
@@ -151,6 +156,7 @@
         head,
         body,
         attempts,
+        progress,
     } = received;
     let id = head.request_id.clone();
     let Some(table) = cx.table() else {
@@ -213,6 +219,7 @@
         deadline,
         arrived,
         attempts,
+        progress,
         forwarded: None,
     };
     answer_routed(cx, &table, request, guard).await
@@ -243,6 +250,7 @@
     arrived: time::Duration,
     /// Its attempts so far.
     attempts: sync::Arc<outcome::Attempts>,
+    progress: sync::Arc<stream_progress::StreamProgress>,
     /// Set if another host passed it on.
     forwarded: Option<send::Forwarded>,
 }
@@ -290,6 +298,7 @@
         parts,
         arrived,
         attempts: attempts.clone(),
+        progress: sync::Arc::default(),
         forwarded: Some(send::Forwarded {
             used_attempts: call.used_attempts,
             tried: call.tried.into_iter().map(Into::into).collect(),
@@ -337,6 +346,7 @@
         deadline,
         arrived,
         attempts,
+        progress,
         forwarded,
     } = request;
     let id = head.request_id.clone();
@@ -365,6 +375,7 @@
     let received = send::CallerRequest {
         caller,
         attempts,
+        progress,
         forwarded,
         method: parts.method,
         target: parts.uri,
--- a/daemon/src/router/peer_stream.rs
+++ b/daemon/src/router/peer_stream.rs
@@ -10,6 +10,7 @@
 use crate::router::events::event;
 use crate::router::relay;
 use crate::router::stream_events;
+use crate::router::stream_progress;
 use crate::router::stream_request;
 use crate::router::via_peer;
 
@@ -100,9 +101,11 @@
     mut opened: via_peer::PeerAnswer<D>,
     tx: stream_events::EventSender,
 ) {
+    let at_other_host = stream_progress::StreamState::AtOtherHost;
+    request.received.progress.set_state(at_other_host);
     loop {
         let cause = match relay_part(&mut request, &mut opened, &tx).await {
-            PartEnd::Complete => return stream_events::record_end(&request, "complete", ""),
+            PartEnd::Complete => return stream_events::complete(&request),
             PartEnd::CallerLeft => return stream_events::record_end(&request, "caller left", ""),
             PartEnd::Broken(cause) => cause,
         };
@@ -156,9 +159,11 @@
                 }
                 stream_events::EventOrder::Gap => return PartEnd::Broken("events are missing"),
             }
-            if !stream_events::send_events(tx, vec![event.bytes]).await {
+            let progress = &request.received.progress;
+            if !stream_events::send_events(tx, progress, vec![event.bytes]).await {
                 return PartEnd::CallerLeft;
             }
+            progress.record_event(request.last_event, request.cx.now());
         }
     }
 }
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -378,6 +378,7 @@
         };
         cx.count_send(self.service, kind);
         let options = options(self.deadline);
+        self.received.progress.set_server(&server.id);
         let sending = send::send(cx, self.received, server, connection, &params, options);
         tokio::pin!(sending);
         let mut is_silent = false;
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -23,6 +23,7 @@
 use crate::router::run_move;
 use crate::router::send;
 use crate::router::stream_events;
+use crate::router::stream_progress;
 use crate::router::stream_request;
 use crate::router::via_peer;
 
@@ -171,7 +172,7 @@
         let failure = match end {
             StreamEnd::Complete => {
                 stream_events::record_length(&request);
-                return stream_events::record_end(&request, "complete", "");
+                return stream_events::complete(&request);
             }
             StreamEnd::CallerLeft => return stream_events::record_end(&request, "caller left", ""),
             StreamEnd::Broken(failure) => {
@@ -258,6 +259,8 @@
         (StreamEnd::CallerLeft, _) => ServerStreamEnd::Ended(StreamEnd::CallerLeft),
         (end, Some(run_move)) => {
             request.silent_server = None;
+            let moved = stream_progress::StreamState::BeingMoved;
+            request.received.progress.set_state(moved);
             let has_end = has_explicit_end && matches!(end, StreamEnd::Complete);
             ServerStreamEnd::Moving(stream.reservation, run_move, end, has_end)
         }
@@ -332,6 +335,12 @@
         .max_pause()
         .filter(|_| request.route.kind.may_run_again());
     let (cx, received) = (request.cx.clone(), request.received.clone());
+    let is_silent = request.silent_server.as_ref() == Some(&stream.server.id);
+    received.progress.set_server(&stream.server.id);
+    received.progress.set_state(match is_silent {
+        true => stream_progress::StreamState::ServerSilent,
+        false => stream_progress::StreamState::Generating,
+    });
     let service = request.service.name.clone();
     let needs_peer = via_peer::wait_until_needed(&cx, &received, &service);
     tokio::pin!(needs_peer);
@@ -375,7 +384,7 @@
             }
             Err(stream_events::EventsEnd::Complete) => {
                 let held = std::mem::take(&mut stream.held);
-                let sent = stream_events::send_events(tx, held).await;
+                let sent = stream_events::send_events(tx, &request.received.progress, held).await;
                 return RelayEnd::Ended(if sent {
                     StreamEnd::Complete
                 } else {
@@ -408,7 +417,8 @@
                 continue;
             }
             request.record_version(&stream.server);
-            if !stream_events::send_events(tx, std::mem::take(&mut stream.held)).await {
+            let held = std::mem::take(&mut stream.held);
+            if !stream_events::send_events(tx, &request.received.progress, held).await {
                 return RelayEnd::Ended(StreamEnd::CallerLeft);
             }
             record_pause(request, &stream.server.id);
@@ -454,6 +464,8 @@
 ) {
     let cx = &request.cx;
     let now = cx.now();
+    let progress = &request.received.progress;
+    progress.record_event(request.last_event, now);
     let Some(last) = request.last_event_at.replace(now) else {
         return;
     };
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -116,9 +116,11 @@
 
 /// Regularly removes silent hosts, vanished servers and expired idle connections.
 async fn upkeep<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>) {
+    cx.upkeep_lateness.record_run(cx.now(), UPKEEP_INTERVAL);
     loop {
         tokio::time::sleep(UPKEEP_INTERVAL).await;
         let now = cx.now();
+        cx.upkeep_lateness.record_run(now, UPKEEP_INTERVAL);
         news::expire_silent_hosts(&cx);
         locks::lock(&cx.servers).expire(now);
         locks::lock(&cx.server_pauses).expire(now);
@@ -221,7 +223,8 @@
     let max_time = end.saturating_sub(started);
     event!(Info, "leave", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed),
         "connections" => cx.open_connections(), "marks_unsaved" => has_unsaved_marks(cx),
-        "grace_ms" => clock::millis(max_time));
+        "grace_ms" => clock::millis(max_time),
+        "late_ms" => clock::millis(cx.upkeep_lateness.at(started)));
     tokio::spawn(unregister(cx.clone()));
     let min_time = CALLER_NOTICE_TIME.max(forward::ACCEPT_STREAMS_FOR);
     let mut held_up = HeldUp::default();
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -27,6 +27,7 @@
 use crate::router::part_marks;
 use crate::router::read_limit;
 use crate::router::server_notices;
+use crate::router::stream_progress;
 use crate::router::trials;
 
 /// Longest time to open a connection to a server. The round trip takes about a millisecond, and the
@@ -61,6 +62,8 @@
     pub(crate) caller: net::IpAddr,
     /// Its attempts so far.
     pub(crate) attempts: sync::Arc<outcome::Attempts>,
+    /// How far its stream is, if the answer is one.
+    pub(crate) progress: sync::Arc<stream_progress::StreamProgress>,
     /// Set if another host passed it on, which reaches no server itself.
     pub(crate) forwarded: Option<Forwarded>,
     /// The method.
--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -217,15 +217,20 @@
         if connections.is_empty() && in_flight == 0 {
             return;
         }
-        let newest = connections.values().filter_map(|state| state.newest());
+        let newest = connections.values().filter_map(|state| {
+            let is_blocked = state.client().is_blocked();
+            state
+                .newest()
+                .map(|(request, answer)| (request, answer, is_blocked))
+        });
         let mut cut: Vec<_> = newest.collect();
-        cut.sort_by_key(|(request, state)| {
+        cut.sort_by_key(|(request, state, _)| {
             (
                 *state == connection_timer::AnswerState::Made,
                 request.arrived,
             )
         });
-        let named = cut.iter().take(MAX_NAMED).map(|(request, state)| {
+        let named = cut.iter().take(MAX_NAMED).map(|(request, state, _)| {
             let taken = self.now().saturating_sub(request.arrived);
             serde_json::json!({
                 "id": request.id,
@@ -237,5 +242,26 @@
         let named: Vec<_> = named.collect();
         event!(Warn, "cut-at-end", "in_flight" => in_flight, "connections" => connections.len(),
             "requests" => named, "not_named" => cut.len().saturating_sub(MAX_NAMED));
+        for (request, state, is_blocked) in cut.iter().take(MAX_NAMED) {
+            self.log_cut_request(request, *state, *is_blocked);
+        }
+    }
+
+    /// Logs how far a request is that the end of the process cuts.
+    fn log_cut_request(
+        &self,
+        request: &connection_timer::OpenRequest,
+        answer: connection_timer::AnswerState,
+        is_blocked: bool,
+    ) {
+        let progress = &request.progress;
+        let now = self.now();
+        let (last_event, relayed_at) = progress.last_event().unzip();
+        let last_event_age = relayed_at.map(|at| clock::millis(now.saturating_sub(at)));
+        event!(Info, "request-cut", "id" => request.id, "answer" => answer,
+            "state" => progress.state(), "server" => progress.server(),
+            "last_event" => last_event.flatten(), "last_event_age_ms" => last_event_age,
+            "untaken_bytes" => progress.untaken_bytes(), "caller_blocked" => is_blocked,
+            "for_ms" => clock::millis(now.saturating_sub(request.arrived)));
     }
 }
--- a/daemon/src/router/stream_events.rs
+++ b/daemon/src/router/stream_events.rs
@@ -11,6 +11,7 @@
 use crate::router::events::event;
 use crate::router::read_limit;
 use crate::router::send;
+use crate::router::stream_progress;
 use crate::router::stream_request;
 
 /// Sends the events of a stream to its caller.
@@ -22,8 +23,13 @@
 pub(super) const BROKE_WITHIN_EVENT: &str = "stream ended within an event";
 
 /// Passes events on to the caller. Returns whether it is still there.
-pub(super) async fn send_events(tx: &EventSender, events: Vec<Bytes>) -> bool {
+pub(super) async fn send_events(
+    tx: &EventSender,
+    progress: &stream_progress::StreamProgress,
+    events: Vec<Bytes>,
+) -> bool {
     for event in events {
+        progress.count_received(event.len());
         if tx.send(Ok(event)).await.is_err() {
             return false;
         }
@@ -127,12 +133,21 @@
     tx: &EventSender,
     cause: &'static str,
 ) {
+    let broken_off = stream_progress::StreamState::BrokenOff;
+    request.received.progress.set_state(broken_off);
     // Fails only if the caller has disconnected already.
     let _ = tx.send(Err(answer::Broken)).await;
     request.cx.record_broken_stream();
     record_end(request, "broken", cause);
 }
 
+/// Records that all events were passed on.
+pub(super) fn complete<D: dialect::Dialect>(request: &stream_request::StreamRequest<D>) {
+    let received = stream_progress::StreamState::Received;
+    request.received.progress.set_state(received);
+    record_end(request, "complete", "");
+}
+
 /// Counts and logs the end of the stream to the caller. `how` is "complete", "caller left" or
 /// "broken".
 pub(super) fn record_end<D: dialect::Dialect>(
@@ -141,13 +156,14 @@
     cause: &'static str,
 ) {
     let took = request.cx.now().saturating_sub(request.arrived);
+    let server = request.received.progress.server();
     request.cx.telemetry.count(match how {
         "complete" => "streams.complete",
         "broken" => "streams.broken",
         _ => "streams.left",
     });
     event!(Info, "stream-ended", "id" => request.received.head.request_id, "how" => how,
-        "cause" => cause, "server" => request.last_server, "events" => request.last_event,
+        "cause" => cause, "server" => server, "events" => request.last_event,
         "tokens" => request.tokens_generated, "took_ms" => took.as_millis() as u64,
         "leaving_ms" => request.cx.leaving_for().as_millis() as u64);
 }
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -78,8 +78,6 @@
     pub(super) prefills_on_decode: bool,
     /// The server of the request's stream or send while it is silent. It gets no further send of the request.
     pub(super) silent_server: Option<sync::Arc<str>>,
-    /// The server to which it was sent last.
-    pub(super) last_server: Option<sync::Arc<str>>,
     /// Ids of the servers that were left because they were silent. They get the request again only
     /// if no other is left.
     pub(super) left_servers: Vec<sync::Arc<str>>,
@@ -145,7 +143,6 @@
             prefilled_before: false,
             prefills_on_decode: false,
             silent_server: None,
-            last_server: None,
             left_servers: Vec::new(),
             failed_servers: forwarded.tried,
             received,
--- a/daemon/tests/stop_log.rs
+++ b/daemon/tests/stop_log.rs
@@ -17,6 +17,9 @@
 const IDLE_END_MS: u64 = 5_000;
 /// A host whose grace period is over ends after that time.
 const GRACE_END_MS: u64 = 7_500;
+/// How long a process gets no processor time, and the least of it that shows.
+const STARVED: time::Duration = time::Duration::from_millis(1_200);
+const STARVED_SHOWN_MS: u64 = 900;
 
 /// A store, one server of a plain service, an engine, and a host.
 struct Setup {
@@ -123,7 +126,8 @@
         "{metrics:?}"
     );
     let stop = setup.wait_for_end().await;
-    assert!(!long.await.unwrap().complete, "{}", setup.host.log());
+    let answer = long.await.unwrap();
+    assert!(!answer.complete, "{}", setup.host.log());
     let cut = setup.lines("cut-at-end").pop().unwrap();
     assert_eq!(cut["level"], "WARN");
     assert_eq!(cut["in_flight"], 1, "{cut}");
@@ -136,6 +140,14 @@
         requests[0]["for_ms"].as_u64().unwrap() >= GRACE_END_MS,
         "{cut}"
     );
+    let named = setup.lines("request-cut");
+    assert_eq!(named.len(), 1, "{named:?}");
+    assert_eq!(named[0]["id"], "long", "{named:?}");
+    assert_eq!(named[0]["answer"], "begun", "{named:?}");
+    assert_eq!(named[0]["state"], "generating", "{named:?}");
+    assert_eq!(named[0]["server"], "i-d", "{named:?}");
+    let events = answer.body.matches("id: ").count();
+    assert_eq!(named[0]["last_event"], events, "{named:?}");
     assert_eq!(stop["cause"], "end of grace period", "{stop}");
     assert!(
         stop["requests_until_ms"].as_u64().unwrap() >= GRACE_END_MS,
@@ -150,6 +162,26 @@
     );
 }
 
+/// Guards against processes that handle SIGTERM late, of which the log doesn't say so.
+#[tokio::test]
+async fn process_that_learns_late_of_its_end_is_named() {
+    let mut setup = Setup::start().await;
+    let starved = time::Instant::now();
+    setup.host.signal(rustix::process::Signal::STOP).unwrap();
+    tokio::time::sleep(STARVED).await;
+    setup.leave();
+    setup.host.signal(rustix::process::Signal::CONT).unwrap();
+    let leave = setup.wait_for_line("leave").await;
+    let late_ms = leave["late_ms"].as_u64().unwrap();
+    assert!(late_ms >= STARVED_SHOWN_MS, "{leave}");
+    assert!(
+        u128::from(late_ms) <= starved.elapsed().as_millis(),
+        "{leave}"
+    );
+    setup.wait_for_end().await;
+    setup.assert_nothing_cut();
+}
+
 /// Guards against idle ends that look like those of a host that was held up.
 #[tokio::test]
 async fn end_of_an_idle_host_is_named() {
