router: count the grace period from the earliest moment of a late signal

Callers of a host that got no processor time when SIGTERM came would have their answers cut: the host counts its grace period from when it handles the signal, so its last answers come when the process has been killed already, and it accepts streams for longer than the platform grants.

Nothing tells a process when a signal was sent. The regular upkeep task tells when the process last ran, though: if it is overdue when the signal is handled, or was just before, the period begins at the end of its last interval. The estimate is late by one interval (250 ms) at most, which the margin before the end (400 ms) covers. At most half of the period is given up for a pause, as most signals come later in a long one. `leave` says by how much (`late_ms`).

Ruled out: the time of the signal itself (siginfo has none); a finer timer of its own (wakes each process for nothing).

--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -21,6 +21,7 @@
 use walnuthaven_lib::served_versions;
 use walnuthaven_lib::server_health;
 use walnuthaven_lib::server_pauses;
+use walnuthaven_lib::stalls;
 use walnuthaven_lib::stream_records;
 use walnuthaven_lib::stream_versions;
 use walnuthaven_lib::wait_queue;
@@ -31,9 +32,9 @@
 use crate::router::crash_checks;
 use crate::router::crash_marks;
 use crate::router::crash_witness;
-use crate::router::lateness;
 use crate::router::links;
 use crate::router::retry_budget;
+use crate::router::run;
 use crate::router::server_choice;
 use crate::router::server_limits;
 use crate::router::settings;
@@ -97,6 +98,8 @@
     /// Observed lengths of answers, by service. They predict how much memory a request needs.
     pub(crate) answer_lengths:
         sync::Mutex<collections::HashMap<sync::Arc<str>, answer_lengths::LengthPredictor>>,
+    /// Shows how late a signal may be.
+    pub(crate) stalls: sync::Mutex<stalls::StallWatch>,
     /// Wakes queued requests after `engine_load` or the set of usable engines has changed.
     pub(crate) engine_load_changed: tokio::sync::Notify,
     /// Makes the news task send this host's whole state to the other hosts soon, after other changes that come
@@ -153,8 +156,6 @@
     pub(crate) telemetry: telemetry::Telemetry,
     /// How far the host's shutdown is.
     pub(super) shutdown: shutdown::Shutdown,
-    /// How late the regular upkeep runs.
-    pub(super) upkeep_lateness: lateness::Lateness,
     /// The number of requests whose callers wait for an answer.
     pub(crate) in_flight: atomic::AtomicUsize,
     next_number: atomic::AtomicU64,
@@ -177,6 +178,7 @@
         };
         let limits = workspace_limits::Limits::new(id.incarnation);
         let resources = settings.resource_limits();
+        let stalls = stalls::StallWatch::new(run::UPKEEP_INTERVAL, clock.now());
         Self {
             dialect,
             work_owner: id.to_string().into(),
@@ -199,6 +201,7 @@
             engine_load: sync::Mutex::default(),
             wait_queues: sync::Mutex::default(),
             answer_lengths: sync::Mutex::default(),
+            stalls: sync::Mutex::new(stalls),
             engine_load_changed: tokio::sync::Notify::new(),
             news_due: tokio::sync::Notify::new(),
             work_changed: tokio::sync::Notify::new(),
@@ -226,7 +229,6 @@
             server_connections: sync::Arc::default(),
             telemetry: telemetry::Telemetry::default(),
             shutdown: shutdown::Shutdown::default(),
-            upkeep_lateness: lateness::Lateness::default(),
             in_flight: atomic::AtomicUsize::new(0),
             next_number: atomic::AtomicU64::new(1),
             clock: clock::SteadyClock::new(clock),
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -23,7 +23,6 @@
 mod events;
 mod forward;
 mod inspect;
-mod lateness;
 mod links;
 mod listen;
 mod log_limit;
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -33,7 +33,7 @@
 use crate::router::workspace_limits;
 
 /// How often silent hosts, vanished servers and expired idle connections are removed.
-const UPKEEP_INTERVAL: time::Duration = time::Duration::from_millis(250);
+pub(super) const UPKEEP_INTERVAL: time::Duration = time::Duration::from_millis(250);
 /// How often the settings file is read again, as it may change without a signal.
 const SETTINGS_READ_INTERVAL: time::Duration = time::Duration::from_secs(2);
 /// First pause after a failure to write the host's entry to the store. Doubled after each further
@@ -116,11 +116,10 @@
 
 /// Regularly removes silent hosts, vanished servers and expired idle connections.
 async fn upkeep<D: dialect::Dialect>(cx: sync::Arc<context::Router<D>>) {
-    cx.upkeep_lateness.record_run(cx.now(), UPKEEP_INTERVAL);
     loop {
         tokio::time::sleep(UPKEEP_INTERVAL).await;
         let now = cx.now();
-        cx.upkeep_lateness.record_run(now, UPKEEP_INTERVAL);
+        locks::lock(&cx.stalls).record(now);
         news::expire_silent_hosts(&cx);
         locks::lock(&cx.servers).expire(now);
         locks::lock(&cx.server_pauses).expire(now);
@@ -218,13 +217,13 @@
 /// nearly over.
 async fn shut_down<D: dialect::Dialect>(cx: &sync::Arc<context::Router<D>>) {
     let started = cx.now();
+    let late = cx.told_late_by();
     let end = cx.start_leaving();
     cx.news_due.notify_one();
     let max_time = end.saturating_sub(started);
     event!(Info, "leave", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed),
         "connections" => cx.open_connections(), "marks_unsaved" => has_unsaved_marks(cx),
-        "grace_ms" => clock::millis(max_time),
-        "late_ms" => clock::millis(cx.upkeep_lateness.at(started)));
+        "grace_ms" => clock::millis(max_time), "late_ms" => clock::millis(late));
     tokio::spawn(unregister(cx.clone()));
     let min_time = CALLER_NOTICE_TIME.max(forward::ACCEPT_STREAMS_FOR);
     let mut held_up = HeldUp::default();
--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -41,7 +41,7 @@
 /// The time in which a host leaves, as times since boot.
 #[derive(Clone, Copy, Debug)]
 struct Period {
-    /// When the host was told to leave.
+    /// When the host was told to leave, at the earliest.
     since: time::Duration,
     /// When the process ends at the latest, but for the time that connections have to close then.
     end: time::Duration,
@@ -102,17 +102,25 @@
         self.shutdown.period.borrow().is_some()
     }
 
-    /// Records that the host leaves from now on. Returns when the process ends at the latest, as time since boot; a grace
-    /// period that changes later doesn't move it.
+    /// Records that the host was told to leave: just now, or while the process stood still before. Returns when the
+    /// process ends at the latest, as time since boot; a grace period that changes later doesn't move it.
     pub(crate) fn start_leaving(&self) -> time::Duration {
-        let since = self.now();
-        let end = since + self.settings().grace_period.saturating_sub(GRACE_MARGIN);
+        let grace_period = self.settings().grace_period;
+        let since = self.now().saturating_sub(self.told_late_by());
+        let end = since + grace_period.saturating_sub(GRACE_MARGIN);
         self.shutdown
             .period
             .send_replace(Some(Period { since, end }));
         end
     }
 
+    /// Returns by how much a signal that is handled now may be late.
+    pub(crate) fn told_late_by(&self) -> time::Duration {
+        let stalled = locks::lock(&self.stalls).stalled_for(self.now());
+        // Most such signals come later in a long pause, and the open requests need the time.
+        stalled.min(self.settings().grace_period / 2)
+    }
+
     /// Returns how long the host has been leaving, or zero if it isn't leaving.
     pub(crate) fn leaving_for(&self) -> time::Duration {
         let period = *self.shutdown.period.borrow();
--- a/daemon/tests/stop_edges.rs
+++ b/daemon/tests/stop_edges.rs
@@ -193,6 +193,28 @@
     }
 }
 
+/// Guards against answers that are cut because the process had no processor time when it was told to leave, and counts its
+/// grace period from when it saw that.
+#[tokio::test]
+async fn host_that_is_told_late_gives_the_last_answers() {
+    let mut setup = Setup::start(12_000, 15_000).await;
+    let running = send_once(setup.host.callers_addr, "r", "");
+    setup.wait_for_run("r").await;
+    setup.host.signal(rustix::process::Signal::STOP).unwrap();
+    let signalled = setup.leave();
+    tokio::time::sleep_until(signalled + secs(0.9)).await;
+    setup.host.signal(rustix::process::Signal::CONT).unwrap();
+    while setup.host.process.try_wait().unwrap().is_none() {
+        let log = setup.host.log();
+        assert!(signalled.elapsed() < secs(8.0), "it would be killed: {log}");
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+    let answer = running.await.unwrap();
+    let log = setup.host.log();
+    assert_eq!((answer.status, answer.complete), (504, true), "{log}");
+    assert!(signalled.elapsed() > secs(7.0), "it ended early: {log}");
+}
+
 /// Guards against requests that are sent to a silent server and given up before their time limit, because the host ends.
 #[tokio::test]
 async fn request_that_is_sent_is_not_given_up_before_its_limit() {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod server_speed;
 mod shared_bucket;
 pub mod shared_limits;
+pub mod stalls;
 pub mod start_pace;
 pub mod stored_marks;
 pub mod stream_records;
