router: refuse streams that outlast their leaving host

Callers whose stream came to a leaving host up to 2.5 s after SIGTERM lost the answer if it took longer than the host had left: with full engines streams of 5 to 10 s are taken by a host that ends at 7.6 s, and cut there. Those that waited for an engine waited up to 3 s to be refused.

A leaving host now takes a stream only if nine of ten such answers are complete before its end: by the caller's estimate and the lengths of earlier answers, the pace of the engine that was reserved, and its queue of prompts. It is asked when the engine is known, before the prompt is read; a stream that waits is refused as soon as a typical engine couldn't end it. The refusal is at once, as not run, and lets the caller go to another host. Streams whose time limit comes before the host's end, and those of unknown length, are taken as before.

--- a/daemon/src/router/engine_need.rs
+++ b/daemon/src/router/engine_need.rs
@@ -1,5 +1,6 @@
 //! What a request to model engines needs of an engine's memory.
 
+use walnuthaven_lib::answer_lengths;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::engine_memory;
 use walnuthaven_lib::routing;
@@ -18,18 +19,38 @@
     prompt: Option<&dialect::Prompt>,
     generated: u32,
 ) -> engine_memory::Need {
-    let lengths = locks::lock(&cx.answer_lengths)
-        .get(service)
-        .copied()
-        .unwrap_or_default();
-    let (tokens, max_output, hint) = match prompt {
-        Some(prompt) => (prompt.tokens, prompt.max_output, prompt.output_hint),
-        None => (0, DEFAULT_MAX_OUTPUT, None),
-    };
-    let output = lengths.predict(hint, max_output);
+    let tokens = prompt.map_or(0, |prompt| prompt.tokens);
+    let (hint, max_output) = output_limits(prompt);
+    let output = lengths_of(cx, service).predict(hint, max_output);
     engine_memory::Need::with_generated(tokens, output, generated)
 }
 
+/// Returns a number of tokens that nine of ten answers to such a request don't exceed after the first `generated` ones.
+/// `None` if nothing is known of their length.
+pub(crate) fn longest_rest<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    service: &str,
+    prompt: Option<&dialect::Prompt>,
+    generated: u32,
+) -> Option<u32> {
+    let (hint, max_output) = output_limits(prompt);
+    let longest = lengths_of(cx, service).predict_longest(hint, max_output)?;
+    Some(longest.saturating_sub(generated))
+}
+
+fn lengths_of<D>(cx: &context::Router<D>, service: &str) -> answer_lengths::LengthPredictor {
+    let lengths = locks::lock(&cx.answer_lengths);
+    lengths.get(service).copied().unwrap_or_default()
+}
+
+/// Returns the caller's estimate of the answer's length in tokens, if any, and the longest one that it allows.
+fn output_limits(prompt: Option<&dialect::Prompt>) -> (Option<u32>, u32) {
+    match prompt {
+        Some(prompt) => (prompt.output_hint, prompt.max_output),
+        None => (None, DEFAULT_MAX_OUTPUT),
+    }
+}
+
 /// Returns the tokens of the answer that the caller has already if it resumes a stream.
 pub(crate) fn delivered_before(head: &dialect::RequestHead, engines: &routing::EnginePool) -> u32 {
     let max_output = head
--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use walnuthaven_lib::backends;
+use walnuthaven_lib::clock;
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::engine_load;
 use walnuthaven_lib::engine_memory;
@@ -13,6 +14,7 @@
 use crate::locks;
 use crate::router::connection_pool;
 use crate::router::crash_marks;
+use crate::router::engine_need;
 use crate::router::engine_reservation;
 use crate::router::events::event;
 use crate::router::part_marks;
@@ -62,17 +64,45 @@
     ) -> Result<PreparedServer<D>, stream_request::OpenFailure> {
         let (cx, received) = (self.cx.clone(), self.received.clone());
         let (deadline, has_begun) = (self.deadline, self.last_event_at.is_some());
-        tokio::select! {
+        let takes = self.longest_time(None);
+        let prepared = tokio::select! {
             prepared = self.try_prepare(kv_cache) => prepared,
-            () = cx.wait_until_unsendable(deadline), if !has_begun => {
-                event!(Info, "refused", "id" => received.head.request_id, "cause" => shutdown::LEAVES);
+            () = cx.wait_until_unsendable(deadline, takes), if !has_begun => {
                 Err(stream_request::OpenFailure::HostLeaves)
             }
             () = crash_marks::wait_until_refused(&cx, &received) => {
                 crash_marks::log_refusal(&cx, &received);
                 Err(stream_request::OpenFailure::Quarantined)
             }
+        };
+        if matches!(prepared, Err(stream_request::OpenFailure::HostLeaves)) {
+            event!(Info, "refused", "id" => received.head.request_id, "cause" => shutdown::LEAVES,
+                "leaving_ms" => clock::millis(cx.leaving_for()), "takes_ms" => clock::millis(takes));
         }
+        prepared
+    }
+
+    /// Returns a time in which nine of ten such answers are complete: on these engines, or on typical ones. Zero if
+    /// nothing is known of the answer's length.
+    fn longest_time(&self, placement: Option<&engine_load::Placement>) -> time::Duration {
+        let prompt = self.received.head.prompt.as_ref();
+        let (cx, generated) = (&self.cx, self.tokens_generated);
+        let Some(tokens) = engine_need::longest_rest(cx, &self.service.name, prompt, generated)
+        else {
+            return time::Duration::ZERO;
+        };
+        let need = self.need().prompt;
+        let load = locks::lock(&cx.engine_load);
+        let Some(placement) = placement else {
+            return load.prefill_time(need) + load.typical_token_time() * tokens;
+        };
+        let prefill = match &placement.prefill {
+            Some(server) => {
+                load.prefill_backlog(&server.id, cx.now()) + load.prefill_time_on(&server.id, need)
+            }
+            None => time::Duration::ZERO,
+        };
+        prefill + load.token_time_on(&placement.decode.id) * tokens
     }
 
     async fn try_prepare(
@@ -106,6 +136,11 @@
                     return Err(stream_request::OpenFailure::NoCapacity(no_capacity));
                 }
             };
+            let takes = self.longest_time(Some(&placement));
+            if self.last_event_at.is_none() && !self.cx.may_start(self.deadline, takes) {
+                // Another host can relay the whole answer.
+                return Err(stream_request::OpenFailure::HostLeaves);
+            }
             let server = placement.decode;
             // A silent server is left only for one that isn't silent itself.
             if self.silent_server.is_some() && !self.answers_calls(&server).await {
--- a/daemon/src/router/plain_request.rs
+++ b/daemon/src/router/plain_request.rs
@@ -72,7 +72,7 @@
         let turn = tokio::select! {
             biased;
             turn = part_marks::wait_for_turn(self.cx, self.received) => turn,
-            () = self.cx.wait_until_unsendable(self.deadline) => {
+            () = self.cx.wait_until_unsendable(self.deadline, time::Duration::ZERO) => {
                 return self.failed_answer(progress);
             }
         };
--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -129,16 +129,27 @@
         })
     }
 
-    /// Returns since when a request that must be answered by `deadline`, as time since boot, may not be sent to a server:
-    /// the last answers may come before that. `None` if it may be.
-    fn unsendable_since(&self, deadline: time::Duration) -> Option<time::Duration> {
+    /// Returns since when a request that must be answered by `deadline`, as time since boot, and whose answer takes
+    /// `takes`, may not be sent to a server: the last answers may come before that. `None` if it may be.
+    fn unsendable_since(
+        &self,
+        deadline: time::Duration,
+        takes: time::Duration,
+    ) -> Option<time::Duration> {
         let period = (*self.shutdown.period.borrow())?;
-        (period.end < deadline + LAST_ANSWERS_TIME).then_some(period.since + SEND_ALL_FOR)
+        let last_answers = period.end.saturating_sub(LAST_ANSWERS_TIME);
+        let since = (period.since + SEND_ALL_FOR).min(last_answers.saturating_sub(takes));
+        (last_answers < deadline).then_some(since)
     }
 
     /// Returns whether a request that must be answered by `deadline`, as time since boot, may be sent to a server.
     pub(crate) fn may_send(&self, deadline: time::Duration) -> bool {
-        self.unsendable_since(deadline)
+        self.may_start(deadline, time::Duration::ZERO)
+    }
+
+    /// Returns whether such a request may be sent to a server, if its answer takes `takes` from now on.
+    pub(crate) fn may_start(&self, deadline: time::Duration, takes: time::Duration) -> bool {
+        self.unsendable_since(deadline, takes)
             .is_none_or(|since| self.now() < since)
     }
 
@@ -158,9 +169,13 @@
     }
 
     /// Waits until such a request may not be sent any more.
-    pub(crate) async fn wait_until_unsendable(&self, deadline: time::Duration) {
+    pub(crate) async fn wait_until_unsendable(
+        &self,
+        deadline: time::Duration,
+        takes: time::Duration,
+    ) {
         self.wait_until_leaving().await;
-        match self.unsendable_since(deadline) {
+        match self.unsendable_since(deadline, takes) {
             Some(since) => tokio::time::sleep(since.saturating_sub(self.now())).await,
             None => std::future::pending().await,
         }
--- a/lib/src/answer_lengths.rs
+++ b/lib/src/answer_lengths.rs
@@ -14,6 +14,8 @@
 const INITIAL_VARIANCE: f64 = 0.25;
 /// Typical length assumed until an answer was recorded, as a share of the longest allowed answer.
 const INITIAL_MEAN_SHARE: f64 = 0.5;
+/// Nine of ten values of a normal distribution lie below its mean plus this many standard deviations.
+const NINE_OF_TEN: f64 = 1.28;
 
 /// Predicts the lengths of a service's answers from its earlier ones. All fields are moving averages of
 /// natural logarithms of lengths in tokens.
@@ -57,18 +59,33 @@
 
     /// Predicts the length in tokens of an answer that may have up to `max` tokens.
     pub fn predict(&self, hint: Option<u32>, max: u32) -> u32 {
+        let (mean, variance) = self.distribution(hint, max);
+        // The logarithm of a log-normal mean is that of the median plus half the variance.
+        length_of(mean + variance / 2.0, max)
+    }
+
+    /// Returns a length in tokens that nine of ten such answers don't exceed. `None` if there is neither a hint nor an
+    /// earlier answer.
+    pub fn predict_longest(&self, hint: Option<u32>, max: u32) -> Option<u32> {
+        if hint.is_none() && self.mean.is_none() {
+            return None;
+        }
+        let (mean, variance) = self.distribution(hint, max);
+        Some(length_of(mean + NINE_OF_TEN * variance.sqrt(), max))
+    }
+
+    /// Returns the mean and the variance of the logarithm of the length.
+    fn distribution(&self, hint: Option<u32>, max: u32) -> (f64, f64) {
         let initial_mean = (f64::from(max.max(1)) * INITIAL_MEAN_SHARE).ln();
         let mean = self.mean.unwrap_or(initial_mean);
         let Some(hint) = hint else {
-            return length_of(mean + self.length_variance / 2.0, max);
+            return (mean, self.length_variance);
         };
         let hint = f64::from(hint.max(1)).ln() - self.hint_bias;
         let total = (self.length_variance + self.hint_variance).max(f64::EPSILON);
         let hint_weight = self.length_variance / total;
-        let weighted_mean = mean + hint_weight * (hint - mean);
-        // The logarithm of a log-normal mean is that of the median plus half the variance.
         let variance = self.length_variance * self.hint_variance / total;
-        length_of(weighted_mean + variance / 2.0, max)
+        (mean + hint_weight * (hint - mean), variance)
     }
 }
 
--- a/lib/tests/length_prediction.rs
+++ b/lib/tests/length_prediction.rs
@@ -50,3 +50,33 @@
     assert!((900..=1_300).contains(&predictor.predict(None, MAX_TOKENS)));
     assert_eq!(predictor.predict(Some(50), 10), 10);
 }
+
+#[test]
+fn nine_of_ten_answers_are_no_longer_than_the_longest_predicted() {
+    let mut rng = rand::rngs::SmallRng::seed_from_u64(SEED);
+    let mut predictor = answer_lengths::LengthPredictor::default();
+    let (mut covered, mut count) = (0, 0);
+    for i in 0..4_000 {
+        let actual = (2_000.0 * (0.5 * normal(&mut rng)).exp()).min(f64::from(MAX_TOKENS));
+        let hint = (actual * (0.5 * normal(&mut rng)).exp()) as u32;
+        let hint = rng.random_bool(0.5).then_some(hint);
+        let longest = predictor.predict_longest(hint, MAX_TOKENS);
+        if i > 400 {
+            count += 1;
+            covered += i32::from(f64::from(longest.unwrap()) >= actual);
+        }
+        predictor.record(actual as u32, hint);
+    }
+    let share = f64::from(covered) / f64::from(count);
+    assert!((0.87..0.93).contains(&share), "{share}");
+}
+
+#[test]
+fn nothing_is_known_of_the_first_answer_without_an_estimate() {
+    let mut predictor = answer_lengths::LengthPredictor::default();
+    assert_eq!(predictor.predict_longest(None, MAX_TOKENS), None);
+    assert!(predictor.predict_longest(Some(500), MAX_TOKENS).is_some());
+    predictor.record(1_000, None);
+    assert!(predictor.predict_longest(None, MAX_TOKENS).is_some());
+    assert_eq!(predictor.predict_longest(None, 10), Some(10));
+}
