router: end a stream with its run while that is being copied

Callers got the end of a stream up to a second late, and not at all if their host ended in that second: a run whose engine leaves, or whose memory runs out, is copied to another engine while it goes on. If it ended by itself meanwhile, the host waited for the answer to the copy before it ended the caller's stream; if the end wasn't explicit and no further attempt allowed, up to the time limit. A host that reaches the end of its grace period then cuts an answer whose server was done and of which the caller had all events. Class: a step that is known to be needless is waited for.

The engine is told to stop the run only after the first copy. Until then an end of the stream is that of the run, whichever way it is framed, so the move is given up; whoever comes first, the end or the call that stops the run, decides. An explicit end is that of a whole answer in any case.

--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -54,14 +54,12 @@
 #[derive(Debug)]
 enum ServerStreamEnd<D: dialect::Dialect> {
     Ended(StreamEnd),
-    /// The stream ended while its run was being moved to another engine. Holds the run's
-    /// reservation, the move, how the stream ended, which applies if the run wasn't stopped for
-    /// the move, and whether that was an end that only a complete stream has.
+    /// The stream ended after its engine was told to stop the run, so that another one continues it. Holds the run's
+    /// reservation, the move, and how the stream ended, which applies if the run wasn't stopped.
     Moving(
         engine_reservation::Reservation<D>,
         run_move::RunMove<D>,
         StreamEnd,
-        bool,
     ),
     /// The server was silent, and another one goes on with the stream.
     Replaced(engine_stream::OpenStream<D>),
@@ -136,9 +134,9 @@
         let server = opened.server.clone();
         let end = match relay_from_server(&mut request, opened, &tx).await {
             ServerStreamEnd::Ended(end) => end,
-            ServerStreamEnd::Moving(reservation, run_move, end_unless_stopped, has_end) => {
+            ServerStreamEnd::Moving(reservation, run_move, end_unless_stopped) => {
                 let finished = tokio::select! {
-                    finished = run_move.finish(&mut request, reservation, has_end) => finished,
+                    finished = run_move.finish(&mut request, reservation) => finished,
                     () = tx.closed() => return stream_events::record_end(&request, "caller left", ""),
                 };
                 match finished {
@@ -154,7 +152,7 @@
                     }
                     Some(Err(run_move::MoveFailure::Unanswered)) => match end_unless_stopped {
                         // It may be that of a stopped run.
-                        StreamEnd::Complete if !has_end => StreamEnd::Broken(send::SendFailure {
+                        StreamEnd::Complete => StreamEnd::Broken(send::SendFailure {
                             outcome: outcome::Outcome::BrokenMidway,
                             cause: stream_events::BROKE_OFF,
                         }),
@@ -255,14 +253,18 @@
         }
         _ => {}
     }
-    match (end, stream.run_move) {
+    // A run that is stopped ends its stream as one that breaks off.
+    let is_whole = has_explicit_end && matches!(end, StreamEnd::Complete);
+    let run_move = stream
+        .run_move
+        .filter(|run_move| !run_move.give_up() && !is_whole);
+    match (end, run_move) {
         (StreamEnd::CallerLeft, _) => ServerStreamEnd::Ended(StreamEnd::CallerLeft),
         (end, Some(run_move)) => {
             request.silent_server = None;
             let moved = stream_progress::StreamState::BeingMoved;
             request.received.progress.set_state(moved);
-            let has_end = has_explicit_end && matches!(end, StreamEnd::Complete);
-            ServerStreamEnd::Moving(stream.reservation, run_move, end, has_end)
+            ServerStreamEnd::Moving(stream.reservation, run_move, end)
         }
         (end, None) => {
             if matches!(end, StreamEnd::Complete) {
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -3,6 +3,7 @@
 //! doesn't, the engine that was stopped takes the run back.
 
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use walnuthaven_lib::backends;
@@ -37,6 +38,8 @@
     target: sync::Arc<backends::Backend>,
     /// The capacity reserved on the target.
     reservation: engine_reservation::Reservation<D>,
+    /// Whether the engine was told to stop the run, or the run has ended before that; whichever comes first sets it.
+    is_decided: sync::Arc<atomic::AtomicBool>,
     /// Whether the run was stopped; `None` until that is known.
     stopped: tokio::sync::watch::Receiver<Option<bool>>,
     /// Stops the run and copies its KV cache; yields `None` if the run wasn't stopped.
@@ -104,7 +107,9 @@
     event!(Info, "move", "id" => id, "from" => source.id, "to" => target.id,
         "from_version" => source.version, "to_version" => target.version, "reason" => format!("{reason:?}"), "tokens" => request.tokens_generated);
     let (stopped_tx, stopped) = tokio::sync::watch::channel(None);
+    let is_decided = sync::Arc::new(atomic::AtomicBool::new(false));
     let copy_task = {
+        let is_decided = is_decided.clone();
         let (cx, source, target) = (cx.clone(), source.clone(), target.clone());
         let ttl = request.engines.handle_ttl;
         // An engine that is silent meanwhile may still stop the run.
@@ -118,6 +123,7 @@
                 id,
                 tokens,
                 ttl,
+                is_decided,
             };
             let stopped_run = offer.copy_and_stop(deadline).await;
             stopped_tx.send_replace(Some(stopped_run.is_ok()));
@@ -128,6 +134,7 @@
         source: source.clone(),
         target,
         reservation,
+        is_decided,
         stopped,
         copy_task: tokio::spawn(copy_task),
     })
@@ -144,6 +151,8 @@
     tokens: u32,
     /// How long engines keep a copy.
     ttl: time::Duration,
+    /// As in [`RunMove`].
+    is_decided: sync::Arc<atomic::AtomicBool>,
 }
 
 impl<D: dialect::Dialect> Offer<D> {
@@ -174,6 +183,10 @@
         let Some(mut copy) = copy else {
             return Err(self.record_refused(status));
         };
+        if self.is_decided.swap(true, atomic::Ordering::Relaxed) {
+            // The run has ended meanwhile.
+            return Err(NotStopped::Refused);
+        }
         let time_left = deadline.saturating_sub(cx.now());
         let stopped = self.copy(dialect::RunCopy::Stops, time_left).await;
         let (status, kv_cache) = stopped.ok_or(NotStopped::Unanswered)?;
@@ -234,6 +247,12 @@
         *self.stopped.borrow() == Some(false)
     }
 
+    /// Gives the move up because the run's stream has ended, unless its engine was told to stop the run. Returns whether
+    /// it was given up, so that the end is that of the run.
+    pub(crate) fn give_up(&self) -> bool {
+        !self.is_decided.swap(true, atomic::Ordering::Relaxed)
+    }
+
     /// Waits until the run is stopped; forever if the move fails.
     pub(crate) async fn run_stopped(&self) {
         let mut stopped = self.stopped.clone();
@@ -249,19 +268,17 @@
 
     /// Continues the run on an engine after its stream has ended: on the target if the KV cache was
     /// copied there, otherwise, or if the target doesn't take it, again on the source.
-    /// `source_reservation` is the run's reservation on the source. `has_end` states whether the
-    /// stream ended as only a complete one does. Returns `None` if the run wasn't stopped. Records each
-    /// failed send.
+    /// `source_reservation` is the run's reservation on the source. Returns `None` if the run wasn't stopped. Records
+    /// each failed send.
     pub(crate) async fn finish(
         self,
         request: &mut stream_request::StreamRequest<D>,
         source_reservation: engine_reservation::Reservation<D>,
-        has_end: bool,
     ) -> Option<Result<engine_stream::OpenStream<D>, MoveFailure>> {
         // A stream that isn't sent again can only go on with the answer. The task neither panics nor is
         // cancelled.
         let after_break = request.decide_next(outcome::Outcome::BrokenMidway);
-        let max_wait = match has_end || after_break == outcome::Next::SendAgain {
+        let max_wait = match after_break == outcome::Next::SendAgain {
             true => COPY_TIMEOUT,
             false => request.deadline.saturating_sub(request.cx.now()),
         };
--- a/daemon/tests/moved_streams.rs
+++ b/daemon/tests/moved_streams.rs
@@ -15,6 +15,8 @@
 /// Streams take about two seconds, of which an engine that leaves serves more than one.
 const EVENTS: u64 = 70;
 const EVENT_PAUSE_MS: u64 = 30;
+/// The longest pause of an answer that is on time.
+const MAX_PAUSE: time::Duration = time::Duration::from_millis(300);
 /// One route that may be resumed and one that may not.
 const PATHS: [&str; 2] = ["/brief/x", "/single/x"];
 
@@ -86,6 +88,43 @@
     }
 }
 
+/// Guards against answers that are held back, and cut if their host ends meanwhile, although their run has ended while its
+/// engine copied it.
+#[tokio::test]
+async fn stream_ends_with_its_run_although_that_is_being_copied() {
+    for (path, unframed) in PATHS.into_iter().zip([false, true]) {
+        let setup = start(&["i-d1", "i-d2"]).await;
+        for engine in &setup.decode_engines {
+            engine.copy_delay_ms.store(950, atomic::Ordering::Relaxed);
+            engine.unframed.store(unframed, atomic::Ordering::Relaxed);
+            // Fewer than predicted.
+            engine
+                .events_per_stream
+                .store(25, atomic::Ordering::Relaxed);
+        }
+        let bytes = caller::request("POST", path, "r1", LONG_PROMPT, "a prompt");
+        let send = async {
+            let addr = setup.host.callers_addr;
+            let answer = caller::send(addr, &bytes, engine_setup::TIMEOUT).await;
+            (answer, time::Instant::now())
+        };
+        let drain = async {
+            let leaving = setup.wait_for_run("r1").await;
+            let entry = leaving.entry("scribe", "draining");
+            setup.store.put("servers", &leaving.id, entry);
+            leaving
+        };
+        let ((answer, ended), leaving) = tokio::join!(send, drain);
+        let log = setup.host.log();
+        assert!(log.contains("\"event\":\"move\""), "no move: {log}");
+        assert_eq!((answer.status, answer.complete), (200, true), "{log}");
+        assert_eq!(answer.body, engine_setup::complete_stream(25), "{path}");
+        let run_ended = leaving.stream_ends()[0].at;
+        let held_back = ended - run_ended;
+        assert!(held_back < MAX_PAUSE, "{path}: {held_back:?}: {log}");
+    }
+}
+
 /// Guards against streams that their host has stopped for an engine that has no room for them.
 #[tokio::test]
 async fn stream_stays_if_the_other_engine_has_no_room() {
