api: bound and count what HTTP/2 connections take before it is read

The HTTP library takes 1 MB a connection before anything reads it, and nothing counted these bytes, so that a machine that receives faster than connections are closed holds more.

The window of a connection and of a stream is 64 KB now, and the bytes in it count as held by their connection until they are read as a body, so that those that hold most for longest are closed. They are counted up to the window, as frames' headers are received and never read.

Ruled out: huge pages (only on request here).

--- a/daemon/src/api_server.rs
+++ b/daemon/src/api_server.rs
@@ -86,7 +86,7 @@
         let cx = service_cx.clone();
         let router = router.clone();
         let connection = service_connection.clone();
-        let call = calls.start();
+        let call = calls.start(req.version() >= http::Version::HTTP_2);
         // A connection without a call would take the memory of one otherwise.
         Box::pin(async move {
             Ok::<_, convert::Infallible>(handle(&cx, router, connection, &call, req).await)
@@ -100,6 +100,8 @@
         .max_buf_size(max_head)
         .http2()
         .timer(rt::TokioTimer::new())
+        .initial_stream_window_size(client_stream::HTTP2_WINDOW_BYTES)
+        .initial_connection_window_size(client_stream::HTTP2_WINDOW_BYTES)
         .max_header_list_size(u32::try_from(limits.max_header_bytes).unwrap_or(u32::MAX));
     let serving = builder.serve_connection(io, service);
     let mut serving = std::pin::pin!(serving);
--- a/daemon/src/client_stream.rs
+++ b/daemon/src/client_stream.rs
@@ -20,6 +20,8 @@
 
 /// Bytes that are read at a time, a little less than the HTTP library's smallest buffer, which doubles when a read fills it.
 const MAX_READ: usize = 8 * 1024 - 1;
+/// Bytes of bodies that an HTTP/2 connection takes before they are read: the least that the protocol allows.
+pub(crate) const HTTP2_WINDOW_BYTES: u32 = 65_535;
 /// A body that is too long is read up to this many times the limit.
 const MAX_DISCARDED: usize = 4;
 /// Retry-After when there is no memory for a body.
@@ -37,6 +39,16 @@
     /// Calls without a response yet, and those of them whose body isn't received yet.
     open: atomic::AtomicUsize,
     receiving: atomic::AtomicUsize,
+    /// Bytes that were received while calls were open, up to [`HTTP2_WINDOW_BYTES`], and not read as bodies. Zero on
+    /// connections that carry one call at a time.
+    buffered: atomic::AtomicUsize,
+    is_multiplexed: atomic::AtomicBool,
+}
+
+impl Drop for SharedCalls {
+    fn drop(&mut self) {
+        self.client.release_buffered(*self.buffered.get_mut());
+    }
 }
 
 impl Calls {
@@ -46,6 +58,8 @@
             max_head,
             open: atomic::AtomicUsize::new(0),
             receiving: atomic::AtomicUsize::new(0),
+            buffered: atomic::AtomicUsize::new(0),
+            is_multiplexed: atomic::AtomicBool::new(false),
         }))
     }
 
@@ -54,8 +68,12 @@
         &self.0.client
     }
 
-    /// Counts a call until the returned value is dropped.
-    pub(crate) fn start(&self) -> Call {
+    /// Counts a call until the returned value is dropped. `is_multiplexed` states whether the connection carries several
+    /// calls at a time.
+    pub(crate) fn start(&self, is_multiplexed: bool) -> Call {
+        self.0
+            .is_multiplexed
+            .store(is_multiplexed, atomic::Ordering::Relaxed);
         self.0.open.fetch_add(1, atomic::Ordering::Relaxed);
         self.0.receiving.fetch_add(1, atomic::Ordering::Relaxed);
         self.update_phase();
@@ -68,6 +86,37 @@
         self.0.open.load(atomic::Ordering::Relaxed) > 0
     }
 
+    /// Counts bytes that the HTTP library keeps until they are read as bodies.
+    fn add_buffered(&self, bytes: usize) {
+        if !self.0.is_multiplexed.load(atomic::Ordering::Relaxed) {
+            return;
+        }
+        let mut counted = 0;
+        self.update_buffered(|buffered| {
+            counted = bytes.min((HTTP2_WINDOW_BYTES as usize).saturating_sub(buffered));
+            buffered + counted
+        });
+        self.0.client.add_buffered(counted);
+    }
+
+    /// Ends to count bytes of bodies that were read.
+    fn release_buffered(&self, bytes: usize) {
+        let mut released = 0;
+        self.update_buffered(|buffered| {
+            released = bytes.min(buffered);
+            buffered - released
+        });
+        self.0.client.release_buffered(released);
+    }
+
+    /// Calls of one connection run in several threads.
+    fn update_buffered(&self, mut update: impl FnMut(usize) -> usize) {
+        let buffered = &self.0.buffered;
+        let order = atomic::Ordering::Relaxed;
+        // This only fails if `update` returns `None`.
+        let _ = buffered.fetch_update(order, order, |bytes| Some(update(bytes)));
+    }
+
     fn update_phase(&self) {
         let open = self.0.open.load(atomic::Ordering::Relaxed);
         let receiving = self.0.receiving.load(atomic::Ordering::Relaxed);
@@ -90,6 +139,7 @@
         self.calls.0.open.fetch_sub(1, atomic::Ordering::Relaxed);
         self.calls.update_phase();
         if !self.calls.has_open() {
+            self.calls.release_buffered(usize::MAX);
             self.calls.0.client.release_head();
         }
     }
@@ -129,7 +179,10 @@
         let held = self.calls.client().reserve(stated).await;
         let held = held.ok_or_else(no_memory)?;
         match read_limit::collect(&mut body, stated, max_bytes).await {
-            Ok(data) => Ok((data, held)),
+            Ok(data) => {
+                self.calls.release_buffered(data.len());
+                Ok((data, held))
+            }
             Err(read_limit::BodyFault::BrokeOff) => Err(cut_off()),
             Err(read_limit::BodyFault::TooLarge) => {
                 drop(held);
@@ -209,6 +262,7 @@
         let read = buf.filled().len() - before;
         if has_open {
             self.head = 0;
+            self.calls.add_buffered(read);
         } else if read > 0 {
             if self.head == 0 {
                 let client = self.calls.client();
--- a/daemon/src/router/clients.rs
+++ b/daemon/src/router/clients.rs
@@ -430,6 +430,21 @@
         total.fetch_sub(bytes, atomic::Ordering::Relaxed);
     }
 
+    /// Counts bytes that were received and that nothing reads for now.
+    pub(crate) fn add_buffered(&self, bytes: usize) {
+        self.0.held.fetch_add(bytes, atomic::Ordering::Relaxed);
+        let clients = &self.0.clients;
+        clients.held.fetch_add(bytes, atomic::Ordering::Relaxed);
+        clients.make_room(0);
+    }
+
+    /// Ends to count such bytes.
+    pub(crate) fn release_buffered(&self, bytes: usize) {
+        self.0.held.fetch_sub(bytes, atomic::Ordering::Relaxed);
+        let total = &self.0.clients.held;
+        total.fetch_sub(bytes, atomic::Ordering::Relaxed);
+    }
+
     /// Reserves memory for a body that is received on the connection.
     pub(crate) async fn reserve(&self, bytes: usize) -> Option<Held> {
         self.0.clients.reserve(Some(self), bytes).await
