router: keep a silent stream until its replacement sends

Callers of resumable streams got an answer that began and was cut, with a sound engine: an engine that stands still for four of the route's longest pauses is replaced, and its stream was dropped 300 ms after the request had been sent to the other one. If that is full and refuses, fails, or doesn't begin, no attempt is left (two on the users' route) and nobody goes on; the host ends with the answer begun and no server at work, although the first engine goes on after its pause.

The silent stream is kept and read until the other engine's stream begins. If the silent one sends first, the send to the other one is given up; if the other one refuses or fails, however late, the silent one stays; if that breaks off meanwhile, it is as before. An engine runs a request from its first event on, so that both don't work on it for longer than that event is on its way.

--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -50,6 +50,7 @@
 mod server_limits;
 mod server_notices;
 mod shutdown;
+mod silent_stream;
 mod stage_orders;
 mod store;
 mod store_sync;
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -22,6 +22,7 @@
 use crate::router::peer_stream;
 use crate::router::run_move;
 use crate::router::send;
+use crate::router::silent_stream;
 use crate::router::stream_events;
 use crate::router::stream_progress;
 use crate::router::stream_request;
@@ -32,8 +33,6 @@
 const MAX_BUFFERED_EVENTS: usize = 32;
 /// A stream's server counts as silent after this many times the route's longest pause between events.
 const SILENCE_FACTOR: u32 = 4;
-/// Longest time for which a silent stream is kept after its request was sent to another server.
-const MAX_OVERLAP: time::Duration = time::Duration::from_millis(300);
 
 /// Time for the last events and the end of the stream to arrive after the run was stopped.
 const STREAM_END_TIMEOUT: time::Duration = time::Duration::from_millis(100);
@@ -66,12 +65,12 @@
 }
 
 /// The stream of one server while it is relayed.
-struct ServerStream<D: dialect::Dialect> {
-    response: send::ServerResponse,
-    server: sync::Arc<backends::Backend>,
+pub(super) struct ServerStream<D: dialect::Dialect> {
+    pub(super) response: send::ServerResponse,
+    pub(super) server: sync::Arc<backends::Backend>,
     /// The capacity reserved on the server.
     reservation: engine_reservation::Reservation<D>,
-    splitter: event_stream::Splitter,
+    pub(super) splitter: event_stream::Splitter,
     run_move: Option<run_move::RunMove<D>>,
     /// Whether it was recorded that the prompt doesn't crash servers.
     is_proven: bool,
@@ -87,16 +86,6 @@
     Silent(engine_prepare::PreparedServer<D>),
 }
 
-/// What became of a silent stream after its request was sent to another server.
-enum Replacement<D: dialect::Dialect> {
-    /// The other server goes on.
-    Opened(engine_stream::OpenStream<D>),
-    /// The other server failed, and the silent stream is still open.
-    Kept(ServerStream<D>),
-    /// Neither goes on.
-    Failed(&'static str),
-}
-
 /// Makes the answer to a request whose stream was opened, and starts a task that relays the stream.
 /// The task ends with the stream or when the caller disconnects.
 pub(crate) fn answer<D: dialect::Dialect>(
@@ -223,13 +212,13 @@
             RelayEnd::Silent(other) => other,
         };
         let replacement = tokio::select! {
-            replacement = replace(request, stream, other) => replacement,
+            replacement = silent_stream::replace(request, stream, other) => replacement,
             () = tx.closed() => return ServerStreamEnd::Ended(StreamEnd::CallerLeft),
         };
         stream = match replacement {
-            Replacement::Opened(opened) => return ServerStreamEnd::Replaced(opened),
-            Replacement::Kept(stream) => stream,
-            Replacement::Failed(cause) => {
+            silent_stream::Replacement::Opened(opened) => return ServerStreamEnd::Replaced(opened),
+            silent_stream::Replacement::Kept(stream) => stream,
+            silent_stream::Replacement::Failed(cause) => {
                 return ServerStreamEnd::Ended(StreamEnd::NotContinued(cause));
             }
         };
@@ -280,49 +269,6 @@
     }
 }
 
-/// Has another server go on with a silent stream. The stream is kept until the other server sends,
-/// so that it can go on itself if the other server fails, but not so long that both servers work
-/// on the request.
-async fn replace<D: dialect::Dialect>(
-    request: &mut stream_request::StreamRequest<D>,
-    silent: ServerStream<D>,
-    other: engine_prepare::PreparedServer<D>,
-) -> Replacement<D> {
-    let server = silent.server.clone();
-    event!(Info, "server-replaced", "id" => request.id(), "server" => server.id,
-        "cause" => "server fell silent", "by" => other.server.id,
-        "delivered" => request.last_event);
-    let mut held = Some(silent);
-    let started = {
-        let starting = request.start_on(other);
-        tokio::pin!(starting);
-        tokio::select! {
-            started = &mut starting => started,
-            () = tokio::time::sleep(MAX_OVERLAP) => {
-                held = None;
-                starting.await
-            }
-        }
-    };
-    if let Ok(engine_stream::DecodeResult::Failed(_)) | Err(_) = &started
-        && let Some(stream) = held.take()
-    {
-        return Replacement::Kept(stream);
-    }
-    drop(held);
-    request.leave_silent_server(&server);
-    let opened = match started {
-        Ok(engine_stream::DecodeResult::Stream(opened)) => Ok(opened),
-        Ok(engine_stream::DecodeResult::Failed(_)) => request.open(None).await,
-        Ok(engine_stream::DecodeResult::Replaced(next)) => request.open(Some(next)).await,
-        Err(failure) => Err(failure),
-    };
-    match opened {
-        Ok(opened) => Replacement::Opened(opened),
-        Err(failure) => Replacement::Failed(failure.cause()),
-    }
-}
-
 /// Relays events until the server's stream ends, or until the server is silent and another one can
 /// go on. Starts to move the run if it should leave its engine.
 async fn relay_events<D: dialect::Dialect>(
--- a/daemon/src/router/stream_events.rs
+++ b/daemon/src/router/stream_events.rs
@@ -65,6 +65,22 @@
     }
 }
 
+/// Waits until an event with an id has arrived or the stream has ended in order, and takes neither. Returns `false` if the
+/// stream broke off. Dropping the future loses nothing that was read.
+pub(super) async fn wait_for_event(
+    body: &mut read_limit::LimitedBody,
+    splitter: &mut event_stream::Splitter,
+) -> bool {
+    while !splitter.has_event_with_id() && !splitter.exceeds_max_event() {
+        match body.frame().await {
+            Some(Ok(frame)) => splitter.push(&frame.into_data().unwrap_or_default()),
+            Some(Err(_)) => return false,
+            None => return true,
+        }
+    }
+    true
+}
+
 /// Returns whether a stream that ended between two events is complete. Without an explicit end, one that broke there
 /// looks the same, which shows in that it has no event or its server has ended. `held` are the events that weren't
 /// relayed yet.
--- a/lib/src/event_stream.rs
+++ b/lib/src/event_stream.rs
@@ -44,6 +44,15 @@
         })
     }
 
+    /// Returns whether an event with an id is complete.
+    pub fn has_event_with_id(&self) -> bool {
+        let mut rest = Self {
+            buf: self.buf.clone(),
+            scanned: 0,
+        };
+        std::iter::from_fn(|| rest.next_event()).any(|event| event.id.is_some())
+    }
+
     /// Returns the bytes after the last complete event.
     pub fn remainder(&self) -> &[u8] {
         &self.buf
