router: close connections of callers without unread bytes

Callers lost the end of an answer that they hadn't read yet if they had sent more than the host had read, for instance the head of a next request: the system resets a connection that is closed with unread bytes, and drops what it hasn't sent.

What was received and not read is discarded before the connection is closed, so that the rest of the answer is still sent, also after the end of the process. Bytes that arrive later than that still reset the connection.

--- a/daemon/src/router/listen.rs
+++ b/daemon/src/router/listen.rs
@@ -19,6 +19,7 @@
 use crate::router::clients;
 use crate::router::connection_timer;
 use crate::router::context;
+use crate::router::drained_reader;
 use crate::router::events;
 use crate::router::events::event;
 use crate::router::events::limited_event;
@@ -113,6 +114,7 @@
     }
     let head_state = connection_timer::HeadState::new(client);
     let (reader, writer) = stream.into_split();
+    let reader = drained_reader::DrainedReader::new(reader);
     let (reader, read_limit) =
         read_limit::LimitedStream::new(reader, MAX_HEAD_BYTES, MAX_READ, None);
     let limits_cx = cx.clone();
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -16,6 +16,7 @@
 mod crash_mark_store;
 mod crash_marks;
 mod crash_witness;
+mod drained_reader;
 mod engine_need;
 mod engine_prepare;
 mod engine_reservation;
