--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -208,8 +208,7 @@
                 self.cx.news_due.notify_one();
             }
             self.silent_server = Some(server.id.clone());
-            let silent = stream_progress::StreamState::ServerSilent;
-            self.received.progress.set_state(silent);
+            self.set_state(stream_progress::StreamState::ServerSilent);
             event!(Info, "server-silent", "id" => self.id(), "server" => server.id,
                 "delivered" => self.last_event, "others_go_on" => others_go_on);
         }
@@ -241,8 +240,7 @@
             return;
         }
         self.silent_server = None;
-        let generating = stream_progress::StreamState::Generating;
-        self.received.progress.set_state(generating);
+        self.set_state(stream_progress::StreamState::Generating);
         let now = self.cx.now();
         locks::lock(&self.cx.health).record_response(&server.id, now);
         self.cx.news_due.notify_one();
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -95,8 +95,7 @@
             let server = match prepared.take() {
                 Some(server) => server,
                 None => {
-                    let waiting = stream_progress::StreamState::WaitingForEngine;
-                    self.received.progress.set_state(waiting);
+                    self.set_state(stream_progress::StreamState::WaitingForEngine);
                     self.prepare(kv_cache.take()).await?
                 }
             };
@@ -112,8 +111,7 @@
     /// the same millisecond, at many hosts. A random pause lets each host hear which servers the
     /// others chose.
     pub(crate) async fn reopen(&mut self) -> Result<OpenStream<D>, stream_request::OpenFailure> {
-        let waiting = stream_progress::StreamState::WaitingForEngine;
-        self.received.progress.set_state(waiting);
+        self.set_state(stream_progress::StreamState::WaitingForEngine);
         tokio::time::sleep(engine_prepare::REOPEN_JITTER.mul_f64(rand::random::<f64>())).await;
         let on_trial = self.received.trial.get().is_some();
         if on_trial || part_marks::has_unanswered(&self.cx, &self.received) {
@@ -143,9 +141,8 @@
             kv_cache,
         } = prepared;
         self.count_attempt();
-        let progress = &self.received.progress;
-        progress.set_server(&server.id);
-        progress.set_state(stream_progress::StreamState::SentToEngine);
+        self.received.progress.set_server(&server.id);
+        self.set_state(stream_progress::StreamState::SentToEngine);
         let sending = self.send_decode(&server, connection, kv_cache);
         let answered = match self.wait_for_answer(&server, sending, false).await {
             Awaited::Answer(answered) => *answered,
--- a/daemon/src/router/peer_stream.rs
+++ b/daemon/src/router/peer_stream.rs
@@ -101,8 +101,7 @@
     mut opened: via_peer::PeerAnswer<D>,
     tx: stream_events::EventSender,
 ) {
-    let at_other_host = stream_progress::StreamState::AtOtherHost;
-    request.received.progress.set_state(at_other_host);
+    request.set_state(stream_progress::StreamState::AtOtherHost);
     loop {
         let cause = match relay_part(&mut request, &mut opened, &tx).await {
             PartEnd::Complete => return stream_events::complete(&request),
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -251,8 +251,7 @@
         (StreamEnd::CallerLeft, _) => ServerStreamEnd::Ended(StreamEnd::CallerLeft),
         (end, Some(run_move)) => {
             request.silent_server = None;
-            let moved = stream_progress::StreamState::BeingMoved;
-            request.received.progress.set_state(moved);
+            request.set_state(stream_progress::StreamState::BeingMoved);
             ServerStreamEnd::Moving(stream.reservation, run_move, end)
         }
         (end, None) => {
@@ -283,12 +282,7 @@
         .max_pause()
         .filter(|_| request.route.kind.may_run_again());
     let (cx, received) = (request.cx.clone(), request.received.clone());
-    let is_silent = request.silent_server.as_ref() == Some(&stream.server.id);
-    received.progress.set_server(&stream.server.id);
-    received.progress.set_state(match is_silent {
-        true => stream_progress::StreamState::ServerSilent,
-        false => stream_progress::StreamState::Generating,
-    });
+    request.set_relayed_from(&stream.server.id);
     let service = request.service.name.clone();
     let needs_peer = via_peer::wait_until_needed(&cx, &received, &service);
     tokio::pin!(needs_peer);
@@ -412,8 +406,10 @@
 ) {
     let cx = &request.cx;
     let now = cx.now();
-    let progress = &request.received.progress;
-    progress.record_event(request.last_event, now);
+    request
+        .received
+        .progress
+        .record_event(request.last_event, now);
     let Some(last) = request.last_event_at.replace(now) else {
         return;
     };
--- a/daemon/src/router/stream_events.rs
+++ b/daemon/src/router/stream_events.rs
@@ -149,8 +149,7 @@
     tx: &EventSender,
     cause: &'static str,
 ) {
-    let broken_off = stream_progress::StreamState::BrokenOff;
-    request.received.progress.set_state(broken_off);
+    request.set_state(stream_progress::StreamState::BrokenOff);
     // Fails only if the caller has disconnected already.
     let _ = tx.send(Err(answer::Broken)).await;
     request.cx.record_broken_stream();
@@ -159,8 +158,7 @@
 
 /// Records that all events were passed on.
 pub(super) fn complete<D: dialect::Dialect>(request: &stream_request::StreamRequest<D>) {
-    let received = stream_progress::StreamState::Received;
-    request.received.progress.set_state(received);
+    request.set_state(stream_progress::StreamState::Received);
     record_end(request, "complete", "");
 }
 
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -24,6 +24,7 @@
 use crate::router::send;
 use crate::router::server_choice;
 use crate::router::shutdown;
+use crate::router::stream_progress;
 use crate::router::stream_versions;
 use crate::router::via_peer;
 
@@ -162,6 +163,20 @@
         }
     }
 
+    /// Records for the log what the stream waits for.
+    pub(super) fn set_state(&self, state: stream_progress::StreamState) {
+        self.received.progress.set_state(state);
+    }
+
+    /// Records for the log that the events of a server are relayed, which may be silent already.
+    pub(super) fn set_relayed_from(&self, server: &sync::Arc<str>) {
+        self.received.progress.set_server(server);
+        self.set_state(match self.silent_server.as_ref() == Some(server) {
+            true => stream_progress::StreamState::ServerSilent,
+            false => stream_progress::StreamState::Generating,
+        });
+    }
+
     /// Returns the request's id for the log, `-` if it has none.
     pub(crate) fn id(&self) -> &str {
         self.received.head.request_id.as_deref().unwrap_or("-")
