router: offer a stopped run for as long as its KV cache is kept

Callers saw a stream with status 200 and no end: its run had been stopped for an engine that held a copy and then refused it, and the engine that was left had been leaving for more than 1.5 s, so it couldn't take the run back. The host gave up after one offer to each, though both still kept the KV cache.

The run is now offered for as long as its KV cache is kept and its caller waits: to the engine with the copy, to its own, to further engines with room, which get a copy from the one that stopped it first, and after a pause to those that refused it as not run. Offers after the first ones need the retry budget, and all count in it. A handle goes to one engine at a time; an engine that answered anything but "not run" isn't asked again. A stream that may be resumed is read anew at once if there is room but no copy.

Ruled out: letting a third engine fetch the KV cache by the handle, as after a prefill.

That engines of the platform copy a run that they have stopped isn't shown; if they don't, the engine with the copy is still asked again.

--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -316,7 +316,7 @@
                 hosts: self.cx.host_count(),
             },
         };
-        let tried = self.tried_servers(None);
+        let tried = self.tried_servers(&[]);
         let request = engine_reservation::ReservationRequest {
             prefilled: kv_cache.is_some() || self.prefills_on_decode,
             version: self
--- a/daemon/src/router/mod.rs
+++ b/daemon/src/router/mod.rs
@@ -53,6 +53,7 @@
 mod shutdown;
 mod silent_stream;
 mod stage_orders;
+mod stopped_run;
 mod store;
 mod store_sync;
 mod stream_events;
--- a/daemon/src/router/prefills.rs
+++ b/daemon/src/router/prefills.rs
@@ -48,6 +48,11 @@
         let age = self.cx.now().saturating_sub(self.created_at);
         age < self.ttl.mul_f64(USABLE_SHARE)
     }
+
+    /// Returns until when the engine keeps the cache at least.
+    pub(crate) fn kept_until(&self) -> time::Duration {
+        self.created_at + self.ttl
+    }
 }
 
 impl<D: dialect::Dialect> Drop for KvHandle<D> {
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -1,6 +1,5 @@
 //! Moves a run to another engine: its engine copies its KV cache to the other engine while the run goes on, and stops it
-//! once that has room for it. The other engine continues the stream after the last event that the caller received. If it
-//! doesn't, the engine that was stopped takes the run back.
+//! once that has room for it. The other engine continues the stream after the last event that the caller received.
 
 use std::sync;
 use std::sync::atomic;
@@ -19,13 +18,13 @@
 use crate::router::events::event;
 use crate::router::prefills;
 use crate::router::send;
-use crate::router::server_limits;
 use crate::router::server_notices;
+use crate::router::stopped_run;
 use crate::router::stream_request;
 
 /// Longest time for an engine to copy a run's KV cache, unless the run is stopped and the stream
 /// depends on it: a copy of a gigabyte takes some milliseconds and queues behind other copies.
-const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+pub(super) const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// Maximum number of moves of one request. Each move pauses the caller's stream.
 pub(crate) const MAX_MOVES: u32 = 3;
 /// Pause before a run that no engine took is offered again.
@@ -43,12 +42,12 @@
     /// Whether the run was stopped; `None` until that is known.
     stopped: tokio::sync::watch::Receiver<Option<bool>>,
     /// Stops the run and copies its KV cache; yields `None` if the run wasn't stopped.
-    copy_task: tokio::task::JoinHandle<Result<StoppedRun<D>, NotStopped>>,
+    copy_task: tokio::task::JoinHandle<Result<Stopped<D>, NotStopped>>,
 }
 
-/// A run that was stopped so that another engine can continue it.
+/// A run that was stopped.
 #[derive(Debug)]
-struct StoppedRun<D: dialect::Dialect> {
+struct Stopped<D: dialect::Dialect> {
     kv_cache: prefills::KvHandle<D>,
     /// A connection to the target, if the KV cache was copied there; otherwise the source still has
     /// it.
@@ -97,7 +96,8 @@
         let load = locks::lock(&cx.engine_load);
         run_moves::reason(&load, &reservation.key, memory, engine_leaves, now)?
     };
-    let Some((reservation, target)) = request.reserve_for_move(&source.id) else {
+    let Some((reservation, target)) = request.reserve_for_move(std::slice::from_ref(&source.id))
+    else {
         cx.telemetry.count("runs.nowhere_to_move");
         return None;
     };
@@ -125,9 +125,9 @@
                 ttl,
                 is_decided,
             };
-            let stopped_run = offer.copy_and_stop(deadline).await;
-            stopped_tx.send_replace(Some(stopped_run.is_ok()));
-            stopped_run
+            let stopped = offer.copy_and_stop(deadline).await;
+            stopped_tx.send_replace(Some(stopped.is_ok()));
+            stopped
         }
     };
     Some(RunMove {
@@ -141,18 +141,18 @@
 }
 
 /// A run that is to be moved.
-struct Offer<D> {
-    cx: sync::Arc<context::Router<D>>,
-    source: sync::Arc<backends::Backend>,
-    target: sync::Arc<backends::Backend>,
+pub(super) struct Offer<D> {
+    pub(super) cx: sync::Arc<context::Router<D>>,
+    pub(super) source: sync::Arc<backends::Backend>,
+    pub(super) target: sync::Arc<backends::Backend>,
     /// The id of its request.
-    id: sync::Arc<str>,
+    pub(super) id: sync::Arc<str>,
     /// Number of tokens in its KV cache.
-    tokens: u32,
+    pub(super) tokens: u32,
     /// How long engines keep a copy.
-    ttl: time::Duration,
+    pub(super) ttl: time::Duration,
     /// As in [`RunMove`].
-    is_decided: sync::Arc<atomic::AtomicBool>,
+    pub(super) is_decided: sync::Arc<atomic::AtomicBool>,
 }
 
 impl<D: dialect::Dialect> Offer<D> {
@@ -161,7 +161,7 @@
     /// # Errors
     ///
     /// Returns an error if the run wasn't stopped, or if that is unknown.
-    async fn copy_and_stop(self, deadline: time::Duration) -> Result<StoppedRun<D>, NotStopped> {
+    async fn copy_and_stop(self, deadline: time::Duration) -> Result<Stopped<D>, NotStopped> {
         let cx = &self.cx;
         let options = send::Options {
             deadline,
@@ -195,7 +195,7 @@
         };
         // The newer handle is that of the same copy.
         copy.fetched = true;
-        Ok(StoppedRun {
+        Ok(Stopped {
             kv_cache,
             connection: status.is_success().then_some(connection),
         })
@@ -210,7 +210,7 @@
 
     /// Has the engine copy the run's KV cache. Returns the status of its answer and the handle that it holds, if any;
     /// `None` if there is no answer.
-    async fn copy(
+    pub(super) async fn copy(
         &self,
         copy: dialect::RunCopy,
         timeout: time::Duration,
@@ -266,10 +266,8 @@
         }
     }
 
-    /// Continues the run on an engine after its stream has ended: on the target if the KV cache was
-    /// copied there, otherwise, or if the target doesn't take it, again on the source.
-    /// `source_reservation` is the run's reservation on the source. Returns `None` if the run wasn't stopped. Records
-    /// each failed send.
+    /// Continues the run on an engine after its stream has ended. `source_reservation` is the run's reservation on
+    /// the source. Returns `None` if the run wasn't stopped. Records each failed send.
     pub(crate) async fn finish(
         self,
         request: &mut stream_request::StreamRequest<D>,
@@ -287,105 +285,25 @@
             event!(Info, "move-unanswered", "from" => self.source.id, "cause" => "no answer in time");
             return Some(Err(MoveFailure::Unanswered));
         };
-        let stopped_run = match copied.ok()? {
-            Ok(stopped_run) => stopped_run,
+        let stopped = match copied.ok()? {
+            Ok(stopped) => stopped,
             Err(NotStopped::Refused) => return None,
             Err(NotStopped::Unanswered) => return Some(Err(MoveFailure::Unanswered)),
         };
         request.moves += 1;
         // The engine that stopped the run lives.
         request.received.set_proven();
-        let mut kv_cache = Some(stopped_run.kv_cache);
-        let target = stopped_run
-            .connection
-            .map(|connection| (self.target, self.reservation, Some(connection)));
-        let source = (self.source, source_reservation, None);
-        let mut cause = "run not continued";
-        for (server, reservation, connection) in target.into_iter().chain([source]) {
-            let Some(cache) = kv_cache.take() else {
-                break;
-            };
-            let (failure, cache) = match continue_on(request, &server, connection, cache).await {
-                Ok(engine_stream::Resumed::Stream(response)) => {
-                    event!(Info, "moved", "id" => request.id(), "server" => server.id,
-                            "after_event" => request.last_event);
-                    return Some(Ok(engine_stream::OpenStream {
-                        response,
-                        server,
-                        reservation,
-                    }));
-                }
-                Ok(engine_stream::Resumed::Replaced(other)) => {
-                    let opened = request.open(Some(other)).await;
-                    return Some(
-                        opened.map_err(|failure| MoveFailure::NotContinued(failure.cause())),
-                    );
-                }
-                Err(failed) => failed,
-            };
-            event!(Info, "not-moved", "id" => request.id(), "server" => server.id,
-                "after_event" => request.last_event, "cause" => failure.cause);
-            request.record_failure(&server, &failure, request.cx.now());
-            cause = failure.cause;
-            // Engines take a handle only once, so the run doesn't go on twice.
-            kv_cache = cache;
-        }
-        // The run was stopped midway, even if the last send wasn't executed.
-        let outcome = outcome::Outcome::BrokenMidway;
-        Some(Err(MoveFailure::Send(send::SendFailure { outcome, cause })))
-    }
-}
-
-/// Continues a stopped run on an engine, on a connection to it if there is one already.
-///
-/// # Errors
-///
-/// Returns why it isn't continued, and the KV cache if it can still be used.
-async fn continue_on<D: dialect::Dialect>(
-    request: &mut stream_request::StreamRequest<D>,
-    server: &sync::Arc<backends::Backend>,
-    connection: Option<connection_pool::Connection>,
-    kv_cache: prefills::KvHandle<D>,
-) -> Result<engine_stream::Resumed<D>, (send::SendFailure, Option<prefills::KvHandle<D>>)> {
-    let mut kv_cache = kv_cache;
-    if let Some(connection) = connection {
-        match request.resume_moved_run(server, connection, kv_cache).await {
-            // The engine may have closed the connection while the run was copied.
-            Err((failure, Some(unused))) if failure.outcome == outcome::Outcome::NeverWritten => {
-                kv_cache = unused;
-            }
-            resumed => return resumed,
-        }
-    }
-    match reconnect(&request.cx, server, &kv_cache).await {
-        Ok(connection) => {
-            server_limits::record_sent(&request.cx, server, request.received.priority);
-            request.resume_moved_run(server, connection, kv_cache).await
-        }
-        Err(failure) => Err((failure, Some(kv_cache))),
-    }
-}
-
-/// Opens a connection to the engine that is to continue a stopped run. Fails if that engine is
-/// leaving, unless it is the one that stopped the run and serves long enough to be sent it.
-async fn reconnect<D: dialect::Dialect>(
-    cx: &sync::Arc<context::Router<D>>,
-    server: &backends::Backend,
-    kv_cache: &prefills::KvHandle<D>,
-) -> Result<connection_pool::Connection, send::SendFailure> {
-    let may_get_run = match kv_cache.server.process() == server.process() {
-        true => server_notices::takes_back(cx, server),
-        false => !locks::lock(&cx.servers).is_leaving(&server.id),
-    };
-    if !may_get_run {
-        let outcome = outcome::Outcome::NeverWritten;
-        let cause = "engine leaves";
-        return Err(send::SendFailure { outcome, cause });
+        let target = stopped.connection.map(|connection| stopped_run::Place {
+            server: self.target,
+            reservation: self.reservation,
+            connection: Some(connection),
+        });
+        let source = stopped_run::Place {
+            server: self.source,
+            reservation: source_reservation,
+            connection: None,
+        };
+        let run = stopped_run::StoppedRun::new(stopped.kv_cache, target, source);
+        Some(run.resume(request).await)
     }
-    let options = send::Options {
-        deadline: cx.now() + COPY_TIMEOUT,
-        repeatable: false,
-        continues_run: false,
-    };
-    send::get_connection(cx, server, options).await
 }
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -205,8 +205,7 @@
             run_kind,
             first_event_by: self.arrived + self.route.target_latency,
             deadline: self.deadline,
-            leaves_at: self.last_event_at.unwrap_or(self.arrived)
-                + wait_queue::patience(self.route.target_latency, self.max_pause()),
+            leaves_at: self.caller_leaves_at(),
             tried,
             left: &self.left_servers,
             on_trial: self.received.trial.get().is_some(),
@@ -214,11 +213,17 @@
         }
     }
 
-    /// Reserves capacity on another engine for a run that is to be moved away from `engine`, if
+    /// Returns when the caller leaves unless it gets an event before.
+    pub(super) fn caller_leaves_at(&self) -> time::Duration {
+        self.last_event_at.unwrap_or(self.arrived)
+            + wait_queue::patience(self.route.target_latency, self.max_pause())
+    }
+
+    /// Reserves capacity for a run that is to be moved, on an engine that isn't in `excluded`, if
     /// there is any now and the retry budget allows another send.
     pub(crate) fn reserve_for_move(
         &self,
-        engine: &sync::Arc<str>,
+        excluded: &[sync::Arc<str>],
     ) -> Option<(
         engine_reservation::Reservation<D>,
         sync::Arc<backends::Backend>,
@@ -226,7 +231,7 @@
         if !self.cx.may_retry(&self.service.name) {
             return None;
         }
-        let tried = self.tried_servers(Some(engine));
+        let tried = self.tried_servers(excluded);
         engine_reservation::reserve_for_move(
             &self.cx,
             &self.reservation_request(engine_memory::RunKind::Moved, &tried),
@@ -313,10 +318,10 @@
             .unwrap_or(self.id())
     }
 
-    /// Returns the ids of the servers that the request isn't sent to any more, and `other`.
-    pub(super) fn tried_servers(&self, other: Option<&sync::Arc<str>>) -> Vec<sync::Arc<str>> {
+    /// Returns the ids of the servers that the request isn't sent to any more, and `others`.
+    pub(super) fn tried_servers(&self, others: &[sync::Arc<str>]) -> Vec<sync::Arc<str>> {
         let failed = self.failed_servers.iter();
-        let tried = failed.chain(&self.silent_server).chain(other);
+        let tried = failed.chain(&self.silent_server).chain(others);
         tried.cloned().collect()
     }
 
