run_move: stop no run that its leaving engine ends itself

An engine that leaves takes a run back for 1.5 s after its notice only. A run that was stopped later depended on the other engine alone, also where its own engine went on serving for long enough to end it: engines may serve for many seconds after their notice, and say in their report for how long. If the other engine refused, the caller's stream was cut for a move that nobody needed.

Once an engine couldn't take a run back any more, its report is asked for before the copy and again before the stop, and the run stays if the engine says that it serves until after the predicted end.

Debug builds: run_that_its_leaving_engine_can_end_is_not_stopped is cut on, on both kinds of route, and passes now.

--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -27,6 +27,10 @@
 pub(super) const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// Maximum number of moves of one request. Each move pauses the caller's stream.
 pub(crate) const MAX_MOVES: u32 = 3;
+/// Time from the decision to stop a run until its engine would be asked to take it back.
+const STOP_TIME: time::Duration = time::Duration::from_millis(200);
+/// Time for an engine to report its state, and the age that the report may have.
+const REPORT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Pause before a run that no engine took is offered again.
 const OFFER_PAUSE: time::Duration = time::Duration::from_millis(300);
 
@@ -92,9 +96,11 @@
         return None;
     }
     let engine_leaves = locks::lock(&cx.servers).is_leaving(&source.id);
-    let reason = {
+    let (reason, ends_at) = {
         let load = locks::lock(&cx.engine_load);
-        run_moves::reason(&load, &reservation.key, memory, engine_leaves, now)?
+        let reason = run_moves::reason(&load, &reservation.key, memory, engine_leaves, now)?;
+        let remaining = run_moves::remaining_time(&load, &reservation.key, now);
+        (reason, now + remaining)
     };
     let Some((reservation, target)) = request.reserve_for_move(std::slice::from_ref(&source.id))
     else {
@@ -125,7 +131,7 @@
                 ttl,
                 is_decided,
             };
-            let stopped = offer.copy_and_stop(deadline).await;
+            let stopped = offer.copy_and_stop(deadline, ends_at).await;
             stopped_tx.send_replace(Some(stopped.is_ok()));
             stopped
         }
@@ -156,13 +162,21 @@
 }
 
 impl<D: dialect::Dialect> Offer<D> {
-    /// Asks the engine to copy the run's KV cache while the run goes on, then to stop it and copy the rest.
+    /// Asks the engine to copy the run's KV cache while the run goes on, then to stop it and copy the rest. `ends_at` is
+    /// when the run is predicted to end.
     ///
     /// # Errors
     ///
     /// Returns an error if the run wasn't stopped, or if that is unknown.
-    async fn copy_and_stop(self, deadline: time::Duration) -> Result<Stopped<D>, NotStopped> {
+    async fn copy_and_stop(
+        self,
+        deadline: time::Duration,
+        ends_at: time::Duration,
+    ) -> Result<Stopped<D>, NotStopped> {
         let cx = &self.cx;
+        if self.should_stay(ends_at).await {
+            return Err(NotStopped::Refused);
+        }
         let options = send::Options {
             deadline,
             repeatable: false,
@@ -183,6 +197,9 @@
         let Some(mut copy) = copy else {
             return Err(self.record_refused(status));
         };
+        if self.should_stay(ends_at).await {
+            return Err(NotStopped::Refused);
+        }
         if self.is_decided.swap(true, atomic::Ordering::Relaxed) {
             // The run has ended meanwhile.
             return Err(NotStopped::Refused);
@@ -201,6 +218,26 @@
         })
     }
 
+    /// Returns whether the run stays on its engine: that couldn't take it back, and says that it serves until the run is
+    /// predicted to end.
+    async fn should_stay(&self, ends_at: time::Duration) -> bool {
+        let (cx, source) = (&self.cx, &self.source);
+        if server_notices::takes_back(cx, source, cx.now() + STOP_TIME) {
+            return false;
+        }
+        let reported = send::call(cx, source, cx.dialect.report(), REPORT_TIMEOUT).await;
+        let report = reported.ok();
+        let report = report.and_then(|(_, body)| cx.dialect.read_report(&body));
+        let serves_for = report.and_then(|report| report.leaves_in);
+        let should_stay =
+            serves_for.is_some_and(|serves_for| ends_at + REPORT_TIMEOUT < cx.now() + serves_for);
+        if should_stay {
+            event!(Info, "not-stopped", "id" => self.id, "server" => source.id,
+                "cause" => "engine serves long enough");
+        }
+        should_stay
+    }
+
     /// Logs that the run wasn't stopped, as one of the engines wouldn't have it moved.
     fn record_refused(&self, status: http::StatusCode) -> NotStopped {
         event!(Info, "move-refused", "id" => self.id, "from" => self.source.id,
--- a/daemon/src/router/send.rs
+++ b/daemon/src/router/send.rs
@@ -181,7 +181,7 @@
     // It may have left since it was chosen.
     let wants_it = match params.work {
         dialect::Work::Decode { source, .. } if source == server.addr => {
-            server_notices::takes_back(cx, server)
+            server_notices::takes_back(cx, server, cx.now())
         }
         _ => !server_notices::wants_none(cx, server),
     };
--- a/daemon/src/router/server_notices.rs
+++ b/daemon/src/router/server_notices.rs
@@ -136,15 +136,16 @@
     !may_get_work || is_paused(cx, server)
 }
 
-/// Returns whether a server takes back a run that it has stopped: also one that leaves, for a while.
+/// Returns whether a server takes back a run that it has stopped, at the time `at`: also one that leaves, for a while.
 pub(crate) fn takes_back<D: dialect::Dialect>(
     cx: &context::Router<D>,
     server: &backends::Backend,
+    at: time::Duration,
 ) -> bool {
     let departure = locks::lock(&cx.departures).get(&server.process());
     departure.is_none_or(|departure| {
         departure.way == departures::Way::Drained
-            && cx.now().saturating_sub(departure.at) < TAKES_BACK_FOR
+            && at.saturating_sub(departure.at) < TAKES_BACK_FOR
     })
 }
 
--- a/daemon/src/router/stopped_run.rs
+++ b/daemon/src/router/stopped_run.rs
@@ -272,7 +272,7 @@
 ) -> Result<engine_stream::Resumed<D>, (send::SendFailure, Option<prefills::KvHandle<D>>)> {
     let cx = &request.cx;
     let refused = match kv_cache.server.process() == server.process() {
-        true => (!server_notices::takes_back(cx, server)).then_some("engine leaves"),
+        true => (!server_notices::takes_back(cx, server, cx.now())).then_some("engine leaves"),
         false => server_notices::wants_none(cx, server).then_some("engine wants no requests"),
     };
     if let Some(cause) = refused {
--- a/daemon/tests/stopped_runs.rs
+++ b/daemon/tests/stopped_runs.rs
@@ -16,7 +16,9 @@
 const EVENTS: u64 = 120;
 const EVENT_PAUSE_MS: u64 = 30;
 const TOKENS_PER_EVENT: u64 = 70;
-/// How long the leaving engine takes for each of the two copies. A host sends it nothing later than 1.5 s after its notice.
+/// How long after its notice a host may send a leaving engine a run that it has stopped.
+const TAKES_BACK_FOR: time::Duration = time::Duration::from_millis(1_500);
+/// How long the leaving engine takes for each of the two copies, which is longer in sum.
 const COPY_DELAY_MS: u64 = 800;
 /// How long engines keep the KV cache of a stopped run.
 const HANDLE_TTL: time::Duration = time::Duration::from_millis(500);
@@ -215,3 +217,32 @@
     assert!((2..=5).contains(&offers.len()), "{} offers", offers.len());
     assert_eq!(stopped.setup.runs_of("r1"), 1);
 }
+
+/// Guards against runs that are stopped although their engine could end them, but couldn't take them back.
+#[tokio::test]
+async fn run_that_its_leaving_engine_can_end_is_not_stopped() {
+    for path in PATHS {
+        let stopped = leave(&["i-d1", "i-d2"], path, async |leaving, others| {
+            leaving.leaves_ms.store(20_000, atomic::Ordering::Relaxed);
+            leaving.copy_delay_ms.store(0, atomic::Ordering::Relaxed);
+            leaving
+                .refuses_copies
+                .store(true, atomic::Ordering::Relaxed);
+            others[0].set_fault(server::Fault::ExpirePrefill);
+            while copies_of(leaving).is_empty() {
+                tokio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+            tokio::time::sleep(TAKES_BACK_FOR).await;
+            leaving
+                .refuses_copies
+                .store(false, atomic::Ordering::Relaxed);
+        })
+        .await;
+        stopped.assert_whole(path);
+        let log = stopped.setup.host.log();
+        assert_eq!(stopped.setup.runs_of("r1"), 1, "{path}: {log}");
+        let copies = copies_of(&stopped.leaving);
+        let stops = copies.iter().filter(|(call, _)| call["last"] == true);
+        assert_eq!(stops.count(), 0, "{path}: the run was stopped");
+    }
+}
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -254,6 +254,8 @@
     pub busy: bool,
     /// Number of orders that the engine has accepted since its start.
     pub orders: u64,
+    /// In what time the engine ends, if it says so.
+    pub leaves_in: Option<time::Duration>,
 }
 
 /// An order to an engine to change its stage, with the lease that entitles the sender to give it.
--- a/lib/src/run_moves.rs
+++ b/lib/src/run_moves.rs
@@ -48,7 +48,7 @@
 }
 
 /// Returns the predicted time until a run ends, or zero if the run isn't known.
-fn remaining_time(
+pub fn remaining_time(
     load: &engine_load::EngineLoad,
     key: &engine_load::Key,
     now: time::Duration,
