router: have begun streams wait for an engine that is avoided

A resumable stream whose run no engine took back was cut although an attempt was left: the prompt was to be read anew, but the only engine of its version had just refused the run. It was either excluded for the rest of the request, so that no engine was usable and the stream ended at once, or was sent the last attempt while it still refused.

An engine that refused a stopped run as not run may read its prompt later, after the time for which refusing engines are avoided, counted from its last refusal. A request whose caller has events waits while such an engine is left that this host reaches, until its caller would leave; requests that can still be refused are refused at once, as before.

--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -109,6 +109,8 @@
     pub(crate) prefilled: bool,
     /// Whether it is a new run, one that moves from another engine or one that goes on after an interruption.
     pub(crate) run_kind: engine_memory::RunKind,
+    /// Whether the caller has events that this host sent it, so that it can't be refused.
+    pub(crate) has_begun: bool,
     /// When its first event should reach the caller.
     pub(crate) first_event_by: time::Duration,
     /// When its answer must be complete.
@@ -133,6 +135,19 @@
     }
 }
 
+/// Returns whether a request waits while no engine is usable: it can't be refused, and this host reaches an engine that
+/// is only avoided or wants no requests for now.
+fn waits_for_engine<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    request: &ReservationRequest<'_>,
+) -> bool {
+    let mut engines = cx.group_engines(&request.service.name, request.version);
+    engines.retain(|engine| engine.stage != Some(backends::Stage::Prefill));
+    let has_link = request.has_begun && !cx.links.all_lost(&engines);
+    cx.links.remove_lost(&mut engines);
+    has_link && engines.iter().any(|e| !request.tried.contains(&e.id))
+}
+
 /// Waits for capacity and reserves it.
 ///
 /// # Errors
@@ -210,7 +225,8 @@
             checked = true;
             cx.telemetry.count("engines.waits");
         }
-        if request.version.is_some() && full == Some(engine_load::Full::NoEngine) {
+        let no_engine = full == Some(engine_load::Full::NoEngine);
+        if request.version.is_some() && no_engine && !waits_for_engine(cx, request) {
             // No engine of another version can take the request.
             let cause = "no engine of the version is left";
             return Err(no_capacity(cx, request, cause, NO_ENGINE_WAIT));
@@ -372,6 +388,7 @@
 ) -> Result<(), NoCapacity> {
     let (cause, wait) = match full {
         None => return Ok(()),
+        Some(engine_load::Full::NoEngine) if waits_for_engine(cx, request) => return Ok(()),
         Some(engine_load::Full::NoEngine) => {
             check_notices(cx, request)?;
             return Err(no_capacity(
--- a/daemon/src/router/preview.rs
+++ b/daemon/src/router/preview.rs
@@ -302,6 +302,7 @@
             run_kind: engine_memory::RunKind::New {
                 hosts: cx.host_count(),
             },
+            has_begun: false,
             first_event_by: self.now + self.route.target_latency,
             deadline: self.now + timeout,
             leaves_at: self.now + wait_queue::patience(self.route.target_latency, max_pause),
--- a/daemon/src/router/stopped_run.rs
+++ b/daemon/src/router/stopped_run.rs
@@ -10,6 +10,7 @@
 use walnuthaven_lib::dialect;
 use walnuthaven_lib::outcome;
 
+use crate::locks;
 use crate::router::connection_pool;
 use crate::router::engine_reservation;
 use crate::router::engine_stream;
@@ -126,6 +127,12 @@
                 self.places = mem::take(&mut self.refused);
             }
         }
+        // They refused the run just now, and may read the prompt later.
+        let now = request.cx.now();
+        for place in &self.refused {
+            locks::lock(&request.cx.health).record_refusal(&place.server.id, now);
+            request.include(&place.server);
+        }
         // The run was stopped midway, even if the last send wasn't executed.
         let outcome = outcome::Outcome::BrokenMidway;
         let failure = send::SendFailure { outcome, cause };
--- a/daemon/src/router/stream_request.rs
+++ b/daemon/src/router/stream_request.rs
@@ -203,6 +203,7 @@
             generated: self.tokens_generated,
             prefilled: run_kind == engine_memory::RunKind::Moved,
             run_kind,
+            has_begun: self.last_event_at.is_some(),
             first_event_by: self.arrived + self.route.target_latency,
             deadline: self.deadline,
             leaves_at: self.caller_leaves_at(),
@@ -371,6 +372,11 @@
         }
     }
 
+    /// Lets the request be sent to a server again that refused it for a moment.
+    pub(super) fn include(&mut self, server: &backends::Backend) {
+        self.failed_servers.retain(|id| *id != server.id);
+    }
+
     /// Counts a send to an engine that generates the answer, against the attempts of the route and
     /// the retry budget.
     pub(super) fn count_attempt(&mut self) {
--- a/daemon/tests/stopped_runs.rs
+++ b/daemon/tests/stopped_runs.rs
@@ -246,3 +246,19 @@
         assert_eq!(stops.count(), 0, "{path}: the run was stopped");
     }
 }
+
+/// Guards against streams that are cut although their route allows another engine to read the prompt, as the only one left
+/// refuses requests for a moment.
+#[tokio::test]
+async fn stopped_run_that_may_be_sent_again_waits_for_an_engine() {
+    let stopped = leave(&["i-d1", "i-d2"], "/brief/x", async |_, others| {
+        refuse_once(others).await;
+        // Until after the KV cache is kept.
+        tokio::time::sleep(HANDLE_TTL + time::Duration::from_millis(200)).await;
+        others[0].set_fault(server::Fault::None);
+    })
+    .await;
+    stopped.assert_whole("/brief/x");
+    assert_eq!(stopped.setup.runs_of("r1"), 2);
+    assert_eq!(stopped.setup.prefill_engine.received().len(), 2);
+}
