tests: streams whose engine refuses connections for a moment

A resumable stream whose events arrive is cut by its host as soon as its engine, the only one, refuses a new connection. With log lines: server-lost, stream-broke "no engine is in reach" and passed-on within 10 ms; the engine refuses the other host, too, so the stream ends with status 200 after 6 of 60 events ("no server continues it"). The open connection to the engine went on all the while. It has nothing to do with the stop, beside which it counts as lost.

The test of streams that another host serves moves to the new file.

--- a/daemon/tests/stopped_streams.rs
+++ b/daemon/tests/stopped_streams.rs
@@ -9,20 +9,14 @@
 use walnuthaven_platform_standin::caller;
 use walnuthaven_platform_standin::engine_setup;
 use walnuthaven_platform_standin::hosts;
-use walnuthaven_platform_standin::link;
 use walnuthaven_platform_standin::server;
 use walnuthaven_platform_standin::stream_calls;
-use walnuthaven_platform_standin::stream_stop_outcome;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_walnuthavend");
 /// When a host that was told to leave is killed.
 const GRACE: time::Duration = time::Duration::from_secs(8);
 /// Within this time a caller can still be served by another host.
 const REFUSED_WITHIN: time::Duration = time::Duration::from_millis(500);
-/// Time for hosts to hear of each other, or of a configuration.
-const NEWS_TIME: time::Duration = time::Duration::from_millis(1_200);
-/// Time for a host to notice that its links are cut.
-const NOTICE_TIME: time::Duration = time::Duration::from_secs(2);
 const RESUMABLE: &str = "/brief/x";
 const NOT_RESUMABLE: &str = "/single/x";
 
@@ -30,36 +24,6 @@
     time::Duration::from_secs_f64(seconds)
 }
 
-/// Sets the length of the streams that engines begin from now on.
-fn set_streams(engine: &server::Server, events: u64, pause_ms: u64) {
-    let count = &engine.events_per_stream;
-    count.store(events, atomic::Ordering::Relaxed);
-    engine.delay_ms.store(pause_ms, atomic::Ordering::Relaxed);
-}
-
-/// Starts a host whose routes have a long time limit, with decode engines of these ids.
-async fn start(ids: &[&str], events: u64, pause_ms: u64) -> engine_setup::EngineSetup {
-    let setup = engine_setup::EngineSetup::start_with(BINARY, ids).await;
-    for engine in &setup.decode_engines {
-        set_streams(engine, events, pause_ms);
-    }
-    let mut configuration = hosts::configuration(4);
-    for route in configuration["routes"].as_array_mut().unwrap() {
-        route["timeout_ms"] = (stream_stop_outcome::TIME_LIMIT.as_millis() as u64).into();
-        route["target_latency_ms"] = 1_500.into();
-    }
-    setup.store.put("config", "main", configuration);
-    tokio::time::sleep(NEWS_TIME).await;
-    setup
-}
-
-/// Tells a host to leave. Returns when.
-fn leave(host: &hosts::Host) -> tokio::time::Instant {
-    let signalled = tokio::time::Instant::now();
-    host.signal(rustix::process::Signal::TERM).unwrap();
-    signalled
-}
-
 /// Has streams occupy an engine's slots.
 fn fill(addr: net::SocketAddr, count: u64) -> Vec<tokio::task::JoinHandle<stream_calls::Stream>> {
     let now = tokio::time::Instant::now();
@@ -68,32 +32,6 @@
         .collect()
 }
 
-/// Checks that no stream was lost, by the rule and its excuses, and that those that were refused never ran.
-async fn check<'a>(
-    what: &str,
-    setup: &engine_setup::EngineSetup,
-    signalled: tokio::time::Instant,
-    streams: impl IntoIterator<Item = &'a stream_calls::Stream>,
-) {
-    // Engines learn of connections that have closed.
-    tokio::time::sleep(secs(0.1)).await;
-    let prefill = [&setup.prefill_engine];
-    let engines: Vec<_> = setup.decode_engines.iter().chain(prefill).collect();
-    let mut faults = Vec::new();
-    for stream in streams {
-        let description = stream.describe(&engines, signalled.into_std());
-        println!("{what}: {description}");
-        if stream.is_lost(&engines, signalled.into_std()) {
-            faults.push(format!("lost: {description}"));
-        }
-        if stream.answer.status == 503 && setup.runs_of(&stream.sent.id) > 0 {
-            faults.push(format!("refused and run: {description}"));
-        }
-    }
-    let log = setup.host.log();
-    assert!(faults.is_empty(), "{what}: {faults:#?}\n{log}");
-}
-
 /// Waits until a host's process has ended. Returns when, as time since SIGTERM.
 async fn wait_for_end(host: &mut hosts::Host, signalled: tokio::time::Instant) -> time::Duration {
     while host.process.try_wait().unwrap().is_none() {
@@ -127,7 +65,7 @@
     ];
     let runs = variants.map(|(fault, queue_ms, silent_at)| {
         tokio::spawn(async move {
-            let setup = start(&["i-d1", "i-d2"], 70, 60).await;
+            let setup = stream_calls::start(BINARY, &["i-d1", "i-d2"], 70, 60).await;
             let addr = setup.host.callers_addr;
             let disturb = async {
                 let engine = setup.wait_for_run("r1").await;
@@ -135,7 +73,7 @@
                 let other = other.unwrap();
                 other.set_fault(fault);
                 other.queue_ms.store(queue_ms, atomic::Ordering::Relaxed);
-                let signalled = leave(&setup.host);
+                let signalled = stream_calls::leave(&setup.host);
                 tokio::time::sleep(secs(silent_at)).await;
                 engine.pause(secs(2.5));
                 signalled
@@ -144,7 +82,7 @@
             let (stream, signalled) = tokio::join!(sending, disturb);
             let log = setup.host.log();
             assert!(log.contains("\"server-silent\""), "{log}");
-            check(&format!("{fault:?}"), &setup, signalled, [&stream]).await;
+            stream_calls::check(&format!("{fault:?}"), &setup, signalled, [&stream]).await;
         })
     });
     join(runs).await;
@@ -160,23 +98,24 @@
     ];
     let runs = variants.map(|(what, silence, occupied)| {
         tokio::spawn(async move {
-            let mut setup = start(&["i-d1"], (occupied / 0.06) as u64, 60).await;
+            let mut setup =
+                stream_calls::start(BINARY, &["i-d1"], (occupied / 0.06) as u64, 60).await;
             let addr = setup.host.callers_addr;
             let filling = fill(addr, 8);
             tokio::time::sleep(secs(0.3)).await;
-            set_streams(&setup.decode_engines[0], 40, 60);
+            stream_calls::set_streams(&setup.decode_engines[0], 40, 60);
             let engine = setup.add_decode_engine("i-d2", "v1").await;
-            set_streams(&engine, 40, 60);
+            stream_calls::set_streams(&engine, 40, 60);
             let at = tokio::time::Instant::now();
             let sending = stream_calls::send_at(at, addr, RESUMABLE, "r1".to_owned(), 40);
             assert_eq!(setup.wait_for_run("r1").await.id, "i-d2");
-            let signalled = leave(&setup.host);
+            let signalled = stream_calls::leave(&setup.host);
             tokio::time::sleep(secs(0.5)).await;
             engine.pause(silence);
             let stream = sending.await.unwrap();
             let log = setup.host.log();
             assert!(stream.answer.complete, "{what}: cut: {log}");
-            check(what, &setup, signalled, [&stream]).await;
+            stream_calls::check(what, &setup, signalled, [&stream]).await;
             filling.iter().for_each(tokio::task::JoinHandle::abort);
         })
     });
@@ -189,12 +128,12 @@
     // For how long the others' streams occupy the engine.
     let runs = [30, 50].map(|occupied| {
         tokio::spawn(async move {
-            let setup = start(&["i-d1"], occupied, 100).await;
+            let setup = stream_calls::start(BINARY, &["i-d1"], occupied, 100).await;
             let addr = setup.host.callers_addr;
             let filling = fill(addr, 8);
             tokio::time::sleep(secs(0.5)).await;
-            set_streams(&setup.decode_engines[0], 65, 100);
-            let signalled = leave(&setup.host);
+            stream_calls::set_streams(&setup.decode_engines[0], 65, 100);
+            let signalled = stream_calls::leave(&setup.host);
             let sends = [0.0, 0.6, 1.2, 1.8, 2.4].map(|at| {
                 let (path, id) = (RESUMABLE, format!("r{at}"));
                 stream_calls::send_at(signalled + secs(at), addr, path, id, 65)
@@ -204,7 +143,7 @@
                 streams.push(send.await.unwrap());
             }
             let what = format!("full for {occupied}");
-            check(&what, &setup, signalled, &streams).await;
+            stream_calls::check(&what, &setup, signalled, &streams).await;
             for filling in filling {
                 let log = setup.host.log();
                 assert!(filling.await.unwrap().answer.complete, "{log}");
@@ -217,7 +156,7 @@
 /// Guards against streams that a leaving host accepts though it expects to end before them.
 #[tokio::test]
 async fn stream_that_outlasts_its_leaving_host_is_accepted() {
-    let setup = start(&["i-d1", "i-d2"], 65, 100).await;
+    let setup = stream_calls::start(BINARY, &["i-d1", "i-d2"], 65, 100).await;
     let addr = setup.host.callers_addr;
     let now = tokio::time::Instant::now();
     let learning =
@@ -227,10 +166,10 @@
     }
     let set_events = |events| {
         for engine in &setup.decode_engines {
-            set_streams(engine, events, 100);
+            stream_calls::set_streams(engine, events, 100);
         }
     };
-    let signalled = leave(&setup.host);
+    let signalled = stream_calls::leave(&setup.host);
     set_events(40);
     let first = stream_calls::send_at(signalled + secs(0.2), addr, RESUMABLE, "r1".to_owned(), 40);
     tokio::time::sleep_until(signalled + secs(1.9)).await;
@@ -243,7 +182,7 @@
     let first = first.await.unwrap();
     let outlasting = outlasting.await.unwrap();
     let streams = [&first, &outlasting, &short];
-    check("outlasting", &setup, signalled, streams).await;
+    stream_calls::check("outlasting", &setup, signalled, streams).await;
     let log = setup.host.log();
     for (stream, events) in [(&first, 40), (&short, 10)] {
         assert_eq!(stream.answer.status, 200, "{} fits: {log}", stream.sent.id);
@@ -264,7 +203,7 @@
 /// Has a caller ask for more than the kernel buffers and read it only after the host has been leaving for six seconds. The
 /// engine has ended before SIGTERM. Meanwhile the caller sends `further` on the same connection.
 async fn pause_reading(further: &[&str]) {
-    let setup = start(&["i-d1"], 70, 10).await;
+    let setup = stream_calls::start(BINARY, &["i-d1"], 70, 10).await;
     let engine = setup.decode_engines[0].clone();
     engine.padding.store(6_000, atomic::Ordering::Relaxed);
     let socket = tokio::net::TcpSocket::new_v4().unwrap();
@@ -277,7 +216,7 @@
         assert!(began.elapsed() < stream_calls::TIMEOUT, "the engine waits");
         tokio::time::sleep(time::Duration::from_millis(5)).await;
     }
-    let signalled = leave(&setup.host);
+    let signalled = stream_calls::leave(&setup.host);
     for part in further {
         tokio::time::sleep(secs(0.5)).await;
         caller.write_all(part.as_bytes()).await.unwrap();
@@ -287,7 +226,7 @@
     let answer = caller::read_with_pauses(&mut caller, secs(4.0), pause).await;
     let what = format!("{} parts, {} bytes", further.len(), answer.body.len());
     let stream = stream_calls::Stream::new(NOT_RESUMABLE, "r1", began, answer);
-    check(&what, &setup, signalled, [&stream]).await;
+    stream_calls::check(&what, &setup, signalled, [&stream]).await;
     assert!(stream.answer.complete, "{what}: {}", setup.host.log());
 }
 
@@ -313,7 +252,7 @@
     tokio::time::sleep(secs(0.5)).await;
     host.signal(rustix::process::Signal::STOP).unwrap();
     tokio::time::sleep(secs(0.1)).await;
-    let signalled = leave(host);
+    let signalled = stream_calls::leave(host);
     tokio::time::sleep_until(signalled + secs(0.8)).await;
     host.signal(rustix::process::Signal::CONT).unwrap();
     signalled
@@ -322,7 +261,7 @@
 /// Guards against a host that is killed because its grace period counts from when it handled SIGTERM.
 #[tokio::test]
 async fn host_that_handles_sigterm_late_is_killed() {
-    let mut setup = start(&["i-d1"], 110, 100).await;
+    let mut setup = stream_calls::start(BINARY, &["i-d1"], 110, 100).await;
     let signalled = starve_at_signal(&setup.host).await;
     let took = wait_for_end(&mut setup.host, signalled).await;
     let log = setup.host.log();
@@ -332,7 +271,7 @@
 /// Guards against streams that a leaving host accepts too late for their end to excuse the cut.
 #[tokio::test]
 async fn host_that_handles_sigterm_late_accepts_streams_late() {
-    let setup = start(&["i-d1"], 110, 100).await;
+    let setup = stream_calls::start(BINARY, &["i-d1"], 110, 100).await;
     let addr = setup.host.callers_addr;
     let signalled = starve_at_signal(&setup.host).await;
     let sends = [3.02, 3.1, 3.2, 3.28].map(|at| {
@@ -343,7 +282,7 @@
     for send in sends {
         streams.push(send.await.unwrap());
     }
-    check("late", &setup, signalled, &streams).await;
+    stream_calls::check("late", &setup, signalled, &streams).await;
     for stream in &streams {
         let id = &stream.sent.id;
         assert_eq!(setup.runs_of(id), 0, "{id}: {}", setup.host.log());
@@ -355,7 +294,8 @@
 async fn stream_is_lost_as_its_host_has_just_started() {
     let runs = [0.1, 0.4, 1.0, 2.0, 3.0].map(|after| {
         tokio::spawn(async move {
-            let mut setup = start(&["i-d1", "i-d2", "i-d3", "i-d4"], 40, 70).await;
+            let mut setup =
+                stream_calls::start(BINARY, &["i-d1", "i-d2", "i-d3", "i-d4"], 40, 70).await;
             let addr = setup.host.callers_addr;
             setup.host.restart();
             let started = tokio::time::Instant::now();
@@ -374,14 +314,14 @@
                 at += 0.15;
             }
             tokio::time::sleep_until(started + secs(after)).await;
-            let signalled = leave(&setup.host);
+            let signalled = stream_calls::leave(&setup.host);
             let took = wait_for_end(&mut setup.host, signalled).await;
             let mut streams = Vec::new();
             for send in sends {
                 streams.push(send.await.unwrap());
             }
             let what = format!("{after} s after its start");
-            check(&what, &setup, signalled, &streams).await;
+            stream_calls::check(&what, &setup, signalled, &streams).await;
             assert!(took < GRACE, "{what}: {took:?}: {}", setup.host.log());
         })
     });
@@ -400,17 +340,17 @@
     ];
     let runs = variants.map(|(what, prefill, queue_ms, is_full)| {
         tokio::spawn(async move {
-            let mut setup = start(&["i-d1"], 90, 100).await;
+            let mut setup = stream_calls::start(BINARY, &["i-d1"], 90, 100).await;
             let addr = setup.host.callers_addr;
             let filling = fill(addr, 8);
             tokio::time::sleep(secs(0.3)).await;
             let engine = setup.add_decode_engine("i-d2", "v1").await;
-            set_streams(&engine, 30, 100);
+            stream_calls::set_streams(&engine, 30, 100);
             engine.queue_ms.store(queue_ms, atomic::Ordering::Relaxed);
             if is_full {
                 engine.set_fault(server::Fault::Shed);
             }
-            let signalled = leave(&setup.host);
+            let signalled = stream_calls::leave(&setup.host);
             setup.prefill_engine.pause(secs(prefill));
             let sends = [0.0, 0.7, 1.4, 2.1].map(|at| {
                 let (path, id) = (RESUMABLE, format!("r{at}"));
@@ -420,65 +360,9 @@
             for send in sends {
                 streams.push(send.await.unwrap());
             }
-            check(what, &setup, signalled, &streams).await;
+            stream_calls::check(what, &setup, signalled, &streams).await;
             filling.iter().for_each(tokio::task::JoinHandle::abort);
         })
     });
     join(runs).await;
 }
-
-/// Starts two further hosts, of which the one that is returned first reaches no engine.
-async fn cut_off(setup: &engine_setup::EngineSetup) -> (hosts::Host, hosts::Host) {
-    let (mut pairs, mut links) = (Vec::new(), Vec::new());
-    for engine in setup.decode_engines.iter().chain([&setup.prefill_engine]) {
-        let link = link::Link::start(engine.addr).await;
-        pairs.push((engine.addr, link.addr));
-        links.push(link);
-    }
-    let view = setup.store.start_view(pairs).await;
-    let cut_off = hosts::Host::start(BINARY, "h0", view);
-    let helper = hosts::Host::start(BINARY, "h2", setup.store_addr);
-    cut_off.wait_ready().await;
-    helper.wait_ready().await;
-    tokio::time::sleep(NEWS_TIME).await;
-    links.iter().for_each(|link| link.set(link::State::Reset));
-    stream_calls::send(cut_off.callers_addr, RESUMABLE, "first".to_owned(), 10).await;
-    tokio::time::sleep(NOTICE_TIME).await;
-    (cut_off, helper)
-}
-
-/// Guards against streams that are lost because another host serves them, and that one or their own leaves.
-#[tokio::test]
-async fn stream_through_another_host_is_lost() {
-    let own = tokio::spawn(async {
-        let setup = start(&["i-d1", "i-d2"], 35, 100).await;
-        let (own, _other) = cut_off(&setup).await;
-        let signalled = leave(&own);
-        let sends = [0.0, 0.6, 1.2, 1.8, 2.4].map(|at| {
-            let (path, id) = (RESUMABLE, format!("r{at}"));
-            stream_calls::send_at(signalled + secs(at), own.callers_addr, path, id, 35)
-        });
-        let mut streams = Vec::new();
-        for send in sends {
-            streams.push(send.await.unwrap());
-        }
-        assert!(own.log().contains("\"passed-on\""), "{}", own.log());
-        check(&format!("own: {}", own.log()), &setup, signalled, &streams).await;
-    });
-    let other = tokio::spawn(async {
-        let setup = start(&["i-d1", "i-d2"], 95, 100).await;
-        let (own, other) = cut_off(&setup).await;
-        let now = tokio::time::Instant::now();
-        let sending = stream_calls::send_at(now, own.callers_addr, RESUMABLE, "r1".to_owned(), 95);
-        setup.wait_for_run("r1").await;
-        let placed = "\"placed\",\"id\":\"r1\"";
-        let mut helpers = [&setup.host, &other].into_iter();
-        let helper = helpers.find(|host| host.log().contains(placed)).unwrap();
-        let signalled = leave(helper);
-        let stream = sending.await.unwrap();
-        let log = format!("other: {}", own.log());
-        check(&log, &setup, signalled, [&stream]).await;
-        assert!(stream.answer.complete, "{}{}", own.log(), helper.log());
-    });
-    join([own, other]).await;
-}
