router: leave no stream that goes on for want of new connections

Callers of resumable streams got an answer that was cut in its middle while its events arrived: as soon as all engines refused a new connection from this host, it dropped its open streams and asked another host to go on; if the engines refused that, too, nobody did. It has nothing to do with a stop, beside which it counts as lost.

A stream is left for another host only once it has been silent for as long as for another engine of this host. What wasn't changed: it is dropped then before the other host has begun.

--- a/daemon/src/router/engine_prepare.rs
+++ b/daemon/src/router/engine_prepare.rs
@@ -189,13 +189,14 @@
 
     /// Prepares another server once `server` has been silent for `max_silence` since `since`, a
     /// time since boot. Never ends while the request may not be sent again or no other server can
-    /// take it, so `server` is left only for one that can.
+    /// take it, so `server` is left only for one that can. Returns `None` if this host reaches none, and another
+    /// host may.
     pub(crate) async fn prepare_alternative(
         &mut self,
         server: &sync::Arc<backends::Backend>,
         since: time::Duration,
         max_silence: time::Duration,
-    ) -> PreparedServer<D> {
+    ) -> Option<PreparedServer<D>> {
         let silent_at = since + max_silence;
         tokio::time::sleep(silent_at.saturating_sub(self.cx.now())).await;
         if self.silent_server.as_ref() != Some(&server.id) {
@@ -215,8 +216,11 @@
         loop {
             tokio::time::sleep(REOPEN_JITTER.mul_f64(rand::random::<f64>())).await;
             if self.decide_next(outcome::Outcome::Silent) == outcome::Next::SendAgain {
+                if via_peer::is_needed(&self.cx, &self.received, &self.service.name) {
+                    return None;
+                }
                 match self.prepare(None).await {
-                    Ok(prepared) => return prepared,
+                    Ok(prepared) => return Some(prepared),
                     Err(failure) => event!(Info, "not-replaced", "id" => self.id(),
                         "server" => server.id, "cause" => failure.cause()),
                 }
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -197,7 +197,7 @@
                     kv_cache: None,
                 }
             }
-            other = self.prepare_alternative(server, sent_at, STREAM_HEAD_SILENCE) => {
+            Some(other) = self.prepare_alternative(server, sent_at, STREAM_HEAD_SILENCE) => {
                 self.leave_silent_server(server);
                 event!(Info, "server-replaced", "id" => self.id(), "server" => server.id,
                     "cause" => "server fell silent before its answer", "by" => other.server.id);
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -26,7 +26,6 @@
 use crate::router::stream_events;
 use crate::router::stream_progress;
 use crate::router::stream_request;
-use crate::router::via_peer;
 
 /// Maximum number of events that are buffered for a slow caller. While the buffer is full, the
 /// server's stream isn't read.
@@ -281,18 +280,12 @@
     let max_pause = request
         .max_pause()
         .filter(|_| request.route.kind.may_run_again());
-    let (cx, received) = (request.cx.clone(), request.received.clone());
     request.set_relayed_from(&stream.server.id);
-    let service = request.service.name.clone();
-    let needs_peer = via_peer::wait_until_needed(&cx, &received, &service);
-    tokio::pin!(needs_peer);
     // Bytes that continued the stream by nothing.
     let mut useless_bytes = 0;
     let mut progressed_at = request.cx.now();
     loop {
         let time_left = request.deadline.saturating_sub(request.cx.now());
-        // The stream is the only answer otherwise.
-        let may_be_left = request.decide_next(outcome::Outcome::Silent) == outcome::Next::SendAgain;
         let max_silence = max_pause.map_or(time_left, |pause| pause * SILENCE_FACTOR);
         let body = &mut stream.response.body;
         let event = tokio::select! {
@@ -305,10 +298,10 @@
                 return broken(outcome::Outcome::Silent, "run was stopped");
             }
             other = request.prepare_alternative(&stream.server, progressed_at, max_silence), if max_pause.is_some() => {
-                return RelayEnd::Silent(other);
-            }
-            () = &mut needs_peer, if max_pause.is_some() && may_be_left => {
-                return broken(outcome::Outcome::Silent, "no engine is in reach");
+                return match other {
+                    Some(other) => RelayEnd::Silent(other),
+                    None => broken(outcome::Outcome::Silent, "no engine is in reach"),
+                };
             }
         };
         let mut next = match event {
