router: let further engines fetch a stopped run by its handle

So further engines are sent the handle. Engines that refused a run may read its prompt later; that they refused is recorded once more when the run is given up.

--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -147,18 +147,18 @@
 }
 
 /// A run that is to be moved.
-pub(super) struct Offer<D> {
-    pub(super) cx: sync::Arc<context::Router<D>>,
-    pub(super) source: sync::Arc<backends::Backend>,
-    pub(super) target: sync::Arc<backends::Backend>,
+struct Offer<D> {
+    cx: sync::Arc<context::Router<D>>,
+    source: sync::Arc<backends::Backend>,
+    target: sync::Arc<backends::Backend>,
     /// The id of its request.
-    pub(super) id: sync::Arc<str>,
+    id: sync::Arc<str>,
     /// Number of tokens in its KV cache.
-    pub(super) tokens: u32,
+    tokens: u32,
     /// How long engines keep a copy.
-    pub(super) ttl: time::Duration,
+    ttl: time::Duration,
     /// As in [`RunMove`].
-    pub(super) is_decided: sync::Arc<atomic::AtomicBool>,
+    is_decided: sync::Arc<atomic::AtomicBool>,
 }
 
 impl<D: dialect::Dialect> Offer<D> {
@@ -247,7 +247,7 @@
 
     /// Has the engine copy the run's KV cache. Returns the status of its answer and the handle that it holds, if any;
     /// `None` if there is no answer.
-    pub(super) async fn copy(
+    async fn copy(
         &self,
         copy: dialect::RunCopy,
         timeout: time::Duration,
--- a/daemon/src/router/stopped_run.rs
+++ b/daemon/src/router/stopped_run.rs
@@ -1,6 +1,6 @@
 //! Continues a run that was stopped for a move. Its engine keeps the KV cache for some time, so the run is offered to
-//! one engine after the other: to the one that holds a copy, to its own, and to further ones that get a copy first.
-//! Engines that refuse it are asked again after a pause.
+//! one engine after the other: to the one that holds a copy, to its own, and to further ones, which fetch it. Engines
+//! that refuse it are asked again after a pause.
 
 use std::mem;
 use std::sync;
@@ -44,26 +44,10 @@
     source: sync::Arc<backends::Backend>,
     /// The KV cache, as long as it can be used.
     kv_cache: Option<prefills::KvHandle<D>>,
-    /// The handles that newer ones replace. Dropping one frees its copy.
-    replaced: Vec<prefills::KvHandle<D>>,
     /// The engines to which it is offered next.
     places: Vec<Place<D>>,
     /// The engines that refused it.
     refused: Vec<Place<D>>,
-    /// Ids of the engines to which it isn't copied.
-    excluded: Vec<sync::Arc<str>>,
-    /// Whether the source may copy the KV cache to further engines.
-    may_copy: bool,
-}
-
-/// The result of looking for a further engine.
-enum Further<D: dialect::Dialect> {
-    /// This one holds a copy now.
-    Copied(Place<D>),
-    /// There is one with room, but the source makes no copy for it.
-    NotCopied,
-    /// None has room, or the retry budget allows no send.
-    NoRoom,
 }
 
 impl<D: dialect::Dialect> StoppedRun<D> {
@@ -75,17 +59,13 @@
     ) -> Self {
         Self {
             source: source.server.clone(),
-            excluded: vec![source.server.id.clone()],
             kv_cache: Some(kv_cache),
-            replaced: Vec::new(),
             places: target.into_iter().chain([source]).collect(),
             refused: Vec::new(),
-            may_copy: true,
         }
     }
 
-    /// Has an engine continue the run, as long as its KV cache is kept and the caller waits. A request that may be
-    /// sent again is left to an engine that reads its prompt, if there is one.
+    /// Has an engine continue the run, as long as its KV cache is kept and the caller waits.
     ///
     /// # Errors
     ///
@@ -107,19 +87,9 @@
             let Some(time_left) = self.time_left(request) else {
                 break;
             };
-            match self.copy_further(request).await {
-                Further::Copied(place) => {
-                    // The newest handle is for this engine and the source.
-                    self.refused
-                        .retain(|refused| refused.server.id == self.source.id);
-                    self.places.push(place);
-                    continue;
-                }
-                Further::NotCopied if may_be_sent_again(request) => break,
-                Further::NotCopied | Further::NoRoom => {}
-            }
-            if !self.may_copy && self.refused.is_empty() {
-                break;
+            if let Some(place) = self.further(request, time_left).await {
+                self.places.push(place);
+                continue;
             }
             tokio::time::sleep(pause.min(time_left)).await;
             pause *= 2;
@@ -203,68 +173,39 @@
         until.checked_sub(request.cx.now() + OFFER_TIME)
     }
 
-    /// Has the source copy the KV cache to an engine to which the run wasn't offered.
-    async fn copy_further(&mut self, request: &stream_request::StreamRequest<D>) -> Further<D> {
-        let cx = &request.cx;
+    /// Returns a further engine with room, if there is one and the retry budget allows to send it the run.
+    async fn further(
+        &self,
+        request: &mut stream_request::StreamRequest<D>,
+        time_left: time::Duration,
+    ) -> Option<Place<D>> {
+        let excluded = std::slice::from_ref(&self.source.id);
         loop {
-            let Some((reservation, server)) = request.reserve_for_move(&self.excluded) else {
+            let cx = request.cx.clone();
+            let Some((reservation, server)) = request.reserve_for_move(excluded) else {
                 event!(Info, "no-further-engine", "id" => request.id(),
                     "budget" => cx.may_retry(&request.service.name));
-                return Further::NoRoom;
+                return None;
             };
-            let time_left = self.time_left(request).filter(|_| self.may_copy);
-            let (Some(time_left), Some(kv_cache)) = (time_left, &self.kv_cache) else {
-                return Further::NotCopied;
-            };
-            self.excluded.push(server.id.clone());
             let options = send::Options {
                 deadline: cx.now() + time_left,
                 repeatable: false,
                 continues_run: false,
             };
-            let Ok(connection) = send::get_connection(cx, &server, options).await else {
-                continue;
-            };
-            let offer = run_move::Offer {
-                cx: cx.clone(),
-                source: self.source.clone(),
-                target: server.clone(),
-                id: kv_cache.id.clone(),
-                tokens: kv_cache.tokens,
-                ttl: kv_cache.ttl,
-                is_decided: sync::Arc::default(),
-            };
-            // A source that is silent leaves time for engines that have a copy.
-            let copied = offer.copy(dialect::RunCopy::Stops, time_left / 2).await;
-            let status = copied.as_ref().map(|(status, _)| status.as_u16());
-            event!(Info, "stopped-run-copied", "id" => request.id(), "from" => self.source.id,
-                "to" => server.id, "status" => status);
-            let Some((status, Some(copy))) = copied else {
-                self.may_copy = false;
-                return Further::NotCopied;
-            };
-            if let Some(mut old) = self.kv_cache.replace(copy) {
-                // The name may be the same.
-                let newest = self.kv_cache.as_ref();
-                old.fetched = newest.is_some_and(|newest| newest.name == old.name);
-                self.replaced.push(old);
-            }
-            if status.is_success() {
-                return Further::Copied(Place {
-                    server,
-                    reservation,
-                    connection: Some(connection),
-                });
+            match send::get_connection(&cx, &server, options).await {
+                Ok(connection) => {
+                    return Some(Place {
+                        server,
+                        reservation,
+                        connection: Some(connection),
+                    });
+                }
+                Err(failure) => request.record_failure(&server, &failure, cx.now()),
             }
         }
     }
 }
 
-/// Returns whether the rest of the answer may be generated from the prompt.
-fn may_be_sent_again<D: dialect::Dialect>(request: &stream_request::StreamRequest<D>) -> bool {
-    request.decide_next(outcome::Outcome::BrokenMidway) == outcome::Next::SendAgain
-}
-
 /// Continues a stopped run on an engine, on a connection to it if there is one already. An engine that leaves gets it
 /// only if it stopped it and serves long enough to be sent it.
 ///
