router: keep silent streams until their replacement sends an event

- A silent stream was left at the head of the other engine's answer.
One that sends a head and then nothing leaves neither at work (cut at 7.7 s after SIGTERM).
It is left at the first event now.
- A silent stream whose run was stopped for a move just then was dropped with the handle of its KV cache; the other engine refuses, and the stream is cut (2.9 s after SIGTERM, lost).
It is continued with its KV cache now.
- The end of a silent stream without framing, whose engine crashed, was taken for a stream that goes on, and the other engine given up.
Whether it ended whole is asked first now.
- A host that stood still just before SIGTERM took the begin of the pause for the signal and cut streams at 6.2 s after it, before the last sixth of its grace period, in which the rule allows that.
It gives up no more than that sixth less the margin before its end now.
- A begun stream waited for an engine that is avoided although another host may have one (by reading; no test).

--- a/daemon/src/router/engine_reservation.rs
+++ b/daemon/src/router/engine_reservation.rs
@@ -143,7 +143,7 @@
 ) -> bool {
     let mut engines = cx.group_engines(&request.service.name, request.version);
     engines.retain(|engine| engine.stage != Some(backends::Stage::Prefill));
-    let has_link = request.has_begun && !cx.links.all_lost(&engines);
+    let has_link = request.has_begun && !cx.links.mostly_lost(&engines);
     cx.links.remove_lost(&mut engines);
     has_link && engines.iter().any(|e| !request.tried.contains(&e.id))
 }
--- a/daemon/src/router/engine_stream.rs
+++ b/daemon/src/router/engine_stream.rs
@@ -6,6 +6,7 @@
 
 use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
+use walnuthaven_lib::event_stream;
 use walnuthaven_lib::outcome;
 
 use crate::locks;
@@ -34,6 +35,8 @@
     pub(crate) server: sync::Arc<backends::Backend>,
     /// The capacity reserved on the server.
     pub(crate) reservation: engine_reservation::Reservation<D>,
+    /// What was read of the events.
+    pub(crate) splitter: event_stream::Splitter,
 }
 
 /// The result of asking a server to generate the answer.
@@ -157,6 +160,7 @@
                 response,
                 server,
                 reservation,
+                splitter: event_stream::Splitter::default(),
             })),
             DecodeResponse::Failed(failure, kv_cache) => {
                 self.handle_failure(&server, failure, false)?;
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -60,7 +60,7 @@
         StreamEnd,
     ),
     /// The server was silent, and another one goes on with the stream.
-    Replaced(engine_stream::OpenStream<D>),
+    Replaced(Box<engine_stream::OpenStream<D>>),
 }
 
 /// The stream of one server while it is relayed.
@@ -70,7 +70,7 @@
     /// The capacity reserved on the server.
     reservation: engine_reservation::Reservation<D>,
     pub(super) splitter: event_stream::Splitter,
-    run_move: Option<run_move::RunMove<D>>,
+    pub(super) run_move: Option<run_move::RunMove<D>>,
     /// Whether it was recorded that the prompt doesn't crash servers.
     is_proven: bool,
     /// Events without an id of a stream that another server may continue. They are part of the answer if
@@ -150,7 +150,7 @@
                 }
             }
             ServerStreamEnd::Replaced(next) => {
-                opened = next;
+                opened = *next;
                 cx.telemetry.count("streams.continued");
                 continue;
             }
@@ -200,7 +200,7 @@
         response: opened.response,
         server: opened.server,
         reservation: opened.reservation,
-        splitter: event_stream::Splitter::default(),
+        splitter: opened.splitter,
         run_move: None,
         is_proven: false,
         held: Vec::new(),
@@ -215,8 +215,17 @@
             () = tx.closed() => return ServerStreamEnd::Ended(StreamEnd::CallerLeft),
         };
         stream = match replacement {
-            silent_stream::Replacement::Opened(opened) => return ServerStreamEnd::Replaced(opened),
+            silent_stream::Replacement::Opened(opened) => {
+                return ServerStreamEnd::Replaced(Box::new(opened));
+            }
             silent_stream::Replacement::Kept(stream) => stream,
+            silent_stream::Replacement::Stopped(broken) => {
+                stream = broken;
+                break StreamEnd::Broken(send::SendFailure {
+                    outcome: outcome::Outcome::BrokenMidway,
+                    cause: stream_events::BROKE_OFF,
+                });
+            }
             silent_stream::Replacement::Failed(cause) => {
                 return ServerStreamEnd::Ended(StreamEnd::NotContinued(cause));
             }
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -284,6 +284,11 @@
         *self.stopped.borrow() == Some(false)
     }
 
+    /// Returns whether the engine was told to stop the run.
+    pub(crate) fn is_decided(&self) -> bool {
+        self.is_decided.load(atomic::Ordering::Relaxed)
+    }
+
     /// Gives the move up because the run's stream has ended, unless its engine was told to stop the run. Returns whether
     /// it was given up, so that the end is that of the run.
     pub(crate) fn give_up(&self) -> bool {
--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -117,8 +117,9 @@
     /// Returns by how much a signal that is handled now may be late.
     pub(crate) fn told_late_by(&self) -> time::Duration {
         let stalled = locks::lock(&self.stalls).stalled_for(self.now());
-        // Most such signals come later in a long pause, and the open requests need the time.
-        stalled.min(self.settings().grace_period / 2)
+        // The signal may have come at the end of the pause: streams aren't cut before the last sixth of the period.
+        let longest = (self.settings().grace_period / 6).saturating_sub(GRACE_MARGIN);
+        stalled.min(longest)
     }
 
     /// Returns how long the host has been leaving, or zero if it isn't leaving.
--- a/daemon/src/router/silent_stream.rs
+++ b/daemon/src/router/silent_stream.rs
@@ -2,10 +2,13 @@
 
 use walnuthaven_lib::dialect;
 
+use crate::router::context;
 use crate::router::engine_prepare;
 use crate::router::engine_stream;
 use crate::router::events::event;
 use crate::router::relay;
+use crate::router::run_move;
+use crate::router::send;
 use crate::router::stream_events;
 use crate::router::stream_request;
 
@@ -15,6 +18,8 @@
     Opened(engine_stream::OpenStream<D>),
     /// The other server failed, and the silent stream is still open.
     Kept(relay::ServerStream<D>),
+    /// The silent stream broke off as its run was stopped for a move.
+    Stopped(relay::ServerStream<D>),
     /// Neither goes on.
     Failed(&'static str),
 }
@@ -27,6 +32,7 @@
     other: engine_prepare::PreparedServer<D>,
 ) -> Replacement<D> {
     let server = silent.server.clone();
+    let cx = request.cx.clone();
     let mut held = Some(silent);
     let mut other = other;
     let started = loop {
@@ -35,7 +41,7 @@
             "delivered" => request.last_event);
         let started = tokio::select! {
             started = request.start_on(other) => started,
-            stream = wait_until_sending(&mut held) => return Replacement::Kept(stream),
+            kept = wait_until_sending(&cx, &mut held) => return kept,
         };
         match started {
             Ok(engine_stream::DecodeResult::Replaced(next)) => other = next,
@@ -43,7 +49,13 @@
         }
     };
     let opened = match (started, held) {
-        (Ok(engine_stream::DecodeResult::Stream(opened)), _) => Ok(opened),
+        (Ok(engine_stream::DecodeResult::Stream(opened)), None) => Ok(opened),
+        (Ok(engine_stream::DecodeResult::Stream(opened)), Some(stream)) => {
+            match first_to_send(&cx, opened, stream).await {
+                Ok(opened) => Ok(opened),
+                Err(kept) => return *kept,
+            }
+        }
         (_, Some(stream)) => return Replacement::Kept(stream),
         (Ok(_), None) => {
             request.leave_silent_server(&server);
@@ -58,18 +70,58 @@
     }
 }
 
-/// Waits until a silent stream sends again, and takes it from `held`. Drops it and waits forever if it breaks off.
+/// Waits until the other server sends an event, or the silent one does, after the head of the other one's answer.
+///
+/// # Errors
+///
+/// Returns what became of the silent stream if the other one isn't to go on.
+async fn first_to_send<D: dialect::Dialect>(
+    cx: &context::Router<D>,
+    opened: engine_stream::OpenStream<D>,
+    silent: relay::ServerStream<D>,
+) -> Result<engine_stream::OpenStream<D>, Box<Replacement<D>>> {
+    let mut opened = opened;
+    let mut held = Some(silent);
+    let awaited = {
+        let body = &mut opened.response.body;
+        tokio::select! {
+            awaited = stream_events::wait_for_event(body, &mut opened.splitter) => awaited,
+            kept = wait_until_sending(cx, &mut held) => return Err(Box::new(kept)),
+        }
+    };
+    match (awaited, held) {
+        (stream_events::Awaited::Break, Some(stream)) => Err(Box::new(Replacement::Kept(stream))),
+        _ => Ok(opened),
+    }
+}
+
+/// Waits until a silent stream sends again or has ended whole, or breaks off because its run was stopped for a move, and takes
+/// it from `held`. Drops it and waits forever if it breaks off otherwise.
 async fn wait_until_sending<D: dialect::Dialect>(
+    cx: &context::Router<D>,
     held: &mut Option<relay::ServerStream<D>>,
-) -> relay::ServerStream<D> {
+) -> Replacement<D> {
     if let Some(stream) = held {
         let body = &mut stream.response.body;
-        if stream_events::wait_for_event(body, &mut stream.splitter).await
-            && let Some(stream) = held.take()
-        {
-            return stream;
+        let goes_on = match stream_events::wait_for_event(body, &mut stream.splitter).await {
+            stream_events::Awaited::Event => true,
+            stream_events::Awaited::End => {
+                let has_end = stream.response.has_explicit_end;
+                stream.splitter.remainder().is_empty()
+                    && send::ended_whole(cx, has_end, &stream.server).await
+            }
+            stream_events::Awaited::Break => false,
+        };
+        let run_move = stream.run_move.as_ref();
+        let is_stopped = run_move.is_some_and(run_move::RunMove::is_decided);
+        if let Some(stream) = held.take() {
+            if goes_on {
+                return Replacement::Kept(stream);
+            }
+            if is_stopped {
+                return Replacement::Stopped(stream);
+            }
         }
-        *held = None;
     }
     std::future::pending().await
 }
--- a/daemon/src/router/stopped_run.rs
+++ b/daemon/src/router/stopped_run.rs
@@ -8,6 +8,7 @@
 
 use walnuthaven_lib::backends;
 use walnuthaven_lib::dialect;
+use walnuthaven_lib::event_stream;
 use walnuthaven_lib::outcome;
 
 use crate::locks;
@@ -136,6 +137,7 @@
                     response,
                     server,
                     reservation,
+                    splitter: event_stream::Splitter::default(),
                 })));
             }
             Ok(engine_stream::Resumed::Replaced(other)) => {
--- a/daemon/src/router/stream_events.rs
+++ b/daemon/src/router/stream_events.rs
@@ -65,20 +65,28 @@
     }
 }
 
-/// Waits until an event with an id has arrived or the stream has ended in order, and takes neither. Returns `false` if the
-/// stream broke off. Dropping the future loses nothing that was read.
+/// What has arrived on a stream.
+pub(super) enum Awaited {
+    /// An event with an id, or one that is too large.
+    Event,
+    /// The end of its body.
+    End,
+    Break,
+}
+
+/// Waits until a stream goes on or ends, and takes no event. Dropping the future loses nothing that was read.
 pub(super) async fn wait_for_event(
     body: &mut read_limit::LimitedBody,
     splitter: &mut event_stream::Splitter,
-) -> bool {
+) -> Awaited {
     while !splitter.has_event_with_id() && !splitter.exceeds_max_event() {
         match body.frame().await {
             Some(Ok(frame)) => splitter.push(&frame.into_data().unwrap_or_default()),
-            Some(Err(_)) => return false,
-            None => return true,
+            Some(Err(_)) => return Awaited::Break,
+            None => return Awaited::End,
         }
     }
-    true
+    Awaited::Event
 }
 
 /// Returns whether a stream that ended between two events is complete. Without an explicit end, one that broke there
