--- a/daemon/tests/stopped_streams.rs
+++ b/daemon/tests/stopped_streams.rs
@@ -82,6 +82,7 @@
             let (stream, signalled) = tokio::join!(sending, disturb);
             let log = setup.host.log();
             assert!(log.contains("\"server-silent\""), "{log}");
+            assert!(log.contains("\"server-replaced\""), "{log}");
             stream_calls::check(&format!("{fault:?}"), &setup, signalled, [&stream]).await;
         })
     });
