router: name the silent stream, and follow the move's comments

From reading the change as a newcomer: `held` stood for the silent stream here and for unsent events in relay.rs; the comment of the task that moves a run told an earlier form.

--- a/daemon/src/router/drained_reader.rs
+++ b/daemon/src/router/drained_reader.rs
@@ -6,10 +6,9 @@
 use std::task;
 
 use tokio::io::AsyncRead;
-use tokio::io::ReadBuf;
 use tokio::net::tcp;
 
-/// Bytes that are read at a time, and how often: more than a socket buffers.
+/// Bytes that are read at a time, and how often: more than the sockets of callers buffer.
 const READ_BYTES: usize = 8 * 1024;
 const MAX_READS: usize = 64;
 
@@ -27,7 +26,7 @@
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
-        buf: &mut ReadBuf<'_>,
+        buf: &mut tokio::io::ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
         pin::Pin::new(&mut self.0).poll_read(cx, buf)
     }
--- a/daemon/src/router/run_move.rs
+++ b/daemon/src/router/run_move.rs
@@ -45,7 +45,7 @@
     is_decided: sync::Arc<atomic::AtomicBool>,
     /// Whether the run was stopped; `None` until that is known.
     stopped: tokio::sync::watch::Receiver<Option<bool>>,
-    /// Stops the run and copies its KV cache; yields `None` if the run wasn't stopped.
+    /// Copies the run's KV cache and stops it; yields an error if the run wasn't stopped.
     copy_task: tokio::task::JoinHandle<Result<Stopped<D>, NotStopped>>,
 }
 
--- a/daemon/src/router/silent_stream.rs
+++ b/daemon/src/router/silent_stream.rs
@@ -28,12 +28,12 @@
 /// itself if it sends first or the other server fails.
 pub(super) async fn replace<D: dialect::Dialect>(
     request: &mut stream_request::StreamRequest<D>,
-    silent: relay::ServerStream<D>,
+    stream: relay::ServerStream<D>,
     other: engine_prepare::PreparedServer<D>,
 ) -> Replacement<D> {
-    let server = silent.server.clone();
+    let server = stream.server.clone();
     let cx = request.cx.clone();
-    let mut held = Some(silent);
+    let mut silent = Some(stream);
     let mut other = other;
     let started = loop {
         event!(Info, "server-replaced", "id" => request.id(), "server" => server.id,
@@ -41,14 +41,14 @@
             "delivered" => request.last_event);
         let started = tokio::select! {
             started = request.start_on(other) => started,
-            kept = wait_until_sending(&cx, &mut held) => return kept,
+            kept = wait_until_sending(&cx, &mut silent) => return kept,
         };
         match started {
             Ok(engine_stream::DecodeResult::Replaced(next)) => other = next,
             started => break started,
         }
     };
-    let opened = match (started, held) {
+    let opened = match (started, silent) {
         (Ok(engine_stream::DecodeResult::Stream(opened)), None) => Ok(opened),
         (Ok(engine_stream::DecodeResult::Stream(opened)), Some(stream)) => {
             match first_to_send(&cx, opened, stream).await {
@@ -78,30 +78,30 @@
 async fn first_to_send<D: dialect::Dialect>(
     cx: &context::Router<D>,
     opened: engine_stream::OpenStream<D>,
-    silent: relay::ServerStream<D>,
+    stream: relay::ServerStream<D>,
 ) -> Result<engine_stream::OpenStream<D>, Box<Replacement<D>>> {
     let mut opened = opened;
-    let mut held = Some(silent);
+    let mut silent = Some(stream);
     let awaited = {
         let body = &mut opened.response.body;
         tokio::select! {
             awaited = stream_events::wait_for_event(body, &mut opened.splitter) => awaited,
-            kept = wait_until_sending(cx, &mut held) => return Err(Box::new(kept)),
+            kept = wait_until_sending(cx, &mut silent) => return Err(Box::new(kept)),
         }
     };
-    match (awaited, held) {
+    match (awaited, silent) {
         (stream_events::Awaited::Break, Some(stream)) => Err(Box::new(Replacement::Kept(stream))),
         _ => Ok(opened),
     }
 }
 
 /// Waits until a silent stream sends again or has ended whole, or breaks off because its run was stopped for a move, and takes
-/// it from `held`. Drops it and waits forever if it breaks off otherwise.
+/// it from `silent`. Drops it and waits forever if it breaks off otherwise.
 async fn wait_until_sending<D: dialect::Dialect>(
     cx: &context::Router<D>,
-    held: &mut Option<relay::ServerStream<D>>,
+    silent: &mut Option<relay::ServerStream<D>>,
 ) -> Replacement<D> {
-    if let Some(stream) = held {
+    if let Some(stream) = silent {
         let body = &mut stream.response.body;
         let goes_on = match stream_events::wait_for_event(body, &mut stream.splitter).await {
             stream_events::Awaited::Event => true,
@@ -114,7 +114,7 @@
         };
         let run_move = stream.run_move.as_ref();
         let is_stopped = run_move.is_some_and(run_move::RunMove::is_decided);
-        if let Some(stream) = held.take() {
+        if let Some(stream) = silent.take() {
             if goes_on {
                 return Replacement::Kept(stream);
             }
