router: derive a late signal once, and release received bytes in one place

From a last reading of the change: the lateness of a signal was derived twice, for the log and for the grace period; bytes of heads were released as those that are buffered are; and two types were called Awaited (that of stream_events is Arrival now). No behaviour.

--- a/daemon/src/router/clients.rs
+++ b/daemon/src/router/clients.rs
@@ -424,10 +424,7 @@
 
     /// Ends to count the bytes of a request's head.
     pub(crate) fn release_head(&self) {
-        let bytes = self.0.head.swap(0, atomic::Ordering::Relaxed);
-        self.0.held.fetch_sub(bytes, atomic::Ordering::Relaxed);
-        let total = &self.0.clients.held;
-        total.fetch_sub(bytes, atomic::Ordering::Relaxed);
+        self.release_buffered(self.0.head.swap(0, atomic::Ordering::Relaxed));
     }
 
     /// Counts bytes that were received and that nothing reads for now.
@@ -438,7 +435,7 @@
         clients.make_room(0);
     }
 
-    /// Ends to count such bytes.
+    /// Ends to count bytes that were received.
     pub(crate) fn release_buffered(&self, bytes: usize) {
         self.0.held.fetch_sub(bytes, atomic::Ordering::Relaxed);
         let total = &self.0.clients.held;
--- a/daemon/src/router/run.rs
+++ b/daemon/src/router/run.rs
@@ -218,7 +218,7 @@
 async fn shut_down<D: dialect::Dialect>(cx: &sync::Arc<context::Router<D>>) {
     let started = cx.now();
     let late = cx.told_late_by();
-    let end = cx.start_leaving();
+    let end = cx.start_leaving(late);
     cx.news_due.notify_one();
     let max_time = end.saturating_sub(started);
     event!(Info, "leave", "in_flight" => cx.in_flight.load(atomic::Ordering::Relaxed),
--- a/daemon/src/router/shutdown.rs
+++ b/daemon/src/router/shutdown.rs
@@ -102,11 +102,11 @@
         self.shutdown.period.borrow().is_some()
     }
 
-    /// Records that the host was told to leave: just now, or while the process stood still before. Returns when the
-    /// process ends at the latest, as time since boot; a grace period that changes later doesn't move it.
-    pub(crate) fn start_leaving(&self) -> time::Duration {
+    /// Records that the host was told to leave, by a signal that is `late` by this much. Returns when the process ends at
+    /// the latest, as time since boot; a grace period that changes later doesn't move it.
+    pub(crate) fn start_leaving(&self, late: time::Duration) -> time::Duration {
         let grace_period = self.settings().grace_period;
-        let since = self.now().saturating_sub(self.told_late_by());
+        let since = self.now().saturating_sub(late);
         let end = since + grace_period.saturating_sub(GRACE_MARGIN);
         self.shutdown
             .period
--- a/daemon/src/router/silent_stream.rs
+++ b/daemon/src/router/silent_stream.rs
@@ -90,7 +90,7 @@
         }
     };
     match (awaited, silent) {
-        (stream_events::Awaited::Break, Some(stream)) => Err(Box::new(Replacement::Kept(stream))),
+        (stream_events::Arrival::Break, Some(stream)) => Err(Box::new(Replacement::Kept(stream))),
         _ => Ok(opened),
     }
 }
@@ -104,13 +104,13 @@
     if let Some(stream) = silent {
         let body = &mut stream.response.body;
         let goes_on = match stream_events::wait_for_event(body, &mut stream.splitter).await {
-            stream_events::Awaited::Event => true,
-            stream_events::Awaited::End => {
+            stream_events::Arrival::Event => true,
+            stream_events::Arrival::End => {
                 let has_end = stream.response.has_explicit_end;
                 stream.splitter.remainder().is_empty()
                     && send::ended_whole(cx, has_end, &stream.server).await
             }
-            stream_events::Awaited::Break => false,
+            stream_events::Arrival::Break => false,
         };
         let run_move = stream.run_move.as_ref();
         let is_stopped = run_move.is_some_and(run_move::RunMove::is_decided);
--- a/daemon/src/router/stream_events.rs
+++ b/daemon/src/router/stream_events.rs
@@ -66,7 +66,7 @@
 }
 
 /// What has arrived on a stream.
-pub(super) enum Awaited {
+pub(super) enum Arrival {
     /// An event with an id, or one that is too large.
     Event,
     /// The end of its body.
@@ -78,15 +78,15 @@
 pub(super) async fn wait_for_event(
     body: &mut read_limit::LimitedBody,
     splitter: &mut event_stream::Splitter,
-) -> Awaited {
+) -> Arrival {
     while !splitter.has_event_with_id() && !splitter.exceeds_max_event() {
         match body.frame().await {
             Some(Ok(frame)) => splitter.push(&frame.into_data().unwrap_or_default()),
-            Some(Err(_)) => return Awaited::Break,
-            None => return Awaited::End,
+            Some(Err(_)) => return Arrival::Break,
+            None => return Arrival::End,
         }
     }
-    Awaited::Event
+    Arrival::Event
 }
 
 /// Returns whether a stream that ended between two events is complete. Without an explicit end, one that broke there
