review: case 10, a stopped run isn't offered to its own engine

Cause: a host takes an engine that leaves to serve for two seconds, and doesn't offer it a run that it has stopped later than 1.5 s after its notice, though the deployment says 3 s. It still stops runs then, for an engine that may have no room for the rest. The stand-in engine copies and stops runs.

--- a/review/world2/server.py
+++ b/review/world2/server.py
@@ -2,7 +2,8 @@
 
 Usage: server.py ID IP:PORT SERVICE STAGE STORE RUNS [KEY=VALUE...]. It registers itself in the store, renews its entry,
 and appends each run to the file RUNS. Keys: events, bytes, gap_ms (of a stream), framed (0: answers end with their
-connection), work_ms (of a plain request).
+connection), work_ms (of a plain request), copy_ms (of copying a run to another engine). SIGUSR1: it leaves, as it tells
+the store, and goes on serving. SIGUSR2: it has no room, or has room again.
 """
 
 import hashlib
@@ -10,16 +11,19 @@
 import json
 import os
 import secrets
+import signal
 import socket
 import sys
 import threading
 import time
 
 ID, ADDRESS, SERVICE, STAGE, STORE, RUNS = sys.argv[1:7]
-OPTIONS = {"events": 130, "bytes": 400, "gap_ms": 10, "framed": 1, "work_ms": 15, "version": 1}
+OPTIONS = {"events": 130, "bytes": 400, "gap_ms": 10, "framed": 1, "work_ms": 15, "version": 1, "copy_ms": 200}
 OPTIONS.update((k, int(v)) for k, v in (option.split("=") for option in sys.argv[7:]))
 BORN = int(time.time() * 1000)
-STATE = {"stage": STAGE, "busy": False, "orders": 0, "beat": 0}
+STATE = {"stage": STAGE, "busy": False, "orders": 0, "beat": 0, "state": "ready", "full": False}
+RUNNING, STOPPED = {}, {}
+CHANGED = threading.Event()
 LOG = os.open(RUNS, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
 
 
@@ -36,7 +40,7 @@
         "zone": "mvd-a",
         "version": f"v{OPTIONS['version']}",
         "slots": 12 if STAGE != "none" else 6,
-        "state": "ready",
+        "state": STATE["state"],
         "cold_remaining_ms": 0,
         "sequence": STATE["beat"],
         "born": BORN,
@@ -49,6 +53,7 @@
 
 def register():
     while True:
+        CHANGED.clear()
         try:
             store = http.client.HTTPConnection(STORE, timeout=2)
             body = json.dumps(entry())
@@ -60,7 +65,39 @@
             store.close()
         except OSError:
             pass
-        time.sleep(1.2)
+        CHANGED.wait(1.2)
+
+
+def leave(*_):
+    STATE["state"] = "draining"
+    CHANGED.set()
+    log(what="leaves")
+
+
+def fill(*_):
+    STATE["full"] = not STATE["full"]
+    log(what="room", full=STATE["full"])
+
+
+def move(sock, body):
+    """Copies a run to another engine, and stops it before that if the call asks for it."""
+    wanted = json.loads(body)
+    run, is_last = wanted["id"], bool(wanted.get("last"))
+    if run not in RUNNING:
+        return answer(sock, 404, b"{}")
+    if is_last:
+        STOPPED[run] = secrets.token_hex(6)
+        log(what="stopped", id=run)
+    time.sleep(OPTIONS["copy_ms"] / 1000)
+    other = http.client.HTTPConnection(wanted["to"], timeout=2)
+    other.request("GET", "/stand-in/room")
+    has_room = other.getresponse().status == 200
+    other.close()
+    handle = STOPPED.get(run) or f"copy-{run}"
+    value = {"cache_handle": handle, "create_revision": RUNNING.get(run, 0)}
+    status = 200 if has_room else 503
+    log(what="copied", id=run, last=is_last, status=status)
+    return answer(sock, status, json.dumps(value if has_room or is_last else {}).encode())
 
 
 def read_request(reader):
@@ -122,7 +159,7 @@
         "kv_used": 0,
         "kv_total": 66796,
         "handles": 0,
-        "state": "ready",
+        "state": STATE["state"],
         "runs": [],
         "born": BORN,
     }
@@ -146,13 +183,19 @@
     named["X-Weight-Versions"] = OPTIONS["version"]
     named.update({"Transfer-Encoding": "chunked"} if framed else {"Connection": "close"})
     log(what="run", id=request_id, first=first)
+    STOPPED.pop(request_id, None)
     sock.sendall(head(200, named, request_id))
     for number in range(first, OPTIONS["events"] + 1):
         time.sleep(OPTIONS["gap_ms"] / 1000)
+        if request_id in STOPPED:
+            RUNNING.pop(request_id, None)
+            return False
+        RUNNING[request_id] = number
         data = event(number)
         sock.sendall(f"{len(data):x}\r\n".encode() + data + b"\r\n" if framed else data)
         if number % 10 == 0:
             log(what="sent", id=request_id, event=number)
+    RUNNING.pop(request_id, None)
     if framed:
         sock.sendall(b"0\r\n\r\n")
     log(what="end", id=request_id)
@@ -178,8 +221,15 @@
         report(sock)
     elif target == "/walnuthaven/order":
         order(sock, body)
+    elif target == "/walnuthaven/kv-move":
+        move(sock, body)
+    elif target == "/stand-in/room":
+        answer(sock, 503 if STATE["full"] else 200, b"{}")
     elif target.startswith("/walnuthaven/"):
         answer(sock, 200 if method == "DELETE" else 404, b"{}")
+    elif STATE["full"]:
+        log(what="refused", id=request_id, source=headers.get("x-kv-source"))
+        answer(sock, 503, b"", request_id, X_Not_Executed="1")
     elif request_id is None:
         answer(sock, 400, b"", X_Not_Executed="1")
     elif STAGE == "none":
@@ -217,6 +267,8 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
     listener.bind((ip, int(port)))
     listener.listen(256)
+    signal.signal(signal.SIGUSR1, leave)
+    signal.signal(signal.SIGUSR2, fill)
     threading.Thread(target=register, daemon=True).start()
     while True:
         sock, _ = listener.accept()
